Give VMs topics, members and a tick to build on

Cause: limits, suspects and configuration all need what other VMs say. Change: exchange topics with ages, the members' slice, a periodic timer. Conclusion: a common ground for the modules that follow.

--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -4,9 +4,13 @@
 from typing import Any, Final
 
 from plantainridge import events, requests, revisions, services
-from plantainridge.effects import Effect, ReadLog
+from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
+# Period of work that is done from time to time, in s.
+TICK_S: Final = 0.25
+_TICK: Final = events.TimerKey(events.TimerKind.TICK)
+
 Handler = Callable[[VmState, Any, float], Iterator[Effect]]
 
 
@@ -19,6 +23,23 @@
     yield from ()
 
 
+def _on_timer(state: VmState, event: events.TimerFired,
+              now: float) -> Iterator[Effect]:
+    for handler in TIMERS.get(event.key.kind, ()):
+        yield from handler(state, event, now)
+
+
+def _on_tick(state: VmState, event: events.TimerFired,
+             now: float) -> Iterator[Effect]:
+    del state
+    yield SetTimer(event.key, now + TICK_S)
+
+
+# Handlers of timers by kind; those of `TICK` run every `TICK_S`.
+TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
+    events.TimerKind.TICK: (_on_tick,),
+}
+
 HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
     events.ModelCalled: (requests.on_model_called,),
     events.ServiceCalled: (services.on_service_called,),
@@ -29,14 +50,18 @@
         (requests.on_attempt_failed, services.on_attempt_failed),
     events.ServiceAnswered: (services.on_service_answered,),
     events.LoadReported: (_on_load_reported,),
+    events.TimerFired: (_on_timer,),
     events.LogRead: (revisions.on_log_read,),
     events.LogReadFailed: (revisions.on_read_failed,),
 }
 
 
-def start(state: VmState) -> list[Effect]:
+def start(state: VmState, now: float) -> list[Effect]:
     """Returns the first effects of a new process."""
-    return [ReadLog(events.Stream.CONFIG, 0, state.config_next)]
+    return [
+        ReadLog(events.Stream.CONFIG, 0, state.config_next),
+        SetTimer(_TICK, now + TICK_S),
+    ]
 
 
 def reduce(state: VmState, event: events.Event, now: float) -> list[Effect]:
--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -55,7 +55,7 @@
 
     def start(self) -> None:
         """Carries out the first effects of the process."""
-        self._carry_out(reducer.start(self.state))
+        self._carry_out(reducer.start(self.state, self.loop.time()))
 
     def post(self, event: Event) -> None:
         """Takes one event in; reentrant calls are queued in order."""
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -7,7 +7,9 @@
 from plantainridge.config import EMPTY, Config
 from plantainridge.calls import CallTable
 from plantainridge.endpoints import EndpointView
+from plantainridge.exchange import ExchangeState
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
+from plantainridge.members import MembersState
 from plantainridge.routing import LeastLoaded, Policy
 
 
@@ -25,6 +27,8 @@
         config_next: Offset of the next configuration record to read.
         endpoints: What is known of each configured endpoint.
         calls: Requests and attempts in flight.
+        exchange: What VMs of the data centre tell one another.
+        members: Which VMs live.
         stopping: Whether a graceful shutdown was asked for.
     """
 
@@ -37,6 +41,8 @@
     config_next: int = 0
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
     calls: CallTable = attrs.field(factory=CallTable)
+    exchange: ExchangeState = attrs.field(factory=ExchangeState)
+    members: MembersState = attrs.field(factory=MembersState)
     stopping: bool = False
 
     @property
