Find every bench by its module's name

Cause: each area of the system brings its own bench, and a list of them in one file would be touched by all of them at once. Conclusion: a new bench is one new file with a command in it.

--- /dev/null
+++ b/src/plantainridge/benches.py
@@ -0,0 +1,72 @@
+"""The `bench` group: finds every bench module and gives all the same options.
+
+A bench is a module `bench_<name>.py` of this package with a click command
+named `command`; it is found by its module's name and imported when it is run.
+"""
+
+import functools
+import importlib
+import json
+import pathlib
+import pkgutil
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+import click
+
+import plantainridge
+
+_PREFIX: Final = 'bench_'
+
+Command = Callable[..., Any]
+
+
+class BenchGroup(click.Group):
+    """Lists the package's bench modules as commands."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        found = {
+            module.name.removeprefix(_PREFIX).replace('_', '-')
+            for module in pkgutil.iter_modules(plantainridge.__path__)
+            if module.name.startswith(_PREFIX)
+        }
+        return sorted(found | set(super().list_commands(ctx)))
+
+    def get_command(self, ctx: click.Context,
+                    cmd_name: str) -> click.Command | None:
+        known = super().get_command(ctx, cmd_name)
+        if known is not None:
+            return known
+        if cmd_name not in self.list_commands(ctx):
+            return None
+        name = _PREFIX + cmd_name.replace('-', '_')
+        module = importlib.import_module(f'{plantainridge.__name__}.{name}')
+        command: click.Command = module.command
+        return command
+
+
+def options(command: Command) -> Command:
+    """Adds `--seed` and `--json`, which every bench takes.
+
+    The wrapped function gets `seed` and returns its figures as a mapping
+    that JSON can hold; they are printed as one line and, if asked for,
+    written to the file.
+    """
+
+    @click.option('--seed',
+                  type=click.IntRange(min=0),
+                  default=1,
+                  show_default=True,
+                  help='Seed of everything random.')
+    @click.option('--json',
+                  'json_file',
+                  type=click.Path(dir_okay=False, path_type=pathlib.Path),
+                  help='File to write the figures to.')
+    @functools.wraps(command)
+    def run(json_file: pathlib.Path | None, **kwargs: Any) -> None:
+        figures: Mapping[str, Any] = command(**kwargs)
+        if json_file is not None:
+            json_file.write_text(json.dumps(figures, indent=2) + '\n')
+        click.echo(json.dumps(figures))
+
+    return run
--- a/src/plantainridge/cli.py
+++ b/src/plantainridge/cli.py
@@ -5,7 +5,7 @@
 
 import click
 
-from plantainridge import VERSION, demo, reports
+from plantainridge import VERSION, benches, demo, reports
 
 
 @click.group(context_settings={'auto_envvar_prefix': 'PLANTAINRIDGE'})
@@ -24,3 +24,8 @@
 def run_demo() -> None:
     """Runs the whole system with stand-ins on loopback for a short while."""
     sys.exit(asyncio.run(demo.run()))
+
+
+@main.group(cls=benches.BenchGroup)
+def bench() -> None:
+    """Measures one part of the system and prints its figures as JSON."""
