Let a test hold a VM still at any step

Cause: a fault matrix needs a process that stands still or dies just before one chosen effect; the runtime could only be killed between events. Change: Runtime.pause and resume keep events and timers back in order; a tap is called before each effect and may pause or halt the process there. Measurement: a call tapped before its dispatch and held for 60 s of loop time is sent once on resume (tests/test_runtime.py). Conclusion: every step of a request's life can now be held or cut.

--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -12,6 +12,10 @@
 from plantainridge.state import VmState
 
 
+def _ignore(effect: fx.Effect) -> None:
+    del effect
+
+
 class Runtime:
     """One VM's reducer with its timers and ports, on the running loop.
 
@@ -19,6 +23,9 @@
         state: The reducer's state.
         ports: Where effects go.
         halted: True once the process was killed; events are then dropped.
+        paused: True while the process stands still and events pile up.
+        tap: Called before each effect; it may halt or pause the process,
+            which then stands just before that effect.
     """
 
     def __init__(self, state: VmState, ports: Ports) -> None:
@@ -26,7 +33,11 @@
         self.ports = ports
         self.loop = asyncio.get_running_loop()
         self.halted = False
+        self.paused = False
+        self.tap: Callable[[fx.Effect], None] = _ignore
         self._queue: deque[Event] = deque()
+        self._effects: deque[fx.Effect] = deque()
+        self._tapped = False
         self._busy = False
         self._timers: dict[TimerKey, asyncio.TimerHandle] = {}
         self._carriers: dict[type[fx.Effect], Callable[[Any], None]] = {
@@ -55,23 +66,24 @@
 
     def start(self) -> None:
         """Carries out the first effects of the process."""
-        self._carry_out(reducer.start(self.state, self.loop.time()))
+        self._effects.extend(reducer.start(self.state, self.loop.time()))
+        self._run()
 
     def post(self, event: Event) -> None:
         """Takes one event in; reentrant calls are queued in order."""
         if self.halted:
             return
         self._queue.append(event)
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._queue:
-                self._carry_out(
-                    reducer.reduce(self.state, self._queue.popleft(),
-                                   self.loop.time()))
-        finally:
-            self._busy = False
+        self._run()
+
+    def pause(self) -> None:
+        """Stands still while time goes on, as a stalled VM does."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Goes on where it stood; what came meanwhile arrives now, in order."""
+        self.paused = False
+        self._run()
 
     def halt(self) -> None:
         """Stops at once, as a killed process does."""
@@ -80,12 +92,34 @@
             handle.cancel()
         self._timers.clear()
         self._queue.clear()
+        self._effects.clear()
 
-    def _carry_out(self, effects: list[fx.Effect]) -> None:
-        for effect in effects:
-            carrier = self._carriers.get(type(effect))
-            if carrier is not None:
-                carrier(effect)
+    def _run(self) -> None:
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while not self.paused and (self._effects or self._queue):
+                self._step()
+        finally:
+            self._busy = False
+
+    def _step(self) -> None:
+        if not self._effects:
+            self._effects.extend(
+                reducer.reduce(self.state, self._queue.popleft(),
+                               self.loop.time()))
+            return
+        if not self._tapped:
+            self._tapped = True
+            self.tap(self._effects[0])
+            if self.halted or self.paused:
+                return
+        self._tapped = False
+        effect = self._effects.popleft()
+        carrier = self._carriers.get(type(effect))
+        if carrier is not None:
+            carrier(effect)
 
     def _set_timer(self, effect: fx.SetTimer) -> None:
         self._cancel_timer(fx.CancelTimer(effect.key))
--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,52 @@
+"""Tests of the runtime's standstill."""
+
+import asyncio
+import unittest
+
+from plantainridge import effects as fx
+from plantainridge import paused
+from plantainridge.standins.world import LOOKUP, World
+
+
+class PauseTest(unittest.TestCase):
+    """A VM that stands still does nothing and then goes on in order."""
+
+    def test_events_wait_until_it_resumes(self) -> None:
+
+        async def scenario() -> None:
+            world = World()
+            await asyncio.sleep(1)
+            vm = world.vms[0]
+            vm.runtime.pause()
+            told = world.call_service(vm, LOOKUP)
+            await asyncio.sleep(60)
+            self.assertEqual(told.finals, 0)
+            vm.runtime.resume()
+            await asyncio.sleep(1)
+            self.assertEqual(told.status, 200)
+
+        paused.run(scenario())
+
+    def test_stands_just_before_the_effect_that_was_tapped(self) -> None:
+
+        async def scenario() -> None:
+            world = World()
+            await asyncio.sleep(1)
+            vm = world.vms[0]
+            tapped: list[fx.Effect] = []
+
+            def tap(effect: fx.Effect) -> None:
+                if isinstance(effect, fx.CallService):
+                    tapped.append(effect)
+                    vm.runtime.pause()
+
+            vm.runtime.tap = tap
+            told = world.call_service(vm, LOOKUP)
+            await asyncio.sleep(60)
+            self.assertEqual(told.finals, 0)
+            vm.runtime.resume()
+            await asyncio.sleep(1)
+            self.assertEqual(told.status, 200)
+            self.assertEqual(len(tapped), 1)
+
+        paused.run(scenario())
