Let tests watch, kill and replace VMs, and audit block reads

Cause: fuzzing and the fault matrix need to see each event and effect, to end a VM at any of them, and to know independently whose block was read.

Change: watchers on the runtime, VMs of the in-memory world that can be killed and replaced empty, two teams, an audit record for stand-ins; set-up compares the lock file's text instead of file times.

--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,12 @@
 
 .PHONY: setup demo test format lint types check
 
-$(VENV)/.installed: requirements.lock
-	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
-	touch $@
-
-setup: $(VENV)/.installed
+# Installs again only when the lock file's text has changed.
+setup:
+	@test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	@cmp -s requirements.lock $(VENV)/.installed || { \
+	  $(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock && \
+	  cp requirements.lock $(VENV)/.installed; }
 
 demo: setup
 	$(PY) -m plantainridge demo
--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -18,6 +18,7 @@
     Attributes:
         state: The reducer's state.
         ports: Where effects go.
+        watchers: Called with each event taken in and each effect carried out.
         halted: True once the process was killed; events are then dropped.
     """
 
@@ -26,6 +27,7 @@
         self.ports = ports
         self.loop = asyncio.get_running_loop()
         self.halted = False
+        self.watchers: list[Callable[[Event | fx.Effect], None]] = []
         self._queue: deque[Event] = deque()
         self._busy = False
         self._timers: dict[TimerKey, asyncio.TimerHandle] = {}
@@ -67,12 +69,17 @@
         self._busy = True
         try:
             while self._queue:
-                self._carry_out(
-                    reducer.reduce(self.state, self._queue.popleft(),
-                                   self.loop.time()))
+                self._take(self._queue.popleft())
         finally:
             self._busy = False
 
+    def _take(self, event: Event) -> None:
+        for watcher in self.watchers:
+            watcher(event)
+        if self.halted:
+            return
+        self._carry_out(reducer.reduce(self.state, event, self.loop.time()))
+
     def halt(self) -> None:
         """Stops at once, as a killed process does."""
         self.halted = True
@@ -83,6 +90,11 @@
 
     def _carry_out(self, effects: list[fx.Effect]) -> None:
         for effect in effects:
+            for watcher in self.watchers:
+                watcher(effect)
+            # A watcher may have halted the process between two effects.
+            if self.halted:
+                return
             carrier = self._carriers.get(type(effect))
             if carrier is not None:
                 carrier(effect)
--- /dev/null
+++ b/src/plantainridge/standins/audit.py
@@ -0,0 +1,52 @@
+"""Independent record of who computed and who read each cache block."""
+
+import attrs
+
+from plantainridge.ids import BlockKey
+
+
+@attrs.frozen
+class Owner:
+    """Whose block it is: what must be equal for a read to be allowed.
+
+    Attributes:
+        text: The prompt's text up to the end of the block.
+    """
+
+    team: str
+    model: str
+    version: str
+    adapter: str
+    text: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class ForeignRead:
+    """A block read by a request that it does not belong to."""
+
+    key: BlockKey
+    computed_for: Owner
+    read_by: Owner
+
+
+@attrs.define
+class Audit:
+    """Shared by all stand-ins of one world.
+
+    Attributes:
+        owners: Owner of each block at the time that it was last computed.
+        foreign: Reads that no owner may make.
+    """
+
+    owners: dict[BlockKey, Owner] = attrs.field(factory=dict)
+    foreign: list[ForeignRead] = attrs.field(factory=list)
+
+    def computed(self, key: BlockKey, owner: Owner) -> None:
+        """Notes that a block was computed for an owner."""
+        self.owners[key] = owner
+
+    def read(self, key: BlockKey, reader: Owner) -> None:
+        """Notes that a request used a block from a cache."""
+        owner = self.owners.get(key)
+        if owner is not None and owner != reader:
+            self.foreign.append(ForeignRead(key, owner, reader))
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -185,6 +185,12 @@
             model.cancel(job)
         self.network.later(lambda: post(event))
 
+    def halt(self) -> None:
+        """Breaks every connection, as the VM's end does."""
+        for model, job in self.jobs.values():
+            model.cancel(job)
+        self.jobs.clear()
+
     def cancel(self, effect: fx.CancelAttempt) -> None:
         found = self.jobs.pop(effect.attempt, None)
         if found is not None:
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -1,6 +1,7 @@
 """VMs and stand-ins joined in memory, for a paused clock."""
 
 import random
+from collections.abc import Iterator
 
 import attrs
 
@@ -22,6 +23,7 @@
 from plantainridge.state import VmState
 
 TEAM = TeamId('bureau')
+OTHER_TEAM = TeamId('council')
 MODEL = ModelId('report')
 VERSION = WeightVersion('v1')
 LEDGER = ServiceId('ledger')
@@ -40,12 +42,15 @@
                         config.EndpointKind.SERVICE, name, '127.0.0.1:8000')
         for name in (LEDGER, LOOKUP)
     ]
-    team = config.Team(TEAM, 'ab' * 32, 1, 1.5, 64, frozenset([MODEL]))
+    teams = [
+        config.Team(name, digest * 32, 1, 1.5, 64, frozenset([MODEL]))
+        for name, digest in ((TEAM, 'ab'), (OTHER_TEAM, 'cd'))
+    ]
     services = (config.Service(LEDGER, repeatable=False),
                 config.Service(LOOKUP, repeatable=True))
     return config.Config(revision=-1,
                          deployment=config.Deployment('luminar', 1.0),
-                         teams={TEAM: team},
+                         teams={each.id: each for each in teams},
                          models={MODEL: config.Model(MODEL, VERSION)},
                          services={each.id: each for each in services},
                          endpoints={each.id: each for each in endpoints},
@@ -53,13 +58,43 @@
                          dcs=frozenset([DC]))
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Vm:
     """One VM of the world."""
 
+    name: VmId
     runtime: Runtime
     callers: MemoryCallers
+    engines: MemoryEnginePort
+    services: MemoryServicePort
+    log: MemoryLogPort
     report: MemoryReport
+    exited: bool = False
+
+    @property
+    def state(self) -> VmState:
+        """The reducer's state."""
+        return self.runtime.state
+
+
+@attrs.frozen(eq=False)
+class Ask:
+    """One request that a caller sent, and what the caller was told.
+
+    Attributes:
+        vm: The VM that it entered by.
+        at: Loop time at which it was sent, in s.
+    """
+
+    event: ev.ModelCalled | ev.ServiceCalled
+    vm: Vm
+    told: Told
+    at: float
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the VM was killed before the final word."""
+        return self.vm.runtime.halted and self.told.finals == 0
 
 
 class World:
@@ -84,8 +119,9 @@
             EndpointId('s-lookup'): ServiceModel()
         }
         self.posts: dict[str, Post] = {}
+        self.asks: list[Ask] = []
+        self.past: list[Vm] = []
         self.vms = [self.start_vm(f'vm{i}') for i in range(vms)]
-        self.asked = 0
 
     def start_vm(self, name: str) -> Vm:
         """Starts a VM's process with nothing kept."""
@@ -93,41 +129,82 @@
         state = VmState(VmId(name), DC,
                         Incarnation(f'{name}-{self.rng.getrandbits(64):x}'),
                         random.Random(self.rng.getrandbits(64)))
+        engines = MemoryEnginePort(name, self.network, self.engines)
+        services = MemoryServicePort(name, self.network, self.services,
+                                     self.rng)
+        log = MemoryLogPort(name, self.network, self.log, self.rng)
         ports = Ports(callers=callers,
-                      engines=MemoryEnginePort(name, self.network,
-                                               self.engines),
-                      services=MemoryServicePort(name, self.network,
-                                                 self.services, self.rng),
-                      log=MemoryLogPort(name, self.network, self.log, self.rng),
+                      engines=engines,
+                      services=services,
+                      log=log,
                       report=report,
                       peers=MemoryPeers(name, self.network, self.posts))
         runtime = Runtime(state, ports)
+        vm = Vm(VmId(name), runtime, callers, engines, services, log, report)
+        ports.on_exit = lambda: self._exited(vm)
         self.posts[name] = runtime.post
         runtime.start()
-        return Vm(runtime, callers, report)
-
-    def ask_model(self, vm: Vm, text: str, max_tokens: int = 10) -> Told:
+        return vm
+
+    def _exited(self, vm: Vm) -> None:
+        vm.exited = True
+        vm.runtime.halt()
+
+    def kill_vm(self, vm: Vm) -> None:
+        """Ends a VM's process at once; its connections break."""
+        vm.runtime.halt()
+        vm.engines.halt()
+
+    def replace_vm(self, vm: Vm) -> Vm:
+        """Kills a VM if it lives and starts an empty one by its name."""
+        self.kill_vm(vm)
+        self.past.append(vm)
+        renewed = self.start_vm(vm.name)
+        self.vms[self.vms.index(vm)] = renewed
+        return renewed
+
+    def every_vm(self) -> Iterator[Vm]:
+        """Yields all VMs that ever lived."""
+        yield from self.past
+        yield from self.vms
+
+    def publish(self, base: int, wanted: config.Config) -> int:
+        """Appends a revision as an operator does; returns its offset."""
+        return self.log.append('config', 0, [encode(Revision(base, wanted))])
+
+    def ask_model(self,
+                  vm: Vm,
+                  text: str,
+                  max_tokens: int = 10,
+                  team: TeamId = TEAM) -> Told:
         """Sends a model request to a VM."""
-        self.asked += 1
-        request = RequestId(f'r{self.asked}')
-        told = vm.callers.expect(request)
-        seed = blocks.salt(TEAM, MODEL, VERSION, '')
-        prompt = ev.Prompt(text, blocks.count_tokens(text.encode()),
-                           tuple(blocks.chain(seed, text.encode())))
-        vm.runtime.post(
-            ev.ModelCalled(request, TEAM, MODEL, VERSION, '', prompt,
-                           max_tokens))
-        return told
+        model = vm.state.config.models.get(MODEL, config.Model(MODEL, VERSION))
+        seed = blocks.salt(team, model.id, model.version, model.adapter)
+        data = text.encode()
+        prompt = ev.Prompt(text, blocks.count_tokens(data),
+                           tuple(blocks.chain(seed, data)))
+        return self._post(
+            vm,
+            ev.ModelCalled(self._next_request(), team, model.id, model.version,
+                           model.adapter, prompt, max_tokens))
 
     def call_service(self,
                      vm: Vm,
                      service: ServiceId,
                      key: str = '',
-                     body: bytes = b'{}') -> Told:
+                     body: bytes = b'{}',
+                     team: TeamId = TEAM) -> Told:
         """Sends a plain service's call to a VM."""
-        self.asked += 1
-        request = RequestId(f'r{self.asked}')
-        told = vm.callers.expect(request)
-        vm.runtime.post(
-            ev.ServiceCalled(request, TEAM, service, 'POST', '/', body, key))
+        return self._post(
+            vm,
+            ev.ServiceCalled(self._next_request(), team, service, 'POST', '/',
+                             body, key))
+
+    def _next_request(self) -> RequestId:
+        return RequestId(f'r{len(self.asks) + 1}')
+
+    def _post(self, vm: Vm, event: ev.ModelCalled | ev.ServiceCalled) -> Told:
+        told = vm.callers.expect(event.request)
+        self.asks.append(Ask(event, vm, told, vm.runtime.loop.time()))
+        vm.runtime.post(event)
         return told
