--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -12,20 +12,16 @@
 from plantainridge.state import VmState
 
 
-def _ignore(effect: fx.Effect) -> None:
-    del effect
-
-
 class Runtime:
     """One VM's reducer with its timers and ports, on the running loop.
 
     Attributes:
         state: The reducer's state.
         ports: Where effects go.
+        watchers: Called before each event is taken in and each effect carried
+            out; a watcher may halt or pause the process just there.
         halted: True once the process was killed; events are then dropped.
         paused: True while the process stands still and events pile up.
-        tap: Called before each effect; it may halt or pause the process,
-            which then stands just before that effect.
     """
 
     def __init__(self, state: VmState, ports: Ports) -> None:
@@ -34,10 +30,10 @@
         self.loop = asyncio.get_running_loop()
         self.halted = False
         self.paused = False
-        self.tap: Callable[[fx.Effect], None] = _ignore
+        self.watchers: list[Callable[[Event | fx.Effect], None]] = []
         self._queue: deque[Event] = deque()
         self._effects: deque[fx.Effect] = deque()
-        self._tapped = False
+        self._watched = False
         self._busy = False
         self._timers: dict[TimerKey, asyncio.TimerHandle] = {}
         self._carriers: dict[type[fx.Effect], Callable[[Any], None]] = {
@@ -105,21 +101,24 @@
             self._busy = False
 
     def _step(self) -> None:
-        if not self._effects:
-            self._effects.extend(
-                reducer.reduce(self.state, self._queue.popleft(),
-                               self.loop.time()))
-            return
-        if not self._tapped:
-            self._tapped = True
-            self.tap(self._effects[0])
+        upcoming = self._effects[0] if self._effects else self._queue[0]
+        if not self._watched:
+            self._watched = True
+            for watcher in self.watchers:
+                watcher(upcoming)
+            # A watcher may have stopped the process just before this step.
             if self.halted or self.paused:
                 return
-        self._tapped = False
-        effect = self._effects.popleft()
-        carrier = self._carriers.get(type(effect))
+        self._watched = False
+        if isinstance(upcoming, Event):
+            self._queue.popleft()
+            self._effects.extend(
+                reducer.reduce(self.state, upcoming, self.loop.time()))
+            return
+        self._effects.popleft()
+        carrier = self._carriers.get(type(upcoming))
         if carrier is not None:
-            carrier(effect)
+            carrier(upcoming)
 
     def _set_timer(self, effect: fx.SetTimer) -> None:
         self._cancel_timer(fx.CancelTimer(effect.key))
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -5,6 +5,7 @@
 
 from plantainridge import effects as fx
 from plantainridge import paused
+from plantainridge.events import Event
 from plantainridge.standins.world import LOOKUP, World
 
 
@@ -27,26 +28,26 @@
 
         paused.run(scenario())
 
-    def test_stands_just_before_the_effect_that_was_tapped(self) -> None:
+    def test_stands_just_before_the_effect_that_was_watched(self) -> None:
 
         async def scenario() -> None:
             world = World()
             await asyncio.sleep(1)
             vm = world.vms[0]
-            tapped: list[fx.Effect] = []
+            watched: list[fx.Effect] = []
 
-            def tap(effect: fx.Effect) -> None:
-                if isinstance(effect, fx.CallService):
-                    tapped.append(effect)
+            def watch(step: Event | fx.Effect) -> None:
+                if isinstance(step, fx.CallService):
+                    watched.append(step)
                     vm.runtime.pause()
 
-            vm.runtime.tap = tap
+            vm.runtime.watchers.append(watch)
             told = world.call_service(vm, LOOKUP)
             await asyncio.sleep(60)
             self.assertEqual(told.finals, 0)
             vm.runtime.resume()
             await asyncio.sleep(1)
             self.assertEqual(told.status, 200)
-            self.assertEqual(len(tapped), 1)
+            self.assertEqual(len(watched), 1)
 
         paused.run(scenario())
