Run marked calls at most once through claims in the log

Cause: calls that must not be repeated were refused outright. Change: a VM appends a claim of the team's key to the platform's log and dispatches only after it has read that claim back as the key's first; releases and outcomes are records too. Calls are dispatched by service_attempts, marked or not. Conclusion: the life of a claim stands in code, to be proved by faults.

--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -27,6 +27,10 @@
 PROBLEM_TYPE: Final = 'application/problem+json'
 SERVICE_PREFIX: Final = '/services'
 DEFAULT_MAX_TOKENS: Final = 256
+# Marks a call that must run at most once; also said by a service's row.
+ONCE_HEADER: Final = 'idempotency-required'
+# Says that the caller may have sent the call before under its key.
+RESEND_HEADER: Final = 'idempotency-resend'
 
 Reply = fx.SendTokens | fx.FinishAnswer | fx.SendServiceAnswer | fx.Refuse
 
@@ -162,7 +166,9 @@
                     method=request.method,
                     path='/' + request.path_params['path'],
                     body=await request.body(),
-                    key=request.headers.get('idempotency-key', '')))
+                    key=request.headers.get('idempotency-key', ''),
+                    marked=_says_yes(request, ONCE_HEADER),
+                    resend=_says_yes(request, RESEND_HEADER)))
             reply = await queue.get()
             finished = True
             if isinstance(reply, fx.SendServiceAnswer):
@@ -280,6 +286,10 @@
     return RequestId(uuid.uuid4().hex)
 
 
+def _says_yes(request: Request, header: str) -> bool:
+    return request.headers.get(header, '').lower() in ('yes', 'true', '1')
+
+
 def _malformed(detail: str) -> Refusal:
     return Refusal(Reason.MALFORMED, RanState.NOT_RUN, detail)
 
--- a/src/plantainridge/calls.py
+++ b/src/plantainridge/calls.py
@@ -22,6 +22,7 @@
         delivered: Tokens that the caller was given, in order.
         cached_tokens: Prompt tokens that the first attempt did not compute.
         tried: Endpoints that failed it.
+        may_have_run: Whether a failed attempt may have done the work.
         first_token_at: Loop time of its first token, or None.
     """
 
@@ -33,6 +34,7 @@
     delivered: list[str] = attrs.field(factory=list, repr=False)
     cached_tokens: int = 0
     tried: set[EndpointId] = attrs.field(factory=set)
+    may_have_run: bool = False
     first_token_at: float | None = None
 
 
--- /dev/null
+++ b/src/plantainridge/claim_batches.py
@@ -0,0 +1,100 @@
+"""Appending of claim records within the log's budget.
+
+Records of one flush go out as one append per shard, at most one flush every
+`FLUSH_S`. An outcome or a release stays owed until it was read back; a claim
+is never appended twice.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+from plantainridge import claim_records
+from plantainridge.claim_records import Claim, ClaimId, ClaimRecord
+from plantainridge.claim_state import ClaimsState, Owed
+from plantainridge.effects import AppendLog, Effect, SetTimer
+from plantainridge.events import Stream, TimerFired, TimerKey, TimerKind
+from plantainridge.state import VmState
+
+# Seven VMs that flush this often append 280 times a second.
+FLUSH_S: Final = 0.025
+MAX_BATCH_RECORDS: Final = 256
+OWED_RETRY_S: Final = 2.0
+MAX_OWED: Final = 10_000
+_FLUSH: Final = TimerKey(TimerKind.CLAIM_FLUSH)
+_OWED: Final = TimerKey(TimerKind.CLAIM_OWED)
+
+
+def add(state: VmState, shard: int, record: ClaimRecord,
+        now: float) -> Iterator[Effect]:
+    """Appends a record with the next flush, at once if one is due."""
+    claims = state.claims
+    claims.waiting.setdefault(shard, []).append(record)
+    if claims.flush_set:
+        return
+    if now >= claims.flush_due:
+        yield from _flush(state, now)
+        return
+    claims.flush_set = True
+    yield SetTimer(_FLUSH, claims.flush_due)
+
+
+def owe(state: VmState, shard: int, record: ClaimRecord,
+        now: float) -> Iterator[Effect]:
+    """Appends a record again and again until it is read back."""
+    claims = state.claims
+    while len(claims.owed) >= MAX_OWED:
+        # The key stays claimed for others, which then answer `unknown`.
+        del claims.owed[next(iter(claims.owed))]
+    claims.owed[record.id] = Owed(record, shard, now + OWED_RETRY_S,
+                                  now + claims.limits.window_s)
+    yield from add(state, shard, record, now)
+    if not claims.owed_set:
+        claims.owed_set = True
+        yield SetTimer(_OWED, now + OWED_RETRY_S)
+
+
+def paid(claims: ClaimsState, claim: ClaimId) -> None:
+    """Notes that an own outcome or release was read back."""
+    claims.owed.pop(claim, None)
+
+
+def on_flush(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
+    """Sends the records that wait."""
+    del event
+    state.claims.flush_set = False
+    if state.claims.waiting:
+        yield from _flush(state, now)
+
+
+def on_owed(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
+    """Appends owed records again that were not read back in time."""
+    claims = state.claims
+    for claim, owed in list(claims.owed.items()):
+        if now >= owed.until:
+            del claims.owed[claim]
+        elif now >= owed.due:
+            owed.due = now + OWED_RETRY_S
+            yield from add(state, owed.shard, owed.record, now)
+    claims.owed_set = bool(claims.owed)
+    if claims.owed_set:
+        yield SetTimer(event.key, now + OWED_RETRY_S)
+
+
+def _flush(state: VmState, now: float) -> Iterator[Effect]:
+    claims = state.claims
+    shard = next(iter(claims.waiting))
+    records = claims.waiting.pop(shard)
+    batch, rest = records[:MAX_BATCH_RECORDS], records[MAX_BATCH_RECORDS:]
+    if rest:
+        claims.waiting[shard] = rest
+    claims.flush_due = now + FLUSH_S
+    if claims.waiting:
+        claims.flush_set = True
+        yield SetTimer(_FLUSH, claims.flush_due)
+    append = f'claims.{claims.next_append}'
+    claims.next_append += 1
+    claims.in_flight[append] = [
+        record for record in batch if isinstance(record, Claim)
+    ]
+    yield AppendLog(append, Stream.CLAIMS, shard,
+                    tuple(claim_records.encode(record) for record in batch))
--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -21,6 +21,10 @@
     DEADLINE = 'deadline'
     RETRY = 'retry'
     CLAIM = 'claim'
+    CLAIM_FLUSH = 'claim_flush'
+    CLAIM_OWED = 'claim_owed'
+    CLAIM_READ = 'claim_read'
+    SERVICE = 'service'
     LEASE = 'lease'
     TRANSFER = 'transfer'
     STOP = 'stop'
@@ -83,6 +87,7 @@
     Attributes:
         key: The caller's idempotency key; empty for none.
         marked: Whether the call must run at most once.
+        resend: Whether the caller may have sent it before under this key.
     """
 
     request: RequestId
@@ -93,6 +98,7 @@
     body: bytes = attrs.field(repr=False)
     key: str = ''
     marked: bool = False
+    resend: bool = False
 
 
 @attrs.frozen
@@ -247,6 +253,7 @@
     Attributes:
         first: Lowest offset that the log still keeps.
         end: Offset that the next appended record will get.
+        at: Time of the answer by the platform's clock, in s.
     """
 
     stream: Stream
@@ -254,6 +261,7 @@
     records: tuple[Record, ...]
     first: int
     end: int
+    at: float = 0.0
 
 
 @attrs.frozen
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -234,4 +234,5 @@
     records = tuple(
         ev.Record(row['offset'], row['at'], base64.b64decode(row['payload']))
         for row in body['records'])
-    return ev.LogRead(stream, shard, records, body['first'], body['end'])
+    return ev.LogRead(stream, shard, records, body['first'], body['end'],
+                      body['at'])
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge import events, requests, revisions, services
+from plantainridge import (claim_batches, claim_sync, claims, events, requests,
+                           revisions, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -38,12 +39,17 @@
 # Handlers of timers by kind; those of `TICK` run every `TICK_S`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
     events.TimerKind.TICK: (_on_tick,),
+    events.TimerKind.CLAIM: (claims.on_timer,),
+    events.TimerKind.CLAIM_FLUSH: (claim_batches.on_flush,),
+    events.TimerKind.CLAIM_OWED: (claim_batches.on_owed,),
+    events.TimerKind.CLAIM_READ: (claim_sync.on_pace,),
+    events.TimerKind.SERVICE: (services.on_timer,),
 }
 
 HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
     events.ModelCalled: (requests.on_model_called,),
     events.ServiceCalled: (services.on_service_called,),
-    events.CallerGone: (requests.on_caller_gone,),
+    events.CallerGone: (services.on_caller_gone, requests.on_caller_gone),
     events.TokensArrived: (requests.on_tokens,),
     events.AttemptEnded: (requests.on_attempt_ended,),
     events.AttemptFailed:
@@ -51,8 +57,10 @@
     events.ServiceAnswered: (services.on_service_answered,),
     events.LoadReported: (_on_load_reported,),
     events.TimerFired: (_on_timer,),
-    events.LogRead: (revisions.on_log_read,),
-    events.LogReadFailed: (revisions.on_read_failed,),
+    events.AppendEnded: (claims.on_append_ended,),
+    events.AppendFailed: (claims.on_append_failed,),
+    events.LogRead: (revisions.on_log_read, claims.on_log_read),
+    events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed),
 }
 
 
@@ -61,6 +69,7 @@
     return [
         ReadLog(events.Stream.CONFIG, 0, state.config_next),
         SetTimer(_TICK, now + TICK_S),
+        *claim_sync.first_reads(state),
     ]
 
 
--- a/src/plantainridge/refusals.py
+++ b/src/plantainridge/refusals.py
@@ -40,6 +40,7 @@
     ENDPOINT_FAILED = 'endpoint_failed'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     IN_PROGRESS = 'in_progress'
+    ANSWER_NOT_KEPT = 'answer_not_kept'
     CALLER_GONE = 'caller_gone'
 
 
@@ -65,6 +66,7 @@
     Reason.ENDPOINT_FAILED: 502,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.IN_PROGRESS: 409,
+    Reason.ANSWER_NOT_KEPT: 410,
     Reason.CALLER_GONE: 499,
 }
 
--- /dev/null
+++ b/src/plantainridge/service_attempts.py
@@ -0,0 +1,102 @@
+"""Dispatch of one call to one instance of a plain service."""
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from plantainridge.calls import Attempt, Call
+from plantainridge.config import EndpointKind
+from plantainridge.effects import CallService, Effect, SetTimer
+from plantainridge.endpoints import EndpointView
+from plantainridge.events import Failure, ServiceCalled, TimerKey, TimerKind
+from plantainridge.ids import AttemptId, ServiceId
+from plantainridge.lifecycles import REQUEST
+from plantainridge.state import VmState
+
+# Failures after which the call certainly has not run.
+SURELY_NOT_RUN: Final = frozenset({Failure.CONNECT_REFUSED, Failure.REJECTED})
+# How long an instance that refused a connection gets no new calls, in s.
+DOWN_S: Final = 2.0
+MAX_TRIES: Final = 3
+# How long one instance may take for its whole answer, in s.
+SERVICE_TIMEOUT_S: Final = 30.0
+
+
+@attrs.frozen
+class NoInstance:
+    """Says that no instance of a service takes work."""
+
+    service: ServiceId
+
+
+def send(state: VmState, call: Call, asked: ServiceCalled,
+         now: float) -> CallService | NoInstance:
+    """Sends a call to the instance with the fewest calls of this VM."""
+    view = _choose(state, call, asked, now)
+    if view is None:
+        return NoInstance(asked.service)
+    call.tries += 1
+    attempt = AttemptId(f'{asked.request}.{call.tries}')
+    call.attempt = attempt
+    state.calls.attempts[attempt] = Attempt(attempt, asked.request, view.id,
+                                            now)
+    view.own.add(attempt)
+    REQUEST.fire(call, 'dispatch')
+    return CallService(attempt=attempt,
+                       request=asked.request,
+                       endpoint=view.id,
+                       address=view.endpoint.address,
+                       service=asked.service,
+                       method=asked.method,
+                       path=asked.path,
+                       key=scoped_key(asked),
+                       body=asked.body)
+
+
+def start(sent: CallService, now: float) -> Iterator[Effect]:
+    """Dispatches and bounds the time of the answer."""
+    yield sent
+    yield SetTimer(timer_key(sent.attempt), now + SERVICE_TIMEOUT_S)
+
+
+def timer_key(attempt: AttemptId) -> TimerKey:
+    """Returns the timer that bounds an attempt."""
+    return TimerKey(TimerKind.SERVICE, attempt)
+
+
+def scoped_key(asked: ServiceCalled) -> str:
+    """Returns the key that the service sees; it differs between teams."""
+    return f'{asked.team}/{asked.key}' if asked.key else ''
+
+
+def failed(state: VmState, call: Call, failure: Failure, now: float) -> None:
+    """Ends the call's attempt and remembers what its failure means."""
+    if call.attempt is None:
+        return
+    attempt = state.calls.attempts.get(call.attempt)
+    if attempt is not None:
+        call.tried.add(attempt.endpoint)
+        view = state.endpoints.get(attempt.endpoint)
+        if view is not None and failure is Failure.CONNECT_REFUSED:
+            view.down_until = now + DOWN_S
+    if failure not in SURELY_NOT_RUN:
+        call.may_have_run = True
+    forget(state, call.attempt)
+
+
+def forget(state: VmState, attempt: AttemptId) -> None:
+    """Drops an attempt; what still comes of it is ignored."""
+    found = state.calls.attempts.pop(attempt, None)
+    if found is not None and found.endpoint in state.endpoints:
+        state.endpoints[found.endpoint].own.discard(attempt)
+
+
+def _choose(state: VmState, call: Call, asked: ServiceCalled,
+            now: float) -> EndpointView | None:
+    views = [
+        view for view in state.endpoints.values()
+        if view.endpoint.kind is EndpointKind.SERVICE and view.endpoint.serves
+        == asked.service and view.takes_work(now) and view.id not in call.tried
+    ]
+    return min(views, key=lambda each: len(each.own), default=None)
--- a/src/plantainridge/services.py
+++ b/src/plantainridge/services.py
@@ -2,18 +2,20 @@
 
 from collections.abc import Iterator
 
-from plantainridge.calls import Attempt, Call
-from plantainridge.config import EndpointKind
-from plantainridge.effects import CallService, Effect, Refuse, SendServiceAnswer
-from plantainridge.events import (AttemptFailed, Failure, ServiceAnswered,
-                                  ServiceCalled)
+import attrs
+
+from plantainridge import claim_answers, claims, service_attempts
+from plantainridge.calls import Call
+from plantainridge.effects import (CancelTimer, Effect, Refuse,
+                                   SendServiceAnswer)
+from plantainridge.events import (AttemptFailed, CallerGone, Failure,
+                                  ServiceAnswered, ServiceCalled, TimerFired)
 from plantainridge.ids import AttemptId
 from plantainridge.lifecycles import REQUEST
 from plantainridge.refusals import RanState, Reason, Refusal
+from plantainridge.service_attempts import MAX_TRIES, NoInstance
 from plantainridge.state import VmState
 
-_SURELY_NOT_RUN = frozenset({Failure.CONNECT_REFUSED, Failure.REJECTED})
-
 
 def on_service_called(state: VmState, event: ServiceCalled,
                       now: float) -> Iterator[Effect]:
@@ -21,10 +23,9 @@
     if not state.ready:
         yield Refuse(
             event.request,
-            Refusal(Reason.NOT_READY,
-                    RanState.NOT_RUN,
-                    'this VM takes no requests now',
-                    retry_after_s=1.0))
+            claim_answers.unproven(event, Reason.NOT_READY,
+                                   'this VM takes no requests now',
+                                   claim_answers.RETRY_SOON_S))
         return
     service = state.config.services.get(event.service)
     if service is None:
@@ -34,66 +35,29 @@
                     'there is no such service'))
         return
     if event.marked or not service.repeatable:
-        yield Refuse(
-            event.request,
-            Refusal(Reason.LOG_UNAVAILABLE,
-                    RanState.NOT_RUN,
-                    'calls that must not be repeated are not served yet',
-                    retry_after_s=60.0))
+        yield from claims.take(state, attrs.evolve(event, marked=True), now)
         return
     call = Call(event, arrived_at=now)
     state.calls.calls[event.request] = call
-    yield from dispatch(state, call, event, now)
-
-
-def dispatch(state: VmState, call: Call, asked: ServiceCalled,
-             now: float) -> Iterator[Effect]:
-    """Sends a call to the instance with the fewest calls of this VM."""
-    views = [
-        view for view in state.endpoints.values()
-        if view.endpoint.kind is EndpointKind.SERVICE and view.endpoint.serves
-        == asked.service and view.takes_work(now) and view.id not in call.tried
-    ]
-    if not views:
-        REQUEST.fire(call, 'refuse')
-        del state.calls.calls[asked.request]
-        yield Refuse(
-            asked.request,
-            Refusal(Reason.NO_ENDPOINT,
-                    RanState.NOT_RUN,
-                    'no instance of the service takes work',
-                    retry_after_s=1.0))
-        return
-    view = min(views, key=lambda each: len(each.own))
-    call.tries += 1
-    attempt = AttemptId(f'{asked.request}.{call.tries}')
-    call.attempt = attempt
-    state.calls.attempts[attempt] = Attempt(attempt, asked.request, view.id,
-                                            now)
-    view.own.add(attempt)
-    REQUEST.fire(call, 'dispatch')
-    yield CallService(attempt=attempt,
-                      request=asked.request,
-                      endpoint=view.id,
-                      address=view.endpoint.address,
-                      service=asked.service,
-                      method=asked.method,
-                      path=asked.path,
-                      key=asked.key,
-                      body=asked.body)
+    yield from _dispatch(state, call, event, now)
 
 
 def on_service_answered(state: VmState, event: ServiceAnswered,
                         now: float) -> Iterator[Effect]:
-    """Gives the answer to its own caller."""
-    del now
+    """Gives the answer to its own caller; a crossed one is no answer."""
     call = state.calls.of_attempt(event.attempt)
     if call is None or not isinstance(call.asked, ServiceCalled):
         return
     if event.echoed != call.asked.request:
+        yield from on_attempt_failed(
+            state, AttemptFailed(event.attempt, Failure.MISMATCHED), now)
+        return
+    yield CancelTimer(service_attempts.timer_key(event.attempt))
+    service_attempts.forget(state, event.attempt)
+    if call.asked.marked:
+        yield from claims.on_answered(state, call, event, now)
         return
     REQUEST.fire(call, 'finish')
-    _forget(state, event.attempt)
     del state.calls.calls[call.asked.request]
     yield SendServiceAnswer(call.asked.request, event.status, event.body)
 
@@ -104,21 +68,51 @@
     call = state.calls.of_attempt(event.attempt)
     if call is None or not isinstance(call.asked, ServiceCalled):
         return
-    attempt = state.calls.attempts[event.attempt]
-    call.tried.add(attempt.endpoint)
-    _forget(state, event.attempt)
-    if event.failure in _SURELY_NOT_RUN or not call.asked.marked:
-        yield from dispatch(state, call, call.asked, now)
+    yield CancelTimer(service_attempts.timer_key(event.attempt))
+    service_attempts.failed(state, call, event.failure, now)
+    if call.asked.marked:
+        yield from claims.on_failed(state, call, event.failure, now)
         return
-    REQUEST.fire(call, 'refuse')
-    del state.calls.calls[call.asked.request]
-    yield Refuse(
-        call.asked.request,
-        Refusal(Reason.OUTCOME_UNKNOWN, RanState.UNKNOWN,
-                'the connection broke; the call may have run'))
+    yield from _dispatch(state, call, call.asked, now)
+
+
+def on_timer(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
+    """Fails an attempt that has not ended in time."""
+    attempt = AttemptId(event.key.subject)
+    yield from on_attempt_failed(state,
+                                 AttemptFailed(attempt, Failure.TIMED_OUT), now)
+
+
+def on_caller_gone(state: VmState, event: CallerGone,
+                   now: float) -> Iterator[Effect]:
+    """Forgets a call that may be repeated; its answer is not wanted."""
+    call = state.calls.calls.get(event.request)
+    if call is not None and not isinstance(call.asked, ServiceCalled):
+        return
+    if call is not None and not call.asked.marked:
+        if call.attempt is not None:
+            service_attempts.forget(state, call.attempt)
+        del state.calls.calls[event.request]
+        return
+    yield from claims.on_caller_gone(state, event, now)
 
 
-def _forget(state: VmState, attempt: AttemptId) -> None:
-    found = state.calls.attempts.pop(attempt, None)
-    if found is not None and found.endpoint in state.endpoints:
-        state.endpoints[found.endpoint].own.discard(attempt)
+def _dispatch(state: VmState, call: Call, asked: ServiceCalled,
+              now: float) -> Iterator[Effect]:
+    if call.tries < MAX_TRIES:
+        sent = service_attempts.send(state, call, asked, now)
+        if not isinstance(sent, NoInstance):
+            yield from service_attempts.start(sent, now)
+            return
+    REQUEST.fire(call, 'refuse')
+    del state.calls.calls[asked.request]
+    if call.tries == 0:
+        yield Refuse(asked.request, claim_answers.no_instance(False))
+        return
+    ran = RanState.UNKNOWN if call.may_have_run else RanState.NOT_RUN
+    yield Refuse(
+        asked.request,
+        Refusal(Reason.ENDPOINT_FAILED,
+                ran,
+                f'{call.tries} instances failed the call',
+                retry_after_s=claim_answers.RETRY_SOON_S))
--- a/src/plantainridge/standins/log.py
+++ b/src/plantainridge/standins/log.py
@@ -32,13 +32,19 @@
 
     Attributes:
         down: While true, every call fails without effect.
+        epoch_s: What the log's clock is ahead of the loop's, in s.
     """
 
     def __init__(self) -> None:
         self.streams: dict[tuple[str, int], _Stream] = {}
         self.down = False
+        self.epoch_s = 0.0
         self.appends = 0
 
+    def time(self) -> float:
+        """Returns the log's own time, in s."""
+        return asyncio.get_running_loop().time() + self.epoch_s
+
     def stream(self, name: str, shard: int) -> _Stream:
         """Returns a stream, new and empty if it is unknown."""
         return self.streams.setdefault((name, shard), _Stream())
@@ -47,7 +53,7 @@
         """Appends records together; returns the first one's offset."""
         stream = self.stream(name, shard)
         first = stream.end
-        now = asyncio.get_running_loop().time()
+        now = self.time()
         for payload in payloads:
             stream.records.append(Record(stream.end, now, payload))
         self.appends += 1
@@ -116,6 +122,8 @@
                 stream.first,
             'end':
                 stream.end,
+            'at':
+                self.model.time(),
             'records': [{
                 'offset': record.offset,
                 'at': record.at,
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -299,7 +299,7 @@
         post(
             ev.LogRead(effect.stream, effect.shard,
                        tuple(self.model.read(name, shard, effect.offset)),
-                       stream.first, stream.end))
+                       stream.first, stream.end, self.model.time()))
 
 
 class MemoryPeers(PeerPort):
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -6,6 +6,7 @@
 
 from plantainridge.config import EMPTY, Config
 from plantainridge.calls import CallTable
+from plantainridge.claim_state import ClaimsState
 from plantainridge.endpoints import EndpointView
 from plantainridge.exchange import ExchangeState
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
@@ -29,6 +30,7 @@
         calls: Requests and attempts in flight.
         exchange: What VMs of the data centre tell one another.
         members: Which VMs live.
+        claims: Calls that must run at most once.
         stopping: Whether a graceful shutdown was asked for.
     """
 
@@ -43,6 +45,7 @@
     calls: CallTable = attrs.field(factory=CallTable)
     exchange: ExchangeState = attrs.field(factory=ExchangeState)
     members: MembersState = attrs.field(factory=MembersState)
+    claims: ClaimsState = attrs.field(factory=ClaimsState)
     stopping: bool = False
 
     @property
