Route by expected cost, with a directory and transfers

Cause: requests went to the endpoint with the fewest queued tokens, so a returning context was computed again wherever it landed. Change: a cache directory from late events with gaps, an index of engines by model, the cost of waiting, fetching and computing, transfers limited per link and joined per prefix, exports after an answer, and learnt return gaps. Policies take a query and what the VM knows; a choice may ask for a fetch, and the request is dispatched when it is over.

--- /dev/null
+++ b/src/plantainridge/costs.py
@@ -0,0 +1,104 @@
+"""Expected cost of running a request on an endpoint."""
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from plantainridge.blocks import BLOCK_TOKENS
+from plantainridge.directory import StoredCopy
+from plantainridge.endpoints import EndpointView
+from plantainridge.events import Tier
+from plantainridge.ids import StoreId
+from plantainridge.links import LinkView
+
+# One round trip more to an endpoint of another data centre, in s.
+FAR_S: Final = 0.003
+# How much longer a copy takes that must be read from a store's disk.
+DISK_FACTOR: Final = 3.0
+# A fetch may take this many times its expected time before it is given up.
+PATIENCE: Final = 2.0
+
+
+@attrs.frozen
+class Source:
+    """A store that holds more of a prompt's prefix than some endpoint."""
+
+    store: StoreId
+    link: LinkView
+    copies: tuple[StoredCopy, ...]
+
+
+@attrs.frozen
+class Plan:
+    """One way to run a request on one endpoint, with its expected cost.
+
+    Attributes:
+        view: The endpoint.
+        source: The store to fetch from first, or None.
+        first_block: Number of leading blocks that the endpoint has.
+        compute_tokens: Prompt tokens that it computes.
+        fetch_s: Expected time of the fetch.
+        first_token_s: Expected time to the first token.
+        cost_s: The time, plus the weighted time of recomputation.
+    """
+
+    view: EndpointView
+    source: Source | None
+    first_block: int
+    compute_tokens: int
+    fetch_s: float
+    first_token_s: float
+    cost_s: float
+
+
+def plans(view: EndpointView, held: int, sources: list[Source], tokens: int,
+          recompute_weight: float, near: bool, now: float) -> Iterator[Plan]:
+    """Yields the ways to run a prompt on an endpoint.
+
+    Args:
+        view: The endpoint.
+        held: Leading blocks of the prompt that it has.
+        sources: Stores that have leading blocks.
+        tokens: Length of the prompt.
+        recompute_weight: Seconds given up to save one second of computing.
+        near: Whether it is in this VM's data centre.
+        now: Loop time in s.
+    """
+    rate = view.prefill_tokens_per_s
+    wait_s = view.backlog_tokens(now) / rate + (0.0 if near else FAR_S)
+    yield _plan(view, None, held, tokens - held * BLOCK_TOKENS, 0.0, wait_s,
+                recompute_weight)
+    for source in sources:
+        gain = len(source.copies) - held
+        if gain <= 0:
+            continue
+        missing = tokens - len(source.copies) * BLOCK_TOKENS
+        yield _plan(view, source, held, missing,
+                    fetch_seconds(source, held, now), wait_s, recompute_weight)
+
+
+def fetch_seconds(source: Source, first_block: int, now: float) -> float:
+    """Estimates the time to fetch a source's blocks from an index on, in s."""
+    size = 0.0
+    for copy in source.copies[first_block:]:
+        factor = DISK_FACTOR if copy.tier is Tier.DISK else 1.0
+        size += copy.ref.length_bytes * factor
+    return source.link.seconds(round(size), now)
+
+
+def _plan(view: EndpointView, source: Source | None, first_block: int,
+          compute_tokens: int, fetch_s: float, wait_s: float,
+          recompute_weight: float) -> Plan:
+    compute_s = max(0, compute_tokens) / view.prefill_tokens_per_s
+    first_token_s = max(wait_s, fetch_s) + compute_s
+    return Plan(view, source, first_block, max(0, compute_tokens), fetch_s,
+                first_token_s, first_token_s + recompute_weight * compute_s)
+
+
+def fetch_limit_s(plan: Plan) -> float:
+    """Returns how long to wait for a plan's fetch before computing, in s."""
+    assert plan.source is not None
+    fetched = len(plan.source.copies) - plan.first_block
+    compute_s = fetched * BLOCK_TOKENS / plan.view.prefill_tokens_per_s
+    return max(PATIENCE * plan.fetch_s, compute_s)
--- a/src/plantainridge/effects.py
+++ b/src/plantainridge/effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from plantainridge.events import Prompt, Stream, TimerKey
+from plantainridge.events import BlockRef, Prompt, Stream, TimerKey
 from plantainridge.ids import (AttemptId, EndpointId, ModelId, RequestId,
                                ServiceId, StoreId, TeamId, TransferId, VmId,
                                WeightVersion, BlockKey)
@@ -131,14 +131,19 @@
     """Moves blocks between an endpoint and a store.
 
     Attributes:
-        to_endpoint: True to import into the endpoint, False to export.
+        refs: Copies to import into the endpoint, in the chain's order; empty
+            for an export.
+        blocks: Blocks to export from the endpoint, in the chain's order;
+            empty for an import.
     """
 
     transfer: TransferId
     endpoint: EndpointId
+    address: str
     store: StoreId
-    blocks: tuple[BlockKey, ...]
-    to_endpoint: bool
+    store_address: str
+    refs: tuple[BlockRef, ...] = ()
+    blocks: tuple[BlockKey, ...] = ()
 
 
 @attrs.frozen
@@ -148,6 +153,31 @@
     transfer: TransferId
 
 
+@attrs.frozen
+class RaiseBlocks(Effect):
+    """Asks a store to bring copies from its disk into its memory."""
+
+    store: StoreId
+    address: str
+    refs: tuple[BlockRef, ...]
+
+
+@attrs.frozen
+class ListEndpointCache(Effect):
+    """Asks an endpoint for its whole listing; answered by `CacheListed`."""
+
+    endpoint: EndpointId
+    address: str
+
+
+@attrs.frozen
+class ListStore(Effect):
+    """Asks a store for its whole listing; answered by `StoreListed`."""
+
+    store: StoreId
+    address: str
+
+
 # --- To the platform and to peers -------------------------------------------
 
 
--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -5,8 +5,8 @@
 import attrs
 
 from plantainridge.ids import (AttemptId, BlockKey, EndpointId, ModelId,
-                               RequestId, ServiceId, TeamId, TransferId, VmId,
-                               WeightVersion)
+                               RequestId, ServiceId, StoreId, TeamId,
+                               TransferId, VmId, WeightVersion)
 
 
 @attrs.frozen
@@ -205,13 +205,96 @@
     blocks: tuple[BlockKey, ...]
 
 
+@attrs.frozen
+class BlockRef:
+    """Names one committed copy of a block at a store.
+
+    Attributes:
+        generation: Number of the write that made the copy; never reused.
+        length_bytes: Size of the copy.
+    """
+
+    key: BlockKey
+    generation: int
+    length_bytes: int
+
+
+class Tier(enum.Enum):
+    """Where a store keeps a block."""
+
+    MEMORY = 'memory'
+    DISK = 'disk'
+
+
+@attrs.frozen
+class StoreChanged(Event):
+    """A piece of a store's event stream; `seq` counts pieces.
+
+    Attributes:
+        kept: Copies committed or moved between tiers, with their new tier.
+        freed: Copies that are gone.
+    """
+
+    store: StoreId
+    seq: int
+    kept: tuple[tuple[BlockRef, Tier], ...]
+    freed: tuple[BlockRef, ...]
+
+
+@attrs.frozen
+class StoreListed(Event):
+    """A store's whole listing as of piece `seq`."""
+
+    store: StoreId
+    seq: int
+    kept: tuple[tuple[BlockRef, Tier], ...]
+
+
+@attrs.frozen
+class StoreLoadReported(Event):
+    """A store's lagging report of its link.
+
+    Attributes:
+        measured_at: Loop time at which the store took the reading, in s.
+        transfers: Transfers that run on it.
+        queued_bytes: Bytes of these that have yet to move.
+        bytes_per_s: Rate at which its link moves bytes now.
+    """
+
+    store: StoreId
+    measured_at: float
+    transfers: int
+    queued_bytes: int
+    bytes_per_s: float
+
+
+class TransferFailure(enum.Enum):
+    """Why a movement of blocks did not end whole."""
+
+    STORE_UNREACHABLE = 'store_unreachable'
+    ENDPOINT_UNREACHABLE = 'endpoint_unreachable'
+    STORE_FULL = 'store_full'
+    # The named copy or block is no longer there.
+    BLOCK_GONE = 'block_gone'
+    # The bytes do not match their checksum.
+    CORRUPT = 'corrupt'
+
+
 @attrs.frozen
 class TransferEnded(Event):
-    """A movement of blocks ended; `ok` says whether it was committed."""
+    """A movement of blocks ended.
+
+    Attributes:
+        moved: Blocks that arrived whole and were verified or committed, in
+            order.
+        moved_bytes: Bytes that crossed the store's link.
+        failure: Why the rest did not arrive, or None if all did.
+    """
 
     transfer: TransferId
-    ok: bool
+    moved: tuple[BlockKey, ...]
     moved_bytes: int
+    failure: TransferFailure | None = None
 
 
 # --- From the platform ------------------------------------------------------
--- a/src/plantainridge/lifecycles.py
+++ b/src/plantainridge/lifecycles.py
@@ -21,6 +21,16 @@
     REFUSED = 'refused'
 
 
+class TransferPhase(enum.Enum):
+    """Where a movement of blocks stands."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    DONE = 'done'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
 class LifeCycle:
     """A kind's machine, applied to instances with a `phase` attribute."""
 
@@ -64,3 +74,12 @@
                ], RequestPhase.DONE),
     ('refuse', _LIVE, RequestPhase.REFUSED),
 ])
+
+TRANSFER: Final = LifeCycle(TransferPhase, [
+    ('start', [TransferPhase.QUEUED], TransferPhase.RUNNING),
+    ('finish', [TransferPhase.RUNNING], TransferPhase.DONE),
+    ('fail', [TransferPhase.QUEUED, TransferPhase.RUNNING
+             ], TransferPhase.FAILED),
+    ('cancel', [TransferPhase.QUEUED, TransferPhase.RUNNING
+               ], TransferPhase.CANCELLED),
+])
--- a/src/plantainridge/ports.py
+++ b/src/plantainridge/ports.py
@@ -81,6 +81,18 @@
     def cancel(self, effect: effects.CancelTransfer) -> None:
         """Stops a movement; nothing more is posted for it."""
 
+    @abc.abstractmethod
+    def raise_blocks(self, effect: effects.RaiseBlocks) -> None:
+        """Brings copies from a store's disk into its memory; may fail."""
+
+    @abc.abstractmethod
+    def list_cache(self, effect: effects.ListEndpointCache, post: Post) -> None:
+        """Posts `CacheListed`, or nothing if the endpoint is unreachable."""
+
+    @abc.abstractmethod
+    def list_store(self, effect: effects.ListStore, post: Post) -> None:
+        """Posts `StoreListed`, or nothing if the store is unreachable."""
+
 
 class PeerPort(abc.ABC):
     """The way to other VMs' processes."""
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge import events, requests, revisions, services
+from plantainridge import caching, events, requests, revisions, services
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -14,15 +14,6 @@
 Handler = Callable[[VmState, Any, float], Iterator[Effect]]
 
 
-def _on_load_reported(state: VmState, event: events.LoadReported,
-                      now: float) -> Iterator[Effect]:
-    del now
-    view = state.endpoints.get(event.endpoint)
-    if view is not None:
-        view.note_report(event)
-    yield from ()
-
-
 def _on_timer(state: VmState, event: events.TimerFired,
               now: float) -> Iterator[Effect]:
     for handler in TIMERS.get(event.key.kind, ()):
@@ -37,19 +28,26 @@
 
 # Handlers of timers by kind; those of `TICK` run every `TICK_S`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
-    events.TimerKind.TICK: (_on_tick,),
+    events.TimerKind.TICK: (_on_tick, caching.on_tick),
+    events.TimerKind.TRANSFER: (caching.on_transfer_late,),
 }
 
 HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
-    events.ModelCalled: (requests.on_model_called,),
+    events.ModelCalled: (caching.on_model_called, requests.on_model_called),
     events.ServiceCalled: (services.on_service_called,),
     events.CallerGone: (requests.on_caller_gone,),
     events.TokensArrived: (requests.on_tokens,),
-    events.AttemptEnded: (requests.on_attempt_ended,),
+    events.AttemptEnded: (caching.on_attempt_ended, requests.on_attempt_ended),
     events.AttemptFailed:
         (requests.on_attempt_failed, services.on_attempt_failed),
     events.ServiceAnswered: (services.on_service_answered,),
-    events.LoadReported: (_on_load_reported,),
+    events.LoadReported: (caching.on_load_reported,),
+    events.CacheChanged: (caching.on_cache_changed,),
+    events.CacheListed: (caching.on_cache_listed,),
+    events.StoreChanged: (caching.on_store_changed,),
+    events.StoreListed: (caching.on_store_listed,),
+    events.StoreLoadReported: (caching.on_store_load_reported,),
+    events.TransferEnded: (caching.on_transfer_ended,),
     events.TimerFired: (_on_timer,),
     events.LogRead: (revisions.on_log_read,),
     events.LogReadFailed: (revisions.on_read_failed,),
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -3,15 +3,14 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge import admission
+from plantainridge import admission, choices, transfers
 from plantainridge.calls import Attempt, Call
-from plantainridge.config import EndpointKind
 from plantainridge.effects import (CancelAttempt, Effect, FinishAnswer, Observe,
                                    Refuse, SendTokens, StartAttempt)
 from plantainridge.endpoints import EndpointView
 from plantainridge.events import (AttemptEnded, AttemptFailed, CallerGone,
                                   Failure, ModelCalled, TokensArrived)
-from plantainridge.ids import AttemptId, RequestId
+from plantainridge.ids import AttemptId, EndpointId, RequestId
 from plantainridge.lifecycles import REQUEST, RequestPhase
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.routing import NoEndpoint
@@ -34,20 +33,9 @@
     yield from _dispatch(state, call, event, now)
 
 
-def candidates(state: VmState, call: Call, asked: ModelCalled,
-               now: float) -> list[EndpointView]:
-    """Lists the engines that may run a request now, in a fixed order."""
-    return [
-        view for view in state.endpoints.values()
-        if view.endpoint.kind is EndpointKind.ENGINE and view.endpoint.serves ==
-        asked.model and view.takes_work(now) and view.id not in call.tried
-    ]
-
-
 def _dispatch(state: VmState, call: Call, asked: ModelCalled,
               now: float) -> Iterator[Effect]:
-    choice = state.policy.choose(asked.prompt,
-                                 candidates(state, call, asked, now), now)
+    choice = choices.choose(state, call, asked, now)
     if isinstance(choice, NoEndpoint):
         yield from _refuse(
             state, call, asked.request,
@@ -57,13 +45,23 @@
                     retry_after_s=1.0))
         return
     view = state.endpoints[choice.endpoint]
+    view.note_sent(now, choice.compute_tokens)
+    if choice.fetch is not None:
+        yield from transfers.fetch(state, asked.request, choice.endpoint,
+                                   choice.fetch, now)
+        return
+    yield from start_attempt(state, call, asked, view, now)
+
+
+def start_attempt(state: VmState, call: Call, asked: ModelCalled,
+                  view: EndpointView, now: float) -> Iterator[Effect]:
+    """Dispatches a request to the endpoint that was chosen for it."""
     call.tries += 1
     attempt = AttemptId(f'{asked.request}.{call.tries}')
     call.attempt = attempt
     state.calls.attempts[attempt] = Attempt(attempt, asked.request, view.id,
                                             now)
     view.own.add(attempt)
-    view.sent_tokens.append((now, asked.prompt.tokens))
     REQUEST.fire(call, 'dispatch')
     yield StartAttempt(attempt=attempt,
                        request=asked.request,
@@ -173,3 +171,17 @@
     view = state.endpoints.get(found.endpoint)
     if view is not None:
         view.own.discard(attempt)
+
+
+def on_fetch_over(state: VmState, request: RequestId, endpoint: EndpointId,
+                  now: float) -> Iterator[Effect]:
+    """Dispatches a request whose fetch ended, was given up or failed."""
+    call = state.calls.calls.get(request)
+    if (call is None or not isinstance(call.asked, ModelCalled) or
+            call.attempt in state.calls.attempts):
+        return
+    view = state.endpoints.get(endpoint)
+    if view is None or not view.takes_work(now):
+        yield from _dispatch(state, call, call.asked, now)
+        return
+    yield from start_attempt(state, call, call.asked, view, now)
--- /dev/null
+++ b/src/plantainridge/returning.py
@@ -0,0 +1,110 @@
+"""The product's own policy: cheapest of waiting, fetching and computing."""
+
+import random
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+from plantainridge import costs
+from plantainridge.costs import Plan, Source
+from plantainridge.endpoints import EndpointView
+from plantainridge.ids import EndpointId
+from plantainridge.routing import (Choice, Fetch, Knowledge, NoEndpoint,
+                                   NOTHING_TAKES_WORK, Policy, Query,
+                                   candidates, usable)
+
+# Endpoints sampled besides those that hold part of the prompt.
+NEAR_SAMPLES: Final = 4
+FAR_SAMPLES: Final = 2
+MAX_HOLDERS: Final = 4
+# Draws made for each wanted sample before a policy looks at all endpoints.
+DRAWS_PER_SAMPLE: Final = 4
+# Plans within this of the best are drawn among, so that VMs with the same
+# reports do not all choose the same endpoint.
+SLACK_S: Final = 0.02
+SLACK_SHARE: Final = 0.05
+
+
+class Returning(Policy):
+    """Expected time to first token plus the weighted time of recomputation.
+
+    Looks only at endpoints that hold part of the prompt and at a sample of
+    the others, so that its cost does not grow with their number.
+    """
+
+    name = 'plantainridge'
+
+    def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
+        held = known.directory.endpoints.prefixes(query.prompt.blocks)
+        views = list(self._views(query, known, held))
+        if not views:
+            return NOTHING_TAKES_WORK
+        sources = list(_sources(query, known))
+        plans = [
+            plan for view in views for plan in costs.plans(
+                view, held.get(view.id, 0), sources, query.prompt.tokens,
+                query.recompute_weight, view.endpoint.dc == query.dc, query.now)
+        ]
+        return to_choice(_draw(plans, known.rng))
+
+    def _views(self, query: Query, known: Knowledge,
+               held: dict[EndpointId, int]) -> Iterator[EndpointView]:
+        seen = set()
+        holders = sorted(held, key=lambda each: (-held[each], each))
+        for name in holders[:MAX_HOLDERS]:
+            view = known.engines.by_id.get(name)
+            if view is not None and usable(query, view):
+                seen.add(view.id)
+                yield view
+        sampled = [
+            *_sample(query, known.engines.near, NEAR_SAMPLES, known.rng),
+            *_sample(query, known.engines.far, FAR_SAMPLES, known.rng)
+        ]
+        if not sampled and not seen:
+            sampled = list(candidates(query, known))
+        for view in sampled:
+            if view.id not in seen:
+                seen.add(view.id)
+                yield view
+
+
+def _sample(query: Query, views: Sequence[EndpointView], count: int,
+            rng: random.Random) -> Iterator[EndpointView]:
+    """Yields up to `count` distinct usable endpoints, drawn at random."""
+    if len(views) <= count * DRAWS_PER_SAMPLE:
+        open_views = [view for view in views if usable(query, view)]
+        yield from rng.sample(open_views, min(count, len(open_views)))
+        return
+    drawn = set()
+    for _ in range(count * DRAWS_PER_SAMPLE):
+        view = views[int(rng.random() * len(views))]
+        if view.id in drawn or not usable(query, view):
+            continue
+        drawn.add(view.id)
+        yield view
+        if len(drawn) == count:
+            return
+
+
+def _sources(query: Query, known: Knowledge) -> Iterator[Source]:
+    blocks = query.prompt.blocks
+    for store, count in known.directory.stores.prefixes(blocks).items():
+        link = known.links.usable(store, query.now)
+        if link is not None:
+            copies = known.directory.copies(store, blocks[:count])
+            yield Source(store, link, tuple(copies))
+
+
+def _draw(plans: list[Plan], rng: random.Random) -> Plan:
+    best = min(plan.cost_s for plan in plans)
+    limit = best + max(SLACK_S, SLACK_SHARE * best)
+    return rng.choice([plan for plan in plans if plan.cost_s <= limit])
+
+
+def to_choice(plan: Plan) -> Choice:
+    """Returns the choice that carries a plan out."""
+    if plan.source is None:
+        return Choice(plan.view.id, plan.compute_tokens)
+    return Choice(
+        plan.view.id, plan.compute_tokens,
+        Fetch(plan.source.store, plan.source.copies[plan.first_block:],
+              costs.fetch_limit_s(plan)))
--- a/src/plantainridge/routing.py
+++ b/src/plantainridge/routing.py
@@ -1,13 +1,16 @@
 """Choice of an endpoint for a request."""
 
 import abc
-from collections.abc import Sequence
+import random
+from collections.abc import Iterator
 
 import attrs
 
-from plantainridge.endpoints import EndpointView
+from plantainridge.directory import Directory, StoredCopy
+from plantainridge.endpoints import EndpointView, ModelEngines
 from plantainridge.events import Prompt
-from plantainridge.ids import EndpointId
+from plantainridge.ids import DcId, EndpointId, StoreId, TeamId
+from plantainridge.links import LinkTable
 
 
 @attrs.frozen
@@ -17,28 +20,90 @@
     detail: str
 
 
+@attrs.frozen
+class Fetch:
+    """Blocks to import into the chosen endpoint before the request starts.
+
+    Attributes:
+        store: The store that holds them.
+        copies: The copies, in the chain's order.
+        limit_s: Time after which recomputing the rest is the better choice.
+    """
+
+    store: StoreId
+    copies: tuple[StoredCopy, ...]
+    limit_s: float
+
+
 @attrs.frozen
 class Choice:
-    """The endpoint that a policy chose."""
+    """The endpoint that a policy chose.
+
+    Attributes:
+        endpoint: The endpoint.
+        compute_tokens: Prompt tokens that it is expected to compute.
+        fetch: What to import first, or None.
+    """
 
     endpoint: EndpointId
+    compute_tokens: int
+    fetch: Fetch | None = None
+
+
+@attrs.frozen
+class Query:
+    """What a policy is asked.
+
+    Attributes:
+        prompt: The request's context.
+        team: Whose request it is.
+        dc: This VM's data centre.
+        excluded: Endpoints that must not be chosen.
+        recompute_weight: The deployment's weight of recomputation.
+        now: Loop time in s.
+    """
+
+    prompt: Prompt
+    team: TeamId
+    dc: DcId
+    excluded: frozenset[EndpointId]
+    recompute_weight: float
+    now: float
+
+
+@attrs.frozen
+class Knowledge:
+    """What a VM knows to choose by."""
+
+    engines: ModelEngines
+    directory: Directory
+    links: LinkTable
+    rng: random.Random
 
 
 class Policy(abc.ABC):
-    """A way to choose among candidates that all serve the request."""
+    """A way to choose among the engines of a model."""
 
     name: str
 
     @abc.abstractmethod
-    def choose(self, prompt: Prompt, candidates: Sequence[EndpointView],
-               now: float) -> Choice | NoEndpoint:
-        """Chooses an endpoint.
+    def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
+        """Chooses an endpoint that takes work now."""
+
+
+NOTHING_TAKES_WORK = NoEndpoint('no endpoint takes work')
+
+
+def usable(query: Query, view: EndpointView) -> bool:
+    """Whether a request may be sent to an endpoint now."""
+    return view.takes_work(query.now) and view.id not in query.excluded
 
-        Args:
-            prompt: The request's context.
-            candidates: Endpoints that may take it, in a fixed order.
-            now: Loop time in s.
-        """
+
+def candidates(query: Query, known: Knowledge) -> Iterator[EndpointView]:
+    """Yields every engine that may run the request now."""
+    for view in known.engines.by_id.values():
+        if usable(query, view):
+            yield view
 
 
 class RoundRobin(Policy):
@@ -49,12 +114,12 @@
     def __init__(self) -> None:
         self.turn = 0
 
-    def choose(self, prompt: Prompt, candidates: Sequence[EndpointView],
-               now: float) -> Choice | NoEndpoint:
-        if not candidates:
-            return NoEndpoint('no endpoint takes work')
+    def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
+        views = list(candidates(query, known))
+        if not views:
+            return NOTHING_TAKES_WORK
         self.turn += 1
-        return Choice(candidates[self.turn % len(candidates)].id)
+        return Choice(views[self.turn % len(views)].id, query.prompt.tokens)
 
 
 class LeastLoaded(Policy):
@@ -62,10 +127,27 @@
 
     name = 'least_loaded'
 
-    def choose(self, prompt: Prompt, candidates: Sequence[EndpointView],
-               now: float) -> Choice | NoEndpoint:
-        if not candidates:
-            return NoEndpoint('no endpoint takes work')
-        best = min(candidates,
+    def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
+        views = list(candidates(query, known))
+        if not views:
+            return NOTHING_TAKES_WORK
+        best = min(views,
                    key=lambda view: (view.waiting_tokens(), len(view.own)))
-        return Choice(best.id)
+        return Choice(best.id, query.prompt.tokens)
+
+
+class PrefixAffinity(Policy):
+    """Baseline: the candidate with the most cached blocks, then least load."""
+
+    name = 'prefix_affinity'
+
+    def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
+        views = list(candidates(query, known))
+        if not views:
+            return NOTHING_TAKES_WORK
+        held = known.directory.endpoints.prefixes(query.prompt.blocks)
+        best = min(
+            views,
+            key=lambda view:
+            (-held.get(view.id, 0), view.waiting_tokens(), len(view.own)))
+        return Choice(best.id, query.prompt.tokens)
--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -50,6 +50,11 @@
             self._carriers[fx.StartTransfer] = (
                 lambda e: transfers.start(e, self.post))
             self._carriers[fx.CancelTransfer] = transfers.cancel
+            self._carriers[fx.RaiseBlocks] = transfers.raise_blocks
+            self._carriers[fx.ListEndpointCache] = (
+                lambda e: transfers.list_cache(e, self.post))
+            self._carriers[fx.ListStore] = (
+                lambda e: transfers.list_store(e, self.post))
         if ports.peers is not None:
             self._carriers[fx.SendPeer] = ports.peers.send
 
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -6,11 +6,16 @@
 
 from plantainridge.config import EMPTY, Config
 from plantainridge.calls import CallTable
-from plantainridge.endpoints import EndpointView
+from plantainridge.directory import Directory
+from plantainridge.endpoints import EngineIndex, EndpointView
 from plantainridge.exchange import ExchangeState
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
+from plantainridge.links import LinkTable
 from plantainridge.members import MembersState
-from plantainridge.routing import LeastLoaded, Policy
+from plantainridge.returning import Returning
+from plantainridge.returns import ReturnTable
+from plantainridge.routing import Policy
+from plantainridge.transfers import TransferTable
 
 
 @attrs.define
@@ -26,6 +31,11 @@
         config: The accepted configuration in force.
         config_next: Offset of the next configuration record to read.
         endpoints: What is known of each configured endpoint.
+        index: Engines by model, made from `endpoints`.
+        directory: Who holds which blocks.
+        links: What is known of each store's link.
+        transfers: Movements of blocks that this VM asked for.
+        returns: Learnt gaps after which contexts return.
         calls: Requests and attempts in flight.
         exchange: What VMs of the data centre tell one another.
         members: Which VMs live.
@@ -36,10 +46,15 @@
     dc: DcId
     incarnation: Incarnation
     rng: random.Random
-    policy: Policy = attrs.field(factory=LeastLoaded)
+    policy: Policy = attrs.field(factory=Returning)
     config: Config = EMPTY
     config_next: int = 0
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
+    index: EngineIndex = attrs.field(factory=EngineIndex)
+    directory: Directory = attrs.field(factory=Directory)
+    links: LinkTable = attrs.field(factory=LinkTable)
+    transfers: TransferTable = attrs.field(factory=TransferTable)
+    returns: ReturnTable = attrs.field(factory=ReturnTable)
     calls: CallTable = attrs.field(factory=CallTable)
     exchange: ExchangeState = attrs.field(factory=ExchangeState)
     members: MembersState = attrs.field(factory=MembersState)
