--- a/src/plantainridge/effects.py
+++ b/src/plantainridge/effects.py
@@ -119,6 +119,7 @@
     request: RequestId
     endpoint: EndpointId
     address: str
+    team: TeamId
     service: ServiceId
     method: str
     path: str
--- a/src/plantainridge/standins/audit.py
+++ b/src/plantainridge/standins/audit.py
@@ -1,8 +1,10 @@
-"""Independent record of who computed and who read each cache block."""
+"""Independent record of what ran and of who read each cache block."""
+
+from collections import Counter
 
 import attrs
 
-from plantainridge.ids import BlockKey
+from plantainridge.ids import BlockKey, RequestId
 
 
 @attrs.frozen
@@ -29,15 +31,30 @@
     read_by: Owner
 
 
+@attrs.frozen
+class MarkedCall:
+    """A call that must run at most once, as its caller names it."""
+
+    team: str
+    service: str
+    key: str
+
+
 @attrs.define
 class Audit:
     """Shared by all stand-ins of one world.
 
     Attributes:
+        started: Requests for which an endpoint did any work.
+        runs: How often each marked call ran, over all requests for it.
+        unsafe: Reads of blocks that were freed or not committed, in words.
         owners: Owner of each block at the time that it was last computed.
         foreign: Reads that no owner may make.
     """
 
+    started: set[RequestId] = attrs.field(factory=set)
+    runs: Counter[MarkedCall] = attrs.field(factory=Counter)
+    unsafe: list[str] = attrs.field(factory=list)
     owners: dict[BlockKey, Owner] = attrs.field(factory=dict)
     foreign: list[ForeignRead] = attrs.field(factory=list)
 
--- a/src/plantainridge/standins/engine.py
+++ b/src/plantainridge/standins/engine.py
@@ -13,12 +13,13 @@
 
 import attrs
 
+from plantainridge.blocks import BLOCK_BYTES, BLOCK_TOKENS
 from plantainridge.ids import BlockKey, EndpointId, RequestId, WeightVersion
+from plantainridge.standins.audit import Audit, Owner
 
 STEP_S: Final = 0.02
 PREFILL_TOKENS_PER_S: Final = 20_000.0
 PREFILL_CHUNK_TOKENS: Final = 2_000
-BLOCK_TOKENS: Final = 1_000
 
 
 def token_at(prompt: str, version: str, index: int) -> str:
@@ -66,7 +67,15 @@
     version: WeightVersion
     remaining_prefill: float = 0.0
     cached_tokens: int = 0
-    started: bool = False
+    team: str = ''
+    model: str = ''
+    adapter: str = ''
+
+    def owner(self, block: int) -> Owner:
+        """Returns whose block the prompt's block at an index is."""
+        end = (block + 1) * BLOCK_BYTES
+        return Owner(self.team, self.model, self.version, self.adapter,
+                     self.prompt[:end])
 
 
 class EngineModel:
@@ -81,7 +90,9 @@
                  name: EndpointId,
                  version: WeightVersion,
                  cache_blocks: int = 256,
-                 max_batch: int = 32) -> None:
+                 max_batch: int = 32,
+                 audit: Audit | None = None) -> None:
+        self.audit = audit
         self.name = name
         self.version = version
         self.cache_blocks = cache_blocks
@@ -148,17 +159,19 @@
     def _admit(self) -> None:
         while self.waiting and len(self.running) < self.max_batch:
             job = self.waiting.pop(0)
-            hits = self._lookup(job.blocks)
+            hits = self._lookup(job)
             job.cached_tokens = min(hits * BLOCK_TOKENS, job.prompt_tokens)
             job.remaining_prefill = float(job.prompt_tokens - job.cached_tokens)
             self.running.append(job)
 
-    def _lookup(self, blocks: tuple[BlockKey, ...]) -> int:
+    def _lookup(self, job: Job) -> int:
         hits = 0
-        for key in blocks:
+        for key in job.blocks:
             if key not in self.cache:
                 break
             self.cache.move_to_end(key)
+            if self.audit is not None:
+                self.audit.read(key, job.owner(hits))
             hits += 1
         return hits
 
@@ -167,17 +180,21 @@
         for job in self.running:
             if job.remaining_prefill <= 0 or budget <= 0:
                 continue
+            if self.audit is not None:
+                self.audit.started.add(job.request)
             done = min(budget, job.remaining_prefill)
             job.remaining_prefill -= done
             budget -= done
             if job.remaining_prefill <= 0:
-                self._keep(job.blocks)
+                self._keep(job)
         spent = PREFILL_CHUNK_TOKENS - budget
         self.computed_tokens += spent
         return spent
 
-    def _keep(self, blocks: tuple[BlockKey, ...]) -> None:
-        for key in blocks:
+    def _keep(self, job: Job) -> None:
+        for index, key in enumerate(job.blocks):
+            if self.audit is not None and key not in self.cache:
+                self.audit.computed(key, job.owner(index))
             self.cache[key] = None
             self.cache.move_to_end(key)
         while len(self.cache) > self.cache_blocks:
@@ -190,6 +207,8 @@
 
     def _emit(self, job: Job) -> None:
         if job.next_index < job.max_tokens:
+            if self.audit is not None:
+                self.audit.started.add(job.request)
             token = token_at(job.prompt, job.version, job.next_index)
             first = job.next_index
             job.next_index += 1
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -17,6 +17,7 @@
 from plantainridge.ports import (CallerPort, EnginePort, LogPort, PeerPort,
                                  Post, ReportPort, ServicePort)
 from plantainridge.refusals import Refusal
+from plantainridge.standins.audit import Audit, MarkedCall
 from plantainridge.standins.engine import EngineModel, Job, Sink
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.service import ServiceModel
@@ -169,7 +170,10 @@
                   priority=effect.priority,
                   next_index=effect.resume_from,
                   sink=_PostSink(self, effect, post),
-                  version=model.version)
+                  version=model.version,
+                  team=effect.team,
+                  model=effect.model,
+                  adapter=effect.adapter)
         self.jobs[effect.attempt] = (model, job)
         model.submit(job)
 
@@ -205,9 +209,13 @@
         lose_answer: Chance that an answer is lost after the call has run.
     """
 
-    def __init__(self, vm: str, network: Network, models: dict[EndpointId,
-                                                               ServiceModel],
-                 rng: random.Random) -> None:
+    def __init__(self,
+                 vm: str,
+                 network: Network,
+                 models: dict[EndpointId, ServiceModel],
+                 rng: random.Random,
+                 audit: Audit | None = None) -> None:
+        self.audit = audit or Audit()
         self.vm = vm
         self.network = network
         self.models = models
@@ -226,6 +234,10 @@
             self.network.later(lambda: post(failed))
             return
         count = model.run(effect.key)
+        self.audit.started.add(effect.request)
+        if effect.key:
+            self.audit.runs[MarkedCall(effect.team, effect.service,
+                                       effect.key)] += 1
         event: ev.Event = ev.ServiceAnswered(effect.attempt, effect.request,
                                              200,
                                              str(count).encode())
--- /dev/null
+++ b/src/plantainridge/standins/oracle.py
@@ -0,0 +1,228 @@
+"""Checks of what must always hold, by what the stand-ins really saw.
+
+Nothing here asks the reducer what it believes, but for the revision in force:
+the stand-ins know what ran, the callers what they were told.
+"""
+
+import enum
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from plantainridge import config
+from plantainridge import effects as fx
+from plantainridge import events as ev
+from plantainridge.ids import EndpointId, VmId
+from plantainridge.refusals import RanState
+from plantainridge.standins.engine import token_at
+from plantainridge.standins.world import Ask, Vm, World
+
+# After this long a leaving endpoint gets no new work, in s.
+LEAVING_LIMIT_S: Final = 3.0
+# Within this time an accepted configuration is in force everywhere, in s.
+IN_FORCE_LIMIT_S: Final = 6.0
+
+
+class Check(enum.Enum):
+    """The conditions that must always hold, each by a check of its own."""
+
+    COMMITTED_READS = 'freed_or_partial_block_is_never_read'
+    TEAMS_APART = 'teams_stay_apart'
+    VERSIONS_APART = 'no_block_of_another_version'
+    WHOLE_ANSWERS = 'each_caller_gets_its_own_whole_answer'
+    TRUE_REFUSALS = 'not_run_is_true'
+    AT_MOST_ONCE = 'not_repeatable_runs_at_most_once'
+    LEAVING = 'leaving_endpoint_gets_no_new_work'
+    GRACEFUL_STOP = 'planned_stop_cuts_no_request'
+    CONFIG = 'accepted_configuration_in_force_and_never_reverts'
+
+
+@attrs.frozen
+class Violation:
+    """One condition that was broken, and how."""
+
+    check: Check
+    detail: str
+
+
+@attrs.define
+class _Seen:
+    """What was seen of one process.
+
+    Attributes:
+        revision: Highest revision that was in force.
+        ready: Whether it was ever ready.
+    """
+
+    revision: int = -1
+    ready: bool = False
+
+
+class Oracle:
+    """Watches a world from its start and judges it at its end.
+
+    Attributes:
+        left_at: Loop time at which an endpoint was said to leave, in s.
+        published: Revisions in log order, as (offset, base, loop time in s).
+        excused: VMs that could not hear of a change, with the loop time until
+            which they could not, in s.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.found: list[Violation] = []
+        self.left_at: dict[EndpointId, float] = {}
+        self.published: list[tuple[int, int, float]] = [(0, -1, 0.0)]
+        self.excused: dict[VmId, float] = {}
+        self.seen: dict[Vm, _Seen] = {}
+        self.highest: dict[VmId, int] = {}
+        self.configs: dict[int, config.Config] = {}
+        for vm in world.vms:
+            self.watch(vm)
+
+    def watch(self, vm: Vm) -> None:
+        """Follows a VM's process from now on."""
+        self.seen[vm] = _Seen()
+        vm.runtime.watchers.append(lambda each: self._on(vm, each))
+
+    def note_published(self, offset: int, base: int, now: float) -> None:
+        """Notes a revision that an operator appended."""
+        self.published.append((offset, base, now))
+
+    def note_leaving(self, endpoint: EndpointId, now: float) -> None:
+        """Notes that an endpoint was said to leave."""
+        self.left_at.setdefault(endpoint, now)
+
+    def excuse(self, vm: VmId, until: float) -> None:
+        """Notes that a VM cannot hear of changes until a loop time, in s."""
+        self.excused[vm] = max(until, self.excused.get(vm, 0.0))
+
+    def accepted(self) -> int:
+        """Returns the revision that the log's order makes the newest."""
+        current = -1
+        for offset, base, _ in sorted(self.published):
+            if base == current:
+                current = offset
+        return current
+
+    def judge(self) -> list[Violation]:
+        """Returns all violations; the world must have come to rest."""
+        for ask in self.world.asks:
+            self.found.extend(_judge_ask(self.world, ask))
+        self.found.extend(_judge_runs(self.world))
+        self.found.extend(_judge_blocks(self.world))
+        self.found.extend(self._judge_config())
+        return self.found
+
+    def _fail(self, check: Check, detail: str) -> None:
+        self.found.append(Violation(check, detail))
+
+    def _on(self, vm: Vm, each: ev.Event | fx.Effect) -> None:
+        self._follow_config(vm)
+        if isinstance(each, (fx.StartAttempt, fx.CallService)):
+            self._judge_dispatch(vm, each.endpoint)
+        if isinstance(each, fx.Exit):
+            self._judge_exit(vm)
+
+    def _follow_config(self, vm: Vm) -> None:
+        seen = self.seen[vm]
+        in_force = vm.state.config
+        if in_force.revision < seen.revision:
+            self._fail(
+                Check.CONFIG, f'{vm.name} went back from {seen.revision} to '
+                f'{in_force.revision}')
+        if vm.state.ready and not seen.ready:
+            seen.ready = True
+            before = self.highest.get(vm.name, -1)
+            if in_force.revision < before:
+                self._fail(
+                    Check.CONFIG, f'{vm.name} came back with '
+                    f'{in_force.revision} after {before}')
+        if in_force.revision != seen.revision:
+            known = self.configs.setdefault(in_force.revision, in_force)
+            if known is not in_force and known != in_force:
+                self._fail(Check.CONFIG,
+                           f'revision {in_force.revision} differs by VM')
+        seen.revision = max(seen.revision, in_force.revision)
+        if vm.state.ready:
+            self.highest[vm.name] = max(self.highest.get(vm.name, -1),
+                                        in_force.revision)
+
+    def _judge_dispatch(self, vm: Vm, endpoint: EndpointId) -> None:
+        now = vm.runtime.loop.time()
+        left_at = self.left_at.get(endpoint)
+        if left_at is None or now <= left_at + LEAVING_LIMIT_S:
+            return
+        if now <= self.excused.get(vm.name, -1.0) + LEAVING_LIMIT_S:
+            return
+        self._fail(
+            Check.LEAVING, f'{vm.name} sent work to {endpoint} '
+            f'{now - left_at:.1f} s after it began to leave')
+
+    def _judge_exit(self, vm: Vm) -> None:
+        for ask in self.world.asks:
+            if ask.vm is vm and ask.told.finals == 0 and not ask.hung_up:
+                self._fail(
+                    Check.GRACEFUL_STOP,
+                    f'{vm.name} exited before {ask.event.request} ended')
+
+    def _judge_config(self) -> Iterator[Violation]:
+        newest = self.accepted()
+        for vm in self.world.vms:
+            if vm.runtime.halted:
+                continue
+            if vm.state.config.revision != newest:
+                yield Violation(
+                    Check.CONFIG, f'{vm.name} has {vm.state.config.revision} '
+                    f'in force, the log says {newest}')
+
+
+def _judge_ask(world: World, ask: Ask) -> Iterator[Violation]:
+    name = ask.event.request
+    if ask.cut_off or ask.hung_up:
+        return
+    if ask.told.finals != 1:
+        yield Violation(Check.WHOLE_ANSWERS,
+                        f'{name} got {ask.told.finals} final words')
+    if isinstance(ask.event, ev.ModelCalled):
+        yield from _judge_answer(ask, ask.event)
+    refusal = ask.told.refusal
+    if refusal is not None and refusal.ran is RanState.NOT_RUN:
+        if name in world.audit.started:
+            yield Violation(Check.TRUE_REFUSALS,
+                            f'{name} ran, refused as {refusal.reason.value}')
+
+
+def _judge_answer(ask: Ask, asked: ev.ModelCalled) -> Iterator[Violation]:
+    expected = [
+        token_at(asked.prompt.text, asked.version, index)
+        for index in range(asked.max_tokens)
+    ]
+    tokens = ask.told.tokens
+    if tokens != expected[:len(tokens)]:
+        yield Violation(Check.WHOLE_ANSWERS,
+                        f'{asked.request} got tokens that are not its own')
+    if ask.told.ended is not None and len(tokens) != len(expected):
+        yield Violation(
+            Check.WHOLE_ANSWERS, f'{asked.request} ended with {len(tokens)} of '
+            f'{len(expected)} tokens')
+
+
+def _judge_runs(world: World) -> Iterator[Violation]:
+    for name, runs in world.audit.runs.items():
+        if runs > 1:
+            yield Violation(Check.AT_MOST_ONCE,
+                            f'{name.service} ran {runs} times for {name.key}')
+
+
+def _judge_blocks(world: World) -> Iterator[Violation]:
+    for read in world.audit.foreign:
+        check = Check.TEAMS_APART
+        if read.computed_for.team == read.read_by.team:
+            check = Check.VERSIONS_APART
+        yield Violation(
+            check, f'{read.read_by.team}/{read.read_by.version} read a block of'
+            f' {read.computed_for.team}/{read.computed_for.version}')
+    for detail in world.audit.unsafe:
+        yield Violation(Check.COMMITTED_READS, detail)
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -13,6 +13,7 @@
 from plantainridge.ports import Ports, Post
 from plantainridge.revisions import Revision, encode
 from plantainridge.runtime import Runtime
+from plantainridge.standins.audit import Audit
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
@@ -77,19 +78,21 @@
         return self.runtime.state
 
 
-@attrs.frozen(eq=False)
+@attrs.define(eq=False)
 class Ask:
     """One request that a caller sent, and what the caller was told.
 
     Attributes:
         vm: The VM that it entered by.
         at: Loop time at which it was sent, in s.
+        hung_up: Whether the caller closed its connection.
     """
 
     event: ev.ModelCalled | ev.ServiceCalled
     vm: Vm
     told: Told
     at: float
+    hung_up: bool = False
 
     @property
     def cut_off(self) -> bool:
@@ -107,10 +110,12 @@
         self.rng = random.Random(seed)
         self.network = Network()
         self.log = LogModel()
+        self.audit = Audit()
         self.config = sample_config(engines)
         self.log.append('config', 0, [encode(Revision(-1, self.config))])
         self.engines = {
-            EndpointId(f'e{i}'): EngineModel(EndpointId(f'e{i}'), VERSION)
+            EndpointId(f'e{i}'):
+                EngineModel(EndpointId(f'e{i}'), VERSION, audit=self.audit)
             for i in range(engines)
         }
         self.ledger = ServiceModel()
@@ -131,7 +136,7 @@
                         random.Random(self.rng.getrandbits(64)))
         engines = MemoryEnginePort(name, self.network, self.engines)
         services = MemoryServicePort(name, self.network, self.services,
-                                     self.rng)
+                                     self.rng, self.audit)
         log = MemoryLogPort(name, self.network, self.log, self.rng)
         ports = Ports(callers=callers,
                       engines=engines,
@@ -200,6 +205,12 @@
             ev.ServiceCalled(self._next_request(), team, service, 'POST', '/',
                              body, key))
 
+    def hang_up(self, ask: Ask) -> None:
+        """Closes a caller's connection before its answer's end."""
+        if ask.told.finals == 0 and not ask.hung_up:
+            ask.hung_up = True
+            ask.vm.runtime.post(ev.CallerGone(ask.event.request))
+
     def _next_request(self) -> RequestId:
         return RequestId(f'r{len(self.asks) + 1}')
 
