--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -18,7 +18,10 @@
     Attributes:
         state: The reducer's state.
         ports: Where effects go.
+        watchers: Called before each event is taken in and each effect carried
+            out; a watcher may halt or pause the process just there.
         halted: True once the process was killed; events are then dropped.
+        paused: True while the process stands still and events pile up.
     """
 
     def __init__(self, state: VmState, ports: Ports) -> None:
@@ -26,7 +29,11 @@
         self.ports = ports
         self.loop = asyncio.get_running_loop()
         self.halted = False
+        self.paused = False
+        self.watchers: list[Callable[[Event | fx.Effect], None]] = []
         self._queue: deque[Event] = deque()
+        self._effects: deque[fx.Effect] = deque()
+        self._watched = False
         self._busy = False
         self._timers: dict[TimerKey, asyncio.TimerHandle] = {}
         self._carriers: dict[type[fx.Effect], Callable[[Any], None]] = {
@@ -60,23 +67,24 @@
 
     def start(self) -> None:
         """Carries out the first effects of the process."""
-        self._carry_out(reducer.start(self.state, self.loop.time()))
+        self._effects.extend(reducer.start(self.state, self.loop.time()))
+        self._run()
 
     def post(self, event: Event) -> None:
         """Takes one event in; reentrant calls are queued in order."""
         if self.halted:
             return
         self._queue.append(event)
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._queue:
-                self._carry_out(
-                    reducer.reduce(self.state, self._queue.popleft(),
-                                   self.loop.time()))
-        finally:
-            self._busy = False
+        self._run()
+
+    def pause(self) -> None:
+        """Stands still while time goes on, as a stalled VM does."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Goes on where it stood; what came meanwhile arrives now, in order."""
+        self.paused = False
+        self._run()
 
     def halt(self) -> None:
         """Stops at once, as a killed process does."""
@@ -85,12 +93,37 @@
             handle.cancel()
         self._timers.clear()
         self._queue.clear()
+        self._effects.clear()
 
-    def _carry_out(self, effects: list[fx.Effect]) -> None:
-        for effect in effects:
-            carrier = self._carriers.get(type(effect))
-            if carrier is not None:
-                carrier(effect)
+    def _run(self) -> None:
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while not self.paused and (self._effects or self._queue):
+                self._step()
+        finally:
+            self._busy = False
+
+    def _step(self) -> None:
+        upcoming = self._effects[0] if self._effects else self._queue[0]
+        if not self._watched:
+            self._watched = True
+            for watcher in self.watchers:
+                watcher(upcoming)
+            # A watcher may have stopped the process just before this step.
+            if self.halted or self.paused:
+                return
+        self._watched = False
+        if isinstance(upcoming, Event):
+            self._queue.popleft()
+            self._effects.extend(
+                reducer.reduce(self.state, upcoming, self.loop.time()))
+            return
+        self._effects.popleft()
+        carrier = self._carriers.get(type(upcoming))
+        if carrier is not None:
+            carrier(upcoming)
 
     def _set_timer(self, effect: fx.SetTimer) -> None:
         self._cancel_timer(fx.CancelTimer(effect.key))
