--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -159,16 +159,16 @@
         finished = False
         try:
             self.runtime.post(
-                ev.ServiceCalled(
-                    request=name,
-                    team=team.id,
-                    service=ServiceId(request.path_params['service']),
-                    method=request.method,
-                    path='/' + request.path_params['path'],
-                    body=await request.body(),
-                    key=request.headers.get('idempotency-key', ''),
-                    marked=_says_yes(request, ONCE_HEADER),
-                    resend=_says_yes(request, RESEND_HEADER)))
+                ev.ServiceCalled(request=name,
+                                 team=team.id,
+                                 service=ServiceId(
+                                     request.path_params['service']),
+                                 method=request.method,
+                                 path='/' + request.path_params['path'],
+                                 body=await request.body(),
+                                 key=request.headers.get('idempotency-key', ''),
+                                 marked=_says_yes(request, ONCE_HEADER),
+                                 resend=_says_yes(request, RESEND_HEADER)))
             reply = await queue.get()
             finished = True
             if isinstance(reply, fx.SendServiceAnswer):
--- a/src/plantainridge/claim_batches.py
+++ b/src/plantainridge/claim_batches.py
@@ -44,7 +44,7 @@
     claims = state.claims
     while len(claims.owed) >= MAX_OWED:
         # The key stays claimed for others, which then answer `unknown`.
-        del claims.owed[next(iter(claims.owed))]
+        del claims.owed[list(claims.owed)[0]]
     claims.owed[record.id] = Owed(record, shard, now + OWED_RETRY_S,
                                   now + claims.limits.window_s)
     yield from add(state, shard, record, now)
@@ -82,7 +82,7 @@
 
 def _flush(state: VmState, now: float) -> Iterator[Effect]:
     claims = state.claims
-    shard = next(iter(claims.waiting))
+    shard = min(claims.waiting)
     records = claims.waiting.pop(shard)
     batch, rest = records[:MAX_BATCH_RECORDS], records[MAX_BATCH_RECORDS:]
     if rest:
--- a/src/plantainridge/claim_state.py
+++ b/src/plantainridge/claim_state.py
@@ -30,8 +30,9 @@
     ('lose', [WorkPhase.NEW, WorkPhase.CLAIMING], WorkPhase.AWAITING),
     ('run', [WorkPhase.NEW, WorkPhase.CLAIMING, WorkPhase.AWAITING
             ], WorkPhase.RUNNING),
-    ('end', [WorkPhase.NEW, WorkPhase.CLAIMING, WorkPhase.AWAITING, WorkPhase.RUNNING
-            ], WorkPhase.DONE),
+    ('end', [
+        WorkPhase.NEW, WorkPhase.CLAIMING, WorkPhase.AWAITING, WorkPhase.RUNNING
+    ], WorkPhase.DONE),
 ])
 
 
--- a/src/plantainridge/claim_sync.py
+++ b/src/plantainridge/claim_sync.py
@@ -30,7 +30,7 @@
         return
     tail.reading = True
     yield CancelTimer(_pace_key(shard))
-    yield ReadLog(Stream.CLAIMS, shard, tail.next_offset)
+    yield ReadLog(Stream.CLAIMS, shard, tail.next_offset, wait=tail.caught_up)
 
 
 def read_on(state: VmState, shard: int, now: float) -> Iterator[Effect]:
@@ -100,9 +100,8 @@
 
 
 def _claims_wait(claims: ClaimsState, shard: int) -> bool:
-    return any(
-        work.phase is WorkPhase.CLAIMING and work.shard == shard
-        for work in claims.works.values())
+    return any(work.phase is WorkPhase.CLAIMING and work.shard == shard
+               for work in claims.works.values())
 
 
 def _pace_key(shard: int) -> TimerKey:
--- a/src/plantainridge/claim_table.py
+++ b/src/plantainridge/claim_table.py
@@ -92,4 +92,3 @@
     def _drop(self, digest: bytes) -> None:
         # Whoever forgets an entry may no longer speak of keys that old.
         self.floor = max(self.floor, self.entries.pop(digest).at)
-
--- a/src/plantainridge/claims.py
+++ b/src/plantainridge/claims.py
@@ -299,9 +299,8 @@
     for each in work.asked:
         yield Refuse(
             each.request,
-            claim_answers.no_instance(each.resend and
-                                      not (proven and
-                                           not _checks_keys(state, work))))
+            claim_answers.no_instance(
+                each.resend and not (proven and not _checks_keys(state, work))))
     yield from _end(state, work)
 
 
--- a/src/plantainridge/effects.py
+++ b/src/plantainridge/effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from plantainridge.events import Prompt, Stream, TimerKey
+from plantainridge.events import BlockRef, Prompt, Stream, TimerKey
 from plantainridge.ids import (AttemptId, EndpointId, ModelId, RequestId,
                                ServiceId, StoreId, TeamId, TransferId, VmId,
                                WeightVersion, BlockKey)
@@ -119,26 +119,37 @@
     request: RequestId
     endpoint: EndpointId
     address: str
+    team: TeamId
     service: ServiceId
     method: str
     path: str
     key: str
     body: bytes = attrs.field(repr=False)
 
+    @property
+    def scoped_key(self) -> str:
+        """The key as the service sees it; it differs between teams."""
+        return f'{self.team}/{self.key}' if self.key else ''
+
 
 @attrs.frozen
 class StartTransfer(Effect):
     """Moves blocks between an endpoint and a store.
 
     Attributes:
-        to_endpoint: True to import into the endpoint, False to export.
+        refs: Copies to import into the endpoint, in the chain's order; empty
+            for an export.
+        blocks: Blocks to export from the endpoint, in the chain's order;
+            empty for an import.
     """
 
     transfer: TransferId
     endpoint: EndpointId
+    address: str
     store: StoreId
-    blocks: tuple[BlockKey, ...]
-    to_endpoint: bool
+    store_address: str
+    refs: tuple[BlockRef, ...] = ()
+    blocks: tuple[BlockKey, ...] = ()
 
 
 @attrs.frozen
@@ -148,6 +159,31 @@
     transfer: TransferId
 
 
+@attrs.frozen
+class RaiseBlocks(Effect):
+    """Asks a store to bring copies from its disk into its memory."""
+
+    store: StoreId
+    address: str
+    refs: tuple[BlockRef, ...]
+
+
+@attrs.frozen
+class ListEndpointCache(Effect):
+    """Asks an endpoint for its whole listing; answered by `CacheListed`."""
+
+    endpoint: EndpointId
+    address: str
+
+
+@attrs.frozen
+class ListStore(Effect):
+    """Asks a store for its whole listing; answered by `StoreListed`."""
+
+    store: StoreId
+    address: str
+
+
 # --- To the platform and to peers -------------------------------------------
 
 
@@ -163,11 +199,16 @@
 
 @attrs.frozen
 class ReadLog(Effect):
-    """Reads a stream from an offset; answered by `LogRead`."""
+    """Reads a stream from an offset; answered by `LogRead`.
+
+    Attributes:
+        wait: Whether to wait a while for records at the stream's end.
+    """
 
     stream: Stream
     shard: int
     offset: int
+    wait: bool = True
 
 
 @attrs.frozen
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -150,7 +150,7 @@
                 method=effect.method,
                 headers={
                     'X-Request-Id': effect.request,
-                    'Idempotency-Key': effect.key,
+                    'Idempotency-Key': effect.scoped_key,
                     'Connection': 'close',
                 },
                 data=effect.body)
@@ -212,12 +212,12 @@
 
     async def _read(self, effect: fx.ReadLog, post: Post) -> None:
         try:
-            response = await self.client.get(self._url(effect.stream,
-                                                       effect.shard),
-                                             params={
-                                                 'offset': str(effect.offset),
-                                                 'wait_s': str(LOG_WAIT_S)
-                                             })
+            response = await self.client.get(
+                self._url(effect.stream, effect.shard),
+                params={
+                    'offset': str(effect.offset),
+                    'wait_s': str(LOG_WAIT_S if effect.wait else 0)
+                })
             if response.status_code == STATUS_OK:
                 post(
                     _log_read(effect.stream, effect.shard, await
--- a/src/plantainridge/service_attempts.py
+++ b/src/plantainridge/service_attempts.py
@@ -47,10 +47,11 @@
                        request=asked.request,
                        endpoint=view.id,
                        address=view.endpoint.address,
+                       team=asked.team,
                        service=asked.service,
                        method=asked.method,
                        path=asked.path,
-                       key=scoped_key(asked),
+                       key=asked.key,
                        body=asked.body)
 
 
@@ -65,11 +66,6 @@
     return TimerKey(TimerKind.SERVICE, attempt)
 
 
-def scoped_key(asked: ServiceCalled) -> str:
-    """Returns the key that the service sees; it differs between teams."""
-    return f'{asked.team}/{asked.key}' if asked.key else ''
-
-
 def failed(state: VmState, call: Call, failure: Failure, now: float) -> None:
     """Ends the call's attempt and remembers what its failure means."""
     if call.attempt is None:
--- a/src/plantainridge/services.py
+++ b/src/plantainridge/services.py
@@ -1,21 +1,26 @@
 """Life of a call to a plain service."""
 
 from collections.abc import Iterator
+from typing import Final
 
 import attrs
 
 from plantainridge import claim_answers, claims, service_attempts
 from plantainridge.calls import Call
 from plantainridge.effects import (CancelTimer, Effect, Refuse,
-                                   SendServiceAnswer)
+                                   SendServiceAnswer, SetTimer)
 from plantainridge.events import (AttemptFailed, CallerGone, Failure,
-                                  ServiceAnswered, ServiceCalled, TimerFired)
+                                  ModelCalled, ServiceAnswered, ServiceCalled,
+                                  TimerFired)
 from plantainridge.ids import AttemptId
 from plantainridge.lifecycles import REQUEST
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.service_attempts import MAX_TRIES, NoInstance
 from plantainridge.state import VmState
 
+# A timer that comes later than this shows that the process stood still, in s.
+STANDSTILL_S: Final = 1.0
+
 
 def on_service_called(state: VmState, event: ServiceCalled,
                       now: float) -> Iterator[Effect]:
@@ -78,18 +83,28 @@
 
 def on_timer(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
     """Fails an attempt that has not ended in time."""
-    attempt = AttemptId(event.key.subject)
-    yield from on_attempt_failed(state,
-                                 AttemptFailed(attempt, Failure.TIMED_OUT), now)
+    name = AttemptId(event.key.subject)
+    attempt = state.calls.attempts.get(name)
+    if attempt is None:
+        return
+    due = attempt.started_at + service_attempts.SERVICE_TIMEOUT_S
+    if now > due + STANDSTILL_S:
+        # The process stood still; the answer may come right behind.
+        state.calls.attempts[name] = attrs.evolve(attempt, started_at=now)
+        yield SetTimer(event.key, now + service_attempts.SERVICE_TIMEOUT_S)
+        return
+    yield from on_attempt_failed(state, AttemptFailed(name, Failure.TIMED_OUT),
+                                 now)
 
 
 def on_caller_gone(state: VmState, event: CallerGone,
                    now: float) -> Iterator[Effect]:
     """Forgets a call that may be repeated; its answer is not wanted."""
     call = state.calls.calls.get(event.request)
-    if call is not None and not isinstance(call.asked, ServiceCalled):
+    asked = call.asked if call is not None else None
+    if isinstance(asked, ModelCalled):
         return
-    if call is not None and not call.asked.marked:
+    if call is not None and asked is not None and not asked.marked:
         if call.attempt is not None:
             service_attempts.forget(state, call.attempt)
         del state.calls.calls[event.request]
--- a/src/plantainridge/standins/log.py
+++ b/src/plantainridge/standins/log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import math
 from typing import Final
 
 import attrs
@@ -14,6 +15,7 @@
 
 MAX_WAIT_S: Final = 5.0
 MAX_READ_RECORDS: Final = 1_000
+APPENDS_PER_S: Final = 500.0
 
 
 @attrs.define
@@ -32,13 +34,21 @@
 
     Attributes:
         down: While true, every call fails without effect.
+        slow_s: Extra delay of each way of a call, in s.
+        appends_per_s: Appends that take effect in a second at the most.
+        retention_s: How long records of a stream are kept, in s; for ever
+            if the stream is not named.
         epoch_s: What the log's clock is ahead of the loop's, in s.
     """
 
     def __init__(self) -> None:
         self.streams: dict[tuple[str, int], _Stream] = {}
         self.down = False
+        self.slow_s = 0.0
+        self.appends_per_s = APPENDS_PER_S
+        self.retention_s: dict[str, float] = {}
         self.epoch_s = 0.0
+        self._next_turn = 0.0
         self.appends = 0
 
     def time(self) -> float:
@@ -49,6 +59,14 @@
         """Returns a stream, new and empty if it is unknown."""
         return self.streams.setdefault((name, shard), _Stream())
 
+    async def turn(self) -> None:
+        """Returns once the rate limit lets another append take effect."""
+        now = asyncio.get_running_loop().time()
+        turn = max(now, self._next_turn)
+        self._next_turn = turn + 1.0 / self.appends_per_s
+        if turn > now:
+            await asyncio.sleep(turn - now)
+
     def append(self, name: str, shard: int, payloads: list[bytes]) -> int:
         """Appends records together; returns the first one's offset."""
         stream = self.stream(name, shard)
@@ -64,6 +82,7 @@
     def read(self, name: str, shard: int, offset: int) -> list[Record]:
         """Returns records from an offset on, a page at the most."""
         stream = self.stream(name, shard)
+        self._expire(stream, self.retention_s.get(name, math.inf))
         start = max(0, offset - stream.first)
         return stream.records[start:start + MAX_READ_RECORDS]
 
@@ -74,11 +93,19 @@
         del stream.records[:drop]
         stream.first += drop
 
+    def _expire(self, stream: _Stream, retention_s: float) -> None:
+        oldest = self.time() - retention_s
+        drop = 0
+        while drop < len(stream.records) and stream.records[drop].at < oldest:
+            drop += 1
+        del stream.records[:drop]
+        stream.first += drop
+
     async def wait(self, name: str, shard: int, offset: int,
                    wait_s: float) -> None:
         """Returns once a record at an offset exists or the time is over."""
         stream = self.stream(name, shard)
-        if stream.end > offset:
+        if stream.end > offset or wait_s <= 0:
             return
         try:
             await asyncio.wait_for(stream.grown.wait(), wait_s)
@@ -102,6 +129,7 @@
         if self.model.down:
             return JSONResponse({'error': 'outage'}, status_code=503)
         body = await request.json()
+        await self.model.turn()
         payloads = [base64.b64decode(text) for text in body['payloads']]
         first = self.model.append(request.path_params['name'],
                                   request.path_params['shard'], payloads)
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -5,7 +5,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Coroutine
 from typing import Final
 
 import attrs
@@ -17,9 +18,10 @@
 from plantainridge.ports import (CallerPort, EnginePort, LogPort, PeerPort,
                                  Post, ReportPort, ServicePort)
 from plantainridge.refusals import Refusal
+from plantainridge.standins.audit import Audit, MarkedCall
 from plantainridge.standins.engine import EngineModel, Job, Sink
 from plantainridge.standins.log import LogModel
-from plantainridge.standins.service import ServiceModel
+from plantainridge.standins.service import Run, ServiceModel
 
 LINK_S: Final = 0.0015
 LOG_WAIT_S: Final = 5.0
@@ -169,7 +171,10 @@
                   priority=effect.priority,
                   next_index=effect.resume_from,
                   sink=_PostSink(self, effect, post),
-                  version=model.version)
+                  version=model.version,
+                  team=effect.team,
+                  model=effect.model,
+                  adapter=effect.adapter)
         self.jobs[effect.attempt] = (model, job)
         model.submit(job)
 
@@ -197,50 +202,106 @@
             found[0].cancel(found[1])
 
 
+@attrs.define
+class ServiceFaults:
+    """Chances of faults of a call, by one VM's way to the services.
+
+    Attributes:
+        lose_answer: The answer is lost after the call has run.
+        refuse: The connection is refused.
+        cross: Another request's answer comes instead.
+        hang: Neither an answer nor an error comes.
+    """
+
+    lose_answer: float = 0.0
+    refuse: float = 0.0
+    cross: float = 0.0
+    hang: float = 0.0
+
+
 class MemoryServicePort(ServicePort):
     """One VM's way to the plain services' models.
 
     Attributes:
         run_s: How long a call runs, in s.
-        lose_answer: Chance that an answer is lost after the call has run.
+        faults: Chances of faults.
     """
 
-    def __init__(self, vm: str, network: Network, models: dict[EndpointId,
-                                                               ServiceModel],
-                 rng: random.Random) -> None:
+    def __init__(self,
+                 vm: str,
+                 network: Network,
+                 models: dict[EndpointId, ServiceModel],
+                 rng: random.Random,
+                 audit: Audit | None = None) -> None:
+        self.audit = audit or Audit()
         self.vm = vm
         self.network = network
         self.models = models
         self.rng = rng
         self.run_s = 0.01
-        self.lose_answer = 0.0
+        self.faults = ServiceFaults()
 
     def call(self, effect: fx.CallService, post: Post) -> None:
         self.network.later(lambda: self._run(effect, post))
 
     def _run(self, effect: fx.CallService, post: Post) -> None:
         model = self.models.get(effect.endpoint)
-        if model is None or not self.network.reaches(self.vm, effect.endpoint):
+        reached = self.network.reaches(self.vm, effect.endpoint)
+        if model is None or not reached or self._draw(self.faults.refuse):
             failed = ev.AttemptFailed(effect.attempt,
                                       ev.Failure.CONNECT_REFUSED)
             self.network.later(lambda: post(failed))
             return
-        count = model.run(effect.key)
+        run = model.run(effect.scoped_key)
+        self.audit.started.add(effect.request)
+        if effect.key and run.fresh:
+            self.audit.runs[MarkedCall(effect.team, effect.service,
+                                       effect.key)] += 1
+        if self._draw(self.faults.hang):
+            return
+        asyncio.get_running_loop().call_later(
+            self.run_s, lambda: self._answer(effect, run, post))
+
+    def _answer(self, effect: fx.CallService, run: Run, post: Post) -> None:
         event: ev.Event = ev.ServiceAnswered(effect.attempt, effect.request,
                                              200,
-                                             str(count).encode())
-        if self.rng.random() < self.lose_answer:
+                                             str(run.count).encode())
+        if self._draw(self.faults.cross):
+            event = ev.ServiceAnswered(effect.attempt, RequestId('another'),
+                                       200, b'crossed')
+        cut = not self.network.reaches(self.vm, effect.endpoint)
+        if cut or self._draw(self.faults.lose_answer):
             event = ev.AttemptFailed(effect.attempt, ev.Failure.BROKEN)
-        asyncio.get_running_loop().call_later(
-            self.run_s, lambda: self.network.later(lambda: post(event)))
+        self.network.later(lambda: post(event))
+
+    def _draw(self, chance: float) -> bool:
+        return chance > 0.0 and self.rng.random() < chance
+
+
+@attrs.define
+class LogFaults:
+    """Chances of faults of an append, by one VM's way to the log.
+
+    Attributes:
+        lose_answer: The answer is lost after the append took effect.
+        delay: The answer is an error and the append takes effect later.
+        delay_s: How much later at the most, in s.
+        double: The append takes effect twice.
+    """
+
+    lose_answer: float = 0.0
+    delay: float = 0.0
+    delay_s: float = 5.0
+    double: float = 0.0
 
 
 class MemoryLogPort(LogPort):
     """One VM's way to the log's model.
 
     Attributes:
-        lose_answer: Chance that an append's answer is lost after it took
-            effect.
+        faults: Chances of faults.
+        sent_bytes: Payload that was appended to each stream.
+        read_bytes: Payload that was read from each stream.
     """
 
     NODE: Final = 'log'
@@ -251,18 +312,18 @@
         self.network = network
         self.model = model
         self.rng = rng
-        self.lose_answer = 0.0
+        self.faults = LogFaults()
+        self.sent_bytes: Counter[ev.Stream] = Counter()
+        self.read_bytes: Counter[ev.Stream] = Counter()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def append(self, effect: fx.AppendLog, post: Post) -> None:
-        self._spawn(effect, post)
+        self._spawn(self._append(effect, post))
 
     def read(self, effect: fx.ReadLog, post: Post) -> None:
-        self._spawn(effect, post)
+        self._spawn(self._read(effect, post))
 
-    def _spawn(self, effect: fx.AppendLog | fx.ReadLog, post: Post) -> None:
-        work = (self._append(effect, post) if isinstance(effect, fx.AppendLog)
-                else self._read(effect, post))
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -271,35 +332,53 @@
         return (not self.model.down and
                 self.network.reaches(self.vm, self.NODE))
 
+    def _draw(self, chance: float) -> bool:
+        return chance > 0.0 and self.rng.random() < chance
+
     async def _append(self, effect: fx.AppendLog, post: Post) -> None:
-        await asyncio.sleep(self.network.latency_s)
+        await asyncio.sleep(self.network.latency_s + self.model.slow_s)
         if not self._reaches():
             await asyncio.sleep(self.network.latency_s)
             post(ev.AppendFailed(effect.append_id, maybe=False))
             return
-        first = self.model.append(effect.stream.value, effect.shard,
-                                  list(effect.payloads))
-        await asyncio.sleep(self.network.latency_s)
-        if self.rng.random() < self.lose_answer or not self._reaches():
+        await self.model.turn()
+        self.sent_bytes[effect.stream] += sum(map(len, effect.payloads))
+        if self._draw(self.faults.delay):
+            post(ev.AppendFailed(effect.append_id, maybe=True))
+            await asyncio.sleep(self.rng.uniform(0, self.faults.delay_s))
+            self._take_effect(effect)
+            return
+        first = self._take_effect(effect)
+        if self._draw(self.faults.double):
+            self._take_effect(effect)
+        await asyncio.sleep(self.network.latency_s + self.model.slow_s)
+        if self._draw(self.faults.lose_answer) or not self._reaches():
             post(ev.AppendFailed(effect.append_id, maybe=True))
             return
         post(ev.AppendEnded(effect.append_id, first))
 
+    def _take_effect(self, effect: fx.AppendLog) -> int:
+        return self.model.append(effect.stream.value, effect.shard,
+                                 list(effect.payloads))
+
     async def _read(self, effect: fx.ReadLog, post: Post) -> None:
         name, shard = effect.stream.value, effect.shard
-        await asyncio.sleep(self.network.latency_s)
+        await asyncio.sleep(self.network.latency_s + self.model.slow_s)
         if self._reaches():
-            await self.model.wait(name, shard, effect.offset, LOG_WAIT_S)
-            await asyncio.sleep(self.network.latency_s)
+            wait_s = LOG_WAIT_S if effect.wait else 0.0
+            await self.model.wait(name, shard, effect.offset, wait_s)
         if not self._reaches():
             await asyncio.sleep(LOG_RETRY_S)
             post(ev.LogReadFailed(effect.stream, effect.shard))
             return
         stream = self.model.stream(name, shard)
-        post(
-            ev.LogRead(effect.stream, effect.shard,
-                       tuple(self.model.read(name, shard, effect.offset)),
-                       stream.first, stream.end, self.model.time()))
+        records = tuple(self.model.read(name, shard, effect.offset))
+        answer = ev.LogRead(effect.stream, effect.shard, records, stream.first,
+                            stream.end, self.model.time())
+        await asyncio.sleep(self.network.latency_s + self.model.slow_s)
+        self.read_bytes[effect.stream] += sum(
+            len(record.payload) for record in records)
+        post(answer)
 
 
 class MemoryPeers(PeerPort):
