--- a/src/plantainridge/exchange.py
+++ b/src/plantainridge/exchange.py
@@ -2,19 +2,49 @@
 
 Each VM says one small, newest value per topic; what others said is a hint
 with an age. Nothing is agreed here: agreement goes through the log.
+
+Values and heartbeats spread by gossip: each round a VM sends what it learned
+last to one random peer, within a budget of bytes that does not grow with the
+number of VMs. A VM's beat, an epoch and a count, orders what it says; a new
+process that hears of a beat above its own starts a higher epoch, so that
+nothing of its former life hides what it says.
 """
 
 import enum
+import zlib
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from plantainridge import peer_messages as pm
+from plantainridge.effects import Effect, SendPeer
+from plantainridge.events import TimerFired
 from plantainridge.ids import VmId
 
 if TYPE_CHECKING:
     from plantainridge.state import VmState
 
+ROUND_S: Final = 0.5
+# Heartbeats in one message.
+MAX_BEATS: Final = 64
+# Bytes of values that one round pays for; a larger value uses up later rounds.
+VALUE_BYTES_PER_ROUND: Final = 120
+MAX_VALUE_BYTES: Final = 1_024
+# Times that a VM passes a value on.
+PASSES: Final = 4
+# Age from which a heartbeat is not passed on, in s.
+STALE_BEAT_S: Final = 4.0
+# Silence after which a VM is forgotten, in s.
+FORGET_S: Final = 60.0
+# Rounds between messages to a peer that is not heard.
+PROBE_ROUNDS: Final = 4
+# Rounds after which an unchanged value is sent again.
+REFRESH_ROUNDS: Final = 4
+# Lag up to which a message counts as late, and not as one of a new life.
+REORDERED_ROUNDS: Final = 4
+_EPOCH_SHIFT: Final = 32
+
 
 class Topic(enum.Enum):
     """Subjects on which VMs tell one another their newest value."""
@@ -27,25 +57,92 @@
     CONFIG = 'config'
 
 
+_TOPICS: Final = {topic.value: topic for topic in Topic}
+
+
 @attrs.frozen
 class Heard:
-    """A value that another VM said, with the loop time of its arrival."""
+    """A value that another VM said.
+
+    Attributes:
+        at: Loop time of its arrival, in s.
+        beat: The other VM's beat when it set the value.
+    """
 
     value: bytes
     at: float
+    beat: int = 0
+
+
+@attrs.frozen
+class Heartbeat:
+    """The newest beat of a VM, with the loop time at which it was heard."""
+
+    beat: int
+    at: float
 
 
 @attrs.define
 class ExchangeState:
-    """This VM's own values and those heard from others."""
+    """This VM's own values and those heard from others.
+
+    Attributes:
+        own: Newest value of this VM by topic.
+        said: Beat at which each own value was set.
+        heard: Values of other VMs.
+        address: IP number and port where this VM takes messages.
+        seeds: Addresses of peers from the settings.
+        addresses: Addresses of peers that were heard.
+        epoch: Upper half of this VM's beat.
+        count: Lower half; rounds done.
+        beats: Newest heartbeat of each other VM.
+        names: VM by the CRC-32 of its name.
+        passes: How often each value is still passed on.
+        credit_bytes: What may be spent on values.
+        config_seen: Highest `config_next` that any VM told of.
+        dropped: Malformed messages and values.
+        sent_bytes: Bytes handed to the transport.
+    """
 
     own: dict[Topic, bytes] = attrs.field(factory=dict)
+    said: dict[Topic, int] = attrs.field(factory=dict)
     heard: dict[VmId, dict[Topic, Heard]] = attrs.field(factory=dict)
+    address: str = ''
+    seeds: tuple[str, ...] = ()
+    addresses: dict[VmId, str] = attrs.field(factory=dict)
+    epoch: int = 0
+    count: int = 0
+    beats: dict[VmId, Heartbeat] = attrs.field(factory=dict)
+    names: dict[int, VmId] = attrs.field(factory=dict)
+    passes: dict[tuple[VmId, Topic], int] = attrs.field(factory=dict)
+    credit_bytes: int = 0
+    next_round_at: float = 0.0
+    config_seen: int = 0
+    dropped: int = 0
+    sent_bytes: int = 0
+
+    @property
+    def beat(self) -> int:
+        """This VM's beat now."""
+        return self.epoch << _EPOCH_SHIFT | self.count
 
 
 def say(state: 'VmState', topic: Topic, value: bytes) -> None:
-    """Sets this VM's value; it goes out with the next round."""
-    state.exchange.own[topic] = value
+    """Sets this VM's value; it goes out with the next rounds.
+
+    A value above `MAX_VALUE_BYTES` is dropped and counted.
+    """
+    exchange = state.exchange
+    if len(value) > MAX_VALUE_BYTES:
+        exchange.dropped += 1
+        return
+    fresh = exchange.count - exchange.said.get(topic,
+                                               -REFRESH_ROUNDS) < REFRESH_ROUNDS
+    if fresh and exchange.own.get(topic) == value:
+        return
+    exchange.own[topic] = value
+    exchange.said[topic] = exchange.count
+    exchange.passes[(state.vm, topic)] = PASSES
 
 
 def listen(state: 'VmState', topic: Topic, now: float,
@@ -55,3 +152,190 @@
         found = topics.get(topic)
         if found is not None and now - found.at <= max_age_s:
             yield vm, found.value
+
+
+def silence_s(state: 'VmState', vm: VmId, now: float) -> float:
+    """Returns for how long another VM was not heard; infinite for never."""
+    found = state.exchange.beats.get(vm)
+    return now - found.at if found is not None else float('inf')
+
+
+def send(state: 'VmState', vm: VmId, content: pm.Content) -> Iterator[Effect]:
+    """Sends a message to a peer whose address is known."""
+    address = peers(state).get(vm)
+    if address is None:
+        return
+    yield _outgoing(state, vm, address, content)
+
+
+def _outgoing(state: 'VmState', vm: VmId, address: str,
+              content: pm.Content) -> SendPeer:
+    exchange = state.exchange
+    payload = pm.encode(
+        pm.PeerMessage(state.vm, exchange.address, exchange.beat, content))
+    exchange.sent_bytes += len(payload)
+    return SendPeer(vm, address, payload)
+
+
+def peers(state: 'VmState') -> dict[VmId, str]:
+    """Returns the addresses of the data centre's other VMs."""
+    found = {
+        vm: member.address
+        for vm, member in state.members.listed.items()
+        if member.dc == state.dc
+    }
+    found.update(state.exchange.addresses)
+    found.pop(state.vm, None)
+    return found
+
+
+def on_tick(state: 'VmState', event: TimerFired,
+            now: float) -> Iterator[Effect]:
+    """Sends a round of news, once per `ROUND_S`."""
+    del event
+    exchange = state.exchange
+    if now < exchange.next_round_at:
+        return
+    exchange.next_round_at = now + ROUND_S
+    exchange.count += 1
+    _forget(exchange, now)
+    targets = _targets(state, now)
+    if not targets:
+        return
+    news = _news(state, now)
+    for vm, address in targets:
+        yield _outgoing(state, vm, address, news)
+
+
+def _forget(exchange: ExchangeState, now: float) -> None:
+    gone = [
+        vm for vm, found in exchange.beats.items() if now - found.at > FORGET_S
+    ]
+    for vm in gone:
+        del exchange.beats[vm]
+        exchange.heard.pop(vm, None)
+        exchange.addresses.pop(vm, None)
+
+
+def _targets(state: 'VmState', now: float) -> list[tuple[VmId, str]]:
+    exchange = state.exchange
+    known = peers(state)
+    live = [vm for vm in known if silence_s(state, vm, now) <= STALE_BEAT_S]
+    silent = [(vm, known[vm]) for vm in known if vm not in live]
+    silent += [(VmId(''), seed)
+               for seed in exchange.seeds
+               if seed != exchange.address and seed not in known.values()]
+    targets = []
+    if live:
+        vm = state.rng.choice(live)
+        targets.append((vm, known[vm]))
+    if silent and (not live or exchange.count % PROBE_ROUNDS == 0):
+        targets.append(state.rng.choice(silent))
+    return targets
+
+
+def _news(state: 'VmState', now: float) -> pm.News:
+    exchange = state.exchange
+    newest = sorted(((found.at, vm)
+                     for vm, found in exchange.beats.items()
+                     if now - found.at <= STALE_BEAT_S),
+                    reverse=True)[:MAX_BEATS]
+    beats = {_crc(vm): exchange.beats[vm].beat for _, vm in newest}
+    seen = max(exchange.config_seen, state.config_next)
+    return pm.News(seen, beats, tuple(_values_to_pass(state)))
+
+
+def _values_to_pass(state: 'VmState') -> Iterator[pm.Value]:
+    exchange = state.exchange
+    exchange.credit_bytes = min(VALUE_BYTES_PER_ROUND,
+                                exchange.credit_bytes + VALUE_BYTES_PER_ROUND)
+    order = sorted(exchange.passes,
+                   key=lambda key: (-exchange.passes[key], key[0] != state.vm))
+    for key in order:
+        if exchange.credit_bytes <= 0:
+            return
+        value = _value(state, *key)
+        exchange.passes[key] -= 1
+        if value is None or exchange.passes[key] <= 0:
+            del exchange.passes[key]
+        if value is not None:
+            exchange.credit_bytes -= len(value.payload) + len(value.vm) + len(
+                value.topic)
+            yield value
+
+
+def _value(state: 'VmState', vm: VmId, topic: Topic) -> pm.Value | None:
+    exchange = state.exchange
+    if vm == state.vm:
+        beat = exchange.epoch << _EPOCH_SHIFT | exchange.said[topic]
+        return pm.Value(vm, topic.value, beat, exchange.own[topic])
+    found = exchange.heard.get(vm, {}).get(topic)
+    if found is None:
+        return None
+    return pm.Value(vm, topic.value, found.beat, found.value)
+
+
+def note_sender(state: 'VmState', message: pm.PeerMessage,
+                now: float) -> Iterator[Effect]:
+    """Takes in that a peer was heard directly.
+
+    A new process that does not know of its former life's beat is told it.
+    """
+    exchange = state.exchange
+    exchange.names[_crc(message.vm)] = message.vm
+    if message.address:
+        exchange.addresses[message.vm] = message.address
+    found = exchange.beats.get(message.vm)
+    if found is not None and message.beat + REORDERED_ROUNDS < found.beat:
+        seen = max(exchange.config_seen, state.config_next)
+        news = pm.News(seen, {_crc(message.vm): found.beat}, ())
+        yield from send(state, message.vm, news)
+    _note_beat(state, message.vm, message.beat, now)
+
+
+def note_news(state: 'VmState', news: pm.News, now: float) -> None:
+    """Takes in what a peer passed on."""
+    exchange = state.exchange
+    exchange.config_seen = max(exchange.config_seen, news.config_next)
+    exchange.names[_crc(state.vm)] = state.vm
+    for vm in state.members.listed:
+        exchange.names.setdefault(_crc(vm), vm)
+    for value in news.values:
+        _note_value(state, value, now)
+    for crc, beat in news.beats.items():
+        vm_heard = exchange.names.get(crc)
+        if vm_heard is not None:
+            _note_beat(state, vm_heard, beat, now)
+
+
+def _note_beat(state: 'VmState', vm: VmId, beat: int, now: float) -> None:
+    exchange = state.exchange
+    if vm == state.vm:
+        if beat > exchange.beat:
+            exchange.epoch = (beat >> _EPOCH_SHIFT) + 1
+        return
+    found = exchange.beats.get(vm)
+    if found is None or beat > found.beat:
+        exchange.beats[vm] = Heartbeat(beat, now)
+
+
+def _note_value(state: 'VmState', value: pm.Value, now: float) -> None:
+    exchange = state.exchange
+    topic = _TOPICS.get(value.topic)
+    if topic is None or len(value.payload) > MAX_VALUE_BYTES:
+        exchange.dropped += 1
+        return
+    exchange.names[_crc(value.vm)] = value.vm
+    _note_beat(state, value.vm, value.beat, now)
+    if value.vm == state.vm:
+        return
+    topics = exchange.heard.setdefault(value.vm, {})
+    found = topics.get(topic)
+    if found is not None and found.beat >= value.beat:
+        return
+    topics[topic] = Heard(value.payload, now, value.beat)
+    exchange.passes[(value.vm, topic)] = PASSES
+
+
+def _crc(vm: VmId) -> int:
+    return zlib.crc32(vm.encode())
--- /dev/null
+++ b/src/plantainridge/peering.py
@@ -0,0 +1,24 @@
+"""Takes in messages of other VMs."""
+
+from collections.abc import Iterator
+
+from plantainridge import exchange
+from plantainridge import peer_messages as pm
+from plantainridge.effects import Effect
+from plantainridge.events import PeerSaid
+from plantainridge.state import VmState
+
+
+def on_peer_said(state: VmState, event: PeerSaid,
+                 now: float) -> Iterator[Effect]:
+    """Hands a message to the module that it concerns.
+
+    A malformed message, or one of this VM's own, is dropped and counted.
+    """
+    message = pm.decode(event.payload)
+    if isinstance(message, pm.DecodeFault) or message.vm == state.vm:
+        state.exchange.dropped += 1
+        return
+    yield from exchange.note_sender(state, message, now)
+    if isinstance(message.content, pm.News):
+        exchange.note_news(state, message.content, now)
--- /dev/null
+++ b/src/plantainridge/peers_net.py
@@ -0,0 +1,110 @@
+"""Carries messages between VMs: small ones by UDP, large ones by TCP."""
+
+import asyncio
+from typing import Final
+
+from plantainridge import effects as fx
+from plantainridge.events import PeerSaid
+from plantainridge.http_ports import Tasks
+from plantainridge.ids import VmId
+from plantainridge.peer_messages import MAX_MESSAGE_BYTES
+from plantainridge.ports import PeerPort, Post
+
+# Longest message that goes as one datagram, below any usual path's limit.
+MAX_DATAGRAM_BYTES: Final = 1_200
+STREAM_TIMEOUT_S: Final = 10.0
+# Large messages that are received at once.
+MAX_STREAMS: Final = 16
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+
+    def __init__(self, post: Post) -> None:
+        self.post = post
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.post(PeerSaid(VmId(''), data))
+
+
+class NetPeers(PeerPort):
+    """One VM's socket pair for messages.
+
+    A message that cannot be sent is lost; whoever needs it asks again.
+    """
+
+    def __init__(self, host: str, port: int, tasks: Tasks) -> None:
+        self.host = host
+        self.port = port
+        self.tasks = tasks
+        self.streams = 0
+        self._post: Post | None = None
+        self._server: asyncio.Server | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+
+    @property
+    def address(self) -> str:
+        """IP number and port of both sockets."""
+        return f'{self.host}:{self.port}'
+
+    async def start(self, post: Post) -> None:
+        """Binds both sockets to one port and posts what comes in.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        self._post = post
+        self._server = await asyncio.start_server(self._receive, self.host,
+                                                  self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(post), local_addr=(self.host, self.port))
+
+    async def stop(self) -> None:
+        """Closes both sockets."""
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def send(self, effect: fx.SendPeer) -> None:
+        host, _, port = effect.address.rpartition(':')
+        if not port.isdigit() or self._transport is None:
+            return
+        if len(effect.payload) <= MAX_DATAGRAM_BYTES:
+            self._transport.sendto(effect.payload, (host, int(port)))
+            return
+        self.tasks.spawn(self._stream(host, int(port), effect.payload))
+
+    async def _stream(self, host: str, port: int, payload: bytes) -> None:
+        try:
+            async with asyncio.timeout(STREAM_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, port)
+                writer.write(payload)
+                await writer.drain()
+                writer.close()
+                await writer.wait_closed()
+        except OSError:
+            return
+
+    async def _receive(self, reader: asyncio.StreamReader,
+                       writer: asyncio.StreamWriter) -> None:
+        if self.streams >= MAX_STREAMS or self._post is None:
+            writer.close()
+            return
+        self.streams += 1
+        try:
+            async with asyncio.timeout(STREAM_TIMEOUT_S):
+                payload = await reader.read(1)
+                while len(payload) <= MAX_MESSAGE_BYTES:
+                    piece = await reader.read(1 << 16)
+                    if not piece:
+                        break
+                    payload += piece
+            self._post(PeerSaid(VmId(''), payload))
+        except OSError:
+            return
+        finally:
+            self.streams -= 1
+            writer.close()
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge import events, requests, revisions, services
+from plantainridge import (events, exchange, members, peering, requests,
+                           revisions, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -37,7 +38,7 @@
 
 # Handlers of timers by kind; those of `TICK` run every `TICK_S`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
-    events.TimerKind.TICK: (_on_tick,),
+    events.TimerKind.TICK: (_on_tick, exchange.on_tick),
 }
 
 HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
@@ -53,6 +54,8 @@
     events.TimerFired: (_on_timer,),
     events.LogRead: (revisions.on_log_read,),
     events.LogReadFailed: (revisions.on_read_failed,),
+    events.MembersListed: (members.on_listed,),
+    events.PeerSaid: (peering.on_peer_said,),
 }
 
 
--- a/src/plantainridge/revisions.py
+++ b/src/plantainridge/revisions.py
@@ -97,4 +97,5 @@
         if view is None:
             view = EndpointView(endpoint)
         view.endpoint = endpoint
+        view.leaving = name in state.members.leaving_endpoints
         state.endpoints[name] = view
--- /dev/null
+++ b/src/plantainridge/standins/members.py
@@ -0,0 +1,71 @@
+"""Model of the platform's lagging membership list and its HTTP face."""
+
+import asyncio
+from typing import Final
+
+import attrs
+import cattrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from plantainridge.events import Member, MembersListed
+from plantainridge.ids import EndpointId, VmId
+
+LAG_S: Final = 2.0
+
+
+@attrs.define
+class MembersModel:
+    """The list, shown `lag_s` after each change.
+
+    Attributes:
+        down: While true, the list cannot be read.
+    """
+
+    lag_s: float = LAG_S
+    down: bool = False
+    members: dict[VmId, Member] = attrs.field(factory=dict)
+    leaving_endpoints: set[EndpointId] = attrs.field(factory=set)
+    shown: MembersListed = MembersListed(())
+    changes: int = 0
+    shown_change: int = 0
+
+    def put(self, member: Member) -> None:
+        """Adds or replaces a row."""
+        self.members[member.vm] = member
+        self.changed()
+
+    def remove(self, vm: VmId) -> None:
+        """Takes a row away."""
+        self.members.pop(vm, None)
+        self.changed()
+
+    def changed(self) -> None:
+        """Shows the rows as they are now, after the lag."""
+        listed = MembersListed(tuple(self.members.values()),
+                               frozenset(self.leaving_endpoints))
+        self.changes += 1
+        asyncio.get_running_loop().call_later(self.lag_s, self._show, listed,
+                                              self.changes)
+
+    def _show(self, listed: MembersListed, change: int) -> None:
+        if change > self.shown_change:
+            self.shown = listed
+            self.shown_change = change
+
+
+class MembersApp:
+    """Routes of the membership list."""
+
+    def __init__(self, model: MembersModel) -> None:
+        self.model = model
+        self.app = Starlette(routes=[Route('/members', self.list_members)])
+
+    async def list_members(self, request: Request) -> Response:
+        """Returns the list as it is shown now."""
+        del request
+        if self.model.down:
+            return JSONResponse({'error': 'outage'}, status_code=503)
+        return JSONResponse(cattrs.unstructure(self.model.shown))
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -17,13 +17,16 @@
 from plantainridge.ports import (CallerPort, EnginePort, LogPort, PeerPort,
                                  Post, ReportPort, ServicePort)
 from plantainridge.refusals import Refusal
+from plantainridge.runtime import Runtime
 from plantainridge.standins.engine import EngineModel, Job, Sink
 from plantainridge.standins.log import LogModel
+from plantainridge.standins.members import MembersModel
 from plantainridge.standins.service import ServiceModel
 
 LINK_S: Final = 0.0015
 LOG_WAIT_S: Final = 5.0
 LOG_RETRY_S: Final = 0.5
+MEMBERS_PERIOD_S: Final = 1.0
 
 
 @attrs.define
@@ -314,6 +317,27 @@
             self.network.later(lambda: post(event))
 
 
+class MemoryMembers:
+    """Reads the membership list for one VM, again and again."""
+
+    NODE: Final = 'members'
+
+    def __init__(self, vm: str, network: Network, model: MembersModel,
+                 runtime: Runtime) -> None:
+        self.vm = vm
+        self.network = network
+        self.model = model
+        self.runtime = runtime
+
+    def start(self) -> None:
+        """Reads once, and again after a pause until the VM ends."""
+        if self.runtime.halted:
+            return
+        if not self.model.down and self.network.reaches(self.vm, self.NODE):
+            self.runtime.post(self.model.shown)
+        self.runtime.loop.call_later(MEMBERS_PERIOD_S, self.start)
+
+
 class MemoryReport(ReportPort):
     """Keeps log lines and histograms."""
 
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -14,10 +14,11 @@
 from plantainridge.runtime import Runtime
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.log import LogModel
+from plantainridge.standins.members import MembersModel
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
-                                           MemoryLogPort, MemoryPeers,
-                                           MemoryReport, MemoryServicePort,
-                                           Network, Told)
+                                           MemoryLogPort, MemoryMembers,
+                                           MemoryPeers, MemoryReport,
+                                           MemoryServicePort, Network, Told)
 from plantainridge.standins.service import ServiceModel
 from plantainridge.state import VmState
 
@@ -84,13 +85,14 @@
             EndpointId('s-lookup'): ServiceModel()
         }
         self.posts: dict[str, Post] = {}
+        self.members = MembersModel()
         self.vms = [self.start_vm(f'vm{i}') for i in range(vms)]
         self.asked = 0
 
-    def start_vm(self, name: str) -> Vm:
+    def start_vm(self, name: str, dc: DcId = DC) -> Vm:
         """Starts a VM's process with nothing kept."""
         callers, report = MemoryCallers(), MemoryReport()
-        state = VmState(VmId(name), DC,
+        state = VmState(VmId(name), dc,
                         Incarnation(f'{name}-{self.rng.getrandbits(64):x}'),
                         random.Random(self.rng.getrandbits(64)))
         ports = Ports(callers=callers,
@@ -103,7 +105,10 @@
                       peers=MemoryPeers(name, self.network, self.posts))
         runtime = Runtime(state, ports)
         self.posts[name] = runtime.post
+        state.exchange.address = name
+        self.members.put(ev.Member(VmId(name), dc, name, leaving=False))
         runtime.start()
+        MemoryMembers(name, self.network, self.members, runtime).start()
         return Vm(runtime, callers, report)
 
     def ask_model(self, vm: Vm, text: str, max_tokens: int = 10) -> Told:
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,129 @@
+"""Tests of what VMs tell one another."""
+
+import asyncio
+import random
+import unittest
+
+from plantainridge import exchange, members, paused
+from plantainridge import peer_messages as pm
+from plantainridge.events import PeerSaid
+from plantainridge.exchange import Topic
+from plantainridge.http_ports import Tasks
+from plantainridge.ids import VmId
+from plantainridge.peers_net import NetPeers
+from plantainridge.effects import SendPeer
+from plantainridge.standins.world import World
+
+NAMES = 46
+BUDGET_BYTES_PER_S = 2_000
+DATAGRAM_HEADER_BYTES = 28
+
+
+class SpreadTest(unittest.TestCase):
+    """Values and heartbeats reach all VMs within the byte budget."""
+
+    def test_a_data_centre_at_the_design_size(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=NAMES)
+            await asyncio.sleep(10)
+            states = [vm.runtime.state for vm in world.vms]
+            before = [state.exchange.sent_bytes for state in states]
+            rounds = [state.exchange.count for state in states]
+            for _ in range(20):
+                now = world.vms[0].runtime.loop.time()
+                for state in states:
+                    self.assertEqual(len(members.live_in_dc(state, now)), NAMES)
+                await asyncio.sleep(1)
+            exchange.say(states[0], Topic.SUSPECTS, b'crashed')
+            await asyncio.sleep(6)
+            now = world.vms[0].runtime.loop.time()
+            heard = [
+                dict(exchange.listen(state, Topic.SUSPECTS, now, 6.0))
+                for state in states[1:]
+            ]
+            self.assertGreaterEqual(
+                sum(h.get(VmId('vm0')) == b'crashed' for h in heard),
+                NAMES * 0.9)
+            for state, bytes_0, rounds_0 in zip(states, before, rounds):
+                sent = state.exchange.sent_bytes - bytes_0
+                sent += DATAGRAM_HEADER_BYTES * (state.exchange.count -
+                                                 rounds_0)
+                # As much is received as sent.
+                self.assertLess(2 * sent / 26, BUDGET_BYTES_PER_S)
+
+        paused.run(scenario())
+
+    def test_a_dead_vm_is_noticed_and_a_new_life_is_heard(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=3)
+            await asyncio.sleep(5)
+            state = world.vms[0].runtime.state
+            exchange.say(world.vms[2].runtime.state, Topic.DEMAND, b'old')
+            await asyncio.sleep(3)
+            world.vms[2].runtime.halt()
+            await asyncio.sleep(members.DEAD_AFTER_S + 2)
+            now = world.vms[0].runtime.loop.time()
+            self.assertEqual(members.live_in_dc(state, now), ['vm0', 'vm1'])
+            again = world.start_vm('vm2')
+            exchange.say(again.runtime.state, Topic.DEMAND, b'new')
+            await asyncio.sleep(4)
+            now = world.vms[0].runtime.loop.time()
+            self.assertEqual(members.live_in_dc(state, now),
+                             ['vm0', 'vm1', 'vm2'])
+            self.assertIn((VmId('vm2'), b'new'),
+                          list(exchange.listen(state, Topic.DEMAND, now, 4.0)))
+
+        paused.run(scenario())
+
+
+class MessageTest(unittest.TestCase):
+    """Bytes that are no message are dropped and counted."""
+
+    def test_malformed_bytes_never_raise(self) -> None:
+
+        async def scenario() -> None:
+            world = World()
+            state = world.vms[0].runtime.state
+            whole = pm.encode(
+                pm.PeerMessage(
+                    VmId('vm9'), '', 1,
+                    pm.News(3, {7: 8},
+                            (pm.Value(VmId('vm9'), 'demand', 1, b'x'),))))
+            rng = random.Random(1)
+            for _ in range(2_000):
+                damaged = bytearray(whole)
+                damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+                cut = bytes(damaged[:rng.randint(0, len(damaged))])
+                world.vms[0].runtime.post(PeerSaid(VmId('vm9'), cut))
+            self.assertGreater(state.exchange.dropped, 500)
+
+        paused.run(scenario())
+
+
+class SocketTest(unittest.TestCase):
+    """Small and large messages pass over loopback."""
+
+    def test_both_sizes_arrive(self) -> None:
+
+        async def scenario() -> None:
+            tasks, got = Tasks(), asyncio.Queue[bytes]()
+            a = NetPeers('127.0.0.1', 0, tasks)
+            b = NetPeers('127.0.0.1', 0, tasks)
+            await a.start(lambda event: None)
+
+            def take(event: object) -> None:
+                assert isinstance(event, PeerSaid)
+                got.put_nowait(event.payload)
+
+            await b.start(take)
+            for size in (10, 300_000):
+                a.send(SendPeer(VmId('b'), b.address, b'x' * size))
+                arrived = await asyncio.wait_for(got.get(), 30)
+                self.assertEqual(len(arrived), size)
+            await tasks.cancel()
+            await a.stop()
+            await b.stop()
+
+        asyncio.run(scenario())
