--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -10,7 +10,9 @@
 from plantainridge import claim_keys, paused
 from plantainridge.claim_state import ClaimLimits
 from plantainridge.refusals import RanState, Reason, Refusal
-from plantainridge.standins.memory import LogFaults, ServiceFaults, Told
+from plantainridge.standins.memory import Told
+from plantainridge.standins.memory_log import LogFaults
+from plantainridge.standins.memory_services import ServiceFaults
 from plantainridge.standins.world import LEDGER, OTHER_TEAM, Vm, World
 
 # Longer than any timeout of a marked call.
