Add bench claims and keep the claims stream from running empty

Cause: nothing measured the rule under all faults together, and a new VM that finds an empty stream could not tell how far back it sees. Change: bench claims with callers that resend, all faults and an oracle that asks only the services and the callers; the policy local_only gives each VM a log of its own. A mark is appended to a still stream.

--- /dev/null
+++ b/src/plantainridge/bench_claims.py
@@ -0,0 +1,233 @@
+"""Counts what really ran while everything fails: `bench claims`."""
+
+import asyncio
+import random
+from collections import Counter
+from typing import Any, Final
+
+import attrs
+import click
+
+from plantainridge import benches, paused
+from plantainridge.events import Stream
+from plantainridge.refusals import RanState, Reason
+from plantainridge.standins.claim_callers import Callers, Operation
+from plantainridge.standins.claim_faults import FaultPlan
+from plantainridge.standins.claim_world import ClaimPolicy, ClaimWorld
+from plantainridge.standins.world import Ask
+
+VMS: Final = 7
+CALLS_PER_S: Final = 10.0
+FAULTS_PER_S: Final = 1.0
+LEAST_DURATION_S: Final = 120.0
+WARM_UP_S: Final = 2.0
+# Longest time that a caller or a held VM needs to come to an end, in s.
+SETTLE_S: Final = 150.0
+
+
+@attrs.frozen
+class Verdict:
+    """What the services and the callers saw, without asking any VM.
+
+    Attributes:
+        ran_once: Operations that ran once.
+        ran_twice: Operations that ran more than once.
+        false_not_run: Tries told `not_run` although their work had run.
+        final_words: Tries that got another number of final words than one.
+        crossed: Tries that got an answer which is not their own.
+        violations: One line for each broken rule.
+    """
+
+    ran_once: int
+    ran_twice: int
+    false_not_run: int
+    final_words: int
+    crossed: int
+    violations: list[str]
+
+
+def run(seed: int,
+        policy: ClaimPolicy = ClaimPolicy.LOG,
+        faults: int = 1_000,
+        calls_per_s: float = CALLS_PER_S) -> dict[str, Any]:
+    """Runs the bench and returns its figures.
+
+    Args:
+        seed: Seed of callers and faults.
+        policy: Where claims are kept.
+        faults: How many faults are injected.
+        calls_per_s: Rate of new operations.
+    """
+    return paused.run(_run(seed, policy, faults, calls_per_s))
+
+
+async def _run(seed: int, policy: ClaimPolicy, faults: int,
+               calls_per_s: float) -> dict[str, Any]:
+    world = ClaimWorld(VMS, seed, policy)
+    callers = Callers(world, random.Random(f'callers {seed}'))
+    plan = FaultPlan(world, random.Random(f'faults {seed}'))
+    await asyncio.sleep(WARM_UP_S)
+    duration_s = max(LEAST_DURATION_S, faults / FAULTS_PER_S)
+    await asyncio.gather(_call(callers, calls_per_s, duration_s),
+                         _break(plan, faults, duration_s))
+    plan.end()
+    await asyncio.sleep(SETTLE_S)
+    verdict = judge(world, callers.operations)
+    figures = _figures(world, callers.operations, verdict, duration_s)
+    figures['faults_injected'] = plan.injected.total()
+    return {
+        'bench': 'claims',
+        'seed': seed,
+        'policy': policy.value,
+        'figures': figures,
+        'faults': dict(sorted(plan.injected.items())),
+        'violations': verdict.violations,
+    }
+
+
+async def _call(callers: Callers, calls_per_s: float,
+                duration_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + duration_s
+    running = []
+    while loop.time() < end:
+        running.append(loop.create_task(callers.operate()))
+        await asyncio.sleep(callers.rng.expovariate(calls_per_s))
+    await asyncio.gather(*running)
+
+
+async def _break(plan: FaultPlan, faults: int, duration_s: float) -> None:
+    for _ in range(faults):
+        await asyncio.sleep(plan.rng.uniform(0, 2 * duration_s / faults))
+        plan.inject()
+
+
+def judge(world: ClaimWorld, operations: list[Operation]) -> Verdict:
+    """Compares what ran with what callers were told."""
+    runs = [(operation, _runs(world, operation)) for operation in operations]
+    lies = [
+        ask for operation in operations for ask in operation.tries
+        if _false_not_run(world, operation, ask)
+    ]
+    tries = [ask for operation in operations for ask in operation.tries]
+    worded = [
+        ask for ask in tries
+        if ask.told.finals != 1 and not ask.hung_up and not ask.cut_off
+    ]
+    crossed = [
+        ask for ask in tries
+        if ask.told.status is not None and ask.told.body not in (b'1', b'2',
+                                                                 b'3')
+    ]
+    twice = [operation for operation, count in runs if count > 1]
+    violations = [f'{each.key} ran more than once' for each in twice]
+    violations += [f'{ask.event.request} was told not_run' for ask in lies]
+    violations += [
+        f'{ask.event.request} got {ask.told.finals} words' for ask in worded
+    ]
+    violations += [f'{ask.event.request} got another answer' for ask in crossed]
+    return Verdict(ran_once=sum(count == 1 for _, count in runs),
+                   ran_twice=len(twice),
+                   false_not_run=len(lies),
+                   final_words=len(worded),
+                   crossed=len(crossed),
+                   violations=violations)
+
+
+def _runs(world: ClaimWorld, operation: Operation) -> int:
+    return world.timed[operation.service].runs[_service_key(operation)]
+
+
+def _service_key(operation: Operation) -> str:
+    team = operation.tries[0].event.team
+    return f'{team}/{operation.key}'
+
+
+def _false_not_run(world: ClaimWorld, operation: Operation, ask: Ask) -> bool:
+    refusal = ask.told.refusal
+    if refusal is None or refusal.ran is not RanState.NOT_RUN:
+        return False
+    if ask.event.request in world.audit.started:
+        return True
+    if refusal.reason is Reason.KEY_CONFLICT:
+        return False
+    if ask.hung_up:
+        # Nobody heard it.
+        return False
+    # Strict: not even an earlier try of the operation may have run by then.
+    ran_at = world.timed[operation.service].first_at.get(
+        _service_key(operation))
+    told_at = ask.told.last_at
+    return ran_at is not None and told_at is not None and ran_at <= told_at
+
+
+def _figures(world: ClaimWorld, operations: list[Operation], verdict: Verdict,
+             duration_s: float) -> dict[str, Any]:
+    ends = Counter(
+        each.refusal.ran for each in operations if each.refusal is not None)
+    reasons = Counter(each.refusal.reason.value
+                      for each in operations
+                      if each.refusal is not None)
+    ports = [vm.log for vm in world.every_vm()]
+    sent = sum(port.sent_bytes[Stream.CLAIMS] for port in ports)
+    read = sum(port.read_bytes[Stream.CLAIMS] for port in ports)
+    appends = sum(port.appends[Stream.CLAIMS] for port in ports)
+    return {
+        'marked':
+            len(operations),
+        'tries':
+            sum(len(each.tries) for each in operations),
+        'ran_once':
+            verdict.ran_once,
+        'ran_twice':
+            verdict.ran_twice,
+        'false_not_run':
+            verdict.false_not_run,
+        'answered':
+            sum(each.last is not None and each.last.told.status is not None
+                for each in operations),
+        'unknown':
+            ends[RanState.UNKNOWN],
+        'refused_not_run':
+            ends[RanState.NOT_RUN],
+        'claim_p50_s':
+            _percentile(world.claim_s, 0.50),
+        'claim_p95_s':
+            _percentile(world.claim_s, 0.95),
+        'appends_per_s':
+            round(appends / duration_s, 1),
+        'bytes_per_s_per_vm':
+            round((sent + read) / duration_s / VMS, 1),
+        'last_reasons':
+            dict(sorted(reasons.items())),
+    }
+
+
+def _percentile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return round(ordered[int(share * (len(ordered) - 1))], 6)
+
+
+@click.command('claims')
+@click.option('--policy',
+              type=click.Choice([each.value for each in ClaimPolicy]),
+              default=ClaimPolicy.LOG.value,
+              show_default=True,
+              help='Where claims are kept.')
+@click.option('--faults',
+              type=click.IntRange(min=0),
+              default=1_000,
+              show_default=True,
+              help='How many faults are injected.')
+@click.option('--calls-per-s',
+              type=click.FloatRange(min=0.1),
+              default=CALLS_PER_S,
+              show_default=True,
+              help='Rate of new marked calls.')
+@benches.options
+def command(seed: int, policy: str, faults: int,
+            calls_per_s: float) -> dict[str, Any]:
+    """Runs marked calls under all faults at once and counts what ran."""
+    return run(seed, ClaimPolicy(policy), faults, calls_per_s)
--- a/src/plantainridge/claim_batches.py
+++ b/src/plantainridge/claim_batches.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from plantainridge import claim_records
-from plantainridge.claim_records import Claim, ClaimId, ClaimRecord
+from plantainridge.claim_records import AnyRecord, Claim, ClaimId, ClaimRecord
 from plantainridge.claim_state import ClaimsState, Owed
 from plantainridge.effects import AppendLog, Effect, SetTimer
 from plantainridge.events import Stream, TimerFired, TimerKey, TimerKind
@@ -24,7 +24,7 @@
 _OWED: Final = TimerKey(TimerKind.CLAIM_OWED)
 
 
-def add(state: VmState, shard: int, record: ClaimRecord,
+def add(state: VmState, shard: int, record: AnyRecord,
         now: float) -> Iterator[Effect]:
     """Appends a record with the next flush, at once if one is due."""
     claims = state.claims
--- a/src/plantainridge/claim_records.py
+++ b/src/plantainridge/claim_records.py
@@ -26,6 +26,7 @@
     CLAIM = 1
     RELEASE = 2
     OUTCOME = 3
+    MARK = 4
 
 
 @attrs.frozen
@@ -90,6 +91,15 @@
     answer: bytes = attrs.field(default=b'', repr=False)
 
 
+@attrs.frozen
+class Mark:
+    """Keeps the stream from running empty.
+
+    The oldest record that is left tells a new VM how far back it can see; in
+    an empty stream it would see nothing.
+    """
+
+
 @attrs.frozen
 class BadClaimRecord:
     """Says that a payload is no record of this module."""
@@ -98,6 +108,7 @@
 
 
 ClaimRecord = Claim | Release | Outcome
+AnyRecord = ClaimRecord | Mark
 
 
 def owner_of(incarnation: Incarnation) -> bytes:
@@ -127,8 +138,10 @@
     return Outcome(digest, claim, Ending.ANSWERED, status, body)
 
 
-def encode(record: ClaimRecord) -> bytes:
+def encode(record: AnyRecord) -> bytes:
     """Returns a record's payload."""
+    if isinstance(record, Mark):
+        return bytes([_Kind.MARK])
     if isinstance(record, Claim):
         return _head(_Kind.CLAIM, record) + record.body
     if isinstance(record, Release):
@@ -141,8 +154,10 @@
     return _HEAD.pack(kind, record.digest, record.id.owner, record.id.seq)
 
 
-def decode(payload: bytes) -> ClaimRecord | BadClaimRecord:
+def decode(payload: bytes) -> AnyRecord | BadClaimRecord:
     """Reads a payload."""
+    if payload == bytes([_Kind.MARK]):
+        return Mark()
     try:
         kind, digest, owner, seq = _HEAD.unpack_from(payload)
         claim = ClaimId(owner, seq)
--- a/src/plantainridge/claim_state.py
+++ b/src/plantainridge/claim_state.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from plantainridge.claim_records import Claim, ClaimId, ClaimRecord
+from plantainridge.claim_records import AnyRecord, Claim, ClaimId, ClaimRecord
 from plantainridge.claim_table import ClaimTable
 from plantainridge.events import ServiceCalled
 from plantainridge.ids import RequestId
@@ -72,6 +72,7 @@
         next_offset: Offset of the next record to read.
         caught_up: Whether the end of the stream was reached once.
         reading: Whether a read is on its way.
+        last_at: Platform time of the last record read, in s.
         failing_since: Loop time of the first of the reads that failed in a
             row, in s, or None.
     """
@@ -80,6 +81,7 @@
     next_offset: int = 0
     caught_up: bool = False
     reading: bool = False
+    last_at: float = float('-inf')
     failing_since: float | None = None
 
 
@@ -150,7 +152,7 @@
     works: dict[bytes, KeyWork] = attrs.field(factory=dict)
     running: dict[RequestId, bytes] = attrs.field(factory=dict)
     next_seq: int = 0
-    waiting: dict[int, list[ClaimRecord]] = attrs.field(factory=dict)
+    waiting: dict[int, list[AnyRecord]] = attrs.field(factory=dict)
     flush_due: float = 0.0
     flush_set: bool = False
     in_flight: dict[str, list[Claim]] = attrs.field(factory=dict)
--- a/src/plantainridge/claim_sync.py
+++ b/src/plantainridge/claim_sync.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge import claim_records
-from plantainridge.claim_records import BadClaimRecord, ClaimRecord
+from plantainridge import claim_batches, claim_records
+from plantainridge.claim_records import BadClaimRecord, ClaimRecord, Mark
 from plantainridge.claim_state import ClaimsState, Tail, WorkPhase
 from plantainridge.effects import CancelTimer, Effect, ReadLog, SetTimer
 from plantainridge.events import (LogRead, LogReadFailed, Record, Stream,
@@ -15,6 +15,8 @@
 READ_PACE_S: Final = 0.05
 # Reads that fail for longer than this mean that the log is out, in s.
 LOG_OUT_S: Final = 1.0
+# Share of the window after which a still stream gets a mark.
+MARK_SHARE: Final = 0.125
 
 
 def first_reads(state: VmState) -> Iterator[Effect]:
@@ -36,12 +38,25 @@
 def read_on(state: VmState, shard: int, now: float) -> Iterator[Effect]:
     """Reads on after a read: at once if a claim waits, else after a pause."""
     tail = state.claims.tails[shard]
+    yield from _mark(state, shard, now)
     if not tail.caught_up or _claims_wait(state.claims, shard):
         yield from read(state, shard)
         return
     yield SetTimer(_pace_key(shard), now + READ_PACE_S)
 
 
+def _mark(state: VmState, shard: int, now: float) -> Iterator[Effect]:
+    """Appends to a stream that has been still for long."""
+    claims = state.claims
+    tail = claims.tails[shard]
+    at = claims.platform_time(now)
+    still_s = claims.limits.window_s * MARK_SHARE
+    if at is not None and tail.caught_up and at - tail.last_at > still_s:
+        yield from claim_batches.add(state, shard, Mark(), now)
+        # Wait as long again, whatever becomes of this append.
+        tail.last_at = at
+
+
 def on_pace(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
     """Reads on after the pause."""
     del now
@@ -84,7 +99,8 @@
             continue
         tail.next_offset += 1
         decoded = claim_records.decode(record.payload)
-        if isinstance(decoded, BadClaimRecord):
+        tail.last_at = record.at
+        if isinstance(decoded, BadClaimRecord | Mark):
             continue
         tail.table.apply(decoded, record.at)
         yield record, decoded
--- /dev/null
+++ b/src/plantainridge/standins/claim_callers.py
@@ -0,0 +1,117 @@
+"""Callers that send calls under idempotency keys and send them again."""
+
+import asyncio
+import random
+from typing import Final
+
+import attrs
+
+from plantainridge.ids import ServiceId
+from plantainridge.refusals import Refusal
+from plantainridge.standins.claim_world import BOOKING, ClaimWorld
+from plantainridge.standins.world import LEDGER, Ask, Vm
+
+BOOKING_SHARE: Final = 0.2
+MAX_TRIES: Final = 6
+CUT_OFF_CHECK_S: Final = 0.5
+# Shares of callers that behave in a special way.
+DOUBLE_SHARE: Final = 0.1
+LATE_SHARE: Final = 0.03
+CONFLICT_SHARE: Final = 0.03
+OTHER_BODY: Final = b'{"other": 1}'
+
+
+@attrs.define(eq=False)
+class Operation:
+    """One piece of work that a caller wants done once.
+
+    Attributes:
+        tries: Everything that the caller sent for it, in order.
+        last: The last word that the caller took for final, or None.
+    """
+
+    service: ServiceId
+    key: str
+    tries: list[Ask] = attrs.field(factory=list)
+    last: Ask | None = None
+
+    @property
+    def refusal(self) -> Refusal | None:
+        """The refusal that the operation ended with."""
+        return self.last.told.refusal if self.last is not None else None
+
+
+class Callers:
+    """All callers of a run.
+
+    Attributes:
+        operations: What they wanted done.
+    """
+
+    def __init__(self, world: ClaimWorld, rng: random.Random) -> None:
+        self.world = world
+        self.rng = rng
+        self.operations: list[Operation] = []
+
+    async def operate(self) -> None:
+        """Wants one piece of work done, until a final word or the last try."""
+        rng = self.rng
+        service = BOOKING if rng.random() < BOOKING_SHARE else LEDGER
+        operation = Operation(service, self.world.new_key())
+        self.operations.append(operation)
+        manner = rng.random()
+        if manner < DOUBLE_SHARE:
+            for _ in range(rng.randint(1, 2)):
+                self._send(operation, resend=True)
+        elif manner < DOUBLE_SHARE + CONFLICT_SHARE:
+            self._send(operation, resend=True, body=OTHER_BODY)
+        for number in range(MAX_TRIES):
+            ask = self._send(operation, resend=bool(operation.tries))
+            await self._wait(ask, patience_s=rng.uniform(1.0, 15.0))
+            if ask.told.finals:
+                operation.last = ask
+            if _is_final(ask):
+                break
+            await asyncio.sleep(rng.uniform(0.0, 2.0) * (number + 1))
+        if rng.random() < LATE_SHARE:
+            await asyncio.sleep(rng.uniform(20.0, 120.0))
+            await self._wait(self._send(operation, resend=True),
+                             patience_s=20.0)
+
+    def _send(self,
+              operation: Operation,
+              resend: bool,
+              body: bytes = b'{}') -> Ask:
+        self.world.call_service(self._enter(),
+                                operation.service,
+                                operation.key,
+                                body,
+                                resend=resend)
+        ask = self.world.asks[-1]
+        operation.tries.append(ask)
+        return ask
+
+    def _enter(self) -> Vm:
+        """The balancer's choice; it does not know who stands still."""
+        return self.rng.choice(self.world.vms)
+
+    async def _wait(self, ask: Ask, patience_s: float) -> None:
+        until = asyncio.get_running_loop().time() + patience_s
+        while not ask.told.finals and not ask.cut_off:
+            left = until - asyncio.get_running_loop().time()
+            if left <= 0:
+                self.world.hang_up(ask)
+                return
+            try:
+                await asyncio.wait_for(ask.told.done.wait(),
+                                       min(left, CUT_OFF_CHECK_S))
+            except TimeoutError:
+                continue
+
+
+def _is_final(ask: Ask) -> bool:
+    """Whether a resend cannot help."""
+    if ask.told.status is not None:
+        return True
+    refusal = ask.told.refusal
+    return refusal is not None and refusal.retry_after_s is None
--- /dev/null
+++ b/src/plantainridge/standins/claim_faults.py
@@ -0,0 +1,198 @@
+"""Faults of a claim world, drawn at random and all together."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Final
+
+from plantainridge import effects as fx
+from plantainridge import events as ev
+from plantainridge.ids import EndpointId
+from plantainridge.standins.claim_world import ClaimWorld
+from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
+from plantainridge.standins.memory_services import ServiceFaults
+from plantainridge.standins.world import Vm
+
+# Longest standstill of a VM, in s; longer than the age limit of keys.
+MAX_PAUSE_S: Final = 90.0
+# Pauses are short as often as they are long.
+SHORT_PAUSE_S: Final = 5.0
+# Steps at which a VM is killed or held.
+STEPS: Final[tuple[type[ev.Event | fx.Effect],
+                   ...]] = (fx.AppendLog, ev.AppendEnded, ev.AppendFailed,
+                            ev.LogRead, fx.CallService, ev.ServiceAnswered,
+                            ev.AttemptFailed, fx.SendServiceAnswer, fx.Refuse,
+                            ev.TimerFired)
+
+
+class FaultPlan:
+    """Injects faults into a world.
+
+    Attributes:
+        injected: Faults by the name of their kind.
+    """
+
+    def __init__(self, world: ClaimWorld, rng: random.Random) -> None:
+        self.world = world
+        self.rng = rng
+        self.loop = asyncio.get_running_loop()
+        self.injected: Counter[str] = Counter()
+        self.kinds: tuple[tuple[float, Callable[[], None]], ...] = (
+            (2.0, self.log_out),
+            (2.0, self.log_slow),
+            (4.0, self.appends_fail),
+            (3.0, self.kill),
+            (4.0, self.pause),
+            (4.0, self.kill_at_step),
+            (6.0, self.pause_at_step),
+            (2.0, self.cut_from_log),
+            (1.0, self.cut_from_peers),
+            (2.0, self.cut_from_services),
+            (4.0, self.services_fail),
+            (0.3, self.trim),
+        )
+
+    def inject(self) -> None:
+        """Injects one fault of a kind drawn at random."""
+        weights = [weight for weight, _ in self.kinds]
+        kind = self.rng.choices(self.kinds, weights)[0][1]
+        self.injected[kind.__name__] += 1
+        kind()
+
+    def end(self) -> None:
+        """Ends every fault that still lasts."""
+        self.world.log.down = False
+        self.world.log.slow_s = 0.0
+        self.world.network.cut.clear()
+        for vm in self.world.vms:
+            vm.log.faults = LogFaults()
+            vm.services.faults = ServiceFaults()
+            vm.runtime.resume()
+
+    def log_out(self) -> None:
+        """Takes the log out for a while."""
+        self.world.log.down = True
+        self._later(self.rng.uniform(0.1, 15.0), 'down', False)
+
+    def log_slow(self) -> None:
+        """Slows every call of the log, at times past every timeout."""
+        self.world.log.slow_s = self.rng.choice((0.05, 0.3, 1.5, 5.0))
+        self._later(self.rng.uniform(1.0, 10.0), 'slow_s', 0.0)
+
+    def appends_fail(self) -> None:
+        """Loses answers of a VM's appends, or delays or doubles them."""
+        log = self._vm().log
+        log.faults = LogFaults(lose_answer=self.rng.choice((0.0, 0.5, 1.0)),
+                               delay=self.rng.choice((0.0, 0.3, 0.8)),
+                               delay_s=self.rng.choice((1.0, 5.0, 100.0)),
+                               double=self.rng.choice((0.0, 0.3)))
+        self.loop.call_later(self.rng.uniform(1.0, 15.0), _mend_log, log)
+
+    def kill(self) -> None:
+        """Replaces a VM by an empty one."""
+        self._replace(self._vm())
+
+    def pause(self) -> None:
+        """Holds a VM still, at times for longer than any limit."""
+        self._hold(self._vm())
+
+    def kill_at_step(self) -> None:
+        """Replaces a VM just before its next step of a kind."""
+        self._at_step(self._vm(), self._replace)
+
+    def pause_at_step(self) -> None:
+        """Holds a VM just before its next step of a kind."""
+        self._at_step(self._vm(), self._hold)
+
+    def cut_from_log(self) -> None:
+        """Cuts some VMs, as a data centre, off from the log."""
+        for vm in self.rng.sample(self.world.vms, 3):
+            self._cut(vm.name, MemoryLogPort.NODE)
+
+    def cut_from_peers(self) -> None:
+        """Cuts a VM off from the others."""
+        vm = self._vm()
+        for other in self.world.vms:
+            if other is not vm:
+                self._cut(vm.name, other.name)
+
+    def cut_from_services(self) -> None:
+        """Cuts a VM off from one instance of a service."""
+        names: list[EndpointId] = sorted(self.world.services)
+        self._cut(self._vm().name, self.rng.choice(names))
+
+    def services_fail(self) -> None:
+        """Makes a VM's calls to services fail in several ways."""
+        port = self._vm().services
+        port.faults = ServiceFaults(lose_answer=self.rng.choice((0.0, 0.5)),
+                                    refuse=self.rng.choice((0.0, 0.5)),
+                                    cross=self.rng.choice((0.0, 0.2)),
+                                    hang=self.rng.choice((0.0, 0.2)))
+
+        def mend() -> None:
+            port.faults = ServiceFaults()
+
+        self.loop.call_later(self.rng.uniform(1.0, 10.0), mend)
+
+    def trim(self) -> None:
+        """Drops claims from the log, at times ones younger than allowed."""
+        stream = self.world.log.stream('claims', 0)
+        kept = self.rng.uniform(0.0, 1.0)
+        first = stream.first + int((1.0 - kept) * len(stream.records))
+        self.world.log.trim('claims', 0, first)
+
+    def _vm(self) -> Vm:
+        return self.rng.choice(self.world.vms)
+
+    def _later(self, after_s: float, name: str, value: object) -> None:
+        self.loop.call_later(after_s, setattr, self.world.log, name, value)
+
+    def _cut(self, a: str, b: str) -> None:
+        pair = frozenset((a, b))
+        self.world.network.cut.add(pair)
+        self.loop.call_later(self.rng.uniform(0.5, 30.0),
+                             self.world.network.cut.discard, pair)
+
+    def _replace(self, vm: Vm) -> None:
+        if vm in self.world.vms:
+            vm.runtime.halt()
+            # The new process must not start within a step of the old one.
+            self.loop.call_soon(self._start_again, vm)
+
+    def _start_again(self, vm: Vm) -> None:
+        if vm in self.world.vms:
+            self.world.replace_vm(vm)
+
+    def _hold(self, vm: Vm) -> None:
+        longest = self.rng.choice((SHORT_PAUSE_S, MAX_PAUSE_S))
+        vm.runtime.pause()
+        self.loop.call_later(self.rng.uniform(0.0, longest), vm.runtime.resume)
+
+    def _at_step(self, vm: Vm, act: Callable[[Vm], None]) -> None:
+        kind = self.rng.choice(STEPS)
+        vm.runtime.watchers.append(_StepWatcher(vm, kind, act))
+
+
+class _StepWatcher:
+    """Acts once, just before a VM's next step of a kind."""
+
+    def __init__(self, vm: Vm, kind: type[ev.Event | fx.Effect],
+                 act: Callable[[Vm], None]) -> None:
+        self.vm = vm
+        self.kind = kind
+        self.act = act
+        self.done = False
+
+    def __call__(self, step: ev.Event | fx.Effect) -> None:
+        if self.done or not isinstance(step, self.kind):
+            return
+        if isinstance(step, fx.AppendLog | ev.LogRead):
+            if step.stream is not ev.Stream.CLAIMS:
+                return
+        self.done = True
+        self.act(self.vm)
+
+
+def _mend_log(log: MemoryLogPort) -> None:
+    log.faults = LogFaults()
--- /dev/null
+++ b/src/plantainridge/standins/claim_world.py
@@ -0,0 +1,122 @@
+"""World of VMs and services for calls that must run at most once."""
+
+import asyncio
+import enum
+import random
+from typing import Final
+
+import attrs
+
+from plantainridge import config
+from plantainridge import effects as fx
+from plantainridge import events as ev
+from plantainridge.claim_state import ClaimLimits
+from plantainridge.ids import DcId, EndpointId, ServiceId
+from plantainridge.ports import LogPort, Post
+from plantainridge.standins.log import LogModel
+from plantainridge.standins.memory import Network
+from plantainridge.standins.memory_log import MemoryLogPort
+from plantainridge.standins.service import Run, ServiceModel
+from plantainridge.standins.world import DC, LEDGER, Vm, World
+
+BOOKING: Final = ServiceId('booking')
+LIMITS: Final = ClaimLimits(key_age_s=60.0,
+                            clock_margin_s=5.0,
+                            outcome_wait_s=5.0)
+RETENTION_S: Final = 75.0
+_INSTANCES: Final = {
+    LEDGER: ('s-ledger', 's-ledger-1', 's-ledger-2'),
+    BOOKING: ('s-booking', 's-booking-1'),
+}
+
+
+class ClaimPolicy(enum.Enum):
+    """Where claims are kept."""
+
+    LOG = 'log'
+    # Each VM has a log of its own: it knows only its own claims.
+    LOCAL_ONLY = 'local_only'
+
+
+class TimedService(ServiceModel):
+    """A service that also remembers when each key first ran, in s."""
+
+    def __init__(self, checks_keys: bool = False) -> None:
+        super().__init__(checks_keys)
+        self.first_at: dict[str, float] = {}
+
+    def run(self, key: str) -> Run:
+        self.first_at.setdefault(key, asyncio.get_running_loop().time())
+        return super().run(key)
+
+
+class SplitLog(LogPort):
+    """Keeps the claims of one VM to itself."""
+
+    def __init__(self, shared: MemoryLogPort, vm: str, network: Network,
+                 rng: random.Random) -> None:
+        self.shared = shared
+        self.own = MemoryLogPort(vm, network, LogModel(), rng)
+
+    def append(self, effect: fx.AppendLog, post: Post) -> None:
+        self._of(effect).append(effect, post)
+
+    def read(self, effect: fx.ReadLog, post: Post) -> None:
+        self._of(effect).read(effect, post)
+
+    def _of(self, effect: fx.AppendLog | fx.ReadLog) -> MemoryLogPort:
+        return (self.own if effect.stream is ev.Stream.CLAIMS else self.shared)
+
+
+def claim_config(base: config.Config) -> config.Config:
+    """Adds instances and a service that checks keys to a configuration."""
+    endpoints = {
+        EndpointId(name):
+            config.Endpoint(EndpointId(name), DC, config.EndpointKind.SERVICE,
+                            service, '127.0.0.1:8000')
+        for service, names in _INSTANCES.items() for name in names
+    }
+    booking = config.Service(BOOKING, repeatable=False, checks_keys=True)
+    return attrs.evolve(base,
+                        endpoints={
+                            **base.endpoints,
+                            **endpoints
+                        },
+                        services={
+                            **base.services, BOOKING: booking
+                        })
+
+
+class ClaimWorld(World):
+    """Seven VMs, a ledger and a booking service that checks keys.
+
+    Attributes:
+        claim_s: Time from a call's arrival to its dispatch, of each dispatch.
+    """
+
+    def __init__(self, vms: int, seed: int, policy: ClaimPolicy) -> None:
+        self.policy = policy
+        self.claim_s: list[float] = []
+        super().__init__(vms=vms, engines=0, seed=seed)
+        self.log.retention_s['claims'] = RETENTION_S
+        self.timed = {
+            LEDGER: TimedService(),
+            BOOKING: TimedService(checks_keys=True)
+        }
+        for service, names in _INSTANCES.items():
+            for name in names:
+                self.services[EndpointId(name)] = self.timed[service]
+        self.publish(0, claim_config(self.config))
+
+    def start_vm(self, name: str, dc: DcId = DC) -> Vm:
+        vm = super().start_vm(name, dc)
+        vm.state.claims.limits = LIMITS
+        vm.runtime.watchers.append(self._observe)
+        if self.policy is ClaimPolicy.LOCAL_ONLY:
+            vm.runtime.ports.log = SplitLog(vm.log, name, self.network,
+                                            self.rng)
+        return vm
+
+    def _observe(self, step: ev.Event | fx.Effect) -> None:
+        if isinstance(step, fx.Observe) and step.metric == 'claim_s':
+            self.claim_s.append(step.value)
--- a/src/plantainridge/standins/memory_log.py
+++ b/src/plantainridge/standins/memory_log.py
@@ -40,6 +40,7 @@
 
     Attributes:
         faults: Chances of faults.
+        appends: Appends that reached each stream.
         sent_bytes: Payload that was appended to each stream.
         read_bytes: Payload that was read from each stream.
     """
@@ -53,6 +54,7 @@
         self.model = model
         self.rng = rng
         self.faults = LogFaults()
+        self.appends: Counter[ev.Stream] = Counter()
         self.sent_bytes: Counter[ev.Stream] = Counter()
         self.read_bytes: Counter[ev.Stream] = Counter()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -82,6 +84,7 @@
             post(ev.AppendFailed(effect.append_id, maybe=False))
             return
         await self.model.turn()
+        self.appends[effect.stream] += 1
         self.sent_bytes[effect.stream] += sum(map(len, effect.payloads))
         if self._draw(self.faults.delay):
             post(ev.AppendFailed(effect.append_id, maybe=True))
