Fuzz several VMs against the oracle, statefully

Change: a hypothesis rule machine over an in-memory world: callers, time, faults of every kind so far, racing operators; make fuzz with seed and sizes.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 EXAMPLES ?= 100
 STEPS ?= 40
 
-.PHONY: setup demo test format lint types check
+fuzz: setup
+	$(PY) -m tests.fuzz --seed $(SEED) --examples $(EXAMPLES) --steps $(STEPS)
+
+.PHONY: fuzz setup demo test format lint types check
 
 # Installs again only when the lock file's text has changed.
 setup:
--- a/src/plantainridge/paused.py
+++ b/src/plantainridge/paused.py
@@ -12,6 +12,17 @@
 IDLE_ROUNDS: Final = 2
 
 
+def new_loop(limit_s: float | None = None) -> asyncio.AbstractEventLoop:
+    """Returns a loop whose clock starts at 0 and advances when all wait.
+
+    Args:
+        limit_s: Loop time at which a run fails, in s; None for no limit.
+    """
+    loop: asyncio.AbstractEventLoop = looptime.new_event_loop(
+        start=0.0, end=limit_s, noop_cycles=IDLE_ROUNDS)
+    return loop
+
+
 def run(work: Coroutine[Any, Any, T], limit_s: float | None = None) -> T:
     """Runs a coroutine to its end under a paused clock.
 
@@ -22,11 +33,5 @@
     Raises:
         looptime.LoopTimeoutError: The limit was reached.
     """
-
-    def new_loop() -> asyncio.AbstractEventLoop:
-        loop: asyncio.AbstractEventLoop = looptime.new_event_loop(
-            start=0.0, end=limit_s, noop_cycles=IDLE_ROUNDS)
-        return loop
-
-    with asyncio.Runner(loop_factory=new_loop) as runner:
+    with asyncio.Runner(loop_factory=lambda: new_loop(limit_s)) as runner:
         return runner.run(work)
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -43,6 +43,10 @@
         """Whether two nodes can reach each other."""
         return frozenset((a, b)) not in self.cut
 
+    def toggle(self, a: str, b: str) -> None:
+        """Cuts two nodes off from each other, or joins them again."""
+        self.cut ^= {frozenset((a, b))}
+
     def later(self, act: Callable[[], None]) -> None:
         """Acts after one delay."""
         asyncio.get_running_loop().call_later(self.latency_s, act)
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -1,7 +1,7 @@
 """VMs and stand-ins joined in memory, for a paused clock."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -168,6 +168,21 @@
         self.vms[self.vms.index(vm)] = renewed
         return renewed
 
+    def stopper(self, vm: Vm) -> Callable[[], None]:
+        """Returns a function that asks a VM for a graceful shutdown."""
+        return lambda: vm.runtime.post(ev.StopRequested())
+
+    def heal(self) -> None:
+        """Ends every fault, but for what was lost."""
+        self.network.cut.clear()
+        self.log.down = False
+        for engine in self.engines.values():
+            engine.alive = True
+            engine.slowdown = 1.0
+        for vm in self.vms:
+            vm.log.lose_answer = 0.0
+            vm.services.lose_answer = 0.0
+
     def every_vm(self) -> Iterator[Vm]:
         """Yields all VMs that ever lived."""
         yield from self.past
--- /dev/null
+++ b/tests/fuzz.py
@@ -0,0 +1,345 @@
+"""Stateful fuzzing of several VMs and stand-ins against the oracle.
+
+Run as `python -m tests.fuzz --seed N --examples N --steps N`.
+"""
+
+import asyncio
+import json
+import sys
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeVar
+
+import attrs
+import click
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from plantainridge import paused
+from plantainridge.ids import EndpointId, WeightVersion
+from plantainridge.standins import world as worlds
+from plantainridge.standins.oracle import Oracle, Violation
+from plantainridge.standins.world import Vm, World
+
+VMS: Final = 3
+ENGINES: Final = 3
+SETTLE_S: Final = 150.0
+PEER_CUT_S: Final = 30.0
+TEXTS: Final = ('manifest ' * 1_500, 'manifest ' * 3_000, 'survey ' * 2_500,
+                'short')
+KEYS: Final = ('pickup-1', 'pickup-2', 'pickup-3')
+TEAMS: Final = (worlds.TEAM, worlds.OTHER_TEAM)
+
+T = TypeVar('T')
+
+# How often each rule ran, over all examples of the process.
+RULES: Counter[str] = Counter()
+
+
+class ConditionBroken(AssertionError):
+    """The oracle found violations."""
+
+    def __init__(self, violations: list[Violation]) -> None:
+        super().__init__('; '.join(
+            f'{each.check.value}: {each.detail}' for each in violations))
+        self.violations = violations
+
+
+def counted(rule: Callable[..., None]) -> Callable[..., None]:
+    """Counts each run of a rule."""
+
+    def run(self: 'WorldMachine', **arguments: Any) -> None:
+        RULES[rule.__name__] += 1
+        rule(self, **arguments)
+
+    run.__name__ = rule.__name__
+    return run
+
+
+vm_index = st.integers(0, VMS - 1)
+engine_index = st.integers(0, ENGINES - 1)
+
+
+class WorldMachine(stateful.RuleBasedStateMachine):
+    """Callers, operators and faults, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner(loop_factory=paused.new_loop)
+        self.world = self.within(self._build)
+        self.oracle = Oracle(self.world)
+        self.version = 1
+        self.pass_time(1.0)
+
+    async def _build(self) -> World:
+        return World(VMS, ENGINES)
+
+    def within(self, work: Callable[[], Coroutine[Any, Any, T]]) -> T:
+        """Runs a coroutine on the machine's loop."""
+        return self.runner.run(work())
+
+    def act(self, step: Callable[[], None]) -> None:
+        """Runs a plain function inside the machine's loop."""
+
+        async def work() -> None:
+            step()
+
+        self.within(work)
+
+    def pass_time(self, seconds: float) -> None:
+        """Lets the paused clock advance."""
+        self.within(lambda: asyncio.sleep(seconds))
+
+    def live(self, index: int) -> Vm:
+        """Returns a VM, renewed if it has ended."""
+        vm = self.world.vms[index]
+        if vm.runtime.halted:
+            vm = self.renew(vm)
+        return vm
+
+    def renew(self, vm: Vm) -> Vm:
+        """Replaces a VM by an empty one that the oracle watches."""
+
+        async def work() -> Vm:
+            renewed = self.world.replace_vm(vm)
+            self.oracle.watch(renewed)
+            return renewed
+
+        return self.within(work)
+
+    # --- Callers ------------------------------------------------------------
+
+    @stateful.rule(vm=vm_index,
+                   text=st.sampled_from(TEXTS),
+                   team=st.sampled_from(TEAMS),
+                   tokens=st.integers(1, 40))
+    @counted
+    def ask_model(self, vm: int, text: str, team: Any, tokens: int) -> None:
+        """A caller asks a model."""
+        self.act(lambda: _drop(
+            self.world.ask_model(self.live(vm), text, tokens, team)))
+
+    @stateful.rule(vm=vm_index,
+                   key=st.sampled_from(KEYS),
+                   team=st.sampled_from(TEAMS))
+    @counted
+    def call_ledger(self, vm: int, key: str, team: Any) -> None:
+        """A caller sends a call that must run at most once."""
+        target = self.live(vm)
+        self.act(lambda: _drop(
+            self.world.call_service(target, worlds.LEDGER, key, team=team)))
+
+    @stateful.rule(vm=vm_index)
+    @counted
+    def call_lookup(self, vm: int) -> None:
+        """A caller sends a call that may be repeated."""
+        target = self.live(vm)
+        self.act(lambda: _drop(self.world.call_service(target, worlds.LOOKUP)))
+
+    @stateful.rule(pick=st.integers(0, 10_000))
+    @counted
+    def hang_up(self, pick: int) -> None:
+        """A caller closes its connection."""
+        if self.world.asks:
+            ask = self.world.asks[pick % len(self.world.asks)]
+            self.act(lambda: self.world.hang_up(ask))
+
+    # --- Time ---------------------------------------------------------------
+
+    @stateful.rule(seconds=st.sampled_from([0.002, 0.02, 0.1, 0.5, 2.0, 10.0]))
+    @counted
+    def wait(self, seconds: float) -> None:
+        """Time passes."""
+        self.pass_time(seconds)
+
+    # --- Faults -------------------------------------------------------------
+
+    @stateful.rule(engine=engine_index)
+    @counted
+    def crash_engine(self, engine: int) -> None:
+        """An engine dies, or a dead one comes back empty."""
+        model = self.world.engines[EndpointId(f'e{engine}')]
+        if model.alive:
+            self.act(model.crash)
+        else:
+            model.alive = True
+
+    @stateful.rule(vm=vm_index)
+    @counted
+    def replace_vm(self, vm: int) -> None:
+        """A VM dies and an empty one takes its name."""
+        self.renew(self.world.vms[vm])
+
+    @stateful.rule(vm=vm_index)
+    @counted
+    def stop_vm(self, vm: int) -> None:
+        """A VM is asked for a graceful shutdown."""
+        target = self.live(vm)
+        self.act(self.world.stopper(target))
+
+    @stateful.rule(vm=vm_index)
+    @counted
+    def cut_from_log(self, vm: int) -> None:
+        """A VM loses its path to the platform, or gets it back."""
+        name = self.world.vms[vm].name
+        self.world.network.toggle(name, 'log')
+
+    @stateful.rule()
+    @counted
+    def log_outage(self) -> None:
+        """The log goes down, or comes back."""
+        self.world.log.down = not self.world.log.down
+
+    @stateful.rule(chance=st.sampled_from([0.0, 0.5, 1.0]), vm=vm_index)
+    @counted
+    def lose_answers(self, chance: float, vm: int) -> None:
+        """Answers are lost after the action took effect."""
+        self.world.vms[vm].log.lose_answer = chance
+        self.world.vms[vm].services.lose_answer = chance
+
+    @stateful.rule(a=vm_index, b=vm_index)
+    @counted
+    def cut_peers(self, a: int, b: int) -> None:
+        """Two VMs lose their path to each other, or get it back."""
+        if a != b:
+            self.world.network.toggle(f'vm{a}', f'vm{b}')
+
+    @stateful.rule(vm=vm_index, engine=engine_index)
+    @counted
+    def cut_engine(self, vm: int, engine: int) -> None:
+        """A VM loses its path to an engine, or gets it back."""
+        self.world.network.toggle(f'vm{vm}', f'e{engine}')
+
+    # --- Operators ----------------------------------------------------------
+
+    @stateful.rule(stale=st.booleans())
+    @counted
+    def publish(self, stale: bool) -> None:
+        """An operator publishes a new weight version, maybe from an old base.
+
+        The engines load it at once.
+        """
+        base = self.oracle.accepted() - int(stale)
+        version = WeightVersion(f'v{self.version + 1}')
+        model = attrs.evolve(self.world.config.models[worlds.MODEL],
+                             version=version)
+        wanted = attrs.evolve(self.world.config, models={model.id: model})
+        self._publish(base, wanted)
+        if not stale:
+            self.version += 1
+            for engine in self.world.engines.values():
+                engine.version = version
+
+    @stateful.rule(engine=engine_index, leaving=st.booleans())
+    @counted
+    def set_leaving(self, engine: int, leaving: bool) -> None:
+        """An operator takes an engine out of use, or back."""
+        name = EndpointId(f'e{engine}')
+        row = attrs.evolve(self.world.config.endpoints[name], leaving=leaving)
+        endpoints = {**self.world.config.endpoints, name: row}
+        self._publish(self.oracle.accepted(),
+                      attrs.evolve(self.world.config, endpoints=endpoints))
+        now = self.runner.get_loop().time()
+        if leaving:
+            self.oracle.note_leaving(name, now)
+        else:
+            self.oracle.left_at.pop(name, None)
+
+    def _publish(self, base: int, wanted: Any) -> None:
+
+        async def work() -> None:
+            now = self.runner.get_loop().time()
+            offset = self.world.publish(base, wanted)
+            self.oracle.note_published(offset, base, now)
+            if base == self.oracle.accepted() or offset == (
+                    self.oracle.accepted()):
+                self.world.config = wanted
+
+        self.within(work)
+
+    # --- End ----------------------------------------------------------------
+
+    @stateful.invariant()
+    def excuse_the_cut_off(self) -> None:
+        """Notes which VMs cannot hear of a change just now."""
+        now = self.runner.get_loop().time()
+        for vm in self.world.vms:
+            if self.world.log.down or not self.world.network.reaches(
+                    vm.name, 'log'):
+                self.oracle.excuse(vm.name, now)
+
+    def teardown(self) -> None:
+        """Heals every fault, lets all come to rest, and judges."""
+        self.world.heal()
+        for vm in list(self.world.vms):
+            if vm.runtime.halted:
+                self.renew(vm)
+        self.pass_time(SETTLE_S)
+        violations = self.oracle.judge()
+        self.runner.close()
+        if violations:
+            raise ConditionBroken(violations)
+
+
+def _drop(_: object) -> None:
+    """Ignores a value, for use as a statement in a lambda."""
+
+
+def settings(examples: int, steps: int, shrink: bool) -> hypothesis.settings:
+    """Returns settings under which a run depends on its seed alone."""
+    phases = [hypothesis.Phase.generate]
+    if shrink:
+        phases.append(hypothesis.Phase.shrink)
+    return hypothesis.settings(max_examples=examples,
+                               phases=phases,
+                               stateful_step_count=steps,
+                               deadline=None,
+                               database=None,
+                               print_blob=False,
+                               suppress_health_check=list(
+                                   hypothesis.HealthCheck))
+
+
+def run(seed: int,
+        examples: int,
+        steps: int,
+        shrink: bool = False) -> list[str]:
+    """Fuzzes once; returns what was found, in words."""
+    RULES.clear()
+    machine = hypothesis.seed(seed)(WorldMachine)
+    try:
+        stateful.run_state_machine_as_test(machine,
+                                           settings=settings(
+                                               examples, steps, shrink))
+    except ConditionBroken as broken:
+        return [
+            f'{each.check.value}: {each.detail}' for each in broken.violations
+        ]
+    return []
+
+
+@click.command()
+@click.option('--seed', type=int, default=1, show_default=True)
+@click.option('--examples', type=click.IntRange(1), default=100)
+@click.option('--steps', type=click.IntRange(1), default=40)
+@click.option('--shrink/--no-shrink', help='Look for the shortest failure.')
+def main(seed: int, examples: int, steps: int, shrink: bool) -> None:
+    """Fuzzes, then prints one line of JSON; exits with 1 on a violation."""
+    found = run(seed, examples, steps, shrink)
+    if found:
+        click.echo(f'replay: make fuzz SEED={seed} EXAMPLES={examples} '
+                   f'STEPS={steps}')
+    click.echo(
+        json.dumps({
+            'seed': seed,
+            'examples': examples,
+            'steps': steps,
+            'violations': found,
+            'rules': dict(sorted(RULES.items())),
+        }))
+    sys.exit(1 if found else 0)
+
+
+if __name__ == '__main__':
+    main()
