--- a/src/plantainridge/exchange.py
+++ b/src/plantainridge/exchange.py
@@ -26,6 +26,8 @@
     from plantainridge.state import VmState
 
 ROUND_S: Final = 0.5
+# Shortest time between two rounds, in s.
+HASTE_S: Final = 0.1
 # Heartbeats in one message.
 MAX_BEATS: Final = 64
 # Bytes of values that one round pays for; a larger value uses up later rounds.
@@ -117,6 +119,7 @@
     passes: dict[tuple[VmId, Topic], int] = attrs.field(factory=dict)
     credit_bytes: int = 0
     next_round_at: float = 0.0
+    last_round_at: float = 0.0
     config_seen: int = 0
     dropped: int = 0
     sent_bytes: int = 0
@@ -189,6 +192,13 @@
     return found
 
 
+def hasten(state: 'VmState', now: float) -> None:
+    """Brings the next round forward: there is news that should not wait."""
+    exchange = state.exchange
+    exchange.next_round_at = min(exchange.next_round_at,
+                                 max(now, exchange.last_round_at + HASTE_S))
+
+
 def on_tick(state: 'VmState', event: TimerFired,
             now: float) -> Iterator[Effect]:
     """Sends a round of news, once per `ROUND_S`."""
@@ -197,6 +207,7 @@
     if now < exchange.next_round_at:
         return
     exchange.next_round_at = now + ROUND_S
+    exchange.last_round_at = now
     exchange.count += 1
     _forget(exchange, now)
     targets = _targets(state, now)
--- a/src/plantainridge/peer_messages.py
+++ b/src/plantainridge/peer_messages.py
@@ -72,6 +72,8 @@
     part: int
     parts: int
     body: bytes = attrs.field(repr=False)
+    checkpoint_offset: int = -1
+    checkpoint_at: float = 0.0
 
 
 Content = News | WantRecords | RelayedRecords | SnapshotPart
@@ -122,6 +124,8 @@
         part.revision, part.next = content.revision, content.next
         part.part, part.parts = content.part, content.parts
         part.body = content.body
+        part.checkpointOffset = content.checkpoint_offset
+        part.checkpointAt = content.checkpoint_at
     packed: bytes = root.to_bytes_packed()
     return packed
 
@@ -164,7 +168,8 @@
                 for each in root.records.records))
     part = root.snapshot
     return SnapshotPart(part.revision, part.next, part.part, part.parts,
-                        bytes(part.body))
+                        bytes(part.body), part.checkpointOffset,
+                        part.checkpointAt)
 
 
 def _news(news: Any) -> News:
--- a/src/plantainridge/peering.py
+++ b/src/plantainridge/peering.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from plantainridge import exchange
+from plantainridge import catchup, exchange
 from plantainridge import peer_messages as pm
 from plantainridge.effects import Effect
 from plantainridge.events import PeerSaid
@@ -20,5 +20,13 @@
         state.exchange.dropped += 1
         return
     yield from exchange.note_sender(state, message, now)
-    if isinstance(message.content, pm.News):
-        exchange.note_news(state, message.content, now)
+    content = message.content
+    if isinstance(content, pm.News):
+        exchange.note_news(state, content, now)
+        yield from catchup.on_news(state, message.vm, content, now)
+    elif isinstance(content, pm.WantRecords):
+        yield from catchup.on_wanted(state, message.vm, content, now)
+    elif isinstance(content, pm.RelayedRecords):
+        yield from catchup.on_records(state, content, now)
+    else:
+        yield from catchup.on_part(state, message.vm, content, now)
--- a/src/plantainridge/peers.capnp
+++ b/src/plantainridge/peers.capnp
@@ -49,4 +49,7 @@
   part @2 :UInt32;
   parts @3 :UInt32;
   body @4 :Data;
+  # Where the newest checkpoint in the log ends, and its time.
+  checkpointOffset @5 :Int64;
+  checkpointAt @6 :Float64;
 }
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge import (caching, events, exchange, members, peering,
-                           requests, revisions, services)
+from plantainridge import (caching, catchup, checkpoints, events, exchange,
+                           members, peering, requests, revisions, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -29,7 +29,9 @@
 
 # Handlers of timers by kind; those of `TICK` run every `TICK_S`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
-    events.TimerKind.TICK: (_on_tick, caching.on_tick, exchange.on_tick),
+    events.TimerKind.TICK:
+        (_on_tick, caching.on_tick, revisions.on_tick, catchup.on_tick,
+         checkpoints.on_tick, exchange.on_tick),
     events.TimerKind.TRANSFER: (caching.on_transfer_late,),
 }
 
@@ -52,6 +54,8 @@
     events.TimerFired: (_on_timer,),
     events.LogRead: (revisions.on_log_read,),
     events.LogReadFailed: (revisions.on_read_failed,),
+    events.AppendEnded: (checkpoints.on_append_ended,),
+    events.AppendFailed: (checkpoints.on_append_failed,),
     events.MembersListed: (members.on_listed,),
     events.PeerSaid: (peering.on_peer_said,),
 }
--- a/src/plantainridge/revisions.py
+++ b/src/plantainridge/revisions.py
@@ -1,25 +1,37 @@
-"""Acceptance of configuration revisions in the order of the log."""
+"""Keeps this VM's configuration in step with the log.
 
-import json
+A VM comes in force with a configuration only once it has caught up with the
+log's end, or, while the log cannot be read, with all that its peers tell of.
+So a replaced VM never serves an older revision than its former life did.
+"""
+
+from collections import deque
 from collections.abc import Iterator
-from typing import Any, Final
+from typing import TYPE_CHECKING, Final
 
 import attrs
-import cattrs
-from cattrs.preconf.json import make_converter
 
-from plantainridge.config import Config
+from plantainridge import config as cfg
+from plantainridge import differences, exchange
+from plantainridge import revision_records as rr
 from plantainridge.effects import Effect, LogLine, ReadLog
 from plantainridge.endpoints import EndpointView
-from plantainridge.events import LogRead, LogReadFailed, Record, Stream
-from plantainridge.state import VmState
+from plantainridge.events import (LogRead, LogReadFailed, Stream, TimerFired)
+from plantainridge.readiness import Readiness
+from plantainridge.replica import Accepted, Conflict, Outcome, Replica
+
+if TYPE_CHECKING:
+    from plantainridge.state import VmState
 
-CONVERTER: Final = make_converter()
+# Time in which a new VM listens to peers before it goes by them alone, in s.
+SETTLE_S: Final = 2.0
+# Conflicts that are kept for operators to see.
+MAX_CONFLICTS: Final = 32
 
 
 @attrs.frozen
 class Revision:
-    """A proposal to replace one configuration by another.
+    """A proposal to replace one configuration by another, whole.
 
     Attributes:
         base: Revision that it was made from.
@@ -27,69 +39,153 @@
     """
 
     base: int
-    config: Config
-
-
-@attrs.frozen
-class BadRecord:
-    """Says why a record of the log is no revision."""
+    config: cfg.Config
 
-    offset: int
-    detail: str
 
+@attrs.define
+class RevisionsState:
+    """Where this VM stands with the configuration.
 
-def encode(revision: Revision) -> bytes:
-    """Returns the bytes of a log record."""
-    return json.dumps(CONVERTER.unstructure(revision)).encode()
-
+    Attributes:
+        replica: The copy that follows the log.
+        started_at: Loop time of the process's start, in s; None before.
+        caught_up: Whether the configuration may be in force.
+        log_ok: Whether the last read of the log was answered.
+        log_end: Highest end that the log told of; -1 before any answer.
+        log_clock_s: Log time less loop time, at least, in s.
+        conflicts: Last proposals that lost.
+    """
 
-def decode(record: Record) -> Revision | BadRecord:
-    """Reads a log record; anything unreadable is a `BadRecord`."""
-    try:
-        raw: Any = json.loads(record.payload)
-        return CONVERTER.structure(raw, Revision)
-    except (ValueError, cattrs.BaseValidationError) as error:
-        return BadRecord(record.offset, type(error).__name__)
+    replica: Replica = attrs.field(factory=Replica)
+    started_at: float | None = None
+    caught_up: bool = False
+    log_ok: bool = False
+    log_end: int = -1
+    log_clock_s: float = float('-inf')
+    conflicts: deque[Conflict] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_CONFLICTS))
 
 
-def on_log_read(state: VmState, event: LogRead, now: float) -> Iterator[Effect]:
-    """Accepts each revision whose base is in force, then reads on."""
-    del now
+def encode(revision: Revision) -> bytes:
+    """Returns one record that proposes a whole small configuration."""
+    puts = tuple(differences.items(revision.config))
+    difference = differences.Difference(puts)
+    return rr.encode_change(f'whole-{revision.base}',
+                            revision.base,
+                            difference,
+                            whole=True,
+                            part_items=len(puts) + 1)[0]
+
+
+def readiness(state: 'VmState') -> Readiness:
+    """Returns whether this VM may be sent requests, and why not."""
+    if state.stopping:
+        return Readiness.STOPPING
+    if state.config.revision >= 0:
+        return Readiness.READY
+    own = state.revisions
+    if own.replica.config.revision >= 0:
+        return Readiness.CATCHING_UP
+    if own.replica.missing:
+        return Readiness.NO_CHECKPOINT
+    return Readiness.LOG_EMPTY if own.log_ok else Readiness.LOG_UNREACHABLE
+
+
+def on_log_read(state: 'VmState', event: LogRead,
+                now: float) -> Iterator[Effect]:
+    """Takes in records, then reads on."""
     if event.stream is not Stream.CONFIG:
         return
-    for record in event.records:
-        if record.offset < state.config_next:
-            continue
-        state.config_next = record.offset + 1
-        yield from _take(state, record)
-    yield ReadLog(Stream.CONFIG, 0, state.config_next)
-
-
-def on_read_failed(state: VmState, event: LogReadFailed,
+    own = state.revisions
+    own.log_ok = True
+    own.log_end = max(own.log_end, event.end)
+    if event.records:
+        own.log_clock_s = max(own.log_clock_s, event.records[-1].at - now)
+    before = own.replica.config
+    outcomes = own.replica.take_log(event.records, event.first)
+    yield from taken(state, before, outcomes, now)
+    yield ReadLog(Stream.CONFIG, 0, own.replica.cursor)
+
+
+def on_read_failed(state: 'VmState', event: LogReadFailed,
                    now: float) -> Iterator[Effect]:
     """Reads again; the runtime paces reads that fail."""
-    del now
-    if event.stream is Stream.CONFIG:
-        yield ReadLog(Stream.CONFIG, 0, state.config_next)
-
-
-def _take(state: VmState, record: Record) -> Iterator[Effect]:
-    revision = decode(record)
-    if isinstance(revision, BadRecord):
-        yield LogLine('config_bad_record',
-                      (('offset', record.offset), ('error', revision.detail)))
+    if event.stream is not Stream.CONFIG:
         return
-    if revision.base != state.config.revision:
-        yield LogLine('config_conflict',
-                      (('offset', record.offset), ('base', revision.base),
-                       ('in_force', state.config.revision)))
+    state.revisions.log_ok = False
+    yield from settle(state, now)
+    yield ReadLog(Stream.CONFIG, 0, state.revisions.replica.cursor)
+
+
+def on_tick(state: 'VmState', event: TimerFired,
+            now: float) -> Iterator[Effect]:
+    """Comes in force by peers alone once it has listened long enough."""
+    del event
+    if state.revisions.started_at is None:
+        state.revisions.started_at = now
+    if not state.revisions.caught_up:
+        yield from settle(state, now)
+
+
+def taken(state: 'VmState', before: cfg.Config, outcomes: list[Outcome],
+          now: float) -> Iterator[Effect]:
+    """Follows up on what the replica took in.
+
+    Args:
+        state: The VM's state.
+        before: The replica's configuration before.
+        outcomes: What became of each proposal.
+        now: Loop time in s.
+    """
+    for outcome in outcomes:
+        if isinstance(outcome, Conflict):
+            state.revisions.conflicts.append(outcome)
+        yield _log_line(outcome)
+    if state.revisions.replica.config is not before:
+        exchange.hasten(state, now)
+    yield from settle(state, now)
+
+
+def settle(state: 'VmState', now: float) -> Iterator[Effect]:
+    """Puts the replica's configuration in force, once caught up."""
+    own = state.revisions
+    if not own.caught_up:
+        own.caught_up = _has_caught_up(state, now)
+    config = own.replica.config
+    if not own.caught_up or config is state.config:
         return
-    state.config = attrs.evolve(revision.config, revision=record.offset)
-    _renew_endpoints(state)
-    yield LogLine('config_in_force', (('revision', record.offset),))
-
-
-def _renew_endpoints(state: VmState) -> None:
+    old = state.config
+    state.config = config
+    if config.endpoints is not old.endpoints:
+        _renew_endpoints(state)
+    yield LogLine('config_in_force', (('revision', config.revision),))
+
+
+def _has_caught_up(state: 'VmState', now: float) -> bool:
+    own = state.revisions
+    replica = own.replica
+    if replica.config.revision < 0 or replica.missing:
+        return False
+    if replica.next < max(own.log_end, state.exchange.config_seen):
+        return False
+    if own.log_ok:
+        return True
+    return own.started_at is not None and now - own.started_at >= SETTLE_S
+
+
+def _log_line(outcome: Outcome) -> LogLine:
+    if isinstance(outcome, Accepted):
+        return LogLine('config_accepted',
+                       (('revision', outcome.offset), ('base', outcome.base)))
+    if isinstance(outcome, Conflict):
+        return LogLine('config_conflict',
+                       (('offset', outcome.offset), ('base', outcome.base),
+                        ('in_force', outcome.in_force)))
+    return LogLine('config_bad_record',
+                   (('offset', outcome.offset), ('error', outcome.detail)))
+
+
+def _renew_endpoints(state: 'VmState') -> None:
     old = state.endpoints
     state.endpoints = {}
     for name, endpoint in state.config.endpoints.items():
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from plantainridge import revisions
+from plantainridge.catchup import CatchUpState
+from plantainridge.checkpoints import CheckpointState
 from plantainridge.config import EMPTY, Config
 from plantainridge.calls import CallTable
 from plantainridge.directory import Directory
@@ -12,6 +15,8 @@
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
 from plantainridge.links import LinkTable
 from plantainridge.members import MembersState
+from plantainridge.readiness import Readiness
+from plantainridge.revisions import RevisionsState
 from plantainridge.returning import Returning
 from plantainridge.returns import ReturnTable
 from plantainridge.routing import Policy
@@ -29,7 +34,9 @@
         rng: The only source of randomness, seeded.
         policy: How endpoints are chosen.
         config: The accepted configuration in force.
-        config_next: Offset of the next configuration record to read.
+        revisions: How far this VM has followed the configuration.
+        catchup: What it asks of peers and sends them of it.
+        checkpoints: Its part in appending checkpoints of it.
         endpoints: What is known of each configured endpoint.
         index: Engines by model, made from `endpoints`.
         directory: Who holds which blocks.
@@ -48,7 +55,9 @@
     rng: random.Random
     policy: Policy = attrs.field(factory=Returning)
     config: Config = EMPTY
-    config_next: int = 0
+    revisions: RevisionsState = attrs.field(factory=RevisionsState)
+    catchup: CatchUpState = attrs.field(factory=CatchUpState)
+    checkpoints: CheckpointState = attrs.field(factory=CheckpointState)
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
     index: EngineIndex = attrs.field(factory=EngineIndex)
     directory: Directory = attrs.field(factory=Directory)
@@ -64,3 +73,13 @@
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
         return self.config.revision >= 0 and not self.stopping
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether requests may be sent here, and why not."""
+        return revisions.readiness(self)
+
+    @property
+    def config_next(self) -> int:
+        """Offset of the next configuration record to take in."""
+        return self.revisions.replica.next
