--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Final
 
@@ -14,19 +13,14 @@
 from plantainridge import events as ev
 from plantainridge.ids import AttemptId, EndpointId, RequestId, VmId
 from plantainridge.metrics import Metrics
-from plantainridge.ports import (CallerPort, EnginePort, LogPort, PeerPort,
-                                 Post, ReportPort, ServicePort)
+from plantainridge.ports import (CallerPort, EnginePort, PeerPort, Post,
+                                 ReportPort)
 from plantainridge.refusals import Refusal
 from plantainridge.runtime import Runtime
-from plantainridge.standins.audit import Audit, MarkedCall
 from plantainridge.standins.engine import EngineModel, Job, Sink
-from plantainridge.standins.log import LogModel
 from plantainridge.standins.members import MembersModel
-from plantainridge.standins.service import ServiceModel
 
 LINK_S: Final = 0.0015
-LOG_WAIT_S: Final = 5.0
-LOG_RETRY_S: Final = 0.5
 MEMBERS_PERIOD_S: Final = 1.0
 
 
@@ -204,119 +198,6 @@
             found[0].cancel(found[1])
 
 
-class MemoryServicePort(ServicePort):
-    """One VM's way to the plain services' models.
-
-    Attributes:
-        run_s: How long a call runs, in s.
-        lose_answer: Chance that an answer is lost after the call has run.
-    """
-
-    def __init__(self,
-                 vm: str,
-                 network: Network,
-                 models: dict[EndpointId, ServiceModel],
-                 rng: random.Random,
-                 audit: Audit | None = None) -> None:
-        self.audit = audit or Audit()
-        self.vm = vm
-        self.network = network
-        self.models = models
-        self.rng = rng
-        self.run_s = 0.01
-        self.lose_answer = 0.0
-
-    def call(self, effect: fx.CallService, post: Post) -> None:
-        self.network.later(lambda: self._run(effect, post))
-
-    def _run(self, effect: fx.CallService, post: Post) -> None:
-        model = self.models.get(effect.endpoint)
-        if model is None or not self.network.reaches(self.vm, effect.endpoint):
-            failed = ev.AttemptFailed(effect.attempt,
-                                      ev.Failure.CONNECT_REFUSED)
-            self.network.later(lambda: post(failed))
-            return
-        count = model.run(effect.key)
-        self.audit.started.add(effect.request)
-        if effect.key:
-            self.audit.runs[MarkedCall(effect.team, effect.service,
-                                       effect.key)] += 1
-        event: ev.Event = ev.ServiceAnswered(effect.attempt, effect.request,
-                                             200,
-                                             str(count).encode())
-        if self.rng.random() < self.lose_answer:
-            event = ev.AttemptFailed(effect.attempt, ev.Failure.BROKEN)
-        asyncio.get_running_loop().call_later(
-            self.run_s, lambda: self.network.later(lambda: post(event)))
-
-
-class MemoryLogPort(LogPort):
-    """One VM's way to the log's model.
-
-    Attributes:
-        lose_answer: Chance that an append's answer is lost after it took
-            effect.
-    """
-
-    NODE: Final = 'log'
-
-    def __init__(self, vm: str, network: Network, model: LogModel,
-                 rng: random.Random) -> None:
-        self.vm = vm
-        self.network = network
-        self.model = model
-        self.rng = rng
-        self.lose_answer = 0.0
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    def append(self, effect: fx.AppendLog, post: Post) -> None:
-        self._spawn(effect, post)
-
-    def read(self, effect: fx.ReadLog, post: Post) -> None:
-        self._spawn(effect, post)
-
-    def _spawn(self, effect: fx.AppendLog | fx.ReadLog, post: Post) -> None:
-        work = (self._append(effect, post) if isinstance(effect, fx.AppendLog)
-                else self._read(effect, post))
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    def _reaches(self) -> bool:
-        return (not self.model.down and
-                self.network.reaches(self.vm, self.NODE))
-
-    async def _append(self, effect: fx.AppendLog, post: Post) -> None:
-        await asyncio.sleep(self.network.latency_s)
-        if not self._reaches():
-            await asyncio.sleep(self.network.latency_s)
-            post(ev.AppendFailed(effect.append_id, maybe=False))
-            return
-        first = self.model.append(effect.stream.value, effect.shard,
-                                  list(effect.payloads))
-        await asyncio.sleep(self.network.latency_s)
-        if self.rng.random() < self.lose_answer or not self._reaches():
-            post(ev.AppendFailed(effect.append_id, maybe=True))
-            return
-        post(ev.AppendEnded(effect.append_id, first))
-
-    async def _read(self, effect: fx.ReadLog, post: Post) -> None:
-        name, shard = effect.stream.value, effect.shard
-        await asyncio.sleep(self.network.latency_s)
-        if self._reaches():
-            await self.model.wait(name, shard, effect.offset, LOG_WAIT_S)
-            await asyncio.sleep(self.network.latency_s)
-        if not self._reaches():
-            await asyncio.sleep(LOG_RETRY_S)
-            post(ev.LogReadFailed(effect.stream, effect.shard))
-            return
-        stream = self.model.stream(name, shard)
-        post(
-            ev.LogRead(effect.stream, effect.shard,
-                       tuple(self.model.read(name, shard, effect.offset)),
-                       stream.first, stream.end))
-
-
 class MemoryPeers(PeerPort):
     """One VM's way to the others' reducers."""
 
