--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from plantainridge import blocks, config
+from plantainridge import blocks, claim_keys, config
 from plantainridge import events as ev
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, TeamId, VmId,
@@ -18,9 +18,10 @@
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.members import MembersModel
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
-                                           MemoryLogPort, MemoryMembers,
-                                           MemoryPeers, MemoryReport,
-                                           MemoryServicePort, Network, Told)
+                                           MemoryMembers, MemoryPeers,
+                                           MemoryReport, Network, Told)
+from plantainridge.standins.memory_log import MemoryLogPort
+from plantainridge.standins.memory_services import MemoryServicePort
 from plantainridge.standins.service import ServiceModel
 from plantainridge.state import VmState
 
@@ -203,12 +204,23 @@
                      service: ServiceId,
                      key: str = '',
                      body: bytes = b'{}',
-                     team: TeamId = TEAM) -> Told:
+                     team: TeamId = TEAM,
+                     resend: bool = False) -> Told:
         """Sends a plain service's call to a VM."""
         return self._post(
             vm,
-            ev.ServiceCalled(self._next_request(), team, service, 'POST', '/',
-                             body, key))
+            ev.ServiceCalled(self._next_request(),
+                             team,
+                             service,
+                             'POST',
+                             '/',
+                             body,
+                             key,
+                             resend=resend))
+
+    def new_key(self) -> str:
+        """Returns an idempotency key made now."""
+        return claim_keys.new_key(self.log.time(), self.rng.getrandbits(64))
 
     def hang_up(self, ask: Ask) -> None:
         """Closes a caller's connection before its answer's end."""
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -9,6 +9,7 @@
 from plantainridge.checkpoints import CheckpointState
 from plantainridge.config import EMPTY, Config
 from plantainridge.calls import CallTable
+from plantainridge.claim_state import ClaimsState
 from plantainridge.directory import Directory
 from plantainridge.endpoints import EngineIndex, EndpointView
 from plantainridge.exchange import ExchangeState
@@ -46,6 +47,7 @@
         calls: Requests and attempts in flight.
         exchange: What VMs of the data centre tell one another.
         members: Which VMs live.
+        claims: Calls that must run at most once.
         stopping: Whether a graceful shutdown was asked for.
     """
 
@@ -67,6 +69,7 @@
     calls: CallTable = attrs.field(factory=CallTable)
     exchange: ExchangeState = attrs.field(factory=ExchangeState)
     members: MembersState = attrs.field(factory=MembersState)
+    claims: ClaimsState = attrs.field(factory=ClaimsState)
     stopping: bool = False
 
     @property
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -92,6 +92,7 @@
                     joined += first > 0
                     self.assertEqual(late.config, full.config, (seed, first))
                 self.assertLessEqual(late.config.revision, full.config.revision)
+        self.assertGreater(joined, len(SEEDS))
 
     def test_a_cut_change_is_no_change(self) -> None:
         difference = differences.Difference(
