--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from plantainridge import blocks, config
+from plantainridge import blocks, claim_keys, config
 from plantainridge import events as ev
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, TeamId, VmId,
@@ -16,10 +16,12 @@
 from plantainridge.standins.audit import Audit
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.log import LogModel
+from plantainridge.standins.members import MembersModel
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
-                                           MemoryLogPort, MemoryPeers,
-                                           MemoryReport, MemoryServicePort,
-                                           Network, Told)
+                                           MemoryMembers, MemoryPeers,
+                                           MemoryReport, Network, Told)
+from plantainridge.standins.memory_log import MemoryLogPort
+from plantainridge.standins.memory_services import MemoryServicePort
 from plantainridge.standins.service import ServiceModel
 from plantainridge.state import VmState
 
@@ -124,14 +126,15 @@
             EndpointId('s-lookup'): ServiceModel()
         }
         self.posts: dict[str, Post] = {}
+        self.members = MembersModel()
         self.asks: list[Ask] = []
         self.past: list[Vm] = []
         self.vms = [self.start_vm(f'vm{i}') for i in range(vms)]
 
-    def start_vm(self, name: str) -> Vm:
+    def start_vm(self, name: str, dc: DcId = DC) -> Vm:
         """Starts a VM's process with nothing kept."""
         callers, report = MemoryCallers(), MemoryReport()
-        state = VmState(VmId(name), DC,
+        state = VmState(VmId(name), dc,
                         Incarnation(f'{name}-{self.rng.getrandbits(64):x}'),
                         random.Random(self.rng.getrandbits(64)))
         engines = MemoryEnginePort(name, self.network, self.engines)
@@ -148,7 +151,10 @@
         vm = Vm(VmId(name), runtime, callers, engines, services, log, report)
         ports.on_exit = lambda: self._exited(vm)
         self.posts[name] = runtime.post
+        state.exchange.address = name
+        self.members.put(ev.Member(VmId(name), dc, name, leaving=False))
         runtime.start()
+        MemoryMembers(name, self.network, self.members, runtime).start()
         return vm
 
     def _exited(self, vm: Vm) -> None:
@@ -213,12 +219,23 @@
                      service: ServiceId,
                      key: str = '',
                      body: bytes = b'{}',
-                     team: TeamId = TEAM) -> Told:
+                     team: TeamId = TEAM,
+                     resend: bool = False) -> Told:
         """Sends a plain service's call to a VM."""
         return self._post(
             vm,
-            ev.ServiceCalled(self._next_request(), team, service, 'POST', '/',
-                             body, key))
+            ev.ServiceCalled(self._next_request(),
+                             team,
+                             service,
+                             'POST',
+                             '/',
+                             body,
+                             key,
+                             resend=resend))
+
+    def new_key(self) -> str:
+        """Returns an idempotency key made now."""
+        return claim_keys.new_key(self.log.time(), self.rng.getrandbits(64))
 
     def hang_up(self, ask: Ask) -> None:
         """Closes a caller's connection before its answer's end."""
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -4,13 +4,24 @@
 
 import attrs
 
+from plantainridge import revisions
+from plantainridge.catchup import CatchUpState
+from plantainridge.checkpoints import CheckpointState
 from plantainridge.config import EMPTY, Config
 from plantainridge.calls import CallTable
-from plantainridge.endpoints import EndpointView
+from plantainridge.claim_state import ClaimsState
+from plantainridge.directory import Directory
+from plantainridge.endpoints import EngineIndex, EndpointView
 from plantainridge.exchange import ExchangeState
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
+from plantainridge.links import LinkTable
 from plantainridge.members import MembersState
-from plantainridge.routing import LeastLoaded, Policy
+from plantainridge.readiness import Readiness
+from plantainridge.revisions import RevisionsState
+from plantainridge.returning import Returning
+from plantainridge.returns import ReturnTable
+from plantainridge.routing import Policy
+from plantainridge.transfers import TransferTable
 
 
 @attrs.define
@@ -24,11 +35,19 @@
         rng: The only source of randomness, seeded.
         policy: How endpoints are chosen.
         config: The accepted configuration in force.
-        config_next: Offset of the next configuration record to read.
+        revisions: How far this VM has followed the configuration.
+        catchup: What it asks of peers and sends them of it.
+        checkpoints: Its part in appending checkpoints of it.
         endpoints: What is known of each configured endpoint.
+        index: Engines by model, made from `endpoints`.
+        directory: Who holds which blocks.
+        links: What is known of each store's link.
+        transfers: Movements of blocks that this VM asked for.
+        returns: Learnt gaps after which contexts return.
         calls: Requests and attempts in flight.
         exchange: What VMs of the data centre tell one another.
         members: Which VMs live.
+        claims: Calls that must run at most once.
         stopping: Whether a graceful shutdown was asked for.
     """
 
@@ -36,16 +55,34 @@
     dc: DcId
     incarnation: Incarnation
     rng: random.Random
-    policy: Policy = attrs.field(factory=LeastLoaded)
+    policy: Policy = attrs.field(factory=Returning)
     config: Config = EMPTY
-    config_next: int = 0
+    revisions: RevisionsState = attrs.field(factory=RevisionsState)
+    catchup: CatchUpState = attrs.field(factory=CatchUpState)
+    checkpoints: CheckpointState = attrs.field(factory=CheckpointState)
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
+    index: EngineIndex = attrs.field(factory=EngineIndex)
+    directory: Directory = attrs.field(factory=Directory)
+    links: LinkTable = attrs.field(factory=LinkTable)
+    transfers: TransferTable = attrs.field(factory=TransferTable)
+    returns: ReturnTable = attrs.field(factory=ReturnTable)
     calls: CallTable = attrs.field(factory=CallTable)
     exchange: ExchangeState = attrs.field(factory=ExchangeState)
     members: MembersState = attrs.field(factory=MembersState)
+    claims: ClaimsState = attrs.field(factory=ClaimsState)
     stopping: bool = False
 
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
         return self.config.revision >= 0 and not self.stopping
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether requests may be sent here, and why not."""
+        return revisions.readiness(self)
+
+    @property
+    def config_next(self) -> int:
+        """Offset of the next configuration record to take in."""
+        return self.revisions.replica.next
