Name the counting wrapper of the fuzzer's rules

Cause: pylint rejects a name that shadows the module's run, and click's call without arguments. Change: a name of its own, one narrow exemption for click. Measurement: no behaviour changes; rules are counted as before. Conclusion: the linter passes.

--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -49,12 +49,12 @@
 def counted(rule: Callable[..., None]) -> Callable[..., None]:
     """Counts each run of a rule."""
 
-    def run(self: 'WorldMachine', **arguments: Any) -> None:
+    def counting(self: 'WorldMachine', **arguments: Any) -> None:
         RULES[rule.__name__] += 1
         rule(self, **arguments)
 
-    run.__name__ = rule.__name__
-    return run
+    counting.__name__ = rule.__name__
+    return counting
 
 
 vm_index = st.integers(0, VMS - 1)
@@ -342,4 +342,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    main()  # pylint: disable=no-value-for-parameter
