Fuzz marked calls, pauses, delayed and crossed answers

Cause: claims, pauses and the log's faults landed after the first rules. Change: rules for them; a run records every failing example with its steps instead of ending at the first, so that one known fault hides no other.

--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -20,8 +20,9 @@
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
                                            MemoryMembers, MemoryPeers,
                                            MemoryReport, Network, Told)
-from plantainridge.standins.memory_log import MemoryLogPort
-from plantainridge.standins.memory_services import MemoryServicePort
+from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
+from plantainridge.standins.memory_services import (MemoryServicePort,
+                                                    ServiceFaults)
 from plantainridge.standins.service import ServiceModel
 from plantainridge.state import VmState
 
@@ -186,8 +187,9 @@
             engine.alive = True
             engine.slowdown = 1.0
         for vm in self.vms:
-            vm.log.lose_answer = 0.0
-            vm.services.lose_answer = 0.0
+            vm.runtime.resume()
+            vm.log.faults = LogFaults()
+            vm.services.faults = ServiceFaults()
 
     def every_vm(self) -> Iterator[Vm]:
         """Yields all VMs that ever lived."""
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -17,7 +17,7 @@
 from hypothesis import strategies as st
 
 from plantainridge import paused
-from plantainridge.ids import EndpointId, WeightVersion
+from plantainridge.ids import EndpointId, TeamId, WeightVersion
 from plantainridge.standins import world as worlds
 from plantainridge.standins.oracle import Oracle, Violation
 from plantainridge.standins.world import Vm, World
@@ -28,7 +28,6 @@
 PEER_CUT_S: Final = 30.0
 TEXTS: Final = ('manifest ' * 1_500, 'manifest ' * 3_000, 'survey ' * 2_500,
                 'short')
-KEYS: Final = ('pickup-1', 'pickup-2', 'pickup-3')
 TEAMS: Final = (worlds.TEAM, worlds.OTHER_TEAM)
 
 T = TypeVar('T')
@@ -46,11 +45,36 @@
         self.violations = violations
 
 
+@attrs.frozen
+class Step:
+    """One rule that an example ran, with its arguments."""
+
+    rule: str
+    arguments: dict[str, Any]
+
+    def __str__(self) -> str:
+        shown = ', '.join(f'{k}={v!r}' for k, v in self.arguments.items())
+        return f'{self.rule}({shown})'
+
+
+@attrs.frozen
+class Failed:
+    """An example that broke conditions, and the steps that led there."""
+
+    violations: list[Violation]
+    trace: list[Step]
+
+
+# Examples of the process that broke a condition.
+FAILED: list[Failed] = []
+
+
 def counted(rule: Callable[..., None]) -> Callable[..., None]:
     """Counts each run of a rule."""
 
     def counting(self: 'WorldMachine', **arguments: Any) -> None:
         RULES[rule.__name__] += 1
+        self.trace.append(Step(rule.__name__, arguments))
         rule(self, **arguments)
 
     counting.__name__ = rule.__name__
@@ -62,7 +86,13 @@
 
 
 class WorldMachine(stateful.RuleBasedStateMachine):
-    """Callers, operators and faults, in any order."""
+    """Callers, operators and faults, in any order.
+
+    Attributes:
+        stop_at_first: Whether the first failing example ends the run.
+    """
+
+    stop_at_first = False
 
     def __init__(self) -> None:
         super().__init__()
@@ -70,6 +100,8 @@
         self.world = self.within(self._build)
         self.oracle = Oracle(self.world)
         self.version = 1
+        self.trace: list[Step] = []
+        self.keys: list[tuple[TeamId, str]] = []
         self.pass_time(1.0)
 
     async def _build(self) -> World:
@@ -111,24 +143,44 @@
     # --- Callers ------------------------------------------------------------
 
     @stateful.rule(vm=vm_index,
-                   text=st.sampled_from(TEXTS),
+                   text=st.integers(0,
+                                    len(TEXTS) - 1),
                    team=st.sampled_from(TEAMS),
                    tokens=st.integers(1, 40))
     @counted
-    def ask_model(self, vm: int, text: str, team: Any, tokens: int) -> None:
+    def ask_model(self, vm: int, text: int, team: Any, tokens: int) -> None:
         """A caller asks a model."""
+        target = self.live(vm)
         self.act(lambda: _drop(
-            self.world.ask_model(self.live(vm), text, tokens, team)))
+            self.world.ask_model(target, TEXTS[text], tokens, team)))
+
+    @stateful.rule(vm=vm_index, team=st.sampled_from(TEAMS))
+    @counted
+    def call_ledger(self, vm: int, team: Any) -> None:
+        """A caller sends a new call that must run at most once."""
+        target = self.live(vm)
 
+        def call() -> None:
+            key = self.world.new_key()
+            self.keys.append((team, key))
+            self.world.call_service(target, worlds.LEDGER, key, team=team)
+
+        self.act(call)
+
+    @stateful.precondition(lambda self: self.keys)
     @stateful.rule(vm=vm_index,
-                   key=st.sampled_from(KEYS),
-                   team=st.sampled_from(TEAMS))
+                   pick=st.integers(0, 100),
+                   body=st.sampled_from([b'{}', b'{}', b'{"other": 1}']),
+                   said=st.booleans())
     @counted
-    def call_ledger(self, vm: int, key: str, team: Any) -> None:
-        """A caller sends a call that must run at most once."""
+    def resend_ledger(self, vm: int, pick: int, body: bytes,
+                      said: bool) -> None:
+        """A caller sends a call again by any VM, maybe with another body."""
+        team, key = self.keys[pick % len(self.keys)]
         target = self.live(vm)
         self.act(lambda: _drop(
-            self.world.call_service(target, worlds.LEDGER, key, team=team)))
+            self.world.call_service(target, worlds.LEDGER, key, body, team, said
+                                   )))
 
     @stateful.rule(vm=vm_index)
     @counted
@@ -195,8 +247,38 @@
     @counted
     def lose_answers(self, chance: float, vm: int) -> None:
         """Answers are lost after the action took effect."""
-        self.world.vms[vm].log.lose_answer = chance
-        self.world.vms[vm].services.lose_answer = chance
+        self.world.vms[vm].log.faults.lose_answer = chance
+        self.world.vms[vm].services.faults.lose_answer = chance
+
+    @stateful.rule(chance=st.sampled_from([0.0, 0.5, 1.0]), vm=vm_index)
+    @counted
+    def delay_appends(self, chance: float, vm: int) -> None:
+        """Appends fail and take effect later all the same, or twice."""
+        self.world.vms[vm].log.faults.delay = chance
+        self.world.vms[vm].log.faults.double = chance / 2
+
+    @stateful.rule(chance=st.sampled_from([0.0, 0.5]), vm=vm_index)
+    @counted
+    def cross_answers(self, chance: float, vm: int) -> None:
+        """Services answer with another request's id, or never."""
+        self.world.vms[vm].services.faults.cross = chance
+        self.world.vms[vm].services.faults.hang = chance / 2
+
+    @stateful.rule(vm=vm_index)
+    @counted
+    def pause_vm(self, vm: int) -> None:
+        """A VM's process stands still, or goes on."""
+        runtime = self.world.vms[vm].runtime
+        if runtime.paused:
+            self.act(runtime.resume)
+        else:
+            self.act(runtime.pause)
+
+    @stateful.rule(slow=st.booleans())
+    @counted
+    def slow_log(self, slow: bool) -> None:
+        """The log becomes slow, or fast again."""
+        self.world.log.slow_s = 1.0 if slow else 0.0
 
     @stateful.rule(a=vm_index, b=vm_index)
     @counted
@@ -268,17 +350,22 @@
             if self.world.log.down or not self.world.network.reaches(
                     vm.name, 'log'):
                 self.oracle.excuse(vm.name, now)
+            if vm.runtime.paused:
+                self.oracle.excuse(vm.name, now)
 
     def teardown(self) -> None:
         """Heals every fault, lets all come to rest, and judges."""
-        self.world.heal()
+        self.act(self.world.heal)
         for vm in list(self.world.vms):
             if vm.runtime.halted:
                 self.renew(vm)
         self.pass_time(SETTLE_S)
         violations = self.oracle.judge()
         self.runner.close()
-        if violations:
+        if not violations:
+            return
+        FAILED.append(Failed(violations, self.trace))
+        if self.stop_at_first:
             raise ConditionBroken(violations)
 
 
@@ -304,19 +391,20 @@
 def run(seed: int,
         examples: int,
         steps: int,
-        shrink: bool = False) -> list[str]:
-    """Fuzzes once; returns what was found, in words."""
+        shrink: bool = False) -> list[Failed]:
+    """Fuzzes once; returns the examples that failed."""
     RULES.clear()
+    FAILED.clear()
     machine = hypothesis.seed(seed)(WorldMachine)
+    machine.stop_at_first = shrink
     try:
         stateful.run_state_machine_as_test(machine,
                                            settings=settings(
                                                examples, steps, shrink))
-    except ConditionBroken as broken:
-        return [
-            f'{each.check.value}: {each.detail}' for each in broken.violations
-        ]
-    return []
+    except ConditionBroken:
+        # The last one recorded is the shortest that was found.
+        return FAILED[-1:]
+    return list(FAILED)
 
 
 @click.command()
@@ -326,8 +414,13 @@
 @click.option('--shrink/--no-shrink', help='Look for the shortest failure.')
 def main(seed: int, examples: int, steps: int, shrink: bool) -> None:
     """Fuzzes, then prints one line of JSON; exits with 1 on a violation."""
-    found = run(seed, examples, steps, shrink)
-    if found:
+    failed = run(seed, examples, steps, shrink)
+    for each in failed[:3]:
+        for step in each.trace:
+            click.echo(f'  {step}')
+        for violation in each.violations:
+            click.echo(f'{violation.check.value}: {violation.detail}')
+    if failed:
         click.echo(f'replay: make fuzz SEED={seed} EXAMPLES={examples} '
                    f'STEPS={steps}')
     click.echo(
@@ -335,10 +428,14 @@
             'seed': seed,
             'examples': examples,
             'steps': steps,
-            'violations': found,
+            'violations': [
+                f'{violation.check.value}: {violation.detail}'
+                for each in failed
+                for violation in each.violations
+            ],
             'rules': dict(sorted(RULES.items())),
         }))
-    sys.exit(1 if found else 0)
+    sys.exit(1 if failed else 0)
 
 
 if __name__ == '__main__':
