--- /dev/null
+++ b/src/plantainridge/matrix.py
@@ -0,0 +1,204 @@
+"""Fault matrix: every fault at every step of each life cycle, and pairs."""
+
+import asyncio
+import json
+import pathlib
+import random
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+import click
+
+from plantainridge import paused
+from plantainridge.standins.cycles import CYCLES, Cycle, Step
+from plantainridge.standins.faults import FAULTS, Fault
+from plantainridge.standins.oracle import Violation
+from plantainridge.standins.scene import START_S, Scene
+
+SETTLE_S: Final = 100.0
+DEFAULT_PAIRS: Final = 60
+
+
+@attrs.frozen
+class Strike:
+    """A fault and the step at which it strikes."""
+
+    fault: type[Fault]
+    step: Step
+
+
+@attrs.frozen
+class Cell:
+    """One life cycle with one or two strikes."""
+
+    cycle: type[Cycle]
+    strikes: tuple[Strike, ...]
+
+    @property
+    def name(self) -> str:
+        """The cell's name in reports."""
+        parts = [f'{s.fault.name}@{s.step.name}' for s in self.strikes]
+        return f'{self.cycle.name}: ' + ' + '.join(parts)
+
+
+@attrs.frozen
+class CellResult:
+    """What a cell's run showed.
+
+    Attributes:
+        struck: Names of faults that happened at their step.
+    """
+
+    cell: Cell
+    struck: tuple[str, ...]
+    violations: tuple[Violation, ...]
+
+    @property
+    def passed(self) -> bool:
+        """Whether every fault happened and no condition was broken."""
+        return (len(self.struck) == len(self.cell.strikes) and
+                not self.violations)
+
+
+@attrs.define
+class Report:
+    """Counts cells and words the summary."""
+
+    passed: int = 0
+    failed: list[dict[str, Any]] = attrs.field(factory=list)
+    not_applicable: list[dict[str, str]] = attrs.field(factory=list)
+
+    def add(self, result: CellResult) -> None:
+        """Counts a cell that ran."""
+        if result.passed:
+            self.passed += 1
+            return
+        missing = [
+            strike.fault.name
+            for strike in result.cell.strikes
+            if strike.fault.name not in result.struck
+        ]
+        self.failed.append({
+            'cell':
+                result.cell.name,
+            'did_not_happen':
+                missing,
+            'violations': [
+                f'{each.check.value}: {each.detail}'
+                for each in result.violations
+            ],
+        })
+
+    def skip(self, cell: Cell, why: str) -> None:
+        """Counts a cell whose fault cannot touch its life cycle."""
+        self.not_applicable.append({'cell': cell.name, 'why': why})
+
+    def as_json(self) -> dict[str, Any]:
+        """Returns the figures for the report file."""
+        return {
+            'cells': self.passed + len(self.failed),
+            'passed': self.passed,
+            'failed': self.failed,
+            'not_applicable': self.not_applicable,
+        }
+
+
+def single_cells() -> Iterator[Cell]:
+    """Yields every fault at every step of each life cycle."""
+    for cycle in CYCLES:
+        for step in cycle.steps:
+            for fault in FAULTS:
+                yield Cell(cycle, (Strike(fault, step),))
+
+
+def pair_cells(seed: int, count: int) -> Iterator[Cell]:
+    """Yields pairs of faults at steps in order, drawn by a seed."""
+    rng = random.Random(seed)
+    for _ in range(count):
+        cycle = rng.choice(CYCLES)
+        first, second = sorted(rng.choices(range(len(cycle.steps)), k=2))
+        # A VM that has died goes through no further step.
+        harmless = [fault for fault in FAULTS if fault.name != 'vm_killed']
+        yield Cell(cycle, (Strike(rng.choice(harmless), cycle.steps[first]),
+                           Strike(rng.choice(FAULTS), cycle.steps[second])))
+
+
+def why_not(cell: Cell) -> str:
+    """Returns why a cell cannot be run, or nothing."""
+    for strike in cell.strikes:
+        why = strike.fault().applies(cell.cycle.name)
+        if why:
+            return why
+    return ''
+
+
+def run_cell(cell: Cell, seed: int) -> CellResult:
+    """Runs one cell on a clock of its own."""
+    return paused.run(_run(cell, seed))
+
+
+async def _run(cell: Cell, seed: int) -> CellResult:
+    scene = Scene(seed)
+    await asyncio.sleep(START_S)
+    struck: list[str] = []
+    for strike in cell.strikes:
+        fault = strike.fault()
+
+        def act(fault: Fault = fault) -> None:
+            struck.append(fault.name)
+            fault.strike(scene)
+
+        scene.at(strike.step.matches, strike.step.nth, act)
+    await cell.cycle().run(scene)
+    await scene.settle(SETTLE_S)
+    return CellResult(cell, tuple(struck), tuple(scene.oracle.judge()))
+
+
+def run(seed: int, pairs: int, only: str = '') -> Report:
+    """Runs all cells whose name holds `only`."""
+    report = Report()
+    cells = [
+        cell for cell in (*single_cells(), *pair_cells(seed, pairs))
+        if only in cell.name
+    ]
+    with click.progressbar(cells, label='cells') as shown:
+        for cell in shown:
+            why = why_not(cell)
+            if why:
+                report.skip(cell, why)
+            else:
+                report.add(run_cell(cell, seed))
+    return report
+
+
+@click.command()
+@click.option('--seed', type=click.IntRange(0), default=1, show_default=True)
+@click.option('--pairs',
+              type=click.IntRange(0),
+              default=DEFAULT_PAIRS,
+              show_default=True,
+              help='How many pairs of faults are drawn.')
+@click.option('--only', default='', help='Part of the names of cells to run.')
+@click.option('--json',
+              'json_file',
+              type=click.Path(dir_okay=False, path_type=pathlib.Path),
+              help='File to write the report to.')
+def matrix(seed: int, pairs: int, only: str,
+           json_file: pathlib.Path | None) -> None:
+    """Runs every fault at every step; exits with 1 if a cell fails."""
+    report = run(seed, pairs, only)
+    figures = report.as_json()
+    if json_file is not None:
+        json_file.write_text(json.dumps(figures, indent=2) + '\n')
+    for failed in report.failed:
+        click.echo(f'{failed["cell"]}: {failed["violations"]} '
+                   f'did not happen: {failed["did_not_happen"]}')
+    click.echo(
+        json.dumps({
+            'cells': figures['cells'],
+            'passed': report.passed,
+            'failed': len(report.failed),
+            'not_applicable': len(report.not_applicable),
+        }))
+    raise SystemExit(1 if report.failed else 0)
--- /dev/null
+++ b/src/plantainridge/standins/scene.py
@@ -0,0 +1,128 @@
+"""One world with an oracle, where a fault strikes at a chosen step."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from plantainridge import config
+from plantainridge import effects as fx
+from plantainridge import events as ev
+from plantainridge.ids import DcId, EndpointId
+from plantainridge.refusals import RanState
+from plantainridge.standins import world as worlds
+from plantainridge.standins.oracle import Oracle
+from plantainridge.standins.world import Vm, World
+
+DCS: Final = (DcId('neihu'), DcId('banqiao'))
+VMS: Final = 4
+ENGINES: Final = 3
+START_S: Final = 15.0
+
+Sign = ev.Event | fx.Effect
+
+
+class Scene:
+    """What a cell of the fault matrix runs in.
+
+    Attributes:
+        subject: The VM whose life cycle is followed.
+        endpoint: Endpoint that the subject last sent work to.
+        signs: Events and effects of the subject so far.
+        keys: Marked calls made so far, with what their callers were told.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.world = World(VMS, ENGINES, seed, DCS)
+        self.oracle = Oracle(self.world)
+        self.subject = self.world.vms[0]
+        self.endpoint: EndpointId | None = None
+        self.signs = 0
+        self._waiting: list[_Waiting] = []
+        self.follow(self.subject)
+
+    def follow(self, vm: Vm) -> None:
+        """Makes a VM the subject."""
+        self.subject = vm
+        vm.runtime.watchers.append(lambda sign: self._on(vm, sign))
+
+    def at(self, matches: Callable[[Sign], bool], nth: int,
+           act: Callable[[], None]) -> None:
+        """Acts when the nth matching event or effect of the subject comes."""
+        self._waiting.append(_Waiting(matches, nth, act))
+
+    def replace(self, vm: Vm) -> Vm:
+        """Replaces a VM by an empty one that the oracle watches."""
+        renewed = self.world.replace_vm(vm)
+        self.oracle.watch(renewed)
+        if vm is self.subject:
+            self.follow(renewed)
+        return renewed
+
+    def publish(self, base: int, wanted: config.Config) -> int:
+        """Publishes a revision that the oracle knows of."""
+        now = asyncio.get_running_loop().time()
+        offset = self.world.publish(base, wanted)
+        self.oracle.note_published(offset, base, now)
+        if self.oracle.accepted() == offset:
+            self.world.config = wanted
+        return offset
+
+    def peers(self) -> list[Vm]:
+        """Lists the VMs other than the subject."""
+        return [vm for vm in self.world.vms if vm is not self.subject]
+
+    async def settle(self, seconds: float) -> None:
+        """Ends every fault, brings back what died, and lets all rest."""
+        self.world.heal()
+        for vm in list(self.world.vms):
+            if vm.runtime.halted:
+                self.replace(vm)
+        await asyncio.sleep(seconds)
+
+    def _on(self, vm: Vm, sign: Sign) -> None:
+        if vm is not self.subject:
+            return
+        self.signs += 1
+        if isinstance(sign, (fx.StartAttempt, fx.CallService)):
+            self.endpoint = sign.endpoint
+        for waiting in list(self._waiting):
+            if not waiting.matches(sign):
+                continue
+            waiting.nth -= 1
+            if waiting.nth == 0:
+                self._waiting.remove(waiting)
+                waiting.act()
+
+
+@attrs.define
+class _Waiting:
+    matches: Callable[[Sign], bool]
+    nth: int
+    act: Callable[[], None]
+
+
+async def resend_until_final(scene: Scene, key: str, tries: int,
+                             pause_s: float) -> None:
+    """Calls the ledger by one VM after another, as a careful caller does.
+
+    The caller goes on only while it was told nothing or a true `not_run`.
+    """
+    for number in range(tries):
+        vm = scene.world.vms[number % len(scene.world.vms)]
+        if vm.runtime.halted:
+            await asyncio.sleep(pause_s)
+            continue
+        told = scene.world.call_service(vm,
+                                        worlds.LEDGER,
+                                        key,
+                                        resend=number > 0)
+        try:
+            await asyncio.wait_for(told.done.wait(), pause_s)
+        except TimeoutError:
+            continue
+        refusal = told.refusal
+        if refusal is None or refusal.ran is not RanState.NOT_RUN:
+            return
+        await asyncio.sleep(pause_s)
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -109,7 +109,11 @@
     Build it inside the running loop.
     """
 
-    def __init__(self, vms: int = 1, engines: int = 2, seed: int = 1) -> None:
+    def __init__(self,
+                 vms: int = 1,
+                 engines: int = 2,
+                 seed: int = 1,
+                 dcs: tuple[DcId, ...] = (DC,)) -> None:
         self.rng = random.Random(seed)
         self.network = Network()
         self.log = LogModel()
@@ -130,7 +134,9 @@
         self.members = MembersModel()
         self.asks: list[Ask] = []
         self.past: list[Vm] = []
-        self.vms = [self.start_vm(f'vm{i}') for i in range(vms)]
+        self.vms = [
+            self.start_vm(f'vm{i}', dcs[i % len(dcs)]) for i in range(vms)
+        ]
 
     def start_vm(self, name: str, dc: DcId = DC) -> Vm:
         """Starts a VM's process with nothing kept."""
@@ -171,7 +177,7 @@
         """Kills a VM if it lives and starts an empty one by its name."""
         self.kill_vm(vm)
         self.past.append(vm)
-        renewed = self.start_vm(vm.name)
+        renewed = self.start_vm(vm.name, vm.state.dc)
         self.vms[self.vms.index(vm)] = renewed
         return renewed
 
