--- a/src/plantainridge/cli.py
+++ b/src/plantainridge/cli.py
@@ -5,7 +5,7 @@
 
 import click
 
-from plantainridge import VERSION, benches, demo, reports
+from plantainridge import VERSION, benches, demo, reports, sheet_cli
 
 
 @click.group(context_settings={'auto_envvar_prefix': 'PLANTAINRIDGE'})
@@ -29,3 +29,6 @@
 @main.group(cls=benches.BenchGroup)
 def bench() -> None:
     """Measures one part of the system and prints its figures as JSON."""
+
+
+main.add_command(sheet_cli.commands)
--- a/src/plantainridge/revisions.py
+++ b/src/plantainridge/revisions.py
@@ -52,7 +52,7 @@
         caught_up: Whether the configuration may be in force.
         log_ok: Whether the last read of the log was answered.
         log_end: Highest end that the log told of; -1 before any answer.
-        log_clock_s: Log time less loop time, at least, in s.
+        log_clock_s: Log time less loop time as last read, in s.
         conflicts: Last proposals that lost.
     """
 
@@ -99,8 +99,7 @@
     own = state.revisions
     own.log_ok = True
     own.log_end = max(own.log_end, event.end)
-    if event.records:
-        own.log_clock_s = max(own.log_clock_s, event.records[-1].at - now)
+    own.log_clock_s = event.at - now
     before = own.replica.config
     outcomes = own.replica.take_log(event.records, event.first)
     yield from taken(state, before, outcomes, now)
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -170,7 +170,7 @@
         """Kills a VM if it lives and starts an empty one by its name."""
         self.kill_vm(vm)
         self.past.append(vm)
-        renewed = self.start_vm(vm.name)
+        renewed = self.start_vm(vm.name, vm.state.dc)
         self.vms[self.vms.index(vm)] = renewed
         return renewed
 
--- /dev/null
+++ b/tests/test_sheet.py
@@ -0,0 +1,160 @@
+"""Tests of the sheet and its commands."""
+
+import asyncio
+import pathlib
+import unittest
+
+from click.testing import CliRunner
+
+from plantainridge import differences, sheet, sheet_checks, sheet_cli
+from plantainridge.config import Config
+from plantainridge.serve import AppServer
+from plantainridge.sheet_cli import ExitCode
+from plantainridge.sheet_rows import SheetRejected
+from plantainridge.standins.log import LogApp, LogModel
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+HASH = 'ab' * 32
+LUMINAR = EXAMPLES / 'luminar.csv'
+
+GOOD = [
+    {'kind': 'dc', 'name': 'neihu'},
+    {'kind': 'model', 'name': 'report', 'version': 'v1'},
+    {'kind': 'team', 'name': 'bureau', 'key_hash': HASH, 'models': 'report'},
+    {'kind': 'engine', 'name': 'e1', 'dc': 'neihu', 'serves': 'report',
+     'address': '10.0.0.1:9000'},
+]  # yapf: disable
+
+# Rows added to the good ones, and the column named in each row's fault.
+FAULTS = [
+    ({'kind': 'team', 'name': 'b c', 'key_hash': 'cd' * 32}, ['name']),
+    ({'kind': 'team', 'name': 't2', 'key_hash': 'xyz'}, ['key_hash']),
+    ({'kind': 'team', 'name': 't3', 'key_hash': HASH}, ['key_hash']),
+    ({'kind': 'team', 'name': 't4', 'key_hash': '12' * 32, 'models': 'nix'},
+     ['models']),
+    ({'kind': 'team', 'name': 't5', 'key_hash': '13' * 32, 'priority': '1.5',
+      'first_token_s': '1,5'}, ['priority', 'first_token_s']),
+    ({'kind': 'team', 'name': 't6', 'key_hash': '14' * 32, 'dc': 'neihu'},
+     ['dc']),
+    ({'kind': 'engine', 'name': 'e1', 'dc': 'nowhere', 'serves': 'nothing',
+      'address': 'host:80', 'fencing': 'maybe', 'leaving': 'perhaps'},
+     ['fencing', 'address', 'leaving', 'name', 'dc', 'serves']),
+    ({'kind': 'engine', 'name': 'e2', 'dc': 'neihu', 'serves': 'report',
+      'address': '10.0.0.1:9000'}, ['address']),
+    ({'kind': 'instance', 'name': 's1', 'dc': 'neihu', 'serves': 'report',
+      'address': '10.0.0.1:70000'}, ['address', 'serves']),
+    ({'kind': 'wagon', 'name': 'x'}, ['kind']),
+]  # yapf: disable
+
+
+def text(rows: list[dict[str, str]], end: int | None = None) -> str:
+    """Returns a sheet with these rows and an end row."""
+    count = len(rows) if end is None else end
+    lines = [','.join(sheet.COLUMNS)]
+    for row in [*rows, {'kind': 'end', 'name': str(count)}]:
+        cells = [row.get(column, '') for column in sheet.COLUMNS]
+        lines.append(','.join(
+            f'"{cell}"' if ',' in cell else cell for cell in cells))
+    return '\n'.join(lines) + '\n'
+
+
+def faults(sheet_text: str) -> list[tuple[int, str]]:
+    """Returns row and column of each fault."""
+    try:
+        sheet.parse(sheet_text)
+    except SheetRejected as rejected:
+        return [(each.row, each.column) for each in rejected.errors]
+    return []
+
+
+class ParseTest(unittest.TestCase):
+    """A sheet is taken whole, or refused with every fault named."""
+
+    def test_names_all_faults_at_once(self) -> None:
+        rows = GOOD + [row for row, _ in FAULTS]
+        expected = {(number, column)
+                    for number, (_, columns) in enumerate(FAULTS, 6)
+                    for column in columns}
+        self.assertEqual(set(faults(text(rows))), expected)
+
+    def test_refuses_a_file_cut_short(self) -> None:
+        whole = text(GOOD)
+        lines = whole.splitlines(keepends=True)
+        for kept in range(1, len(lines)):
+            self.assertTrue(faults(''.join(lines[:kept])), kept)
+        self.assertEqual(faults(text(GOOD, end=9)), [(6, 'name')])
+        self.assertEqual(faults(whole), [])
+
+    def test_spreadsheets_other_forms(self) -> None:
+        plain = sheet.parse(text(GOOD))
+        forms = [
+            '\ufeff' + text(GOOD),
+            text(GOOD).replace(',', ';'),
+            text(GOOD).replace('\n', '\r\n'),
+            text(GOOD) + ',' * (len(sheet.COLUMNS) - 1) + '\n',
+        ]
+        for form in forms:
+            self.assertEqual(sheet.parse(form), plain)
+
+    def test_guards_removals_above_a_tenth(self) -> None:
+
+        def teams(count: int) -> Config:
+            rows = [{
+                'kind': 'team',
+                'name': f't{i}',
+                'key_hash': f'{i:064x}'
+            } for i in range(count)]
+            return sheet.parse(text(rows))
+
+        self.assertFalse(sheet_checks.removes_too_much(teams(20), teams(18)))
+        self.assertTrue(sheet_checks.removes_too_much(teams(20), teams(17)))
+
+    def test_says_in_words_what_changes(self) -> None:
+        old = sheet.parse(text(GOOD))
+        changed = [dict(row) for row in GOOD]
+        changed[1]['version'] = 'v2'
+        new = sheet.parse(text(changed[:3]))
+        self.assertEqual(
+            list(differences.in_words(old, differences.between(old, new))), [
+                'remove endpoint e1',
+                'change model report: version from v1 to v2'
+            ])
+
+
+class CommandTest(unittest.TestCase):
+    """The commands end with the documented codes."""
+
+    def test_apply_conflict_diff_and_outage(self) -> None:
+        asyncio.run(self._scenario())
+
+    async def _scenario(self) -> None:
+        model = LogModel()
+        server = AppServer(LogApp(model).app, '127.0.0.1', 0)
+        await server.start()
+        at = ('--log', server.address)
+        steps = [
+            (('check', str(LUMINAR)), ExitCode.OK),
+            (('apply', str(LUMINAR), '--base', '-1', *at), ExitCode.OK),
+            (('diff', str(LUMINAR), *at), ExitCode.OK),
+            (('diff', str(EXAMPLES / 'scordato.csv'), *at),
+             ExitCode.DIFFERENT),
+            (('apply', str(LUMINAR), '--base', '-1', *at), ExitCode.CONFLICT),
+            (('apply', str(EXAMPLES / 'scordato.csv'), '--base', '0', *at),
+             ExitCode.CONFIRMATION_NEEDED),
+            (('apply', str(EXAMPLES / 'scordato.csv'), '--base', '0',
+              '--confirm-removals', *at), ExitCode.OK),
+            (('status', '127.0.0.1:9'), ExitCode.NOT_IN_FORCE),
+        ]  # yapf: disable
+        for arguments, code in steps:
+            self.assertEqual(await _run(arguments), code, arguments)
+        model.down = True
+        self.assertEqual(await _run(('diff', str(LUMINAR), *at)),
+                         ExitCode.LOG_UNAVAILABLE)
+        await server.stop()
+
+
+async def _run(arguments: tuple[str, ...]) -> int:
+    """Runs a command beside this loop and returns its exit code."""
+    result = await asyncio.to_thread(CliRunner().invoke, sheet_cli.commands,
+                                     arguments)
+    return result.exit_code
