--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -1,7 +1,7 @@
 """VMs and stand-ins joined in memory, for a paused clock."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -20,8 +20,9 @@
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
                                            MemoryMembers, MemoryPeers,
                                            MemoryReport, Network, Told)
-from plantainridge.standins.memory_log import MemoryLogPort
-from plantainridge.standins.memory_services import MemoryServicePort
+from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
+from plantainridge.standins.memory_services import (MemoryServicePort,
+                                                    ServiceFaults)
 from plantainridge.standins.service import ServiceModel
 from plantainridge.state import VmState
 
@@ -174,6 +175,22 @@
         self.vms[self.vms.index(vm)] = renewed
         return renewed
 
+    def stopper(self, vm: Vm) -> Callable[[], None]:
+        """Returns a function that asks a VM for a graceful shutdown."""
+        return lambda: vm.runtime.post(ev.StopRequested())
+
+    def heal(self) -> None:
+        """Ends every fault, but for what was lost."""
+        self.network.cut.clear()
+        self.log.down = False
+        for engine in self.engines.values():
+            engine.alive = True
+            engine.slowdown = 1.0
+        for vm in self.vms:
+            vm.runtime.resume()
+            vm.log.faults = LogFaults()
+            vm.services.faults = ServiceFaults()
+
     def every_vm(self) -> Iterator[Vm]:
         """Yields all VMs that ever lived."""
         yield from self.past
