--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from plantainridge import checkpoints, differences, paused
+from plantainridge import bench_config, checkpoints, differences, paused
 from plantainridge import revision_records as rr
 from plantainridge.config import EMPTY, Config
 from plantainridge.events import Record
@@ -284,3 +284,14 @@
             self.assertEqual(revision(world.vms[0]), 0)
 
         paused.run(scenario())
+
+
+class BenchTest(unittest.TestCase):
+    """The bench's targets hold at a small size."""
+
+    def test_no_violation(self) -> None:
+        figures = bench_config.run(seed=11, teams=50, bursts=6)
+        self.assertEqual(figures['violations'], [])
+        self.assertEqual(figures['reverts'], 0)
+        self.assertGreater(figures['conflicts_agreed'], 0)
+        self.assertLessEqual(figures['in_force_max_s'], 6.0)
