--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -1,124 +1,138 @@
 """Callers' HTTP interface: OpenAI-style completions and plain services."""
 
 import asyncio
-import hashlib
-import hmac
-import json
+import contextlib
 import time
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
 import attrs
 from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
-from plantainridge import blocks
+from plantainridge import blocks, completions
 from plantainridge import effects as fx
 from plantainridge import events as ev
+from plantainridge.completions import Ask, malformed
 from plantainridge.config import Team
-from plantainridge.ids import ModelId, RequestId, ServiceId
-from plantainridge.ports import CallerPort
+from plantainridge.ids import RequestId, ServiceId
+from plantainridge.mailboxes import HungUp, Mailbox, Mailboxes
+from plantainridge.problems import problem, problem_body
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.runtime import Runtime
+from plantainridge.team_keys import KeyFault, KeyIndex
 
-PROBLEM_TYPE: Final = 'application/problem+json'
 SERVICE_PREFIX: Final = '/services'
-DEFAULT_MAX_TOKENS: Final = 256
+SERVICE_METHODS: Final = ('GET', 'POST', 'PUT', 'DELETE')
+# Header that marks a call which must run at most once, and its only value.
+RUN_ONCE_HEADER: Final = 'x-run-once'
+RUN_ONCE_VALUE: Final = 'yes'
+KEY_HEADER: Final = 'idempotency-key'
+MAX_KEY_CHARS: Final = 255
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+BODY_TIMEOUT_S: Final = 30.0
 
-Reply = fx.SendTokens | fx.FinishAnswer | fx.SendServiceAnswer | fx.Refuse
-
-
-class Mailboxes(CallerPort):
-    """A queue of effects for each request in flight."""
-
-    def __init__(self) -> None:
-        self.queues: dict[RequestId, asyncio.Queue[Reply]] = {}
-
-    def open(self, request: RequestId) -> asyncio.Queue[Reply]:
-        """Makes the queue of a new request."""
-        queue: asyncio.Queue[Reply] = asyncio.Queue()
-        self.queues[request] = queue
-        return queue
-
-    def close(self, request: RequestId) -> None:
-        """Forgets a request."""
-        self.queues.pop(request, None)
-
-    def _put(self, effect: Reply) -> None:
-        queue = self.queues.get(effect.request)
-        if queue is not None:
-            queue.put_nowait(effect)
-
-    def send_tokens(self, effect: fx.SendTokens) -> None:
-        self._put(effect)
-
-    def finish(self, effect: fx.FinishAnswer) -> None:
-        self._put(effect)
-
-    def answer(self, effect: fx.SendServiceAnswer) -> None:
-        self._put(effect)
-
-    def refuse(self, effect: fx.Refuse) -> None:
-        self._put(effect)
+Abort = Callable[[Any], None]
 
 
 @attrs.frozen
-class _Ask:
-    """A parsed completion request."""
-
-    model: ModelId
-    text: str
-    max_tokens: int
-    stream: bool
-    chat: bool
-
-
-def problem(refusal: Refusal, request: str) -> Response:
-    """Returns a problem document (RFC 9457) for a refusal."""
-    body = problem_body(refusal, request)
-    headers = {'x-request-id': request}
-    if refusal.retry_after_s is not None:
-        headers['Retry-After'] = str(max(1, round(refusal.retry_after_s)))
-    return Response(json.dumps(body),
-                    status_code=refusal.status,
-                    headers=headers,
-                    media_type=PROBLEM_TYPE)
-
-
-def problem_body(refusal: Refusal, request: str) -> dict[str, Any]:
-    """Returns the members of a refusal's problem document."""
-    return {
-        'type': f'urn:plantainridge:{refusal.reason.value}',
-        'title': refusal.reason.value.replace('_', ' '),
-        'status': refusal.status,
-        'detail': refusal.detail,
-        'ran': refusal.ran.value,
-        'request': request,
-        # What clients of the OpenAI interface look for.
-        'error': {
-            'message': refusal.detail,
-            'type': refusal.reason.value,
-            'code': refusal.reason.value,
-        },
-    }
+class Limits:
+    """What one request may ask of the process.
+
+    Attributes:
+        body_bytes: Longest body.
+        body_s: Longest time in s until the whole body has come.
+    """
+
+    body_bytes: int = MAX_BODY_BYTES
+    body_s: float = BODY_TIMEOUT_S
+
+
+class EventStream(Response):
+    """Sends server-sent events; the handler notices when the caller is gone."""
+
+    media_type = 'text/event-stream'
+
+    def __init__(self, events: AsyncIterator[str], name: str,
+                 stack: contextlib.AsyncExitStack) -> None:
+        """Prepares a stream.
+
+        Args:
+            events: What to send, piece by piece.
+            name: The request's id.
+            stack: What to close at the end, however it comes.
+        """
+        super().__init__(None, headers={'x-request-id': name})
+        del self.headers['content-length']
+        self.events = events
+        self.stack = stack
+
+    async def __call__(self, scope: Scope, receive: Receive,
+                       send: Send) -> None:
+        async with self.stack:
+            await send({
+                'type': 'http.response.start',
+                'status': self.status_code,
+                'headers': self.raw_headers
+            })
+            async for event in self.events:
+                await send({
+                    'type': 'http.response.body',
+                    'body': event.encode(),
+                    'more_body': True
+                })
+            await send({'type': 'http.response.body', 'body': b''})
+
+
+@attrs.define
+class _Visit:
+    """One caller's request while its handler runs.
+
+    Attributes:
+        name: The request's id.
+        client: Address of the caller's end of the connection.
+        team: Name of the team, or empty.
+        target: Model or service asked for, or empty.
+        outcome: How it ended.
+        tokens: Tokens sent so far.
+    """
+
+    name: RequestId
+    client: Any
+    began_at: float = attrs.field(factory=time.monotonic)
+    team: str = ''
+    target: str = ''
+    outcome: str = 'hung_up'
+    tokens: int = 0
 
 
 class CallersApp:
-    """Routes of the callers' interface."""
+    """Routes of the callers' interface.
+
+    Attributes:
+        abort: Breaks the connection of a caller's address.
+    """
 
-    def __init__(self, runtime: Runtime, mailboxes: Mailboxes) -> None:
+    def __init__(self,
+                 runtime: Runtime,
+                 mailboxes: Mailboxes,
+                 limits: Limits = Limits()) -> None:
         self.runtime = runtime
         self.mailboxes = mailboxes
+        self.limits = limits
+        self.keys = KeyIndex()
+        self.abort: Abort = lambda client: None
         self.app = Starlette(routes=[
             Route('/v1/completions', self.completions, methods=['POST']),
             Route('/v1/chat/completions', self.chat, methods=['POST']),
             Route('/v1/models', self.models),
             Route(SERVICE_PREFIX + '/{service}/{path:path}',
                   self.service,
-                  methods=['GET', 'POST', 'PUT', 'DELETE']),
+                  methods=list(SERVICE_METHODS)),
         ])
 
     async def completions(self, request: Request) -> Response:
@@ -131,9 +145,10 @@
 
     async def models(self, request: Request) -> Response:
         """Lists the models that the team may call."""
+        visit = _new_visit(request)
         team = self._team(request)
-        if team is None:
-            return problem(_UNAUTHENTICATED, _new_request())
+        if isinstance(team, Refusal):
+            return self._refused(visit, team)
         return JSONResponse({
             'object':
                 'list',
@@ -147,218 +162,220 @@
 
     async def service(self, request: Request) -> Response:
         """Passes a call on to a plain service."""
-        name = _new_request()
+        visit = _new_visit(request)
+        visit.target = request.path_params['service']
         team = self._team(request)
-        if team is None:
-            return problem(_UNAUTHENTICATED, name)
-        queue = self.mailboxes.open(name)
-        finished = False
-        try:
-            self.runtime.post(
-                ev.ServiceCalled(
-                    request=name,
-                    team=team.id,
-                    service=ServiceId(request.path_params['service']),
-                    method=request.method,
-                    path='/' + request.path_params['path'],
-                    body=await request.body(),
-                    key=request.headers.get('idempotency-key', '')))
-            reply = await queue.get()
-            finished = True
+        if isinstance(team, Refusal):
+            return self._refused(visit, team)
+        visit.team = team.id
+        data = await self._body(request)
+        if isinstance(data, Refusal):
+            return self._refused(visit, data)
+        called = _service_called(request, visit, team, data)
+        if isinstance(called, Refusal):
+            return self._refused(visit, called)
+        async with self._mailbox(visit, request) as mailbox:
+            self.runtime.post(called)
+            reply = await mailbox.next()
             if isinstance(reply, fx.SendServiceAnswer):
+                visit.outcome = 'whole'
                 return Response(reply.body,
                                 status_code=reply.status,
-                                headers={'x-request-id': name})
-            assert isinstance(reply, fx.Refuse)
-            return problem(reply.refusal, name)
-        finally:
-            self._close(name, finished)
-
-    def _team(self, request: Request) -> Team | None:
-        scheme, _, key = request.headers.get('authorization', '').partition(' ')
-        if scheme.lower() != 'bearer' or not key:
-            return None
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        for team in self.runtime.state.config.teams.values():
-            if hmac.compare_digest(team.key_hash, digest):
-                return team
-        return None
+                                headers={'x-request-id': visit.name})
+            return self._ended(visit, reply)
+
+    def _team(self, request: Request) -> Team | Refusal:
+        found = self.keys.find(self.runtime.state.config.teams,
+                               request.headers.get('authorization', ''))
+        if isinstance(found, KeyFault):
+            return Refusal(Reason.UNAUTHENTICATED, RanState.NOT_RUN,
+                           found.value)
+        return found
+
+    async def _body(self, request: Request) -> bytes | Refusal:
+        """Reads a body within the limits of size and time."""
+        limit = self.limits.body_bytes
+        too_large = Refusal(Reason.TOO_LARGE, RanState.NOT_RUN,
+                            f'the body exceeds {limit} bytes')
+        stated = request.headers.get('content-length', '0')
+        if not stated.isdecimal() or int(stated) > limit:
+            return too_large
+        data = bytearray()
+        try:
+            async with asyncio.timeout(self.limits.body_s):
+                async for piece in request.stream():
+                    data += piece
+                    if len(data) > limit:
+                        return too_large
+        except TimeoutError:
+            return malformed(f'no whole body within {self.limits.body_s} s')
+        except ClientDisconnect:
+            return Refusal(Reason.CALLER_GONE, RanState.NOT_RUN,
+                           'the caller closed its connection')
+        return bytes(data)
 
     async def _complete(self, request: Request, chat: bool) -> Response:
-        name = _new_request()
+        visit = _new_visit(request)
         team = self._team(request)
-        if team is None:
-            return problem(_UNAUTHENTICATED, name)
-        ask = _parse(await request.body(), chat)
+        if isinstance(team, Refusal):
+            return self._refused(visit, team)
+        visit.team = team.id
+        data = await self._body(request)
+        if isinstance(data, Refusal):
+            return self._refused(visit, data)
+        ask = completions.parse(data, chat)
         if isinstance(ask, Refusal):
-            return problem(ask, name)
+            return self._refused(visit, ask)
+        visit.target = ask.model
+        called = self._model_called(visit, team, ask)
+        if isinstance(called, Refusal):
+            return self._refused(visit, called)
+        async with contextlib.AsyncExitStack() as stack:
+            mailbox = await stack.enter_async_context(
+                self._mailbox(visit, request))
+            self.runtime.post(called)
+            if not ask.stream:
+                return await self._collect(visit, ask, mailbox)
+            # A refusal of the whole request has its own status.
+            first = await mailbox.next()
+            if not isinstance(first, (fx.SendTokens, fx.FinishAnswer)):
+                return self._ended(visit, first)
+            events = self._events(visit, ask, first, mailbox)
+            return EventStream(events, visit.name, stack.pop_all())
+
+    def _model_called(self, visit: _Visit, team: Team,
+                      ask: Ask) -> ev.ModelCalled | Refusal:
         model = self.runtime.state.config.models.get(ask.model)
         if model is None:
-            return problem(
-                Refusal(Reason.UNKNOWN_MODEL, RanState.NOT_RUN,
-                        'there is no such model'), name)
-        queue = self.mailboxes.open(name)
+            return Refusal(Reason.UNKNOWN_MODEL, RanState.NOT_RUN,
+                           'there is no such model')
         seed = blocks.salt(team.id, model.id, model.version, model.adapter)
         data = ask.text.encode()
-        self.runtime.post(
-            ev.ModelCalled(request=name,
-                           team=team.id,
-                           model=model.id,
-                           version=model.version,
-                           adapter=model.adapter,
-                           prompt=ev.Prompt(ask.text, blocks.count_tokens(data),
-                                            tuple(blocks.chain(seed, data))),
-                           max_tokens=ask.max_tokens))
-        if ask.stream:
-            return await self._start_stream(name, ask, queue)
-        return await self._collect(name, ask, queue)
-
-    async def _collect(self, name: RequestId, ask: _Ask,
-                       queue: 'asyncio.Queue[Reply]') -> Response:
-        tokens: list[str] = []
-        finished = False
-        try:
-            while True:
-                reply = await queue.get()
-                if isinstance(reply, fx.SendTokens):
-                    tokens.extend(reply.tokens)
-                    continue
-                finished = True
-                if isinstance(reply, fx.FinishAnswer):
-                    return _whole(name, ask, ''.join(tokens), reply)
-                assert isinstance(reply, fx.Refuse)
-                return problem(reply.refusal, name)
-        finally:
-            self._close(name, finished)
-
-    async def _start_stream(self, name: RequestId, ask: _Ask,
-                            queue: 'asyncio.Queue[Reply]') -> Response:
-        """Waits for the first reply, so that a refusal has its own status."""
-        try:
-            first = await queue.get()
-        except asyncio.CancelledError:
-            self._close(name, finished=False)
-            raise
-        if isinstance(first, fx.Refuse):
-            self._close(name, finished=True)
-            return problem(first.refusal, name)
-        return StreamingResponse(self._stream(name, ask, first, queue),
-                                 media_type='text/event-stream',
-                                 headers={'x-request-id': name})
-
-    async def _stream(self, name: RequestId, ask: _Ask, reply: Reply,
-                      queue: 'asyncio.Queue[Reply]') -> AsyncIterator[str]:
-        finished = False
+        prompt = ev.Prompt(ask.text, blocks.count_tokens(data),
+                           tuple(blocks.chain(seed, data)))
+        return ev.ModelCalled(request=visit.name,
+                              team=team.id,
+                              model=model.id,
+                              version=model.version,
+                              adapter=model.adapter,
+                              prompt=prompt,
+                              max_tokens=ask.max_tokens)
+
+    async def _collect(self, visit: _Visit, ask: Ask,
+                       mailbox: Mailbox) -> Response:
+        """Waits for the whole answer."""
+        texts: list[str] = []
+        reply = await mailbox.next()
+        while isinstance(reply, fx.SendTokens):
+            texts.extend(reply.tokens)
+            reply = await mailbox.next()
+        if not isinstance(reply, fx.FinishAnswer):
+            return self._ended(visit, reply)
+        visit.outcome = 'whole'
+        visit.tokens = reply.total
+        return JSONResponse(completions.whole(visit.name, ask, ''.join(texts),
+                                              reply),
+                            headers={'x-request-id': visit.name})
+
+    async def _events(self, visit: _Visit, ask: Ask,
+                      reply: fx.SendTokens | fx.FinishAnswer,
+                      mailbox: Mailbox) -> AsyncIterator[str]:
+        """Yields the events of a stream until its final word."""
+        chunks = completions.Chunks(visit.name, ask)
+        current: Any = reply
+        while isinstance(current, fx.SendTokens):
+            visit.tokens += len(current.tokens)
+            yield chunks.text(''.join(current.tokens))
+            current = await mailbox.next()
+        if isinstance(current, fx.FinishAnswer):
+            visit.outcome = 'whole'
+            yield chunks.end(current)
+        elif isinstance(current, fx.Refuse):
+            visit.outcome = current.refusal.reason.value
+            yield completions.event_line(
+                problem_body(current.refusal, visit.name))
+
+    @contextlib.asynccontextmanager
+    async def _mailbox(self, visit: _Visit,
+                       request: Request) -> AsyncIterator[Mailbox]:
+        """Opens a mailbox; at the end nothing of the request is left."""
+
+        def overflow() -> None:
+            visit.outcome = Reason.CALLER_SLOW.value
+            self.abort(visit.client)
+
+        mailbox = self.mailboxes.open(visit.name, overflow)
+        listener = asyncio.create_task(_listen(request.receive, mailbox))
         try:
-            while True:
-                if isinstance(reply, fx.SendTokens):
-                    yield _sse(_chunk(name, ask, ''.join(reply.tokens), None))
-                    reply = await queue.get()
-                    continue
-                finished = True
-                if isinstance(reply, fx.FinishAnswer):
-                    yield _sse(_chunk(name, ask, '', 'stop'))
-                    yield 'data: [DONE]\n\n'
-                else:
-                    assert isinstance(reply, fx.Refuse)
-                    yield _sse(problem_body(reply.refusal, name))
-                return
+            yield mailbox
         finally:
-            self._close(name, finished)
-
-    def _close(self, name: RequestId, finished: bool) -> None:
-        self.mailboxes.close(name)
-        if not finished:
-            self.runtime.post(ev.CallerGone(name))
-
-
-_UNAUTHENTICATED: Final = Refusal(Reason.UNAUTHENTICATED, RanState.NOT_RUN,
-                                  'the bearer key is missing or unknown')
-
-
-def _new_request() -> RequestId:
-    return RequestId(uuid.uuid4().hex)
-
-
-def _malformed(detail: str) -> Refusal:
-    return Refusal(Reason.MALFORMED, RanState.NOT_RUN, detail)
-
-
-def _parse(data: bytes, chat: bool) -> _Ask | Refusal:
-    try:
-        body = json.loads(data)
-    except ValueError:
-        return _malformed('the body is not JSON')
-    if not isinstance(body, dict):
-        return _malformed('the body is not a JSON object')
-    model = body.get('model')
-    if not isinstance(model, str):
-        return _malformed('model must be a string')
-    max_tokens = body.get('max_tokens', DEFAULT_MAX_TOKENS)
-    if not isinstance(max_tokens, int) or max_tokens < 1:
-        return _malformed('max_tokens must be a positive integer')
-    text = _chat_text(body) if chat else body.get('prompt')
-    if not isinstance(text, str) or not text:
-        return _malformed('messages or prompt must hold text')
-    return _Ask(ModelId(model), text, max_tokens, bool(body.get('stream')),
-                chat)
-
-
-def _chat_text(body: dict[str, Any]) -> str | None:
-    messages = body.get('messages')
-    if not isinstance(messages, list):
-        return None
-    parts: list[str] = []
-    for message in messages:
-        if not isinstance(message, dict):
-            return None
-        content = message.get('content')
-        if not isinstance(content, str):
-            return None
-        parts.append(f'{message.get("role", "user")}: {content}\n')
-    return ''.join(parts)
-
-
-def _sse(body: dict[str, Any]) -> str:
-    return f'data: {json.dumps(body)}\n\n'
-
-
-def _chunk(name: str, ask: _Ask, text: str,
-           finish_reason: str | None) -> dict[str, Any]:
-    choice: dict[str, Any] = {'index': 0, 'finish_reason': finish_reason}
-    if ask.chat:
-        choice['delta'] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    return {
-        'id': name,
-        'object': 'chat.completion.chunk' if ask.chat else 'text_completion',
-        'created': int(time.time()),
-        'model': ask.model,
-        'choices': [choice],
-    }
-
-
-def _whole(name: str, ask: _Ask, text: str, end: fx.FinishAnswer) -> Response:
-    choice: dict[str, Any] = {'index': 0, 'finish_reason': 'stop'}
-    if ask.chat:
-        choice['message'] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    return JSONResponse(
-        {
-            'id': name,
-            'object': 'chat.completion' if ask.chat else 'text_completion',
-            'created': int(time.time()),
-            'model': ask.model,
-            'choices': [choice],
-            'usage': {
-                'prompt_tokens': end.prompt_tokens,
-                'completion_tokens': end.total,
-                'total_tokens': end.prompt_tokens + end.total,
-                'prompt_tokens_details': {
-                    'cached_tokens': end.cached_tokens
-                },
-            },
-        },
-        headers={'x-request-id': name})
+            listener.cancel()
+            self.mailboxes.close(visit.name)
+            # Without effect on a request that has had its final word.
+            self.runtime.post(ev.CallerGone(visit.name))
+            self._log(visit)
+
+    def _ended(self, visit: _Visit, reply: Any) -> Response:
+        if isinstance(reply, fx.Refuse):
+            visit.outcome = reply.refusal.reason.value
+            return problem(reply.refusal, visit.name)
+        # Nobody reads this: the connection is gone.
+        return Response(status_code=499)
+
+    def _refused(self, visit: _Visit, refusal: Refusal) -> Response:
+        """Refuses what the reducer was not told of."""
+        visit.outcome = refusal.reason.value
+        self._log(visit)
+        response = problem(refusal, visit.name)
+        if refusal.reason in _BODY_UNREAD:
+            response.headers['connection'] = 'close'
+        return response
+
+    def _log(self, visit: _Visit) -> None:
+        self.runtime.ports.report.log(
+            fx.LogLine(
+                'request_ended',
+                (('request', visit.name), ('team', visit.team),
+                 ('target', visit.target), ('outcome', visit.outcome),
+                 ('tokens', visit.tokens),
+                 ('took_s', round(time.monotonic() - visit.began_at, 4)))))
+
+
+# The connection may still carry the rest of a body.
+_BODY_UNREAD: Final = frozenset({Reason.TOO_LARGE, Reason.UNAUTHENTICATED})
+
+
+def _new_visit(request: Request) -> _Visit:
+    return _Visit(RequestId(uuid.uuid4().hex), request.scope.get('client'))
+
+
+async def _listen(receive: Receive, mailbox: Mailbox) -> None:
+    """Tells the mailbox when the caller closes its connection."""
+    message = await receive()
+    while message['type'] != 'http.disconnect':
+        message = await receive()
+    mailbox.put(HungUp())
+
+
+def _service_called(request: Request, visit: _Visit, team: Team,
+                    data: bytes) -> ev.ServiceCalled | Refusal:
+    key = request.headers.get(KEY_HEADER, '')
+    if len(key) > MAX_KEY_CHARS or not key.isascii() or not key.isprintable():
+        return Refusal(
+            Reason.KEY_INVALID, RanState.NOT_RUN,
+            f'{KEY_HEADER} must be printable ASCII, at most '
+            f'{MAX_KEY_CHARS} characters')
+    mark = request.headers.get(RUN_ONCE_HEADER)
+    if mark is not None and mark.lower() != RUN_ONCE_VALUE:
+        return malformed(f'{RUN_ONCE_HEADER} may only be {RUN_ONCE_VALUE}')
+    path = '/' + request.path_params['path']
+    if not path.isascii() or not path.isprintable() or ' ' in path:
+        return malformed('the path must be printable ASCII without spaces')
+    return ev.ServiceCalled(request=visit.name,
+                            team=team.id,
+                            service=ServiceId(visit.target),
+                            method=request.method,
+                            path=path,
+                            body=data,
+                            key=key,
+                            marked=mark is not None)
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -5,10 +5,11 @@
 
 import attrs
 
-from plantainridge.callers import CallersApp, Mailboxes
+from plantainridge.callers import CallersApp
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, Tasks, new_client)
 from plantainridge.ids import DcId, Incarnation, VmId
+from plantainridge.mailboxes import Mailboxes
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
 from plantainridge.ports import Ports
@@ -58,9 +59,9 @@
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm))
         self.runtime = Runtime(state, ports)
-        self.callers = AppServer(
-            CallersApp(self.runtime, self.mailboxes).app, settings.host,
-            settings.port)
+        callers = CallersApp(self.runtime, self.mailboxes)
+        self.callers = AppServer(callers.app, settings.host, settings.port)
+        callers.abort = self.callers.abort
         self.operators = AppServer(
             OperatorsApp(self.runtime, self.metrics).app, settings.host,
             settings.operator_port)
--- /dev/null
+++ b/src/plantainridge/mailboxes.py
@@ -0,0 +1,114 @@
+"""Replies on their way to callers, a bounded mailbox for each request."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from plantainridge import effects as fx
+from plantainridge.ids import RequestId
+from plantainridge.ports import CallerPort
+
+# Tokens that may wait for a caller that reads slowly.
+MAX_BACKLOG_TOKENS: Final = 2_048
+
+
+@attrs.frozen
+class HungUp:
+    """Says that the caller closed its connection."""
+
+
+Reply = (fx.SendTokens | fx.FinishAnswer | fx.SendServiceAnswer | fx.Refuse |
+         HungUp)
+
+
+class Mailbox:
+    """Replies to one request that its handler has not taken yet."""
+
+    def __init__(self, on_overflow: Callable[[], None]) -> None:
+        """Opens an empty mailbox.
+
+        Args:
+            on_overflow: Called once, when the backlog passes its limit.
+        """
+        self.replies: deque[Reply] = deque()
+        self.backlog_tokens = 0
+        self.overflowed = False
+        self._on_overflow = on_overflow
+        self._filled = asyncio.Event()
+
+    def put(self, reply: Reply) -> None:
+        """Adds a reply; what comes after an overflow is dropped."""
+        if self.overflowed:
+            return
+        if isinstance(reply, fx.SendTokens):
+            self.backlog_tokens += len(reply.tokens)
+            if self.backlog_tokens > MAX_BACKLOG_TOKENS:
+                self.overflowed = True
+                self.replies.clear()
+                self._on_overflow()
+                return
+        self.replies.append(reply)
+        self._filled.set()
+
+    async def next(self) -> Reply:
+        """Returns the next reply; tokens that wait come as one."""
+        while not self.replies:
+            self._filled.clear()
+            await self._filled.wait()
+        reply = self.replies.popleft()
+        if not isinstance(reply, fx.SendTokens):
+            return reply
+        tokens = reply.tokens
+        while self.replies:
+            more = self.replies[0]
+            if not isinstance(more, fx.SendTokens):
+                break
+            tokens += more.tokens
+            self.replies.popleft()
+        self.backlog_tokens -= len(tokens)
+        if tokens is reply.tokens:
+            return reply
+        return fx.SendTokens(reply.request, tokens)
+
+
+def _ignore_overflow() -> None:
+    """For callers whose handler takes every reply at once."""
+
+
+class Mailboxes(CallerPort):
+    """The mailboxes of all requests in flight."""
+
+    def __init__(self) -> None:
+        self.open_now: dict[RequestId, Mailbox] = {}
+
+    def open(self,
+             request: RequestId,
+             on_overflow: Callable[[], None] = _ignore_overflow) -> Mailbox:
+        """Makes the mailbox of a new request."""
+        mailbox = Mailbox(on_overflow)
+        self.open_now[request] = mailbox
+        return mailbox
+
+    def close(self, request: RequestId) -> None:
+        """Forgets a request."""
+        self.open_now.pop(request, None)
+
+    def _put(self, request: RequestId, reply: Reply) -> None:
+        mailbox = self.open_now.get(request)
+        if mailbox is not None:
+            mailbox.put(reply)
+
+    def send_tokens(self, effect: fx.SendTokens) -> None:
+        self._put(effect.request, effect)
+
+    def finish(self, effect: fx.FinishAnswer) -> None:
+        self._put(effect.request, effect)
+
+    def answer(self, effect: fx.SendServiceAnswer) -> None:
+        self._put(effect.request, effect)
+
+    def refuse(self, effect: fx.Refuse) -> None:
+        self._put(effect.request, effect)
--- a/src/plantainridge/refusals.py
+++ b/src/plantainridge/refusals.py
@@ -41,6 +41,7 @@
     OUTCOME_UNKNOWN = 'outcome_unknown'
     IN_PROGRESS = 'in_progress'
     CALLER_GONE = 'caller_gone'
+    CALLER_SLOW = 'caller_slow'
 
 
 HTTP_STATUS: dict[Reason, int] = {
@@ -66,6 +67,7 @@
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.IN_PROGRESS: 409,
     Reason.CALLER_GONE: 499,
+    Reason.CALLER_SLOW: 499,
 }
 
 
--- a/src/plantainridge/reports.py
+++ b/src/plantainridge/reports.py
@@ -4,7 +4,7 @@
 import logging as std_logging
 from typing import Final
 
-from absl import logging
+from absl import flags, logging
 
 from plantainridge import effects as fx
 from plantainridge.metrics import Metrics
@@ -30,6 +30,8 @@
 
 def set_up_logs(verbosity: int = logging.INFO) -> None:
     """Makes absl write JSON lines to standard error."""
+    # The command line is click's; absl would else warn at the first line.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter())
     std_logging.getLogger().handlers = [handler]
--- a/src/plantainridge/serve.py
+++ b/src/plantainridge/serve.py
@@ -9,6 +9,11 @@
 import uvicorn
 
 LISTEN_BACKLOG: Final = 2_048
+MAX_HEADER_BYTES: Final = 32 * 1024
+# How long a peer may leave sent data unacknowledged or its window shut.
+UNREAD_TIMEOUT_S: Final = 60
+# How long a request's head may take, up to twice this.
+HEAD_TIMEOUT_S: Final = 20.0
 
 
 class _QuietServer(uvicorn.Server):
@@ -35,6 +40,8 @@
         """
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
+                               UNREAD_TIMEOUT_S * 1_000)
         self.socket.bind((host, port))
         self.socket.listen(LISTEN_BACKLOG)
         self.address = f'{host}:{self.socket.getsockname()[1]}'
@@ -45,8 +52,11 @@
                            lifespan='off',
                            http='h11',
                            ws='none',
+                           server_header=False,
+                           h11_max_incomplete_event_size=MAX_HEADER_BYTES,
                            timeout_graceful_shutdown=None))
         self.task: asyncio.Task[None] | None = None
+        self.sweeper: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Returns once connections are taken."""
@@ -54,22 +64,60 @@
             self.server.serve(sockets=[self.socket]))
         while not self.server.started and not self.task.done():
             await asyncio.sleep(0.001)
+        self.sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
         """Finishes running requests, then closes."""
         self.server.should_exit = True
+        await self._end()
+
+    async def _end(self) -> None:
+        if self.sweeper is not None:
+            self.sweeper.cancel()
         if self.task is not None:
             await self.task
 
+    def abort(self, client: Any) -> None:
+        """Breaks the connection that comes from a client's address."""
+        for connection in list(self.server.server_state.connections):
+            if getattr(connection, 'client', None) == client:
+                _abort(connection)
+
+    async def _sweep(self) -> None:
+        """Breaks connections whose next request's head takes too long."""
+        waiting: set[Any] = set()
+        while True:
+            await asyncio.sleep(HEAD_TIMEOUT_S)
+            headless = {
+                connection
+                for connection in self.server.server_state.connections
+                if _is_headless(connection)
+            }
+            for connection in headless & waiting:
+                _abort(connection)
+            waiting = headless
+
     async def kill(self) -> None:
         """Closes at once, breaking every connection."""
         self.server.force_exit = True
         self.server.should_exit = True
         for connection in list(self.server.server_state.connections):
-            transport = getattr(connection, 'transport', None)
-            if transport is not None:
-                transport.abort()
+            _abort(connection)
         for task in list(self.server.server_state.tasks):
             task.cancel()
-        if self.task is not None:
-            await self.task
+        await self._end()
+
+
+def _abort(connection: Any) -> None:
+    transport = getattr(connection, 'transport', None)
+    if transport is not None:
+        transport.abort()
+
+
+def _is_headless(connection: Any) -> bool:
+    """Whether a connection is neither answered nor timed as idle."""
+    cycle = getattr(connection, 'cycle', None)
+    if cycle is None:
+        return True
+    return (cycle.response_complete and
+            connection.timeout_keep_alive_task is None)
--- /dev/null
+++ b/src/plantainridge/standins/site.py
@@ -0,0 +1,132 @@
+"""Stand-ins and entry VMs over loopback sockets, in one process and loop."""
+
+import asyncio
+import hashlib
+import random
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from plantainridge import config as cfg
+from plantainridge.entry import Entry, EntrySettings
+from plantainridge.events import Member
+from plantainridge.ids import (DcId, EndpointId, ServiceId, TeamId, VmId,
+                               WeightVersion)
+from plantainridge.revisions import Revision, encode
+from plantainridge.serve import AppServer
+from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.engine_http import EngineApp
+from plantainridge.standins.listing import MembersApp, MembersModel
+from plantainridge.standins.log import LogApp, LogModel
+from plantainridge.standins.service import ServiceApp, ServiceModel
+
+HOST: Final = '127.0.0.1'
+READY_POLL_S: Final = 0.01
+
+
+def hash_key(key: str) -> str:
+    """Returns what a sheet holds of a team's key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Site:
+    """The platform, the endpoints and the entry VMs of one deployment.
+
+    Attributes:
+        config: The configuration as published, with the real addresses.
+        entries: The VMs that run, by name.
+    """
+
+    def __init__(self, config: cfg.Config, seed: int = 1) -> None:
+        """Prepares a site.
+
+        Args:
+            config: What to publish; addresses are replaced by those that the
+                system chooses.
+            seed: Seed of everything random in the VMs.
+        """
+        self.config = config
+        self.rng = random.Random(seed)
+        self.log = LogModel()
+        self.members = MembersModel()
+        self.engines: dict[EndpointId, EngineModel] = {}
+        self.services: dict[ServiceId, ServiceModel] = {
+            name: ServiceModel() for name in config.services
+        }
+        self.entries: dict[VmId, Entry] = {}
+        self.servers: dict[str, AppServer] = {}
+
+    async def start(self, vms: Mapping[VmId, DcId]) -> None:
+        """Returns once every VM is ready."""
+        await self._serve('log', LogApp(self.log).app)
+        await self._serve('members', MembersApp(self.members).app)
+        for endpoint in self.config.endpoints.values():
+            await self._start_endpoint(endpoint)
+        self.config = attrs.evolve(self.config,
+                                   endpoints={
+                                       endpoint.id: self._placed(endpoint) for
+                                       endpoint in self.config.endpoints.values(
+                                       )
+                                   })
+        self.log.append('config', 0, [encode(Revision(-1, self.config))])
+        for vm, dc in vms.items():
+            await self.start_vm(vm, dc)
+        for entry in self.entries.values():
+            while not entry.runtime.state.ready:
+                await asyncio.sleep(READY_POLL_S)
+
+    async def start_vm(self, vm: VmId, dc: DcId) -> Entry:
+        """Starts a VM's process with nothing kept."""
+        entry = Entry(
+            EntrySettings(vm=vm,
+                          dc=dc,
+                          host=HOST,
+                          port=0,
+                          operator_port=0,
+                          log_address=self.servers['log'].address,
+                          members_address=self.servers['members'].address,
+                          seed=self.rng.getrandbits(64)))
+        await entry.start()
+        self.entries[vm] = entry
+        self.members.put(Member(vm, dc, entry.callers.address, leaving=False))
+        return entry
+
+    async def stop(self) -> None:
+        """Ends the VMs, then all else."""
+        await asyncio.gather(*(entry.stop() for entry in self.entries.values()))
+        await asyncio.gather(
+            *(server.kill() for server in self.servers.values()))
+
+    async def crash_engine(self, endpoint: EndpointId) -> None:
+        """Breaks an engine's connections and closes its port."""
+        self.engines[endpoint].crash()
+        await self.servers[endpoint].kill()
+
+    async def _serve(self, name: str, app: object) -> None:
+        server = AppServer(app, HOST, 0)
+        await server.start()
+        self.servers[name] = server
+
+    async def _start_endpoint(self, endpoint: cfg.Endpoint) -> None:
+        if endpoint.kind is cfg.EndpointKind.SERVICE:
+            model = self.services[ServiceId(endpoint.serves)]
+            await self._serve(endpoint.id, ServiceApp(model).app)
+            return
+        version = next((each.version for each in self.config.models.values()
+                        if each.id == endpoint.serves), WeightVersion(''))
+        engine = EngineModel(endpoint.id, version)
+        self.engines[endpoint.id] = engine
+        await self._serve(endpoint.id, EngineApp(engine).app)
+
+    def _placed(self, endpoint: cfg.Endpoint) -> cfg.Endpoint:
+        return attrs.evolve(endpoint, address=self.servers[endpoint.id].address)
+
+
+def with_keys(config: cfg.Config, keys: Mapping[TeamId, str]) -> cfg.Config:
+    """Returns a configuration whose teams have known keys."""
+    teams = {
+        team.id: attrs.evolve(team, key_hash=hash_key(keys[team.id]))
+        for team in config.teams.values()
+    }
+    return attrs.evolve(config, teams=teams)
