Harden the callers' interface against bad and slow callers

Feeds poll engines at a bounded rate and the membership list once a second. Conclusion: bad input ends in a typed refusal; the openai client works by a change of its base URL.

--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -35,6 +35,8 @@
 MAX_KEY_CHARS: Final = 255
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 BODY_TIMEOUT_S: Final = 30.0
+# Bytes beyond the limit that are read and dropped.
+DISCARD_BYTES: Final = 16 * 1024 * 1024
 
 Abort = Callable[[Any], None]
 
@@ -166,9 +168,10 @@
         visit.target = request.path_params['service']
         team = self._team(request)
         if isinstance(team, Refusal):
+            await self._body(request, limit=0)
             return self._refused(visit, team)
         visit.team = team.id
-        data = await self._body(request)
+        data = await self._body(request, self.limits.body_bytes)
         if isinstance(data, Refusal):
             return self._refused(visit, data)
         called = _service_called(request, visit, team, data)
@@ -192,35 +195,40 @@
                            found.value)
         return found
 
-    async def _body(self, request: Request) -> bytes | Refusal:
-        """Reads a body within the limits of size and time."""
-        limit = self.limits.body_bytes
-        too_large = Refusal(Reason.TOO_LARGE, RanState.NOT_RUN,
-                            f'the body exceeds {limit} bytes')
-        stated = request.headers.get('content-length', '0')
-        if not stated.isdecimal() or int(stated) > limit:
-            return too_large
+    async def _body(self, request: Request, limit: int) -> bytes | Refusal:
+        """Reads a body within the limits of size and time.
+
+        The rest of one that is too large is dropped piece by piece: a caller
+        that still sends would not see the refusal.
+        """
         data = bytearray()
+        size = 0
         try:
             async with asyncio.timeout(self.limits.body_s):
                 async for piece in request.stream():
-                    data += piece
-                    if len(data) > limit:
-                        return too_large
+                    size += len(piece)
+                    if size <= limit:
+                        data += piece
+                    elif size > limit + DISCARD_BYTES:
+                        break
         except TimeoutError:
             return malformed(f'no whole body within {self.limits.body_s} s')
         except ClientDisconnect:
             return Refusal(Reason.CALLER_GONE, RanState.NOT_RUN,
                            'the caller closed its connection')
+        if size > limit:
+            return Refusal(Reason.TOO_LARGE, RanState.NOT_RUN,
+                           f'the body exceeds {limit} bytes')
         return bytes(data)
 
     async def _complete(self, request: Request, chat: bool) -> Response:
         visit = _new_visit(request)
         team = self._team(request)
         if isinstance(team, Refusal):
+            await self._body(request, limit=0)
             return self._refused(visit, team)
         visit.team = team.id
-        data = await self._body(request)
+        data = await self._body(request, self.limits.body_bytes)
         if isinstance(data, Refusal):
             return self._refused(visit, data)
         ask = completions.parse(data, chat)
@@ -326,10 +334,7 @@
         """Refuses what the reducer was not told of."""
         visit.outcome = refusal.reason.value
         self._log(visit)
-        response = problem(refusal, visit.name)
-        if refusal.reason in _BODY_UNREAD:
-            response.headers['connection'] = 'close'
-        return response
+        return problem(refusal, visit.name)
 
     def _log(self, visit: _Visit) -> None:
         self.runtime.ports.report.log(
@@ -341,10 +346,6 @@
                  ('took_s', round(time.monotonic() - visit.began_at, 4)))))
 
 
-# The connection may still carry the rest of a body.
-_BODY_UNREAD: Final = frozenset({Reason.TOO_LARGE, Reason.UNAUTHENTICATED})
-
-
 def _new_visit(request: Request) -> _Visit:
     return _Visit(RequestId(uuid.uuid4().hex), request.scope.get('client'))
 
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -1,11 +1,13 @@
 """The process of one entry VM."""
 
+import asyncio
 import random
 import uuid
 
 import attrs
 
-from plantainridge.callers import CallersApp
+from plantainridge.callers import CallersApp, Limits
+from plantainridge.feeds import Feeds
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, Tasks, new_client)
 from plantainridge.ids import DcId, Incarnation, VmId
@@ -28,6 +30,10 @@
         port: Port for callers; 0 lets the system choose.
         operator_port: Port for operators; 0 lets the system choose.
         log_address: IP number and port of the platform's log.
+        members_address: IP number and port of the membership list; empty
+            for none.
+        limits: What one caller's request may ask of the process.
+        seed: Seed of the reducer's randomness; None for a fresh one.
     """
 
     vm: VmId
@@ -36,6 +42,9 @@
     port: int
     operator_port: int
     log_address: str
+    members_address: str = ''
+    limits: Limits = Limits()
+    seed: int | None = None
 
 
 class Entry:
@@ -47,28 +56,37 @@
         state = VmState(vm=settings.vm,
                         dc=settings.dc,
                         incarnation=incarnation,
-                        rng=random.Random(incarnation))
+                        rng=random.Random(incarnation if settings.seed is
+                                          None else settings.seed))
         self.metrics = Metrics()
         self.tasks = Tasks()
         self.client = new_client()
         self.mailboxes = Mailboxes()
+        self.exited = asyncio.Event()
         ports = Ports(callers=self.mailboxes,
                       engines=HttpEnginePort(self.client, self.tasks),
                       services=HttpServicePort(self.tasks),
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
-                      report=ProcessReport(self.metrics, settings.vm))
+                      report=ProcessReport(self.metrics, settings.vm),
+                      on_exit=self._on_exit)
         self.runtime = Runtime(state, ports)
-        callers = CallersApp(self.runtime, self.mailboxes)
+        self.feeds = Feeds(self.runtime, self.client, self.tasks,
+                           settings.members_address)
+        callers = CallersApp(self.runtime, self.mailboxes, settings.limits)
         self.callers = AppServer(callers.app, settings.host, settings.port)
         callers.abort = self.callers.abort
         self.operators = AppServer(
             OperatorsApp(self.runtime, self.metrics).app, settings.host,
             settings.operator_port)
 
+    def _on_exit(self) -> None:
+        self.exited.set()
+
     async def start(self) -> None:
         """Returns once callers can connect."""
         self.runtime.start()
+        self.feeds.start()
         await self.callers.start()
         await self.operators.start()
 
--- /dev/null
+++ b/src/plantainridge/feeds.py
@@ -0,0 +1,150 @@
+"""Polls endpoints for load and cache events, and the membership list.
+
+The rate of polls is bounded per process, whatever the number of endpoints:
+endpoints that run this VM's requests go first, the others take turns.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Iterable
+from typing import Any, Final
+
+import aiosonic
+import attrs
+from aiosonic import exceptions as http_errors
+
+from plantainridge import events as ev
+from plantainridge.config import EndpointKind
+from plantainridge.endpoints import EndpointView
+from plantainridge.http_ports import STATUS_OK, Tasks
+from plantainridge.ids import BlockKey, DcId, EndpointId, VmId, WeightVersion
+from plantainridge.runtime import Runtime
+
+ROUND_S: Final = 0.25
+POLLS_PER_ROUND: Final = 8
+MEMBERS_PERIOD_S: Final = 1.0
+# Faults of a poll; the next round tries again.
+POLL_FAULTS: Final = (http_errors.AiosonicError, OSError, ValueError, EOFError,
+                      KeyError, TypeError, TimeoutError)
+
+
+@attrs.define
+class _Followed:
+    """How far one engine's cache events were followed.
+
+    Attributes:
+        life: The engine's life that `position` belongs to.
+        position: Number of the last change that was taken in.
+        pieces: Pieces posted so far.
+    """
+
+    life: str = ''
+    position: int = 0
+    pieces: int = 0
+
+
+class Feeds:
+    """Polls on behalf of one VM."""
+
+    def __init__(self, runtime: Runtime, client: aiosonic.HTTPClient,
+                 tasks: Tasks, members_address: str) -> None:
+        self.runtime = runtime
+        self.client = client
+        self.tasks = tasks
+        self.members_address = members_address
+        self.followed: dict[EndpointId, _Followed] = {}
+        self.turns: deque[EndpointId] = deque()
+        self.polling: set[EndpointId] = set()
+
+    def start(self) -> None:
+        """Polls from now on, until the process's tasks are cancelled."""
+        self.tasks.spawn(self._poll_engines())
+        if self.members_address:
+            self.tasks.spawn(self._poll_members())
+
+    async def _poll_engines(self) -> None:
+        while True:
+            for view in self._due():
+                self.polling.add(view.id)
+                self.tasks.spawn(self._poll_engine(view))
+            await asyncio.sleep(ROUND_S)
+
+    def _due(self) -> list[EndpointView]:
+        """Chooses whom to ask in this round."""
+        views = {
+            view.id: view
+            for view in self.runtime.state.endpoints.values()
+            if view.endpoint.kind is EndpointKind.ENGINE
+        }
+        known = set(self.turns)
+        self.turns.extend(name for name in views if name not in known)
+        in_use = [view for view in views.values() if view.own]
+        chosen: dict[EndpointId, EndpointView] = {}
+        for view in in_use[:POLLS_PER_ROUND // 2]:
+            chosen[view.id] = view
+        for _ in range(len(self.turns)):
+            if len(chosen) >= POLLS_PER_ROUND:
+                break
+            name = self.turns.popleft()
+            if name in views:
+                self.turns.append(name)
+                chosen[name] = views[name]
+        return [view for view in chosen.values() if view.id not in self.polling]
+
+    async def _poll_engine(self, view: EndpointView) -> None:
+        followed = self.followed.setdefault(view.id, _Followed())
+        try:
+            body = await self._get(
+                f'{view.endpoint.address}/feed?life={followed.life}'
+                f'&after={followed.position}')
+            for event in _engine_events(view.id, followed, body,
+                                        self.runtime.loop.time()):
+                self.runtime.post(event)
+        except POLL_FAULTS:
+            # The view keeps its last report; requests show what is down.
+            return
+        finally:
+            self.polling.discard(view.id)
+
+    async def _poll_members(self) -> None:
+        while True:
+            try:
+                body = await self._get(f'{self.members_address}/members')
+                self.runtime.post(_members_listed(body))
+            except POLL_FAULTS:
+                # The last list stays in use.
+                pass
+            await asyncio.sleep(MEMBERS_PERIOD_S)
+
+    async def _get(self, url: str) -> Any:
+        response = await self.client.get(f'http://{url}')
+        if response.status_code != STATUS_OK:
+            raise OSError(f'status {response.status_code}')
+        return await response.json()
+
+
+def _engine_events(endpoint: EndpointId, followed: _Followed, body: Any,
+                   now: float) -> Iterable[ev.Event]:
+    load = body['load']
+    yield ev.LoadReported(endpoint, now - load['age_s'], load['running'],
+                          load['waiting_tokens'], load['prefill_tokens_per_s'],
+                          WeightVersion(load['version']))
+    added = tuple(BlockKey(key) for key in body['added'])
+    removed = tuple(BlockKey(key) for key in body['removed'])
+    followed.position = body['position']
+    if body['whole'] or body['life'] != followed.life:
+        followed.life = body['life']
+        followed.pieces += 1
+        yield ev.CacheListed(endpoint, followed.pieces, added)
+    elif added or removed:
+        followed.pieces += 1
+        yield ev.CacheChanged(endpoint, followed.pieces, added, removed)
+
+
+def _members_listed(body: Any) -> ev.MembersListed:
+    members = tuple(
+        ev.Member(VmId(row['vm']), DcId(row['dc']), row['address'],
+                  row['leaving']) for row in body['members'])
+    return ev.MembersListed(
+        members,
+        frozenset(EndpointId(name) for name in body['leaving_endpoints']))
--- a/src/plantainridge/mailboxes.py
+++ b/src/plantainridge/mailboxes.py
@@ -49,7 +49,7 @@
                 self.overflowed = True
                 self.replies.clear()
                 self._on_overflow()
-                return
+                reply = HungUp()
         self.replies.append(reply)
         self._filled.set()
 
--- a/src/plantainridge/serve.py
+++ b/src/plantainridge/serve.py
@@ -10,6 +10,8 @@
 
 LISTEN_BACKLOG: Final = 2_048
 MAX_HEADER_BYTES: Final = 32 * 1024
+# Bounds what the system keeps for a peer that reads slowly.
+SEND_BUFFER_BYTES: Final = 128 * 1024
 # How long a peer may leave sent data unacknowledged or its window shut.
 UNREAD_TIMEOUT_S: Final = 60
 # How long a request's head may take, up to twice this.
@@ -38,18 +40,24 @@
         Raises:
             OSError: The address cannot be bound.
         """
+        self.app = app
+        self.killed = False
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
                                UNREAD_TIMEOUT_S * 1_000)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF,
+                               SEND_BUFFER_BYTES)
         self.socket.bind((host, port))
         self.socket.listen(LISTEN_BACKLOG)
         self.address = f'{host}:{self.socket.getsockname()[1]}'
         self.server = _QuietServer(
-            uvicorn.Config(app,
+            uvicorn.Config(self._run,
                            log_config=None,
                            access_log=False,
                            lifespan='off',
+                           interface='asgi3',
+                           proxy_headers=False,
                            http='h11',
                            ws='none',
                            server_header=False,
@@ -58,6 +66,14 @@
         self.task: asyncio.Task[None] | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
+    async def _run(self, scope: Any, receive: Any, send: Any) -> None:
+        try:
+            await self.app(scope, receive, send)
+        except asyncio.CancelledError:
+            # A killed server has nobody left to tell.
+            if not self.killed:
+                raise
+
     async def start(self) -> None:
         """Returns once connections are taken."""
         self.task = asyncio.create_task(
@@ -99,6 +115,7 @@
 
     async def kill(self) -> None:
         """Closes at once, breaking every connection."""
+        self.killed = True
         self.server.force_exit = True
         self.server.should_exit = True
         for connection in list(self.server.server_state.connections):
--- a/src/plantainridge/standins/engine_http.py
+++ b/src/plantainridge/standins/engine_http.py
@@ -2,16 +2,22 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
-from typing import Any
+import uuid
+from collections import deque
+from collections.abc import AsyncIterator, Iterable
+from typing import Any, Final
 
+import attrs
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from plantainridge.ids import BlockKey, RequestId
-from plantainridge.standins.engine import EngineModel, Job, Sink
+from plantainridge.standins.engine import (PREFILL_TOKENS_PER_S, EngineModel,
+                                           Job, Sink)
+
+JOURNAL_CHANGES: Final = 1_024
 
 
 class _QueueSink(Sink):
@@ -34,14 +40,57 @@
         self.queue.put_nowait(None)
 
 
+@attrs.frozen
+class Changes:
+    """How the cache changed since a position."""
+
+    added: list[BlockKey]
+    removed: list[BlockKey]
+
+
+class Journal:
+    """The cache's latest changes; a position counts them.
+
+    Attributes:
+        position: Changes seen so far.
+    """
+
+    def __init__(self) -> None:
+        self.position = 0
+        self.known: set[BlockKey] = set()
+        self.changes: deque[tuple[BlockKey,
+                                  bool]] = deque(maxlen=JOURNAL_CHANGES)
+
+    def refresh(self, cache: Iterable[BlockKey]) -> None:
+        """Notes what changed since the last time."""
+        now = set(cache)
+        for key in sorted(self.known - now):
+            self.changes.append((key, False))
+        for key in sorted(now - self.known):
+            self.changes.append((key, True))
+        self.position += len(now ^ self.known)
+        self.known = now
+
+    def since(self, position: int) -> Changes | None:
+        """Returns the changes after a position; None if some are lost."""
+        missing = self.position - position
+        if not 0 <= missing <= len(self.changes):
+            return None
+        last = dict(list(self.changes)[len(self.changes) - missing:])
+        return Changes([key for key, held in last.items() if held],
+                       [key for key, held in last.items() if not held])
+
+
 class EngineApp:
     """Routes of one engine."""
 
     def __init__(self, model: EngineModel) -> None:
         self.model = model
+        self.life = uuid.uuid4().hex
+        self.journal = Journal()
         self.app = Starlette(routes=[
             Route('/v1/completions', self.complete, methods=['POST']),
-            Route('/load', self.load),
+            Route('/feed', self.feed),
         ])
 
     async def complete(self, request: Request) -> Response:
@@ -76,11 +125,24 @@
         finally:
             self.model.cancel(job)
 
-    async def load(self, request: Request) -> Response:
-        """Reports the load as it is now."""
-        del request
+    async def feed(self, request: Request) -> Response:
+        """Reports the load and how the cache changed since a position."""
+        self.journal.refresh(self.model.cache)
+        after = int(request.query_params.get('after', '0'))
+        known = request.query_params.get('life') == self.life
+        changes = self.journal.since(after) if known else None
+        model = self.model
         return JSONResponse({
-            'running': len(self.model.running),
-            'waiting_tokens': self.model.waiting_tokens(),
-            'version': self.model.version,
+            'life': self.life,
+            'position': self.journal.position,
+            'whole': changes is None,
+            'added': list(model.cache) if changes is None else changes.added,
+            'removed': [] if changes is None else changes.removed,
+            'load': {
+                'age_s': 0.0,
+                'running': len(model.running),
+                'waiting_tokens': model.waiting_tokens(),
+                'prefill_tokens_per_s': PREFILL_TOKENS_PER_S,
+                'version': model.version,
+            },
         })
--- a/src/plantainridge/standins/site.py
+++ b/src/plantainridge/standins/site.py
@@ -63,12 +63,12 @@
         await self._serve('members', MembersApp(self.members).app)
         for endpoint in self.config.endpoints.values():
             await self._start_endpoint(endpoint)
-        self.config = attrs.evolve(self.config,
-                                   endpoints={
-                                       endpoint.id: self._placed(endpoint) for
-                                       endpoint in self.config.endpoints.values(
-                                       )
-                                   })
+        self.config = attrs.evolve(
+            self.config,
+            endpoints={
+                endpoint.id: self._placed(endpoint)
+                for endpoint in self.config.endpoints.values()
+            })
         self.log.append('config', 0, [encode(Revision(-1, self.config))])
         for vm, dc in vms.items():
             await self.start_vm(vm, dc)
@@ -113,7 +113,8 @@
             model = self.services[ServiceId(endpoint.serves)]
             await self._serve(endpoint.id, ServiceApp(model).app)
             return
-        version = next((each.version for each in self.config.models.values()
+        version = next((each.version
+                        for each in self.config.models.values()
                         if each.id == endpoint.serves), WeightVersion(''))
         engine = EngineModel(endpoint.id, version)
         self.engines[endpoint.id] = engine
@@ -124,9 +125,8 @@
 
 
 def with_keys(config: cfg.Config, keys: Mapping[TeamId, str]) -> cfg.Config:
-    """Returns a configuration whose teams have known keys."""
-    teams = {
-        team.id: attrs.evolve(team, key_hash=hash_key(keys[team.id]))
-        for team in config.teams.values()
-    }
+    """Returns a configuration in which teams have known keys."""
+    teams = dict(config.teams)
+    for name, key in keys.items():
+        teams[name] = attrs.evolve(teams[name], key_hash=hash_key(key))
     return attrs.evolve(config, teams=teams)
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,287 @@
+"""Tests of the callers' interface over real sockets."""
+
+import asyncio
+import contextlib
+import io
+import json
+import logging
+import socket
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiosonic
+import openai
+
+from plantainridge import effects as fx
+from plantainridge import mailboxes, reports
+from plantainridge.entry import Entry
+from plantainridge.http_ports import new_client
+from plantainridge.ids import DcId, RequestId, VmId
+from plantainridge.standins import site, world
+from plantainridge.standins.engine import token_at
+
+VM = VmId('vm1')
+KEY = 'a-secret-key'
+SLOWDOWN = 0.02
+POLL_S = 0.005
+
+
+@contextlib.asynccontextmanager
+async def running(slowdown: float = SLOWDOWN) -> AsyncIterator[site.Site]:
+    """Runs one VM before two engines and two services."""
+    config = site.with_keys(world.sample_config(), {world.TEAM: KEY})
+    here = site.Site(config)
+    await here.start({VM: DcId(world.DC)})
+    for engine in here.engines.values():
+        engine.slowdown = slowdown
+    try:
+        yield here
+    finally:
+        await here.stop()
+
+
+def whole(prompt: str, count: int) -> str:
+    """Returns the answer that the engines give to a prompt."""
+    return ''.join(token_at(prompt, world.VERSION, i) for i in range(count))
+
+
+async def until_idle(here: site.Site) -> None:
+    """Returns once nothing of any request is left; fails if it stays."""
+    entry = here.entries[VM]
+    async with asyncio.timeout(10):
+        while (entry.runtime.state.calls.calls or entry.mailboxes.open_now or
+               entry.runtime.state.calls.attempts or
+               any(engine.running for engine in here.engines.values())):
+            await asyncio.sleep(POLL_S)
+
+
+class _Caller:
+    """A client that says what the VM answered."""
+
+    def __init__(self, entry: Entry, client: aiosonic.HTTPClient) -> None:
+        self.entry = entry
+        self.client = client
+
+    async def post(self,
+                   path: str,
+                   data: bytes,
+                   key: str = KEY,
+                   headers: dict[str, str] | None = None) -> tuple[int, Any]:
+        """Sends a body; returns the status and the problem's reason."""
+        response = await self.client.post(
+            f'http://{self.entry.callers.address}{path}',
+            data=data,
+            headers={
+                'Authorization': f'Bearer {key}',
+                **(headers or {})
+            })
+        body = await response.json()
+        return response.status_code, body
+
+
+class StreamTest(unittest.TestCase):
+    """Each of many callers gets its own whole answer."""
+
+    def test_200_concurrent_streams_are_each_whole(self) -> None:
+
+        async def scenario() -> list[tuple[str, str]]:
+            async with running() as here:
+                api = openai.AsyncOpenAI(
+                    api_key=KEY,
+                    base_url=f'http://{here.entries[VM].callers.address}/v1',
+                    max_retries=0)
+
+                async def one(number: int) -> tuple[str, str]:
+                    prompt = f'manifest {number}'
+                    stream = await api.completions.create(model=world.MODEL,
+                                                          prompt=prompt,
+                                                          max_tokens=12,
+                                                          stream=True)
+                    text = ''
+                    async for piece in stream:
+                        text += piece.choices[0].text
+                    return text, whole(prompt, 12)
+
+                async with api:
+                    found = await asyncio.gather(*map(one, range(200)))
+                await until_idle(here)
+                return found
+
+        for got, wanted in asyncio.run(scenario()):
+            self.assertEqual(got, wanted)
+
+
+class OpenAiClientTest(unittest.TestCase):
+    """The published client works by a change of its base URL."""
+
+    def test_chat_refusals_and_models(self) -> None:
+
+        async def scenario() -> None:
+            async with running() as here:
+                base = f'http://{here.entries[VM].callers.address}/v1'
+                async with openai.AsyncOpenAI(api_key=KEY,
+                                              base_url=base) as api:
+                    answer = await api.chat.completions.create(
+                        model=world.MODEL,
+                        max_tokens=5,
+                        messages=[{
+                            'role': 'user',
+                            'content': 'rinse?'
+                        }])
+                    self.assertEqual(answer.choices[0].message.content,
+                                     whole('user: rinse?\n', 5))
+                    self.assertEqual(
+                        answer.usage and answer.usage.completion_tokens, 5)
+                    models = await api.models.list()
+                    self.assertEqual([each.id for each in models.data],
+                                     [world.MODEL])
+                    with self.assertRaises(openai.NotFoundError) as caught:
+                        await api.completions.create(model='none', prompt='x')
+                    self.assertEqual(caught.exception.code, 'unknown_model')
+                    self.assertEqual(caught.exception.response.json()['ran'],
+                                     'not_run')
+                async with openai.AsyncOpenAI(api_key='no',
+                                              base_url=base) as no:
+                    with self.assertRaises(openai.AuthenticationError):
+                        await no.models.list()
+
+        asyncio.run(scenario())
+
+
+class BadInputTest(unittest.TestCase):
+    """Each fault of a request is a typed refusal that is true."""
+
+    CASES: list[tuple[str, bytes, dict[str, str], int, str]] = [
+        ('/v1/completions', b'{', {}, 400, 'malformed'),
+        ('/v1/completions', b'[' * 100_000, {}, 400, 'malformed'),
+        ('/v1/completions', b'{"model":"report","prompt":"\\ud800"}', {}, 400,
+         'malformed'),
+        ('/v1/completions',
+         b'{"model":"report","prompt":"x","max_tokens":true}',
+         {}, 400, 'malformed'),
+        ('/v1/completions', b'{"model":"report","prompt":"x","n":2}', {}, 400,
+         'malformed'),
+        ('/v1/completions', b'{"model":"other","prompt":"x"}', {}, 404,
+         'unknown_model'),
+        ('/v1/completions', b'{"model":"report","prompt":"%s"}' %
+         (b'x' * 600_000), {}, 400, 'context_too_long'),
+        ('/v1/completions', b'x' * 5_000_000, {}, 413, 'too_large'),
+        ('/services/none/x', b'{}', {}, 404, 'unknown_service'),
+        ('/services/lookup/x', b'{}', {'X-Run-Once': 'no'}, 400, 'malformed'),
+        ('/services/lookup/x', b'{}', {'Idempotency-Key': 'k' * 300}, 400,
+         'idempotency_key_invalid'),
+    ]  # yapf: disable
+
+    def test_each_fault_has_its_reason(self) -> None:
+
+        async def scenario() -> None:
+            async with running() as here:
+                client = new_client()
+                caller = _Caller(here.entries[VM], client)
+                for path, data, headers, status, reason in self.CASES:
+                    with self.subTest(path=path, data=data[:30]):
+                        got, body = await caller.post(path,
+                                                      data,
+                                                      headers=headers)
+                        self.assertEqual((got, body['error']['type']),
+                                         (status, reason))
+                        self.assertEqual(body['ran'], 'not_run')
+                for key in ('', 'wrong', 'k' * 10_000):
+                    got, body = await caller.post('/v1/completions', b'{}', key)
+                    self.assertEqual((got, body['error']['type']),
+                                     (401, 'unauthenticated'))
+                await client.aclose()
+                await until_idle(here)
+
+        asyncio.run(scenario())
+
+
+class UnreliableCallerTest(unittest.TestCase):
+    """A caller that hangs up or does not read leaves nothing behind."""
+
+    BODY = json.dumps({
+        'model': world.MODEL,
+        'prompt': 'long report',
+        'max_tokens': 100_000,
+        'stream': True
+    }).encode()
+
+    async def _open(
+            self, here: site.Site,
+            body: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = here.entries[VM].callers.address.split(':')
+        sock = socket.socket()
+        # The system would else keep megabytes for a caller that never reads.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.connect((host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1_024)
+        head = ('POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+                f'Authorization: Bearer {KEY}\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n')
+        writer.write(head.encode() + body)
+        return reader, writer
+
+    def test_hanging_up_frees_everything(self) -> None:
+
+        async def scenario() -> None:
+            async with running() as here:
+                for stream in (True, False):
+                    body = json.loads(self.BODY)
+                    body['stream'] = stream
+                    _, writer = await self._open(here,
+                                                 json.dumps(body).encode())
+                    async with asyncio.timeout(10):
+                        while not any(e.running for e in here.engines.values()):
+                            await asyncio.sleep(POLL_S)
+                    writer.close()
+                    await until_idle(here)
+
+        asyncio.run(scenario())
+
+    def test_a_caller_that_does_not_read_is_cut_off(self) -> None:
+
+        async def scenario() -> None:
+            async with running(slowdown=0.000_1) as here:
+                _, writer = await self._open(here, self.BODY)
+                async with asyncio.timeout(10):
+                    while not here.entries[VM].mailboxes.open_now:
+                        await asyncio.sleep(POLL_S)
+                await until_idle(here)
+                writer.close()
+
+        stream = io.StringIO()
+        handler = logging.StreamHandler(stream)
+        handler.setFormatter(reports.JsonFormatter())
+        reports.set_up_logs()
+        root = logging.getLogger()
+        root.addHandler(handler)
+        try:
+            asyncio.run(scenario())
+        finally:
+            root.removeHandler(handler)
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        outcomes = [
+            line['outcome']
+            for line in lines
+            if line['event'] == 'request_ended'
+        ]
+        self.assertEqual(outcomes, ['caller_slow'])
+        self.assertNotIn(KEY, stream.getvalue())
+        self.assertNotIn('long report', stream.getvalue())
+
+
+class MailboxTest(unittest.TestCase):
+    """A backlog is bounded."""
+
+    def test_overflows_once(self) -> None:
+        overflows: list[None] = []
+        mailbox = mailboxes.Mailbox(lambda: overflows.append(None))
+        piece = fx.SendTokens(RequestId('r'), ('t',))
+        for _ in range(mailboxes.MAX_BACKLOG_TOKENS):
+            mailbox.put(piece)
+        self.assertEqual(len(overflows), 0)
+        for _ in range(2):
+            mailbox.put(piece)
+        self.assertEqual(len(overflows), 1)
+        self.assertEqual(list(mailbox.replies), [mailboxes.HungUp()])
