--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -28,10 +28,12 @@
 
 SERVICE_PREFIX: Final = '/services'
 SERVICE_METHODS: Final = ('GET', 'POST', 'PUT', 'DELETE')
-# Header that marks a call which must run at most once, and its only value.
+# Marks a call that must run at most once; also said by a service's row.
 RUN_ONCE_HEADER: Final = 'x-run-once'
-RUN_ONCE_VALUE: Final = 'yes'
 KEY_HEADER: Final = 'idempotency-key'
+# Says that the caller may have sent the call before under its key.
+RESEND_HEADER: Final = 'idempotency-resend'
+YES: Final = 'yes'
 MAX_KEY_CHARS: Final = 255
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 BODY_TIMEOUT_S: Final = 30.0
@@ -366,9 +368,9 @@
             Reason.KEY_INVALID, RanState.NOT_RUN,
             f'{KEY_HEADER} must be printable ASCII, at most '
             f'{MAX_KEY_CHARS} characters')
-    mark = request.headers.get(RUN_ONCE_HEADER)
-    if mark is not None and mark.lower() != RUN_ONCE_VALUE:
-        return malformed(f'{RUN_ONCE_HEADER} may only be {RUN_ONCE_VALUE}')
+    for header in (RUN_ONCE_HEADER, RESEND_HEADER):
+        if request.headers.get(header, YES).lower() != YES:
+            return malformed(f'{header} may only be {YES}')
     path = '/' + request.path_params['path']
     if not path.isascii() or not path.isprintable() or ' ' in path:
         return malformed('the path must be printable ASCII without spaces')
@@ -379,4 +381,5 @@
                             path=path,
                             body=data,
                             key=key,
-                            marked=mark is not None)
+                            marked=RUN_ONCE_HEADER in request.headers,
+                            resend=RESEND_HEADER in request.headers)
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from plantainridge import members_http
 from plantainridge.callers import CallersApp, Limits
 from plantainridge.feeds import Feeds
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
@@ -14,6 +15,7 @@
 from plantainridge.mailboxes import Mailboxes
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
+from plantainridge.peers_net import NetPeers
 from plantainridge.ports import Ports
 from plantainridge.reports import ProcessReport
 from plantainridge.runtime import Runtime
@@ -30,10 +32,12 @@
         port: Port for callers; 0 lets the system choose.
         operator_port: Port for operators; 0 lets the system choose.
         log_address: IP number and port of the platform's log.
-        members_address: IP number and port of the membership list; empty
-            for none.
         limits: What one caller's request may ask of the process.
         seed: Seed of the reducer's randomness; None for a fresh one.
+        members_address: IP number and port of the platform's membership
+            list; empty for none.
+        peer_port: Port for other VMs; 0 lets the system choose.
+        peers: Addresses of some other VMs of the data centre.
     """
 
     vm: VmId
@@ -45,6 +49,8 @@
     members_address: str = ''
     limits: Limits = Limits()
     seed: int | None = None
+    peer_port: int = 0
+    peers: tuple[str, ...] = ()
 
 
 class Entry:
@@ -63,16 +69,17 @@
         self.client = new_client()
         self.mailboxes = Mailboxes()
         self.exited = asyncio.Event()
+        self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
         ports = Ports(callers=self.mailboxes,
                       engines=HttpEnginePort(self.client, self.tasks),
                       services=HttpServicePort(self.tasks),
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm),
-                      on_exit=self._on_exit)
+                      on_exit=self._on_exit,
+                      peers=self.peers)
         self.runtime = Runtime(state, ports)
-        self.feeds = Feeds(self.runtime, self.client, self.tasks,
-                           settings.members_address)
+        self.feeds = Feeds(self.runtime, self.client, self.tasks)
         callers = CallersApp(self.runtime, self.mailboxes, settings.limits)
         self.callers = AppServer(callers.app, settings.host, settings.port)
         callers.abort = self.callers.abort
@@ -85,6 +92,14 @@
 
     async def start(self) -> None:
         """Returns once callers can connect."""
+        await self.peers.start(self.runtime.post)
+        exchange = self.runtime.state.exchange
+        exchange.address = self.peers.address
+        exchange.seeds = self.settings.peers
+        if self.settings.members_address:
+            self.tasks.spawn(
+                members_http.follow(self.client, self.settings.members_address,
+                                    self.runtime.post))
         self.runtime.start()
         self.feeds.start()
         await self.callers.start()
@@ -95,6 +110,7 @@
         await self.callers.stop()
         await self.operators.stop()
         self.runtime.halt()
+        await self.peers.stop()
         await self.tasks.cancel()
         await self.client.aclose()
 
--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -1,7 +1,7 @@
-"""Polls endpoints for load and cache events, and the membership list.
+"""Polls engines for their load and their cache events.
 
-The rate of polls is bounded per process, whatever the number of endpoints:
-endpoints that run this VM's requests go first, the others take turns.
+The rate of polls is bounded per process, whatever the number of engines:
+engines that run this VM's requests go first, the others take turns.
 """
 
 import asyncio
@@ -17,12 +17,11 @@
 from plantainridge.config import EndpointKind
 from plantainridge.endpoints import EndpointView
 from plantainridge.http_ports import STATUS_OK, Tasks
-from plantainridge.ids import BlockKey, DcId, EndpointId, VmId, WeightVersion
+from plantainridge.ids import BlockKey, EndpointId, WeightVersion
 from plantainridge.runtime import Runtime
 
 ROUND_S: Final = 0.25
 POLLS_PER_ROUND: Final = 8
-MEMBERS_PERIOD_S: Final = 1.0
 # Faults of a poll; the next round tries again.
 POLL_FAULTS: Final = (http_errors.AiosonicError, OSError, ValueError, EOFError,
                       KeyError, TypeError, TimeoutError)
@@ -47,11 +46,10 @@
     """Polls on behalf of one VM."""
 
     def __init__(self, runtime: Runtime, client: aiosonic.HTTPClient,
-                 tasks: Tasks, members_address: str) -> None:
+                 tasks: Tasks) -> None:
         self.runtime = runtime
         self.client = client
         self.tasks = tasks
-        self.members_address = members_address
         self.followed: dict[EndpointId, _Followed] = {}
         self.turns: deque[EndpointId] = deque()
         self.polling: set[EndpointId] = set()
@@ -59,8 +57,6 @@
     def start(self) -> None:
         """Polls from now on, until the process's tasks are cancelled."""
         self.tasks.spawn(self._poll_engines())
-        if self.members_address:
-            self.tasks.spawn(self._poll_members())
 
     async def _poll_engines(self) -> None:
         while True:
@@ -106,16 +102,6 @@
         finally:
             self.polling.discard(view.id)
 
-    async def _poll_members(self) -> None:
-        while True:
-            try:
-                body = await self._get(f'{self.members_address}/members')
-                self.runtime.post(_members_listed(body))
-            except POLL_FAULTS:
-                # The last list stays in use.
-                pass
-            await asyncio.sleep(MEMBERS_PERIOD_S)
-
     async def _get(self, url: str) -> Any:
         response = await self.client.get(f'http://{url}')
         if response.status_code != STATUS_OK:
@@ -139,12 +125,3 @@
     elif added or removed:
         followed.pieces += 1
         yield ev.CacheChanged(endpoint, followed.pieces, added, removed)
-
-
-def _members_listed(body: Any) -> ev.MembersListed:
-    members = tuple(
-        ev.Member(VmId(row['vm']), DcId(row['dc']), row['address'],
-                  row['leaving']) for row in body['members'])
-    return ev.MembersListed(
-        members,
-        frozenset(EndpointId(name) for name in body['leaving_endpoints']))
--- /dev/null
+++ b/src/plantainridge/standins/memory_services.py
@@ -0,0 +1,90 @@
+"""Port that reaches the plain services' models in memory, with faults."""
+
+import asyncio
+import random
+
+import attrs
+
+from plantainridge import effects as fx
+from plantainridge import events as ev
+from plantainridge.ids import EndpointId, RequestId
+from plantainridge.ports import Post, ServicePort
+from plantainridge.standins.audit import Audit, MarkedCall
+from plantainridge.standins.memory import Network
+from plantainridge.standins.service import Run, ServiceModel
+
+
+@attrs.define
+class ServiceFaults:
+    """Chances of faults of a call, by one VM's way to the services.
+
+    Attributes:
+        lose_answer: The answer is lost after the call has run.
+        refuse: The connection is refused.
+        cross: Another request's answer comes instead.
+        hang: Neither an answer nor an error comes.
+    """
+
+    lose_answer: float = 0.0
+    refuse: float = 0.0
+    cross: float = 0.0
+    hang: float = 0.0
+
+
+class MemoryServicePort(ServicePort):
+    """One VM's way to the plain services' models.
+
+    Attributes:
+        run_s: How long a call runs, in s.
+        faults: Chances of faults.
+    """
+
+    def __init__(self,
+                 vm: str,
+                 network: Network,
+                 models: dict[EndpointId, ServiceModel],
+                 rng: random.Random,
+                 audit: Audit | None = None) -> None:
+        self.audit = audit or Audit()
+        self.vm = vm
+        self.network = network
+        self.models = models
+        self.rng = rng
+        self.run_s = 0.01
+        self.faults = ServiceFaults()
+
+    def call(self, effect: fx.CallService, post: Post) -> None:
+        self.network.later(lambda: self._run(effect, post))
+
+    def _run(self, effect: fx.CallService, post: Post) -> None:
+        model = self.models.get(effect.endpoint)
+        reached = self.network.reaches(self.vm, effect.endpoint)
+        if model is None or not reached or self._draw(self.faults.refuse):
+            failed = ev.AttemptFailed(effect.attempt,
+                                      ev.Failure.CONNECT_REFUSED)
+            self.network.later(lambda: post(failed))
+            return
+        run = model.run(effect.scoped_key)
+        self.audit.started.add(effect.request)
+        if effect.key and run.fresh:
+            self.audit.runs[MarkedCall(effect.team, effect.service,
+                                       effect.key)] += 1
+        if self._draw(self.faults.hang):
+            return
+        asyncio.get_running_loop().call_later(
+            self.run_s, lambda: self._answer(effect, run, post))
+
+    def _answer(self, effect: fx.CallService, run: Run, post: Post) -> None:
+        event: ev.Event = ev.ServiceAnswered(effect.attempt, effect.request,
+                                             200,
+                                             str(run.count).encode())
+        if self._draw(self.faults.cross):
+            event = ev.ServiceAnswered(effect.attempt, RequestId('another'),
+                                       200, b'crossed')
+        cut = not self.network.reaches(self.vm, effect.endpoint)
+        if cut or self._draw(self.faults.lose_answer):
+            event = ev.AttemptFailed(effect.attempt, ev.Failure.BROKEN)
+        self.network.later(lambda: post(event))
+
+    def _draw(self, chance: float) -> bool:
+        return chance > 0.0 and self.rng.random() < chance
--- a/src/plantainridge/standins/service.py
+++ b/src/plantainridge/standins/service.py
@@ -2,22 +2,42 @@
 
 from collections import Counter
 
+import attrs
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 
+@attrs.frozen
+class Run:
+    """What became of one call at the service.
+
+    Attributes:
+        count: How often the key's call has run.
+        fresh: Whether this call did the work, rather than an earlier one.
+    """
+
+    count: int
+    fresh: bool
+
+
 class ServiceModel:
-    """A ledger that knows how often each key's call was run."""
+    """A ledger that knows how often each key's call was run.
+
+    Attributes:
+        checks_keys: Whether a key that was seen before is not run again.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, checks_keys: bool = False) -> None:
+        self.checks_keys = checks_keys
         self.runs: Counter[str] = Counter()
 
-    def run(self, key: str) -> int:
-        """Runs a call; returns how often its key has run."""
-        self.runs[key] += 1
-        return self.runs[key]
+    def run(self, key: str) -> Run:
+        """Runs a call, unless its key is checked and was seen before."""
+        fresh = not (self.checks_keys and key and self.runs[key])
+        self.runs[key] += fresh
+        return Run(self.runs[key], fresh)
 
 
 class ServiceApp:
@@ -34,11 +54,10 @@
     async def call(self, request: Request) -> Response:
         """Runs one call and echoes the request id."""
         body = await request.body()
-        key = request.headers.get('idempotency-key', '')
-        count = self.model.run(key)
+        run = self.model.run(request.headers.get('idempotency-key', ''))
         return JSONResponse(
             {
-                'runs': count,
+                'runs': run.count,
                 'bytes': len(body)
             },
             headers={'x-request-id': request.headers.get('x-request-id', '')})
--- a/src/plantainridge/standins/site.py
+++ b/src/plantainridge/standins/site.py
@@ -17,12 +17,13 @@
 from plantainridge.serve import AppServer
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.engine_http import EngineApp
-from plantainridge.standins.listing import MembersApp, MembersModel
+from plantainridge.standins.members import MembersApp, MembersModel
 from plantainridge.standins.log import LogApp, LogModel
 from plantainridge.standins.service import ServiceApp, ServiceModel
 
 HOST: Final = '127.0.0.1'
 READY_POLL_S: Final = 0.01
+MEMBERS_LAG_S: Final = 0.2
 
 
 def hash_key(key: str) -> str:
@@ -49,7 +50,7 @@
         self.config = config
         self.rng = random.Random(seed)
         self.log = LogModel()
-        self.members = MembersModel()
+        self.members = MembersModel(lag_s=MEMBERS_LAG_S)
         self.engines: dict[EndpointId, EngineModel] = {}
         self.services: dict[ServiceId, ServiceModel] = {
             name: ServiceModel() for name in config.services
@@ -89,7 +90,7 @@
                           seed=self.rng.getrandbits(64)))
         await entry.start()
         self.entries[vm] = entry
-        self.members.put(Member(vm, dc, entry.callers.address, leaving=False))
+        self.members.put(Member(vm, dc, entry.peers.address, leaving=False))
         return entry
 
     async def stop(self) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -242,7 +242,7 @@
     def test_a_caller_that_does_not_read_is_cut_off(self) -> None:
 
         async def scenario() -> None:
-            async with running(slowdown=0.000_1) as here:
+            async with running(slowdown=0.01) as here:
                 _, writer = await self._open(here, self.BODY)
                 async with asyncio.timeout(10):
                     while not here.entries[VM].mailboxes.open_now:
