--- a/src/plantainridge/members_http.py
+++ b/src/plantainridge/members_http.py
@@ -6,12 +6,14 @@
 import aiosonic
 import cattrs
 from aiosonic import exceptions as http_errors
+from cattrs.preconf.json import make_converter
 
 from plantainridge.events import MembersListed
 from plantainridge.ports import Post
 
 PERIOD_S: Final = 1.0
 STATUS_OK: Final = 200
+CONVERTER: Final = make_converter()
 
 
 async def follow(client: aiosonic.HTTPClient, address: str, post: Post) -> None:
@@ -34,7 +36,7 @@
         response = await client.get(f'http://{address}/members')
         if response.status_code != STATUS_OK:
             return None
-        return cattrs.structure(await response.json(), MembersListed)
+        return CONVERTER.structure(await response.json(), MembersListed)
     except (http_errors.AiosonicError, OSError, ValueError, EOFError,
             cattrs.BaseValidationError):
         return None
