--- a/src/plantainridge/cli.py
+++ b/src/plantainridge/cli.py
@@ -5,7 +5,7 @@
 
 import click
 
-from plantainridge import VERSION, benches, demo, matrix, reports
+from plantainridge import (VERSION, benches, demo, matrix, reports, sheet_cli)
 
 
 @click.group(context_settings={'auto_envvar_prefix': 'PLANTAINRIDGE'})
@@ -32,3 +32,4 @@
 
 
 main.add_command(matrix.matrix)
+main.add_command(sheet_cli.commands)
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -1,15 +1,18 @@
 """The process of one entry VM."""
 
+import asyncio
 import random
 import uuid
 
 import attrs
 
 from plantainridge import members_http
-from plantainridge.callers import CallersApp, Mailboxes
+from plantainridge.callers import CallersApp, Limits
+from plantainridge.feeds import Feeds
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, Tasks, new_client)
 from plantainridge.ids import DcId, Incarnation, VmId
+from plantainridge.mailboxes import Mailboxes
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
 from plantainridge.peers_net import NetPeers
@@ -29,6 +32,8 @@
         port: Port for callers; 0 lets the system choose.
         operator_port: Port for operators; 0 lets the system choose.
         log_address: IP number and port of the platform's log.
+        limits: What one caller's request may ask of the process.
+        seed: Seed of the reducer's randomness; None for a fresh one.
         members_address: IP number and port of the platform's membership
             list; empty for none.
         peer_port: Port for other VMs; 0 lets the system choose.
@@ -42,6 +47,8 @@
     operator_port: int
     log_address: str
     members_address: str = ''
+    limits: Limits = Limits()
+    seed: int | None = None
     peer_port: int = 0
     peers: tuple[str, ...] = ()
 
@@ -55,11 +62,13 @@
         state = VmState(vm=settings.vm,
                         dc=settings.dc,
                         incarnation=incarnation,
-                        rng=random.Random(incarnation))
+                        rng=random.Random(incarnation if settings.seed is
+                                          None else settings.seed))
         self.metrics = Metrics()
         self.tasks = Tasks()
         self.client = new_client()
         self.mailboxes = Mailboxes()
+        self.exited = asyncio.Event()
         self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
         ports = Ports(callers=self.mailboxes,
                       engines=HttpEnginePort(self.client, self.tasks),
@@ -67,15 +76,20 @@
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm),
+                      on_exit=self._on_exit,
                       peers=self.peers)
         self.runtime = Runtime(state, ports)
-        self.callers = AppServer(
-            CallersApp(self.runtime, self.mailboxes).app, settings.host,
-            settings.port)
+        self.feeds = Feeds(self.runtime, self.client, self.tasks)
+        callers = CallersApp(self.runtime, self.mailboxes, settings.limits)
+        self.callers = AppServer(callers.app, settings.host, settings.port)
+        callers.abort = self.callers.abort
         self.operators = AppServer(
             OperatorsApp(self.runtime, self.metrics).app, settings.host,
             settings.operator_port)
 
+    def _on_exit(self) -> None:
+        self.exited.set()
+
     async def start(self) -> None:
         """Returns once callers can connect."""
         await self.peers.start(self.runtime.post)
@@ -87,6 +101,7 @@
                 members_http.follow(self.client, self.settings.members_address,
                                     self.runtime.post))
         self.runtime.start()
+        self.feeds.start()
         await self.callers.start()
         await self.operators.start()
 
--- a/src/plantainridge/refusals.py
+++ b/src/plantainridge/refusals.py
@@ -42,6 +42,7 @@
     IN_PROGRESS = 'in_progress'
     ANSWER_NOT_KEPT = 'answer_not_kept'
     CALLER_GONE = 'caller_gone'
+    CALLER_SLOW = 'caller_slow'
 
 
 HTTP_STATUS: dict[Reason, int] = {
@@ -68,6 +69,7 @@
     Reason.IN_PROGRESS: 409,
     Reason.ANSWER_NOT_KEPT: 410,
     Reason.CALLER_GONE: 499,
+    Reason.CALLER_SLOW: 499,
 }
 
 
--- a/src/plantainridge/standins/faults.py
+++ b/src/plantainridge/standins/faults.py
@@ -148,7 +148,7 @@
 
     def strike(self, scene: Scene) -> None:
         world = scene.world
-        pairs = {
+        pairs: set[frozenset[str]] = {
             frozenset((a.name, b.name))
             for a in world.vms
             for b in world.vms
