--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge import (caching, claim_batches, claim_sync, claims, events,
-                           exchange, members, peering, requests, revisions,
-                           services)
+from plantainridge import (caching, catchup, checkpoints, claim_batches,
+                           claim_sync, claims, events, exchange, members,
+                           peering, requests, revisions, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -30,7 +30,9 @@
 
 # Handlers of timers by kind; those of `TICK` run every `TICK_S`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
-    events.TimerKind.TICK: (_on_tick, caching.on_tick, exchange.on_tick),
+    events.TimerKind.TICK:
+        (_on_tick, caching.on_tick, revisions.on_tick, catchup.on_tick,
+         checkpoints.on_tick, exchange.on_tick),
     events.TimerKind.TRANSFER: (caching.on_transfer_late,),
     events.TimerKind.CLAIM: (claims.on_timer,),
     events.TimerKind.CLAIM_FLUSH: (claim_batches.on_flush,),
@@ -56,8 +58,9 @@
     events.StoreLoadReported: (caching.on_store_load_reported,),
     events.TransferEnded: (caching.on_transfer_ended,),
     events.TimerFired: (_on_timer,),
-    events.AppendEnded: (claims.on_append_ended,),
-    events.AppendFailed: (claims.on_append_failed,),
+    events.AppendEnded: (claims.on_append_ended, checkpoints.on_append_ended),
+    events.AppendFailed:
+        (claims.on_append_failed, checkpoints.on_append_failed),
     events.LogRead: (revisions.on_log_read, claims.on_log_read),
     events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed),
     events.MembersListed: (members.on_listed,),
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -1,7 +1,7 @@
 """VMs and stand-ins joined in memory, for a paused clock."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -20,8 +20,9 @@
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
                                            MemoryMembers, MemoryPeers,
                                            MemoryReport, Network, Told)
-from plantainridge.standins.memory_log import MemoryLogPort
-from plantainridge.standins.memory_services import MemoryServicePort
+from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
+from plantainridge.standins.memory_services import (MemoryServicePort,
+                                                    ServiceFaults)
 from plantainridge.standins.service import ServiceModel
 from plantainridge.state import VmState
 
@@ -108,7 +109,11 @@
     Build it inside the running loop.
     """
 
-    def __init__(self, vms: int = 1, engines: int = 2, seed: int = 1) -> None:
+    def __init__(self,
+                 vms: int = 1,
+                 engines: int = 2,
+                 seed: int = 1,
+                 dcs: tuple[DcId, ...] = (DC,)) -> None:
         self.rng = random.Random(seed)
         self.network = Network()
         self.log = LogModel()
@@ -129,7 +134,9 @@
         self.members = MembersModel()
         self.asks: list[Ask] = []
         self.past: list[Vm] = []
-        self.vms = [self.start_vm(f'vm{i}') for i in range(vms)]
+        self.vms = [
+            self.start_vm(f'vm{i}', dcs[i % len(dcs)]) for i in range(vms)
+        ]
 
     def start_vm(self, name: str, dc: DcId = DC) -> Vm:
         """Starts a VM's process with nothing kept."""
@@ -170,10 +177,26 @@
         """Kills a VM if it lives and starts an empty one by its name."""
         self.kill_vm(vm)
         self.past.append(vm)
-        renewed = self.start_vm(vm.name)
+        renewed = self.start_vm(vm.name, vm.state.dc)
         self.vms[self.vms.index(vm)] = renewed
         return renewed
 
+    def stopper(self, vm: Vm) -> Callable[[], None]:
+        """Returns a function that asks a VM for a graceful shutdown."""
+        return lambda: vm.runtime.post(ev.StopRequested())
+
+    def heal(self) -> None:
+        """Ends every fault, but for what was lost."""
+        self.network.cut.clear()
+        self.log.down = False
+        for engine in self.engines.values():
+            engine.alive = True
+            engine.slowdown = 1.0
+        for vm in self.vms:
+            vm.runtime.resume()
+            vm.log.faults = LogFaults()
+            vm.services.faults = ServiceFaults()
+
     def every_vm(self) -> Iterator[Vm]:
         """Yields all VMs that ever lived."""
         yield from self.past
