--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -339,13 +339,16 @@
         return problem(refusal, visit.name)
 
     def _log(self, visit: _Visit) -> None:
-        self.runtime.ports.report.log(
-            fx.LogLine(
-                'request_ended',
-                (('request', visit.name), ('team', visit.team),
-                 ('target', visit.target), ('outcome', visit.outcome),
-                 ('tokens', visit.tokens),
-                 ('took_s', round(time.monotonic() - visit.began_at, 4)))))
+        took_s = time.monotonic() - visit.began_at
+        report = self.runtime.ports.report
+        report.observe(
+            fx.Observe('request_s', visit.team, visit.outcome, took_s))
+        report.log(
+            fx.LogLine('request_ended',
+                       (('request', visit.name), ('team', visit.team),
+                        ('target', visit.target), ('outcome', visit.outcome),
+                        ('tokens', visit.tokens),
+                        ('took_s', round(took_s, 4)))))
 
 
 def _new_visit(request: Request) -> _Visit:
--- a/src/plantainridge/cli.py
+++ b/src/plantainridge/cli.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import sys
+from typing import Any
 
 import click
 
-from plantainridge import VERSION, benches, demo, reports
+from plantainridge import VERSION, benches, demo, process, reports, settings
+from plantainridge.callers import BODY_TIMEOUT_S, MAX_BODY_BYTES, Limits
+from plantainridge.entry import EntryPart, EntrySettings
+from plantainridge.standins.commands import standin
 
 
-@click.group(context_settings={'auto_envvar_prefix': 'PLANTAINRIDGE'})
+@click.group(
+    context_settings={'auto_envvar_prefix': settings.ENVIRONMENT_PREFIX})
 def main() -> None:
     """Serves prompts whose shared context returns after long gaps."""
     reports.set_up_logs()
@@ -20,6 +25,65 @@
     click.echo(VERSION)
 
 
+@main.command('entry')
+@settings.option('--vm', type=settings.NAME, required=True, help='Its name.')
+@settings.option('--dc',
+                 type=settings.NAME,
+                 required=True,
+                 help='Name of its data centre.')
+@settings.option('--host',
+                 type=settings.HOST,
+                 required=True,
+                 help='IP number to listen on.')
+@settings.option('--port',
+                 type=settings.PORT,
+                 default=8080,
+                 help='Port for callers; 0 lets the system choose.')
+@settings.option('--operator-port',
+                 type=settings.PORT,
+                 default=8081,
+                 help='Port for operators; 0 lets the system choose.')
+@settings.option('--peer-port',
+                 type=settings.PORT,
+                 default=8082,
+                 help='UDP and TCP port for other VMs; 0 lets the system '
+                 'choose.')
+@settings.option('--peer',
+                 'peers',
+                 type=settings.ADDRESS,
+                 multiple=True,
+                 help='Another VM of the data centre; may be repeated.')
+@settings.option('--log',
+                 'log_address',
+                 type=settings.ADDRESS,
+                 required=True,
+                 help="The platform's append-only log.")
+@settings.option('--members',
+                 'members_address',
+                 type=settings.ADDRESS,
+                 help="The platform's membership list; none by default.")
+@settings.option('--max-body-bytes',
+                 type=settings.NumberType(1_024, 64 * 1_024 * 1_024),
+                 default=MAX_BODY_BYTES,
+                 help="Longest body of a caller's request.")
+@settings.option('--body-timeout-s',
+                 type=settings.NumberType(1.0, 600.0),
+                 default=BODY_TIMEOUT_S,
+                 help='Longest time until a whole body has come.')
+def run_entry(max_body_bytes: int, body_timeout_s: float, peers: tuple[str,
+                                                                       ...],
+              members_address: str | None, **given: Any) -> None:
+    """Runs the process of one entry VM until SIGTERM."""
+    wanted = EntrySettings(members_address=members_address or '',
+                           peers=peers,
+                           limits=Limits(max_body_bytes, body_timeout_s),
+                           **given)
+    asyncio.run(process.run(EntryPart(wanted)))
+
+
+main.add_command(standin)
+
+
 @main.command('demo')
 def run_demo() -> None:
     """Runs the whole system with stand-ins on loopback for a short while."""
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from plantainridge import members_http
+from plantainridge import members_http, process, reducer
 from plantainridge.callers import CallersApp, Limits
+from plantainridge.events import StopRequested
 from plantainridge.feeds import Feeds
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, Tasks, new_client)
@@ -105,6 +106,12 @@
         await self.callers.start()
         await self.operators.start()
 
+    async def drain(self) -> None:
+        """Asks for a graceful shutdown; returns once it is complete."""
+        self.runtime.post(StopRequested())
+        if StopRequested in reducer.HANDLERS:
+            await self.exited.wait()
+
     async def stop(self) -> None:
         """Finishes every stream, then ends."""
         await self.callers.stop()
@@ -121,3 +128,25 @@
         await self.operators.kill()
         await self.tasks.cancel()
         await self.client.aclose()
+
+
+class EntryPart(process.Part):
+    """An entry VM as a process: SIGTERM asks for a graceful shutdown."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.entry: Entry | None = None
+
+    async def start(self) -> dict[str, str]:
+        self.entry = Entry(self.settings)
+        await self.entry.start()
+        return {
+            'callers': self.entry.callers.address,
+            'operators': self.entry.operators.address,
+            'peers': self.entry.peers.address,
+        }
+
+    async def stop(self) -> None:
+        if self.entry is not None:
+            await self.entry.drain()
+            await self.entry.stop()
--- a/src/plantainridge/operators.py
+++ b/src/plantainridge/operators.py
@@ -1,11 +1,14 @@
 """Operators' HTTP interface: health, readiness, state, histograms."""
 
+from collections.abc import Iterator
+
 import attrs
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 
+from plantainridge import members
 from plantainridge.metrics import Metrics
 from plantainridge.runtime import Runtime
 
@@ -20,6 +23,8 @@
             Route('/healthz', self.health),
             Route('/readyz', self.ready),
             Route('/state', self.state),
+            Route('/members', self.members),
+            Route('/histograms', self.histograms),
             Route('/metrics', self.prometheus),
         ])
 
@@ -31,9 +36,9 @@
     async def ready(self, request: Request) -> Response:
         """Says whether the balancer may send requests here."""
         del request
-        ready = self.runtime.state.ready
-        return PlainTextResponse('ready' if ready else 'not ready',
-                                 status_code=200 if ready else 503)
+        state = self.runtime.state
+        return PlainTextResponse(state.readiness.value,
+                                 status_code=200 if state.ready else 503)
 
     async def state(self, request: Request) -> Response:
         """Shows what this VM knows, without prompts and keys."""
@@ -45,6 +50,7 @@
             'incarnation': state.incarnation,
             'ready': state.ready,
             'revision': state.config.revision,
+            'config_next': state.config_next,
             'readiness': state.readiness.value,
             'conflicts': [
                 attrs.asdict(each) for each in state.revisions.conflicts
@@ -59,7 +65,42 @@
             },
         })
 
+    async def members(self, request: Request) -> Response:
+        """Shows which VMs this one believes to live, and what is listed."""
+        del request
+        state = self.runtime.state
+        return JSONResponse({
+            'live_in_dc': members.live_in_dc(state, self.runtime.loop.time()),
+            'listed': [
+                attrs.asdict(member)
+                for member in state.members.listed.values()
+            ],
+            'leaving_endpoints': sorted(state.members.leaving_endpoints),
+        })
+
+    async def histograms(self, request: Request) -> Response:
+        """Shows the figures of all histograms as JSON."""
+        del request
+        return JSONResponse({
+            'histograms': list(self.metrics.rows()),
+            'dropped': self.metrics.dropped
+        })
+
     async def prometheus(self, request: Request) -> Response:
-        """Shows the histograms in the Prometheus text format."""
+        """Shows gauges and histograms in the Prometheus text format."""
         del request
-        return PlainTextResponse('\n'.join(self.metrics.prometheus()) + '\n')
+        lines = [*self._gauges(), *self.metrics.prometheus()]
+        return PlainTextResponse('\n'.join(lines) + '\n')
+
+    def _gauges(self) -> Iterator[str]:
+        state = self.runtime.state
+        gauges = {
+            'ready': int(state.ready),
+            'config_revision': state.config.revision,
+            'calls_in_flight': len(state.calls.calls),
+            'attempts_in_flight': len(state.calls.attempts),
+            'histograms_dropped': self.metrics.dropped,
+        }
+        for name, value in gauges.items():
+            yield f'# TYPE plantainridge_{name} gauge'
+            yield f'plantainridge_{name} {value}'
--- /dev/null
+++ b/src/plantainridge/standins/commands.py
@@ -0,0 +1,89 @@
+"""The `standin` group: each stand-in as a process of its own."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from plantainridge import process, settings
+from plantainridge.ids import EndpointId, WeightVersion
+from plantainridge.serve import AppServer
+from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.engine_http import EngineApp
+from plantainridge.standins.log import LogApp, LogModel
+from plantainridge.standins.members import MembersApp, MembersModel
+from plantainridge.standins.service import ServiceApp, ServiceModel
+
+
+class ServedPart(process.Part):
+    """One application on one address.
+
+    The application is made on the running loop.
+    """
+
+    def __init__(self, make_app: Callable[[], Any], host: str,
+                 port: int) -> None:
+        self.make_app = make_app
+        self.host = host
+        self.port = port
+        self.server: AppServer | None = None
+
+    async def start(self) -> dict[str, str]:
+        self.server = AppServer(self.make_app(), self.host, self.port)
+        await self.server.start()
+        return {'address': self.server.address}
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            await self.server.kill()
+
+
+@click.group()
+@settings.option('--host', type=settings.HOST, default='127.0.0.1')
+@settings.option('--port',
+                 type=settings.PORT,
+                 default=0,
+                 help='Port to listen on; 0 lets the system choose.')
+@click.pass_context
+def standin(ctx: click.Context, host: str, port: int) -> None:
+    """Runs a small stand-in for a part that the system is built on."""
+
+    def serve(make_app: Callable[[], Any]) -> None:
+        asyncio.run(process.run(ServedPart(make_app, host, port)))
+
+    ctx.obj = serve
+
+
+Serve = Callable[[Callable[[], Any]], None]
+
+
+@standin.command()
+@settings.option('--name', type=settings.NAME, default='engine')
+@settings.option('--weights', default='v1', help='Weight version it serves.')
+@click.pass_obj
+def engine(serve: Serve, name: str, weights: str) -> None:
+    """A model engine."""
+    serve(lambda: EngineApp(
+        EngineModel(EndpointId(name), WeightVersion(weights))).app)
+
+
+@standin.command()
+@click.pass_obj
+def service(serve: Serve) -> None:
+    """A plain service that counts the runs of each key."""
+    serve(lambda: ServiceApp(ServiceModel()).app)
+
+
+@standin.command()
+@click.pass_obj
+def log(serve: Serve) -> None:
+    """The platform's append-only log."""
+    serve(lambda: LogApp(LogModel()).app)
+
+
+@standin.command()
+@click.pass_obj
+def members(serve: Serve) -> None:
+    """The platform's membership list."""
+    serve(lambda: MembersApp(MembersModel()).app)
