--- a/src/plantainridge/cli.py
+++ b/src/plantainridge/cli.py
@@ -6,7 +6,8 @@
 
 import click
 
-from plantainridge import VERSION, benches, demo, process, reports, settings
+from plantainridge import (VERSION, benches, demo, matrix, process, reports,
+                           settings, sheet_cli)
 from plantainridge.callers import BODY_TIMEOUT_S, MAX_BODY_BYTES, Limits
 from plantainridge.entry import EntryPart, EntrySettings
 from plantainridge.standins.commands import standin
@@ -93,3 +94,7 @@
 @main.group(cls=benches.BenchGroup)
 def bench() -> None:
     """Measures one part of the system and prints its figures as JSON."""
+
+
+main.add_command(matrix.matrix)
+main.add_command(sheet_cli.commands)
