--- /dev/null
+++ b/src/plantainridge/bench_returning.py
@@ -0,0 +1,290 @@
+"""Bench of prompts that return after long gaps, by policy."""
+
+import asyncio
+import pathlib
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, Final
+
+import attrs
+import click
+
+from plantainridge import benches, paused
+from plantainridge.blocks import BLOCK_TOKENS
+from plantainridge.config import Deployment
+from plantainridge.events import ModelCalled, Prompt
+from plantainridge.ids import DcId, EndpointId, RequestId
+from plantainridge.refusals import RanState
+from plantainridge.returning import Returning
+from plantainridge.routing import (LeastLoaded, Policy, PrefixAffinity,
+                                   RoundRobin)
+from plantainridge.standins import arrivals
+from plantainridge.standins.arrivals import Visit, Workload
+from plantainridge.standins.engine import token_at
+from plantainridge.standins.fleet import (MODEL, VERSION, Fleet, FleetSize,
+                                          Heard)
+from plantainridge.standins.omniscient import Oracle
+from plantainridge.standins.store import BLOCK_LENGTH_BYTES
+
+DAYS: Final = 2
+# The run goes on after its last day, so that it has one more morning peak.
+LAST_MORNING_S: Final = 6_000.0
+# Time after the last arrival in which every answer must end, in s.
+DRAIN_S: Final = 900.0
+# At most this many bytes may cross the links for each byte of the cache of
+# all prompts asked: one import or one export of each block, and a tenth for
+# what is exported again after a store's death.
+LINK_BOUND: Final = 1.1
+
+
+@attrs.frozen
+class Scenario:
+    """One user's deployment.
+
+    Attributes:
+        first_token_s: Promised time to first token.
+    """
+
+    deployment: Deployment
+    size: FleetSize
+    workload: Workload
+    first_token_s: float
+
+
+SCENARIOS: Final = {
+    'luminar':
+        Scenario(Deployment('luminar', recompute_weight=4.0),
+                 FleetSize(dcs=(DcId('neihu'), DcId('banqiao'), DcId('xinyi')),
+                           vms=(3, 2, 2),
+                           engines=(2, 2, 1),
+                           stores=(1, 1, 0),
+                           cache_blocks=400,
+                           memory_blocks=1_500,
+                           disk_blocks=6_000,
+                           prefill_tokens_per_s=8_000.0,
+                           decode_chunk_tokens=256,
+                           link_bytes_per_s=1.25e9),
+                 Workload(contexts=300,
+                          mean_blocks=30.0,
+                          longest_blocks=110,
+                          answer_tokens=(16, 32)),
+                 first_token_s=10.0),
+    'scordato':
+        Scenario(Deployment('scordato', recompute_weight=0.0),
+                 FleetSize(dcs=(DcId('catania'), DcId('augusta'),
+                                DcId('siracusa'), DcId('lentini')),
+                           vms=(2, 2, 2, 1),
+                           engines=(2, 1, 1, 1),
+                           stores=(1, 1, 0, 0),
+                           cache_blocks=400,
+                           memory_blocks=1_500,
+                           disk_blocks=6_000,
+                           prefill_tokens_per_s=8_000.0,
+                           decode_chunk_tokens=256,
+                           link_bytes_per_s=1.25e9),
+                 Workload(contexts=360,
+                          mean_blocks=24.0,
+                          longest_blocks=110,
+                          answer_tokens=(12, 24)),
+                 first_token_s=3.0),
+}
+
+NewPolicy = Callable[[Fleet], Policy]
+
+
+def _oracle(fleet: Fleet) -> Policy:
+    return Oracle(fleet, fleet.on_the_way)
+
+
+POLICIES: Final[dict[str, NewPolicy]] = {
+    RoundRobin.name: lambda fleet: RoundRobin(),
+    LeastLoaded.name: lambda fleet: LeastLoaded(),
+    PrefixAffinity.name: lambda fleet: PrefixAffinity(),
+    Oracle.name: _oracle,
+    Returning.name: lambda fleet: Returning(),
+}
+
+
+@attrs.define
+class Run:
+    """One policy's run."""
+
+    fleet: Fleet
+    visits: list[Visit]
+    asked: list[tuple[Visit, Heard]] = attrs.field(factory=list)
+
+
+def _plan_faults(fleet: Fleet, horizon_s: float) -> None:
+    """Lets a link slow down, a store die and an engine slow down.
+
+    The link does so in the second morning peak, the store dies at noon of
+    that day, and the engine slows down in the last peak.
+    """
+    loop = asyncio.get_running_loop()
+    day = min(arrivals.DAY_S, horizon_s / 2)
+    slow_link, dying = list(fleet.stores.values())[:2]
+    slow_engine = fleet.engines[EndpointId('e0')]
+    peak = day + arrivals.PEAK_START_S
+
+    def set_link(factor: float) -> None:
+        slow_link.link.slowdown = factor
+
+    def set_engine(factor: float) -> None:
+        slow_engine.slowdown = factor
+
+    loop.call_at(peak - 600, set_link, 10.0)
+    loop.call_at(peak + 3_600, set_link, 1.0)
+    loop.call_at(peak + 4 * 3_600, dying.die)
+    loop.call_at(peak + 5 * 3_600, dying.restart)
+    last = horizon_s - LAST_MORNING_S + arrivals.PEAK_START_S
+    loop.call_at(last, set_engine, 10.0)
+    loop.call_at(last + arrivals.PEAK_LENGTH_S / 2, set_engine, 1.0)
+
+
+async def _run(scenario: Scenario, new_policy: NewPolicy, visits: list[Visit],
+               horizon_s: float, seed: int) -> Run:
+    fleet = Fleet(scenario.size, scenario.deployment, scenario.first_token_s,
+                  seed, new_policy)
+    _plan_faults(fleet, horizon_s)
+    run = Run(fleet, visits)
+    loop = asyncio.get_running_loop()
+    for number, visit in enumerate(visits):
+        await asyncio.sleep(max(0.0, visit.at - loop.time()))
+        runtime = fleet.vms[int(visit.vm * len(fleet.vms))]
+        request = RequestId(f'r{number}')
+        heard = fleet.heard[request] = Heard(loop.time())
+        run.asked.append((visit, heard))
+        runtime.post(
+            ModelCalled(request, visit.team, MODEL, VERSION, '',
+                        Prompt(visit.text, visit.tokens, visit.blocks),
+                        visit.answer_tokens))
+    await asyncio.sleep(DRAIN_S)
+    return run
+
+
+def _percentile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _figures(run: Run, scenario: Scenario,
+             horizon_s: float) -> Mapping[str, float]:
+    first = [
+        heard.times[0] - heard.asked_at for _, heard in run.asked if heard.times
+    ]
+    between = [
+        later - earlier
+        for _, heard in run.asked
+        for earlier, later in zip(heard.times, heard.times[1:])
+    ]
+    good = sum(1 for _, heard in run.asked if heard.ended and heard.times[0] -
+               heard.asked_at <= scenario.first_token_s)
+    recomputed = run.fleet.audit.recomputed_blocks * BLOCK_TOKENS
+    asked = sum(visit.tokens for visit, _ in run.asked)
+    return {
+        'ttft_p50_s': round(_percentile(first, 0.5), 4),
+        'ttft_p95_s': round(_percentile(first, 0.95), 4),
+        'itl_p95_s': round(_percentile(between, 0.95), 4),
+        'recomputed_share': round(recomputed / asked, 5),
+        'link_bytes': link_bytes(run.fleet),
+        'goodput_rps': round(good / horizon_s, 6),
+        'refused': sum(1 for _, heard in run.asked if heard.refusal),
+    }
+
+
+def link_bytes(fleet: Fleet) -> int:
+    """Counts the bytes that crossed the links of all stores."""
+    return sum(store.link.moved_bytes for store in fleet.stores.values())
+
+
+def violations(run: Run) -> Iterator[str]:
+    """Yields what must not be, in words."""
+    for visit, heard in run.asked:
+        if heard.finals != 1:
+            yield f'{visit.text}: {heard.finals} final words'
+        wanted = [
+            token_at(visit.text, VERSION, index)
+            for index in range(visit.answer_tokens)
+        ]
+        if heard.ended and heard.tokens != wanted:
+            yield f'{visit.text}: not its own whole answer'
+        if (heard.refusal is not None and
+                heard.refusal.refusal.ran is RanState.NOT_RUN and
+                heard.refusal.request in run.fleet.audit.started):
+            yield f'{visit.text}: refused as not run, but it ran'
+    yield from run.fleet.audit.unsafe
+    allowed = LINK_BOUND * BLOCK_LENGTH_BYTES * sum(
+        len(visit.blocks) for visit, _ in run.asked)
+    moved = link_bytes(run.fleet)
+    if moved > allowed:
+        yield f'links moved {moved} bytes, more than the bound of {allowed:.0f}'
+
+
+def run(deployment: str,
+        seed: int,
+        days: int = DAYS,
+        contexts: int | None = None) -> dict[str, Any]:
+    """Runs every policy on the same arrivals and faults.
+
+    Args:
+        deployment: Whose workload.
+        seed: Seed of arrivals, draws and lost events.
+        days: Whole days that pass before the last morning peak.
+        contexts: Number of contexts; None for the deployment's own.
+    """
+    scenario = SCENARIOS[deployment]
+    workload = scenario.workload
+    if contexts is not None:
+        workload = attrs.evolve(workload, contexts=contexts)
+    horizon_s = days * arrivals.DAY_S + LAST_MORNING_S
+    visits = arrivals.visits(workload, MODEL, VERSION, horizon_s, seed)
+    figures: dict[str, Mapping[str, float]] = {}
+    found: list[str] = []
+    for name, new_policy in POLICIES.items():
+        done = paused.run(_run(scenario, new_policy, visits, horizon_s, seed))
+        figures[name] = _figures(done, scenario, horizon_s)
+        found += [f'{name}: {each}' for each in violations(done)]
+    return {
+        'bench': 'returning',
+        'deployment': deployment,
+        'seed': seed,
+        'requests': len(visits),
+        'figures': figures,
+        'violations': found,
+    }
+
+
+def _plot(result: Mapping[str, Any], path: pathlib.Path) -> None:
+    # pylint: disable-next=import-outside-toplevel
+    from matplotlib import figure as mpl
+    figures = result['figures']
+    names = list(figures)
+    chart = mpl.Figure(figsize=(11, 4), layout='tight')
+    shown = ('ttft_p95_s', 'recomputed_share', 'link_bytes')
+    for place, metric in enumerate(shown, start=1):
+        axes = chart.add_subplot(1, len(shown), place)
+        axes.bar(names, [figures[name][metric] for name in names])
+        axes.set_title(metric)
+        axes.tick_params(axis='x', rotation=60)
+    chart.suptitle(f'{result["deployment"]}, seed {result["seed"]}')
+    chart.savefig(path)
+
+
+@click.command('returning')
+@click.option('--deployment',
+              type=click.Choice(sorted(SCENARIOS)),
+              default='luminar',
+              show_default=True,
+              help='Whose workload and weights.')
+@click.option('--plot',
+              type=click.Path(dir_okay=False, path_type=pathlib.Path),
+              help='File to draw the figures to, as PNG.')
+@benches.options
+def command(deployment: str, plot: pathlib.Path | None,
+            seed: int) -> Mapping[str, Any]:
+    """Prompts that return after minutes to days, under each policy."""
+    result = run(deployment, seed)
+    if plot is not None:
+        _plot(result, plot)
+    return result
--- a/src/plantainridge/caching.py
+++ b/src/plantainridge/caching.py
@@ -114,7 +114,7 @@
     asked = call.asked
     yield Observe('computed_share', asked.team, asked.model,
                   1 - call.cached_tokens / max(1, asked.prompt.tokens))
-    if not asked.prompt.blocks:
+    if not asked.prompt.blocks or not state.policy.uses_stores:
         return
     state.returns.expect(asked.team, asked.prompt.blocks, now, RAISE_LEAST_S,
                          RAISE_LEAD_S)
--- a/src/plantainridge/directory.py
+++ b/src/plantainridge/directory.py
@@ -36,8 +36,9 @@
 
 @attrs.frozen
 class _Piece:
-    """A change of one holder's blocks."""
+    """A change of one holder's blocks, in one of its lives."""
 
+    life: int
     seq: int
     added: tuple[tuple[BlockKey, StoredCopy | None], ...]
     removed: tuple[BlockKey, ...]
@@ -49,6 +50,7 @@
 
     Attributes:
         blocks: What it holds, oldest news first.
+        life: Which life of the holder is followed.
         seq: The last piece taken in, or -1 before the first.
         unsure: Whether a piece is missing.
         asked_at: Loop time at which a listing was last asked for, in s.
@@ -56,6 +58,7 @@
     """
 
     blocks: dict[BlockKey, StoredCopy | None] = attrs.field(factory=dict)
+    life: int = 0
     seq: int = -1
     unsure: bool = False
     asked_at: float = float('-inf')
@@ -122,7 +125,9 @@
     def take_piece(self, holder: H, piece: _Piece) -> None:
         """Takes in a piece; a hole before it makes the holder unsure."""
         feed = self.feed(holder)
-        if piece.seq <= feed.seq:
+        if piece.life > feed.life:
+            self._restart(holder, piece.life)
+        if piece.life < feed.life or piece.seq <= feed.seq:
             return
         if piece.seq > feed.seq + 1:
             feed.unsure = True
@@ -135,6 +140,10 @@
     def take_listing(self, holder: H, listing: _Piece) -> None:
         """Replaces a holder's entries, then applies the pieces after it."""
         feed = self.feed(holder)
+        if listing.life > feed.life:
+            self._restart(holder, listing.life)
+        if listing.life < feed.life:
+            return
         later = [piece for piece in feed.pending if piece.seq > listing.seq]
         wanted = list(range(listing.seq + 1, feed.seq + 1))
         if [piece.seq for piece in later] != wanted:
@@ -173,6 +182,10 @@
             found[holder] = len(blocks)
         return found
 
+    def _restart(self, holder: H, life: int) -> None:
+        self.clear(holder)
+        self.feeds[holder] = _Feed(life=life)
+
     def _apply(self, holder: H, piece: _Piece) -> None:
         for key in piece.removed:
             self.remove(holder, key)
@@ -212,14 +225,15 @@
         """Takes in a piece of an endpoint's stream."""
         self.endpoints.take_piece(
             event.endpoint,
-            _Piece(event.seq, tuple((key, None) for key in event.added),
-                   event.removed))
+            _Piece(event.life, event.seq,
+                   tuple((key, None) for key in event.added), event.removed))
 
     def on_cache_listed(self, event: CacheListed) -> None:
         """Takes in an endpoint's listing."""
         self.endpoints.take_listing(
             event.endpoint,
-            _Piece(event.seq, tuple((key, None) for key in event.blocks), ()))
+            _Piece(event.life, event.seq,
+                   tuple((key, None) for key in event.blocks), ()))
 
     def on_store_changed(self, event: StoreChanged) -> None:
         """Takes in a piece of a store's stream."""
@@ -227,10 +241,12 @@
             (ref.key, StoredCopy(ref, tier)) for ref, tier in event.kept)
         self.stores.take_piece(
             event.store,
-            _Piece(event.seq, kept, tuple(ref.key for ref in event.freed)))
+            _Piece(event.life, event.seq, kept,
+                   tuple(ref.key for ref in event.freed)))
 
     def on_store_listed(self, event: StoreListed) -> None:
         """Takes in a store's listing."""
         kept = tuple(
             (ref.key, StoredCopy(ref, tier)) for ref, tier in event.kept)
-        self.stores.take_listing(event.store, _Piece(event.seq, kept, ()))
+        self.stores.take_listing(event.store,
+                                 _Piece(event.life, event.seq, kept, ()))
--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -188,12 +188,18 @@
 
 @attrs.frozen
 class CacheChanged(Event):
-    """A piece of an endpoint's cache event stream; `seq` counts pieces."""
+    """A piece of an endpoint's cache event stream.
+
+    Attributes:
+        seq: Number of the piece, from 0 in each life of the endpoint.
+        life: Which life of the endpoint's process published it.
+    """
 
     endpoint: EndpointId
     seq: int
     added: tuple[BlockKey, ...]
     removed: tuple[BlockKey, ...]
+    life: int = 0
 
 
 @attrs.frozen
@@ -203,6 +209,7 @@
     endpoint: EndpointId
     seq: int
     blocks: tuple[BlockKey, ...]
+    life: int = 0
 
 
 @attrs.frozen
@@ -228,17 +235,20 @@
 
 @attrs.frozen
 class StoreChanged(Event):
-    """A piece of a store's event stream; `seq` counts pieces.
+    """A piece of a store's event stream.
 
     Attributes:
+        seq: Number of the piece, from 0 in each life of the store.
         kept: Copies committed or moved between tiers, with their new tier.
         freed: Copies that are gone.
+        life: Which life of the store's process published it.
     """
 
     store: StoreId
     seq: int
     kept: tuple[tuple[BlockRef, Tier], ...]
     freed: tuple[BlockRef, ...]
+    life: int = 0
 
 
 @attrs.frozen
@@ -248,6 +258,7 @@
     store: StoreId
     seq: int
     kept: tuple[tuple[BlockRef, Tier], ...]
+    life: int = 0
 
 
 @attrs.frozen
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -7,8 +7,6 @@
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
-# Period of work that is done from time to time, in s.
-TICK_S: Final = 0.25
 _TICK: Final = events.TimerKey(events.TimerKind.TICK)
 
 Handler = Callable[[VmState, Any, float], Iterator[Effect]]
@@ -22,11 +20,10 @@
 
 def _on_tick(state: VmState, event: events.TimerFired,
              now: float) -> Iterator[Effect]:
-    del state
-    yield SetTimer(event.key, now + TICK_S)
+    yield SetTimer(event.key, now + state.tick_s)
 
 
-# Handlers of timers by kind; those of `TICK` run every `TICK_S`.
+# Handlers of timers by kind; those of `TICK` run every `tick_s`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
     events.TimerKind.TICK: (_on_tick, caching.on_tick),
     events.TimerKind.TRANSFER: (caching.on_transfer_late,),
@@ -58,7 +55,7 @@
     """Returns the first effects of a new process."""
     return [
         ReadLog(events.Stream.CONFIG, 0, state.config_next),
-        SetTimer(_TICK, now + TICK_S),
+        SetTimer(_TICK, now + state.tick_s),
     ]
 
 
--- a/src/plantainridge/returning.py
+++ b/src/plantainridge/returning.py
@@ -32,6 +32,7 @@
     """
 
     name = 'plantainridge'
+    uses_stores = True
 
     def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
         held = known.directory.endpoints.prefixes(query.prompt.blocks)
--- a/src/plantainridge/routing.py
+++ b/src/plantainridge/routing.py
@@ -82,9 +82,15 @@
 
 
 class Policy(abc.ABC):
-    """A way to choose among the engines of a model."""
+    """A way to choose among the engines of a model.
+
+    Attributes:
+        name: Its name in figures.
+        uses_stores: Whether contexts are exported to stores for it.
+    """
 
     name: str
+    uses_stores = False
 
     @abc.abstractmethod
     def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
--- a/src/plantainridge/standins/engine.py
+++ b/src/plantainridge/standins/engine.py
@@ -8,7 +8,7 @@
 import asyncio
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -30,6 +30,26 @@
     return f'{seed[:4]}{index} '
 
 
+class CacheWatcher(abc.ABC):
+    """Is told what changes in an engine."""
+
+    @abc.abstractmethod
+    def added(self, key: BlockKey) -> None:
+        """Takes the news of a block that is now cached."""
+
+    @abc.abstractmethod
+    def removed(self, key: BlockKey) -> None:
+        """Takes the news of a block that was evicted."""
+
+    @abc.abstractmethod
+    def woken(self) -> None:
+        """Takes the news of work, as when a job is submitted."""
+
+    @abc.abstractmethod
+    def restarted(self) -> None:
+        """Takes the news that the cache is lost and a new life begins."""
+
+
 class Sink(abc.ABC):
     """Receives what an engine produces for one job."""
 
@@ -84,6 +104,10 @@
     Attributes:
         cache: Block keys held, least recently used first.
         computed_tokens: Prompt tokens computed so far.
+        prefill_tokens_per_s: Rate at which it computes prompt tokens.
+        decode_chunk_tokens: Prompt tokens computed in one step at the most
+            while answers are being generated.
+        watchers: Told of changes to the cache and of work.
     """
 
     def __init__(self,
@@ -91,8 +115,13 @@
                  version: WeightVersion,
                  cache_blocks: int = 256,
                  max_batch: int = 32,
-                 audit: Audit | None = None) -> None:
+                 audit: Audit | None = None,
+                 prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S,
+                 decode_chunk_tokens: int = PREFILL_CHUNK_TOKENS) -> None:
         self.audit = audit
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.decode_chunk_tokens = decode_chunk_tokens
+        self.watchers: list[CacheWatcher] = []
         self.name = name
         self.version = version
         self.cache_blocks = cache_blocks
@@ -109,6 +138,8 @@
         """Queues a job by priority, then arrival."""
         self.waiting.append(job)
         self.waiting.sort(key=lambda each: each.priority)
+        for watcher in self.watchers:
+            watcher.woken()
         self._wake()
 
     def cancel(self, job: Job) -> None:
@@ -124,14 +155,37 @@
         jobs = self.running + self.waiting
         self.running, self.waiting = [], []
         self.cache.clear()
+        for watcher in self.watchers:
+            watcher.restarted()
         for job in jobs:
             job.sink.broken()
 
     def waiting_tokens(self) -> int:
         """Prompt tokens that are queued and not yet computed."""
-        queued = sum(job.prompt_tokens for job in self.waiting)
+        queued = sum(job.prompt_tokens - BLOCK_TOKENS * self.prefix(job.blocks)
+                     for job in self.waiting)
         return queued + int(sum(job.remaining_prefill for job in self.running))
 
+    def prefix(self, blocks: tuple[BlockKey, ...]) -> int:
+        """Returns how many leading blocks it holds, without a use of them."""
+        count = 0
+        while count < len(blocks) and blocks[count] in self.cache:
+            count += 1
+        return count
+
+    def put(self, blocks: Iterable[BlockKey]) -> None:
+        """Caches blocks of one chain, so that its end is evicted first."""
+        for key in reversed(list(blocks)):
+            if key not in self.cache:
+                for watcher in self.watchers:
+                    watcher.added(key)
+            self.cache[key] = None
+            self.cache.move_to_end(key)
+        while len(self.cache) > self.cache_blocks:
+            evicted, _ = self.cache.popitem(last=False)
+            for watcher in self.watchers:
+                watcher.removed(evicted)
+
     def _wake(self) -> None:
         if self._handle is None and self.alive:
             self._step()
@@ -144,7 +198,7 @@
         if not self.running:
             return
         prefilled = self._prefill()
-        duration = STEP_S + prefilled / PREFILL_TOKENS_PER_S
+        duration = STEP_S + prefilled / self.prefill_tokens_per_s
         self._handle = asyncio.get_running_loop().call_later(
             duration * self.slowdown, self._finish_step)
 
@@ -165,18 +219,18 @@
             self.running.append(job)
 
     def _lookup(self, job: Job) -> int:
-        hits = 0
-        for key in job.blocks:
-            if key not in self.cache:
-                break
-            self.cache.move_to_end(key)
-            if self.audit is not None:
-                self.audit.read(key, job.owner(hits))
-            hits += 1
+        hits = self.prefix(job.blocks)
+        if self.audit is not None:
+            for index, key in enumerate(job.blocks[:hits]):
+                self.audit.read(key, job.owner(index))
+        self.put(job.blocks[:hits])
         return hits
 
     def _prefill(self) -> float:
-        budget = float(PREFILL_CHUNK_TOKENS)
+        decoding = any(True for _ in self._decoding())
+        chunk = float(
+            self.decode_chunk_tokens if decoding else PREFILL_CHUNK_TOKENS)
+        budget = chunk
         for job in self.running:
             if job.remaining_prefill <= 0 or budget <= 0:
                 continue
@@ -187,18 +241,16 @@
             budget -= done
             if job.remaining_prefill <= 0:
                 self._keep(job)
-        spent = PREFILL_CHUNK_TOKENS - budget
+        spent = chunk - budget
         self.computed_tokens += spent
         return spent
 
     def _keep(self, job: Job) -> None:
-        for index, key in enumerate(job.blocks):
-            if self.audit is not None and key not in self.cache:
-                self.audit.computed(key, job.owner(index))
-            self.cache[key] = None
-            self.cache.move_to_end(key)
-        while len(self.cache) > self.cache_blocks:
-            self.cache.popitem(last=False)
+        if self.audit is not None:
+            for index, key in enumerate(job.blocks):
+                if index * BLOCK_TOKENS >= job.cached_tokens:
+                    self.audit.computed(key, job.owner(index))
+        self.put(job.blocks)
 
     def _decoding(self) -> Iterator[Job]:
         for job in self.running:
--- /dev/null
+++ b/src/plantainridge/standins/feeds.py
@@ -0,0 +1,204 @@
+"""Late feeds of changes and load, with gaps, as engines and stores give."""
+
+import abc
+import asyncio
+import random
+from typing import Final
+
+import attrs
+
+from plantainridge import events as ev
+from plantainridge.events import BlockRef, Tier
+from plantainridge.ids import BlockKey
+from plantainridge.ports import Post
+from plantainridge.standins.engine import CacheWatcher, EngineModel
+from plantainridge.standins.memory import Network
+from plantainridge.standins.store import StoreModel, StoreWatcher
+
+PERIOD_S: Final = 0.5
+LAG_S: Final = 0.3
+GAP_CHANCE: Final = 0.01
+
+
+@attrs.define
+class FeedSettings:
+    """How late and how lossy feeds are.
+
+    Attributes:
+        period_s: Time between two pieces while something changes.
+        lag_s: Delay of each piece.
+        gap_chance: Chance that a reader misses a piece of changes.
+    """
+
+    period_s: float = PERIOD_S
+    lag_s: float = LAG_S
+    gap_chance: float = GAP_CHANCE
+
+
+class Feed(abc.ABC):
+    """Publishes to every VM while something changes, then falls silent."""
+
+    def __init__(self, node: str, network: Network, posts: dict[str, Post],
+                 rng: random.Random, settings: FeedSettings) -> None:
+        self.node = node
+        self.network = network
+        self.posts = posts
+        self.rng = rng
+        self.settings = settings
+        self.life = 0
+        self.seq = 0
+        self._handle: asyncio.TimerHandle | None = None
+
+    @abc.abstractmethod
+    def changes(self) -> ev.Event | None:
+        """Returns the next piece of changes, or None if there are none."""
+
+    @abc.abstractmethod
+    def load(self) -> ev.Event:
+        """Returns the load as it is now."""
+
+    @abc.abstractmethod
+    def busy(self) -> bool:
+        """Whether the load goes on changing."""
+
+    def touch(self) -> None:
+        """Publishes within one period."""
+        if self._handle is None:
+            self._handle = asyncio.get_running_loop().call_later(
+                self.settings.period_s, self._publish)
+
+    def _publish(self) -> None:
+        self._handle = None
+        changes, load = self.changes(), self.load()
+        for vm in list(self.posts):
+            if not self.network.reaches(vm, self.node):
+                continue
+            missed = self.rng.random() < self.settings.gap_chance
+            if changes is not None and not missed:
+                self._deliver(vm, changes)
+            self._deliver(vm, load)
+        if self.busy():
+            self.touch()
+
+    def _deliver(self, vm: str, event: ev.Event) -> None:
+
+        def arrive() -> None:
+            post = self.posts.get(vm)
+            if post is not None:
+                post(event)
+
+        asyncio.get_running_loop().call_later(self.settings.lag_s, arrive)
+
+
+class EngineFeed(Feed, CacheWatcher):
+    """Feed of one engine."""
+
+    def __init__(self, engine: EngineModel, network: Network, posts: dict[str,
+                                                                          Post],
+                 rng: random.Random, settings: FeedSettings) -> None:
+        super().__init__(engine.name, network, posts, rng, settings)
+        self.engine = engine
+        self.news: dict[BlockKey, bool] = {}
+        self._was_busy = False
+        engine.watchers.append(self)
+
+    def added(self, key: BlockKey) -> None:
+        self.news[key] = True
+        self.touch()
+
+    def removed(self, key: BlockKey) -> None:
+        self.news[key] = False
+        self.touch()
+
+    def woken(self) -> None:
+        self.touch()
+
+    def restarted(self) -> None:
+        self.life += 1
+        self.seq = 0
+        self.news.clear()
+
+    def changes(self) -> ev.Event | None:
+        if not self.news:
+            return None
+        piece = ev.CacheChanged(
+            self.engine.name, self.seq,
+            tuple(key for key, held in self.news.items() if held),
+            tuple(key for key, held in self.news.items() if not held),
+            self.life)
+        self.seq += 1
+        self.news.clear()
+        return piece
+
+    def load(self) -> ev.Event:
+        self._was_busy = bool(self.engine.running or self.engine.waiting)
+        return ev.LoadReported(
+            self.engine.name,
+            asyncio.get_running_loop().time(), len(self.engine.running),
+            self.engine.waiting_tokens(),
+            self.engine.prefill_tokens_per_s / self.engine.slowdown,
+            self.engine.version)
+
+    def busy(self) -> bool:
+        return self._was_busy and self.engine.alive
+
+    def listing(self) -> ev.Event:
+        """Returns the whole cache as of the last piece."""
+        blocks = [key for key in self.engine.cache if key not in self.news]
+        blocks += [key for key, held in self.news.items() if not held]
+        return ev.CacheListed(self.engine.name, self.seq - 1, tuple(blocks),
+                              self.life)
+
+
+class StoreFeed(Feed, StoreWatcher):
+    """Feed of one store."""
+
+    def __init__(self, store: StoreModel, network: Network, posts: dict[str,
+                                                                        Post],
+                 rng: random.Random, settings: FeedSettings) -> None:
+        super().__init__(store.name, network, posts, rng, settings)
+        self.store = store
+        self.news: dict[BlockKey, tuple[BlockRef, Tier | None]] = {}
+        store.watchers.append(self)
+
+    def kept(self, ref: BlockRef, tier: Tier) -> None:
+        self.news[ref.key] = (ref, tier)
+        self.touch()
+
+    def freed(self, ref: BlockRef) -> None:
+        self.news[ref.key] = (ref, None)
+        self.touch()
+
+    def restarted(self) -> None:
+        self.life += 1
+        self.seq = 0
+        self.news.clear()
+        self.touch()
+
+    def changes(self) -> ev.Event | None:
+        if not self.news and self.seq:
+            return None
+        news = self.news.values()
+        piece = ev.StoreChanged(
+            self.store.name, self.seq,
+            tuple((ref, tier) for ref, tier in news if tier is not None),
+            tuple(ref for ref, tier in news if tier is None), self.life)
+        self.seq += 1
+        self.news.clear()
+        return piece
+
+    def load(self) -> ev.Event:
+        link = self.store.link
+        return ev.StoreLoadReported(self.store.name,
+                                    asyncio.get_running_loop().time(),
+                                    self.store.transfers,
+                                    self.store.queued_bytes,
+                                    link.bytes_per_s / link.slowdown)
+
+    def busy(self) -> bool:
+        return self.store.alive and self.store.transfers > 0
+
+    def listing(self) -> ev.Event:
+        """Returns all copies as of now."""
+        return ev.StoreListed(self.store.name, self.seq - 1,
+                              tuple(self.store.copies()), self.life)
--- /dev/null
+++ b/src/plantainridge/standins/fleet.py
@@ -0,0 +1,245 @@
+"""VMs, engines and stores over several data centres, for benches."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from plantainridge import config
+from plantainridge import effects as fx
+from plantainridge import events as ev
+from plantainridge.config import EndpointKind
+from plantainridge.ids import (BlockKey, DcId, EndpointId, Incarnation, ModelId,
+                               RequestId, StoreId, VmId, WeightVersion)
+from plantainridge.ports import CallerPort, LogPort, Ports, Post
+from plantainridge.revisions import Revision, encode
+from plantainridge.routing import Policy
+from plantainridge.runtime import Runtime
+from plantainridge.standins.arrivals import TEAM_SHARES, team_name
+from plantainridge.standins.audit import Audit, Owner
+from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.feeds import EngineFeed, FeedSettings, StoreFeed
+from plantainridge.standins.memory import (MemoryEnginePort, MemoryReport,
+                                           MemoryServicePort, Network)
+from plantainridge.standins.movers import MemoryTransferPort
+from plantainridge.standins.store import StoreModel
+from plantainridge.state import VmState
+
+MODEL: Final = ModelId('report')
+VERSION: Final = WeightVersion('v1')
+# Work from time to time is rare, since days pass in a run.
+TICK_S: Final = 30.0
+
+
+@attrs.frozen
+class FleetSize:
+    """What stands in which data centre.
+
+    Attributes:
+        dcs: Names of the data centres.
+        vms: Number of VMs in each.
+        engines: Number of engines in each.
+        stores: Number of stores in each.
+        cache_blocks: Blocks that one engine's cache holds.
+        memory_blocks: Blocks that one store's memory holds.
+        disk_blocks: Blocks that one store's disk holds.
+        prefill_tokens_per_s: Rate of one engine.
+        decode_chunk_tokens: Prompt tokens per step beside answers.
+        link_bytes_per_s: Rate of one store's link.
+    """
+
+    dcs: tuple[DcId, ...]
+    vms: tuple[int, ...]
+    engines: tuple[int, ...]
+    stores: tuple[int, ...]
+    cache_blocks: int
+    memory_blocks: int
+    disk_blocks: int
+    prefill_tokens_per_s: float
+    decode_chunk_tokens: int
+    link_bytes_per_s: float
+
+
+@attrs.define
+class Heard:
+    """What one caller heard, as times and tokens."""
+
+    asked_at: float
+    tokens: list[str] = attrs.field(factory=list)
+    times: list[float] = attrs.field(factory=list)
+    ended: bool = False
+    refusal: fx.Refuse | None = None
+    finals: int = 0
+
+
+class FleetCallers(CallerPort):
+    """Keeps the time of every token."""
+
+    def __init__(self, heard: dict[RequestId, Heard]) -> None:
+        self.heard = heard
+
+    def send_tokens(self, effect: fx.SendTokens) -> None:
+        heard = self.heard[effect.request]
+        heard.tokens.extend(effect.tokens)
+        heard.times.append(asyncio.get_running_loop().time())
+
+    def finish(self, effect: fx.FinishAnswer) -> None:
+        heard = self.heard[effect.request]
+        heard.ended = True
+        heard.finals += 1
+
+    def answer(self, effect: fx.SendServiceAnswer) -> None:
+        raise NotImplementedError('no plain service is called')
+
+    def refuse(self, effect: fx.Refuse) -> None:
+        heard = self.heard[effect.request]
+        heard.refusal = effect
+        heard.finals += 1
+
+
+class OneRevision(LogPort):
+    """A log that holds one configuration and takes no records."""
+
+    def __init__(self, wanted: config.Config) -> None:
+        self.record = ev.Record(0, 0.0, encode(Revision(-1, wanted)))
+
+    def append(self, effect: fx.AppendLog, post: Post) -> None:
+        pass
+
+    def read(self, effect: fx.ReadLog, post: Post) -> None:
+        if effect.stream is ev.Stream.CONFIG and effect.offset == 0:
+            event = ev.LogRead(effect.stream, effect.shard, (self.record,), 0,
+                               1)
+            asyncio.get_running_loop().call_soon(post, event)
+
+
+class TeamAudit(Audit):
+    """Counts blocks computed again and reads by another team.
+
+    Attributes:
+        computed_blocks: How many blocks were computed.
+        recomputed_blocks: How many of these had been computed before.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.teams: dict[BlockKey, str] = {}
+        self.computed_blocks = 0
+        self.recomputed_blocks = 0
+
+    def computed(self, key: BlockKey, owner: Owner) -> None:
+        self.computed_blocks += 1
+        if key in self.teams:
+            self.recomputed_blocks += 1
+        self.teams[key] = owner.team
+
+    def read(self, key: BlockKey, reader: Owner) -> None:
+        if self.teams.get(key) != reader.team:
+            self.unsafe.append(f'{reader.team} read {key}')
+
+
+class Fleet:
+    """Everything of one run; build it inside the running loop."""
+
+    def __init__(self, size: FleetSize, deployment: config.Deployment,
+                 first_token_s: float, seed: int,
+                 new_policy: Callable[['Fleet'], Policy]) -> None:
+        self.rng = random.Random(seed)
+        self.network = Network()
+        self.audit = TeamAudit()
+        self.heard: dict[RequestId, Heard] = {}
+        self.posts: dict[str, Post] = {}
+        self.dc_of: dict[str, DcId] = {}
+        self.on_the_way: dict[EndpointId, list[tuple[float, int]]] = {}
+        self.engines = {
+            EndpointId(name):
+                EngineModel(EndpointId(name),
+                            VERSION,
+                            size.cache_blocks,
+                            audit=self.audit,
+                            prefill_tokens_per_s=size.prefill_tokens_per_s,
+                            decode_chunk_tokens=size.decode_chunk_tokens)
+            for name in self._place('e', size.dcs, size.engines)
+        }
+        self.stores = {
+            StoreId(name):
+                StoreModel(StoreId(name), size.memory_blocks, size.disk_blocks,
+                           size.link_bytes_per_s)
+            for name in self._place('k', size.dcs, size.stores)
+        }
+        self.config = self._config(size, deployment, first_token_s)
+        settings = FeedSettings()
+        self.engine_feeds = [
+            EngineFeed(engine, self.network, self.posts, self.rng, settings)
+            for engine in self.engines.values()
+        ]
+        self.store_feeds = [
+            StoreFeed(store, self.network, self.posts, self.rng, settings)
+            for store in self.stores.values()
+        ]
+        self.vms = [
+            self._start_vm(name, new_policy)
+            for name in self._place('vm', size.dcs, size.vms)
+        ]
+
+    def _place(self, prefix: str, dcs: tuple[DcId, ...],
+               counts: tuple[int, ...]) -> list[str]:
+        names: list[str] = []
+        for dc, count in zip(dcs, counts):
+            for _ in range(count):
+                name = f'{prefix}{len(names)}'
+                self.dc_of[name] = dc
+                names.append(name)
+        return names
+
+    def _config(self, size: FleetSize, deployment: config.Deployment,
+                first_token_s: float) -> config.Config:
+        teams = [
+            config.Team(team_name(number), 'ab' * 32, 1, first_token_s, 100_000,
+                        frozenset([MODEL]))
+            for number in range(len(TEAM_SHARES))
+        ]
+        endpoints = [
+            config.Endpoint(name, self.dc_of[name], EndpointKind.ENGINE, MODEL,
+                            '127.0.0.1:9') for name in self.engines
+        ]
+        stores = [
+            config.Store(name, self.dc_of[name], '127.0.0.1:9',
+                         size.link_bytes_per_s) for name in self.stores
+        ]
+        return config.Config(revision=-1,
+                             deployment=deployment,
+                             teams={each.id: each for each in teams},
+                             models={MODEL: config.Model(MODEL, VERSION)},
+                             services={},
+                             endpoints={each.id: each for each in endpoints},
+                             stores={each.id: each for each in stores},
+                             dcs=frozenset(size.dcs))
+
+    def _start_vm(self, name: str, new_policy: Callable[['Fleet'],
+                                                        Policy]) -> Runtime:
+        state = VmState(VmId(name),
+                        self.dc_of[name],
+                        Incarnation(name),
+                        random.Random(self.rng.getrandbits(64)),
+                        policy=new_policy(self),
+                        tick_s=TICK_S)
+        listings: dict[str, Callable[[], ev.Event]] = {}
+        listings.update({f.node: f.listing for f in self.engine_feeds})
+        listings.update({f.node: f.listing for f in self.store_feeds})
+        ports = Ports(callers=FleetCallers(self.heard),
+                      engines=MemoryEnginePort(name, self.network,
+                                               self.engines),
+                      services=MemoryServicePort(name, self.network, {},
+                                                 self.rng, self.audit),
+                      log=OneRevision(self.config),
+                      report=MemoryReport(),
+                      transfers=MemoryTransferPort(name, self.network,
+                                                   self.engines, self.stores,
+                                                   listings))
+        runtime = Runtime(state, ports)
+        self.posts[name] = runtime.post
+        runtime.start()
+        return runtime
--- /dev/null
+++ b/src/plantainridge/standins/movers.py
@@ -0,0 +1,198 @@
+"""Moves blocks between the models of engines and stores, in memory."""
+
+import asyncio
+from collections.abc import Callable, Iterator, Sequence
+from typing import Final, TypeVar
+
+import attrs
+
+from plantainridge import effects as fx
+from plantainridge import events as ev
+from plantainridge.events import BlockRef, Tier, TransferFailure
+from plantainridge.ids import BlockKey, EndpointId, StoreId, TransferId
+from plantainridge.ports import Post, TransferPort
+from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.memory import Network
+from plantainridge.standins.store import (BLOCK_LENGTH_BYTES, Stored,
+                                          StoreModel, StoreRefusal, checksum,
+                                          payload_of)
+
+# Blocks that move as one piece before other transfers get their turn.
+PIECE_BLOCKS: Final = 4
+
+T = TypeVar('T')
+
+_FAILURES: Final = {
+    StoreRefusal.DEAD: TransferFailure.STORE_UNREACHABLE,
+    StoreRefusal.FULL: TransferFailure.STORE_FULL,
+    StoreRefusal.GONE: TransferFailure.BLOCK_GONE,
+    StoreRefusal.CORRUPT: TransferFailure.CORRUPT,
+}
+
+
+@attrs.define
+class _Progress:
+    moved: list[BlockKey] = attrs.field(factory=list)
+    moved_bytes: int = 0
+
+
+async def import_blocks(engine: EngineModel, store: StoreModel,
+                        refs: Sequence[BlockRef],
+                        progress: _Progress) -> TransferFailure | None:
+    """Reads copies from a store into an engine's cache."""
+    for piece in _pieces(refs):
+        stored: list[Stored] = []
+        disk_bytes = 0
+        for ref in piece:
+            if store.tier(ref) is Tier.DISK:
+                disk_bytes += ref.length_bytes
+            found = store.read(ref)
+            if isinstance(found, StoreRefusal):
+                return _FAILURES[found]
+            stored.append(found)
+        if disk_bytes:
+            await store.disk.move(disk_bytes)
+        size = sum(ref.length_bytes for ref in piece)
+        await store.link.move(size)
+        progress.moved_bytes += size
+        failure = _take_in(engine, store, list(zip(piece, stored)), progress)
+        if failure is not None:
+            return failure
+    return None
+
+
+def _take_in(engine: EngineModel, store: StoreModel, piece: list[tuple[BlockRef,
+                                                                       Stored]],
+             progress: _Progress) -> TransferFailure | None:
+    if not store.alive:
+        return TransferFailure.STORE_UNREACHABLE
+    if not engine.alive:
+        return TransferFailure.ENDPOINT_UNREACHABLE
+    for ref, stored in piece:
+        if checksum(stored.payload) != stored.checksum:
+            return TransferFailure.CORRUPT
+        progress.moved.append(ref.key)
+    engine.put(progress.moved)
+    return None
+
+
+async def export_blocks(engine: EngineModel, store: StoreModel,
+                        blocks: Sequence[BlockKey],
+                        progress: _Progress) -> TransferFailure | None:
+    """Writes blocks of an engine's cache to a store, each with a commit."""
+    for piece in _pieces(blocks):
+        wanted = [key for key in piece if not store.holds(key)]
+        if engine.prefix(tuple(piece)) < len(piece):
+            return TransferFailure.BLOCK_GONE
+        writes: dict[int, BlockKey] = {}
+        try:
+            for key in wanted:
+                generation = store.begin(key)
+                if isinstance(generation, StoreRefusal):
+                    return _FAILURES[generation]
+                writes[generation] = key
+            size = len(wanted) * BLOCK_LENGTH_BYTES
+            if size:
+                await store.link.move(size)
+            progress.moved_bytes += size
+            failure = _commit(store, writes)
+            if failure is not None:
+                return failure
+        finally:
+            for generation in writes:
+                store.abort(generation)
+        progress.moved.extend(piece)
+    return None
+
+
+def _commit(store: StoreModel,
+            writes: dict[int, BlockKey]) -> TransferFailure | None:
+    for generation, key in writes.items():
+        payload = payload_of(key)
+        done = store.commit(generation, payload, checksum(payload))
+        if isinstance(done, StoreRefusal):
+            return _FAILURES[done]
+    return None
+
+
+def _pieces(items: Sequence[T]) -> Iterator[Sequence[T]]:
+    for start in range(0, len(items), PIECE_BLOCKS):
+        yield items[start:start + PIECE_BLOCKS]
+
+
+class MemoryTransferPort(TransferPort):
+    """One VM's way to have blocks moved."""
+
+    def __init__(self, vm: str, network: Network, engines: dict[EndpointId,
+                                                                EngineModel],
+                 stores: dict[StoreId, StoreModel],
+                 listings: dict[str, Callable[[], ev.Event]]) -> None:
+        self.vm = vm
+        self.network = network
+        self.engines = engines
+        self.stores = stores
+        self.listings = listings
+        self.tasks: dict[TransferId, asyncio.Task[None]] = {}
+        self.raises: set[asyncio.Task[None]] = set()
+
+    def start(self, effect: fx.StartTransfer, post: Post) -> None:
+        task = asyncio.get_running_loop().create_task(self._run(effect, post))
+        self.tasks[effect.transfer] = task
+        task.add_done_callback(lambda _: self.tasks.pop(effect.transfer, None))
+
+    def cancel(self, effect: fx.CancelTransfer) -> None:
+        task = self.tasks.pop(effect.transfer, None)
+        if task is not None:
+            task.cancel()
+
+    def raise_blocks(self, effect: fx.RaiseBlocks) -> None:
+        store = self.stores[effect.store]
+        if not self.network.reaches(self.vm, effect.store):
+            return
+        task = asyncio.get_running_loop().create_task(
+            store.raise_blocks(effect.refs))
+        self.raises.add(task)
+        task.add_done_callback(self.raises.discard)
+
+    def list_cache(self, effect: fx.ListEndpointCache, post: Post) -> None:
+        self._list(effect.endpoint, post)
+
+    def list_store(self, effect: fx.ListStore, post: Post) -> None:
+        self._list(effect.store, post)
+
+    def _list(self, node: str, post: Post) -> None:
+        listing = self.listings.get(node)
+        if listing is not None and self.network.reaches(self.vm, node):
+            event = listing()
+            self.network.later(lambda: post(event))
+
+    async def _run(self, effect: fx.StartTransfer, post: Post) -> None:
+        await asyncio.sleep(self.network.latency_s)
+        progress = _Progress()
+        failure = await self._move(effect, progress)
+        await asyncio.sleep(self.network.latency_s)
+        post(
+            ev.TransferEnded(effect.transfer, tuple(progress.moved),
+                             progress.moved_bytes, failure))
+
+    async def _move(self, effect: fx.StartTransfer,
+                    progress: _Progress) -> TransferFailure | None:
+        engine = self.engines[effect.endpoint]
+        store = self.stores[effect.store]
+        if not engine.alive or not self.network.reaches(self.vm,
+                                                        effect.endpoint):
+            return TransferFailure.ENDPOINT_UNREACHABLE
+        if not store.alive or not self.network.reaches(effect.endpoint,
+                                                       effect.store):
+            return TransferFailure.STORE_UNREACHABLE
+        items = effect.refs or effect.blocks
+        store.transfers += 1
+        size = len(items) * BLOCK_LENGTH_BYTES
+        store.queued_bytes += size
+        try:
+            if effect.refs:
+                return await import_blocks(engine, store, effect.refs, progress)
+            return await export_blocks(engine, store, effect.blocks, progress)
+        finally:
+            store.transfers -= 1
+            store.queued_bytes -= size
--- /dev/null
+++ b/src/plantainridge/standins/omniscient.py
@@ -0,0 +1,87 @@
+"""A policy that knows true caches and loads at once, for comparison."""
+
+from typing import TYPE_CHECKING
+
+from plantainridge import costs
+from plantainridge.costs import Plan, Source
+from plantainridge.directory import StoredCopy
+from plantainridge.endpoints import EndpointView
+from plantainridge.events import LoadReported
+from plantainridge.ids import BlockKey, EndpointId
+from plantainridge.links import LinkView
+from plantainridge.returning import to_choice
+from plantainridge.routing import (Choice, Knowledge, NoEndpoint,
+                                   NOTHING_TAKES_WORK, Policy, Query,
+                                   candidates)
+
+if TYPE_CHECKING:
+    from plantainridge.standins.fleet import Fleet
+
+
+class Oracle(Policy):
+    """Weighs the same costs on the state as it is now, of all endpoints.
+
+    Attributes:
+        on_the_way: What all VMs sent that no engine has yet, as the loop
+            time of its arrival in s and the tokens to compute.
+    """
+
+    name = 'oracle'
+    uses_stores = True
+
+    def __init__(self, fleet: 'Fleet',
+                 on_the_way: dict[EndpointId, list[tuple[float, int]]]) -> None:
+        self.fleet = fleet
+        self.on_the_way = on_the_way
+
+    def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
+        sources = list(self._sources(query.prompt.blocks, query.now))
+        plans: list[Plan] = []
+        for view in candidates(query, known):
+            held = self.fleet.engines[view.id].prefix(query.prompt.blocks)
+            plans += costs.plans(self._true_view(view,
+                                                 query.now), held, sources,
+                                 query.prompt.tokens, query.recompute_weight,
+                                 view.endpoint.dc == query.dc, query.now)
+        if not plans:
+            return NOTHING_TAKES_WORK
+        best = min(plans, key=lambda plan: plan.cost_s)
+        arrives_at = query.now + best.fetch_s + self.fleet.network.latency_s
+        self.on_the_way.setdefault(best.view.id, []).append(
+            (arrives_at, best.compute_tokens))
+        return to_choice(best)
+
+    def _true_view(self, view: EndpointView, now: float) -> EndpointView:
+        engine = self.fleet.engines[view.id]
+        coming = [
+            each for each in self.on_the_way.get(view.id, ()) if each[0] > now
+        ]
+        self.on_the_way[view.id] = coming
+        true = EndpointView(view.endpoint)
+        true.note_report(
+            LoadReported(
+                view.id, now, len(engine.running),
+                engine.waiting_tokens() + sum(tokens for _, tokens in coming),
+                engine.prefill_tokens_per_s / engine.slowdown, engine.version))
+        return true
+
+    def _sources(self, blocks: tuple[BlockKey, ...],
+                 now: float) -> list[Source]:
+        found: list[Source] = []
+        for store in self.fleet.stores.values():
+            if not store.alive:
+                continue
+            kept = {
+                ref.key: StoredCopy(ref, tier)
+                for ref, tier in store.copies_of(blocks)
+            }
+            copies: list[StoredCopy] = []
+            for key in blocks:
+                if key not in kept:
+                    break
+                copies.append(kept[key])
+            link = LinkView(store.link.bytes_per_s / store.link.slowdown,
+                            store.transfers, float(store.queued_bytes), now)
+            if copies:
+                found.append(Source(store.name, link, tuple(copies)))
+        return found
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -39,6 +39,7 @@
         calls: Requests and attempts in flight.
         exchange: What VMs of the data centre tell one another.
         members: Which VMs live.
+        tick_s: Period of the work that is done from time to time, in s.
         stopping: Whether a graceful shutdown was asked for.
     """
 
@@ -58,6 +59,7 @@
     calls: CallTable = attrs.field(factory=CallTable)
     exchange: ExchangeState = attrs.field(factory=ExchangeState)
     members: MembersState = attrs.field(factory=MembersState)
+    tick_s: float = 0.25
     stopping: bool = False
 
     @property
