--- a/src/plantainridge/costs.py
+++ b/src/plantainridge/costs.py
@@ -6,9 +6,8 @@
 import attrs
 
 from plantainridge.blocks import BLOCK_TOKENS
-from plantainridge.directory import StoredCopy
 from plantainridge.endpoints import EndpointView
-from plantainridge.events import Tier
+from plantainridge.events import StoredCopy, Tier
 from plantainridge.ids import StoreId
 from plantainridge.links import LinkView
 
--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -233,6 +233,14 @@
     DISK = 'disk'
 
 
+@attrs.frozen
+class StoredCopy:
+    """A store's copy of a block and where it keeps it."""
+
+    ref: BlockRef
+    tier: Tier
+
+
 @attrs.frozen
 class StoreChanged(Event):
     """A piece of a store's event stream.
@@ -246,7 +254,7 @@
 
     store: StoreId
     seq: int
-    kept: tuple[tuple[BlockRef, Tier], ...]
+    kept: tuple[StoredCopy, ...]
     freed: tuple[BlockRef, ...]
     life: int = 0
 
@@ -257,7 +265,7 @@
 
     store: StoreId
     seq: int
-    kept: tuple[tuple[BlockRef, Tier], ...]
+    kept: tuple[StoredCopy, ...]
     life: int = 0
 
 
--- a/src/plantainridge/routing.py
+++ b/src/plantainridge/routing.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from plantainridge.directory import Directory, StoredCopy
+from plantainridge.directory import Directory
 from plantainridge.endpoints import EndpointView, ModelEngines
-from plantainridge.events import Prompt
+from plantainridge.events import Prompt, StoredCopy
 from plantainridge.ids import DcId, EndpointId, StoreId, TeamId
 from plantainridge.links import LinkTable
 
--- a/src/plantainridge/standins/movers.py
+++ b/src/plantainridge/standins/movers.py
@@ -31,14 +31,16 @@
 
 
 @attrs.define
-class _Progress:
+class Progress:
+    """What a transfer has moved so far."""
+
     moved: list[BlockKey] = attrs.field(factory=list)
     moved_bytes: int = 0
 
 
 async def import_blocks(engine: EngineModel, store: StoreModel,
                         refs: Sequence[BlockRef],
-                        progress: _Progress) -> TransferFailure | None:
+                        progress: Progress) -> TransferFailure | None:
     """Reads copies from a store into an engine's cache."""
     for piece in _pieces(refs):
         stored: list[Stored] = []
@@ -63,7 +65,7 @@
 
 def _take_in(engine: EngineModel, store: StoreModel, piece: list[tuple[BlockRef,
                                                                        Stored]],
-             progress: _Progress) -> TransferFailure | None:
+             progress: Progress) -> TransferFailure | None:
     if not store.alive:
         return TransferFailure.STORE_UNREACHABLE
     if not engine.alive:
@@ -78,7 +80,7 @@
 
 async def export_blocks(engine: EngineModel, store: StoreModel,
                         blocks: Sequence[BlockKey],
-                        progress: _Progress) -> TransferFailure | None:
+                        progress: Progress) -> TransferFailure | None:
     """Writes blocks of an engine's cache to a store, each with a commit."""
     for piece in _pieces(blocks):
         wanted = [key for key in piece if not store.holds(key)]
@@ -168,7 +170,7 @@
 
     async def _run(self, effect: fx.StartTransfer, post: Post) -> None:
         await asyncio.sleep(self.network.latency_s)
-        progress = _Progress()
+        progress = Progress()
         failure = await self._move(effect, progress)
         await asyncio.sleep(self.network.latency_s)
         post(
@@ -176,7 +178,7 @@
                              progress.moved_bytes, failure))
 
     async def _move(self, effect: fx.StartTransfer,
-                    progress: _Progress) -> TransferFailure | None:
+                    progress: Progress) -> TransferFailure | None:
         engine = self.engines[effect.endpoint]
         store = self.stores[effect.store]
         if not engine.alive or not self.network.reaches(self.vm,
--- /dev/null
+++ b/tests/test_transfers.py
@@ -0,0 +1,192 @@
+"""Tests of transfers between engines and stores, and of the stores."""
+
+import asyncio
+import random
+import unittest
+
+import attrs
+
+from plantainridge import config, paused, transfers
+from plantainridge.effects import (CancelTransfer, Effect, StartTransfer)
+from plantainridge.events import (BlockRef, StoredCopy, Tier, TimerKey,
+                                  TimerKind, TransferEnded, TransferFailure)
+from plantainridge.ids import (BlockKey, EndpointId, Incarnation, RequestId,
+                               StoreId, TransferId, VmId)
+from plantainridge.routing import Fetch
+from plantainridge.standins import movers
+from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.store import (StoreModel, StoreRefusal, checksum,
+                                          payload_of)
+from plantainridge.standins.world import DC, VERSION, sample_config
+from plantainridge.state import VmState
+from plantainridge.endpoints import EndpointView
+from plantainridge.transfers import Waiting
+
+STORE = StoreId('k0')
+ENGINE = EndpointId('e0')
+
+
+def keys(context: str, count: int) -> tuple[BlockKey, ...]:
+    """Returns the keys of a context."""
+    return tuple(BlockKey(f'{context}{i}') for i in range(count))
+
+
+def a_fetch(context: str, limit_s: float = 5.0) -> Fetch:
+    """Returns a fetch of three blocks."""
+    return Fetch(
+        STORE,
+        tuple(
+            StoredCopy(BlockRef(key, 1, 100), Tier.MEMORY)
+            for key in keys(context, 3)), limit_s)
+
+
+def a_state() -> VmState:
+    """Returns a VM's state with one store."""
+    wanted = attrs.evolve(
+        sample_config(),
+        revision=0,
+        stores={STORE: config.Store(STORE, DC, '127.0.0.1:9', 1e6)})
+    state = VmState(VmId('vm0'),
+                    DC,
+                    Incarnation('one'),
+                    random.Random(1),
+                    config=wanted)
+    state.endpoints = {
+        name: EndpointView(each) for name, each in wanted.endpoints.items()
+    }
+    return state
+
+
+def started(effects: list[Effect]) -> list[TransferId]:
+    """Returns the transfers that effects start."""
+    return [e.transfer for e in effects if isinstance(e, StartTransfer)]
+
+
+class FetchTest(unittest.TestCase):
+    """Fetches are joined, limited per link and given up when late."""
+
+    def setUp(self) -> None:
+        self.state = a_state()
+
+    def fetch(self, request: str, context: str) -> list[TransferId]:
+        """Asks for a context's fetch and returns what it starts."""
+        return started(
+            list(
+                transfers.fetch(self.state, RequestId(request), ENGINE,
+                                a_fetch(context), 0.0)))
+
+    def test_a_second_request_joins_a_running_fetch(self) -> None:
+        first = self.fetch('r1', 'a')
+        self.assertEqual(len(first), 1)
+        self.assertEqual(self.fetch('r2', 'a'), [])
+        ended = TransferEnded(first[0], keys('a', 3), 300)
+        waiting = [
+            step for step in transfers.on_ended(self.state, ended, 1.0)
+            if isinstance(step, Waiting)
+        ]
+        self.assertEqual([each.request for each in waiting], ['r1', 'r2'])
+        self.assertEqual(self.state.directory.endpoints.prefixes(keys('a', 3)),
+                         {ENGINE: 3})
+
+    def test_no_more_than_the_limit_run_on_one_link(self) -> None:
+        running = [
+            self.fetch(f'r{i}', f'c{i}-')
+            for i in range(transfers.MAX_FETCHES_PER_LINK + 2)
+        ]
+        self.assertEqual(sum(map(len, running)), transfers.MAX_FETCHES_PER_LINK)
+        ended = TransferEnded(running[0][0], keys('c0-', 3), 300)
+        steps = list(transfers.on_ended(self.state, ended, 1.0))
+        self.assertEqual(
+            len(started([s for s in steps if isinstance(s, Effect)])), 1)
+
+    def test_a_late_fetch_is_cancelled_and_its_request_goes_on(self) -> None:
+        name = self.fetch('r1', 'a')[0]
+        key = TimerKey(TimerKind.TRANSFER, name)
+        steps = list(transfers.on_late(self.state, key, 5.0))
+        self.assertIn(CancelTransfer(name), steps)
+        self.assertIn(Waiting(RequestId('r1'), ENGINE), steps)
+        self.assertEqual(self.state.links.links[STORE].own, {})
+        late = TransferEnded(name, keys('a', 3), 300)
+        self.assertEqual(list(transfers.on_ended(self.state, late, 6.0)), [])
+
+    def test_an_unreachable_store_is_left_alone_for_a_while(self) -> None:
+        name = self.fetch('r1', 'a')[0]
+        failed = TransferEnded(name, (), 0, TransferFailure.STORE_UNREACHABLE)
+        list(transfers.on_ended(self.state, failed, 1.0))
+        self.assertIsNone(self.state.links.usable(STORE, 2.0))
+        self.assertIsNotNone(self.state.links.usable(STORE, 60.0))
+
+
+class StoreTest(unittest.TestCase):
+    """A freed or partly written copy cannot be read."""
+
+    def write(self, store: StoreModel, key: BlockKey) -> BlockRef:
+        """Writes and commits a block."""
+        generation = store.begin(key)
+        assert isinstance(generation, int)
+        payload = payload_of(key)
+        ref = store.commit(generation, payload, checksum(payload))
+        assert isinstance(ref, BlockRef)
+        return ref
+
+    def test_a_write_counts_only_after_its_commit(self) -> None:
+        store = StoreModel(STORE, 2, 2, 1e9)
+        key = BlockKey('a')
+        generation = store.begin(key)
+        assert isinstance(generation, int)
+        self.assertEqual(store.read(BlockRef(key, generation, 40_000_000)),
+                         StoreRefusal.GONE)
+        self.assertEqual(store.commit(generation, b'part', checksum(b'whole')),
+                         StoreRefusal.CORRUPT)
+        self.assertEqual(store.read(BlockRef(key, generation, 40_000_000)),
+                         StoreRefusal.GONE)
+
+    def test_a_freed_generation_is_never_served_again(self) -> None:
+        store = StoreModel(STORE, 2, 2, 1e9)
+        old = self.write(store, BlockKey('a'))
+        store.free(old.key)
+        new = self.write(store, BlockKey('a'))
+        self.assertEqual(store.read(old), StoreRefusal.GONE)
+        self.assertNotIsInstance(store.read(new), StoreRefusal)
+
+    def test_spills_to_disk_and_then_frees_the_oldest(self) -> None:
+        store = StoreModel(STORE, 2, 2, 1e9)
+        refs = [self.write(store, key) for key in keys('a', 5)]
+        self.assertEqual(
+            [store.tier(ref) for ref in refs],
+            [StoreRefusal.GONE, Tier.DISK, Tier.DISK, Tier.MEMORY, Tier.MEMORY])
+
+    def test_a_copy_freed_before_its_turn_is_not_imported(self) -> None:
+
+        async def scenario() -> None:
+            store = StoreModel(STORE, 20, 20, 1e9)
+            engine = EngineModel(ENGINE, VERSION)
+            refs = [self.write(store, key) for key in keys('a', 8)]
+            progress = movers.Progress()
+            moving = asyncio.create_task(
+                movers.import_blocks(engine, store, refs, progress))
+            await asyncio.sleep(0.01)
+            store.free(refs[6].key)
+            self.assertEqual(await moving, TransferFailure.BLOCK_GONE)
+            self.assertEqual(progress.moved, list(keys('a', 4)))
+            self.assertEqual(set(engine.cache), set(keys('a', 4)))
+
+        paused.run(scenario())
+
+    def test_an_export_that_is_cancelled_leaves_nothing_readable(self) -> None:
+
+        async def scenario() -> None:
+            store = StoreModel(STORE, 20, 20, 1e9)
+            engine = EngineModel(ENGINE, VERSION)
+            engine.put(keys('a', 8))
+            moving = asyncio.create_task(
+                movers.export_blocks(engine, store, keys('a', 8),
+                                     movers.Progress()))
+            await asyncio.sleep(0.2)
+            moving.cancel()
+            await asyncio.sleep(1.0)
+            held = {copy.ref.key for copy in store.copies()}
+            self.assertEqual(held, set(keys('a', 4)))
+            self.assertEqual(store.writing, {})
+
+        paused.run(scenario())
