--- a/src/plantainridge/effects.py
+++ b/src/plantainridge/effects.py
@@ -126,6 +126,11 @@
     key: str
     body: bytes = attrs.field(repr=False)
 
+    @property
+    def scoped_key(self) -> str:
+        """The key as the service sees it; it differs between teams."""
+        return f'{self.team}/{self.key}' if self.key else ''
+
 
 @attrs.frozen
 class StartTransfer(Effect):
@@ -194,11 +199,16 @@
 
 @attrs.frozen
 class ReadLog(Effect):
-    """Reads a stream from an offset; answered by `LogRead`."""
+    """Reads a stream from an offset; answered by `LogRead`.
+
+    Attributes:
+        wait: Whether to wait a while for records at the stream's end.
+    """
 
     stream: Stream
     shard: int
     offset: int
+    wait: bool = True
 
 
 @attrs.frozen
--- a/src/plantainridge/operators.py
+++ b/src/plantainridge/operators.py
@@ -1,5 +1,6 @@
 """Operators' HTTP interface: health, readiness, state, histograms."""
 
+import attrs
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
@@ -44,6 +45,10 @@
             'incarnation': state.incarnation,
             'ready': state.ready,
             'revision': state.config.revision,
+            'readiness': state.readiness.value,
+            'conflicts': [
+                attrs.asdict(each) for each in state.revisions.conflicts
+            ],
             'calls': len(state.calls.calls),
             'endpoints': {
                 view.id: {
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge import caching, events, requests, revisions, services
+from plantainridge import (caching, catchup, checkpoints, claim_batches,
+                           claim_sync, claims, events, exchange, members,
+                           peering, requests, revisions, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -25,14 +27,21 @@
 
 # Handlers of timers by kind; those of `TICK` run every `tick_s`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
-    events.TimerKind.TICK: (_on_tick, caching.on_tick),
+    events.TimerKind.TICK:
+        (_on_tick, caching.on_tick, revisions.on_tick, catchup.on_tick,
+         checkpoints.on_tick, exchange.on_tick),
     events.TimerKind.TRANSFER: (caching.on_transfer_late,),
+    events.TimerKind.CLAIM: (claims.on_timer,),
+    events.TimerKind.CLAIM_FLUSH: (claim_batches.on_flush,),
+    events.TimerKind.CLAIM_OWED: (claim_batches.on_owed,),
+    events.TimerKind.CLAIM_READ: (claim_sync.on_pace,),
+    events.TimerKind.SERVICE: (services.on_timer,),
 }
 
 HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
     events.ModelCalled: (caching.on_model_called, requests.on_model_called),
     events.ServiceCalled: (services.on_service_called,),
-    events.CallerGone: (requests.on_caller_gone,),
+    events.CallerGone: (services.on_caller_gone, requests.on_caller_gone),
     events.TokensArrived: (requests.on_tokens,),
     events.AttemptEnded: (caching.on_attempt_ended, requests.on_attempt_ended),
     events.AttemptFailed:
@@ -46,8 +55,13 @@
     events.StoreLoadReported: (caching.on_store_load_reported,),
     events.TransferEnded: (caching.on_transfer_ended,),
     events.TimerFired: (_on_timer,),
-    events.LogRead: (revisions.on_log_read,),
-    events.LogReadFailed: (revisions.on_read_failed,),
+    events.AppendEnded: (claims.on_append_ended, checkpoints.on_append_ended),
+    events.AppendFailed:
+        (claims.on_append_failed, checkpoints.on_append_failed),
+    events.LogRead: (revisions.on_log_read, claims.on_log_read),
+    events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed),
+    events.MembersListed: (members.on_listed,),
+    events.PeerSaid: (peering.on_peer_said,),
 }
 
 
@@ -56,6 +70,7 @@
     return [
         ReadLog(events.Stream.CONFIG, 0, state.config_next),
         SetTimer(_TICK, now + state.tick_s),
+        *claim_sync.first_reads(state),
     ]
 
 
--- a/src/plantainridge/returns.py
+++ b/src/plantainridge/returns.py
@@ -94,10 +94,6 @@
             if self.counts[index] > EXPECTED_SHARE * longer:
                 return starts_at_s(index)
         return None
-            if self.counts[index] >= EXPECTED_SHARE * remaining:
-                return starts_at_s(index)
-            remaining -= self.counts[index]
-        return None
 
 
 @attrs.define
--- a/src/plantainridge/standins/fleet.py
+++ b/src/plantainridge/standins/fleet.py
@@ -22,7 +22,8 @@
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.feeds import EngineFeed, FeedSettings, StoreFeed
 from plantainridge.standins.memory import (MemoryEnginePort, MemoryReport,
-                                           MemoryServicePort, Network)
+                                           Network)
+from plantainridge.standins.memory_services import MemoryServicePort
 from plantainridge.standins.movers import MemoryTransferPort
 from plantainridge.standins.store import StoreModel
 from plantainridge.state import VmState
