--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -194,12 +194,18 @@
 
 @attrs.frozen
 class CacheChanged(Event):
-    """A piece of an endpoint's cache event stream; `seq` counts pieces."""
+    """A piece of an endpoint's cache event stream.
+
+    Attributes:
+        seq: Number of the piece, from 0 in each life of the endpoint.
+        life: Which life of the endpoint's process published it.
+    """
 
     endpoint: EndpointId
     seq: int
     added: tuple[BlockKey, ...]
     removed: tuple[BlockKey, ...]
+    life: int = 0
 
 
 @attrs.frozen
@@ -209,6 +215,7 @@
     endpoint: EndpointId
     seq: int
     blocks: tuple[BlockKey, ...]
+    life: int = 0
 
 
 @attrs.frozen
@@ -232,19 +239,30 @@
     DISK = 'disk'
 
 
+@attrs.frozen
+class StoredCopy:
+    """A store's copy of a block and where it keeps it."""
+
+    ref: BlockRef
+    tier: Tier
+
+
 @attrs.frozen
 class StoreChanged(Event):
-    """A piece of a store's event stream; `seq` counts pieces.
+    """A piece of a store's event stream.
 
     Attributes:
+        seq: Number of the piece, from 0 in each life of the store.
         kept: Copies committed or moved between tiers, with their new tier.
         freed: Copies that are gone.
+        life: Which life of the store's process published it.
     """
 
     store: StoreId
     seq: int
-    kept: tuple[tuple[BlockRef, Tier], ...]
+    kept: tuple[StoredCopy, ...]
     freed: tuple[BlockRef, ...]
+    life: int = 0
 
 
 @attrs.frozen
@@ -253,7 +271,8 @@
 
     store: StoreId
     seq: int
-    kept: tuple[tuple[BlockRef, Tier], ...]
+    kept: tuple[StoredCopy, ...]
+    life: int = 0
 
 
 @attrs.frozen
