--- a/src/plantainridge/routing.py
+++ b/src/plantainridge/routing.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from plantainridge.directory import Directory, StoredCopy
+from plantainridge.directory import Directory
 from plantainridge.endpoints import EndpointView, ModelEngines
-from plantainridge.events import Prompt
+from plantainridge.events import Prompt, StoredCopy
 from plantainridge.ids import DcId, EndpointId, StoreId, TeamId
 from plantainridge.links import LinkTable
 
@@ -82,9 +82,15 @@
 
 
 class Policy(abc.ABC):
-    """A way to choose among the engines of a model."""
+    """A way to choose among the engines of a model.
+
+    Attributes:
+        name: Its name in figures.
+        uses_stores: Whether contexts are exported to stores for it.
+    """
 
     name: str
+    uses_stores = False
 
     @abc.abstractmethod
     def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -47,6 +47,7 @@
         calls: Requests and attempts in flight.
         exchange: What VMs of the data centre tell one another.
         members: Which VMs live.
+        tick_s: Period of the work that is done from time to time, in s.
         claims: Calls that must run at most once.
         stopping: Whether a graceful shutdown was asked for.
     """
@@ -69,6 +70,7 @@
     calls: CallTable = attrs.field(factory=CallTable)
     exchange: ExchangeState = attrs.field(factory=ExchangeState)
     members: MembersState = attrs.field(factory=MembersState)
+    tick_s: float = 0.25
     claims: ClaimsState = attrs.field(factory=ClaimsState)
     stopping: bool = False
 
