Check that all is served again, and garble engines' streams

Cause: a system that refuses for ever would keep the nine conditions, and no fault yet tested the checks on echoed ids, order and totals of streams. Change: probes after all faults end, keys that were told only not_run tried again, pieces of answers lost, doubled and crossed.

--- a/src/plantainridge/matrix.py
+++ b/src/plantainridge/matrix.py
@@ -152,6 +152,7 @@
         scene.at(strike.step.matches, strike.step.nth, act)
     await cell.cycle().run(scene)
     await scene.settle(SETTLE_S)
+    await scene.oracle.probe()
     return CellResult(cell, tuple(struck), tuple(scene.oracle.judge()))
 
 
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Final
 
@@ -142,11 +143,33 @@
         self._send(ev.AttemptFailed(self.effect.attempt, ev.Failure.BROKEN))
 
 
+@attrs.define
+class EngineFaults:
+    """Chances of faults of each piece of an answer, by one VM's way.
+
+    Attributes:
+        lose: The piece is lost.
+        double: The piece comes twice.
+        cross: Another request's piece comes instead.
+    """
+
+    lose: float = 0.0
+    double: float = 0.0
+    cross: float = 0.0
+
+
 class MemoryEnginePort(EnginePort):
-    """One VM's way to the engines' models."""
+    """One VM's way to the engines' models.
 
-    def __init__(self, vm: str, network: Network,
-                 models: dict[EndpointId, EngineModel]) -> None:
+    Attributes:
+        faults: Chances of faults.
+    """
+
+    def __init__(self, vm: str, network: Network, models: dict[EndpointId,
+                                                               EngineModel],
+                 rng: random.Random) -> None:
+        self.rng = rng
+        self.faults = EngineFaults()
         self.vm = vm
         self.network = network
         self.models = models
@@ -188,7 +211,24 @@
         if isinstance(event, (ev.AttemptEnded, ev.AttemptFailed)):
             model, job = self.jobs.pop(effect.attempt)
             model.cancel(job)
+        if isinstance(event, ev.TokensArrived):
+            self._deliver_piece(event, post)
+        else:
+            self.network.later(lambda: post(event))
+
+    def _deliver_piece(self, event: ev.TokensArrived, post: Post) -> None:
+        if self._draw(self.faults.lose):
+            return
+        if self._draw(self.faults.cross):
+            event = attrs.evolve(event,
+                                 echoed=RequestId('another'),
+                                 tokens=('crossed ',))
         self.network.later(lambda: post(event))
+        if self._draw(self.faults.double):
+            self.network.later(lambda: post(event))
+
+    def _draw(self, chance: float) -> bool:
+        return chance > 0.0 and self.rng.random() < chance
 
     def halt(self) -> None:
         """Breaks every connection, as the VM's end does."""
--- a/src/plantainridge/standins/oracle.py
+++ b/src/plantainridge/standins/oracle.py
@@ -4,6 +4,7 @@
 the stand-ins know what ran, the callers what they were told.
 """
 
+import asyncio
 import enum
 from collections.abc import Iterator
 from typing import Final
@@ -13,19 +14,27 @@
 from plantainridge import config
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge.ids import EndpointId, VmId
+from plantainridge.ids import EndpointId, TeamId, VmId
 from plantainridge.refusals import RanState
 from plantainridge.standins.engine import token_at
-from plantainridge.standins.world import Ask, Vm, World
+from plantainridge.standins.memory import Told
+from plantainridge.standins.world import LEDGER, LOOKUP, Ask, Vm, World
 
 # After this long a leaving endpoint gets no new work, in s.
 LEAVING_LIMIT_S: Final = 3.0
 # Within this time an accepted configuration is in force everywhere, in s.
 IN_FORCE_LIMIT_S: Final = 6.0
+PROBE_TOKENS: Final = 3
+# Longest that an idle system may take for a probe, in s.
+PROBE_S: Final = 20.0
 
 
 class Check(enum.Enum):
-    """The conditions that must always hold, each by a check of its own."""
+    """The conditions that must always hold, each by a check of its own.
+
+    `RECOVERY` stands beside the nine: a system that refuses everything for
+    ever would keep the others.
+    """
 
     COMMITTED_READS = 'freed_or_partial_block_is_never_read'
     TEAMS_APART = 'teams_stay_apart'
@@ -36,6 +45,7 @@
     LEAVING = 'leaving_endpoint_gets_no_new_work'
     GRACEFUL_STOP = 'planned_stop_cuts_no_request'
     CONFIG = 'accepted_configuration_in_force_and_never_reverts'
+    RECOVERY = 'all_is_served_again_once_faults_end'
 
 
 @attrs.frozen
@@ -59,6 +69,14 @@
     ready: bool = False
 
 
+@attrs.frozen
+class _Probe:
+    """One request sent after all faults have ended."""
+
+    name: str
+    told: Told
+
+
 class Oracle:
     """Watches a world from its start and judges it at its end.
 
@@ -106,6 +124,27 @@
                 current = offset
         return current
 
+    async def probe(self) -> None:
+        """Asks each VM for one of each; all faults must have ended.
+
+        A key whose callers were told nothing but `not_run` is tried again:
+        it must not be blocked.
+        """
+        probes = [
+            _Probe(f'{kind} by {vm.name}', told)
+            for vm in self.world.vms
+            for kind, told in _ask_one_of_each(self.world, vm)
+        ]
+        probes += [
+            _Probe(f'resend of {key}', told)
+            for key, told in _resend_free_keys(self.world)
+        ]
+        await asyncio.sleep(PROBE_S)
+        for probe in probes:
+            if probe.told.ended is None and probe.told.status is None:
+                self._fail(Check.RECOVERY,
+                           f'{probe.name}: {probe.told.refusal}')
+
     def judge(self) -> list[Violation]:
         """Returns all violations; the world must have come to rest."""
         for ask in self.world.asks:
@@ -178,6 +217,30 @@
                     f'in force, the log says {newest}')
 
 
+def _ask_one_of_each(world: World, vm: Vm) -> Iterator[tuple[str, Told]]:
+    yield 'model request', world.ask_model(vm, 'probe', PROBE_TOKENS)
+    yield 'service call', world.call_service(vm, LOOKUP)
+    yield 'marked call', world.call_service(vm, LEDGER, world.new_key())
+
+
+def _resend_free_keys(world: World) -> Iterator[tuple[str, Told]]:
+    free: dict[tuple[TeamId, str], ev.ServiceCalled] = {}
+    taken: set[tuple[TeamId, str]] = set()
+    for ask in world.asks:
+        event = ask.event
+        if not isinstance(event, ev.ServiceCalled) or not event.key:
+            continue
+        refusal = ask.told.refusal
+        if refusal is not None and refusal.ran is RanState.NOT_RUN:
+            free.setdefault((event.team, event.key), event)
+        else:
+            taken.add((event.team, event.key))
+    for (team, key), event in free.items():
+        if (team, key) not in taken:
+            yield key, world.call_service(world.vms[-1], LEDGER, key,
+                                          event.body, team)
+
+
 def _judge_ask(world: World, ask: Ask) -> Iterator[Violation]:
     name = ask.event.request
     if ask.cut_off or ask.hung_up:
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -17,9 +17,10 @@
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.members import MembersModel
-from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
-                                           MemoryMembers, MemoryPeers,
-                                           MemoryReport, Network, Told)
+from plantainridge.standins.memory import (EngineFaults, MemoryCallers,
+                                           MemoryEnginePort, MemoryMembers,
+                                           MemoryPeers, MemoryReport, Network,
+                                           Told)
 from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
 from plantainridge.standins.memory_services import (MemoryServicePort,
                                                     ServiceFaults)
@@ -144,7 +145,7 @@
         state = VmState(VmId(name), dc,
                         Incarnation(f'{name}-{self.rng.getrandbits(64):x}'),
                         random.Random(self.rng.getrandbits(64)))
-        engines = MemoryEnginePort(name, self.network, self.engines)
+        engines = MemoryEnginePort(name, self.network, self.engines, self.rng)
         services = MemoryServicePort(name, self.network, self.services,
                                      self.rng, self.audit)
         log = MemoryLogPort(name, self.network, self.log, self.rng)
@@ -189,6 +190,8 @@
         """Ends every fault, but for what was lost."""
         self.network.cut.clear()
         self.log.down = False
+        self.log.slow_s = 0.0
+        self.members.down = False
         for engine in self.engines.values():
             engine.alive = True
             engine.slowdown = 1.0
@@ -196,6 +199,7 @@
             vm.runtime.resume()
             vm.log.faults = LogFaults()
             vm.services.faults = ServiceFaults()
+            vm.engines.faults = EngineFaults()
 
     def every_vm(self) -> Iterator[Vm]:
         """Yields all VMs that ever lived."""
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -19,6 +19,7 @@
 from plantainridge import paused
 from plantainridge.ids import EndpointId, TeamId, WeightVersion
 from plantainridge.standins import world as worlds
+from plantainridge.standins.memory import EngineFaults
 from plantainridge.standins.oracle import Oracle, Violation
 from plantainridge.standins.world import Vm, World
 
@@ -154,6 +155,16 @@
         self.act(lambda: _drop(
             self.world.ask_model(target, TEXTS[text], tokens, team)))
 
+    @stateful.rule(text=st.integers(0, len(TEXTS) - 1))
+    @counted
+    def ask_everywhere(self, text: int) -> None:
+        """A caller of each team asks each VM at once."""
+        for index in range(VMS):
+            target = self.live(index)
+            for team in TEAMS:
+                self.act(lambda vm=target, who=team: _drop(  # type: ignore
+                    self.world.ask_model(vm, TEXTS[text], 20, who)))
+
     @stateful.rule(vm=vm_index, team=st.sampled_from(TEAMS))
     @counted
     def call_ledger(self, vm: int, team: Any) -> None:
@@ -264,6 +275,12 @@
         self.world.vms[vm].services.faults.cross = chance
         self.world.vms[vm].services.faults.hang = chance / 2
 
+    @stateful.rule(chance=st.sampled_from([0.0, 0.02, 0.2]), vm=vm_index)
+    @counted
+    def garble_streams(self, chance: float, vm: int) -> None:
+        """Pieces of answers are lost, come twice, or are another's."""
+        self.world.vms[vm].engines.faults = EngineFaults(chance, chance, chance)
+
     @stateful.rule(vm=vm_index)
     @counted
     def pause_vm(self, vm: int) -> None:
@@ -360,6 +377,7 @@
             if vm.runtime.halted:
                 self.renew(vm)
         self.pass_time(SETTLE_S)
+        self.within(self.oracle.probe)
         violations = self.oracle.judge()
         self.runner.close()
         if not violations:
