Put stores, transfers and feeds into the fuzzed world

Cause: reads of cache blocks were not reached by the fuzzer. Change: two stores, small engine caches, late feeds with gaps; rules that end a store, fill it, slow its link and drop cache events.

--- a/src/plantainridge/standins/fleet.py
+++ b/src/plantainridge/standins/fleet.py
@@ -236,8 +236,8 @@
         listings.update({f.node: f.listing for f in self.engine_feeds})
         listings.update({f.node: f.listing for f in self.store_feeds})
         ports = Ports(callers=FleetCallers(self.heard),
-                      engines=MemoryEnginePort(name, self.network,
-                                               self.engines),
+                      engines=MemoryEnginePort(name, self.network, self.engines,
+                                               self.rng),
                       services=MemoryServicePort(name, self.network, {},
                                                  self.rng, self.audit),
                       log=OneRevision(self.config),
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -8,13 +8,15 @@
 from plantainridge import blocks, claim_keys, config
 from plantainridge import events as ev
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
-                               RequestId, ServiceId, TeamId, VmId,
+                               RequestId, ServiceId, StoreId, TeamId, VmId,
                                WeightVersion)
 from plantainridge.ports import Ports, Post
 from plantainridge.revisions import Revision, encode
 from plantainridge.runtime import Runtime
 from plantainridge.standins.audit import Audit
 from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.feeds import (GAP_CHANCE, EngineFeed, FeedSettings,
+                                          StoreFeed)
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.members import MembersModel
 from plantainridge.standins.memory import (EngineFaults, MemoryCallers,
@@ -24,7 +26,9 @@
 from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
 from plantainridge.standins.memory_services import (MemoryServicePort,
                                                     ServiceFaults)
+from plantainridge.standins.movers import MemoryTransferPort
 from plantainridge.standins.service import ServiceModel
+from plantainridge.standins.store import StoreModel
 from plantainridge.state import VmState
 
 TEAM = TeamId('bureau')
@@ -34,6 +38,12 @@
 LEDGER = ServiceId('ledger')
 LOOKUP = ServiceId('lookup')
 DC = DcId('neihu')
+STORES = (StoreId('k0'), StoreId('k1'))
+# Small enough that the contexts of a test do not all fit.
+CACHE_BLOCKS = 8
+MEMORY_BLOCKS = 16
+DISK_BLOCKS = 64
+LINK_BYTES_PER_S = 2e9
 
 
 def sample_config(engines: int = 2) -> config.Config:
@@ -51,6 +61,10 @@
         config.Team(name, digest * 32, 1, 1.5, 64, frozenset([MODEL]))
         for name, digest in ((TEAM, 'ab'), (OTHER_TEAM, 'cd'))
     ]
+    stores = [
+        config.Store(each, DC, '127.0.0.1:7000', LINK_BYTES_PER_S)
+        for each in STORES
+    ]
     services = (config.Service(LEDGER, repeatable=False),
                 config.Service(LOOKUP, repeatable=True))
     return config.Config(revision=-1,
@@ -59,7 +73,7 @@
                          models={MODEL: config.Model(MODEL, VERSION)},
                          services={each.id: each for each in services},
                          endpoints={each.id: each for each in endpoints},
-                         stores={},
+                         stores={each.id: each for each in stores},
                          dcs=frozenset([DC]))
 
 
@@ -126,12 +140,27 @@
                 EngineModel(EndpointId(f'e{i}'), VERSION, audit=self.audit)
             for i in range(engines)
         }
+        for engine in self.engines.values():
+            engine.cache_blocks = CACHE_BLOCKS
+        self.stores = {
+            each: StoreModel(each, MEMORY_BLOCKS, DISK_BLOCKS, LINK_BYTES_PER_S)
+            for each in STORES
+        }
         self.ledger = ServiceModel()
         self.services = {
             EndpointId('s-ledger'): self.ledger,
             EndpointId('s-lookup'): ServiceModel()
         }
         self.posts: dict[str, Post] = {}
+        self.feed_settings = FeedSettings()
+        self.feeds: list[EngineFeed | StoreFeed] = [
+            EngineFeed(engine, self.network, self.posts, self.rng,
+                       self.feed_settings) for engine in self.engines.values()
+        ]
+        self.feeds += [
+            StoreFeed(store, self.network, self.posts, self.rng,
+                      self.feed_settings) for store in self.stores.values()
+        ]
         self.members = MembersModel()
         self.asks: list[Ask] = []
         self.past: list[Vm] = []
@@ -154,6 +183,9 @@
                       services=services,
                       log=log,
                       report=report,
+                      transfers=MemoryTransferPort(
+                          name, self.network, self.engines, self.stores,
+                          {feed.node: feed.listing for feed in self.feeds}),
                       peers=MemoryPeers(name, self.network, self.posts))
         runtime = Runtime(state, ports)
         vm = Vm(VmId(name), runtime, callers, engines, services, log, report)
@@ -195,6 +227,12 @@
         for engine in self.engines.values():
             engine.alive = True
             engine.slowdown = 1.0
+        for store in self.stores.values():
+            store.refuses_writes = False
+            store.link.slowdown = 1.0
+            if not store.alive:
+                store.restart()
+        self.feed_settings.gap_chance = GAP_CHANCE
         for vm in self.vms:
             vm.runtime.resume()
             vm.log.faults = LogFaults()
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -84,6 +84,7 @@
 
 vm_index = st.integers(0, VMS - 1)
 engine_index = st.integers(0, ENGINES - 1)
+store_index = st.integers(0, len(worlds.STORES) - 1)
 
 
 class WorldMachine(stateful.RuleBasedStateMachine):
@@ -210,7 +211,8 @@
 
     # --- Time ---------------------------------------------------------------
 
-    @stateful.rule(seconds=st.sampled_from([0.002, 0.02, 0.1, 0.5, 2.0, 10.0]))
+    @stateful.rule(
+        seconds=st.sampled_from([0.002, 0.02, 0.1, 0.5, 2.0, 10.0, 90.0]))
     @counted
     def wait(self, seconds: float) -> None:
         """Time passes."""
@@ -281,6 +283,29 @@
         """Pieces of answers are lost, come twice, or are another's."""
         self.world.vms[vm].engines.faults = EngineFaults(chance, chance, chance)
 
+    @stateful.rule(store=store_index)
+    @counted
+    def end_store(self, store: int) -> None:
+        """A store dies, or comes back empty."""
+        model = self.world.stores[worlds.STORES[store]]
+        self.act(model.die if model.alive else model.restart)
+
+    @stateful.rule(store=store_index,
+                   full=st.booleans(),
+                   slowdown=st.sampled_from([1.0, 10.0, 1_000.0]))
+    @counted
+    def trouble_store(self, store: int, full: bool, slowdown: float) -> None:
+        """A store takes no writes, or its link slows down."""
+        model = self.world.stores[worlds.STORES[store]]
+        model.refuses_writes = full
+        model.link.slowdown = slowdown
+
+    @stateful.rule(chance=st.sampled_from([0.01, 0.5, 1.0]))
+    @counted
+    def lose_cache_events(self, chance: float) -> None:
+        """Cache events have gaps."""
+        self.world.feed_settings.gap_chance = chance
+
     @stateful.rule(vm=vm_index)
     @counted
     def pause_vm(self, vm: int) -> None:
