Hold team limits over all VMs and refuse what comes late

Cause: every request was taken in, whatever the load and the team, and an attempt without progress was never given up. Change: limits cut a team's limit into shares by demand, fairness finds the teams above a max-min part, admission refuses at once what cannot start in its promised time, earlier for teams above their part; retries have budgets; endpoints are judged by latency and by failures in a row; attempts have deadlines; a stopping VM finishes its calls and exits; refusals carry whether a failed attempt may have run.

--- a/src/plantainridge/admission.py
+++ b/src/plantainridge/admission.py
@@ -1,22 +1,35 @@
 """Decides at once whether a request is taken in."""
 
+from typing import Final
+
+from plantainridge import drain, limits
+from plantainridge.calls import Call
+from plantainridge.config import Team
+from plantainridge.endpoints import EndpointView
 from plantainridge.events import ModelCalled
+from plantainridge.ids import TeamId
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.state import VmState
 
+# Part of the promised time that a team within its fair part may use up.
+BUDGET: Final = 0.85
+# The same for teams above it, by priority from 0; the last goes for the rest.
+BUDGETS_ABOVE: Final = (0.6, 0.55, 0.5, 0.45)
+# Added to the engine's rank of calls of teams above their fair part.
+RANK_ABOVE: Final = 100
+# Bounds of Retry-After, in s.
+RETRY_MIN_S: Final = 1.0
+RETRY_SPREAD_S: Final = 4.0
+
 
-def refuse_now(state: VmState, asked: ModelCalled) -> Refusal | None:
-    """Returns why a model request is refused, or None if it is taken."""
-    if state.stopping:
-        return Refusal(Reason.STOPPING,
-                       RanState.NOT_RUN,
-                       'this VM is shutting down',
-                       retry_after_s=1.0)
-    if not state.ready:
-        return Refusal(Reason.NOT_READY,
-                       RanState.NOT_RUN,
-                       'this VM has no configuration yet',
-                       retry_after_s=1.0)
+def refuse_now(state: VmState, asked: ModelCalled,
+               now: float) -> Refusal | None:
+    """Returns why a model request is refused, or None if it may be taken."""
+    if drain.refuses_new(state, now):
+        return _refusal(state, Reason.STOPPING, 'this VM is shutting down')
+    if state.config.revision < 0:
+        return _refusal(state, Reason.NOT_READY,
+                        'this VM has no configuration yet')
     team = state.config.teams.get(asked.team)
     model = state.config.models.get(asked.model)
     if team is None or model is None or asked.model not in team.models:
@@ -26,4 +39,79 @@
         return Refusal(
             Reason.CONTEXT_TOO_LONG, RanState.NOT_RUN,
             f'the context exceeds {model.max_context_tokens} tokens')
-    return None
+    return refuse_over_limit(state, asked.team, now)
+
+
+def refuse_over_limit(state: VmState, team: TeamId,
+                      now: float) -> Refusal | None:
+    """Returns the refusal of a call above its team's limit, or None."""
+    if not limits.reached(state, team):
+        return None
+    state.limits.of(team).limited.add(1.0, now)
+    return _refusal(state, Reason.TEAM_LIMIT,
+                    'the team has as many calls running as it may')
+
+
+def refuse_late(state: VmState, call: Call, asked: ModelCalled,
+                expected_s: float, now: float) -> Refusal | None:
+    """Returns the refusal of a call that cannot start in time, or None.
+
+    Counts what the team asks for and what of it is taken in.
+
+    Args:
+        state: The VM's state.
+        call: The call; its terms are fixed.
+        asked: What its caller asked.
+        expected_s: Time to first token at the chosen endpoint, in s.
+        now: Loop time in s.
+    """
+    usage = state.limits.of(asked.team)
+    work = float(asked.prompt.tokens + asked.max_tokens)
+    usage.offered.add(work, now)
+    budget_s = call.promised_s * budget(state, call, asked.team)
+    if expected_s <= budget_s:
+        usage.admitted.add(work, now)
+        return None
+    return _refusal(state, Reason.OVERLOADED,
+                    'the first token would come later than promised',
+                    expected_s - budget_s)
+
+
+def budget(state: VmState, call: Call, team: TeamId) -> float:
+    """Returns the part of the promised time that a call may use up."""
+    if team not in state.fairness.above:
+        return BUDGET
+    return BUDGETS_ABOVE[min(call.team_priority, len(BUDGETS_ABOVE) - 1)]
+
+
+def rank(state: VmState, team: Team) -> int:
+    """Returns the engine's rank for a new call of a team."""
+    if team.id in state.fairness.above:
+        return RANK_ABOVE + team.priority
+    return team.priority
+
+
+def expected_first_token_s(state: VmState, view: EndpointView,
+                           asked: ModelCalled, now: float) -> float:
+    """Estimates an endpoint's time to first token of a request, in s.
+
+    The last report is carried on to now: what was queued is being worked
+    off, and the other VMs are taken to have sent what this one has.
+    """
+    vms = max(1, len(state.limits.live))
+    if view.report is None or view.report.prefill_tokens_per_s <= 0:
+        return 0.0
+    speed = view.report.prefill_tokens_per_s
+    sent = sum(tokens for _, tokens in view.sent_tokens)
+    done = speed * max(0.0, now - view.report.measured_at)
+    slowness = state.health.of(view.id).slowness(now)
+    queued = max(0.0, view.report.waiting_tokens + sent * vms - done)
+    return (queued + asked.prompt.tokens) / speed * slowness
+
+
+def _refusal(state: VmState,
+             reason: Reason,
+             detail: str,
+             wait_s: float = 0.0) -> Refusal:
+    retry_s = RETRY_MIN_S + wait_s + state.rng.random() * RETRY_SPREAD_S
+    return Refusal(reason, RanState.NOT_RUN, detail, retry_after_s=retry_s)
--- a/src/plantainridge/calls.py
+++ b/src/plantainridge/calls.py
@@ -1,12 +1,14 @@
 """Requests and attempts in flight on this VM."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 import attrs
 
 from plantainridge.events import ModelCalled, ServiceCalled
-from plantainridge.ids import AttemptId, EndpointId, RequestId
+from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId
 from plantainridge.lifecycles import RequestPhase
+from plantainridge.refusals import RanState
 
 
 @attrs.define
@@ -23,6 +25,11 @@
         cached_tokens: Prompt tokens that the first attempt did not compute.
         tried: Endpoints that failed it.
         first_token_at: Loop time of its first token, or None.
+        team_priority: The team's priority, fixed when it was taken in.
+        priority: Rank within an engine, fixed when it was taken in.
+        promised_s: Promised time to first token in s, fixed when taken in.
+        maybe_ran: Whether any failed attempt may have done work.
+        progress_at: Loop time of its last dispatch or token, in s.
     """
 
     asked: ModelCalled | ServiceCalled
@@ -34,24 +41,58 @@
     cached_tokens: int = 0
     tried: set[EndpointId] = attrs.field(factory=set)
     first_token_at: float | None = None
+    team_priority: int = 0
+    priority: int = 0
+    promised_s: float = 0.0
+    maybe_ran: bool = False
+    progress_at: float = 0.0
+
+    @property
+    def ran(self) -> RanState:
+        """What a refusal may truly say about work done for the call."""
+        if self.delivered:
+            return RanState.RAN
+        return RanState.UNKNOWN if self.maybe_ran else RanState.NOT_RUN
 
 
 @attrs.frozen
 class Attempt:
-    """One dispatch of a call to an endpoint."""
+    """One dispatch of a call to an endpoint.
+
+    Attributes:
+        expected_s: Time to first token that was expected, in s.
+    """
 
     id: AttemptId
     request: RequestId
     endpoint: EndpointId
     started_at: float
+    expected_s: float = 0.0
 
 
 @attrs.define
 class CallTable:
-    """All calls and attempts in flight, by their ids."""
+    """All calls and attempts in flight, by their ids.
+
+    Attributes:
+        running: Calls in flight by team.
+    """
 
     calls: dict[RequestId, Call] = attrs.field(factory=dict)
     attempts: dict[AttemptId, Attempt] = attrs.field(factory=dict)
+    running: Counter[TeamId] = attrs.field(factory=Counter)
+
+    def open(self, call: Call) -> None:
+        """Takes a call in."""
+        self.calls[call.asked.request] = call
+        self.running[call.asked.team] += 1
+
+    def close(self, request: RequestId) -> None:
+        """Forgets a call that got its final word or lost its caller."""
+        call = self.calls.pop(request)
+        self.running[call.asked.team] -= 1
+        if self.running[call.asked.team] <= 0:
+            del self.running[call.asked.team]
 
     def of_attempt(self, attempt: AttemptId) -> Call | None:
         """Returns the call that an attempt serves, while it is current."""
--- /dev/null
+++ b/src/plantainridge/health.py
@@ -0,0 +1,132 @@
+"""Health of endpoints, by the failures and the latency that this VM sees."""
+
+import math
+from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from plantainridge.endpoints import EndpointView
+from plantainridge.events import Failure
+from plantainridge.ids import EndpointId
+
+if TYPE_CHECKING:
+    from plantainridge.state import VmState
+
+# How long an endpoint that broke a connection gets no new work, in s; doubled
+# by each further failure without a token between.
+DOWN_S: Final = 2.0
+DOWN_MAX_S: Final = 30.0
+# How long an endpoint that did not take a request gets no new work, in s.
+REJECTED_DOWN_S: Final = 0.25
+# Weight of a new latency reading, and how fast readings lose their say.
+READING_WEIGHT: Final = 0.2
+FADE_S: Final = 20.0
+# Expected times below this are not told apart, in s.
+LEAST_EXPECTED_S: Final = 0.1
+# Bounds of one reading of slowness.
+FASTEST: Final = 0.5
+SLOWEST: Final = 30.0
+# An endpoint this many times as slow as the middle one gets only probes.
+SLOW_FACTOR: Final = 3.0
+# Time between probes of a slow endpoint, in s.
+PROBE_EVERY_S: Final = 2.0
+
+
+@attrs.define
+class EndpointHealth:
+    """What this VM saw of one endpoint.
+
+    Attributes:
+        failures: Failures in a row, without a token between.
+        log_slowness: Logarithm of the measured over the expected time to
+            first token; fades to 0.
+        read_at: Loop time of the last reading, in s.
+        probed_at: Loop time of the last probe while slow, in s.
+    """
+
+    failures: int = 0
+    log_slowness: float = 0.0
+    read_at: float = 0.0
+    probed_at: float = -math.inf
+
+    def slowness(self, now: float) -> float:
+        """Returns measured over expected time to first token."""
+        fade = math.exp((self.read_at - now) / FADE_S)
+        return math.exp(self.log_slowness * fade)
+
+    def note(self, measured_s: float, expected_s: float, now: float) -> None:
+        """Takes a time to first token in."""
+        ratio = (max(measured_s, LEAST_EXPECTED_S) /
+                 max(expected_s, LEAST_EXPECTED_S))
+        reading = math.log(min(SLOWEST, max(FASTEST, ratio)))
+        before = math.log(self.slowness(now))
+        self.log_slowness = before + READING_WEIGHT * (reading - before)
+        self.read_at = now
+
+
+@attrs.define
+class HealthState:
+    """Health by endpoint."""
+
+    endpoints: dict[EndpointId, EndpointHealth] = attrs.field(factory=dict)
+
+    def of(self, endpoint: EndpointId) -> EndpointHealth:
+        """Returns an endpoint's health; good if nothing was seen."""
+        found = self.endpoints.get(endpoint)
+        if found is None:
+            found = EndpointHealth()
+            self.endpoints[endpoint] = found
+        return found
+
+
+def note_failure(state: 'VmState', endpoint: EndpointId, failure: Failure,
+                 now: float) -> None:
+    """Takes a failed attempt in; an endpoint that broke gets a pause."""
+    view = state.endpoints.get(endpoint)
+    if view is None or failure is Failure.MISMATCHED:
+        return
+    if failure is Failure.REJECTED:
+        view.down_until = max(view.down_until, now + REJECTED_DOWN_S)
+        return
+    if failure is Failure.TIMED_OUT:
+        state.health.of(endpoint).note(SLOWEST, LEAST_EXPECTED_S, now)
+        return
+    if now < view.down_until:
+        return
+    health = state.health.of(endpoint)
+    health.failures += 1
+    pause_s = min(DOWN_MAX_S, DOWN_S * 2**(health.failures - 1))
+    view.down_until = now + pause_s
+
+
+def note_first_token(state: 'VmState', endpoint: EndpointId, measured_s: float,
+                     expected_s: float, now: float) -> None:
+    """Takes the first token of an attempt in."""
+    health = state.health.of(endpoint)
+    health.failures = 0
+    health.note(measured_s, expected_s, now)
+
+
+def without_slow(state: 'VmState', views: Sequence[EndpointView],
+                 now: float) -> Iterable[EndpointView]:
+    """Leaves out endpoints much slower than the middle one.
+
+    Now and then a slow one is let through, so that its recovery is seen;
+    at most half of the endpoints are left out.
+    """
+    if len(views) < 2:
+        return views
+    slowness = [state.health.of(view.id).slowness(now) for view in views]
+    limit = SLOW_FACTOR * sorted(slowness)[(len(slowness) - 1) // 2]
+    return [
+        view for view, each in zip(views, slowness)
+        if each <= limit or _probe(state.health.of(view.id), now)
+    ]
+
+
+def _probe(health: EndpointHealth, now: float) -> bool:
+    if now - health.probed_at < PROBE_EVERY_S:
+        return False
+    health.probed_at = now
+    return True
--- a/src/plantainridge/lifecycles.py
+++ b/src/plantainridge/lifecycles.py
@@ -15,6 +15,7 @@
 
     ADMITTED = 'admitted'
     CLAIMING = 'claiming'
+    WAITING = 'waiting'
     DISPATCHED = 'dispatched'
     STREAMING = 'streaming'
     DONE = 'done'
@@ -48,16 +49,19 @@
 
 
 _LIVE: Final[list[enum.Enum]] = [
-    RequestPhase.ADMITTED, RequestPhase.CLAIMING, RequestPhase.DISPATCHED,
-    RequestPhase.STREAMING
+    RequestPhase.ADMITTED, RequestPhase.CLAIMING, RequestPhase.WAITING,
+    RequestPhase.DISPATCHED, RequestPhase.STREAMING
 ]
 
 REQUEST: Final = LifeCycle(RequestPhase, [
     ('claim', [RequestPhase.ADMITTED], RequestPhase.CLAIMING),
     ('dispatch', [
-        RequestPhase.ADMITTED, RequestPhase.CLAIMING, RequestPhase.DISPATCHED,
-        RequestPhase.STREAMING
+        RequestPhase.ADMITTED, RequestPhase.CLAIMING, RequestPhase.WAITING,
+        RequestPhase.DISPATCHED, RequestPhase.STREAMING
     ], RequestPhase.DISPATCHED),
+    ('wait', [
+        RequestPhase.WAITING, RequestPhase.DISPATCHED, RequestPhase.STREAMING
+    ], RequestPhase.WAITING),
     ('stream', [RequestPhase.DISPATCHED, RequestPhase.STREAMING
                ], RequestPhase.STREAMING),
     ('finish', [RequestPhase.DISPATCHED, RequestPhase.STREAMING
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge import events, requests, revisions, services
+from plantainridge import (drain, events, fairness, limits, quarantine,
+                           requests, revisions, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -37,7 +38,10 @@
 
 # Handlers of timers by kind; those of `TICK` run every `TICK_S`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
-    events.TimerKind.TICK: (_on_tick,),
+    events.TimerKind.TICK: (_on_tick, limits.on_tick, fairness.on_tick,
+                            quarantine.on_tick, drain.on_tick),
+    events.TimerKind.DEADLINE: (requests.on_deadline,),
+    events.TimerKind.RETRY: (requests.on_retry,),
 }
 
 HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
@@ -51,6 +55,7 @@
     events.ServiceAnswered: (services.on_service_answered,),
     events.LoadReported: (_on_load_reported,),
     events.TimerFired: (_on_timer,),
+    events.StopRequested: (drain.on_stop_requested,),
     events.LogRead: (revisions.on_log_read,),
     events.LogReadFailed: (revisions.on_read_failed,),
 }
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -3,68 +3,126 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge import admission
+from plantainridge import admission, health, retries
 from plantainridge.calls import Attempt, Call
 from plantainridge.config import EndpointKind
-from plantainridge.effects import (CancelAttempt, Effect, FinishAnswer, Observe,
-                                   Refuse, SendTokens, StartAttempt)
+from plantainridge.effects import (CancelAttempt, CancelTimer, Effect,
+                                   FinishAnswer, Observe, Refuse, SendTokens,
+                                   SetTimer, StartAttempt)
 from plantainridge.endpoints import EndpointView
 from plantainridge.events import (AttemptEnded, AttemptFailed, CallerGone,
-                                  Failure, ModelCalled, TokensArrived)
+                                  Failure, ModelCalled, TimerFired, TimerKey,
+                                  TimerKind, TokensArrived)
 from plantainridge.ids import AttemptId, RequestId
 from plantainridge.lifecycles import REQUEST, RequestPhase
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.routing import NoEndpoint
 from plantainridge.state import VmState
 
-MAX_TRIES: Final = 3
-# How long an endpoint that broke a connection gets no new work.
-DOWN_S: Final = 2.0
+# An attempt without a first token is given up after the larger of the
+# promised and the expected time, times this.
+FIRST_TOKEN_PATIENCE: Final = 4.0
+FIRST_TOKEN_LEAST_S: Final = 4.0
+# Longest pause between two tokens of an attempt, in s.
+STALL_S: Final = 10.0
 
 
 def on_model_called(state: VmState, event: ModelCalled,
                     now: float) -> Iterator[Effect]:
     """Takes a request in and dispatches it, or refuses it."""
-    refusal = admission.refuse_now(state, event)
+    refusal = admission.refuse_now(state, event, now)
     if refusal is not None:
         yield Refuse(event.request, refusal)
         return
-    call = Call(event, arrived_at=now)
-    state.calls.calls[event.request] = call
-    yield from _dispatch(state, call, event, now)
+    team = state.config.teams[event.team]
+    call = Call(event,
+                arrived_at=now,
+                team_priority=team.priority,
+                priority=admission.rank(state, team),
+                promised_s=team.first_token_s)
+    chosen = _choose(state, call, event, now)
+    if isinstance(chosen, NoEndpoint):
+        yield Refuse(
+            event.request,
+            Refusal(Reason.NO_ENDPOINT,
+                    RanState.NOT_RUN,
+                    chosen.detail,
+                    retry_after_s=retries.RETRY_AFTER_S))
+        return
+    expected_s = admission.expected_first_token_s(state, chosen, event, now)
+    refusal = admission.refuse_late(state, call, event, expected_s, now)
+    if refusal is not None:
+        yield Refuse(event.request, refusal)
+        return
+    state.calls.open(call)
+    retries.note_first_attempt(state, event.team, chosen.id)
+    yield from _start(state, call, event, chosen, now)
 
 
 def candidates(state: VmState, call: Call, asked: ModelCalled,
                now: float) -> list[EndpointView]:
-    """Lists the engines that may run a request now, in a fixed order."""
-    return [
+    """Lists the engines that may run a request now, in a fixed order.
+
+    An engine that failed the call comes only after all others have.
+    """
+    able = [
         view for view in state.endpoints.values()
         if view.endpoint.kind is EndpointKind.ENGINE and view.endpoint.serves ==
-        asked.model and view.takes_work(now) and view.id not in call.tried
+        asked.model and view.takes_work(now) and _serves_version(view, asked)
     ]
+    if call.tries:
+        able = [each for each in able if retries.may_go_to(state, each.id)]
+    fresh = [view for view in able if view.id not in call.tried]
+    return list(health.without_slow(state, fresh or able, now))
 
 
-def _dispatch(state: VmState, call: Call, asked: ModelCalled,
-              now: float) -> Iterator[Effect]:
+def _serves_version(view: EndpointView, asked: ModelCalled) -> bool:
+    return view.report is None or view.report.version == asked.version
+
+
+def _choose(state: VmState, call: Call, asked: ModelCalled,
+            now: float) -> EndpointView | NoEndpoint:
     choice = state.policy.choose(asked.prompt,
                                  candidates(state, call, asked, now), now)
     if isinstance(choice, NoEndpoint):
-        yield from _refuse(
-            state, call, asked.request,
-            Refusal(Reason.NO_ENDPOINT,
-                    RanState.RAN if call.delivered else RanState.NOT_RUN,
-                    choice.detail,
-                    retry_after_s=1.0))
+        return choice
+    return state.endpoints[choice.endpoint]
+
+
+def _dispatch(state: VmState, call: Call, asked: ModelCalled,
+              now: float) -> Iterator[Effect]:
+    """Dispatches a call again, or lets it wait for an endpoint."""
+    chosen = _choose(state, call, asked, now)
+    if not isinstance(chosen, NoEndpoint):
+        retries.note_retry(state, chosen.id)
+        yield from _start(state, call, asked, chosen, now)
+        return
+    if now - call.progress_at < retries.WAIT_LIMIT_S:
+        REQUEST.fire(call, 'wait')
+        yield SetTimer(TimerKey(TimerKind.RETRY, asked.request),
+                       now + retries.WAIT_STEP_S)
         return
-    view = state.endpoints[choice.endpoint]
+    yield from _refuse(
+        state, call, asked.request,
+        Refusal(Reason.NO_ENDPOINT,
+                call.ran,
+                chosen.detail,
+                retry_after_s=retries.RETRY_AFTER_S))
+
+
+def _start(state: VmState, call: Call, asked: ModelCalled, view: EndpointView,
+           now: float) -> Iterator[Effect]:
     call.tries += 1
+    call.progress_at = now
     attempt = AttemptId(f'{asked.request}.{call.tries}')
     call.attempt = attempt
+    expected_s = admission.expected_first_token_s(state, view, asked, now)
     state.calls.attempts[attempt] = Attempt(attempt, asked.request, view.id,
-                                            now)
+                                            now, expected_s)
     view.own.add(attempt)
     view.sent_tokens.append((now, asked.prompt.tokens))
     REQUEST.fire(call, 'dispatch')
+    yield SetTimer(_deadline(attempt), now + _patience_s(call, expected_s))
     yield StartAttempt(attempt=attempt,
                        request=asked.request,
                        endpoint=view.id,
@@ -75,7 +133,7 @@
                        adapter=asked.adapter,
                        prompt=asked.prompt,
                        max_tokens=asked.max_tokens,
-                       priority=state.config.teams[asked.team].priority,
+                       priority=call.priority,
                        resume_from=len(call.delivered),
                        delivered=tuple(call.delivered))
 
@@ -96,11 +154,16 @@
         return
     if call.phase is RequestPhase.DISPATCHED:
         REQUEST.fire(call, 'stream')
+        attempt = state.calls.attempts[event.attempt]
+        health.note_first_token(state, attempt.endpoint,
+                                now - attempt.started_at, attempt.expected_s,
+                                now)
     if call.first_token_at is None:
         call.first_token_at = now
         call.cached_tokens = event.cached_tokens
         yield Observe('first_token_s', asked.team, asked.model,
                       now - call.arrived_at)
+    call.progress_at = now
     call.delivered.extend(event.tokens)
     yield SendTokens(asked.request, event.tokens)
 
@@ -117,8 +180,8 @@
             state, AttemptFailed(event.attempt, Failure.MISMATCHED), now)
         return
     REQUEST.fire(call, 'finish')
-    _forget_attempt(state, event.attempt)
-    del state.calls.calls[asked.request]
+    yield from _forget_attempt(state, event.attempt)
+    state.calls.close(asked.request)
     yield FinishAnswer(asked.request, asked.prompt.tokens, call.cached_tokens,
                        event.total)
 
@@ -130,22 +193,47 @@
     if call is None or not isinstance(call.asked, ModelCalled):
         return
     attempt = state.calls.attempts[event.attempt]
-    view = state.endpoints.get(attempt.endpoint)
-    if view is not None and event.failure is not Failure.REJECTED:
-        view.down_until = now + DOWN_S
+    health.note_failure(state, attempt.endpoint, event.failure, now)
     call.tried.add(attempt.endpoint)
-    _forget_attempt(state, event.attempt)
-    if call.tries >= MAX_TRIES:
-        yield from _refuse(
-            state, call, call.asked.request,
-            Refusal(Reason.ENDPOINT_FAILED,
-                    RanState.RAN if call.delivered else RanState.UNKNOWN,
-                    f'{call.tries} endpoints failed the request',
-                    retry_after_s=1.0))
+    if event.failure not in retries.SURELY_NOT_RUN:
+        call.maybe_ran = True
+    yield from _forget_attempt(state, event.attempt)
+    call.attempt = None
+    step = retries.after_failure(state, call, event.failure)
+    if isinstance(step, retries.GiveUp):
+        yield from _refuse(state, call, call.asked.request, step.refusal)
         return
     yield from _dispatch(state, call, call.asked, now)
 
 
+def on_deadline(state: VmState, event: TimerFired,
+                now: float) -> Iterator[Effect]:
+    """Gives an attempt up that has made no progress for too long."""
+    name = AttemptId(event.key.subject)
+    call = state.calls.of_attempt(name)
+    if call is None or not isinstance(call.asked, ModelCalled):
+        return
+    attempt = state.calls.attempts[name]
+    due = call.progress_at + STALL_S
+    if call.phase is RequestPhase.DISPATCHED:
+        due = attempt.started_at + _patience_s(call, attempt.expected_s)
+    if now < due:
+        yield SetTimer(event.key, due)
+        return
+    yield CancelAttempt(name)
+    yield from on_attempt_failed(state, AttemptFailed(name, Failure.TIMED_OUT),
+                                 now)
+
+
+def on_retry(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
+    """Looks again for an endpoint for a call that waits."""
+    call = state.calls.calls.get(RequestId(event.key.subject))
+    if call is None or call.phase is not RequestPhase.WAITING:
+        return
+    if isinstance(call.asked, ModelCalled):
+        yield from _dispatch(state, call, call.asked, now)
+
+
 def on_caller_gone(state: VmState, event: CallerGone,
                    now: float) -> Iterator[Effect]:
     """Cancels the attempt of a caller that hung up."""
@@ -155,21 +243,31 @@
         return
     if call.attempt is not None:
         yield CancelAttempt(call.attempt)
-        _forget_attempt(state, call.attempt)
-    del state.calls.calls[event.request]
+        yield from _forget_attempt(state, call.attempt)
+    state.calls.close(event.request)
 
 
 def _refuse(state: VmState, call: Call, request: RequestId,
             refusal: Refusal) -> Iterator[Effect]:
     REQUEST.fire(call, 'refuse')
-    del state.calls.calls[request]
+    state.calls.close(request)
     yield Refuse(request, refusal)
 
 
-def _forget_attempt(state: VmState, attempt: AttemptId) -> None:
+def _forget_attempt(state: VmState, attempt: AttemptId) -> Iterator[Effect]:
     found = state.calls.attempts.pop(attempt, None)
     if found is None:
         return
+    yield CancelTimer(_deadline(attempt))
     view = state.endpoints.get(found.endpoint)
     if view is not None:
         view.own.discard(attempt)
+
+
+def _deadline(attempt: AttemptId) -> TimerKey:
+    return TimerKey(TimerKind.DEADLINE, attempt)
+
+
+def _patience_s(call: Call, expected_s: float) -> float:
+    longest = max(call.promised_s, expected_s)
+    return max(FIRST_TOKEN_LEAST_S, FIRST_TOKEN_PATIENCE * longest)
--- /dev/null
+++ b/src/plantainridge/retries.py
@@ -0,0 +1,138 @@
+"""What follows a failed attempt, within budgets.
+
+A retry that repeats no work is free. One that may repeat work takes from the
+budgets of its team and of the endpoint that it goes to. A budget refills with
+a part of the first attempts, so that retries stay a part of the load, and
+holds enough that all calls on one crashed endpoint can be resumed.
+"""
+
+from typing import TYPE_CHECKING, Final, TypeVar
+
+import attrs
+
+from plantainridge.calls import Call
+from plantainridge.events import Failure
+from plantainridge.ids import EndpointId, TeamId
+from plantainridge.refusals import Reason, Refusal
+
+if TYPE_CHECKING:
+    from plantainridge.state import VmState
+
+Owner = TypeVar('Owner', TeamId, EndpointId)
+
+MAX_TRIES: Final = 6
+# Retries that refill a budget for each first attempt.
+REFILL: Final = 0.1
+# Retries that an endpoint takes at once.
+ENDPOINT_BURST: Final = 64.0
+# How long a call waits for an endpoint to come back, in s.
+WAIT_LIMIT_S: Final = 10.0
+# Time between looks for an endpoint while a call waits, in s.
+WAIT_STEP_S: Final = 0.25
+RETRY_AFTER_S: Final = 2.0
+
+SURELY_NOT_RUN: Final = frozenset({Failure.CONNECT_REFUSED, Failure.REJECTED})
+
+
+@attrs.define
+class Budget:
+    """Retries that may still be made.
+
+    Attributes:
+        burst: Most that it holds.
+        left: What it holds now.
+    """
+
+    burst: float
+    left: float
+
+    def refill(self) -> None:
+        """Counts a first attempt."""
+        self.left = min(self.burst, self.left + REFILL)
+
+    def take(self) -> bool:
+        """Takes one retry out; False if there is none."""
+        if self.left < 1.0:
+            return False
+        self.left -= 1.0
+        return True
+
+
+@attrs.define
+class RetriesState:
+    """Budgets that are not full, by team and by endpoint."""
+
+    teams: dict[TeamId, Budget] = attrs.field(factory=dict)
+    endpoints: dict[EndpointId, Budget] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class GiveUp:
+    """Says that a call gets its final word now."""
+
+    refusal: Refusal
+
+
+@attrs.frozen
+class TryAgain:
+    """Says that a call may be dispatched again."""
+
+
+def after_failure(state: 'VmState', call: Call,
+                  failure: Failure) -> TryAgain | GiveUp:
+    """Decides what follows a failed attempt of a model's call."""
+    if call.tries >= MAX_TRIES:
+        return GiveUp(
+            Refusal(Reason.ENDPOINT_FAILED,
+                    call.ran,
+                    f'{call.tries} attempts failed',
+                    retry_after_s=RETRY_AFTER_S))
+    if failure in SURELY_NOT_RUN:
+        return TryAgain()
+    if not _team_budget(state, call.asked.team).take():
+        return GiveUp(
+            Refusal(Reason.ENDPOINT_FAILED,
+                    call.ran,
+                    'the team has used up its retries',
+                    retry_after_s=RETRY_AFTER_S))
+    return TryAgain()
+
+
+def may_go_to(state: 'VmState', endpoint: EndpointId) -> bool:
+    """Whether an endpoint's budget has room for a retry."""
+    budget = state.retries.endpoints.get(endpoint)
+    return budget is None or budget.left >= 1.0
+
+
+def note_retry(state: 'VmState', endpoint: EndpointId) -> None:
+    """Takes a retry out of the budget of the endpoint that it goes to."""
+    budgets = state.retries.endpoints
+    if endpoint not in budgets:
+        budgets[endpoint] = Budget(ENDPOINT_BURST, ENDPOINT_BURST)
+    budgets[endpoint].take()
+
+
+def note_first_attempt(state: 'VmState', team: TeamId,
+                       endpoint: EndpointId) -> None:
+    """Refills the budgets by one first attempt; full ones are forgotten."""
+    _refill(state.retries.teams, team)
+    _refill(state.retries.endpoints, endpoint)
+
+
+def _refill(budgets: dict[Owner, Budget], owner: Owner) -> None:
+    budget = budgets.get(owner)
+    if budget is None:
+        return
+    budget.refill()
+    if budget.left >= budget.burst:
+        del budgets[owner]
+
+
+def _team_budget(state: 'VmState', team: TeamId) -> Budget:
+    budget = state.retries.teams.get(team)
+    if budget is None:
+        terms = state.config.teams.get(team)
+        burst = float(terms.max_running) if terms else 1.0
+        budget = Budget(burst, burst)
+        state.retries.teams[team] = budget
+    return budget
--- a/src/plantainridge/services.py
+++ b/src/plantainridge/services.py
@@ -42,7 +42,7 @@
                     retry_after_s=60.0))
         return
     call = Call(event, arrived_at=now)
-    state.calls.calls[event.request] = call
+    state.calls.open(call)
     yield from dispatch(state, call, event, now)
 
 
@@ -56,7 +56,7 @@
     ]
     if not views:
         REQUEST.fire(call, 'refuse')
-        del state.calls.calls[asked.request]
+        state.calls.close(asked.request)
         yield Refuse(
             asked.request,
             Refusal(Reason.NO_ENDPOINT,
@@ -94,7 +94,7 @@
         return
     REQUEST.fire(call, 'finish')
     _forget(state, event.attempt)
-    del state.calls.calls[call.asked.request]
+    state.calls.close(call.asked.request)
     yield SendServiceAnswer(call.asked.request, event.status, event.body)
 
 
@@ -111,7 +111,7 @@
         yield from dispatch(state, call, call.asked, now)
         return
     REQUEST.fire(call, 'refuse')
-    del state.calls.calls[call.asked.request]
+    state.calls.close(call.asked.request)
     yield Refuse(
         call.asked.request,
         Refusal(Reason.OUTCOME_UNKNOWN, RanState.UNKNOWN,
--- /dev/null
+++ b/src/plantainridge/standins/traffic.py
@@ -0,0 +1,155 @@
+"""Callers, a balancer and the platform's words, for a world in memory."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from plantainridge import config
+from plantainridge import events as ev
+from plantainridge.exchange import Heard
+from plantainridge.ids import TeamId, VmId
+from plantainridge.standins.engine import PREFILL_TOKENS_PER_S
+from plantainridge.standins.memory import Told
+from plantainridge.standins.world import DC, MODEL, Vm, World, sample_config
+
+REPORT_EVERY_S: Final = 0.25
+REPORT_LAG_S: Final = 0.1
+GOSSIP_EVERY_S: Final = 0.5
+MEMBERS_EVERY_S: Final = 1.0
+PROBE_EVERY_S: Final = 0.5
+
+
+@attrs.frozen
+class Ask:
+    """One request that a caller sends.
+
+    Attributes:
+        text: The prompt, unlike any other.
+        resends: How often its caller sends it again after a refusal or a
+            broken connection.
+    """
+
+    team: TeamId
+    text: str = attrs.field(repr=False)
+    max_tokens: int
+    resends: int = 0
+
+
+def declare(teams: list[config.Team], engines: int) -> config.Config:
+    """Returns the sample configuration with these teams."""
+    return attrs.evolve(sample_config(engines),
+                        teams={team.id: team for team in teams})
+
+
+def new_team(name: str,
+             priority: int = 1,
+             first_token_s: float = 1.5,
+             max_running: int = 1_000) -> config.Team:
+    """Returns a team that may call the sample model."""
+    return config.Team(TeamId(name), 'ab' * 32, priority, first_token_s,
+                       max_running, frozenset([MODEL]))
+
+
+class Platform:
+    """What the platform tells the VMs, and how VMs hear one another.
+
+    Attributes:
+        ready: VMs that the balancer sends to, as of its last probe.
+    """
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.rng = random.Random(seed)
+        self.ready: list[Vm] = []
+        self.tasks = [
+            asyncio.create_task(self._repeat(act, period_s))
+            for act, period_s in ((self.report_loads, REPORT_EVERY_S),
+                                  (self.gossip, GOSSIP_EVERY_S),
+                                  (self.list_members, MEMBERS_EVERY_S),
+                                  (self.probe, PROBE_EVERY_S))
+        ]
+
+    def stop(self) -> None:
+        """Ends all that goes on by itself."""
+        for task in self.tasks:
+            task.cancel()
+
+    def pick(self) -> Vm | None:
+        """Returns a VM as the balancer would, or None if none is ready."""
+        return self.rng.choice(self.ready) if self.ready else None
+
+    def report_loads(self) -> None:
+        """Has each engine report its load, which arrives with a lag."""
+        loop = asyncio.get_running_loop()
+        for engine in self.world.engines.values():
+            if not engine.alive:
+                continue
+            report = ev.LoadReported(engine.name, loop.time(),
+                                     len(engine.running),
+                                     engine.waiting_tokens(),
+                                     PREFILL_TOKENS_PER_S, engine.version)
+            loop.call_later(REPORT_LAG_S, self._post_all, report)
+
+    def gossip(self) -> None:
+        """Carries each VM's values to the others."""
+        loop = asyncio.get_running_loop()
+        states = [vm.runtime.state for vm in self.live()]
+        for state in states:
+            for other in states:
+                if other.vm != state.vm:
+                    heard = state.exchange.heard.setdefault(other.vm, {})
+                    for topic, value in other.exchange.own.items():
+                        heard[topic] = Heard(value, loop.time())
+
+    def list_members(self) -> None:
+        """Posts the platform's membership list."""
+        self._post_all(
+            ev.MembersListed(
+                tuple(
+                    ev.Member(VmId(vm.runtime.state.vm), DC, '', False)
+                    for vm in self.live())))
+
+    def probe(self) -> None:
+        """Looks which VMs are ready."""
+        self.ready = [vm for vm in self.live() if vm.runtime.state.ready]
+
+    def live(self) -> list[Vm]:
+        """Lists the VMs whose process runs."""
+        return [vm for vm in self.world.vms if not vm.runtime.halted]
+
+    def _post_all(self, event: ev.Event) -> None:
+        for vm in self.live():
+            vm.runtime.post(event)
+
+    async def _repeat(self, act: Callable[[], None], period_s: float) -> None:
+        while True:
+            act()
+            await asyncio.sleep(period_s)
+
+
+@attrs.define
+class Outcome:
+    """What became of one request, over all its sendings.
+
+    Attributes:
+        told: What the caller was told at each sending.
+    """
+
+    ask: Ask
+    told: list[Told] = attrs.field(factory=list)
+
+    @property
+    def whole(self) -> bool:
+        """Whether the whole answer came."""
+        return bool(self.told) and self.told[-1].ended is not None
+
+    @property
+    def first_token_s(self) -> float:
+        """Time to first token of the last sending, in s."""
+        last = self.told[-1]
+        if last.first_token_at is None:
+            return float('inf')
+        return last.first_token_at - last.asked_at
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -68,11 +68,15 @@
     Build it inside the running loop.
     """
 
-    def __init__(self, vms: int = 1, engines: int = 2, seed: int = 1) -> None:
+    def __init__(self,
+                 vms: int = 1,
+                 engines: int = 2,
+                 seed: int = 1,
+                 declared: config.Config | None = None) -> None:
         self.rng = random.Random(seed)
         self.network = Network()
         self.log = LogModel()
-        self.config = sample_config(engines)
+        self.config = declared or sample_config(engines)
         self.log.append('config', 0, [encode(Revision(-1, self.config))])
         self.engines = {
             EndpointId(f'e{i}'): EngineModel(EndpointId(f'e{i}'), VERSION)
@@ -106,16 +110,20 @@
         runtime.start()
         return Vm(runtime, callers, report)
 
-    def ask_model(self, vm: Vm, text: str, max_tokens: int = 10) -> Told:
+    def ask_model(self,
+                  vm: Vm,
+                  text: str,
+                  max_tokens: int = 10,
+                  team: TeamId = TEAM) -> Told:
         """Sends a model request to a VM."""
         self.asked += 1
         request = RequestId(f'r{self.asked}')
         told = vm.callers.expect(request)
-        seed = blocks.salt(TEAM, MODEL, VERSION, '')
+        seed = blocks.salt(team, MODEL, VERSION, '')
         prompt = ev.Prompt(text, blocks.count_tokens(text.encode()),
                            tuple(blocks.chain(seed, text.encode())))
         vm.runtime.post(
-            ev.ModelCalled(request, TEAM, MODEL, VERSION, '', prompt,
+            ev.ModelCalled(request, team, MODEL, VERSION, '', prompt,
                            max_tokens))
         return told
 
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -8,8 +8,13 @@
 from plantainridge.calls import CallTable
 from plantainridge.endpoints import EndpointView
 from plantainridge.exchange import ExchangeState
+from plantainridge.fairness import FairnessState
+from plantainridge.health import HealthState
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
+from plantainridge.limits import LimitsState
 from plantainridge.members import MembersState
+from plantainridge.quarantine import QuarantineState
+from plantainridge.retries import RetriesState
 from plantainridge.routing import LeastLoaded, Policy
 
 
@@ -29,7 +34,13 @@
         calls: Requests and attempts in flight.
         exchange: What VMs of the data centre tell one another.
         members: Which VMs live.
-        stopping: Whether a graceful shutdown was asked for.
+        limits: Demand of teams and their shares of limits.
+        fairness: Teams that ask for more than their fair part.
+        health: What was seen of each endpoint.
+        retries: Budgets for retries.
+        quarantine: Requests that may crash endpoints.
+        stopping_since: Loop time of the word to shut down, in s, or None.
+        exiting: Whether the process was told to end.
     """
 
     vm: VmId
@@ -43,7 +54,18 @@
     calls: CallTable = attrs.field(factory=CallTable)
     exchange: ExchangeState = attrs.field(factory=ExchangeState)
     members: MembersState = attrs.field(factory=MembersState)
-    stopping: bool = False
+    limits: LimitsState = attrs.field(factory=LimitsState)
+    fairness: FairnessState = attrs.field(factory=FairnessState)
+    health: HealthState = attrs.field(factory=HealthState)
+    retries: RetriesState = attrs.field(factory=RetriesState)
+    quarantine: QuarantineState = attrs.field(factory=QuarantineState)
+    stopping_since: float | None = None
+    exiting: bool = False
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a graceful shutdown was asked for."""
+        return self.stopping_since is not None
 
     @property
     def ready(self) -> bool:
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,134 @@
+"""Tests of team limits and of fair parts."""
+
+import random
+import unittest
+
+import attrs
+
+from plantainridge import fairness, limits
+from plantainridge.events import Member, TimerFired, TimerKey, TimerKind
+from plantainridge.exchange import Heard, Topic
+from plantainridge.fairness import Work
+from plantainridge.ids import DcId, Incarnation, TeamId, VmId
+from plantainridge.standins.traffic import new_team
+from plantainridge.standins.world import sample_config
+from plantainridge.state import VmState
+
+TEAM = TeamId('bureau')
+TICK = TimerFired(TimerKey(TimerKind.TICK))
+DC = DcId('neihu')
+STEP_S = 0.25
+
+
+class Group:
+    """Reducer states of several VMs that hear one another."""
+
+    def __init__(self, size: int, limit: int) -> None:
+        names = [VmId(f'vm{i}') for i in range(size)]
+        members = {name: Member(name, DC, '', False) for name in names}
+        team = new_team(TEAM, max_running=limit)
+        declared = attrs.evolve(sample_config(), revision=0, teams={TEAM: team})
+        self.states = [
+            VmState(name, DC, Incarnation(name), random.Random(1))
+            for name in names
+        ]
+        for state in self.states:
+            state.config = declared
+            state.members.listed.update(members)
+        self.now = 0.0
+
+    def tick(self, cut: bool = False) -> None:
+        """Lets a period pass; values travel unless cut."""
+        self.now += STEP_S
+        for state in self.states:
+            list(limits.on_tick(state, TICK, self.now))
+        if cut:
+            return
+        for state in self.states:
+            for other in self.states:
+                if other is not state:
+                    state.exchange.heard.setdefault(
+                        other.vm, {})[Topic.DEMAND] = Heard(
+                            other.exchange.own[Topic.DEMAND], self.now)
+
+    def fill(self, state: VmState) -> None:
+        """Takes calls in until the limit is reached."""
+        while not limits.reached(state, TEAM):
+            state.calls.running[TEAM] += 1
+        limits_of = state.limits.of(TEAM)
+        limits_of.limited.add(5.0, self.now)
+        limits_of.offered.add(5.0, self.now)
+
+    def running(self) -> int:
+        """Counts the calls on all VMs."""
+        return sum(state.calls.running[TEAM] for state in self.states)
+
+
+class ShareTest(unittest.TestCase):
+    """A limit holds over all VMs."""
+
+    def test_cuts_whole_limits_for_all_sizes(self) -> None:
+        for size, limit in ((1, 5), (3, 7), (7, 2), (4, 64)):
+            with self.subTest(size=size, limit=limit):
+                group = Group(size, limit)
+                group.tick()
+                for state in group.states:
+                    group.fill(state)
+                self.assertEqual(group.running(), limit)
+
+    def test_moves_to_demand_and_never_exceeds_the_limit(self) -> None:
+        group = Group(4, 40)
+        for _ in range(60):
+            group.tick()
+            group.fill(group.states[0])
+            self.assertLessEqual(group.running(), 40)
+        self.assertGreaterEqual(group.states[0].calls.running[TEAM], 30)
+        for _ in range(60):
+            group.tick()
+            group.fill(group.states[1])
+            self.assertLessEqual(group.running(), 40)
+
+    def test_falls_back_to_an_even_share_when_nobody_is_heard(self) -> None:
+        group = Group(4, 40)
+        for _ in range(30):
+            group.tick()
+            group.fill(group.states[0])
+        group.states[0].calls.running.clear()
+        for _ in range(30):
+            group.tick(cut=True)
+        for state in group.states:
+            group.fill(state)
+        self.assertEqual(group.running(), 40)
+
+    def test_drops_what_it_cannot_read(self) -> None:
+        for payload in (b'', b'{}', b'[1]', b'[true,[["t"]]]', b'\xff'):
+            self.assertIsInstance(limits.decode(payload), limits.Unreadable)
+
+
+class FairPartTest(unittest.TestCase):
+    """Only those who ask for more than their part are above it."""
+
+    def test_names_those_above_the_level(self) -> None:
+        small, middle, flood = (TeamId(n) for n in ('small', 'middle', 'flood'))
+        cases: list[tuple[dict[TeamId, Work], set[TeamId]]] = [
+            # Nothing is refused.
+            ({
+                small: Work(5, 5),
+                flood: Work(300, 300)
+            }, set()),
+            # One floods: a team that asks for more than an equal part but
+            # less than what is left is not above.
+            ({
+                small: Work(5, 3),
+                middle: Work(30, 17),
+                flood: Work(300, 80)
+            }, {flood}),
+            # All ask for too much.
+            ({
+                small: Work(100, 50),
+                flood: Work(100, 50)
+            }, {small, flood}),
+        ]
+        for work, above in cases:
+            with self.subTest(above=above):
+                self.assertEqual(fairness.teams_above(work), above)
