--- a/src/plantainridge/calls.py
+++ b/src/plantainridge/calls.py
@@ -24,11 +24,12 @@
         delivered: Tokens that the caller was given, in order.
         cached_tokens: Prompt tokens that the first attempt did not compute.
         tried: Endpoints that failed it.
+        may_have_run: Whether a failed attempt may have done the work.
         first_token_at: Loop time of its first token, or None.
         team_priority: The team's priority, fixed when it was taken in.
         priority: Rank within an engine, fixed when it was taken in.
         promised_s: Promised time to first token in s, fixed when taken in.
-        maybe_ran: Whether any failed attempt may have done work.
+        expected_s: Expected time to first token of the last choice, in s.
         progress_at: Loop time of its last dispatch or token, in s.
     """
 
@@ -40,11 +41,12 @@
     delivered: list[str] = attrs.field(factory=list, repr=False)
     cached_tokens: int = 0
     tried: set[EndpointId] = attrs.field(factory=set)
+    may_have_run: bool = False
     first_token_at: float | None = None
     team_priority: int = 0
     priority: int = 0
     promised_s: float = 0.0
-    maybe_ran: bool = False
+    expected_s: float = 0.0
     progress_at: float = 0.0
 
     @property
@@ -52,7 +54,7 @@
         """What a refusal may truly say about work done for the call."""
         if self.delivered:
             return RanState.RAN
-        return RanState.UNKNOWN if self.maybe_ran else RanState.NOT_RUN
+        return RanState.UNKNOWN if self.may_have_run else RanState.NOT_RUN
 
 
 @attrs.frozen
@@ -87,12 +89,13 @@
         self.calls[call.asked.request] = call
         self.running[call.asked.team] += 1
 
-    def close(self, request: RequestId) -> None:
+    def close(self, request: RequestId) -> Call:
         """Forgets a call that got its final word or lost its caller."""
         call = self.calls.pop(request)
         self.running[call.asked.team] -= 1
         if self.running[call.asked.team] <= 0:
             del self.running[call.asked.team]
+        return call
 
     def of_attempt(self, attempt: AttemptId) -> Call | None:
         """Returns the call that an attempt serves, while it is current."""
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -5,12 +5,14 @@
 
 import attrs
 
+from plantainridge import members_http
 from plantainridge.callers import CallersApp, Mailboxes
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, Tasks, new_client)
 from plantainridge.ids import DcId, Incarnation, VmId
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
+from plantainridge.peers_net import NetPeers
 from plantainridge.ports import Ports
 from plantainridge.reports import ProcessReport
 from plantainridge.runtime import Runtime
@@ -27,6 +29,10 @@
         port: Port for callers; 0 lets the system choose.
         operator_port: Port for operators; 0 lets the system choose.
         log_address: IP number and port of the platform's log.
+        members_address: IP number and port of the platform's membership
+            list; empty for none.
+        peer_port: Port for other VMs; 0 lets the system choose.
+        peers: Addresses of some other VMs of the data centre.
     """
 
     vm: VmId
@@ -35,6 +41,9 @@
     port: int
     operator_port: int
     log_address: str
+    members_address: str = ''
+    peer_port: int = 0
+    peers: tuple[str, ...] = ()
 
 
 class Entry:
@@ -51,12 +60,14 @@
         self.tasks = Tasks()
         self.client = new_client()
         self.mailboxes = Mailboxes()
+        self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
         ports = Ports(callers=self.mailboxes,
                       engines=HttpEnginePort(self.client, self.tasks),
                       services=HttpServicePort(self.tasks),
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
-                      report=ProcessReport(self.metrics, settings.vm))
+                      report=ProcessReport(self.metrics, settings.vm),
+                      peers=self.peers)
         self.runtime = Runtime(state, ports)
         self.callers = AppServer(
             CallersApp(self.runtime, self.mailboxes).app, settings.host,
@@ -67,6 +78,14 @@
 
     async def start(self) -> None:
         """Returns once callers can connect."""
+        await self.peers.start(self.runtime.post)
+        exchange = self.runtime.state.exchange
+        exchange.address = self.peers.address
+        exchange.seeds = self.settings.peers
+        if self.settings.members_address:
+            self.tasks.spawn(
+                members_http.follow(self.client, self.settings.members_address,
+                                    self.runtime.post))
         self.runtime.start()
         await self.callers.start()
         await self.operators.start()
@@ -76,6 +95,7 @@
         await self.callers.stop()
         await self.operators.stop()
         self.runtime.halt()
+        await self.peers.stop()
         await self.tasks.cancel()
         await self.client.aclose()
 
