--- a/src/plantainridge/choices.py
+++ b/src/plantainridge/choices.py
@@ -8,14 +8,19 @@
 from plantainridge.state import VmState
 
 
-def choose(state: VmState, call: Call, asked: ModelCalled,
-           now: float) -> Choice | NoEndpoint:
+def choose(
+    state: VmState,
+    call: Call,
+    asked: ModelCalled,
+    now: float,
+    besides: frozenset[EndpointId] = frozenset()
+) -> Choice | NoEndpoint:
     """Returns the endpoint for a request and what to fetch before.
 
     Leaves out slow endpoints, and for a retry those without room in their
     budget; one that failed the request comes only after all others.
     """
-    avoided = state.health.slow
+    avoided = state.health.slow | besides
     if call.tries:
         avoided |= retries.spent(state)
     choice = _ask(state, asked, avoided | call.tried, now)
--- a/src/plantainridge/standins/members.py
+++ b/src/plantainridge/standins/members.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 import attrs
-import cattrs
+from cattrs.preconf.json import make_converter
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -14,6 +14,7 @@
 from plantainridge.ids import EndpointId, VmId
 
 LAG_S: Final = 2.0
+CONVERTER: Final = make_converter()
 
 
 @attrs.define
@@ -68,4 +69,4 @@
         del request
         if self.model.down:
             return JSONResponse({'error': 'outage'}, status_code=503)
-        return JSONResponse(cattrs.unstructure(self.model.shown))
+        return JSONResponse(CONVERTER.unstructure(self.model.shown))
