Measure an entry VM's overhead and a node's footprint

Cause: nothing said what a VM adds to a request, or what control costs. Change: bench entry compares calls through a VM with direct ones; bench footprint measures control and its slopes; polls of engines are paced by a budget of bytes.

--- /dev/null
+++ b/src/plantainridge/bench_entry.py
@@ -0,0 +1,209 @@
+"""Measures what an entry VM adds to calling an engine directly.
+
+Caller, entry VM and engine share one process and one loop over loopback
+sockets. The same caller asks the same engine directly and through the VM; the
+difference in processor time is the VM's, and so is what it adds to the time
+to first token when one request runs at a time.
+"""
+
+import asyncio
+import cProfile
+import itertools
+import json
+import pstats
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import attrs
+import click
+
+from plantainridge import benches
+from plantainridge.http_ports import new_client
+from plantainridge.ids import DcId, VmId
+from plantainridge.standins import site, world
+
+KEY: Final = 'bench-key'
+VM: Final = VmId('vm1')
+PROMPT: Final = 'turning movements at the crossing ' * 120
+FEW_TOKENS: Final = 16
+MANY_TOKENS: Final = 144
+WARM_UP: Final = 10
+# Packages by which processor time is grouped in a profile.
+PACKAGES: Final = ('plantainridge', 'h11', 'uvicorn', 'starlette', 'aiosonic',
+                   'asyncio', 'json', 'transitions', 'anyio', 'logging', 'absl')
+
+Ask = Callable[[int], Awaitable[float]]
+
+
+@attrs.frozen
+class Load:
+    """What many requests at once took.
+
+    Attributes:
+        cpu_s: Processor time per request, of all parts.
+        wall_s: Time per request.
+    """
+
+    cpu_s: float
+    wall_s: float
+
+
+class _Caller:
+    """Asks for streams, directly or through the VM."""
+
+    def __init__(self, here: site.Site) -> None:
+        self.client = new_client()
+        self.entry = here.entries[VM].callers.address
+        self.engine = next(iter(here.config.endpoints.values())).address
+        self.numbers = itertools.count()
+
+    async def through_vm(self, tokens: int) -> float:
+        """Returns the time to first token, in s."""
+        return await self._ask(
+            self.entry, {
+                'model': world.MODEL,
+                'prompt': f'{next(self.numbers)} {PROMPT}',
+                'max_tokens': tokens,
+                'stream': True
+            })
+
+    async def direct(self, tokens: int) -> float:
+        """Returns the time to first token, in s."""
+        return await self._ask(
+            self.engine, {
+                'request_id': str(next(self.numbers)),
+                'prompt': f'{next(self.numbers)} {PROMPT}',
+                'prompt_tokens': len(PROMPT) // 4,
+                'block_keys': [],
+                'max_tokens': tokens,
+                'priority': 0,
+                'resume_from': 0,
+                'stream': True
+            })
+
+    async def _ask(self, address: str, body: dict[str, Any]) -> float:
+        began = time.perf_counter()
+        first_s = 0.0
+        response = await self.client.request(
+            f'http://{address}/v1/completions',
+            method='POST',
+            headers={'Authorization': f'Bearer {KEY}'},
+            json=body,
+            stream=True)
+        async for line in response.iter_lines():
+            if not first_s and line:
+                first_s = time.perf_counter() - began
+            if line == 'data: [DONE]':
+                break
+        await response.aclose()
+        return first_s
+
+
+def _percentile(values: list[float], share: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+async def _first_tokens(ask: Ask, requests: int) -> list[float]:
+    return [await ask(FEW_TOKENS) for _ in range(requests)]
+
+
+async def _load(ask: Ask, tokens: int, requests: int, at_once: int) -> Load:
+    left = iter(range(requests))
+
+    async def worker() -> None:
+        for _ in left:
+            await ask(tokens)
+
+    began_cpu, began = time.process_time(), time.perf_counter()
+    await asyncio.gather(*(worker() for _ in range(at_once)))
+    return Load((time.process_time() - began_cpu) / requests,
+                (time.perf_counter() - began) / requests)
+
+
+def _by_package(profile: cProfile.Profile) -> dict[str, float]:
+    """Returns each package's share of the profiled time."""
+    stats: Any = pstats.Stats(profile)
+    spent: Counter[str] = Counter()
+    for (path, _, _), row in stats.stats.items():
+        package = next((name for name in PACKAGES if f'/{name}' in path),
+                       'other')
+        spent[package] += row[2]
+    total = sum(spent.values())
+    return {name: round(value / total, 3) for name, value in spent.most_common()}
+
+
+async def _run(requests: int, at_once: int, profiled: bool) -> dict[str, Any]:
+    here = site.Site(
+        site.with_keys(world.sample_config(engines=1), {world.TEAM: KEY}))
+    await here.start({VM: DcId(world.DC)})
+    for engine in here.engines.values():
+        engine.slowdown = 0.0
+        engine.max_batch = at_once
+    caller = _Caller(here)
+    for ask in (caller.direct, caller.through_vm):
+        await _first_tokens(ask, WARM_UP)
+    direct = await _first_tokens(caller.direct, requests)
+    through = await _first_tokens(caller.through_vm, requests)
+    loads = {
+        (name, tokens): await _load(ask, tokens, requests, at_once)
+        for name, ask in (('direct', caller.direct), ('through',
+                                                      caller.through_vm))
+        for tokens in (FEW_TOKENS, MANY_TOKENS)
+    }
+    profile = cProfile.Profile()
+    if profiled:
+        profile.enable()
+        await _load(caller.through_vm, MANY_TOKENS, requests, at_once)
+        profile.disable()
+    await caller.client.aclose()
+    await here.stop()
+    few = loads['through', FEW_TOKENS].cpu_s - loads['direct', FEW_TOKENS].cpu_s
+    many = (loads['through', MANY_TOKENS].cpu_s -
+            loads['direct', MANY_TOKENS].cpu_s)
+    per_token = (many - few) / (MANY_TOKENS - FEW_TOKENS)
+    per_request = few - FEW_TOKENS * per_token
+    figures: dict[str, Any] = {
+        'requests': requests,
+        'at_once': at_once,
+        'direct_first_token_p50_ms': _percentile(direct, 0.5) * 1e3,
+        'direct_first_token_p95_ms': _percentile(direct, 0.95) * 1e3,
+        'added_first_token_p50_ms': (_percentile(through, 0.5) -
+                                     _percentile(direct, 0.5)) * 1e3,
+        'added_first_token_p95_ms': (_percentile(through, 0.95) -
+                                     _percentile(direct, 0.95)) * 1e3,
+        'vm_cpu_per_request_ms': per_request * 1e3,
+        'vm_cpu_per_token_us': per_token * 1e6,
+        'vm_requests_per_s_per_core': 1 / few,
+        'vm_tokens_per_s_per_core': 1 / per_token,
+        'all_parts_tokens_per_s': MANY_TOKENS /
+                                  loads['through', MANY_TOKENS].wall_s,
+    }  # yapf: disable
+    if profiled:
+        figures['profile'] = _by_package(profile)
+    return figures
+
+
+def run(seed: int, requests: int, at_once: int,
+        profiled: bool) -> dict[str, Any]:
+    """Measures; nothing in it is random.
+
+    Args:
+        seed: Only reported.
+        requests: Requests of each run.
+        at_once: Requests in flight in the runs under load.
+        profiled: Whether to profile one more run.
+    """
+    figures = asyncio.run(_run(requests, at_once, profiled))
+    return json.loads(json.dumps({'seed': seed, **figures}))
+
+
+@click.command('entry')
+@click.option('--requests', type=click.IntRange(10, 100_000), default=200)
+@click.option('--at-once', type=click.IntRange(1, 500), default=16)
+@click.option('--profile', 'profiled', is_flag=True, help='Shows packages.')
+@benches.options
+def command(**given: Any) -> dict[str, Any]:
+    """Measures what an entry VM adds to calling an engine directly."""
+    return run(**given)
--- /dev/null
+++ b/src/plantainridge/bench_footprint.py
@@ -0,0 +1,324 @@
+"""Measures what control costs one node, and its slopes.
+
+Control is everything that a node does without callers: its timers, the
+exchange with other VMs, configuration and load reports. The reducer and its
+runtime are the product's; time is paused, so that seconds of control cost
+only their processor time, which is real.
+"""
+
+import asyncio
+import gc
+import hashlib
+import os
+import pathlib
+import time
+import tracemalloc
+from collections.abc import Iterable
+from typing import Any, Final
+
+import attrs
+import click
+
+from plantainridge import benches, paused
+from plantainridge import config as cfg
+from plantainridge import revision_records as rr
+from plantainridge.differences import Difference, items
+from plantainridge.directory import (MAX_ENDPOINT_ENTRIES, MAX_STORE_ENTRIES,
+                                     Directory)
+from plantainridge.effects import Effect, SendPeer
+from plantainridge.events import CacheListed, Event, LoadReported, PeerSaid
+from plantainridge.ids import (BlockKey, DcId, EndpointId, TeamId,
+                               WeightVersion)
+from plantainridge.metrics import MAX_HISTOGRAMS, Metrics
+from plantainridge.standins.world import DC, MODEL, Vm, World, sample_config
+
+DCS: Final = 9
+SETTLE_S: Final = 10.0
+# The IP and UDP headers of one message.
+PACKET_BYTES: Final = 28
+# VMs of a data centre that one run holds at the most; the slope gives more.
+MAX_PEERS: Final = 16
+LOAD_REPORT_BYTES: Final = 700
+LOAD_BUDGET_BYTES_PER_S: Final = 1_200
+CHANGES: Final = 20
+HISTOGRAMS: Final = 50
+DIRECTORY_ENTRIES: Final = 20_000
+
+
+@attrs.frozen
+class Cost:
+    """What one VM spent on control.
+
+    Attributes:
+        core_share: Processor time per second of loop time.
+        sent_bytes_per_s: Bytes sent to peers, with packet headers.
+        heard_bytes_per_s: Bytes that came from peers, with packet headers.
+    """
+
+    core_share: float
+    sent_bytes_per_s: float
+    heard_bytes_per_s: float
+
+
+class _Meter:
+    """Counts the bytes of messages that VMs exchange."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.heard = 0
+
+    def __call__(self, step: Event | Effect) -> None:
+        if isinstance(step, SendPeer):
+            self.sent += len(step.payload) + PACKET_BYTES
+        elif isinstance(step, PeerSaid):
+            self.heard += len(step.payload) + PACKET_BYTES
+
+
+def _resident_bytes() -> int:
+    pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE')
+
+
+def _config(teams: int, endpoints: int) -> cfg.Config:
+    base = sample_config()
+    sample = next(iter(base.teams.values()))
+    many = {
+        TeamId(f'team-{i:05d}'):
+            attrs.evolve(sample,
+                         id=TeamId(f'team-{i:05d}'),
+                         key_hash=hashlib.sha256(b'%d' % i).hexdigest())
+        for i in range(teams)
+    }
+    engines = {
+        EndpointId(f'engine-{i}'):
+            cfg.Endpoint(EndpointId(f'engine-{i}'), DC, cfg.EndpointKind.ENGINE,
+                         MODEL, f'10.0.{i // 250}.{i % 250}:9000')
+        for i in range(endpoints)
+    }
+    return attrs.evolve(base, teams=many, endpoints=engines)
+
+
+def _report_loads(vm: Vm, names: Iterable[EndpointId]) -> None:
+    """Gives one load report for each engine."""
+    now = asyncio.get_running_loop().time()
+    for name in names:
+        vm.runtime.post(
+            LoadReported(name, now, 1, 1_000, 20_000.0, WeightVersion('v1')))
+
+
+async def _idle(world: World, seconds: float) -> Cost:
+    """Lets all VMs run on, with as many load reports as the budget allows."""
+    names = [
+        name for name, endpoint in
+        world.vms[0].runtime.state.config.endpoints.items()
+        if endpoint.kind is cfg.EndpointKind.ENGINE
+    ]
+    per_s = max(1, LOAD_BUDGET_BYTES_PER_S // LOAD_REPORT_BYTES)
+    meters = []
+    for vm in world.vms:
+        meter = _Meter()
+        vm.runtime.watchers.append(meter)
+        meters.append(meter)
+    began = time.process_time()
+    for second in range(round(seconds)):
+        start = second * per_s % max(1, len(names))
+        for vm in world.vms:
+            _report_loads(vm, names[start:start + per_s])
+        await asyncio.sleep(1)
+    spent = (time.process_time() - began) / len(world.vms)
+    count = len(world.vms) * seconds
+    return Cost(spent / seconds,
+                sum(meter.sent for meter in meters) / count,
+                sum(meter.heard for meter in meters) / count)
+
+
+def _group(vms: int, seconds: float, seed: int) -> Cost:
+    """Measures one VM among others of its data centre."""
+
+    async def scenario() -> Cost:
+        world = World(vms=vms, seed=seed)
+        await asyncio.sleep(SETTLE_S)
+        return await _idle(world, seconds)
+
+    return paused.run(scenario())
+
+
+@attrs.frozen
+class Held:
+    """What one VM holds and spends with a large configuration.
+
+    Attributes:
+        held_bytes: Memory that one VM allocated, with its configuration.
+        core_share: Processor time per second of loop time.
+        change_s: Processor time to take in one change.
+        change_bytes: Size of a change's record.
+    """
+
+    held_bytes: int
+    core_share: float
+    change_s: float
+    change_bytes: int
+
+
+async def _start_large(teams: int, endpoints: int, seed: int) -> World:
+    """Prepares a world whose log holds a large configuration."""
+    world = World(vms=0, seed=seed)
+    puts = tuple(items(_config(teams, endpoints)))
+    world.log.append(
+        'config', 0,
+        list(rr.encode_change('first', 0, Difference(puts), whole=True)))
+    return world
+
+
+async def _start_vm(world: World) -> Vm:
+    vm = world.start_vm('vm0', DcId(DC))
+    world.vms.append(vm)
+    while not vm.runtime.state.ready:
+        await asyncio.sleep(1)
+    await asyncio.sleep(SETTLE_S)
+    return vm
+
+
+def _held_bytes(teams: int, endpoints: int, seed: int) -> int:
+    """Returns the memory that one VM allocates to hold a configuration."""
+
+    async def scenario() -> int:
+        world = await _start_large(teams, endpoints, seed)
+        gc.collect()
+        tracemalloc.start()
+        await _start_vm(world)
+        gc.collect()
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        return held
+
+    return paused.run(scenario())
+
+
+def _held(teams: int, endpoints: int, seconds: float, seed: int) -> Held:
+    """Measures one VM that holds a large configuration."""
+
+    async def scenario() -> Held:
+        world = await _start_large(teams, endpoints, seed)
+        vm = await _start_vm(world)
+        cost = await _idle(world, seconds)
+        change_s, change_bytes = await _changes(world, vm)
+        return Held(_held_bytes_later, cost.core_share, change_s, change_bytes)
+
+    _held_bytes_later = _held_bytes(teams, endpoints, seed)
+    return paused.run(scenario())
+
+
+def _entry_bytes(entries: int) -> float:
+    """Returns the memory that one entry of the block directory takes."""
+    directory = Directory()
+    gc.collect()
+    tracemalloc.start()
+    keys = tuple(BlockKey(f'{number:032x}') for number in range(entries))
+    directory.on_cache_listed(CacheListed(EndpointId('engine-0'), 0, keys))
+    del keys
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / entries
+
+
+def _histogram_bytes() -> float:
+    """Returns the memory that one histogram takes."""
+    tracemalloc.start()
+    metrics = Metrics()
+    for number in range(HISTOGRAMS):
+        metrics.observe('first_token_s', f'team-{number}', 'report', 0.5)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / HISTOGRAMS
+
+
+async def _changes(world: World, vm: Vm) -> tuple[float, int]:
+    """Publishes single changes; returns the time and bytes of one."""
+    state = vm.runtime.state
+    size = 0
+    began = time.process_time()
+    for number in range(CHANGES):
+        team = next(iter(state.config.teams.values()))
+        changed = attrs.evolve(team, priority=1 + number % 7)
+        records = list(
+            rr.encode_change(f'change-{number}', state.config.revision,
+                             Difference((changed,))))
+        size += sum(len(record) for record in records)
+        before = state.config.revision
+        world.log.append('config', 0, records)
+        while state.config.revision == before:
+            await asyncio.sleep(0.05)
+    return (time.process_time() - began) / CHANGES, size // CHANGES
+
+
+def run(seed: int, nodes: int, teams: int, endpoints: int,
+        seconds: float) -> dict[str, Any]:
+    """Measures, and works out the design size from the slopes.
+
+    Args:
+        seed: Seed of the VMs' randomness.
+        nodes: Nodes of the whole system, over `DCS` data centres.
+        teams: Teams in the configuration.
+        endpoints: Endpoints in the configuration.
+        seconds: Loop time of each run, in s.
+    """
+    base_bytes = _resident_bytes()
+    peers = max(2, -(-nodes // DCS))
+    most = min(peers, MAX_PEERS)
+    few = max(1, most // 2)
+    small, large = _group(few, seconds, seed), _group(most, seconds, seed)
+    span = max(1, most - few)
+    half = _held(teams // 2, endpoints // 2, seconds, seed)
+    full = _held(teams, endpoints, seconds, seed)
+    bytes_slope = (large.sent_bytes_per_s + large.heard_bytes_per_s -
+                   small.sent_bytes_per_s - small.heard_bytes_per_s) / span
+    cpu_slope = (large.core_share - small.core_share) / span
+    beyond = peers - most
+    histogram_bytes = _histogram_bytes()
+    entry_bytes = _entry_bytes(DIRECTORY_ENTRIES)
+    bounded_bytes = (MAX_HISTOGRAMS * histogram_bytes +
+                     (MAX_ENDPOINT_ENTRIES + MAX_STORE_ENTRIES) * entry_bytes)
+    change_share = 840 / 86_400 * full.change_s
+    exchange_bytes = (large.sent_bytes_per_s + large.heard_bytes_per_s +
+                      beyond * max(0.0, bytes_slope))
+    return {
+        'nodes': nodes,
+        'peers_in_dc': peers,
+        'peers_measured': most,
+        'teams': teams,
+        'endpoints': endpoints,
+        'base_mb': base_bytes / 1e6,
+        'held_mb': full.held_bytes / 1e6,
+        'bytes_per_team': (full.held_bytes - half.held_bytes) /
+                          max(1, teams - teams // 2),
+        'histogram_bytes': histogram_bytes,
+        'directory_entry_bytes': entry_bytes,
+        'node_mb_at_bounds': (base_bytes + full.held_bytes + bounded_bytes) /
+                             1e6,
+        'core_share': max(full.core_share, large.core_share) +
+                      beyond * max(0.0, cpu_slope) + change_share,
+        'core_share_per_peer': cpu_slope,
+        'core_share_idle_small_config': small.core_share,
+        'core_share_idle_full_config': full.core_share,
+        'change_s': full.change_s,
+        'change_s_half_teams': half.change_s,
+        'change_bytes': full.change_bytes,
+        'exchange_bytes_per_s': exchange_bytes,
+        'exchange_bytes_per_s_per_peer': bytes_slope,
+        'control_bytes_per_s': exchange_bytes + LOAD_BUDGET_BYTES_PER_S,
+        'load_refresh_s': endpoints / DCS /
+                          (LOAD_BUDGET_BYTES_PER_S / LOAD_REPORT_BYTES),
+    }  # yapf: disable
+
+
+@click.command('footprint')
+@click.option('--nodes', type=click.IntRange(1, 2_000), default=410)
+@click.option('--teams', type=click.IntRange(2, 100_000), default=28_000)
+@click.option('--endpoints', type=click.IntRange(2, 10_000), default=1_100)
+@click.option('--seconds', type=click.FloatRange(1, 3_600), default=60.0)
+@benches.options
+def command(**given: Any) -> dict[str, Any]:
+    """Measures what control costs one node, and its slopes."""
+    return run(**given)
--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -1,10 +1,12 @@
 """Polls engines for their load and their cache events.
 
-The rate of polls is bounded per process, whatever the number of engines:
-engines that run this VM's requests go first, the others take turns.
+A budget of bytes bounds the polls of a process, whatever the number of
+engines: those that run this VM's requests go first, the others take turns.
 """
 
 import asyncio
+import json
+import random
 from collections import deque
 from collections.abc import Iterable
 from typing import Any, Final
@@ -21,7 +23,11 @@
 from plantainridge.runtime import Runtime
 
 ROUND_S: Final = 0.25
-POLLS_PER_ROUND: Final = 8
+BUDGET_BYTES_PER_S: Final = 1_200
+MAX_CREDIT_BYTES: Final = 4_800
+# A poll's request, response head and packet headers, and its usual body.
+POLL_HEAD_BYTES: Final = 420
+POLL_BYTES: Final = 700
 # Faults of a poll; the next round tries again.
 POLL_FAULTS: Final = (http_errors.AiosonicError, OSError, ValueError, EOFError,
                       KeyError, TypeError, TimeoutError)
@@ -50,9 +56,11 @@
         self.runtime = runtime
         self.client = client
         self.tasks = tasks
+        self.rng = random.Random()
         self.followed: dict[EndpointId, _Followed] = {}
         self.turns: deque[EndpointId] = deque()
         self.polling: set[EndpointId] = set()
+        self.credit_bytes = float(MAX_CREDIT_BYTES)
 
     def start(self) -> None:
         """Polls from now on, until the process's tasks are cancelled."""
@@ -60,13 +68,16 @@
 
     async def _poll_engines(self) -> None:
         while True:
-            for view in self._due():
+            self.credit_bytes = min(
+                MAX_CREDIT_BYTES,
+                self.credit_bytes + BUDGET_BYTES_PER_S * ROUND_S)
+            for view in self._due(int(self.credit_bytes // POLL_BYTES)):
                 self.polling.add(view.id)
                 self.tasks.spawn(self._poll_engine(view))
             await asyncio.sleep(ROUND_S)
 
-    def _due(self) -> list[EndpointView]:
-        """Chooses whom to ask in this round."""
+    def _due(self, polls: int) -> list[EndpointView]:
+        """Chooses whom to ask in this round, as many as the budget allows."""
         views = {
             view.id: view
             for view in self.runtime.state.endpoints.values()
@@ -76,10 +87,10 @@
         self.turns.extend(name for name in views if name not in known)
         in_use = [view for view in views.values() if view.own]
         chosen: dict[EndpointId, EndpointView] = {}
-        for view in in_use[:POLLS_PER_ROUND // 2]:
+        for view in self.rng.sample(in_use, min(len(in_use), polls // 2)):
             chosen[view.id] = view
         for _ in range(len(self.turns)):
-            if len(chosen) >= POLLS_PER_ROUND:
+            if len(chosen) >= polls:
                 break
             name = self.turns.popleft()
             if name in views:
@@ -106,7 +117,9 @@
         response = await self.client.get(f'http://{url}')
         if response.status_code != STATUS_OK:
             raise OSError(f'status {response.status_code}')
-        return await response.json()
+        data = await response.content()
+        self.credit_bytes -= POLL_HEAD_BYTES + len(data)
+        return json.loads(data)
 
 
 def _engine_events(endpoint: EndpointId, followed: _Followed, body: Any,
