Show both deployments, with faults, in the demo

Cause: the demo sent one request; nothing showed the parts together. A pooled connection that the engine had closed no longer counts as a failure of the engine, and idle ones are closed first. Conclusion: stale connections had marked healthy engines as down.

--- a/src/plantainridge/cli.py
+++ b/src/plantainridge/cli.py
@@ -1,10 +1,12 @@
 """Command line; wires settings to the modules that do the work."""
 
 import asyncio
+import pathlib
 import sys
 from typing import Any
 
 import click
+from absl import logging
 
 from plantainridge import (VERSION, benches, demo, matrix, process, reports,
                            settings, sheet_cli)
@@ -86,9 +88,19 @@
 
 
 @main.command('demo')
-def run_demo() -> None:
-    """Runs the whole system with stand-ins on loopback for a short while."""
-    sys.exit(asyncio.run(demo.run()))
+@settings.option('--examples',
+                 type=click.Path(exists=True,
+                                 file_okay=False,
+                                 path_type=pathlib.Path),
+                 default=demo.EXAMPLES,
+                 help='Folder with luminar.csv and scordato.csv.')
+@settings.option('--seed', type=settings.NumberType(0, 2**32), default=1)
+@settings.option('--verbose', is_flag=True, help='Shows the log lines.')
+def run_demo(examples: pathlib.Path, seed: int, verbose: bool) -> None:
+    """Runs both example deployments with stand-ins on loopback."""
+    if not verbose:
+        reports.set_up_logs(logging.FATAL)
+    sys.exit(asyncio.run(demo.run(examples, seed)))
 
 
 @main.group(cls=benches.BenchGroup)
--- /dev/null
+++ b/src/plantainridge/demo_callers.py
@@ -0,0 +1,178 @@
+"""Callers of the demo: they know the answer that they must get."""
+
+import asyncio
+import itertools
+import json
+import time
+from collections.abc import Mapping
+from typing import Any, Final
+
+import aiosonic
+import attrs
+from aiosonic import exceptions as http_errors
+
+from plantainridge.http_ports import STATUS_OK, new_client
+from plantainridge.ids import ServiceId, TeamId, VmId
+from plantainridge.standins.engine import token_at
+from plantainridge.standins.site import Site
+
+TIMEOUT_S: Final = 20.0
+_FAULTS: Final = (http_errors.AiosonicError, OSError, EOFError, ValueError,
+                  TimeoutError)
+
+
+@attrs.define
+class Outcome:
+    """What one caller got.
+
+    Attributes:
+        visit: Which return of its context this was; 0 for the first.
+        prompt: Whether it asked a model, rather than a service.
+        request: The request's id, if the VM told it.
+        whole: Whether the whole, right answer came.
+        reason: Reason of a refusal, or empty.
+        ran: What the refusal says of whether it ran.
+        fault: What broke a promise, or empty.
+        first_token_s: Time to first token in s, or None.
+        prompt_tokens: Length of the prompt, as the VM counted it.
+        cached_tokens: Tokens of it that were not recomputed.
+    """
+
+    team: TeamId
+    visit: int
+    prompt: bool
+    request: str = ''
+    whole: bool = False
+    reason: str = ''
+    ran: str = ''
+    fault: str = ''
+    first_token_s: float | None = None
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class Caller:
+    """Sends requests to the VMs in turn, as a balancer would.
+
+    Attributes:
+        avoid: VMs that the balancer no longer sends to.
+    """
+
+    def __init__(self, site: Site, keys: Mapping[TeamId, str]) -> None:
+        self.site = site
+        self.keys = keys
+        self.client = new_client()
+        self.turns = itertools.count()
+        self.avoid: set[VmId] = set()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.client.aclose()
+
+    def _url(self) -> str:
+        # The balancer sends only to VMs that say they are ready.
+        ready = [
+            entry for vm, entry in sorted(self.site.entries.items())
+            if vm not in self.avoid and entry.runtime.state.ready
+        ]
+        entry = ready[next(self.turns) % len(ready)]
+        return f'http://{entry.callers.address}'
+
+    def _headers(self, team: TeamId) -> dict[str, str]:
+        return {'Authorization': f'Bearer {self.keys[team]}'}
+
+    async def complete(self, team: TeamId, text: str, tokens: int,
+                       visit: int) -> Outcome:
+        """Streams a completion and checks every token."""
+        outcome = Outcome(team, visit, prompt=True)
+        model = min(self.site.config.teams[team].models)
+        version = self.site.config.models[model].version
+        wanted = ''.join(token_at(text, version, i) for i in range(tokens))
+        body = {
+            'model': model,
+            'prompt': text,
+            'max_tokens': tokens,
+            'stream': True,
+            'stream_options': {
+                'include_usage': True
+            },
+        }
+        began = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                response = await self.client.request(
+                    f'{self._url()}/v1/completions',
+                    method='POST',
+                    headers=self._headers(team),
+                    json=body,
+                    stream=True)
+                outcome.request = response.headers.get('x-request-id') or ''
+                got = await self._read(response, outcome, began)
+        except _FAULTS as error:
+            outcome.fault = f'the connection failed: {type(error).__name__}'
+            return outcome
+        outcome.whole = got == wanted
+        if not outcome.whole and not outcome.reason:
+            outcome.fault = 'the answer is not the whole, right one'
+        return outcome
+
+    async def _read(self, response: Any, outcome: Outcome, began: float) -> str:
+        if response.status_code != STATUS_OK:
+            _take_problem(outcome, json.loads(await response.content()))
+            return ''
+        text = ''
+        async for line in response.iter_lines():
+            if not line.startswith('data: {'):
+                continue
+            piece = json.loads(line[len('data: '):])
+            if 'error' in piece:
+                _take_problem(outcome, piece)
+            elif piece.get('usage'):
+                _take_usage(outcome, piece['usage'])
+            else:
+                if outcome.first_token_s is None:
+                    outcome.first_token_s = (asyncio.get_running_loop().time() -
+                                             began)
+                text += piece['choices'][0]['text']
+        return text
+
+    async def call_once(self, team: TeamId, service: ServiceId,
+                        visit: int) -> Outcome:
+        """Makes a call that must run at most once, and sends it again once."""
+        outcome = Outcome(team, visit, prompt=False)
+        headers = {
+            **self._headers(team),
+            'Idempotency-Key':
+                f'{int(time.time())}-{team}-{visit}',
+            'X-Run-Once':
+                'yes',
+        }
+        for resend in (False, True):
+            if resend:
+                headers['Idempotency-Resend'] = 'yes'
+            try:
+                async with asyncio.timeout(TIMEOUT_S):
+                    response = await self.client.post(
+                        f'{self._url()}/services/{service}/submit',
+                        headers=headers,
+                        data=b'{"count": 1}')
+                    data = await response.content()
+            except _FAULTS as error:
+                outcome.fault = f'the connection failed: {type(error).__name__}'
+                return outcome
+            outcome.request = response.headers.get('x-request-id') or ''
+            if response.status_code == STATUS_OK:
+                outcome.whole, outcome.reason, outcome.ran = True, '', ''
+            elif not outcome.whole:
+                _take_problem(outcome, json.loads(data))
+        return outcome
+
+
+def _take_problem(outcome: Outcome, body: Mapping[str, Any]) -> None:
+    outcome.reason = body['error']['type']
+    outcome.ran = body['ran']
+
+
+def _take_usage(outcome: Outcome, usage: Mapping[str, Any]) -> None:
+    outcome.prompt_tokens = usage['prompt_tokens']
+    outcome.cached_tokens = usage['prompt_tokens_details']['cached_tokens']
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -17,7 +17,7 @@
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
 from plantainridge.peers_net import NetPeers
-from plantainridge.ports import Ports
+from plantainridge.ports import Ports, TransferPort
 from plantainridge.reports import ProcessReport
 from plantainridge.runtime import Runtime
 from plantainridge.serve import AppServer
@@ -57,7 +57,15 @@
 class Entry:
     """An entry VM's process, on the running loop."""
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self,
+                 settings: EntrySettings,
+                 transfers: TransferPort | None = None) -> None:
+        """Prepares a process.
+
+        Args:
+            settings: Where it listens and whom it asks.
+            transfers: The way to move blocks; None for no movements.
+        """
         self.settings = settings
         incarnation = Incarnation(uuid.uuid4().hex)
         state = VmState(vm=settings.vm,
@@ -77,6 +85,7 @@
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm),
+                      transfers=transfers,
                       on_exit=self._on_exit,
                       peers=self.peers)
         self.runtime = Runtime(state, ports)
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -18,6 +18,9 @@
 from plantainridge.ports import EnginePort, LogPort, Post, ServicePort
 
 POOL_SIZE: Final = 4_096
+# Shorter than any server keeps an idle connection open.
+MAX_IDLE_MS: Final = 2_000
+MAX_STALE_CONNECTIONS: Final = 3
 CONNECT_TIMEOUT_S: Final = 2.0
 READ_TIMEOUT_S: Final = 120.0
 LOG_WAIT_S: Final = 5.0
@@ -47,11 +50,12 @@
 
 def new_client() -> aiosonic.HTTPClient:
     """Returns a client whose pool serves many concurrent streams."""
-    connector = TCPConnector(
-        pool_configs={':default': PoolConfig(size=POOL_SIZE)},
-        timeouts=Timeouts(sock_connect=CONNECT_TIMEOUT_S,
-                          sock_read=READ_TIMEOUT_S,
-                          request_timeout=READ_TIMEOUT_S))
+    connector = TCPConnector(pool_configs={
+        ':default': PoolConfig(size=POOL_SIZE, max_conn_idle_ms=MAX_IDLE_MS)
+    },
+                             timeouts=Timeouts(sock_connect=CONNECT_TIMEOUT_S,
+                                               sock_read=READ_TIMEOUT_S,
+                                               request_timeout=READ_TIMEOUT_S))
     return aiosonic.HTTPClient(connector)
 
 
@@ -77,11 +81,7 @@
     async def _run(self, effect: fx.StartAttempt, post: Post) -> None:
         failure = ev.Failure.BROKEN
         try:
-            response = await self.client.request(
-                f'http://{effect.address}/v1/completions',
-                method='POST',
-                json=_engine_body(effect),
-                stream=True)
+            response = await self._request(effect)
             if response.status_code != STATUS_OK:
                 failure = ev.Failure.REJECTED
             elif await self._read(effect, response, post):
@@ -94,6 +94,26 @@
             failure = ev.Failure.BROKEN
         post(ev.AttemptFailed(effect.attempt, failure))
 
+    async def _request(self, effect: fx.StartAttempt) -> Any:
+        """Sends an attempt; a pooled connection that was closed says nothing.
+
+        Only model requests are sent again so: they may be repeated.
+        """
+        for _ in range(MAX_STALE_CONNECTIONS):
+            try:
+                return await self._send(effect)
+            except http_errors.ConnectionDisconnected as error:
+                if not error.reused_connection:
+                    raise
+        return await self._send(effect)
+
+    async def _send(self, effect: fx.StartAttempt) -> Any:
+        return await self.client.request(
+            f'http://{effect.address}/v1/completions',
+            method='POST',
+            json=_engine_body(effect),
+            stream=True)
+
     async def _read(self, effect: fx.StartAttempt, response: Any,
                     post: Post) -> bool:
         try:
@@ -119,6 +139,7 @@
 def _engine_body(effect: fx.StartAttempt) -> dict[str, Any]:
     return {
         'request_id': effect.request,
+        'team': effect.team,
         'model': effect.model,
         'version': effect.version,
         'adapter': effect.adapter,
--- a/src/plantainridge/standins/commands.py
+++ b/src/plantainridge/standins/commands.py
@@ -1,6 +1,7 @@
 """The `standin` group: each stand-in as a process of its own."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -39,6 +40,12 @@
             await self.server.kill()
 
 
+def _log_app() -> Any:
+    model = LogModel()
+    model.epoch_s = time.time() - asyncio.get_running_loop().time()
+    return LogApp(model).app
+
+
 @click.group()
 @settings.option('--host', type=settings.HOST, default='127.0.0.1')
 @settings.option('--port',
@@ -79,7 +86,7 @@
 @click.pass_obj
 def log(serve: Serve) -> None:
     """The platform's append-only log."""
-    serve(lambda: LogApp(LogModel()).app)
+    serve(_log_app)
 
 
 @standin.command()
--- a/src/plantainridge/standins/engine_http.py
+++ b/src/plantainridge/standins/engine_http.py
@@ -105,7 +105,10 @@
                   priority=body['priority'],
                   next_index=body['resume_from'],
                   sink=sink,
-                  version=self.model.version)
+                  version=self.model.version,
+                  team=body.get('team', ''),
+                  model=body.get('model', ''),
+                  adapter=body.get('adapter', ''))
         self.model.submit(job)
         return StreamingResponse(self._stream(job, sink),
                                  media_type='text/event-stream')
--- a/src/plantainridge/standins/site.py
+++ b/src/plantainridge/standins/site.py
@@ -1,8 +1,12 @@
-"""Stand-ins and entry VMs over loopback sockets, in one process and loop."""
+"""Stand-ins and entry VMs over loopback sockets, in one process and loop.
+
+Only the stores and the movement of blocks stay in memory.
+"""
 
 import asyncio
 import hashlib
 import random
+import time
 from collections.abc import Mapping
 from typing import Final
 
@@ -13,16 +17,25 @@
 from plantainridge.events import Member
 from plantainridge.ids import (DcId, EndpointId, ServiceId, TeamId, VmId,
                                WeightVersion)
+from plantainridge.ports import Post, TransferPort
 from plantainridge.revisions import Revision, encode
 from plantainridge.serve import AppServer
+from plantainridge.standins.audit import Audit
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.engine_http import EngineApp
 from plantainridge.standins.members import MembersApp, MembersModel
+from plantainridge.standins.feeds import FeedSettings, StoreFeed
 from plantainridge.standins.log import LogApp, LogModel
+from plantainridge.standins.memory import Network
+from plantainridge.standins.movers import MemoryTransferPort
 from plantainridge.standins.service import ServiceApp, ServiceModel
+from plantainridge.standins.store import StoreModel
 
 HOST: Final = '127.0.0.1'
 READY_POLL_S: Final = 0.01
+CACHE_BLOCKS: Final = 256
+STORE_MEMORY_BLOCKS: Final = 256
+STORE_DISK_BLOCKS: Final = 1_024
 MEMBERS_LAG_S: Final = 0.2
 
 
@@ -39,13 +52,17 @@
         entries: The VMs that run, by name.
     """
 
-    def __init__(self, config: cfg.Config, seed: int = 1) -> None:
+    def __init__(self,
+                 config: cfg.Config,
+                 seed: int = 1,
+                 cache_blocks: int = CACHE_BLOCKS) -> None:
         """Prepares a site.
 
         Args:
             config: What to publish; addresses are replaced by those that the
                 system chooses.
             seed: Seed of everything random in the VMs.
+            cache_blocks: Blocks that each engine's cache holds.
         """
         self.config = config
         self.rng = random.Random(seed)
@@ -57,9 +74,25 @@
         }
         self.entries: dict[VmId, Entry] = {}
         self.servers: dict[str, AppServer] = {}
+        self.audit = Audit()
+        self.cache_blocks = cache_blocks
+        self.network = Network()
+        self.posts: dict[str, Post] = {}
+        self.stores = {
+            store.id:
+                StoreModel(store.id, STORE_MEMORY_BLOCKS, STORE_DISK_BLOCKS,
+                           store.link_bytes_per_s)
+            for store in config.stores.values()
+        }
+        self.store_feeds = {
+            name:
+                StoreFeed(store, self.network, self.posts, self.rng,
+                          FeedSettings()) for name, store in self.stores.items()
+        }
 
     async def start(self, vms: Mapping[VmId, DcId]) -> None:
         """Returns once every VM is ready."""
+        self.log.epoch_s = time.time() - asyncio.get_running_loop().time()
         await self._serve('log', LogApp(self.log).app)
         await self._serve('members', MembersApp(self.members).app)
         for endpoint in self.config.endpoints.values():
@@ -87,7 +120,8 @@
                           operator_port=0,
                           log_address=self.servers['log'].address,
                           members_address=self.servers['members'].address,
-                          seed=self.rng.getrandbits(64)))
+                          seed=self.rng.getrandbits(64)), self._transfers(vm))
+        self.posts[vm] = entry.runtime.post
         await entry.start()
         self.entries[vm] = entry
         self.members.put(Member(vm, dc, entry.peers.address, leaving=False))
@@ -117,10 +151,20 @@
         version = next((each.version
                         for each in self.config.models.values()
                         if each.id == endpoint.serves), WeightVersion(''))
-        engine = EngineModel(endpoint.id, version)
+        engine = EngineModel(endpoint.id,
+                             version,
+                             cache_blocks=self.cache_blocks,
+                             audit=self.audit)
         self.engines[endpoint.id] = engine
         await self._serve(endpoint.id, EngineApp(engine).app)
 
+    def _transfers(self, vm: VmId) -> TransferPort | None:
+        if not self.stores:
+            return None
+        return MemoryTransferPort(vm, self.network, self.engines, self.stores, {
+            name: feed.listing for name, feed in self.store_feeds.items()
+        })
+
     def _placed(self, endpoint: cfg.Endpoint) -> cfg.Endpoint:
         return attrs.evolve(endpoint, address=self.servers[endpoint.id].address)
 
