--- a/src/plantainridge/bench_entry.py
+++ b/src/plantainridge/bench_entry.py
@@ -146,12 +146,12 @@
         await _first_tokens(ask, WARM_UP)
     direct = await _first_tokens(caller.direct, requests)
     through = await _first_tokens(caller.through_vm, requests)
-    loads = {
-        (name, tokens): await _load(ask, tokens, requests, at_once)
-        for name, ask in (('direct', caller.direct), ('through',
-                                                      caller.through_vm))
-        for tokens in (FEW_TOKENS, MANY_TOKENS)
-    }
+    loads: dict[tuple[str, int], Load] = {}
+    for tokens in (FEW_TOKENS, MANY_TOKENS):
+        loads['direct', tokens] = await _load(caller.direct, tokens, requests,
+                                              at_once)
+        loads['through', tokens] = await _load(caller.through_vm, tokens,
+                                               requests, at_once)
     profile = cProfile.Profile()
     if profiled:
         profile.enable()
--- a/src/plantainridge/bench_footprint.py
+++ b/src/plantainridge/bench_footprint.py
@@ -75,7 +75,8 @@
 
 
 def _resident_bytes() -> int:
-    pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
+    pages = int(
+        pathlib.Path('/proc/self/statm').read_text(encoding='ascii').split()[1])
     return pages * os.sysconf('SC_PAGE_SIZE')
 
 
--- a/src/plantainridge/demo_callers.py
+++ b/src/plantainridge/demo_callers.py
@@ -7,7 +7,6 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-import aiosonic
 import attrs
 from aiosonic import exceptions as http_errors
 
