--- a/src/plantainridge/bench_entry.py
+++ b/src/plantainridge/bench_entry.py
@@ -131,7 +131,8 @@
                        'other')
         spent[package] += row[2]
     total = sum(spent.values())
-    return {name: round(value / total, 3) for name, value in spent.most_common()}
+    shares = {name: value / total for name, value in spent.most_common()}
+    return {name: round(share, 3) for name, share in shares.items()}
 
 
 async def _run(requests: int, at_once: int, profiled: bool) -> dict[str, Any]:
