--- a/src/plantainridge/bench_entry.py
+++ b/src/plantainridge/bench_entry.py
@@ -9,7 +9,6 @@
 import asyncio
 import cProfile
 import itertools
-import json
 import pstats
 import time
 from collections import Counter
@@ -197,7 +196,7 @@
         profiled: Whether to profile one more run.
     """
     figures = asyncio.run(_run(requests, at_once, profiled))
-    return json.loads(json.dumps({'seed': seed, **figures}))
+    return {'seed': seed, **figures}
 
 
 @click.command('entry')
