--- a/src/plantainridge/endpoints.py
+++ b/src/plantainridge/endpoints.py
@@ -49,6 +49,11 @@
             return DEFAULT_PREFILL_TOKENS_PER_S
         return self.report.prefill_tokens_per_s
 
+    @property
+    def measured_at(self) -> float:
+        """Loop time of the last load report's reading, in s; 0 for none."""
+        return self.report.measured_at if self.report is not None else 0.0
+
     def takes_work(self, now: float) -> bool:
         """Whether new work may be sent to it."""
         if self.endpoint.leaving or self.leaving:
