--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -4,8 +4,9 @@
 from typing import Any, Final
 
 from plantainridge import (caching, catchup, checkpoints, claim_batches,
-                           claim_sync, claims, events, exchange, members,
-                           peering, requests, revisions, services)
+                           claim_sync, claims, drain, events, exchange,
+                           fairness, health, limits, members, peering,
+                           quarantine, requests, revisions, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -29,13 +30,16 @@
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
     events.TimerKind.TICK:
         (_on_tick, caching.on_tick, revisions.on_tick, catchup.on_tick,
-         checkpoints.on_tick, exchange.on_tick),
+         checkpoints.on_tick, limits.on_tick, fairness.on_tick, health.on_tick,
+         quarantine.on_tick, drain.on_tick, exchange.on_tick),
     events.TimerKind.TRANSFER: (caching.on_transfer_late,),
     events.TimerKind.CLAIM: (claims.on_timer,),
     events.TimerKind.CLAIM_FLUSH: (claim_batches.on_flush,),
     events.TimerKind.CLAIM_OWED: (claim_batches.on_owed,),
     events.TimerKind.CLAIM_READ: (claim_sync.on_pace,),
     events.TimerKind.SERVICE: (services.on_timer,),
+    events.TimerKind.DEADLINE: (requests.on_deadline,),
+    events.TimerKind.RETRY: (requests.on_retry,),
 }
 
 HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
@@ -55,6 +59,7 @@
     events.StoreLoadReported: (caching.on_store_load_reported,),
     events.TransferEnded: (caching.on_transfer_ended,),
     events.TimerFired: (_on_timer,),
+    events.StopRequested: (drain.on_stop_requested,),
     events.AppendEnded: (claims.on_append_ended, checkpoints.on_append_ended),
     events.AppendFailed:
         (claims.on_append_failed, checkpoints.on_append_failed),
