Let a stopping VM settle its marked calls before it exits

Cause: a graceful stop looked only at dispatched calls, so a call that waited for another VM's outcome was cut, and an outcome that the log had not taken yet was lost and later tries heard unknown. Change: the exit waits for work on keys, and up to 15 s for records that were not read back.

--- a/src/plantainridge/claim_state.py
+++ b/src/plantainridge/claim_state.py
@@ -172,6 +172,10 @@
         """Returns the shard that a key belongs to."""
         return int.from_bytes(digest[:4], 'big') % self.limits.shards
 
+    def settled(self) -> bool:
+        """Whether no caller waits and no record of this VM is on its way."""
+        return not (self.works or self.owed or self.waiting)
+
     def platform_time(self, now: float) -> float | None:
         """Returns the platform's time, never ahead of it but by drift.
 
--- a/src/plantainridge/drain.py
+++ b/src/plantainridge/drain.py
@@ -11,6 +11,8 @@
 # requests until it has seen that the VM is not ready, and peers must hear its
 # last values.
 STOP_GRACE_S: Final = 3.0
+# Longest wait for the log to take the outcomes of marked calls, in s.
+STOP_RECORDS_S: Final = 15.0
 
 
 def on_stop_requested(state: VmState, event: StopRequested,
@@ -28,11 +30,21 @@
     del event
     if state.exiting or not refuses_new(state, now) or state.calls.calls:
         return
+    if _claims_hold(state, now):
+        return
     state.exiting = True
     yield LogLine('stopped')
     yield Exit()
 
 
+def _claims_hold(state: VmState, now: float) -> bool:
+    """Whether marked calls or their outcomes are still to be settled."""
+    if state.claims.settled() or state.stopping_since is None:
+        return False
+    return (bool(state.claims.works) or
+            now - state.stopping_since < STOP_RECORDS_S)
+
+
 def refuses_new(state: VmState, now: float) -> bool:
     """Whether the VM is stopping and takes no further requests."""
     if state.stopping_since is None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -226,6 +226,49 @@
                 self.runs(scenario(step, runs, word))
 
 
+class StopTest(ClaimCase):
+    """A planned stop while a marked call is not settled."""
+
+    def test_waits_for_another_vms_outcome(self) -> None:
+
+        async def scenario() -> None:
+            world = await warm()
+            first, second = world.vms
+            first.services.run_s = 8.0
+            key = world.new_key()
+            world.call_service(first, LEDGER, key)
+            await asyncio.sleep(1)
+            told = world.call_service(second, LEDGER, key)
+            second.runtime.post(ev.StopRequested())
+            await asyncio.sleep(LONG_S)
+            self.assertEqual(told.body, b'1')
+            self.assertTrue(second.exited)
+
+        self.runs(scenario())
+
+    def test_leaves_the_outcome_in_the_log_if_it_can(self) -> None:
+
+        async def scenario(out_s: float, body: bytes) -> None:
+            world = await warm()
+            first, second = world.vms
+            key = world.new_key()
+            world.call_service(first, LEDGER, key)
+            await asyncio.sleep(0.006)
+            world.log.down = True
+            first.runtime.post(ev.StopRequested())
+            await asyncio.sleep(out_s)
+            world.log.down = False
+            await asyncio.sleep(LONG_S)
+            self.assertTrue(first.exited)
+            self.check_ran(world, key, 1)
+            told = world.call_service(second, LEDGER, key)
+            await asyncio.sleep(LONG_S)
+            self.assertEqual(told.body, body)
+
+        self.runs(scenario(5.0, b'1'))
+        self.runs(scenario(100.0, b''))
+
+
 class LogFaultTest(ClaimCase):
     """The log is out or its answers are lost."""
 
@@ -266,6 +309,27 @@
 
         self.runs(scenario())
 
+    def test_outcome_that_could_not_be_appended_is_appended_later(self) -> None:
+
+        async def scenario() -> None:
+            world = await warm()
+            first, second = world.vms
+            cut = frozenset((first.name, 'log'))
+            stop_before(first, fx.CallService,
+                        lambda: world.network.cut.add(cut))
+            key = world.new_key()
+            world.call_service(first, LEDGER, key)
+            await asyncio.sleep(5)
+            world.network.cut.clear()
+            await asyncio.sleep(5)
+            world.kill_vm(first)
+            told = world.call_service(second, LEDGER, key)
+            await asyncio.sleep(1)
+            self.assertEqual(told.body, b'1')
+            self.check_ran(world, key, 1)
+
+        self.runs(scenario())
+
     def test_appended_twice_runs_once(self) -> None:
 
         async def scenario() -> None:
