List deliberate faults that fuzz or matrix must catch

Cause: a proof is worth what it can notice. Change: sixteen mutants of the decision code, each applied to a scratch copy and judged by the matrix and the fuzzer; VMs that end while the world comes to rest are replaced before the probes.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,13 @@
 fuzz: setup
 	$(PY) -m tests.fuzz --seed $(SEED) --examples $(EXAMPLES) --steps $(STEPS)
 
-.PHONY: fuzz setup demo test format lint types check
+mutants: setup
+	$(PY) -m tests.mutants
+
+matrix: setup
+	$(PY) -m plantainridge matrix --seed $(SEED)
+
+.PHONY: fuzz mutants matrix setup demo test format lint types check
 
 # Installs again only when the lock file's text has changed.
 setup:
--- a/src/plantainridge/standins/scene.py
+++ b/src/plantainridge/standins/scene.py
@@ -76,10 +76,12 @@
     async def settle(self, seconds: float) -> None:
         """Ends every fault, brings back what died, and lets all rest."""
         self.world.heal()
-        for vm in list(self.world.vms):
-            if vm.runtime.halted:
-                self.replace(vm)
-        await asyncio.sleep(seconds)
+        # VMs that were asked to stop may end only now.
+        for _ in range(2):
+            for vm in list(self.world.vms):
+                if vm.runtime.halted:
+                    self.replace(vm)
+            await asyncio.sleep(seconds / 2)
 
     def _on(self, vm: Vm, sign: Sign) -> None:
         if vm is not self.subject:
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -398,10 +398,12 @@
     def teardown(self) -> None:
         """Heals every fault, lets all come to rest, and judges."""
         self.act(self.world.heal)
-        for vm in list(self.world.vms):
-            if vm.runtime.halted:
-                self.renew(vm)
-        self.pass_time(SETTLE_S)
+        # VMs that were asked to stop may end only now.
+        for _ in range(2):
+            for vm in list(self.world.vms):
+                if vm.runtime.halted:
+                    self.renew(vm)
+            self.pass_time(SETTLE_S / 2)
         self.within(self.oracle.probe)
         violations = self.oracle.judge()
         self.runner.close()
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,195 @@
+"""Deliberate faults in the decision code that fuzz or matrix must catch.
+
+Run as `python -m tests.mutants`. Each mutant is applied to a copy of the
+sources in a scratch folder; the detectors run there, each in a process of its
+own, until one reports a violation.
+"""
+
+import asyncio
+import json
+import pathlib
+import shutil
+import sys
+import tempfile
+from typing import Final
+
+import attrs
+import click
+
+ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
+PACKAGE: Final = 'src/plantainridge'
+SEED: Final = 1
+LIMIT_S: Final = 600.0
+
+
+class StaleMutant(Exception):
+    """A mutant's text does not stand in its module exactly once."""
+
+
+@attrs.frozen
+class Mutant:
+    """One fault: a piece of a module's text and what replaces it.
+
+    Attributes:
+        cells: Part of the names of the matrix's cells that should notice it;
+            empty if only the fuzzer can.
+    """
+
+    name: str
+    module: str
+    text: str
+    replacement: str
+    cells: str = ''
+
+
+MUTANTS: Final = (
+    Mutant(
+        'dispatch_before_claim_is_read_back', 'claims.py',
+        '    yield from claim_sync.read(state, work.shard)\n\n\n'
+        'def _on_record', '    yield from _run(state, work, now)\n\n\n'
+        'def _on_record', 'marked'),
+    Mutant('dispatch_under_a_claim_that_lost', 'claims.py',
+           'if not table.held_by(work.digest, work.claim):', 'if False:',
+           'marked'),
+    Mutant('free_the_key_after_an_unknown_outcome', 'claims.py',
+           'Outcome(work.digest, work.claim, Ending.UNKNOWN)',
+           'Release(work.digest, work.claim)', 'marked'),
+    Mutant('never_release_a_claim_that_was_given_up', 'claims.py',
+           '        elif record.id in state.claims.abandoned:',
+           '        elif False:', 'marked'),
+    Mutant('send_again_after_a_broken_connection', 'service_attempts.py',
+           'frozenset({Failure.CONNECT_REFUSED, Failure.REJECTED})',
+           'frozenset(Failure)', 'marked'),
+    Mutant('forget_the_team_in_the_salt', 'blocks.py',
+           'for part in (team, model, version, adapter):',
+           'for part in (model, version, adapter):'),
+    Mutant('forget_the_version_in_the_salt', 'blocks.py',
+           'for part in (team, model, version, adapter):',
+           'for part in (team, model, adapter):'),
+    Mutant('accept_a_revision_from_any_base', 'replica.py',
+           'if head.base != self.config.revision:', 'if False:', 'operators'),
+    Mutant('install_an_older_snapshot', 'replica.py',
+           'if snapshot.next <= self.next:', 'if False:'),
+    Mutant('take_records_of_the_log_twice', 'replica.py',
+           'if record.offset != self.cursor:', 'if False:', 'config_change'),
+    Mutant(
+        'pass_on_crossed_or_repeated_tokens', 'requests.py',
+        "    ours = (event.echoed == asked.request and event.version == "
+        "asked.version and\n            event.first == "
+        "len(call.delivered))", '    ours = True'),
+    Mutant('take_an_answer_of_another_version', 'requests.py',
+           'event.version == asked.version and', ''),
+    Mutant(
+        'end_an_answer_that_lacks_tokens', 'requests.py',
+        'if event.echoed != asked.request or event.total != '
+        'len(call.delivered):', 'if event.echoed != asked.request:'),
+    Mutant('resume_from_the_start', 'requests.py',
+           'resume_from=len(call.delivered),', 'resume_from=0,', 'request'),
+    Mutant('send_work_to_leaving_endpoints', 'endpoints.py',
+           'if self.endpoint.leaving or self.leaving:', 'if False:', 'drain'),
+    Mutant('give_a_crossed_service_answer', 'services.py',
+           'if event.echoed != call.asked.request:', 'if False:'),
+)
+
+
+@attrs.frozen
+class Verdict:
+    """What became of one mutant; `by` names the detector, or is empty."""
+
+    mutant: Mutant
+    by: str
+
+
+def apply(mutant: Mutant, copy: pathlib.Path) -> None:
+    """Changes a module of a copy.
+
+    Raises:
+        StaleMutant: The text is not there exactly once.
+    """
+    path = copy / PACKAGE / mutant.module
+    text = path.read_text()
+    if text.count(mutant.text) != 1:
+        raise StaleMutant(f'{mutant.name}: {mutant.module} holds the text '
+                          f'{text.count(mutant.text)} times')
+    path.write_text(text.replace(mutant.text, mutant.replacement))
+
+
+def detectors(mutant: Mutant) -> list[list[str]]:
+    """Returns the commands that should notice a mutant, quickest first."""
+    commands = []
+    if mutant.cells:
+        commands.append([
+            '-m', 'plantainridge', 'matrix', '--pairs', '0', '--only',
+            mutant.cells
+        ])
+    for seed in (SEED, SEED + 1):
+        commands.append([
+            '-m', 'tests.fuzz', '--seed',
+            str(seed), '--examples', '120', '--steps', '50'
+        ])
+    return commands
+
+
+async def judge(mutant: Mutant, slots: asyncio.Semaphore) -> Verdict:
+    """Runs the detectors on a mutant until one notices it."""
+    async with slots:
+        with tempfile.TemporaryDirectory() as folder:
+            copy = pathlib.Path(folder)
+            for part in ('src', 'tests'):
+                shutil.copytree(ROOT / part, copy / part)
+            apply(mutant, copy)
+            for command in detectors(mutant):
+                if await _notices(command, copy):
+                    return Verdict(mutant, command[1].split('.')[-1])
+    return Verdict(mutant, '')
+
+
+async def _notices(command: list[str], copy: pathlib.Path) -> bool:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *command,
+        cwd=copy,
+        env={'PYTHONPATH': str(copy / 'src')},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL)
+    try:
+        output, _ = await asyncio.wait_for(process.communicate(), LIMIT_S)
+    except TimeoutError:
+        process.kill()
+        return False
+    # A mutant that cannot run at all proves nothing: only a report counts.
+    reported = b'"violations"' in output or b'"failed"' in output
+    return process.returncode == 1 and reported
+
+
+async def run(only: str, jobs: int) -> list[Verdict]:
+    """Judges the mutants whose name holds `only`."""
+    slots = asyncio.Semaphore(jobs)
+    chosen = [mutant for mutant in MUTANTS if only in mutant.name]
+    verdicts = []
+    for done in asyncio.as_completed([judge(each, slots) for each in chosen]):
+        verdict = await done
+        click.echo(f'{verdict.mutant.name}: ' +
+                   (f'caught by {verdict.by}' if verdict.by else 'MISSED'))
+        verdicts.append(verdict)
+    return verdicts
+
+
+@click.command()
+@click.option('--only', default='', help='Part of the names of mutants.')
+@click.option('--jobs', type=click.IntRange(1), default=4, show_default=True)
+def main(only: str, jobs: int) -> None:
+    """Judges all mutants; exits with 1 if one is missed."""
+    verdicts = asyncio.run(run(only, jobs))
+    missed = sorted(each.mutant.name for each in verdicts if not each.by)
+    click.echo(
+        json.dumps({
+            'mutants': len(verdicts),
+            'caught': len(verdicts) - len(missed),
+            'missed': missed,
+        }))
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == '__main__':
+    main()  # pylint: disable=no-value-for-parameter
