--- a/src/plantainridge/routing.py
+++ b/src/plantainridge/routing.py
@@ -9,7 +9,7 @@
 from plantainridge.directory import Directory
 from plantainridge.endpoints import EndpointView, ModelEngines
 from plantainridge.events import Prompt, StoredCopy
-from plantainridge.ids import DcId, EndpointId, StoreId, TeamId
+from plantainridge.ids import DcId, EndpointId, StoreId, TeamId, WeightVersion
 from plantainridge.links import LinkTable
 
 
@@ -43,11 +43,13 @@
         endpoint: The endpoint.
         compute_tokens: Prompt tokens that it is expected to compute.
         fetch: What to import first, or None.
+        fetch_s: Expected time of that import, in s.
     """
 
     endpoint: EndpointId
     compute_tokens: int
     fetch: Fetch | None = None
+    fetch_s: float = 0.0
 
 
 @attrs.frozen
@@ -59,6 +61,7 @@
         team: Whose request it is.
         dc: This VM's data centre.
         excluded: Endpoints that must not be chosen.
+        version: Weight version that the request is bound to; empty for any.
         recompute_weight: The deployment's weight of recomputation.
         now: Loop time in s.
     """
@@ -69,6 +72,7 @@
     excluded: frozenset[EndpointId]
     recompute_weight: float
     now: float
+    version: WeightVersion = WeightVersion('')
 
 
 @attrs.frozen
@@ -102,7 +106,10 @@
 
 def usable(query: Query, view: EndpointView) -> bool:
     """Whether a request may be sent to an endpoint now."""
-    return view.takes_work(query.now) and view.id not in query.excluded
+    if not view.takes_work(query.now) or view.id in query.excluded:
+        return False
+    return (not query.version or view.report is None or
+            view.report.version == query.version)
 
 
 def candidates(query: Query, known: Knowledge) -> Iterator[EndpointView]:
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -128,12 +128,13 @@
                  vms: int = 1,
                  engines: int = 2,
                  seed: int = 1,
-                 dcs: tuple[DcId, ...] = (DC,)) -> None:
+                 dcs: tuple[DcId, ...] = (DC,),
+                 declared: config.Config | None = None) -> None:
         self.rng = random.Random(seed)
         self.network = Network()
         self.log = LogModel()
         self.audit = Audit()
-        self.config = sample_config(engines)
+        self.config = declared or sample_config(engines)
         self.log.append('config', 0, [encode(Revision(-1, self.config))])
         self.engines = {
             EndpointId(f'e{i}'):
