Judge a cell only by faults that struck before its end

Cause: a fault whose step came only with the probes struck after all faults had ended; an endpoint stayed on the leaving list for ever.

--- a/src/plantainridge/standins/scene.py
+++ b/src/plantainridge/standins/scene.py
@@ -75,6 +75,7 @@
 
     async def settle(self, seconds: float) -> None:
         """Ends every fault, brings back what died, and lets all rest."""
+        self._waiting.clear()
         self.world.heal()
         # VMs that were asked to stop may end only now.
         for _ in range(2):
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -225,6 +225,8 @@
         self.log.down = False
         self.log.slow_s = 0.0
         self.members.down = False
+        self.members.leaving_endpoints.clear()
+        self.members.changed()
         for engine in self.engines.values():
             engine.alive = True
             engine.slowdown = 1.0
