--- a/src/plantainridge/standins/oracle.py
+++ b/src/plantainridge/standins/oracle.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Iterator
 from typing import Final
 
@@ -116,6 +117,13 @@
         """Notes that a VM cannot hear of changes until a loop time, in s."""
         self.excused[vm] = max(until, self.excused.get(vm, 0.0))
 
+    def excuse_while(self, vm: VmId, deaf: bool, now: float) -> None:
+        """Notes whether a VM cannot hear of changes from now on."""
+        if deaf:
+            self.excused[vm] = math.inf
+        elif self.excused.get(vm) == math.inf:
+            self.excused[vm] = now
+
     def accepted(self) -> int:
         """Returns the revision that the log's order makes the newest."""
         current = -1
--- a/src/plantainridge/standins/scene.py
+++ b/src/plantainridge/standins/scene.py
@@ -76,6 +76,8 @@
     async def settle(self, seconds: float) -> None:
         """Ends every fault, brings back what died, and lets all rest."""
         self._waiting.clear()
+        for endpoint in self.world.members.leaving_endpoints:
+            self.oracle.left_at.pop(endpoint, None)
         self.world.heal()
         # VMs that were asked to stop may end only now.
         for _ in range(2):
