--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -14,7 +14,7 @@
 from starlette.routing import Route
 from starlette.types import Receive, Scope, Send
 
-from plantainridge import blocks, completions
+from plantainridge import blocks, completions, versions
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.completions import Ask, malformed
@@ -259,8 +259,10 @@
         if model is None:
             return Refusal(Reason.UNKNOWN_MODEL, RanState.NOT_RUN,
                            'there is no such model')
-        seed = blocks.salt(team.id, model.id, model.version, model.adapter)
         data = ask.text.encode()
+        model = versions.bind(self.runtime.state, model, team.id, data,
+                              self.runtime.loop.time())
+        seed = blocks.salt(team.id, model.id, model.version, model.adapter)
         prompt = ev.Prompt(ask.text, blocks.count_tokens(data),
                            tuple(blocks.chain(seed, data)))
         return ev.ModelCalled(request=visit.name,
--- a/src/plantainridge/choices.py
+++ b/src/plantainridge/choices.py
@@ -1,5 +1,6 @@
 """Asks the policy in force where a request should run."""
 
+from plantainridge import versions
 from plantainridge.calls import Call
 from plantainridge.events import ModelCalled
 from plantainridge.routing import Choice, Knowledge, NoEndpoint, Query
@@ -12,7 +13,8 @@
     query = Query(prompt=asked.prompt,
                   team=asked.team,
                   dc=state.dc,
-                  excluded=frozenset(call.tried),
+                  excluded=versions.others(state, asked.model,
+                                           asked.version).union(call.tried),
                   recompute_weight=state.config.deployment.recompute_weight,
                   now=now)
     engines = state.index.engines(state.endpoints, asked.model, state.dc)
--- a/src/plantainridge/ports.py
+++ b/src/plantainridge/ports.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from plantainridge import effects
+from plantainridge import effects, orders
 from plantainridge.events import Event
 
 Post = Callable[[Event], None]
@@ -102,6 +102,18 @@
         """Sends a message that may be lost."""
 
 
+class OrderPort(abc.ABC):
+    """The way to engines' order interfaces."""
+
+    @abc.abstractmethod
+    def order(self, effect: orders.OrderEngine, post: Post) -> None:
+        """Gives an order and posts `OrderEnded`."""
+
+    @abc.abstractmethod
+    def ask(self, effect: orders.AskEngine, post: Post) -> None:
+        """Asks what an engine runs; posts `EngineReported` if it answers."""
+
+
 class ReportPort(abc.ABC):
     """Where log lines and measurements go."""
 
@@ -125,4 +137,5 @@
     report: ReportPort
     transfers: TransferPort | None = None
     peers: PeerPort | None = None
+    orders: OrderPort | None = None
     on_exit: Callable[[], None] | None = None
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -4,8 +4,9 @@
 from typing import Any, Final
 
 from plantainridge import (caching, catchup, checkpoints, claim_batches,
-                           claim_sync, claims, events, exchange, members,
-                           peering, requests, revisions, services)
+                           claim_sync, claims, events, exchange, leases,
+                           members, orders, peering, requests, revisions,
+                           rollout, services)
 from plantainridge.effects import Effect, ReadLog, SetTimer
 from plantainridge.state import VmState
 
@@ -30,9 +31,9 @@
 
 # Handlers of timers by kind; those of `TICK` run every `TICK_S`.
 TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
-    events.TimerKind.TICK:
-        (_on_tick, caching.on_tick, revisions.on_tick, catchup.on_tick,
-         checkpoints.on_tick, exchange.on_tick),
+    events.TimerKind.TICK: (_on_tick, caching.on_tick, revisions.on_tick,
+                            catchup.on_tick, checkpoints.on_tick,
+                            exchange.on_tick, leases.on_tick, rollout.on_tick),
     events.TimerKind.TRANSFER: (caching.on_transfer_late,),
     events.TimerKind.CLAIM: (claims.on_timer,),
     events.TimerKind.CLAIM_FLUSH: (claim_batches.on_flush,),
@@ -61,10 +62,14 @@
     events.AppendEnded: (claims.on_append_ended, checkpoints.on_append_ended),
     events.AppendFailed:
         (claims.on_append_failed, checkpoints.on_append_failed),
-    events.LogRead: (revisions.on_log_read, claims.on_log_read),
-    events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed),
+    events.LogRead:
+        (revisions.on_log_read, claims.on_log_read, leases.on_log_read),
+    events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed,
+                           leases.on_read_failed),
     events.MembersListed: (members.on_listed,),
     events.PeerSaid: (peering.on_peer_said,),
+    orders.EngineReported: (rollout.on_reported,),
+    orders.OrderEnded: (rollout.on_order_ended,),
 }
 
 
--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from plantainridge import effects as fx
-from plantainridge import reducer
+from plantainridge import orders, reducer
 from plantainridge.events import Event, TimerFired, TimerKey
 from plantainridge.ports import Ports
 from plantainridge.state import VmState
@@ -62,6 +62,12 @@
                 lambda e: transfers.list_cache(e, self.post))
             self._carriers[fx.ListStore] = (
                 lambda e: transfers.list_store(e, self.post))
+        if ports.orders is not None:
+            order_port = ports.orders
+            self._carriers[orders.OrderEngine] = (
+                lambda e: order_port.order(e, self.post))
+            self._carriers[orders.AskEngine] = (
+                lambda e: order_port.ask(e, self.post))
         if ports.peers is not None:
             self._carriers[fx.SendPeer] = ports.peers.send
 
--- /dev/null
+++ b/src/plantainridge/standins/engine_orders.py
@@ -0,0 +1,103 @@
+"""Model of an engine's order interface, in memory."""
+
+import asyncio
+import random
+from typing import Final
+
+import attrs
+
+from plantainridge import orders
+from plantainridge.ids import EndpointId
+from plantainridge.orders import Loaded, OrderOutcome
+from plantainridge.ports import OrderPort, Post
+from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.memory import Network
+from plantainridge.standins.weights import WeightStore
+
+ANSWER_LOST_S: Final = 5.0
+
+
+@attrs.define(eq=False)
+class OrderTaker:
+    """One engine's order interface.
+
+    Attributes:
+        checks_fences: Whether it refuses an order with an old number.
+        highest: Highest fencing number seen.
+        taken: Orders carried out, with the fencing number of each.
+    """
+
+    engine: EngineModel
+    weights: WeightStore
+    loaded: Loaded
+    checks_fences: bool = True
+    highest: int = -1
+    loading: bool = False
+    taken: list[tuple[int, Loaded]] = attrs.field(factory=list)
+
+    async def order(self, fence: int, target: Loaded) -> OrderOutcome:
+        """Carries an order out; the same one again changes nothing."""
+        if self.checks_fences and fence < self.highest:
+            return OrderOutcome.FENCED
+        self.highest = max(self.highest, fence)
+        if not self.engine.alive or self.loading:
+            return OrderOutcome.FAILED
+        if target == self.loaded:
+            return OrderOutcome.DONE
+        self.taken.append((fence, target))
+        if target.version != self.loaded.version or (target.model
+                                                     != self.loaded.model):
+            self.loading = True
+            await self.weights.load()
+            self.loading = False
+        self.loaded = target
+        self.engine.version = target.version
+        return OrderOutcome.DONE
+
+
+class MemoryOrderPort(OrderPort):
+    """One VM's way to the engines' order interfaces.
+
+    Attributes:
+        lose_answer: Chance that an answer is lost after the order was taken.
+    """
+
+    def __init__(self, vm: str, network: Network, takers: dict[EndpointId,
+                                                               OrderTaker],
+                 rng: random.Random) -> None:
+        self.vm = vm
+        self.network = network
+        self.takers = takers
+        self.rng = rng
+        self.lose_answer = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def order(self, effect: orders.OrderEngine, post: Post) -> None:
+        task = asyncio.get_running_loop().create_task(self._order(effect, post))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _order(self, effect: orders.OrderEngine, post: Post) -> None:
+        await asyncio.sleep(self.network.latency_s)
+        outcome = OrderOutcome.UNKNOWN
+        taker = self.takers.get(effect.endpoint)
+        if taker is not None and self.network.reaches(self.vm, effect.endpoint):
+            outcome = await taker.order(effect.fence, effect.target)
+        if self.rng.random() < self.lose_answer:
+            await asyncio.sleep(ANSWER_LOST_S)
+            outcome = OrderOutcome.UNKNOWN
+        await asyncio.sleep(self.network.latency_s)
+        post(orders.OrderEnded(effect.order, effect.endpoint, outcome))
+
+    def ask(self, effect: orders.AskEngine, post: Post) -> None:
+        taker = self.takers.get(effect.endpoint)
+        if (taker is None or not taker.engine.alive or
+                not self.network.reaches(self.vm, effect.endpoint)):
+            return
+
+        def answer() -> None:
+            post(
+                orders.EngineReported(effect.endpoint, taker.loaded,
+                                      taker.loading))
+
+        self.network.later(lambda: self.network.later(answer))
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -11,7 +11,8 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge.ids import AttemptId, EndpointId, RequestId, VmId
+from plantainridge.ids import (AttemptId, EndpointId, RequestId, VmId,
+                               WeightVersion)
 from plantainridge.metrics import Metrics
 from plantainridge.ports import (CallerPort, EnginePort, PeerPort, Post,
                                  ReportPort)
@@ -119,9 +120,10 @@
 class _PostSink(Sink):
 
     def __init__(self, port: 'MemoryEnginePort', effect: fx.StartAttempt,
-                 post: Post) -> None:
+                 version: WeightVersion, post: Post) -> None:
         self.port = port
         self.effect = effect
+        self.version = version
         self.post = post
 
     def _send(self, event: ev.Event) -> None:
@@ -129,10 +131,9 @@
 
     def tokens(self, first: int, tokens: tuple[str, ...],
                cached_tokens: int) -> None:
-        model = self.port.models[self.effect.endpoint]
         self._send(
             ev.TokensArrived(self.effect.attempt, self.effect.request,
-                             model.version, first, tokens, cached_tokens))
+                             self.version, first, tokens, cached_tokens))
 
     def end(self, total: int) -> None:
         self._send(
@@ -163,6 +164,10 @@
                                       ev.Failure.CONNECT_REFUSED)
             self.network.later(lambda: post(failed))
             return
+        if effect.version != model.version:
+            rejected = ev.AttemptFailed(effect.attempt, ev.Failure.REJECTED)
+            self.network.later(lambda: post(rejected))
+            return
         job = Job(request=effect.request,
                   prompt=effect.prompt.text,
                   prompt_tokens=effect.prompt.tokens,
@@ -170,7 +175,7 @@
                   max_tokens=effect.max_tokens,
                   priority=effect.priority,
                   next_index=effect.resume_from,
-                  sink=_PostSink(self, effect, post),
+                  sink=_PostSink(self, effect, model.version, post),
                   version=model.version,
                   team=effect.team,
                   model=effect.model,
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -5,16 +5,18 @@
 
 import attrs
 
-from plantainridge import blocks, claim_keys, config
+from plantainridge import blocks, claim_keys, config, versions
 from plantainridge import events as ev
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, TeamId, VmId,
                                WeightVersion)
+from plantainridge.orders import Loaded
 from plantainridge.ports import Ports, Post
 from plantainridge.revisions import Revision, encode
 from plantainridge.runtime import Runtime
 from plantainridge.standins.audit import Audit
 from plantainridge.standins.engine import EngineModel
+from plantainridge.standins.engine_orders import MemoryOrderPort, OrderTaker
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.members import MembersModel
 from plantainridge.standins.memory import (MemoryCallers, MemoryEnginePort,
@@ -24,6 +26,7 @@
 from plantainridge.standins.memory_services import (MemoryServicePort,
                                                     ServiceFaults)
 from plantainridge.standins.service import ServiceModel
+from plantainridge.standins.weights import WeightStore
 from plantainridge.state import VmState
 
 TEAM = TeamId('bureau')
@@ -121,6 +124,11 @@
                 EngineModel(EndpointId(f'e{i}'), VERSION, audit=self.audit)
             for i in range(engines)
         }
+        self.weights = WeightStore()
+        self.orders = {
+            name: OrderTaker(engine, self.weights, Loaded(MODEL, VERSION, ''))
+            for name, engine in self.engines.items()
+        }
         self.ledger = ServiceModel()
         self.services = {
             EndpointId('s-ledger'): self.ledger,
@@ -147,7 +155,9 @@
                       services=services,
                       log=log,
                       report=report,
-                      peers=MemoryPeers(name, self.network, self.posts))
+                      peers=MemoryPeers(name, self.network, self.posts),
+                      orders=MemoryOrderPort(name, self.network, self.orders,
+                                             self.rng))
         runtime = Runtime(state, ports)
         vm = Vm(VmId(name), runtime, callers, engines, services, log, report)
         ports.on_exit = lambda: self._exited(vm)
@@ -207,8 +217,10 @@
                   team: TeamId = TEAM) -> Told:
         """Sends a model request to a VM."""
         model = vm.state.config.models.get(MODEL, config.Model(MODEL, VERSION))
-        seed = blocks.salt(team, model.id, model.version, model.adapter)
         data = text.encode()
+        model = versions.bind(vm.state, model, team, data,
+                              vm.runtime.loop.time())
+        seed = blocks.salt(team, model.id, model.version, model.adapter)
         prompt = ev.Prompt(text, blocks.count_tokens(data),
                            tuple(blocks.chain(seed, data)))
         return self._post(
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -14,12 +14,14 @@
 from plantainridge.endpoints import EngineIndex, EndpointView
 from plantainridge.exchange import ExchangeState
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
+from plantainridge.leases import LeasesState
 from plantainridge.links import LinkTable
 from plantainridge.members import MembersState
 from plantainridge.readiness import Readiness
 from plantainridge.revisions import RevisionsState
 from plantainridge.returning import Returning
 from plantainridge.returns import ReturnTable
+from plantainridge.rollout import RolloutState
 from plantainridge.routing import Policy
 from plantainridge.transfers import TransferTable
 
@@ -38,6 +40,8 @@
         revisions: How far this VM has followed the configuration.
         catchup: What it asks of peers and sends them of it.
         checkpoints: Its part in appending checkpoints of it.
+        leases: Leases that it follows or holds.
+        rollout: What it knows as the giver of orders to engines.
         endpoints: What is known of each configured endpoint.
         index: Engines by model, made from `endpoints`.
         directory: Who holds which blocks.
@@ -60,6 +64,8 @@
     revisions: RevisionsState = attrs.field(factory=RevisionsState)
     catchup: CatchUpState = attrs.field(factory=CatchUpState)
     checkpoints: CheckpointState = attrs.field(factory=CheckpointState)
+    leases: LeasesState = attrs.field(factory=LeasesState)
+    rollout: RolloutState = attrs.field(factory=RolloutState)
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
     index: EngineIndex = attrs.field(factory=EngineIndex)
     directory: Directory = attrs.field(factory=Directory)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -39,6 +39,14 @@
     vm.runtime.watchers.append(watch)
 
 
+def claim_records(world: World) -> int:
+    """Counts the records of claims in the log."""
+    return sum(
+        len(stream.records)
+        for (name, _), stream in world.log.streams.items()
+        if name == 'claims')
+
+
 class ClaimCase(unittest.TestCase):
     """Helpers of the classes below."""
 
@@ -253,10 +261,10 @@
             told = world.call_service(first, LEDGER, key)
             await asyncio.sleep(4)
             self.check_refused(told, Reason.LOG_UNAVAILABLE, RanState.NOT_RUN)
-            self.assertEqual(world.log.appends, 1)
+            self.assertEqual(claim_records(world), 0)
             first.log.faults = LogFaults()
             await asyncio.sleep(LONG_S)
-            self.assertEqual(world.log.appends, 3)
+            self.assertEqual(claim_records(world), 2)
             self.check_ran(world, key, 0)
             again = world.call_service(second, LEDGER, key)
             await asyncio.sleep(LONG_S)
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,229 @@
+"""Tests of leases, orders to engines, and swaps of weight versions."""
+
+import asyncio
+import random
+import unittest
+
+import attrs
+
+from plantainridge import lease_records as lr
+from plantainridge import leases, paused
+from plantainridge.events import LoadReported, Record
+from plantainridge.ids import Incarnation, WeightVersion
+from plantainridge.orders import OrderOutcome
+from plantainridge.standins.engine import PREFILL_TOKENS_PER_S, token_at
+from plantainridge.standins.memory import Told
+from plantainridge.standins.memory_log import LogFaults
+from plantainridge.standins.world import DC, MODEL, VERSION, Vm, World
+
+V2 = WeightVersion('v2')
+REPORT_S = 0.5
+SEEDS = range(30)
+
+
+def report_loads(world: World) -> None:
+    """Tells every VM each engine's load, again and again."""
+    loop = asyncio.get_running_loop()
+    for engine in world.engines.values():
+        if engine.alive:
+            event = LoadReported(engine.name, loop.time(), len(engine.running),
+                                 engine.waiting_tokens(), PREFILL_TOKENS_PER_S,
+                                 engine.version)
+            for vm in world.vms:
+                vm.runtime.post(event)
+    loop.call_later(REPORT_S, report_loads, world)
+
+
+def publish_version(world: World,
+                    version: WeightVersion,
+                    adapter: str = '') -> None:
+    """Publishes a revision that names another weight version."""
+    current = world.vms[-1].state.config
+    model = attrs.evolve(current.models[MODEL],
+                         version=version,
+                         adapter=adapter)
+    world.publish(current.revision, attrs.evolve(current,
+                                                 models={MODEL: model}))
+
+
+def holders(world: World) -> list[Vm]:
+    """Returns the VMs that may give orders now."""
+    now = asyncio.get_running_loop().time()
+    return [
+        vm for vm in world.vms
+        if leases.fence(vm.state, DC, now) != leases.NO_FENCE
+    ]
+
+
+class LeaseRecordTest(unittest.TestCase):
+    """Terms of different holders never overlap, whoever reads."""
+
+    def test_random_records(self) -> None:
+        held = 0
+        for seed in SEEDS:
+            rng = random.Random(seed)
+            full = lr.LeaseHistory(since=float('-inf'))
+            spans: list[tuple[float, float, str]] = []
+            records: list[tuple[lr.LeaseRecord, Record]] = []
+            at = 0.0
+            for offset in range(300):
+                at += rng.expovariate(0.3)
+                record = lr.LeaseRecord(
+                    'dc', Incarnation(rng.choice('abc')),
+                    rng.choice((lr.LeaseAct.CLAIM, lr.LeaseAct.RENEW,
+                                lr.LeaseAct.RENEW)), offset)
+                stamped = Record(offset, at, b'')
+                records.append((record, stamped))
+                if full.take(record, stamped):
+                    spans.append((at, at + lr.DURATION_S, record.holder))
+            held += len({holder for _, _, holder in spans})
+            for start, end, holder in spans:
+                for other_start, _, other in spans:
+                    if other != holder:
+                        self.assertFalse(start <= other_start < end, seed)
+            self._late_reader_agrees(records, full)
+        self.assertGreater(held, len(SEEDS))
+
+    def _late_reader_agrees(self, records: list[tuple[lr.LeaseRecord, Record]],
+                            full: lr.LeaseHistory) -> None:
+        late = lr.LeaseHistory(since=records[100][1].at)
+        for record, stamped in records[100:]:
+            late.take(record, stamped)
+        # A late reader may not know of a term, and never thinks of a wrong one.
+        for holder, term in late.terms.items():
+            self.assertEqual(full.terms[holder].at, term.at)
+
+
+class HolderTest(unittest.TestCase):
+    """One VM gives orders, through pauses, deaths and log faults."""
+
+    def test_one_holder_and_a_growing_fence(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=4)
+            fences: list[int] = []
+            rng = random.Random(7)
+            for step in range(600):
+                await asyncio.sleep(0.5)
+                found = holders(world)
+                self.assertLessEqual(len(found), 1)
+                for vm in found:
+                    now = vm.runtime.loop.time()
+                    fence = leases.fence(vm.state, DC, now)
+                    self.assertGreaterEqual(fence, max(fences, default=-1))
+                    fences.append(fence)
+                if step % 40 == 39 and found:
+                    world.replace_vm(found[0])
+                if step % 150 == 149:
+                    for vm in world.vms:
+                        vm.log.faults = LogFaults(lose_answer=0.3,
+                                                  delay=rng.choice((0.0, 0.3)))
+            self.assertGreater(len(set(fences)), 5)
+
+        paused.run(scenario())
+
+    def test_a_paused_holder_stops_before_its_lease_ends(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=2)
+            await asyncio.sleep(30)
+            holder = holders(world)[0]
+            fence = leases.fence(holder.state, DC, holder.runtime.loop.time())
+            world.network.cut.add(frozenset((holder.name, 'log')))
+            await asyncio.sleep(60)
+            successor = holders(world)
+            self.assertEqual(len(successor), 1)
+            self.assertIsNot(successor[0], holder)
+            self.assertGreater(
+                leases.fence(successor[0].state, DC,
+                             holder.runtime.loop.time()), fence)
+
+        paused.run(scenario())
+
+    def test_engines_refuse_an_old_fence_where_they_check(self) -> None:
+
+        async def scenario() -> None:
+            world = World(engines=2)
+            checks, ignores = world.orders.values()
+            ignores.checks_fences = False
+            target = attrs.evolve(checks.loaded, version=V2)
+            back = attrs.evolve(checks.loaded, version=VERSION)
+            for taker in (checks, ignores):
+                self.assertIs(await taker.order(9, target), OrderOutcome.DONE)
+            self.assertIs(await checks.order(3, back), OrderOutcome.FENCED)
+            self.assertIs(await ignores.order(3, back), OrderOutcome.DONE)
+
+        paused.run(scenario())
+
+
+class SwapTest(unittest.TestCase):
+    """Engines come to run what is declared, and no request is lost."""
+
+    def test_swap_under_load(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=3, engines=5)
+            # One engine does not check fences; answers of orders get lost.
+            next(iter(world.orders.values())).checks_fences = False
+            report_loads(world)
+            await asyncio.sleep(25)
+            rng = random.Random(3)
+            asked: list[tuple[str, Told]] = []
+            for step in range(1_200):
+                if step == 200:
+                    publish_version(world, V2)
+                if step == 210:
+                    world.replace_vm(holders(world)[0])
+                text = f'{rng.randrange(60)} ' * 2_000
+                vm = rng.choice([vm for vm in world.vms if vm.state.ready])
+                asked.append((text, world.ask_model(vm, text)))
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(30)
+            self.assertEqual(
+                {engine.version for engine in world.engines.values()}, {V2})
+            self.assertLessEqual(world.weights.most_loading, 2)
+            served = self._versions(world, asked)
+            self.assertEqual(served, {VERSION, V2})
+
+        paused.run(scenario())
+
+    def _versions(self, world: World, asked: list[tuple[str,
+                                                        Told]]) -> set[str]:
+        cut_off = {id(ask.told) for ask in world.asks if ask.cut_off}
+        versions = set()
+        for text, told in asked:
+            if id(told) in cut_off:
+                continue
+            self.assertIsNotNone(told.ended, told.refusal)
+            whole = {
+                version: [token_at(text, version, i) for i in range(10)]
+                for version in (VERSION, V2)
+            }
+            found = [v for v, tokens in whole.items() if tokens == told.tokens]
+            self.assertEqual(len(found), 1)
+            versions.update(found)
+        return versions
+
+    def test_lost_orders_are_compared_and_given_again(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=2, engines=4)
+            report_loads(world)
+            for vm in world.vms:
+                port = vm.runtime.ports.orders
+                setattr(port, 'lose_answer', 0.5)
+            await asyncio.sleep(25)
+            publish_version(world, V2, adapter='night')
+            await asyncio.sleep(90)
+            for taker in world.orders.values():
+                self.assertEqual((taker.loaded.version, taker.loaded.adapter),
+                                 (V2, 'night'))
+            # Rollback is a new revision.
+            publish_version(world, VERSION)
+            await asyncio.sleep(90)
+            for taker in world.orders.values():
+                self.assertEqual((taker.loaded.version, taker.loaded.adapter),
+                                 (VERSION, ''))
+            self.assertLessEqual(world.weights.most_loading, 2)
+
+        paused.run(scenario())
