--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -112,7 +112,11 @@
     Build it inside the running loop.
     """
 
-    def __init__(self, vms: int = 1, engines: int = 2, seed: int = 1) -> None:
+    def __init__(self,
+                 vms: int = 1,
+                 engines: int = 2,
+                 seed: int = 1,
+                 dcs: tuple[DcId, ...] = (DC,)) -> None:
         self.rng = random.Random(seed)
         self.network = Network()
         self.log = LogModel()
@@ -138,7 +142,9 @@
         self.members = MembersModel()
         self.asks: list[Ask] = []
         self.past: list[Vm] = []
-        self.vms = [self.start_vm(f'vm{i}') for i in range(vms)]
+        self.vms = [
+            self.start_vm(f'vm{i}', dcs[i % len(dcs)]) for i in range(vms)
+        ]
 
     def start_vm(self, name: str, dc: DcId = DC) -> Vm:
         """Starts a VM's process with nothing kept."""
