--- a/src/plantainridge/endpoints.py
+++ b/src/plantainridge/endpoints.py
@@ -6,10 +6,13 @@
 
 from plantainridge.config import Endpoint, EndpointKind
 from plantainridge.events import LoadReported
-from plantainridge.ids import AttemptId, DcId, EndpointId, ModelId
+from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId,
+                               WeightVersion)
 
 # Rate assumed of an endpoint that has not reported, in prompt tokens per s.
 DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
+# Version of an engine that has not said which it runs.
+UNKNOWN_VERSION = WeightVersion('')
 
 
 @attrs.define
@@ -24,6 +27,7 @@
             report was measured, as (loop time in s, tokens).
         down_until: Loop time until which it gets no new work, in s.
         leaving: Whether the platform's list says that it leaves.
+        version: Weight version that it last said it runs.
         backlog: Prompt tokens to compute as of `backlog_at`.
         backlog_at: Loop time of `backlog`, in s.
     """
@@ -34,6 +38,7 @@
     sent_tokens: list[tuple[float, int]] = attrs.field(factory=list)
     down_until: float = 0.0
     leaving: bool = False
+    version: WeightVersion = UNKNOWN_VERSION
     backlog: float = 0.0
     backlog_at: float = 0.0
 
@@ -60,6 +65,7 @@
         if self.report and report.measured_at <= self.report.measured_at:
             return
         self.report = report
+        self.version = report.version
         self.sent_tokens = [(at, tokens)
                             for at, tokens in self.sent_tokens
                             if at > report.measured_at]
--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -118,6 +118,8 @@
     CONNECT_REFUSED = 'connect_refused'
     # The endpoint answered that it did not take the work: certainly not run.
     REJECTED = 'rejected'
+    # The engine runs another weight version: certainly not run.
+    OTHER_VERSION = 'other_version'
     # The connection broke after a byte may have left: may have run.
     BROKEN = 'broken'
     # No progress for too long: may have run and may still be running.
@@ -156,10 +158,15 @@
 
 @attrs.frozen
 class AttemptFailed(Event):
-    """An attempt ended without its end mark."""
+    """An attempt ended without its end mark.
+
+    Attributes:
+        version: Weight version that the engine runs, if it said so.
+    """
 
     attempt: AttemptId
     failure: Failure
+    version: WeightVersion = WeightVersion('')
 
 
 @attrs.frozen
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -23,6 +23,8 @@
 LOG_WAIT_S: Final = 5.0
 LOG_RETRY_S: Final = 0.5
 STATUS_OK: Final = 200
+# Answer of an engine that runs another weight version than the one asked for.
+STATUS_OTHER_VERSION: Final = 409
 
 
 class Tasks:
@@ -76,13 +78,17 @@
 
     async def _run(self, effect: fx.StartAttempt, post: Post) -> None:
         failure = ev.Failure.BROKEN
+        version = WeightVersion('')
         try:
             response = await self.client.request(
                 f'http://{effect.address}/v1/completions',
                 method='POST',
                 json=_engine_body(effect),
                 stream=True)
-            if response.status_code != STATUS_OK:
+            if response.status_code == STATUS_OTHER_VERSION:
+                failure = ev.Failure.OTHER_VERSION
+                version = WeightVersion((await response.json())['version'])
+            elif response.status_code != STATUS_OK:
                 failure = ev.Failure.REJECTED
             elif await self._read(effect, response, post):
                 return
@@ -92,7 +98,7 @@
             failure = ev.Failure.TIMED_OUT
         except (http_errors.AiosonicError, OSError, ValueError, EOFError):
             failure = ev.Failure.BROKEN
-        post(ev.AttemptFailed(effect.attempt, failure))
+        post(ev.AttemptFailed(effect.attempt, failure, version))
 
     async def _read(self, effect: fx.StartAttempt, response: Any,
                     post: Post) -> bool:
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge import admission, choices, transfers
+from plantainridge import admission, choices, transfers, versions
 from plantainridge.calls import Attempt, Call
 from plantainridge.effects import (CancelAttempt, Effect, FinishAnswer, Observe,
                                    Refuse, SendTokens, StartAttempt)
@@ -35,6 +35,7 @@
 
 def _dispatch(state: VmState, call: Call, asked: ModelCalled,
               now: float) -> Iterator[Effect]:
+    asked = versions.current(state, call, asked, now)
     choice = choices.choose(state, call, asked, now)
     if isinstance(choice, NoEndpoint):
         yield from _refuse(
@@ -128,6 +129,11 @@
     if call is None or not isinstance(call.asked, ModelCalled):
         return
     attempt = state.calls.attempts[event.attempt]
+    if event.failure is Failure.OTHER_VERSION:
+        _forget_attempt(state, event.attempt)
+        versions.on_refused(state, call, attempt.endpoint, event.version)
+        yield from _dispatch(state, call, call.asked, now)
+        return
     view = state.endpoints.get(attempt.endpoint)
     if view is not None and event.failure is not Failure.REJECTED:
         view.down_until = now + DOWN_S
--- a/src/plantainridge/standins/engine_http.py
+++ b/src/plantainridge/standins/engine_http.py
@@ -13,6 +13,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from plantainridge.http_ports import STATUS_OTHER_VERSION
 from plantainridge.ids import BlockKey, RequestId
 from plantainridge.standins.engine import (PREFILL_TOKENS_PER_S, EngineModel,
                                            Job, Sink)
@@ -96,6 +97,9 @@
     async def complete(self, request: Request) -> Response:
         """Streams one completion."""
         body = await request.json()
+        if body['version'] != self.model.version:
+            return JSONResponse({'version': self.model.version},
+                                status_code=STATUS_OTHER_VERSION)
         sink = _QueueSink()
         job = Job(request=RequestId(body['request_id']),
                   prompt=body['prompt'],
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -36,6 +37,7 @@
 
     cut: set[frozenset[str]] = attrs.field(factory=set)
     latency_s: float = LINK_S
+    sent: deque[Callable[[], None]] = attrs.field(factory=deque)
 
     def reaches(self, a: str, b: str) -> bool:
         """Whether two nodes can reach each other."""
@@ -46,8 +48,15 @@
         self.cut ^= {frozenset((a, b))}
 
     def later(self, act: Callable[[], None]) -> None:
-        """Acts after one delay."""
-        asyncio.get_running_loop().call_later(self.latency_s, act)
+        """Acts after one delay; what was sent first arrives first.
+
+        The loop alone does not keep the order of equal times.
+        """
+        self.sent.append(act)
+        asyncio.get_running_loop().call_later(self.latency_s, self._arrive)
+
+    def _arrive(self) -> None:
+        self.sent.popleft()()
 
 
 @attrs.define
@@ -165,7 +174,8 @@
             self.network.later(lambda: post(failed))
             return
         if effect.version != model.version:
-            rejected = ev.AttemptFailed(effect.attempt, ev.Failure.REJECTED)
+            rejected = ev.AttemptFailed(effect.attempt,
+                                        ev.Failure.OTHER_VERSION, model.version)
             self.network.later(lambda: post(rejected))
             return
         job = Job(request=effect.request,
--- a/src/plantainridge/versions.py
+++ b/src/plantainridge/versions.py
@@ -11,7 +11,11 @@
 
 import attrs
 
+from plantainridge import blocks
+from plantainridge.calls import Call
 from plantainridge.config import Model
+from plantainridge.endpoints import UNKNOWN_VERSION
+from plantainridge.events import ModelCalled
 from plantainridge.ids import EndpointId, ModelId, TeamId, WeightVersion
 
 if TYPE_CHECKING:
@@ -46,9 +50,9 @@
 def _running(state: 'VmState', model: ModelId,
              now: float) -> Counter[WeightVersion]:
     engines = state.index.engines(state.endpoints, model, state.dc)
-    return Counter(view.report.version
+    return Counter(view.version
                    for view in engines.by_id.values()
-                   if view.report is not None and view.takes_work(now))
+                   if view.version != UNKNOWN_VERSION and view.takes_work(now))
 
 
 def _place(team: TeamId, text: bytes) -> float:
@@ -63,7 +67,46 @@
            version: WeightVersion) -> frozenset[EndpointId]:
     """Returns the engines that are known to run another version."""
     engines = state.index.engines(state.endpoints, model, state.dc)
-    return frozenset(
-        view.id
-        for view in engines.by_id.values()
-        if view.report is not None and view.report.version != version)
+    return frozenset(view.id
+                     for view in engines.by_id.values()
+                     if view.version not in (version, UNKNOWN_VERSION))
+
+
+def current(state: 'VmState', call: Call, asked: ModelCalled,
+            now: float) -> ModelCalled:
+    """Returns a request, bound anew if no engine left may run its version.
+
+    Only a request of which nothing was delivered can be bound anew.
+    """
+    model = state.config.models.get(asked.model)
+    if model is None or call.delivered:
+        return asked
+    engines = state.index.engines(state.endpoints, asked.model, state.dc)
+    if any(
+            view.takes_work(now) and view.id not in call.tried and
+            view.version in (asked.version, UNKNOWN_VERSION)
+            for view in engines.by_id.values()):
+        return asked
+    text = asked.prompt.text.encode()
+    bound = bind(state, model, asked.team, text, now)
+    if bound.version == asked.version:
+        return asked
+    seed = blocks.salt(asked.team, model.id, bound.version, bound.adapter)
+    rebound = attrs.evolve(asked,
+                           version=bound.version,
+                           adapter=bound.adapter,
+                           prompt=attrs.evolve(asked.prompt,
+                                               blocks=tuple(
+                                                   blocks.chain(seed, text))))
+    call.asked = rebound
+    call.tried.clear()
+    return rebound
+
+
+def on_refused(state: 'VmState', call: Call, endpoint: EndpointId,
+               version: WeightVersion) -> None:
+    """Takes in that an engine runs another version than the one asked for."""
+    call.tried.add(endpoint)
+    view = state.endpoints.get(endpoint)
+    if view is not None:
+        view.version = version
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -190,7 +190,7 @@
     def _versions(self, world: World, asked: list[tuple[str,
                                                         Told]]) -> set[str]:
         cut_off = {id(ask.told) for ask in world.asks if ask.cut_off}
-        versions = set()
+        versions: set[str] = set()
         for text, told in asked:
             if id(told) in cut_off:
                 continue
