Order engines to run what is declared, by one giver per data centre

Cause: a new weight version in the sheet bound requests to a version that no engine ran, and nothing told engines to load it.

--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -16,6 +16,7 @@
 from plantainridge.mailboxes import Mailboxes
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
+from plantainridge.orders_http import HttpOrderPort
 from plantainridge.peers_net import NetPeers
 from plantainridge.ports import Ports
 from plantainridge.reports import ProcessReport
@@ -78,7 +79,8 @@
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm),
                       on_exit=self._on_exit,
-                      peers=self.peers)
+                      peers=self.peers,
+                      orders=HttpOrderPort(self.client, self.tasks))
         self.runtime = Runtime(state, ports)
         self.feeds = Feeds(self.runtime, self.client, self.tasks)
         callers = CallersApp(self.runtime, self.mailboxes, settings.limits)
--- /dev/null
+++ b/src/plantainridge/orders_http.py
@@ -0,0 +1,78 @@
+"""Port that gives orders to engines over HTTP."""
+
+import asyncio
+from typing import Any, Final
+
+import aiosonic
+from aiosonic import exceptions as http_errors
+
+from plantainridge import orders
+from plantainridge.http_ports import STATUS_OK, Tasks
+from plantainridge.ids import ModelId, WeightVersion
+from plantainridge.orders import Loaded, OrderOutcome
+from plantainridge.ports import OrderPort, Post
+
+# Answer of an engine that has seen a higher fencing number.
+STATUS_FENCED: Final = 412
+ORDER_TIMEOUT_S: Final = 10.0
+ASK_TIMEOUT_S: Final = 2.0
+
+
+class HttpOrderPort(OrderPort):
+    """Gives orders and asks engines what they run."""
+
+    def __init__(self, client: aiosonic.HTTPClient, tasks: Tasks) -> None:
+        self.client = client
+        self.tasks = tasks
+
+    def order(self, effect: orders.OrderEngine, post: Post) -> None:
+        self.tasks.spawn(self._order(effect, post))
+
+    async def _order(self, effect: orders.OrderEngine, post: Post) -> None:
+        outcome = OrderOutcome.UNKNOWN
+        target = effect.target
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                response = await self.client.post(
+                    f'http://{effect.address}/orders',
+                    json={
+                        'order': effect.order,
+                        'fence': effect.fence,
+                        'model': target.model,
+                        'version': target.version,
+                        'adapter': target.adapter,
+                    })
+            outcome = _outcome(response.status_code)
+        except (ConnectionRefusedError, http_errors.ConnectTimeout):
+            outcome = OrderOutcome.FAILED
+        except (http_errors.AiosonicError, OSError, ValueError, EOFError):
+            pass
+        post(orders.OrderEnded(effect.order, effect.endpoint, outcome))
+
+    def ask(self, effect: orders.AskEngine, post: Post) -> None:
+        self.tasks.spawn(self._ask(effect, post))
+
+    async def _ask(self, effect: orders.AskEngine, post: Post) -> None:
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                response = await self.client.get(
+                    f'http://{effect.address}/loaded')
+                if response.status_code != STATUS_OK:
+                    return
+                body: Any = await response.json()
+            loaded = Loaded(ModelId(str(body['model'])),
+                            WeightVersion(str(body['version'])),
+                            str(body['adapter']))
+            loading = bool(body['loading'])
+        except (http_errors.AiosonicError, OSError, ValueError, EOFError,
+                KeyError, TypeError):
+            return
+        post(orders.EngineReported(effect.endpoint, loaded, loading))
+
+
+def _outcome(status: int) -> OrderOutcome:
+    if status == STATUS_OK:
+        return OrderOutcome.DONE
+    if status == STATUS_FENCED:
+        return OrderOutcome.FENCED
+    return OrderOutcome.FAILED
--- a/src/plantainridge/standins/commands.py
+++ b/src/plantainridge/standins/commands.py
@@ -7,13 +7,17 @@
 import click
 
 from plantainridge import process, settings
-from plantainridge.ids import EndpointId, WeightVersion
+from plantainridge.ids import EndpointId, ModelId, WeightVersion
+from plantainridge.orders import Loaded
 from plantainridge.serve import AppServer
+from plantainridge.standins import engine_orders_http
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.engine_http import EngineApp
+from plantainridge.standins.engine_orders import OrderTaker
 from plantainridge.standins.log import LogApp, LogModel
 from plantainridge.standins.members import MembersApp, MembersModel
 from plantainridge.standins.service import ServiceApp, ServiceModel
+from plantainridge.standins.weights import WeightStore
 
 
 class ServedPart(process.Part):
@@ -61,11 +65,18 @@
 @standin.command()
 @settings.option('--name', type=settings.NAME, default='engine')
 @settings.option('--weights', default='v1', help='Weight version it serves.')
+@click.option('--model', default='report', help='Model that it runs.')
 @click.pass_obj
-def engine(serve: Serve, name: str, weights: str) -> None:
+def engine(serve: Serve, name: str, weights: str, model: str) -> None:
     """A model engine."""
-    serve(lambda: EngineApp(
-        EngineModel(EndpointId(name), WeightVersion(weights))).app)
+
+    def make_app() -> Any:
+        running = EngineModel(EndpointId(name), WeightVersion(weights))
+        taker = OrderTaker(running, WeightStore(),
+                           Loaded(ModelId(model), running.version, ''))
+        return EngineApp(running, engine_orders_http.routes(taker)).app
+
+    serve(make_app)
 
 
 @standin.command()
--- a/src/plantainridge/standins/engine_http.py
+++ b/src/plantainridge/standins/engine_http.py
@@ -85,13 +85,15 @@
 class EngineApp:
     """Routes of one engine."""
 
-    def __init__(self, model: EngineModel) -> None:
+    def __init__(self, model: EngineModel,
+                 orders: Iterable[Route] = ()) -> None:
         self.model = model
         self.life = uuid.uuid4().hex
         self.journal = Journal()
         self.app = Starlette(routes=[
             Route('/v1/completions', self.complete, methods=['POST']),
             Route('/feed', self.feed),
+            *orders,
         ])
 
     async def complete(self, request: Request) -> Response:
--- /dev/null
+++ b/src/plantainridge/standins/engine_orders_http.py
@@ -0,0 +1,45 @@
+"""HTTP face of an engine's order interface."""
+
+from typing import Final
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from plantainridge.ids import ModelId, WeightVersion
+from plantainridge.orders import Loaded, OrderOutcome
+from plantainridge.orders_http import STATUS_FENCED
+from plantainridge.standins.engine_orders import OrderTaker
+
+_STATUS: Final = {
+    OrderOutcome.DONE: 200,
+    OrderOutcome.FENCED: STATUS_FENCED,
+    OrderOutcome.FAILED: 503,
+    OrderOutcome.UNKNOWN: 503,
+}
+
+
+def routes(taker: OrderTaker) -> list[Route]:
+    """Returns the routes of one engine's order interface."""
+
+    async def order(request: Request) -> Response:
+        body = await request.json()
+        target = Loaded(ModelId(body['model']), WeightVersion(body['version']),
+                        body['adapter'])
+        outcome = await taker.order(body['fence'], target)
+        return JSONResponse({'outcome': outcome.value},
+                            status_code=_STATUS[outcome])
+
+    async def loaded(request: Request) -> Response:
+        del request
+        return JSONResponse({
+            'model': taker.loaded.model,
+            'version': taker.loaded.version,
+            'adapter': taker.loaded.adapter,
+            'loading': taker.loading,
+        })
+
+    return [
+        Route('/orders', order, methods=['POST']),
+        Route('/loaded', loaded),
+    ]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -8,10 +8,16 @@
 
 from plantainridge import lease_records as lr
 from plantainridge import leases, paused
-from plantainridge.events import LoadReported, Record
+from plantainridge.events import Event, LoadReported, Record
+from plantainridge.http_ports import Tasks, new_client
 from plantainridge.ids import Incarnation, WeightVersion
-from plantainridge.orders import OrderOutcome
+from plantainridge.orders import (AskEngine, EngineReported, OrderEnded,
+                                  OrderEngine, OrderOutcome)
+from plantainridge.orders_http import HttpOrderPort
+from plantainridge.serve import AppServer
+from plantainridge.standins import engine_orders_http
 from plantainridge.standins.engine import PREFILL_TOKENS_PER_S, token_at
+from plantainridge.standins.engine_http import EngineApp
 from plantainridge.standins.memory import Told
 from plantainridge.standins.memory_log import LogFaults
 from plantainridge.standins.world import DC, MODEL, VERSION, Vm, World
@@ -184,6 +190,7 @@
             self.assertLessEqual(world.weights.most_loading, 2)
             served = self._versions(world, asked)
             self.assertEqual(served, {VERSION, V2})
+            self.assertEqual(world.audit.foreign, [])
 
         paused.run(scenario())
 
@@ -227,3 +234,39 @@
             self.assertLessEqual(world.weights.most_loading, 2)
 
         paused.run(scenario())
+
+
+class SocketTest(unittest.TestCase):
+    """Orders pass over loopback, with every typed outcome."""
+
+    def test_orders_over_http(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=0, engines=1)
+            taker = next(iter(world.orders.values()))
+            app = EngineApp(taker.engine, engine_orders_http.routes(taker)).app
+            server = AppServer(app, '127.0.0.1', 0)
+            await server.start()
+            tasks, client = Tasks(), new_client()
+            port = HttpOrderPort(client, tasks)
+            got = asyncio.Queue[Event]()
+            name = taker.engine.name
+            target = attrs.evolve(taker.loaded, version=V2)
+            for fence, address, outcome in ((7, server.address,
+                                             OrderOutcome.DONE),
+                                            (3, server.address,
+                                             OrderOutcome.FENCED),
+                                            (8, '127.0.0.1:9',
+                                             OrderOutcome.FAILED)):
+                port.order(OrderEngine('o', name, address, fence, target),
+                           got.put_nowait)
+                self.assertEqual(await got.get(),
+                                 OrderEnded('o', name, outcome))
+            port.ask(AskEngine(name, server.address), got.put_nowait)
+            self.assertEqual(await got.get(),
+                             EngineReported(name, target, False))
+            await tasks.cancel()
+            await client.aclose()
+            await server.stop()
+
+        asyncio.run(scenario())
