--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -19,6 +19,7 @@
 from plantainridge import paused
 from plantainridge.ids import EndpointId, TeamId, WeightVersion
 from plantainridge.standins import world as worlds
+from plantainridge.standins.memory import EngineFaults
 from plantainridge.standins.oracle import Oracle, Violation
 from plantainridge.standins.world import Vm, World
 
@@ -83,6 +84,7 @@
 
 vm_index = st.integers(0, VMS - 1)
 engine_index = st.integers(0, ENGINES - 1)
+store_index = st.integers(0, len(worlds.STORES) - 1)
 
 
 class WorldMachine(stateful.RuleBasedStateMachine):
@@ -154,6 +156,16 @@
         self.act(lambda: _drop(
             self.world.ask_model(target, TEXTS[text], tokens, team)))
 
+    @stateful.rule(text=st.integers(0, len(TEXTS) - 1))
+    @counted
+    def ask_everywhere(self, text: int) -> None:
+        """A caller of each team asks each VM at once."""
+        for index in range(VMS):
+            target = self.live(index)
+            for team in TEAMS:
+                self.act(lambda vm=target, who=team: _drop(  # type: ignore
+                    self.world.ask_model(vm, TEXTS[text], 20, who)))
+
     @stateful.rule(vm=vm_index, team=st.sampled_from(TEAMS))
     @counted
     def call_ledger(self, vm: int, team: Any) -> None:
@@ -199,7 +211,8 @@
 
     # --- Time ---------------------------------------------------------------
 
-    @stateful.rule(seconds=st.sampled_from([0.002, 0.02, 0.1, 0.5, 2.0, 10.0]))
+    @stateful.rule(
+        seconds=st.sampled_from([0.002, 0.02, 0.1, 0.5, 2.0, 10.0, 90.0]))
     @counted
     def wait(self, seconds: float) -> None:
         """Time passes."""
@@ -264,6 +277,35 @@
         self.world.vms[vm].services.faults.cross = chance
         self.world.vms[vm].services.faults.hang = chance / 2
 
+    @stateful.rule(chance=st.sampled_from([0.0, 0.02, 0.2]), vm=vm_index)
+    @counted
+    def garble_streams(self, chance: float, vm: int) -> None:
+        """Pieces of answers are lost, come twice, or are another's."""
+        self.world.vms[vm].engines.faults = EngineFaults(chance, chance, chance)
+
+    @stateful.rule(store=store_index)
+    @counted
+    def end_store(self, store: int) -> None:
+        """A store dies, or comes back empty."""
+        model = self.world.stores[worlds.STORES[store]]
+        self.act(model.die if model.alive else model.restart)
+
+    @stateful.rule(store=store_index,
+                   full=st.booleans(),
+                   slowdown=st.sampled_from([1.0, 10.0, 1_000.0]))
+    @counted
+    def trouble_store(self, store: int, full: bool, slowdown: float) -> None:
+        """A store takes no writes, or its link slows down."""
+        model = self.world.stores[worlds.STORES[store]]
+        model.refuses_writes = full
+        model.link.slowdown = slowdown
+
+    @stateful.rule(chance=st.sampled_from([0.01, 0.5, 1.0]))
+    @counted
+    def lose_cache_events(self, chance: float) -> None:
+        """Cache events have gaps."""
+        self.world.feed_settings.gap_chance = chance
+
     @stateful.rule(vm=vm_index)
     @counted
     def pause_vm(self, vm: int) -> None:
@@ -360,6 +402,7 @@
             if vm.runtime.halted:
                 self.renew(vm)
         self.pass_time(SETTLE_S)
+        self.within(self.oracle.probe)
         violations = self.oracle.judge()
         self.runner.close()
         if not violations:
