--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -3,50 +3,107 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge import admission, choices, transfers, versions
+from plantainridge import (admission, choices, health, retries, transfers,
+                           versions)
+from plantainridge.admission import Expected
 from plantainridge.calls import Attempt, Call
-from plantainridge.effects import (CancelAttempt, Effect, FinishAnswer, Observe,
-                                   Refuse, SendTokens, StartAttempt)
+from plantainridge.effects import (CancelAttempt, CancelTimer, Effect,
+                                   FinishAnswer, Observe, Refuse, SendTokens,
+                                   SetTimer, StartAttempt)
 from plantainridge.endpoints import EndpointView
 from plantainridge.events import (AttemptEnded, AttemptFailed, CallerGone,
-                                  Failure, ModelCalled, TokensArrived)
+                                  Failure, ModelCalled, TimerFired, TimerKey,
+                                  TimerKind, TokensArrived)
 from plantainridge.ids import AttemptId, EndpointId, RequestId
 from plantainridge.lifecycles import REQUEST, RequestPhase
 from plantainridge.refusals import RanState, Reason, Refusal
-from plantainridge.routing import NoEndpoint
+from plantainridge.routing import Choice, NoEndpoint
 from plantainridge.state import VmState
 
-MAX_TRIES: Final = 3
-# How long an endpoint that broke a connection gets no new work.
-DOWN_S: Final = 2.0
+# An attempt without a first token is given up after the larger of the
+# promised and the expected time, times this.
+FIRST_TOKEN_PATIENCE: Final = 4.0
+FIRST_TOKEN_LEAST_S: Final = 4.0
+# Longest pause between two tokens of an attempt, in s.
+STALL_S: Final = 10.0
 
 
 def on_model_called(state: VmState, event: ModelCalled,
                     now: float) -> Iterator[Effect]:
     """Takes a request in and dispatches it, or refuses it."""
-    refusal = admission.refuse_now(state, event)
+    refusal = admission.refuse_now(state, event, now)
     if refusal is not None:
         yield Refuse(event.request, refusal)
         return
-    call = Call(event, arrived_at=now)
-    state.calls.calls[event.request] = call
-    yield from _dispatch(state, call, event, now)
+    team = state.config.teams[event.team]
+    call = Call(event,
+                arrived_at=now,
+                team_priority=team.priority,
+                priority=admission.rank(state, team),
+                promised_s=team.first_token_s)
+    choice = choices.choose(state, call, event, now)
+    if isinstance(choice, NoEndpoint):
+        yield Refuse(
+            event.request,
+            Refusal(Reason.NO_ENDPOINT,
+                    RanState.NOT_RUN,
+                    choice.detail,
+                    retry_after_s=retries.RETRY_AFTER_S))
+        return
+    expected = admission.expect(state, choice, now)
+    if not admission.in_time(state, call, event.team, expected):
+        choice, expected = _sooner(state, call, event, choice, now)
+    refusal = admission.refuse_late(state, call, event, expected, now)
+    if refusal is not None:
+        yield Refuse(event.request, refusal)
+        return
+    state.calls.open(call)
+    retries.note_first_attempt(state, event.team, choice.endpoint)
+    yield from _follow(state, call, event, choice, now)
+
+
+def _sooner(state: VmState, call: Call, asked: ModelCalled, choice: Choice,
+            now: float) -> tuple[Choice, Expected]:
+    """Returns the sooner of a choice and of the best one elsewhere."""
+    expected = admission.expect(state, choice, now)
+    other = choices.choose(state, call, asked, now,
+                           frozenset([choice.endpoint]))
+    if isinstance(other, NoEndpoint):
+        return choice, expected
+    elsewhere = admission.expect(state, other, now)
+    if elsewhere.first_token_s < expected.first_token_s:
+        return other, elsewhere
+    return choice, expected
 
 
 def _dispatch(state: VmState, call: Call, asked: ModelCalled,
               now: float) -> Iterator[Effect]:
+    """Dispatches a call again, or lets it wait for an endpoint."""
     asked = versions.current(state, call, asked, now)
     choice = choices.choose(state, call, asked, now)
-    if isinstance(choice, NoEndpoint):
-        yield from _refuse(
-            state, call, asked.request,
-            Refusal(Reason.NO_ENDPOINT,
-                    RanState.RAN if call.delivered else RanState.NOT_RUN,
-                    choice.detail,
-                    retry_after_s=1.0))
+    if not isinstance(choice, NoEndpoint):
+        retries.note_retry(state, choice.endpoint)
+        yield from _follow(state, call, asked, choice, now)
         return
+    if now - call.progress_at < retries.WAIT_LIMIT_S:
+        REQUEST.fire(call, 'wait')
+        yield SetTimer(TimerKey(TimerKind.RETRY, asked.request),
+                       now + retries.WAIT_STEP_S)
+        return
+    yield from _refuse(
+        state, call, asked.request,
+        Refusal(Reason.NO_ENDPOINT,
+                call.ran,
+                choice.detail,
+                retry_after_s=retries.RETRY_AFTER_S))
+
+
+def _follow(state: VmState, call: Call, asked: ModelCalled, choice: Choice,
+            now: float) -> Iterator[Effect]:
     view = state.endpoints[choice.endpoint]
+    call.expected_s = admission.expect(state, choice, now).first_token_s
     view.note_sent(now, choice.compute_tokens)
+    state.health.of(view.id).sent.add(choice.compute_tokens, now)
     if choice.fetch is not None:
         yield from transfers.fetch(state, asked.request, choice.endpoint,
                                    choice.fetch, now)
@@ -58,12 +115,14 @@
                   view: EndpointView, now: float) -> Iterator[Effect]:
     """Dispatches a request to the endpoint that was chosen for it."""
     call.tries += 1
+    call.progress_at = now
     attempt = AttemptId(f'{asked.request}.{call.tries}')
     call.attempt = attempt
     state.calls.attempts[attempt] = Attempt(attempt, asked.request, view.id,
-                                            now)
+                                            now, call.expected_s)
     view.own.add(attempt)
     REQUEST.fire(call, 'dispatch')
+    yield SetTimer(_deadline(attempt), now + _patience_s(call, call.expected_s))
     yield StartAttempt(attempt=attempt,
                        request=asked.request,
                        endpoint=view.id,
@@ -74,7 +133,7 @@
                        adapter=asked.adapter,
                        prompt=asked.prompt,
                        max_tokens=asked.max_tokens,
-                       priority=state.config.teams[asked.team].priority,
+                       priority=call.priority,
                        resume_from=len(call.delivered),
                        delivered=tuple(call.delivered))
 
@@ -95,11 +154,16 @@
         return
     if call.phase is RequestPhase.DISPATCHED:
         REQUEST.fire(call, 'stream')
+        attempt = state.calls.attempts[event.attempt]
+        health.note_first_token(state, attempt.endpoint,
+                                now - attempt.started_at, attempt.expected_s,
+                                now)
     if call.first_token_at is None:
         call.first_token_at = now
         call.cached_tokens = event.cached_tokens
         yield Observe('first_token_s', asked.team, asked.model,
                       now - call.arrived_at)
+    call.progress_at = now
     call.delivered.extend(event.tokens)
     yield SendTokens(asked.request, event.tokens)
 
@@ -116,8 +180,8 @@
             state, AttemptFailed(event.attempt, Failure.MISMATCHED), now)
         return
     REQUEST.fire(call, 'finish')
-    _forget_attempt(state, event.attempt)
-    del state.calls.calls[asked.request]
+    yield from _forget_attempt(state, event.attempt)
+    state.calls.close(asked.request)
     yield FinishAnswer(asked.request, asked.prompt.tokens, call.cached_tokens,
                        event.total)
 
@@ -130,26 +194,52 @@
         return
     attempt = state.calls.attempts[event.attempt]
     if event.failure is Failure.OTHER_VERSION:
-        _forget_attempt(state, event.attempt)
+        yield from _forget_attempt(state, event.attempt)
+        call.attempt = None
         versions.on_refused(state, call, attempt.endpoint, event.version)
         yield from _dispatch(state, call, call.asked, now)
         return
-    view = state.endpoints.get(attempt.endpoint)
-    if view is not None and event.failure is not Failure.REJECTED:
-        view.down_until = now + DOWN_S
+    health.note_failure(state, attempt.endpoint, event.failure, now)
     call.tried.add(attempt.endpoint)
-    _forget_attempt(state, event.attempt)
-    if call.tries >= MAX_TRIES:
-        yield from _refuse(
-            state, call, call.asked.request,
-            Refusal(Reason.ENDPOINT_FAILED,
-                    RanState.RAN if call.delivered else RanState.UNKNOWN,
-                    f'{call.tries} endpoints failed the request',
-                    retry_after_s=1.0))
+    if event.failure not in retries.SURELY_NOT_RUN:
+        call.may_have_run = True
+    yield from _forget_attempt(state, event.attempt)
+    call.attempt = None
+    step = retries.after_failure(state, call, event.failure)
+    if isinstance(step, retries.GiveUp):
+        yield from _refuse(state, call, call.asked.request, step.refusal)
         return
     yield from _dispatch(state, call, call.asked, now)
 
 
+def on_deadline(state: VmState, event: TimerFired,
+                now: float) -> Iterator[Effect]:
+    """Gives an attempt up that has made no progress for too long."""
+    name = AttemptId(event.key.subject)
+    call = state.calls.of_attempt(name)
+    if call is None or not isinstance(call.asked, ModelCalled):
+        return
+    attempt = state.calls.attempts[name]
+    due = call.progress_at + STALL_S
+    if call.phase is RequestPhase.DISPATCHED:
+        due = attempt.started_at + _patience_s(call, attempt.expected_s)
+    if now < due:
+        yield SetTimer(event.key, due)
+        return
+    yield CancelAttempt(name)
+    yield from on_attempt_failed(state, AttemptFailed(name, Failure.TIMED_OUT),
+                                 now)
+
+
+def on_retry(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
+    """Looks again for an endpoint for a call that waits."""
+    call = state.calls.calls.get(RequestId(event.key.subject))
+    if call is None or call.phase is not RequestPhase.WAITING:
+        return
+    if isinstance(call.asked, ModelCalled):
+        yield from _dispatch(state, call, call.asked, now)
+
+
 def on_caller_gone(state: VmState, event: CallerGone,
                    now: float) -> Iterator[Effect]:
     """Cancels the attempt of a caller that hung up."""
@@ -159,26 +249,36 @@
         return
     if call.attempt is not None:
         yield CancelAttempt(call.attempt)
-        _forget_attempt(state, call.attempt)
-    del state.calls.calls[event.request]
+        yield from _forget_attempt(state, call.attempt)
+    state.calls.close(event.request)
 
 
 def _refuse(state: VmState, call: Call, request: RequestId,
             refusal: Refusal) -> Iterator[Effect]:
     REQUEST.fire(call, 'refuse')
-    del state.calls.calls[request]
+    state.calls.close(request)
     yield Refuse(request, refusal)
 
 
-def _forget_attempt(state: VmState, attempt: AttemptId) -> None:
+def _forget_attempt(state: VmState, attempt: AttemptId) -> Iterator[Effect]:
     found = state.calls.attempts.pop(attempt, None)
     if found is None:
         return
+    yield CancelTimer(_deadline(attempt))
     view = state.endpoints.get(found.endpoint)
     if view is not None:
         view.own.discard(attempt)
 
 
+def _deadline(attempt: AttemptId) -> TimerKey:
+    return TimerKey(TimerKind.DEADLINE, attempt)
+
+
+def _patience_s(call: Call, expected_s: float) -> float:
+    longest = max(call.promised_s, expected_s)
+    return max(FIRST_TOKEN_LEAST_S, FIRST_TOKEN_PATIENCE * longest)
+
+
 def on_fetch_over(state: VmState, request: RequestId, endpoint: EndpointId,
                   now: float) -> Iterator[Effect]:
     """Dispatches a request whose fetch ended, was given up or failed."""
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -13,11 +13,16 @@
 from plantainridge.directory import Directory
 from plantainridge.endpoints import EngineIndex, EndpointView
 from plantainridge.exchange import ExchangeState
+from plantainridge.fairness import FairnessState
+from plantainridge.health import HealthState
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
 from plantainridge.leases import LeasesState
+from plantainridge.limits import LimitsState
 from plantainridge.links import LinkTable
 from plantainridge.members import MembersState
+from plantainridge.quarantine import QuarantineState
 from plantainridge.readiness import Readiness
+from plantainridge.retries import RetriesState
 from plantainridge.revisions import RevisionsState
 from plantainridge.returning import Returning
 from plantainridge.returns import ReturnTable
@@ -53,7 +58,13 @@
         members: Which VMs live.
         tick_s: Period of the work that is done from time to time, in s.
         claims: Calls that must run at most once.
-        stopping: Whether a graceful shutdown was asked for.
+        limits: Demand of teams and their shares of limits.
+        fairness: Teams that ask for more than their fair part.
+        health: What was seen of each endpoint.
+        retries: Budgets for retries.
+        quarantine: Requests that may crash endpoints.
+        stopping_since: Loop time of the word to shut down, in s, or None.
+        exiting: Whether the process was told to end.
     """
 
     vm: VmId
@@ -78,7 +89,18 @@
     members: MembersState = attrs.field(factory=MembersState)
     tick_s: float = 0.25
     claims: ClaimsState = attrs.field(factory=ClaimsState)
-    stopping: bool = False
+    limits: LimitsState = attrs.field(factory=LimitsState)
+    fairness: FairnessState = attrs.field(factory=FairnessState)
+    health: HealthState = attrs.field(factory=HealthState)
+    retries: RetriesState = attrs.field(factory=RetriesState)
+    quarantine: QuarantineState = attrs.field(factory=QuarantineState)
+    stopping_since: float | None = None
+    exiting: bool = False
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a graceful shutdown was asked for."""
+        return self.stopping_since is not None
 
     @property
     def ready(self) -> bool:
--- a/src/plantainridge/versions.py
+++ b/src/plantainridge/versions.py
@@ -63,15 +63,6 @@
     return int.from_bytes(digest, 'big') / _HASH_RANGE
 
 
-def others(state: 'VmState', model: ModelId,
-           version: WeightVersion) -> frozenset[EndpointId]:
-    """Returns the engines that are known to run another version."""
-    engines = state.index.engines(state.endpoints, model, state.dc)
-    return frozenset(view.id
-                     for view in engines.by_id.values()
-                     if view.version not in (version, UNKNOWN_VERSION))
-
-
 def current(state: 'VmState', call: Call, asked: ModelCalled,
             now: float) -> ModelCalled:
     """Returns a request, bound anew if no engine left may run its version.
