--- a/src/plantainridge/standins/faults.py
+++ b/src/plantainridge/standins/faults.py
@@ -8,6 +8,8 @@
 import attrs
 
 from plantainridge.ids import EndpointId
+from plantainridge.standins.crashing import CRASH_MARK
+from plantainridge.standins.feeds import GAP_CHANCE
 from plantainridge.standins.memory import MemoryMembers
 from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
 from plantainridge.standins.memory_services import ServiceFaults
@@ -18,6 +20,8 @@
 LOST_ANSWERS_S: Final = 5.0
 SLOW_LOG_S: Final = 2.0
 REPLACED_AFTER_S: Final = 2.0
+SLOWDOWN: Final = 1_000.0
+POISON_TOKENS: Final = 20
 
 
 class Fault(abc.ABC):
@@ -213,10 +217,91 @@
         return ''
 
 
+class StoreDies(Fault):
+    """Every store dies and comes back empty."""
+
+    name = 'store_dies'
+
+    def strike(self, scene: Scene) -> None:
+        stores = scene.world.stores.values()
+        for store in stores:
+            store.die()
+
+        def end() -> None:
+            for store in stores:
+                if not store.alive:
+                    store.restart()
+
+        _later(OUTAGE_S, end)
+
+
+class StoreFull(Fault):
+    """Stores take no writes for a while."""
+
+    name = 'store_full'
+
+    def strike(self, scene: Scene) -> None:
+        stores = scene.world.stores.values()
+        for store in stores:
+            store.refuses_writes = True
+
+        def end() -> None:
+            for store in stores:
+                store.refuses_writes = False
+
+        _later(OUTAGE_S, end)
+
+
+class LinkSlow(Fault):
+    """The stores' links slow down to a thousandth."""
+
+    name = 'link_slow'
+
+    def strike(self, scene: Scene) -> None:
+        stores = scene.world.stores.values()
+        for store in stores:
+            store.link.slowdown = SLOWDOWN
+
+        def end() -> None:
+            for store in stores:
+                store.link.slowdown = 1.0
+
+        _later(OUTAGE_S, end)
+
+
+class EventsWithGaps(Fault):
+    """Every cache event is missed for a while."""
+
+    name = 'events_with_gaps'
+
+    def strike(self, scene: Scene) -> None:
+        settings = scene.world.feed_settings
+        settings.gap_chance = 1.0
+
+        def end() -> None:
+            settings.gap_chance = GAP_CHANCE
+
+        _later(OUTAGE_S, end)
+
+
+class PoisonRequest(Fault):
+    """A request comes that crashes each engine that runs it."""
+
+    name = 'poison_request'
+
+    def strike(self, scene: Scene) -> None:
+        poison = f'{CRASH_MARK} {scene.signs}'
+        # The caller sends it again by every VM.
+        for vm in scene.world.vms:
+            scene.world.ask_model(vm, poison, POISON_TOKENS)
+
+
 FAULTS: Final[tuple[type[Fault],
                     ...]] = (VmKilled, VmPaused, LogDown, LogSlow, AnswerLost,
                              AppendDelayed, OperatorsRace, DcCutFromOthers,
-                             DcCutFromPlatform, EndpointLeaving, EngineCrashed)
+                             DcCutFromPlatform, EndpointLeaving, EngineCrashed,
+                             StoreDies, StoreFull, LinkSlow, EventsWithGaps,
+                             PoisonRequest)
 
 
 def _cut(scene: Scene, pairs: set[frozenset[str]]) -> None:
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -15,6 +15,7 @@
 from plantainridge.revisions import Revision, encode
 from plantainridge.runtime import Runtime
 from plantainridge.standins.audit import Audit
+from plantainridge.standins.crashing import CrashingEngine
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.engine_orders import MemoryOrderPort, OrderTaker
 from plantainridge.standins.feeds import (GAP_CHANCE, EngineFeed, FeedSettings,
@@ -139,9 +140,9 @@
         self.audit = Audit()
         self.config = declared or sample_config(engines)
         self.log.append('config', 0, [encode(Revision(-1, self.config))])
-        self.engines = {
+        self.engines: dict[EndpointId, EngineModel] = {
             EndpointId(f'e{i}'):
-                EngineModel(EndpointId(f'e{i}'), VERSION, audit=self.audit)
+                CrashingEngine(EndpointId(f'e{i}'), VERSION, audit=self.audit)
             for i in range(engines)
         }
         self.weights = WeightStore()
