Bound the claim table to 32 MB and test repeatable service calls

Cause: 100,000 entries a shard took half of a node's 128 MB, and nothing tested retries, crossed answers and timeouts of unmarked service calls. Measurement: 636 bytes an entry with a short answer, 7.7 us a record decoded and applied (100,000 claims with outcomes, one loop). The three service tests pass; refused connections alone are told as not_run. Conclusion: memory is bounded, and fullness costs refusals of old keys only.

--- a/src/plantainridge/claim_state.py
+++ b/src/plantainridge/claim_state.py
@@ -118,7 +118,7 @@
     clock_margin_s: float = 60.0
     claim_timeout_s: float = 2.0
     outcome_wait_s: float = 10.0
-    max_entries: int = 100_000
+    max_entries: int = 50_000
 
     @property
     def window_s(self) -> float:
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,93 @@
+"""Tests of calls to plain services that may be repeated."""
+
+import asyncio
+import unittest
+
+import attrs
+
+from plantainridge import config, paused
+from plantainridge.ids import EndpointId
+from plantainridge.refusals import RanState, Reason, Refusal
+from plantainridge.standins.memory_services import ServiceFaults
+from plantainridge.standins.service import ServiceModel
+from plantainridge.standins.world import DC, LOOKUP, World
+
+# Longer than the time that an instance may take.
+LONG_S = 100.0
+
+
+async def two_instances() -> World:
+    """Returns a world in which a second instance of the service runs."""
+    world = World()
+    second = config.Endpoint(EndpointId('s-lookup-1'), DC,
+                             config.EndpointKind.SERVICE, LOOKUP,
+                             '127.0.0.1:8001')
+    world.services[second.id] = ServiceModel()
+    world.publish(
+        0,
+        attrs.evolve(world.config,
+                     endpoints={
+                         **world.config.endpoints, second.id: second
+                     }))
+    await asyncio.sleep(2)
+    return world
+
+
+class RetryTest(unittest.TestCase):
+    """A call that may be repeated is tried elsewhere."""
+
+    def test_goes_to_the_instance_that_can_be_reached(self) -> None:
+
+        async def scenario() -> None:
+            world = await two_instances()
+            world.network.cut.add(frozenset((world.vms[0].name, 's-lookup')))
+            tries = [
+                world.call_service(world.vms[0], LOOKUP) for _ in range(10)
+            ]
+            await asyncio.sleep(1)
+            self.assertEqual([t.status for t in tries], [200] * 10)
+            self.assertEqual([t.finals for t in tries], [1] * 10)
+
+        paused.run(scenario())
+
+    def test_tells_truly_whether_it_may_have_run(self) -> None:
+        cases = (
+            (ServiceFaults(refuse=1.0), RanState.NOT_RUN, 0),
+            (ServiceFaults(lose_answer=1.0), RanState.UNKNOWN, 2),
+            (ServiceFaults(cross=1.0), RanState.UNKNOWN, 2),
+            (ServiceFaults(hang=1.0), RanState.UNKNOWN, 2),
+        )
+
+        async def scenario(faults: ServiceFaults, ran: RanState,
+                           runs: int) -> None:
+            world = await two_instances()
+            world.vms[0].services.faults = faults
+            told = world.call_service(world.vms[0], LOOKUP, key='any')
+            await asyncio.sleep(LONG_S)
+            refusal = told.refusal
+            assert isinstance(refusal, Refusal)
+            self.assertEqual((refusal.reason, refusal.ran, told.finals),
+                             (Reason.ENDPOINT_FAILED, ran, 1))
+            self.assertEqual(
+                sum(model.runs.total() for model in world.services.values()),
+                runs)
+            self.assertEqual(world.vms[0].state.calls.attempts, {})
+
+        for case in cases:
+            with self.subTest(faults=case[0]):
+                paused.run(scenario(*case))
+
+    def test_forgets_a_caller_that_is_gone(self) -> None:
+
+        async def scenario() -> None:
+            world = await two_instances()
+            world.vms[0].services.run_s = 5.0
+            told = world.call_service(world.vms[0], LOOKUP)
+            await asyncio.sleep(1)
+            world.hang_up(world.asks[-1])
+            await asyncio.sleep(LONG_S)
+            self.assertEqual(told.finals, 0)
+            self.assertEqual(world.vms[0].state.calls.calls, {})
+            self.assertEqual(world.vms[0].state.calls.attempts, {})
+
+        paused.run(scenario())
