Keep crashing requests apart, and measure poison and drain

Cause: a request that crashes its endpoint was resumed on the next one, and its resends crashed more; nothing measured planned stops. Change: quarantine counts crashes by content over all VMs, tells them at once by a push (of other data centres too), tries suspects apart, refuses after two crashes and forgets after 600 s; bench poison and bench drain. A push now takes its own beat.

--- /dev/null
+++ b/src/plantainridge/bench_drain.py
@@ -0,0 +1,211 @@
+"""Bench of planned stops, a killed VM and leaving endpoints, under load."""
+
+import asyncio
+import random
+from typing import Any, Final
+
+import attrs
+import click
+
+from plantainridge import benches, paused
+from plantainridge.bench_overload import asks_of
+from plantainridge.ids import EndpointId
+from plantainridge.refusals import RanState, Reason
+from plantainridge.standins.engine import EngineModel, Job
+from plantainridge.standins.memory import Told
+from plantainridge.standins.traffic import Ask, Platform, declare, new_team
+from plantainridge.standins.world import VERSION, Vm, World
+
+VMS: Final = 7
+ENGINES: Final = 5
+WARM_S: Final = 8.0
+LOAD_RPS: Final = 12.0
+SETTLE_S: Final = 40.0
+POLL_S: Final = 0.1
+# Time between two planned stops, in s.
+PAUSE_S: Final = 2.0
+# Stop before which a VM is killed instead of asked.
+KILLED: Final = 3
+# Time in which no new work may reach an endpoint that leaves, in s.
+LEAVE_S: Final = 3.0
+BY_SHEET: Final = EndpointId('e0')
+BY_LIST: Final = EndpointId('e1')
+RESENDS: Final = 10
+RESEND_S: Final = 0.5
+
+
+class WatchedEngine(EngineModel):
+    """An engine that knows when each job came.
+
+    Attributes:
+        came_at: Loop times at which jobs came, in s.
+    """
+
+    def __init__(self, name: EndpointId) -> None:
+        super().__init__(name, VERSION)
+        self.came_at: list[float] = []
+
+    def submit(self, job: Job) -> None:
+        self.came_at.append(asyncio.get_running_loop().time())
+        super().submit(job)
+
+
+@attrs.frozen
+class DrainFigures:
+    """Figures of one run.
+
+    Attributes:
+        late_dispatches: Jobs that reached a leaving endpoint later than
+            `LEAVE_S` after the word.
+        cut_requests: Requests on VMs asked to stop that got no whole answer
+            though they may have run, no final word, or were turned away.
+        lost_requests: Requests without a whole answer after all resends.
+        replaced_vms: VMs that were replaced.
+    """
+
+    late_dispatches: int
+    cut_requests: int
+    lost_requests: int
+    replaced_vms: int
+
+
+class _Run:
+    """A load on a fresh world while its VMs are replaced one by one."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.team = new_team('crews', first_token_s=5.0)
+        self.world = World(VMS,
+                           ENGINES,
+                           seed,
+                           declared=declare([self.team], ENGINES))
+        self.engines = [WatchedEngine(name) for name in self.world.engines]
+        self.world.engines.update({each.name: each for each in self.engines})
+        self.platform = Platform(self.world, self.rng.getrandbits(32))
+        self.callers: set[asyncio.Task[bool]] = set()
+        self.sent: list[tuple[Vm, Told]] = []
+        self.stopped: list[Vm] = []
+        self.left_at: dict[EndpointId, float] = {}
+        self.replaced = 0
+
+    async def run(self) -> DrainFigures:
+        """Replaces every VM and waits for every final word."""
+        await asyncio.sleep(WARM_S)
+        sending = asyncio.create_task(self._send())
+        for number in range(VMS):
+            await asyncio.sleep(PAUSE_S)
+            await self._replace(self.world.vms[number], number == KILLED)
+            self._let_leave(number)
+        await asyncio.sleep(PAUSE_S + LEAVE_S)
+        sending.cancel()
+        whole = await asyncio.gather(*self.callers)
+        await asyncio.sleep(SETTLE_S)
+        self.platform.stop()
+        for vm in self.world.vms:
+            vm.runtime.halt()
+        return DrainFigures(
+            late_dispatches=self._late(),
+            cut_requests=sum(
+                _is_cut(told) for vm, told in self.sent if vm in self.stopped),
+            lost_requests=whole.count(False),
+            replaced_vms=self.replaced)
+
+    async def _replace(self, vm: Vm, kill: bool) -> None:
+        if kill:
+            self.world.kill_vm(vm)
+        else:
+            self.stopped.append(vm)
+            self.world.stopper(vm)()
+            while not vm.exited:
+                await asyncio.sleep(POLL_S)
+        renewed = self.world.replace_vm(vm)
+        while not renewed.state.ready:
+            await asyncio.sleep(POLL_S)
+        self.replaced += 1
+
+    def _let_leave(self, number: int) -> None:
+        """Takes an endpoint out by the sheet, and one by the list."""
+        now = asyncio.get_running_loop().time()
+        if number == 1:
+            config = self.world.config
+            leaving = attrs.evolve(config.endpoints[BY_SHEET], leaving=True)
+            self.world.publish(
+                0,
+                attrs.evolve(config,
+                             endpoints={
+                                 **config.endpoints, BY_SHEET: leaving
+                             }))
+            self.left_at[BY_SHEET] = now
+        if number == 4:
+            self.world.members.leaving_endpoints.add(BY_LIST)
+            self.world.members.changed()
+            # The list shows it only after its lag.
+            self.left_at[BY_LIST] = now + self.world.members.lag_s
+
+    def _late(self) -> int:
+        return sum(at > self.left_at[engine.name] + LEAVE_S
+                   for engine in self.engines if engine.name in self.left_at
+                   for at in engine.came_at)
+
+    async def _send(self) -> None:
+        asks = asks_of(self.team, self.rng)
+        while True:
+            await asyncio.sleep(self.rng.expovariate(LOAD_RPS))
+            task = asyncio.create_task(self._call(next(asks)))
+            self.callers.add(task)
+
+    async def _call(self, ask: Ask) -> bool:
+        """Sends a request until its whole answer came."""
+        for _ in range(RESENDS):
+            vm = self.platform.pick()
+            if vm is None or vm.runtime.halted:
+                await asyncio.sleep(RESEND_S)
+                continue
+            told = self.world.ask_model(vm, ask.text, ask.max_tokens, ask.team)
+            self.sent.append((vm, told))
+            while not told.finals and not vm.runtime.halted:
+                await asyncio.sleep(POLL_S)
+            if told.ended is not None:
+                return True
+            await asyncio.sleep(RESEND_S)
+        return False
+
+
+def _is_cut(told: Told) -> bool:
+    if told.ended is not None:
+        return False
+    refusal = told.refusal
+    return (refusal is None or refusal.ran is not RanState.NOT_RUN or
+            refusal.reason in (Reason.STOPPING, Reason.NOT_READY))
+
+
+def run(seed: int) -> dict[str, Any]:
+    """Runs the bench.
+
+    Args:
+        seed: Seed of everything random.
+    """
+    figures = paused.run(_start(seed))
+    found = [
+        f'{name}: {value}' for name, value in attrs.asdict(figures).items()
+        if name != 'replaced_vms' and value
+    ]
+    if figures.replaced_vms != VMS:
+        found.append(f'replaced_vms: {figures.replaced_vms}')
+    return {
+        'bench': 'drain',
+        'seed': seed,
+        'figures': attrs.asdict(figures),
+        'violations': found,
+    }
+
+
+async def _start(seed: int) -> DrainFigures:
+    return await _Run(seed).run()
+
+
+@click.command()
+@benches.options
+def command(seed: int) -> dict[str, Any]:
+    """Replaces every VM and lets endpoints leave, under load."""
+    return run(seed)
--- a/src/plantainridge/bench_overload.py
+++ b/src/plantainridge/bench_overload.py
@@ -114,7 +114,9 @@
 class _Load:
     """One load offered to a fresh world."""
 
-    def __init__(self, seed: int, load: float, capacity: float) -> None:
+    def __init__(self, seed: int, load: float, capacity: float,
+                 measured_s: float) -> None:
+        self.measured_s = measured_s
         self.rng = random.Random(f'{seed} {load}')
         self.victims = [
             new_team(f'victim{i}', priority=i % 3) for i in range(VICTIMS)
@@ -146,7 +148,7 @@
     async def _send(self, team: Team, rate: float) -> None:
         asks = asks_of(team, self.rng)
         loop = asyncio.get_running_loop()
-        until = loop.time() + WARM_S + MEASURED_S
+        until = loop.time() + WARM_S + self.measured_s
         while True:
             await asyncio.sleep(self.rng.expovariate(rate))
             if loop.time() >= until:
@@ -168,7 +170,7 @@
                        for o in measured
                        if o.told[0].refusal is not None)
         return LoadFigures(
-            goodput_rps=round(len(met) / MEASURED_S, 2),
+            goodput_rps=round(len(met) / self.measured_s, 2),
             promised_met_share=_share(len(met), len(taken)),
             victim_met_share=_share(len([o for o in sent if self._met(o)]),
                                     len(sent)),
@@ -183,20 +185,25 @@
     return round(part / whole, 4) if whole else 1.0
 
 
-async def _run_load(seed: int, load: float, capacity: float) -> LoadFigures:
-    return await _Load(seed, load, capacity).run()
+async def _run_load(seed: int, load: float, capacity: float,
+                    measured_s: float) -> LoadFigures:
+    return await _Load(seed, load, capacity, measured_s).run()
 
 
-def run(seed: int, loads: tuple[float, ...] = LOADS) -> dict[str, Any]:
+def run(seed: int,
+        loads: tuple[float, ...] = LOADS,
+        measured_s: float = MEASURED_S) -> dict[str, Any]:
     """Runs each load in a fresh world of its own.
 
     Args:
         seed: Seed of everything random.
         loads: Offered loads, as parts of the capacity.
+        measured_s: Time over which each load is measured, in s.
     """
     capacity = paused.run(capacity_rps(seed))
     figures = {
-        load: paused.run(_run_load(seed, load, capacity)) for load in loads
+        load: paused.run(_run_load(seed, load, capacity, measured_s))
+        for load in loads
     }
     return {
         'bench': 'overload',
--- a/src/plantainridge/calls.py
+++ b/src/plantainridge/calls.py
@@ -30,6 +30,7 @@
         priority: Rank within an engine, fixed when it was taken in.
         promised_s: Promised time to first token in s, fixed when taken in.
         expected_s: Expected time to first token of the last choice, in s.
+        suspect: Fingerprint once an endpoint crashed under it, or empty.
         progress_at: Loop time of its last dispatch or token, in s.
     """
 
@@ -47,6 +48,7 @@
     priority: int = 0
     promised_s: float = 0.0
     expected_s: float = 0.0
+    suspect: str = ''
     progress_at: float = 0.0
 
     @property
--- a/src/plantainridge/exchange.py
+++ b/src/plantainridge/exchange.py
@@ -192,6 +192,29 @@
     return found
 
 
+def push(state: 'VmState', topic: Topic) -> Iterator[Effect]:
+    """Sends an own value at once to every VM, of other data centres too.
+
+    For rare news that must not wait; it spreads by rounds all the same. It
+    takes a beat of its own, or a second push between two rounds would be
+    taken for the first.
+    """
+    exchange = state.exchange
+    if topic in exchange.own:
+        exchange.count += 1
+        exchange.said[topic] = exchange.count
+    value = _value(state, state.vm, topic)
+    if value is None:
+        return
+    targets = {
+        vm: member.address for vm, member in state.members.listed.items()
+    }
+    targets.update(peers(state))
+    targets.pop(state.vm, None)
+    for vm, address in targets.items():
+        yield _outgoing(state, vm, address, pm.News(0, {}, (value,)))
+
+
 def hasten(state: 'VmState', now: float) -> None:
     """Brings the next round forward: there is news that should not wait."""
     exchange = state.exchange
@@ -294,7 +317,8 @@
     """
     exchange = state.exchange
     exchange.names[_crc(message.vm)] = message.vm
-    if message.address:
+    listed = state.members.listed.get(message.vm)
+    if message.address and (listed is None or listed.dc == state.dc):
         exchange.addresses[message.vm] = message.address
     found = exchange.beats.get(message.vm)
     if found is not None and message.beat + REORDERED_ROUNDS < found.beat:
--- a/src/plantainridge/lifecycles.py
+++ b/src/plantainridge/lifecycles.py
@@ -70,7 +70,8 @@
         RequestPhase.DISPATCHED, RequestPhase.STREAMING
     ], RequestPhase.DISPATCHED),
     ('wait', [
-        RequestPhase.WAITING, RequestPhase.DISPATCHED, RequestPhase.STREAMING
+        RequestPhase.ADMITTED, RequestPhase.WAITING, RequestPhase.DISPATCHED,
+        RequestPhase.STREAMING
     ], RequestPhase.WAITING),
     ('stream', [RequestPhase.DISPATCHED, RequestPhase.STREAMING
                ], RequestPhase.STREAMING),
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -66,7 +66,7 @@
     events.LogRead: (revisions.on_log_read, claims.on_log_read),
     events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed),
     events.MembersListed: (members.on_listed,),
-    events.PeerSaid: (peering.on_peer_said,),
+    events.PeerSaid: (peering.on_peer_said, quarantine.on_peer_said),
 }
 
 
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge import admission, choices, health, retries, transfers
+from plantainridge import (admission, choices, health, quarantine, retries,
+                           transfers)
 from plantainridge.admission import Expected
 from plantainridge.calls import Attempt, Call
 from plantainridge.effects import (CancelAttempt, CancelTimer, Effect,
@@ -30,7 +31,8 @@
 def on_model_called(state: VmState, event: ModelCalled,
                     now: float) -> Iterator[Effect]:
     """Takes a request in and dispatches it, or refuses it."""
-    refusal = admission.refuse_now(state, event, now)
+    refusal = (admission.refuse_now(state, event, now) or
+               quarantine.refuse_known(state, event, now))
     if refusal is not None:
         yield Refuse(event.request, refusal)
         return
@@ -40,6 +42,11 @@
                 team_priority=team.priority,
                 priority=admission.rank(state, team),
                 promised_s=team.first_token_s)
+    if quarantine.adopt(state, call, now):
+        state.calls.open(call)
+        yield from quarantine.say(state, now)
+        yield from _wait(call, event, now)
+        return
     choice = choices.choose(state, call, event, now)
     if isinstance(choice, NoEndpoint):
         yield Refuse(
@@ -78,15 +85,20 @@
 def _dispatch(state: VmState, call: Call, asked: ModelCalled,
               now: float) -> Iterator[Effect]:
     """Dispatches a call again, or lets it wait for an endpoint."""
+    if call.suspect in state.quarantine.suspects:
+        # Takes its turn by the timer, when all that crashed are known.
+        if call.phase is not RequestPhase.WAITING:
+            yield from _wait(call, asked, now)
+            return
+        yield from _try_apart(state, call, asked, now)
+        return
     choice = choices.choose(state, call, asked, now)
     if not isinstance(choice, NoEndpoint):
         retries.note_retry(state, choice.endpoint)
         yield from _follow(state, call, asked, choice, now)
         return
     if now - call.progress_at < retries.WAIT_LIMIT_S:
-        REQUEST.fire(call, 'wait')
-        yield SetTimer(TimerKey(TimerKind.RETRY, asked.request),
-                       now + retries.WAIT_STEP_S)
+        yield from _wait(call, asked, now)
         return
     yield from _refuse(
         state, call, asked.request,
@@ -96,6 +108,30 @@
                 retry_after_s=retries.RETRY_AFTER_S))
 
 
+def _wait(call: Call, asked: ModelCalled, now: float) -> Iterator[Effect]:
+    REQUEST.fire(call, 'wait')
+    yield SetTimer(TimerKey(TimerKind.RETRY, asked.request),
+                   now + retries.WAIT_STEP_S)
+
+
+def _try_apart(state: VmState, call: Call, asked: ModelCalled,
+               now: float) -> Iterator[Effect]:
+    """Dispatches a suspect where no other is, or lets it wait its turn."""
+    suspect = state.quarantine.suspects[call.suspect]
+    if suspect.total >= quarantine.MAX_CRASHES:
+        yield from _refuse(state, call, asked.request,
+                           quarantine.convicted(call.ran))
+        return
+    endpoint = quarantine.trial_endpoint(state, call, now)
+    if not endpoint:
+        yield from _wait(call, asked, now)
+        return
+    quarantine.note_trial(state, call, endpoint, now)
+    yield from quarantine.say(state, now)
+    yield from _follow(state, call, asked, Choice(endpoint,
+                                                  asked.prompt.tokens), now)
+
+
 def _follow(state: VmState, call: Call, asked: ModelCalled, choice: Choice,
             now: float) -> Iterator[Effect]:
     view = state.endpoints[choice.endpoint]
@@ -180,6 +216,7 @@
     REQUEST.fire(call, 'finish')
     yield from _forget_attempt(state, event.attempt)
     state.calls.close(asked.request)
+    yield from quarantine.note_closed(state, call, True, now)
     yield FinishAnswer(asked.request, asked.prompt.tokens, call.cached_tokens,
                        event.total)
 
@@ -197,6 +234,13 @@
         call.may_have_run = True
     yield from _forget_attempt(state, event.attempt)
     call.attempt = None
+    if event.failure is Failure.BROKEN:
+        verdict = quarantine.note_crash(state, call, attempt, now)
+        yield from quarantine.say(state, now)
+        if verdict is quarantine.Verdict.CONVICTED:
+            yield from _refuse(state, call, call.asked.request,
+                               quarantine.convicted(call.ran))
+            return
     step = retries.after_failure(state, call, event.failure)
     if isinstance(step, retries.GiveUp):
         yield from _refuse(state, call, call.asked.request, step.refusal)
@@ -235,7 +279,6 @@
 def on_caller_gone(state: VmState, event: CallerGone,
                    now: float) -> Iterator[Effect]:
     """Cancels the attempt of a caller that hung up."""
-    del now
     call = state.calls.calls.get(event.request)
     if call is None or not isinstance(call.asked, ModelCalled):
         return
@@ -243,6 +286,7 @@
         yield CancelAttempt(call.attempt)
         yield from _forget_attempt(state, call.attempt)
     state.calls.close(event.request)
+    yield from quarantine.note_closed(state, call, False, now)
 
 
 def _refuse(state: VmState, call: Call, request: RequestId,
--- a/src/plantainridge/standins/engine.py
+++ b/src/plantainridge/standins/engine.py
@@ -87,6 +87,7 @@
     version: WeightVersion
     remaining_prefill: float = 0.0
     cached_tokens: int = 0
+    prefilled: bool = False
     team: str = ''
     model: str = ''
     adapter: str = ''
@@ -160,6 +161,9 @@
         for job in jobs:
             job.sink.broken()
 
+    def on_prefilled(self, job: Job) -> None:
+        """Called once a job's prompt is computed; a crash model may `crash`."""
+
     def waiting_tokens(self) -> int:
         """Prompt tokens that are queued and not yet computed."""
         queued = sum(job.prompt_tokens - BLOCK_TOKENS * self.prefix(job.blocks)
@@ -207,6 +211,11 @@
         if not self.alive:
             return
         for job in list(self._decoding()):
+            if not job.prefilled:
+                job.prefilled = True
+                self.on_prefilled(job)
+            if not self.alive:
+                return
             self._emit(job)
         self._step()
 
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,202 @@
+"""Tests of decisions under load and faults, and of their benches."""
+
+import asyncio
+import unittest
+
+import attrs
+
+from plantainridge import (bench_drain, bench_overload, bench_poison, fairness,
+                           paused, quarantine, retries)
+from plantainridge import events as ev
+from plantainridge.bench_poison import MARK, CrashingEngine
+from plantainridge.ids import EndpointId
+from plantainridge.refusals import RanState, Reason
+from plantainridge.requests import STALL_S
+from plantainridge.standins.engine import token_at
+from plantainridge.standins.traffic import Platform
+from plantainridge.standins.world import TEAM, VERSION, World
+
+READY_S = 3.0
+WAIT_S = 60.0
+
+
+class BenchTest(unittest.TestCase):
+    """The benches meet their targets at a small size."""
+
+    def test_overload_keeps_goodput(self) -> None:
+        result = bench_overload.run(1, (1.0, 4.0), 6.0)
+        figures = result['figures']
+        self.assertGreaterEqual(
+            figures['4']['goodput_rps'],
+            bench_overload.GOODPUT_KEPT * figures['1']['goodput_rps'])
+        # Refused at once.
+        self.assertEqual(figures['4']['refused_wait_p95_s'], 0.0)
+
+    def test_poison_and_drain_have_no_violation(self) -> None:
+        self.assertEqual(bench_poison.run(1, 1)['violations'], [])
+        self.assertEqual(bench_drain.run(1)['violations'], [])
+
+
+class QuarantineTest(unittest.TestCase):
+    """A request that crashes endpoints is refused after two crashes."""
+
+    def test_two_crashes_in_all_by_any_vm(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=3, engines=4)
+            engines = [CrashingEngine(name) for name in world.engines]
+            world.engines.update({each.name: each for each in engines})
+            await asyncio.sleep(READY_S)
+            text = f'{MARK} at once'
+            told = world.ask_model(world.vms[0], text)
+            await asyncio.wait_for(told.done.wait(), WAIT_S)
+            self.assertEqual(told.refusal and told.refusal.reason,
+                             Reason.QUARANTINED)
+            self.assertEqual(told.refusal and told.refusal.ran,
+                             RanState.UNKNOWN)
+            await asyncio.sleep(0.003)
+            for vm in world.vms:
+                again = world.ask_model(vm, text)
+                self.assertEqual(again.refusal and again.refusal.reason,
+                                 Reason.QUARANTINED)
+                self.assertEqual(again.refusal and again.refusal.ran,
+                                 RanState.NOT_RUN)
+            self.assertEqual(sum(len(e.crashed_by) for e in engines), 2)
+            await asyncio.sleep(quarantine.FORGET_S + 1)
+            for vm in world.vms:
+                self.assertEqual(vm.state.quarantine.suspects, {})
+
+        paused.run(scenario())
+
+    def test_an_innocent_neighbour_finishes_whole(self) -> None:
+
+        async def scenario() -> None:
+            world = World(vms=2, engines=3)
+            await asyncio.sleep(READY_S)
+            told = world.ask_model(world.vms[0], 'q', max_tokens=80)
+            await asyncio.sleep(0.5)
+            for engine in world.engines.values():
+                if engine.running:
+                    engine.crash()
+            await asyncio.wait_for(told.done.wait(), WAIT_S)
+            self.assertEqual(told.tokens,
+                             [token_at('q', VERSION, i) for i in range(80)])
+            await asyncio.sleep(1)
+            for vm in world.vms:
+                self.assertEqual(vm.state.quarantine.suspects, {})
+
+        paused.run(scenario())
+
+
+class TrueWordTest(unittest.TestCase):
+    """A final word says truly whether the request ran, and comes once."""
+
+    def test_a_stalled_stream_is_resumed_elsewhere(self) -> None:
+
+        async def scenario() -> None:
+            world = World()
+            await asyncio.sleep(READY_S)
+            told = world.ask_model(world.vms[0], 'q', max_tokens=60)
+            await asyncio.sleep(0.5)
+            [busy] = [e for e in world.engines.values() if e.running]
+            busy.slowdown = 1e9
+            await asyncio.sleep(STALL_S + 10)
+            self.assertEqual(told.tokens,
+                             [token_at('q', VERSION, i) for i in range(60)])
+            self.assertEqual(busy.running, [])
+
+        paused.run(scenario())
+
+    def test_not_run_only_if_no_attempt_may_have_run(self) -> None:
+
+        async def scenario(failure: ev.Failure) -> RanState | None:
+            world = World(engines=1)
+            await asyncio.sleep(READY_S)
+            vm = world.vms[0]
+            told = world.ask_model(vm, 'q')
+            [attempt] = vm.state.calls.attempts
+            world.engines[EndpointId('e0')].alive = False
+            vm.runtime.post(ev.AttemptFailed(attempt, failure))
+            await asyncio.wait_for(told.done.wait(), WAIT_S)
+            self.assertEqual(told.finals, 1)
+            return told.refusal.ran if told.refusal else None
+
+        cases = ((ev.Failure.CONNECT_REFUSED, RanState.NOT_RUN),
+                 (ev.Failure.TIMED_OUT, RanState.UNKNOWN))
+        for failure, ran in cases:
+            with self.subTest(failure.value):
+                self.assertIs(paused.run(scenario(failure)), ran)
+
+    def test_a_retry_outlives_its_team_and_endpoint(self) -> None:
+
+        async def scenario() -> None:
+            world = World()
+            await asyncio.sleep(READY_S)
+            vm = world.vms[0]
+            told = world.ask_model(vm, 'q', max_tokens=60)
+            await asyncio.sleep(0.3)
+            [busy] = [e for e in world.engines.values() if e.running]
+            left = {
+                name: each
+                for name, each in world.config.endpoints.items()
+                if name != busy.name
+            }
+            world.publish(0, attrs.evolve(world.config,
+                                          teams={},
+                                          endpoints=left))
+            await asyncio.sleep(0.3)
+            self.assertNotIn(TEAM, vm.state.config.teams)
+            busy.crash()
+            await asyncio.wait_for(told.done.wait(), WAIT_S)
+            self.assertEqual(told.tokens,
+                             [token_at('q', VERSION, i) for i in range(60)])
+
+        paused.run(scenario())
+
+
+class BudgetTest(unittest.TestCase):
+    """Retries stay a part of the load."""
+
+    def test_refills_by_first_attempts_only(self) -> None:
+        budget = retries.Budget(burst=3, left=3)
+        self.assertEqual([budget.take() for _ in range(4)],
+                         [True, True, True, False])
+        for _ in range(25):
+            budget.refill()
+        self.assertEqual([budget.take() for _ in range(3)], [True, True, False])
+
+
+class SlowEndpointTest(unittest.TestCase):
+    """A slow endpoint is found by its latency and left out."""
+
+    def test_gets_no_work_until_its_slowness_fades(self) -> None:
+
+        async def scenario() -> None:
+            world = World(engines=4)
+            platform = Platform(world, 1)
+            await asyncio.sleep(READY_S)
+            slow = EndpointId('e2')
+            world.engines[slow].slowdown = 100.0
+            for number in range(60):
+                world.ask_model(world.vms[0], f'{number}'.ljust(4_000), 2)
+                await asyncio.sleep(0.1)
+            self.assertIn(slow, world.vms[0].state.health.slow)
+            world.engines[slow].slowdown = 1.0
+            await asyncio.sleep(60)
+            self.assertNotIn(slow, world.vms[0].state.health.slow)
+            platform.stop()
+
+        paused.run(scenario())
+
+
+class FairLevelTest(unittest.TestCase):
+    """Parts add up to the capacity and none asks for less than its part."""
+
+    def test_level(self) -> None:
+        cases: tuple[tuple[list[float], float, float],
+                     ...] = (([10, 10], 10, 5), ([1, 3, 20], 10, 6),
+                             ([1, 2], 10, 2), ([], 1, 0))
+        for offered, capacity, level in cases:
+            with self.subTest(offered=offered):
+                self.assertAlmostEqual(fairness.fair_level(offered, capacity),
+                                       level)
