--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -71,12 +71,12 @@
             self.credit_bytes = min(
                 MAX_CREDIT_BYTES,
                 self.credit_bytes + BUDGET_BYTES_PER_S * ROUND_S)
-            for view in self._due(max(0, int(self.credit_bytes // POLL_BYTES))):
+            for view in self.due(max(0, int(self.credit_bytes // POLL_BYTES))):
                 self.polling.add(view.id)
                 self.tasks.spawn(self._poll_engine(view))
             await asyncio.sleep(ROUND_S)
 
-    def _due(self, polls: int) -> list[EndpointView]:
+    def due(self, polls: int) -> list[EndpointView]:
         """Chooses whom to ask in this round, as many as the budget allows."""
         views = {
             view.id: view
--- /dev/null
+++ b/tools/boot.py
@@ -0,0 +1,75 @@
+"""Entry point of the one-file binary; becomes its `__main__`.
+
+Compiled modules cannot be imported from an archive. Each is copied into an
+anonymous memory file and loaded from there, so that nothing is unpacked to a
+disk and no other process is started.
+"""
+
+import importlib.abc
+import importlib.machinery
+import importlib.util
+import os
+import sys
+import tempfile
+import zipfile
+from collections.abc import Sequence
+from types import ModuleType
+
+MIN_VERSION = (3, 11)
+# Directories in memory, of which the first that is writable is used while the
+# schema of messages is read.
+MEMORY_FOLDERS = ('/dev/shm', '/run')
+
+
+class MemoryFinder(importlib.abc.MetaPathFinder):
+    """Finds the compiled modules of an archive."""
+
+    def __init__(self, archive: str) -> None:
+        self.archive = archive
+        self.entries: dict[str, str] = {}
+        suffix = importlib.machinery.EXTENSION_SUFFIXES[0]
+        with zipfile.ZipFile(archive) as opened:
+            for entry in opened.namelist():
+                if entry.endswith(suffix):
+                    name = entry.removesuffix(suffix).replace('/', '.')
+                    self.entries[name] = entry
+
+    def find_spec(
+        self,
+        fullname: str,
+        path: Sequence[str] | None,
+        target: ModuleType | None = None
+    ) -> importlib.machinery.ModuleSpec | None:
+        """Returns the spec of a compiled module, or None."""
+        del path, target
+        entry = self.entries.get(fullname)
+        if entry is None:
+            return None
+        with zipfile.ZipFile(self.archive) as opened:
+            data = opened.read(entry)
+        # Stays open: the loader tells libraries apart by their path.
+        number = os.memfd_create(fullname)
+        with open(number, 'wb', closefd=False) as memory:
+            memory.write(data)
+        origin = f'/proc/self/fd/{number}'
+        loader = importlib.machinery.ExtensionFileLoader(fullname, origin)
+        return importlib.util.spec_from_file_location(fullname,
+                                                      origin,
+                                                      loader=loader)
+
+
+def main() -> None:
+    """Runs the command line from the archive that was started."""
+    if sys.version_info[:2] != MIN_VERSION:
+        sys.exit(f'needs Python 3.11, not {sys.version.split()[0]}')
+    for folder in MEMORY_FOLDERS:
+        if os.access(folder, os.W_OK):
+            tempfile.tempdir = folder
+            break
+    sys.meta_path.insert(0, MemoryFinder(sys.path[0]))
+    from plantainridge import cli  # pylint: disable=import-outside-toplevel
+    cli.main(prog_name='plantainridge')
+
+
+if __name__ == '__main__':
+    main()
