--- a/src/plantainridge/admission.py
+++ b/src/plantainridge/admission.py
@@ -1,22 +1,54 @@
 """Decides at once whether a request is taken in."""
 
+from typing import Final
+
+import attrs
+
+from plantainridge import drain, limits
+from plantainridge.calls import Call
+from plantainridge.config import Team
 from plantainridge.events import ModelCalled
+from plantainridge.ids import TeamId
 from plantainridge.refusals import RanState, Reason, Refusal
+from plantainridge.routing import Choice
 from plantainridge.state import VmState
 
+# Wait, as a part of the promised time, up to which an endpoint is not loaded.
+IDLE_PART: Final = 0.2
+# Part of the promised time that a team within its fair part may use up.
+BUDGET: Final = 0.85
+# The same for teams above it, by priority from 0; the last goes for the rest.
+BUDGETS_ABOVE: Final = (0.6, 0.55, 0.5, 0.45)
+# Added to the engine's rank of calls of teams above their fair part.
+RANK_ABOVE: Final = 100
+# Age up to which a load report tells what other VMs may have sent since, in s.
+REPORT_MAX_AGE_S: Final = 1.0
+# Bounds of Retry-After, in s.
+RETRY_MIN_S: Final = 1.0
+RETRY_SPREAD_S: Final = 4.0
+
+
+@attrs.frozen
+class Expected:
+    """What a choice is expected to bring, in s.
+
+    Attributes:
+        wait_s: Time until the endpoint begins with the prompt.
+        first_token_s: Time to the first token.
+    """
+
+    wait_s: float
+    first_token_s: float
+
 
-def refuse_now(state: VmState, asked: ModelCalled) -> Refusal | None:
-    """Returns why a model request is refused, or None if it is taken."""
-    if state.stopping:
-        return Refusal(Reason.STOPPING,
-                       RanState.NOT_RUN,
-                       'this VM is shutting down',
-                       retry_after_s=1.0)
-    if not state.ready:
-        return Refusal(Reason.NOT_READY,
-                       RanState.NOT_RUN,
-                       'this VM has no configuration yet',
-                       retry_after_s=1.0)
+def refuse_now(state: VmState, asked: ModelCalled,
+               now: float) -> Refusal | None:
+    """Returns why a model request is refused, or None if it may be taken."""
+    if drain.refuses_new(state, now):
+        return _refusal(state, Reason.STOPPING, 'this VM is shutting down')
+    if state.config.revision < 0:
+        return _refusal(state, Reason.NOT_READY,
+                        'this VM has no configuration yet')
     team = state.config.teams.get(asked.team)
     model = state.config.models.get(asked.model)
     if team is None or model is None or asked.model not in team.models:
@@ -26,4 +58,97 @@
         return Refusal(
             Reason.CONTEXT_TOO_LONG, RanState.NOT_RUN,
             f'the context exceeds {model.max_context_tokens} tokens')
-    return None
+    return refuse_over_limit(state, asked.team, now)
+
+
+def refuse_over_limit(state: VmState, team: TeamId,
+                      now: float) -> Refusal | None:
+    """Returns the refusal of a call above its team's limit, or None."""
+    if not limits.reached(state, team):
+        return None
+    state.limits.of(team).limited.add(1.0, now)
+    return _refusal(state, Reason.TEAM_LIMIT,
+                    'the team has as many calls running as it may')
+
+
+def refuse_late(state: VmState, call: Call, asked: ModelCalled,
+                expected: Expected, now: float) -> Refusal | None:
+    """Returns the refusal of a call that cannot start in time, or None.
+
+    Counts what the team asks for and what of it is taken in.
+
+    Args:
+        state: The VM's state.
+        call: The call; its terms are fixed.
+        asked: What its caller asked.
+        expected: What the best choice brings.
+        now: Loop time in s.
+    """
+    usage = state.limits.of(asked.team)
+    work = float(asked.prompt.tokens + asked.max_tokens)
+    usage.offered.add(work, now)
+    cap = state.fairness.caps.get(asked.team)
+    if cap is not None and usage.admitted.per_s(now) > cap:
+        limits.note_refused(state, now)
+        return _refusal(state, Reason.OVERLOADED,
+                        'the team asks for more than its part')
+    if in_time(state, call, asked.team, expected):
+        usage.admitted.add(work, now)
+        return None
+    limits.note_refused(state, now)
+    return _refusal(state, Reason.OVERLOADED,
+                    'the first token would come later than promised',
+                    expected.wait_s)
+
+
+def in_time(state: VmState, call: Call, team: TeamId,
+            expected: Expected) -> bool:
+    """Whether a call may go where this is expected.
+
+    One that is late by its own length, and not by the load, goes as well: it
+    would be as late at any other time.
+    """
+    if expected.wait_s <= IDLE_PART * call.promised_s:
+        return True
+    part = budget(state, call, team)
+    return expected.first_token_s <= part * call.promised_s
+
+
+def budget(state: VmState, call: Call, team: TeamId) -> float:
+    """Returns the part of the promised time that a call may use up."""
+    if team not in state.fairness.caps:
+        return BUDGET
+    return BUDGETS_ABOVE[min(call.team_priority, len(BUDGETS_ABOVE) - 1)]
+
+
+def rank(state: VmState, team: Team) -> int:
+    """Returns the engine's rank for a new call of a team."""
+    if team.id in state.fairness.caps:
+        return RANK_ABOVE + team.priority
+    return team.priority
+
+
+def expect(state: VmState, choice: Choice, now: float) -> Expected:
+    """Estimates the time to first token of a choice.
+
+    The backlog is the last report carried on to now with what this VM sent
+    since. Each other VM of the data centre is taken to have sent since then
+    what this one sends in such a time.
+    """
+    view = state.endpoints[choice.endpoint]
+    seen = state.health.of(choice.endpoint)
+    others = max(0, len(state.limits.live) - 1)
+    unseen_s = min(REPORT_MAX_AGE_S, now - view.measured_at)
+    sent = others * unseen_s * seen.sent.per_s(now)
+    speed = view.prefill_tokens_per_s / seen.slowness(now)
+    wait_s = (view.backlog_tokens(now) + sent) / speed
+    ready_s = max(wait_s, choice.fetch_s)
+    return Expected(wait_s, ready_s + choice.compute_tokens / speed)
+
+
+def _refusal(state: VmState,
+             reason: Reason,
+             detail: str,
+             wait_s: float = 0.0) -> Refusal:
+    retry_s = RETRY_MIN_S + wait_s + state.rng.random() * RETRY_SPREAD_S
+    return Refusal(reason, RanState.NOT_RUN, detail, retry_after_s=retry_s)
--- a/src/plantainridge/services.py
+++ b/src/plantainridge/services.py
@@ -43,7 +43,7 @@
         yield from claims.take(state, attrs.evolve(event, marked=True), now)
         return
     call = Call(event, arrived_at=now)
-    state.calls.calls[event.request] = call
+    state.calls.open(call)
     yield from _dispatch(state, call, event, now)
 
 
@@ -63,7 +63,7 @@
         yield from claims.on_answered(state, call, event, now)
         return
     REQUEST.fire(call, 'finish')
-    del state.calls.calls[call.asked.request]
+    state.calls.close(call.asked.request)
     yield SendServiceAnswer(call.asked.request, event.status, event.body)
 
 
@@ -107,7 +107,7 @@
     if call is not None and asked is not None and not asked.marked:
         if call.attempt is not None:
             service_attempts.forget(state, call.attempt)
-        del state.calls.calls[event.request]
+        state.calls.close(event.request)
         return
     yield from claims.on_caller_gone(state, event, now)
 
@@ -120,7 +120,7 @@
             yield from service_attempts.start(sent, now)
             return
     REQUEST.fire(call, 'refuse')
-    del state.calls.calls[asked.request]
+    state.calls.close(asked.request)
     if call.tries == 0:
         yield Refuse(asked.request, claim_answers.no_instance(False))
         return
