Break every connection of a killed server, also late ones

Cause: the demo found a prompt that hung for 20 s: a killed engine's stand-in had taken a connection between the abort and its end, and held it open without an answer. Change: connections are broken until the server has ended, as the system does for a process that died. Conclusion: an endpoint that hangs without dying is still noticed only after the read timeout of 120 s.

--- a/src/plantainridge/serve.py
+++ b/src/plantainridge/serve.py
@@ -16,6 +16,7 @@
 UNREAD_TIMEOUT_S: Final = 60
 # How long a request's head may take, up to twice this.
 HEAD_TIMEOUT_S: Final = 20.0
+KILL_POLL_S: Final = 0.005
 
 
 class _QuietServer(uvicorn.Server):
@@ -118,10 +119,13 @@
         self.killed = True
         self.server.force_exit = True
         self.server.should_exit = True
-        for connection in list(self.server.server_state.connections):
-            _abort(connection)
-        for task in list(self.server.server_state.tasks):
-            task.cancel()
+        while self.task is not None and not self.task.done():
+            # Connections that were accepted meanwhile break as well.
+            for connection in list(self.server.server_state.connections):
+                _abort(connection)
+            for task in list(self.server.server_state.tasks):
+                task.cancel()
+            await asyncio.sleep(KILL_POLL_S)
         await self._end()
 
 
