--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,13 @@
 EXAMPLES ?= 100
 STEPS ?= 40
 
-fuzz: setup
-	$(PY) -m tests.fuzz --seed $(SEED) --examples $(EXAMPLES) --steps $(STEPS)
+CI_SEED := 1
+CI_PAIRS := 40
+CI_PARTS := 1 2 3 4
 
-.PHONY: fuzz setup demo test format lint types check
+.PHONY: all setup demo test format lint types check fuzz matrix mutants proof binary binary-test capacity
+
+all: test
 
 # Installs again only when the lock file's text has changed.
 setup:
@@ -24,13 +27,48 @@
 	$(PY) -m nose2 -s tests -t .
 
 format: setup
-	$(VENV)/bin/yapf --in-place --recursive --parallel src tests
+	$(VENV)/bin/yapf --in-place --recursive --parallel src tests tools
 
 check: setup
-	$(VENV)/bin/yapf --diff --recursive --parallel src tests
+	$(VENV)/bin/yapf --diff --recursive --parallel src tests tools
 
 lint: setup
-	$(VENV)/bin/pylint src/plantainridge tests
+	$(VENV)/bin/pylint src/plantainridge tests tools
 
 types: setup
 	$(VENV)/bin/mypy
+
+# One file that needs Python 3.11 and nothing else of Python's.
+binary: setup
+	$(VENV)/bin/python tools/pack.py build/plantainridge
+
+# Sends a request through processes of the binary; none may have a child.
+binary-test: binary
+	build/plantainridge version
+	PLANTAINRIDGE_TEST_BINARY=build/plantainridge \
+	  $(PY) -m nose2 -s tests -t . tests.test_processes
+
+capacity: setup
+	$(PY) -m plantainridge bench footprint --seed $(SEED)
+	$(PY) -m plantainridge bench entry --seed $(SEED) --profile
+
+# Fuzzes: make fuzz SEED=N EXAMPLES=N STEPS=N
+fuzz: setup
+	$(PY) -m tests.fuzz --seed $(SEED) --examples $(EXAMPLES) --steps $(STEPS)
+
+matrix: setup
+	$(PY) -m plantainridge matrix --seed $(SEED)
+
+mutants: setup
+	$(PY) -m tests.mutants
+
+# A fixed share of fuzzing and the whole fault matrix; run it with --jobs.
+proof: proof-fuzz $(CI_PARTS:%=proof-matrix-%)
+
+.PHONY: proof-fuzz
+proof-fuzz: setup
+	$(PY) -m tests.fuzz --seed $(CI_SEED) --examples 60 --steps 40
+
+proof-matrix-%: setup
+	$(PY) -m plantainridge matrix --seed $(CI_SEED) --pairs $(CI_PAIRS) \
+	  --part $*/$(words $(CI_PARTS))
