--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 CI_PAIRS := 40
 CI_PARTS := 1 2 3 4
 
-.PHONY: all setup demo test format lint types check fuzz matrix mutants proof
+.PHONY: all setup demo test format lint types check fuzz matrix mutants proof binary binary-test capacity
 
 all: test
 
@@ -27,17 +27,31 @@
 	$(PY) -m nose2 -s tests -t .
 
 format: setup
-	$(VENV)/bin/yapf --in-place --recursive --parallel src tests
+	$(VENV)/bin/yapf --in-place --recursive --parallel src tests tools
 
 check: setup
-	$(VENV)/bin/yapf --diff --recursive --parallel src tests
+	$(VENV)/bin/yapf --diff --recursive --parallel src tests tools
 
 lint: setup
-	$(VENV)/bin/pylint src/plantainridge tests
+	$(VENV)/bin/pylint src/plantainridge tests tools
 
 types: setup
 	$(VENV)/bin/mypy
 
+# One file that needs Python 3.11 and nothing else of Python's.
+binary: setup
+	$(VENV)/bin/python tools/pack.py build/plantainridge
+
+# Sends a request through processes of the binary; none may have a child.
+binary-test: binary
+	build/plantainridge version
+	PLANTAINRIDGE_TEST_BINARY=build/plantainridge \
+	  $(PY) -m nose2 -s tests -t . tests.test_processes
+
+capacity: setup
+	$(PY) -m plantainridge bench footprint --seed $(SEED)
+	$(PY) -m plantainridge bench entry --seed $(SEED) --profile
+
 # Fuzzes: make fuzz SEED=N EXAMPLES=N STEPS=N
 fuzz: setup
 	$(PY) -m tests.fuzz --seed $(SEED) --examples $(EXAMPLES) --steps $(STEPS)
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -70,7 +70,7 @@
     events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed,
                            leases.on_read_failed),
     events.MembersListed: (members.on_listed,),
-    events.PeerSaid: (peering.on_peer_said,),
+    events.PeerSaid: (peering.on_peer_said, quarantine.on_peer_said),
     orders.EngineReported: (rollout.on_reported,),
     orders.OrderEnded: (rollout.on_order_ended,),
 }
