--- a/src/plantainridge/drain.py
+++ b/src/plantainridge/drain.py
@@ -26,7 +26,7 @@
 
 
 def on_tick(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
-    """Exits once the grace is over and no call is left."""
+    """Exits once the grace is over, no call is left and all is handed over."""
     del event
     if state.exiting or not refuses_new(state, now) or state.calls.calls:
         return
@@ -50,3 +50,11 @@
     if state.stopping_since is None:
         return False
     return now - state.stopping_since >= STOP_GRACE_S
+
+
+def takes_requests(state: VmState, now: float) -> bool:
+    """Whether a request that reaches the VM is taken in.
+
+    For a short while after the word to stop as well.
+    """
+    return state.config.revision >= 0 and not refuses_new(state, now)
