--- a/src/plantainridge/bench_entry.py
+++ b/src/plantainridge/bench_entry.py
@@ -29,6 +29,7 @@
 FEW_TOKENS: Final = 16
 MANY_TOKENS: Final = 144
 WARM_UP: Final = 10
+REPEATS: Final = 5
 PROMISED_S: Final = 3_600.0
 # Packages by which processor time is grouped in a profile.
 PACKAGES: Final = ('plantainridge', 'h11', 'uvicorn', 'starlette', 'aiosonic',
@@ -126,6 +127,14 @@
                 (time.perf_counter() - began) / requests)
 
 
+async def _least(ask: Ask, tokens: int, requests: int, at_once: int) -> Load:
+    """Repeats a load; the least is what other work disturbed least."""
+    loads = [
+        await _load(ask, tokens, requests, at_once) for _ in range(REPEATS)
+    ]
+    return min(loads, key=lambda load: load.cpu_s)
+
+
 def _by_package(profile: cProfile.Profile) -> dict[str, float]:
     """Returns each package's share of the profiled time."""
     stats: Any = pstats.Stats(profile)
@@ -156,10 +165,10 @@
     through = await _first_tokens(caller.through_vm, requests)
     loads: dict[tuple[str, int], Load] = {}
     for tokens in (FEW_TOKENS, MANY_TOKENS):
-        loads['direct', tokens] = await _load(caller.direct, tokens, requests,
-                                              at_once)
-        loads['through', tokens] = await _load(caller.through_vm, tokens,
-                                               requests, at_once)
+        loads['direct', tokens] = await _least(caller.direct, tokens, requests,
+                                               at_once)
+        loads['through', tokens] = await _least(caller.through_vm, tokens,
+                                                requests, at_once)
     profile = cProfile.Profile()
     if profiled:
         profile.enable()
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from plantainridge import members_http, process, reducer
+from plantainridge import members_http, process
 from plantainridge.callers import CallersApp, Limits
 from plantainridge.events import StopRequested
 from plantainridge.feeds import Feeds
@@ -118,8 +118,7 @@
     async def drain(self) -> None:
         """Asks for a graceful shutdown; returns once it is complete."""
         self.runtime.post(StopRequested())
-        if StopRequested in reducer.HANDLERS:
-            await self.exited.wait()
+        await self.exited.wait()
 
     async def stop(self) -> None:
         """Finishes every stream, then ends."""
