--- a/src/plantainridge/choices.py
+++ b/src/plantainridge/choices.py
@@ -16,7 +16,6 @@
                   recompute_weight=state.config.deployment.recompute_weight,
                   now=now)
     engines = state.index.engines(state.endpoints, asked.model, state.dc)
-    for store in state.config.stores.values():
-        state.links.add(store.id, store.link_bytes_per_s)
+    state.links.follow(state.config.stores)
     return state.policy.choose(
         query, Knowledge(engines, state.directory, state.links, state.rng))
--- a/src/plantainridge/costs.py
+++ b/src/plantainridge/costs.py
@@ -21,11 +21,27 @@
 
 @attrs.frozen
 class Source:
-    """A store that holds more of a prompt's prefix than some endpoint."""
+    """A store that holds leading blocks of a prompt.
+
+    Attributes:
+        copies: Its copies, in the chain's order.
+        sizes: Bytes of the first 0, 1, ... copies; one on disk counts more.
+    """
 
     store: StoreId
     link: LinkView
     copies: tuple[StoredCopy, ...]
+    sizes: tuple[float, ...]
+
+
+def source_of(store: StoreId, link: LinkView, copies: tuple[StoredCopy,
+                                                            ...]) -> Source:
+    """Returns a source with its sizes summed up."""
+    sizes = [0.0]
+    for copy in copies:
+        factor = DISK_FACTOR if copy.tier is Tier.DISK else 1.0
+        sizes.append(sizes[-1] + copy.ref.length_bytes * factor)
+    return Source(store, link, copies, tuple(sizes))
 
 
 @attrs.frozen
@@ -79,10 +95,7 @@
 
 def fetch_seconds(source: Source, first_block: int, now: float) -> float:
     """Estimates the time to fetch a source's blocks from an index on, in s."""
-    size = 0.0
-    for copy in source.copies[first_block:]:
-        factor = DISK_FACTOR if copy.tier is Tier.DISK else 1.0
-        size += copy.ref.length_bytes * factor
+    size = source.sizes[-1] - source.sizes[first_block]
     return source.link.seconds(round(size), now)
 
 
--- a/src/plantainridge/links.py
+++ b/src/plantainridge/links.py
@@ -1,9 +1,11 @@
 """What this VM knows of each store's limited link."""
 
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
 
+from plantainridge.config import Store
 from plantainridge.events import StoreLoadReported
 from plantainridge.ids import StoreId, TransferId
 
@@ -78,8 +80,17 @@
 
     def __init__(self) -> None:
         self.links: dict[StoreId, LinkView] = {}
+        self.source: Mapping[StoreId, Store] | None = None
         self.block_bytes = 0
 
+    def follow(self, stores: Mapping[StoreId, Store]) -> None:
+        """Adds the links of all configured stores when these change."""
+        if stores is self.source:
+            return
+        self.source = stores
+        for store in stores.values():
+            self.add(store.id, store.link_bytes_per_s)
+
     def add(self, store: StoreId, bytes_per_s: float) -> None:
         """Adds a store's link with its configured rate, once."""
         self.links.setdefault(store, LinkView(bytes_per_s))
--- a/src/plantainridge/returning.py
+++ b/src/plantainridge/returning.py
@@ -36,36 +36,38 @@
 
     def choose(self, query: Query, known: Knowledge) -> Choice | NoEndpoint:
         held = known.directory.endpoints.prefixes(query.prompt.blocks)
-        views = list(self._views(query, known, held))
-        if not views:
+        found = list(views_to_weigh(query, known, held))
+        if not found:
             return NOTHING_TAKES_WORK
         sources = list(_sources(query, known))
         plans = [
-            plan for view in views for plan in costs.plans(
+            plan for view in found for plan in costs.plans(
                 view, held.get(view.id, 0), sources, query.prompt.tokens,
                 query.recompute_weight, view.endpoint.dc == query.dc, query.now)
         ]
         return to_choice(_draw(plans, known.rng))
 
-    def _views(self, query: Query, known: Knowledge,
-               held: dict[EndpointId, int]) -> Iterator[EndpointView]:
-        seen = set()
-        holders = sorted(held, key=lambda each: (-held[each], each))
-        for name in holders[:MAX_HOLDERS]:
-            view = known.engines.by_id.get(name)
-            if view is not None and usable(query, view):
-                seen.add(view.id)
-                yield view
-        sampled = [
-            *_sample(query, known.engines.near, NEAR_SAMPLES, known.rng),
-            *_sample(query, known.engines.far, FAR_SAMPLES, known.rng)
-        ]
-        if not sampled and not seen:
-            sampled = list(candidates(query, known))
-        for view in sampled:
-            if view.id not in seen:
-                seen.add(view.id)
-                yield view
+
+def views_to_weigh(query: Query, known: Knowledge,
+                   held: dict[EndpointId, int]) -> Iterator[EndpointView]:
+    """Yields the endpoints to weigh: best holders first, then a sample."""
+    seen = set()
+    holders = sorted(held, key=lambda each: (-held[each], each))
+    for name in holders[:MAX_HOLDERS]:
+        view = known.engines.by_id.get(name)
+        if view is not None and usable(query, view):
+            seen.add(view.id)
+            yield view
+    sampled = [
+        *_sample(query, known.engines.near, NEAR_SAMPLES, known.rng),
+        *_sample(query, known.engines.far, FAR_SAMPLES, known.rng)
+    ]
+    if not sampled and not seen:
+        sampled = list(candidates(query, known))
+    for view in sampled:
+        if view.id not in seen:
+            seen.add(view.id)
+            yield view
 
 
 def _sample(query: Query, views: Sequence[EndpointView], count: int,
@@ -92,7 +94,7 @@
         link = known.links.usable(store, query.now)
         if link is not None:
             copies = known.directory.copies(store, blocks[:count])
-            yield Source(store, link, tuple(copies))
+            yield costs.source_of(store, link, tuple(copies))
 
 
 def _draw(plans: list[Plan], rng: random.Random) -> Plan:
--- a/src/plantainridge/standins/omniscient.py
+++ b/src/plantainridge/standins/omniscient.py
@@ -79,5 +79,5 @@
             link = LinkView(store.link.bytes_per_s / store.link.slowdown,
                             store.transfers, float(store.queued_bytes), now)
             if copies:
-                found.append(Source(store.name, link, tuple(copies)))
+                found.append(costs.source_of(store.name, link, tuple(copies)))
         return found
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from plantainridge import returning
 from plantainridge.config import Endpoint, EndpointKind
 from plantainridge.directory import Directory
 from plantainridge.endpoints import EngineIndex, EndpointView, ModelEngines
@@ -126,6 +127,32 @@
         self.assertGreater(min(counts.values()), 10)
 
 
+class SampleTest(unittest.TestCase):
+    """A decision looks at a bounded number of endpoints."""
+
+    def test_looks_at_holders_and_a_sample(self) -> None:
+        views = {
+            view.id: view for view in (a_view(f'e{i}', (NEAR, FAR)[i % 2])
+                                       for i in range(1_100))
+        }
+        directory = Directory()
+        for holder in range(10):
+            directory.on_cache_changed(
+                CacheChanged(EndpointId(f'e{holder}'), 0, KEYS[:holder + 1],
+                             ()))
+        known = Knowledge(EngineIndex().engines(views, MODEL, NEAR), directory,
+                          LinkTable(), random.Random(1))
+        query = Query(Prompt('q', 20_100, KEYS), TeamId('t'), NEAR, frozenset(),
+                      0.0, 0.0)
+        held = directory.endpoints.prefixes(KEYS)
+        seen = [v.id for v in returning.views_to_weigh(query, known, held)]
+        self.assertEqual(len(seen), len(set(seen)))
+        self.assertLessEqual(
+            len(seen), returning.MAX_HOLDERS + returning.NEAR_SAMPLES +
+            returning.FAR_SAMPLES)
+        self.assertEqual(seen[:2], ['e9', 'e8'])
+
+
 class BacklogTest(unittest.TestCase):
     """Late reports are corrected by what this VM sent since."""
 
