Keep contexts that returned at a second store

Change: once a context has returned, its blocks are exported to a second store too, only while nothing else uses that link and only within a budget: a VM moves no more blocks for this than it was asked for.

--- a/src/plantainridge/caching.py
+++ b/src/plantainridge/caching.py
@@ -23,6 +23,8 @@
 
 # Shortest gap worth a raise from disk, in s.
 RAISE_LEAST_S: Final = 1_800.0
+# Stores that hold a context which has returned at least once.
+MAX_COPIES: Final = 2
 # How long before the expected return blocks are raised, in s.
 RAISE_LEAD_S: Final = 60.0
 
@@ -96,8 +98,9 @@
 
 def on_model_called(state: VmState, event: ModelCalled,
                     now: float) -> Iterator[Effect]:
-    """Learns after which gap a context returned."""
+    """Learns after which gap a context returned; adds to the link budget."""
     if event.prompt.blocks:
+        state.transfers.budget_blocks += len(event.prompt.blocks)
         state.returns.note_visit(event.team, event.prompt.blocks[0], now)
     yield from ()
 
@@ -160,14 +163,26 @@
         for store in state.config.stores
         if state.links.usable(store, now) is not None
     }
-    if not usable or max(usable.values()) == len(blocks):
-        return
-    store = max(usable, key=lambda each: (usable[each], _rank(blocks[0], each)))
-    missing = blocks[usable[store]:]
-    assert call.attempt is not None
-    endpoint = state.calls.attempts[call.attempt].endpoint
-    transfers.export(state, endpoint, store, missing,
-                     len(missing) * state.links.block_bytes)
+    ranked = sorted(usable,
+                    key=lambda each: (usable[each], _rank(blocks[0], each)),
+                    reverse=True)
+    for copy, store in enumerate(ranked[:_copies_wanted(call)]):
+        missing = blocks[usable[store]:]
+        if not missing:
+            continue
+        assert call.attempt is not None
+        endpoint = state.calls.attempts[call.attempt].endpoint
+        transfers.export(state,
+                         endpoint,
+                         store,
+                         missing,
+                         len(missing) * state.links.block_bytes,
+                         spare=copy > 0)
+
+
+def _copies_wanted(call: Call) -> int:
+    """A context that has returned is kept at one more store."""
+    return MAX_COPIES if call.cached_tokens else 1
 
 
 def _rank(first: BlockKey, store: StoreId) -> bytes:
--- a/src/plantainridge/transfers.py
+++ b/src/plantainridge/transfers.py
@@ -45,6 +45,7 @@
         blocks: Keys of the blocks to move.
         size_bytes: Bytes to move, as far as known.
         limit_s: Longest time to wait for its end.
+        spare: Whether it waits until nothing else uses the link.
         waiters: Requests that are dispatched when it is over.
     """
 
@@ -56,6 +57,7 @@
     blocks: tuple[BlockKey, ...]
     size_bytes: int
     limit_s: float
+    spare: bool = False
     phase: TransferPhase = TransferPhase.QUEUED
     started_at: float = 0.0
     waiters: list[RequestId] = attrs.field(factory=list)
@@ -77,14 +79,18 @@
         running: Transfers that were started and have not ended.
         fetches: Fetches that wait for their turn on a link.
         exports: Exports that wait for a free link, oldest first.
-        exporting: Blocks that are being exported or wait to be.
+        budget_blocks: Blocks that spare exports may still move: what was asked
+            of this VM less what it moved. It bounds the use of all links by
+            the size of the prompts.
+        exporting: Blocks that are being exported or wait to be, by store.
     """
 
     serial: int = 0
+    budget_blocks: int = 0
     running: dict[TransferId, Transfer] = attrs.field(factory=dict)
     fetches: dict[TransferId, Transfer] = attrs.field(factory=dict)
     exports: deque[Transfer] = attrs.field(factory=deque)
-    exporting: set[BlockKey] = attrs.field(factory=set)
+    exporting: set[tuple[StoreId, BlockKey]] = attrs.field(factory=set)
 
     def count(self, store: StoreId, direction: Direction) -> int:
         """Counts the transfers that run on a store's link one way."""
@@ -119,18 +125,29 @@
 
 
 def export(state: 'VmState', endpoint: EndpointId, store: StoreId,
-           blocks: tuple[BlockKey, ...], size_bytes: int) -> None:
-    """Queues an export of blocks that no store is known to hold."""
+           blocks: tuple[BlockKey, ...], size_bytes: int, spare: bool) -> None:
+    """Queues an export of blocks that a store is not known to hold.
+
+    Args:
+        spare: Whether another store holds them, so that the export may wait
+            until nothing else uses the link.
+    """
     table = state.transfers
-    fresh = tuple(key for key in blocks if key not in table.exporting)
+    fresh = tuple(key for key in blocks if (store, key) not in table.exporting)
     if not fresh:
         return
-    table.exporting.update(fresh)
+    table.exporting.update((store, key) for key in fresh)
     table.exports.append(
-        Transfer(_new_id(state), Direction.EXPORT, endpoint, store, (), fresh,
-                 size_bytes, EXPORT_LIMIT_S))
+        Transfer(_new_id(state),
+                 Direction.EXPORT,
+                 endpoint,
+                 store, (),
+                 fresh,
+                 size_bytes,
+                 EXPORT_LIMIT_S,
+                 spare=spare))
     if len(table.exports) > MAX_QUEUED_EXPORTS:
-        table.exporting.difference_update(table.exports.popleft().blocks)
+        _forget_export(table, table.exports.popleft())
 
 
 def start_queued(state: 'VmState', now: float) -> Iterator[Effect]:
@@ -184,9 +201,13 @@
 def _may_export(state: 'VmState', transfer: Transfer, now: float) -> bool:
     table = state.transfers
     link = state.links.usable(transfer.store, now)
-    return (link is not None and
-            table.count(transfer.store, Direction.FETCH) == 0 and table.count(
-                transfer.store, Direction.EXPORT) < MAX_EXPORTS_PER_LINK)
+    if link is None:
+        return False
+    if transfer.spare and (link.waiting_bytes(now) > 0 or
+                           table.budget_blocks < len(transfer.blocks)):
+        return False
+    return (table.count(transfer.store, Direction.FETCH) == 0 and table.count(
+        transfer.store, Direction.EXPORT) < MAX_EXPORTS_PER_LINK)
 
 
 def _start(state: 'VmState', transfer: Transfer,
@@ -194,6 +215,7 @@
     view = state.endpoints.get(transfer.endpoint)
     store = state.config.stores.get(transfer.store)
     state.transfers.running[transfer.id] = transfer
+    state.transfers.budget_blocks -= len(transfer.blocks)
     TRANSFER.fire(transfer, 'start')
     transfer.started_at = now
     if view is None or store is None:
@@ -229,8 +251,7 @@
 
 
 def _close(state: 'VmState', transfer: Transfer) -> Iterator[Effect | Waiting]:
-    state.transfers.exporting.difference_update(
-        transfer.blocks if transfer.direction is Direction.EXPORT else ())
+    _forget_export(state.transfers, transfer)
     link = state.links.links.get(transfer.store)
     if link is not None:
         link.own.pop(transfer.id, None)
@@ -238,6 +259,12 @@
         yield Waiting(request, transfer.endpoint)
 
 
+def _forget_export(table: TransferTable, transfer: Transfer) -> None:
+    if transfer.direction is Direction.EXPORT:
+        table.exporting.difference_update(
+            (transfer.store, key) for key in transfer.blocks)
+
+
 def _new_id(state: 'VmState') -> TransferId:
     state.transfers.serial += 1
     return TransferId(f'{state.incarnation}.{state.transfers.serial}')
