Sample more endpoints of other data centres

Cause: with one or two engines in each data centre, two samples of the others often missed the least busy engine. Change: four samples of other data centres, as of the own one.

--- a/src/plantainridge/returning.py
+++ b/src/plantainridge/returning.py
@@ -14,7 +14,7 @@
 
 # Endpoints sampled besides those that hold part of the prompt.
 NEAR_SAMPLES: Final = 4
-FAR_SAMPLES: Final = 2
+FAR_SAMPLES: Final = 4
 MAX_HOLDERS: Final = 4
 # Draws made for each wanted sample before a policy looks at all endpoints.
 DRAWS_PER_SAMPLE: Final = 4
