Move blocks between engines and stores over HTTP

Cause: a VM could ask for transfers only under the in-memory ports, so a deployed entry VM neither exported nor fetched. Change: a port that has engines import and export, polls of the stores' changes, and HTTP faces of the stand-ins' stores and caches; each copy is read by key, generation and length and its checksum is verified.

--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -12,6 +12,7 @@
 from plantainridge.feeds import Feeds
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, Tasks, new_client)
+from plantainridge.http_transfers import HttpTransferPort, StorePolls
 from plantainridge.ids import DcId, Incarnation, VmId
 from plantainridge.mailboxes import Mailboxes
 from plantainridge.metrics import Metrics
@@ -71,6 +72,7 @@
         self.mailboxes = Mailboxes()
         self.exited = asyncio.Event()
         self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
+        transfers = HttpTransferPort(self.client, self.tasks)
         ports = Ports(callers=self.mailboxes,
                       engines=HttpEnginePort(self.client, self.tasks),
                       services=HttpServicePort(self.tasks),
@@ -78,9 +80,12 @@
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm),
                       on_exit=self._on_exit,
-                      peers=self.peers)
+                      peers=self.peers,
+                      transfers=transfers)
         self.runtime = Runtime(state, ports)
         self.feeds = Feeds(self.runtime, self.client, self.tasks)
+        transfers.feeds = self.feeds
+        self.store_polls = StorePolls(self.runtime, self.client, self.tasks)
         callers = CallersApp(self.runtime, self.mailboxes, settings.limits)
         self.callers = AppServer(callers.app, settings.host, settings.port)
         callers.abort = self.callers.abort
@@ -103,6 +108,7 @@
                                     self.runtime.post))
         self.runtime.start()
         self.feeds.start()
+        self.store_polls.start()
         await self.callers.start()
         await self.operators.start()
 
--- a/src/plantainridge/standins/commands.py
+++ b/src/plantainridge/standins/commands.py
@@ -2,18 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import click
 
 from plantainridge import process, settings
-from plantainridge.ids import EndpointId, WeightVersion
+from plantainridge.ids import EndpointId, StoreId, WeightVersion
 from plantainridge.serve import AppServer
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.engine_http import EngineApp
 from plantainridge.standins.log import LogApp, LogModel
 from plantainridge.standins.members import MembersApp, MembersModel
 from plantainridge.standins.service import ServiceApp, ServiceModel
+from plantainridge.standins.store import StoreModel
+from plantainridge.standins.store_http import StoreApp
+
+STORE_MEMORY_BLOCKS: Final = 1_500
+STORE_DISK_BLOCKS: Final = 12_000
+STORE_LINK_BYTES_PER_S: Final = 1.25e9
 
 
 class ServedPart(process.Part):
@@ -87,3 +93,13 @@
 def members(serve: Serve) -> None:
     """The platform's membership list."""
     serve(lambda: MembersApp(MembersModel()).app)
+
+
+@standin.command()
+@settings.option('--name', type=settings.NAME, default='store')
+@click.pass_obj
+def store(serve: Serve, name: str) -> None:
+    """A store of cache blocks, with memory and disk."""
+    serve(lambda: StoreApp(
+        StoreModel(StoreId(name), STORE_MEMORY_BLOCKS, STORE_DISK_BLOCKS,
+                   STORE_LINK_BYTES_PER_S)).app)
--- a/src/plantainridge/standins/engine_http.py
+++ b/src/plantainridge/standins/engine_http.py
@@ -14,8 +14,8 @@
 from starlette.routing import Route
 
 from plantainridge.ids import BlockKey, RequestId
-from plantainridge.standins.engine import (PREFILL_TOKENS_PER_S, EngineModel,
-                                           Job, Sink)
+from plantainridge.standins.cache_http import CacheRoutes
+from plantainridge.standins.engine import EngineModel, Job, Sink
 
 JOURNAL_CHANGES: Final = 1_024
 
@@ -91,6 +91,7 @@
         self.app = Starlette(routes=[
             Route('/v1/completions', self.complete, methods=['POST']),
             Route('/feed', self.feed),
+            *CacheRoutes(model).routes,
         ])
 
     async def complete(self, request: Request) -> Response:
@@ -139,10 +140,15 @@
             'added': list(model.cache) if changes is None else changes.added,
             'removed': [] if changes is None else changes.removed,
             'load': {
-                'age_s': 0.0,
-                'running': len(model.running),
-                'waiting_tokens': model.waiting_tokens(),
-                'prefill_tokens_per_s': PREFILL_TOKENS_PER_S,
-                'version': model.version,
+                'age_s':
+                    0.0,
+                'running':
+                    len(model.running),
+                'waiting_tokens':
+                    model.waiting_tokens(),
+                'prefill_tokens_per_s':
+                    model.prefill_tokens_per_s / model.slowdown,
+                'version':
+                    model.version,
             },
         })
--- /dev/null
+++ b/src/plantainridge/standins/store_http.py
@@ -0,0 +1,143 @@
+"""HTTP face of the store's model."""
+
+import asyncio
+import uuid
+from collections import deque
+from typing import Any, Final
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from plantainridge.events import BlockRef, StoredCopy, Tier
+from plantainridge.ids import BlockKey
+from plantainridge.standins.store import (StoreModel, StoreRefusal,
+                                          StoreWatcher)
+
+JOURNAL_CHANGES: Final = 4_096
+STATUS: Final = {
+    StoreRefusal.DEAD: 503,
+    StoreRefusal.FULL: 507,
+    StoreRefusal.GONE: 410,
+    StoreRefusal.CORRUPT: 422,
+}
+
+
+def _refused(refusal: StoreRefusal) -> Response:
+    return JSONResponse({'error': refusal.value}, status_code=STATUS[refusal])
+
+
+def _row(copy: StoredCopy) -> dict[str, Any]:
+    return {
+        'key': copy.ref.key,
+        'generation': copy.ref.generation,
+        'length_bytes': copy.ref.length_bytes,
+        'tier': copy.tier.value,
+    }
+
+
+class Journal(StoreWatcher):
+    """The latest changes of a store; a position counts them."""
+
+    def __init__(self) -> None:
+        self.life = uuid.uuid4().hex
+        self.position = 0
+        self.changes: deque[tuple[BlockRef,
+                                  Tier | None]] = deque(maxlen=JOURNAL_CHANGES)
+
+    def kept(self, ref: BlockRef, tier: Tier) -> None:
+        self.position += 1
+        self.changes.append((ref, tier))
+
+    def freed(self, ref: BlockRef) -> None:
+        self.position += 1
+        self.changes.append((ref, None))
+
+    def restarted(self) -> None:
+        self.life = uuid.uuid4().hex
+        self.position = 0
+        self.changes.clear()
+
+    def since(self, position: int) -> list[tuple[BlockRef, Tier | None]] | None:
+        """Returns the last state of what changed; None if some is lost."""
+        missing = self.position - position
+        if not 0 <= missing <= len(self.changes):
+            return None
+        newest = list(self.changes)[len(self.changes) - missing:]
+        return list({ref.key: (ref, tier) for ref, tier in newest}.values())
+
+
+class StoreApp:
+    """Routes of one store."""
+
+    def __init__(self, model: StoreModel) -> None:
+        self.model = model
+        self.journal = Journal()
+        model.watchers.append(self.journal)
+        self.app = Starlette(routes=[
+            Route('/writes', self.begin, methods=['POST']),
+            Route('/writes/{generation:int}', self.commit, methods=['PUT']),
+            Route('/blocks/{key}', self.read),
+            Route('/raise', self.raise_blocks, methods=['POST']),
+            Route('/feed', self.feed),
+        ])
+
+    async def begin(self, request: Request) -> Response:
+        """Opens a write."""
+        key = BlockKey((await request.json())['key'])
+        if self.model.holds(key):
+            return JSONResponse({'held': True})
+        generation = self.model.begin(key)
+        if isinstance(generation, StoreRefusal):
+            return _refused(generation)
+        return JSONResponse({'held': False, 'generation': generation})
+
+    async def commit(self, request: Request) -> Response:
+        """Takes a block's content and commits it."""
+        done = self.model.commit(request.path_params['generation'], await
+                                 request.body(),
+                                 request.headers.get('x-checksum', ''))
+        if isinstance(done, StoreRefusal):
+            return _refused(done)
+        return JSONResponse(_row(StoredCopy(done, Tier.MEMORY)))
+
+    async def read(self, request: Request) -> Response:
+        """Returns the content of the copy that key and generation name."""
+        ref = BlockRef(BlockKey(request.path_params['key']),
+                       int(request.query_params['generation']),
+                       int(request.query_params['length_bytes']))
+        found = self.model.read(ref)
+        if isinstance(found, StoreRefusal):
+            return _refused(found)
+        return Response(found.payload, headers={'x-checksum': found.checksum})
+
+    async def raise_blocks(self, request: Request) -> Response:
+        """Brings copies from disk into memory."""
+        body = await request.json()
+        await self.model.raise_blocks([
+            BlockRef(BlockKey(row['key']), row['generation'],
+                     row['length_bytes']) for row in body['refs']
+        ])
+        return JSONResponse({})
+
+    async def feed(self, request: Request) -> Response:
+        """Reports the link and what changed since a position."""
+        journal, link = self.journal, self.model.link
+        changes = None
+        if request.query_params.get('life') == journal.life:
+            changes = journal.since(int(request.query_params.get('after', '0')))
+        kept = (list(self.model.copies()) if changes is None else
+                [StoredCopy(ref, tier) for ref, tier in changes if tier])
+        freed = [ref for ref, tier in changes or () if tier is None]
+        return JSONResponse({
+            'life': journal.life,
+            'position': journal.position,
+            'whole': changes is None,
+            'kept': [_row(copy) for copy in kept],
+            'freed': [_row(StoredCopy(ref, Tier.DISK)) for ref in freed],
+            'transfers': self.model.transfers,
+            'queued_bytes': self.model.queued_bytes,
+            'bytes_per_s': link.bytes_per_s / link.slowdown,
+            'at': asyncio.get_running_loop().time(),
+        })
