--- a/src/plantainridge/claims.py
+++ b/src/plantainridge/claims.py
@@ -277,7 +277,7 @@
 def _run(state: VmState, work: KeyWork, now: float) -> Iterator[Effect]:
     """Dispatches under the own claim, or by the service's own check."""
     call = Call(work.lead, arrived_at=work.asked_at)
-    state.calls.calls[work.lead.request] = call
+    state.calls.open(call)
     state.claims.running[work.lead.request] = work.digest
     state.claims.works[work.digest] = work
     WORK.fire(work, 'run')
@@ -325,7 +325,7 @@
     WORK.fire(work, 'end')
     state.claims.works.pop(work.digest, None)
     if state.claims.running.pop(work.lead.request, None) is not None:
-        call = state.calls.calls.pop(work.lead.request)
+        call = state.calls.close(work.lead.request)
         if call.phase is not RequestPhase.DONE:
             REQUEST.fire(call, 'refuse')
         if call.attempt is not None:
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -128,12 +128,13 @@
                  vms: int = 1,
                  engines: int = 2,
                  seed: int = 1,
-                 dcs: tuple[DcId, ...] = (DC,)) -> None:
+                 dcs: tuple[DcId, ...] = (DC,),
+                 declared: config.Config | None = None) -> None:
         self.rng = random.Random(seed)
         self.network = Network()
         self.log = LogModel()
         self.audit = Audit()
-        self.config = sample_config(engines)
+        self.config = declared or sample_config(engines)
         self.log.append('config', 0, [encode(Revision(-1, self.config))])
         self.engines = {
             EndpointId(f'e{i}'):
@@ -224,6 +225,8 @@
         self.log.down = False
         self.log.slow_s = 0.0
         self.members.down = False
+        self.members.leaving_endpoints.clear()
+        self.members.changed()
         for engine in self.engines.values():
             engine.alive = True
             engine.slowdown = 1.0
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import aiosonic
+import attrs
 import openai
 
 from plantainridge import effects as fx
@@ -24,6 +25,7 @@
 VM = VmId('vm1')
 KEY = 'a-secret-key'
 SLOWDOWN = 0.02
+MAX_RUNNING = 256
 POLL_S = 0.005
 
 
@@ -31,6 +33,8 @@
 async def running(slowdown: float = SLOWDOWN) -> AsyncIterator[site.Site]:
     """Runs one VM before two engines and two services."""
     config = site.with_keys(world.sample_config(), {world.TEAM: KEY})
+    team = attrs.evolve(config.teams[world.TEAM], max_running=MAX_RUNNING)
+    config = attrs.evolve(config, teams={**config.teams, team.id: team})
     here = site.Site(config)
     await here.start({VM: DcId(world.DC)})
     for engine in here.engines.values():
