--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -65,7 +65,7 @@
 
         Args:
             settings: Where it listens and whom it asks.
-            transfers: The way to move blocks; None for no movements.
+            transfers: The way to move blocks; None to ask engines over HTTP.
         """
         self.settings = settings
         incarnation = Incarnation(uuid.uuid4().hex)
@@ -80,20 +80,19 @@
         self.mailboxes = Mailboxes()
         self.exited = asyncio.Event()
         self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
-        transfers = HttpTransferPort(self.client, self.tasks)
+        http_transfers = HttpTransferPort(self.client, self.tasks)
         ports = Ports(callers=self.mailboxes,
                       engines=HttpEnginePort(self.client, self.tasks),
                       services=HttpServicePort(self.tasks),
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm),
-                      transfers=transfers,
+                      transfers=transfers or http_transfers,
                       on_exit=self._on_exit,
-                      peers=self.peers,
-                      transfers=transfers)
+                      peers=self.peers)
         self.runtime = Runtime(state, ports)
         self.feeds = Feeds(self.runtime, self.client, self.tasks)
-        transfers.feeds = self.feeds
+        http_transfers.feeds = self.feeds
         self.store_polls = StorePolls(self.runtime, self.client, self.tasks)
         callers = CallersApp(self.runtime, self.mailboxes, settings.limits)
         self.callers = AppServer(callers.app, settings.host, settings.port)
