--- a/src/plantainridge/claim_state.py
+++ b/src/plantainridge/claim_state.py
@@ -118,7 +118,7 @@
     clock_margin_s: float = 60.0
     claim_timeout_s: float = 2.0
     outcome_wait_s: float = 10.0
-    max_entries: int = 100_000
+    max_entries: int = 50_000
 
     @property
     def window_s(self) -> float:
@@ -172,6 +172,10 @@
         """Returns the shard that a key belongs to."""
         return int.from_bytes(digest[:4], 'big') % self.limits.shards
 
+    def settled(self) -> bool:
+        """Whether no caller waits and no record of this VM is on its way."""
+        return not (self.works or self.owed or self.waiting)
+
     def platform_time(self, now: float) -> float | None:
         """Returns the platform's time, never ahead of it but by drift.
 
