--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -12,6 +12,7 @@
 from plantainridge.feeds import Feeds
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, Tasks, new_client)
+from plantainridge.http_transfers import HttpTransferPort, StorePolls
 from plantainridge.ids import DcId, Incarnation, VmId
 from plantainridge.mailboxes import Mailboxes
 from plantainridge.metrics import Metrics
@@ -65,7 +66,7 @@
 
         Args:
             settings: Where it listens and whom it asks.
-            transfers: The way to move blocks; None for no movements.
+            transfers: The way to move blocks; None to ask engines over HTTP.
         """
         self.settings = settings
         incarnation = Incarnation(uuid.uuid4().hex)
@@ -80,18 +81,21 @@
         self.mailboxes = Mailboxes()
         self.exited = asyncio.Event()
         self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
+        http_transfers = HttpTransferPort(self.client, self.tasks)
         ports = Ports(callers=self.mailboxes,
                       engines=HttpEnginePort(self.client, self.tasks),
                       services=HttpServicePort(self.tasks),
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
                       report=ProcessReport(self.metrics, settings.vm),
-                      transfers=transfers,
+                      transfers=transfers or http_transfers,
                       on_exit=self._on_exit,
                       peers=self.peers,
                       orders=HttpOrderPort(self.client, self.tasks))
         self.runtime = Runtime(state, ports)
         self.feeds = Feeds(self.runtime, self.client, self.tasks)
+        http_transfers.feeds = self.feeds
+        self.store_polls = StorePolls(self.runtime, self.client, self.tasks)
         callers = CallersApp(self.runtime, self.mailboxes, settings.limits)
         self.callers = AppServer(callers.app, settings.host, settings.port)
         callers.abort = self.callers.abort
@@ -114,6 +118,7 @@
                                     self.runtime.post))
         self.runtime.start()
         self.feeds.start()
+        self.store_polls.start()
         await self.callers.start()
         await self.operators.start()
 
--- a/src/plantainridge/standins/engine_http.py
+++ b/src/plantainridge/standins/engine_http.py
@@ -15,8 +15,8 @@
 
 from plantainridge.http_ports import STATUS_OTHER_VERSION
 from plantainridge.ids import BlockKey, RequestId
-from plantainridge.standins.engine import (PREFILL_TOKENS_PER_S, EngineModel,
-                                           Job, Sink)
+from plantainridge.standins.cache_http import CacheRoutes
+from plantainridge.standins.engine import EngineModel, Job, Sink
 
 JOURNAL_CHANGES: Final = 1_024
 
@@ -94,6 +94,7 @@
             Route('/v1/completions', self.complete, methods=['POST']),
             Route('/feed', self.feed),
             *orders,
+            *CacheRoutes(model).routes,
         ])
 
     async def complete(self, request: Request) -> Response:
@@ -148,10 +149,15 @@
             'added': list(model.cache) if changes is None else changes.added,
             'removed': [] if changes is None else changes.removed,
             'load': {
-                'age_s': 0.0,
-                'running': len(model.running),
-                'waiting_tokens': model.waiting_tokens(),
-                'prefill_tokens_per_s': PREFILL_TOKENS_PER_S,
-                'version': model.version,
+                'age_s':
+                    0.0,
+                'running':
+                    len(model.running),
+                'waiting_tokens':
+                    model.waiting_tokens(),
+                'prefill_tokens_per_s':
+                    model.prefill_tokens_per_s / model.slowdown,
+                'version':
+                    model.version,
             },
         })
