Give a suspect whose version is gone its final word

Cause: a request cut off by a crash mid-answer was tried apart from others, by a choice that knew nothing of weight versions: it was sent to engines that had loaded a newer version, refused, and sent again, 803 times in 200 s, for ever. The wait of a suspect for its turn had no bound either.

Change: a suspect goes only to engines that may run its version; waiting is bounded from its start to the next token, for suspects and all others.

--- a/src/plantainridge/calls.py
+++ b/src/plantainridge/calls.py
@@ -32,6 +32,8 @@
         expected_s: Expected time to first token of the last choice, in s.
         suspect: Fingerprint once an endpoint crashed under it, or empty.
         progress_at: Loop time of its last dispatch or token, in s.
+        waiting_since: Loop time since which it waits for an endpoint without
+            a token, in s; None if it does not.
     """
 
     asked: ModelCalled | ServiceCalled
@@ -50,6 +52,7 @@
     expected_s: float = 0.0
     suspect: str = ''
     progress_at: float = 0.0
+    waiting_since: float | None = None
 
     @property
     def ran(self) -> RanState:
--- a/src/plantainridge/quarantine.py
+++ b/src/plantainridge/quarantine.py
@@ -22,6 +22,7 @@
 from plantainridge.calls import Attempt, Call
 from plantainridge.config import EndpointKind
 from plantainridge.effects import Effect, LogLine
+from plantainridge.endpoints import UNKNOWN_VERSION
 from plantainridge.events import ModelCalled, PeerSaid, TimerFired
 from plantainridge.exchange import Topic
 from plantainridge.ids import EndpointId, RequestId, VmId
@@ -50,6 +51,8 @@
 # Time after which a VM with suspects in flight says so again, in s.
 SAY_AGAIN_S: Final = 10.0
 RETRY_AFTER_S: Final = 3.0
+# Longest that a suspect waits for its turn, in s.
+WAIT_LIMIT_S: Final = 60.0
 _DIGEST_BYTES: Final = 8
 
 _CONVERTER: Final = make_converter(
@@ -281,8 +284,10 @@
     open_views = [
         view.id
         for view in state.endpoints.values()
-        if view.endpoint.kind is EndpointKind.ENGINE and view.endpoint.serves ==
-        call.asked.model and view.takes_work(now) and view.id != suspect.crashed
+        if view.endpoint.kind is EndpointKind.ENGINE and
+        view.endpoint.serves == call.asked.model and view.takes_work(now) and
+        view.id != suspect.crashed and view.version in (call.asked.version,
+                                                        UNKNOWN_VERSION)
     ]
     if not open_views:
         return EndpointId('')
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -98,19 +98,27 @@
         retries.note_retry(state, choice.endpoint)
         yield from _follow(state, call, asked, choice, now)
         return
-    if now - call.progress_at < retries.WAIT_LIMIT_S:
+    yield from _wait_or_refuse(state, call, asked, choice.detail,
+                               retries.WAIT_LIMIT_S, now)
+
+
+def _wait_or_refuse(state: VmState, call: Call, asked: ModelCalled, detail: str,
+                    limit_s: float, now: float) -> Iterator[Effect]:
+    if (call.waiting_since is None or now - call.waiting_since < limit_s):
         yield from _wait(call, asked, now)
         return
     yield from _refuse(
         state, call, asked.request,
         Refusal(Reason.NO_ENDPOINT,
                 call.ran,
-                choice.detail,
+                detail,
                 retry_after_s=retries.RETRY_AFTER_S))
 
 
 def _wait(call: Call, asked: ModelCalled, now: float) -> Iterator[Effect]:
     REQUEST.fire(call, 'wait')
+    if call.waiting_since is None:
+        call.waiting_since = now
     yield SetTimer(TimerKey(TimerKind.RETRY, asked.request),
                    now + retries.WAIT_STEP_S)
 
@@ -125,7 +133,9 @@
         return
     endpoint = quarantine.trial_endpoint(state, call, now)
     if not endpoint:
-        yield from _wait(call, asked, now)
+        yield from _wait_or_refuse(state, call, asked,
+                                   'no endpoint is free to try a suspect on',
+                                   quarantine.WAIT_LIMIT_S, now)
         return
     quarantine.note_trial(state, call, endpoint, now)
     yield from quarantine.say(state, now)
@@ -199,6 +209,7 @@
         yield Observe('first_token_s', asked.team, asked.model,
                       now - call.arrived_at)
     call.progress_at = now
+    call.waiting_since = None
     call.delivered.extend(event.tokens)
     yield SendTokens(asked.request, event.tokens)
 
