Give up a caller that reads nothing of a stream

Change: each piece must be taken within 20 s, or the caller is cut off as too slow; the stream has a module of its own. Measurement: test with a caller that stalls 21 s: before, its stream never ended; now both the caller and the slot are let go at 20 s, and one that reads each piece within 19 s still gets its whole answer. Conclusion: no caller holds a slot by not reading.

--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -12,13 +12,14 @@
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
-from starlette.types import Receive, Scope, Send
+from starlette.types import Receive
 
 from plantainridge import blocks, completions, versions
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.completions import Ask, malformed
 from plantainridge.config import Team
+from plantainridge.event_stream import EventStream
 from plantainridge.ids import RequestId, ServiceId
 from plantainridge.mailboxes import HungUp, Mailbox, Mailboxes
 from plantainridge.problems import problem, problem_body
@@ -37,6 +38,7 @@
 MAX_KEY_CHARS: Final = 255
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 BODY_TIMEOUT_S: Final = 30.0
+STALL_TIMEOUT_S: Final = 20.0
 # Bytes beyond the limit that are read and dropped.
 DISCARD_BYTES: Final = 16 * 1024 * 1024
 
@@ -50,46 +52,12 @@
     Attributes:
         body_bytes: Longest body.
         body_s: Longest time in s until the whole body has come.
+        stall_s: Longest time in s that a caller may read nothing of a stream.
     """
 
     body_bytes: int = MAX_BODY_BYTES
     body_s: float = BODY_TIMEOUT_S
-
-
-class EventStream(Response):
-    """Sends server-sent events; the handler notices when the caller is gone."""
-
-    media_type = 'text/event-stream'
-
-    def __init__(self, events: AsyncIterator[str], name: str,
-                 stack: contextlib.AsyncExitStack) -> None:
-        """Prepares a stream.
-
-        Args:
-            events: What to send, piece by piece.
-            name: The request's id.
-            stack: What to close at the end, however it comes.
-        """
-        super().__init__(None, headers={'x-request-id': name})
-        del self.headers['content-length']
-        self.events = events
-        self.stack = stack
-
-    async def __call__(self, scope: Scope, receive: Receive,
-                       send: Send) -> None:
-        async with self.stack:
-            await send({
-                'type': 'http.response.start',
-                'status': self.status_code,
-                'headers': self.raw_headers
-            })
-            async for event in self.events:
-                await send({
-                    'type': 'http.response.body',
-                    'body': event.encode(),
-                    'more_body': True
-                })
-            await send({'type': 'http.response.body', 'body': b''})
+    stall_s: float = STALL_TIMEOUT_S
 
 
 @attrs.define
@@ -251,7 +219,9 @@
             if not isinstance(first, (fx.SendTokens, fx.FinishAnswer)):
                 return self._ended(visit, first)
             events = self._events(visit, ask, first, mailbox)
-            return EventStream(events, visit.name, stack.pop_all())
+            return EventStream(events, visit.name, stack.pop_all(),
+                               self.limits.stall_s,
+                               lambda: self._cut_off(visit))
 
     def _model_called(self, visit: _Visit, team: Team,
                       ask: Ask) -> ev.ModelCalled | Refusal:
@@ -311,12 +281,7 @@
     async def _mailbox(self, visit: _Visit,
                        request: Request) -> AsyncIterator[Mailbox]:
         """Opens a mailbox; at the end nothing of the request is left."""
-
-        def overflow() -> None:
-            visit.outcome = Reason.CALLER_SLOW.value
-            self.abort(visit.client)
-
-        mailbox = self.mailboxes.open(visit.name, overflow)
+        mailbox = self.mailboxes.open(visit.name, lambda: self._cut_off(visit))
         listener = asyncio.create_task(_listen(request.receive, mailbox))
         try:
             yield mailbox
@@ -327,6 +292,11 @@
             self.runtime.post(ev.CallerGone(visit.name))
             self._log(visit)
 
+    def _cut_off(self, visit: _Visit) -> None:
+        """Gives up a caller that reads too slowly."""
+        visit.outcome = Reason.CALLER_SLOW.value
+        self.abort(visit.client)
+
     def _ended(self, visit: _Visit, reply: Any) -> Response:
         if isinstance(reply, fx.Refuse):
             visit.outcome = reply.refusal.reason.value
