Expect repeatable requests to outlive every fault but their VM's death

Cause: mutants that resume from the start or pass on a crossed service answer were missed: nothing said that a request must end whole when another engine could run it, and a service's answer was not compared with its call.

Change: the request cycle names requests that were lost under a single fault; service answers are checked; streams of another weight version are injected; engines must run the intended version once all is at rest.

--- a/src/plantainridge/bench_poison.py
+++ b/src/plantainridge/bench_poison.py
@@ -13,7 +13,7 @@
 from plantainridge.ids import DcId, EndpointId
 from plantainridge.quarantine import MAX_CRASHES
 from plantainridge.refusals import Reason
-from plantainridge.standins.engine import EngineModel, Job
+from plantainridge.standins.crashing import CRASH_MARK, CrashingEngine
 from plantainridge.standins.memory import Told
 from plantainridge.standins.traffic import (Ask, Outcome, Platform, declare,
                                             new_team)
@@ -30,34 +30,9 @@
 # Time after which a caller sends a refused poison again, in s.
 RESEND_S: Final = 0.01
 RESEND_MOST_S: Final = 1.0
-RESTART_S: Final = 3.0
 SETTLE_S: Final = 60.0
 # Times after which a caller hangs up and sends again, in s.
 PATIENCE_S: Final = (0.5, 2.0, 30.0)
-MARK: Final = 'crashes the engine'
-
-
-class CrashingEngine(EngineModel):
-    """An engine that some prompts crash as their prefill is done.
-
-    Attributes:
-        crashed_by: The prompts that crashed it.
-    """
-
-    def __init__(self, name: EndpointId) -> None:
-        super().__init__(name, VERSION)
-        self.crashed_by: list[str] = []
-
-    def on_prefilled(self, job: Job) -> None:
-        """Crashes under a marked prompt and starts again after a while."""
-        if MARK not in job.prompt:
-            return
-        self.crashed_by.append(job.prompt)
-        self.crash()
-        asyncio.get_running_loop().call_later(RESTART_S, self._restart)
-
-    def _restart(self) -> None:
-        self.alive = True
 
 
 @attrs.frozen
@@ -89,7 +64,9 @@
                            seed,
                            dcs=DCS,
                            declared=declare([self.team, self.guilty], ENGINES))
-        self.engines = [CrashingEngine(name) for name in self.world.engines]
+        self.engines = [
+            CrashingEngine(name, VERSION) for name in self.world.engines
+        ]
         self.world.engines.update({each.name: each for each in self.engines})
         self.platform = Platform(self.world, self.rng.getrandbits(32))
         self.innocents: list[Outcome] = []
@@ -129,7 +106,7 @@
     async def _send_poison(self, number: int) -> None:
         """Sends a poison and each of its resends by another VM."""
         await asyncio.sleep(number * POISON_EVERY_S + self.rng.random())
-        text = f'manifest {number} {MARK} '.ljust(4_000, 'x')
+        text = f'manifest {number} {CRASH_MARK} '.ljust(4_000, 'x')
         ask = Ask(self.guilty.id, text, 8, RESENDS)
         began = asyncio.get_running_loop().time()
         first = self.rng.randrange(VMS)
--- a/src/plantainridge/matrix.py
+++ b/src/plantainridge/matrix.py
@@ -13,7 +13,7 @@
 from plantainridge import paused
 from plantainridge.standins.cycles import CYCLES, Cycle, Step
 from plantainridge.standins.faults import FAULTS, Fault
-from plantainridge.standins.oracle import Violation
+from plantainridge.standins.oracle import Check, Violation
 from plantainridge.standins.scene import START_S, Scene
 
 SETTLE_S: Final = 100.0
@@ -156,10 +156,16 @@
             fault.strike(scene)
 
         scene.at(strike.step.matches, strike.step.nth, act)
-    await cell.cycle().run(scene)
+    cycle = cell.cycle()
+    await cycle.run(scene)
     await scene.settle(SETTLE_S)
     await scene.oracle.probe()
-    return CellResult(cell, tuple(struck), tuple(scene.oracle.judge()))
+    violations = scene.oracle.judge()
+    if len(cell.strikes) == 1 and cell.strikes[0].fault.spares_requests:
+        violations += [
+            Violation(Check.RECOVERY, lost) for lost in cycle.lost(scene)
+        ]
+    return CellResult(cell, tuple(struck), tuple(violations))
 
 
 @attrs.frozen
--- a/src/plantainridge/standins/crashing.py
+++ b/src/plantainridge/standins/crashing.py
@@ -7,7 +7,7 @@
 
 # A prompt that holds this text crashes each engine that computes it.
 CRASH_MARK: Final = 'crashes the engine'
-RESTART_S: Final = 2.0
+RESTART_S: Final = 3.0
 
 
 class CrashingEngine(EngineModel):
--- a/src/plantainridge/standins/cycles.py
+++ b/src/plantainridge/standins/cycles.py
@@ -2,7 +2,7 @@
 
 import abc
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import attrs
@@ -77,6 +77,11 @@
     async def run(self, scene: Scene) -> None:
         """Goes through the life cycle; the caller's part of it."""
 
+    def lost(self, scene: Scene) -> Iterator[str]:
+        """Yields requests that should have ended whole and did not."""
+        del scene
+        yield from ()
+
 
 class RequestCycle(Cycle):
     """A model request from its call to its end."""
@@ -97,6 +102,14 @@
         scene.world.ask_model(scene.subject, PROMPT, TOKENS)
         await asyncio.sleep(RUN_S)
 
+    def lost(self, scene: Scene) -> Iterator[str]:
+        for ask in scene.world.asks:
+            event = ask.event
+            if not isinstance(event, ev.ModelCalled):
+                continue
+            if event.prompt.text == PROMPT and ask.told.ended is None:
+                yield f'{event.request} ended with {ask.told.refusal}'
+
 
 class MarkedCycle(Cycle):
     """A call that must run at most once, and its resends by other VMs."""
--- a/src/plantainridge/standins/faults.py
+++ b/src/plantainridge/standins/faults.py
@@ -25,9 +25,15 @@
 
 
 class Fault(abc.ABC):
-    """One fault; `name` is stable, for reports."""
+    """One fault.
+
+    Attributes:
+        name: Stable, for reports.
+        spares_requests: Whether a repeatable request must outlive it.
+    """
 
     name: str
+    spares_requests = True
 
     @abc.abstractmethod
     def strike(self, scene: Scene) -> None:
@@ -47,6 +53,7 @@
     """The subject dies; an empty VM takes its name after a while."""
 
     name = 'vm_killed'
+    spares_requests = False
 
     def strike(self, scene: Scene) -> None:
         vm = scene.subject
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -161,11 +161,13 @@
         lose: The piece is lost.
         double: The piece comes twice.
         cross: Another request's piece comes instead.
+        swap: The piece is of another weight version, and says so.
     """
 
     lose: float = 0.0
     double: float = 0.0
     cross: float = 0.0
+    swap: float = 0.0
 
 
 class MemoryEnginePort(EnginePort):
@@ -238,6 +240,10 @@
             event = attrs.evolve(event,
                                  echoed=RequestId('another'),
                                  tokens=('crossed ',))
+        if self._draw(self.faults.swap):
+            event = attrs.evolve(event,
+                                 version=WeightVersion('another'),
+                                 tokens=('swapped ',))
         self.network.later(lambda: post(event))
         if self._draw(self.faults.double):
             self.network.later(lambda: post(event))
--- a/src/plantainridge/standins/oracle.py
+++ b/src/plantainridge/standins/oracle.py
@@ -19,7 +19,7 @@
 from plantainridge.refusals import RanState
 from plantainridge.standins.engine import token_at
 from plantainridge.standins.memory import Told
-from plantainridge.standins.world import LEDGER, LOOKUP, Ask, Vm, World
+from plantainridge.standins.world import (LEDGER, LOOKUP, MODEL, Ask, Vm, World)
 
 # After this long a leaving endpoint gets no new work, in s.
 LEAVING_LIMIT_S: Final = 3.0
@@ -228,6 +228,12 @@
                 yield Violation(
                     Check.CONFIG, f'{vm.name} has {vm.state.config.revision} '
                     f'in force, the log says {newest}')
+        for engine in self.world.engines.values():
+            model = self.world.config.models[MODEL]
+            if engine.version != model.version:
+                yield Violation(
+                    Check.CONFIG, f'{engine.name} runs {engine.version}, not '
+                    f'{model.version}')
 
 
 def _ask_one_of_each(world: World, vm: Vm) -> Iterator[tuple[str, Told]]:
@@ -264,6 +270,10 @@
                         f'{name} got {ask.told.finals} final words')
     if isinstance(ask.event, ev.ModelCalled):
         yield from _judge_answer(ask, ask.event, versions | {ask.event.version})
+    elif ask.told.status is not None and not ask.told.body.isdigit():
+        # A service of the world answers with the count of its runs.
+        yield Violation(Check.WHOLE_ANSWERS,
+                        f'{name} got an answer that is not its own')
     refusal = ask.told.refusal
     if refusal is not None and refusal.ran is RanState.NOT_RUN:
         if name in world.audit.started:
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -281,7 +281,8 @@
     @counted
     def garble_streams(self, chance: float, vm: int) -> None:
         """Pieces of answers are lost, come twice, or are another's."""
-        self.world.vms[vm].engines.faults = EngineFaults(chance, chance, chance)
+        self.world.vms[vm].engines.faults = EngineFaults(
+            chance, chance, chance, chance)
 
     @stateful.rule(store=store_index)
     @counted
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -87,6 +87,8 @@
            'resume_from=len(call.delivered),', 'resume_from=0,', 'request'),
     Mutant('send_work_to_leaving_endpoints', 'endpoints.py',
            'if self.endpoint.leaving or self.leaving:', 'if False:', 'drain'),
+    Mutant('take_any_engine_for_up_to_date', 'rollout.py',
+           'if report.loaded == target:', 'if True:', 'weight_swap'),
     Mutant('give_a_crossed_service_answer', 'services.py',
            'if event.echoed != call.asked.request:', 'if False:'),
 )
@@ -130,6 +132,11 @@
     return commands
 
 
+def detector_of(command: list[str]) -> str:
+    """Returns the name of the detector that a command runs."""
+    return 'matrix' if 'matrix' in command else 'fuzz'
+
+
 async def judge(mutant: Mutant, slots: asyncio.Semaphore) -> Verdict:
     """Runs the detectors on a mutant until one notices it."""
     async with slots:
@@ -140,7 +147,7 @@
             apply(mutant, copy)
             for command in detectors(mutant):
                 if await _notices(command, copy):
-                    return Verdict(mutant, command[1].split('.')[-1])
+                    return Verdict(mutant, detector_of(command))
     return Verdict(mutant, '')
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,10 +8,10 @@
 from plantainridge import (bench_drain, bench_overload, bench_poison, drain,
                            fairness, paused, quarantine, retries)
 from plantainridge import events as ev
-from plantainridge.bench_poison import MARK, CrashingEngine
 from plantainridge.ids import EndpointId
 from plantainridge.refusals import RanState, Reason
 from plantainridge.requests import STALL_S
+from plantainridge.standins.crashing import CRASH_MARK, CrashingEngine
 from plantainridge.standins.engine import token_at
 from plantainridge.standins.traffic import Platform
 from plantainridge.standins.world import (LEDGER, LOOKUP, TEAM, VERSION, World)
@@ -44,10 +44,10 @@
 
         async def scenario() -> None:
             world = World(vms=3, engines=4)
-            engines = [CrashingEngine(name) for name in world.engines]
+            engines = [CrashingEngine(name, VERSION) for name in world.engines]
             world.engines.update({each.name: each for each in engines})
             await asyncio.sleep(READY_S)
-            text = f'{MARK} at once'
+            text = f'{CRASH_MARK} at once'
             told = world.ask_model(world.vms[0], text)
             await asyncio.wait_for(told.done.wait(), WAIT_S)
             self.assertEqual(told.refusal and told.refusal.reason,
