Try each key again that did not run, whatever callers were told

Cause: the mutant that never releases a claim that was given up was missed: only keys told nothing but not_run were tried again. Change: every key that no service ran is tried again at the end, unless a VM that took it in has died; an unused import goes. Conclusion: a claim that is given up blocks no key.

--- a/src/plantainridge/bench_poison.py
+++ b/src/plantainridge/bench_poison.py
@@ -10,7 +10,7 @@
 
 from plantainridge import benches, paused
 from plantainridge.bench_overload import asks_of
-from plantainridge.ids import DcId, EndpointId
+from plantainridge.ids import DcId
 from plantainridge.quarantine import MAX_CRASHES
 from plantainridge.refusals import Reason
 from plantainridge.standins.crashing import CRASH_MARK, CrashingEngine
--- a/src/plantainridge/standins/oracle.py
+++ b/src/plantainridge/standins/oracle.py
@@ -15,8 +15,9 @@
 from plantainridge import config
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge.ids import EndpointId, TeamId, VmId
+from plantainridge.ids import EndpointId, VmId
 from plantainridge.refusals import RanState
+from plantainridge.standins.audit import MarkedCall
 from plantainridge.standins.engine import token_at
 from plantainridge.standins.memory import Told
 from plantainridge.standins.world import (LEDGER, LOOKUP, MODEL, Ask, Vm, World)
@@ -135,8 +136,8 @@
     async def probe(self) -> None:
         """Asks each VM for one of each; all faults must have ended.
 
-        A key whose callers were told nothing but `not_run` is tried again:
-        it must not be blocked.
+        A key that did not run is tried again: it must not be blocked, unless
+        a VM that died may have been about to run it.
         """
         probes = [
             _Probe(f'{kind} by {vm.name}', told)
@@ -243,21 +244,22 @@
 
 
 def _resend_free_keys(world: World) -> Iterator[tuple[str, Told]]:
-    free: dict[tuple[TeamId, str], ev.ServiceCalled] = {}
-    taken: set[tuple[TeamId, str]] = set()
+    """Tries each key again that did not run and that no dead VM may hold."""
+    free: dict[MarkedCall, ev.ServiceCalled] = {}
+    held: set[MarkedCall] = set()
     for ask in world.asks:
         event = ask.event
         if not isinstance(event, ev.ServiceCalled) or not event.key:
             continue
-        refusal = ask.told.refusal
-        if refusal is not None and refusal.ran is RanState.NOT_RUN:
-            free.setdefault((event.team, event.key), event)
-        else:
-            taken.add((event.team, event.key))
-    for (team, key), event in free.items():
-        if (team, key) not in taken:
-            yield key, world.call_service(world.vms[-1], LEDGER, key,
-                                          event.body, team)
+        call = MarkedCall(event.team, event.service, event.key)
+        if world.audit.runs[call] == 0:
+            free.setdefault(call, event)
+        if ask.vm.runtime.halted:
+            held.add(call)
+    for call, event in free.items():
+        if call not in held:
+            yield call.key, world.call_service(world.vms[-1], LEDGER, call.key,
+                                               event.body, event.team)
 
 
 def _judge_ask(world: World, ask: Ask,
