--- a/src/plantainridge/quarantine.py
+++ b/src/plantainridge/quarantine.py
@@ -10,15 +10,12 @@
 
 import enum
 import hashlib
-import json
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
 import attrs
-import cattrs
-from cattrs.preconf.json import make_converter
 
-from plantainridge import exchange
+from plantainridge import exchange, suspect_words
 from plantainridge.calls import Attempt, Call
 from plantainridge.config import EndpointKind
 from plantainridge.effects import Effect, LogLine
@@ -28,6 +25,7 @@
 from plantainridge.ids import EndpointId, RequestId, VmId
 from plantainridge.lifecycles import RequestPhase
 from plantainridge.refusals import RanState, Reason, Refusal
+from plantainridge.suspect_words import CrashCount, Unreadable, Word
 
 if TYPE_CHECKING:
     from plantainridge.state import VmState
@@ -55,9 +53,6 @@
 WAIT_LIMIT_S: Final = 60.0
 _DIGEST_BYTES: Final = 8
 
-_CONVERTER: Final = make_converter(
-    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
-
 
 class Verdict(enum.Enum):
     """What follows for a request whose endpoint crashed."""
@@ -66,40 +61,6 @@
     CONVICTED = 'convicted'
 
 
-@attrs.frozen
-class CrashCount:
-    """Crashes of one endpoint under a request that one VM saw.
-
-    Attributes:
-        endpoint: The endpoint; empty if there was no crash.
-        trying: Whether that VM still has such a request in flight.
-    """
-
-    fingerprint: str
-    vm: VmId
-    endpoint: EndpointId
-    crashes: int
-    trying: bool
-
-
-@attrs.frozen
-class Word:
-    """What a VM says of its suspects.
-
-    Attributes:
-        counts: Crashes that it saw, and those of convicted requests.
-        trials: Endpoints on which it tries suspects now.
-    """
-
-    counts: tuple[CrashCount, ...]
-    trials: tuple[EndpointId, ...]
-
-
-@attrs.frozen
-class Unreadable:
-    """Says that another VM's word could not be read."""
-
-
 @attrs.define
 class Suspect:
     """A request that may crash endpoints.
@@ -276,20 +237,10 @@
     ]
     trials = (table.trial.endpoint,) if table.trial is not None else ()
     word = Word(tuple(rows[-MAX_ROWS:]), trials)
-    payload = json.dumps(_CONVERTER.unstructure(word),
-                         separators=(',', ':')).encode()
-    exchange.say(state, Topic.SUSPECTS, payload)
+    exchange.say(state, Topic.SUSPECTS, suspect_words.encode(word))
     yield from exchange.push(state, Topic.SUSPECTS)
 
 
-def decode(payload: bytes) -> Word | Unreadable:
-    """Reads a message on `Topic.SUSPECTS`."""
-    try:
-        return _CONVERTER.structure(json.loads(payload), Word)
-    except (ValueError, TypeError, cattrs.BaseValidationError):
-        return Unreadable()
-
-
 def trial_endpoint(state: 'VmState', call: Call, now: float) -> EndpointId:
     """Returns where a suspect is tried now; empty while it must wait."""
     table = state.quarantine
@@ -401,7 +352,7 @@
     heard = dict(exchange.listen(state, Topic.SUSPECTS, now, WORD_MAX_AGE_S))
     taken: set[EndpointId] = set()
     for vm, payload in heard.items():
-        word = decode(payload)
+        word = suspect_words.decode(payload)
         if isinstance(word, Unreadable):
             continue
         taken.update(word.trials)
