--- a/src/plantainridge/choices.py
+++ b/src/plantainridge/choices.py
@@ -39,7 +39,6 @@
                   now=now,
                   version=asked.version)
     engines = state.index.engines(state.endpoints, asked.model, state.dc)
-    for store in state.config.stores.values():
-        state.links.add(store.id, store.link_bytes_per_s)
+    state.links.follow(state.config.stores)
     return state.policy.choose(
         query, Knowledge(engines, state.directory, state.links, state.rng))
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from plantainridge import (admission, choices, health, quarantine, retries,
-                           transfers)
+                           transfers, versions)
 from plantainridge.admission import Expected
 from plantainridge.calls import Attempt, Call
 from plantainridge.effects import (CancelAttempt, CancelTimer, Effect,
@@ -85,6 +85,7 @@
 def _dispatch(state: VmState, call: Call, asked: ModelCalled,
               now: float) -> Iterator[Effect]:
     """Dispatches a call again, or lets it wait for an endpoint."""
+    asked = versions.current(state, call, asked, now)
     if call.suspect in state.quarantine.suspects:
         # Takes its turn by the timer, when all that crashed are known.
         if call.phase is not RequestPhase.WAITING:
@@ -228,6 +229,12 @@
     if call is None or not isinstance(call.asked, ModelCalled):
         return
     attempt = state.calls.attempts[event.attempt]
+    if event.failure is Failure.OTHER_VERSION:
+        yield from _forget_attempt(state, event.attempt)
+        call.attempt = None
+        versions.on_refused(state, call, attempt.endpoint, event.version)
+        yield from _dispatch(state, call, call.asked, now)
+        return
     health.note_failure(state, attempt.endpoint, event.failure, now)
     call.tried.add(attempt.endpoint)
     if event.failure not in retries.SURELY_NOT_RUN:
--- a/src/plantainridge/routing.py
+++ b/src/plantainridge/routing.py
@@ -7,7 +7,8 @@
 import attrs
 
 from plantainridge.directory import Directory
-from plantainridge.endpoints import EndpointView, ModelEngines
+from plantainridge.endpoints import (UNKNOWN_VERSION, EndpointView,
+                                     ModelEngines)
 from plantainridge.events import Prompt, StoredCopy
 from plantainridge.ids import DcId, EndpointId, StoreId, TeamId, WeightVersion
 from plantainridge.links import LinkTable
@@ -108,8 +109,8 @@
     """Whether a request may be sent to an endpoint now."""
     if not view.takes_work(query.now) or view.id in query.excluded:
         return False
-    return (not query.version or view.report is None or
-            view.report.version == query.version)
+    return (not query.version or
+            view.version in (query.version, UNKNOWN_VERSION))
 
 
 def candidates(query: Query, known: Knowledge) -> Iterator[EndpointView]:
--- a/src/plantainridge/standins/commands.py
+++ b/src/plantainridge/standins/commands.py
@@ -3,18 +3,28 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import click
 
 from plantainridge import process, settings
-from plantainridge.ids import EndpointId, WeightVersion
+from plantainridge.ids import EndpointId, ModelId, StoreId, WeightVersion
+from plantainridge.orders import Loaded
 from plantainridge.serve import AppServer
+from plantainridge.standins import engine_orders_http
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.engine_http import EngineApp
+from plantainridge.standins.engine_orders import OrderTaker
 from plantainridge.standins.log import LogApp, LogModel
 from plantainridge.standins.members import MembersApp, MembersModel
 from plantainridge.standins.service import ServiceApp, ServiceModel
+from plantainridge.standins.store import StoreModel
+from plantainridge.standins.store_http import StoreApp
+from plantainridge.standins.weights import WeightStore
+
+STORE_MEMORY_BLOCKS: Final = 1_500
+STORE_DISK_BLOCKS: Final = 12_000
+STORE_LINK_BYTES_PER_S: Final = 1.25e9
 
 
 class ServedPart(process.Part):
@@ -68,11 +78,18 @@
 @standin.command()
 @settings.option('--name', type=settings.NAME, default='engine')
 @settings.option('--weights', default='v1', help='Weight version it serves.')
+@click.option('--model', default='report', help='Model that it runs.')
 @click.pass_obj
-def engine(serve: Serve, name: str, weights: str) -> None:
+def engine(serve: Serve, name: str, weights: str, model: str) -> None:
     """A model engine."""
-    serve(lambda: EngineApp(
-        EngineModel(EndpointId(name), WeightVersion(weights))).app)
+
+    def make_app() -> Any:
+        running = EngineModel(EndpointId(name), WeightVersion(weights))
+        taker = OrderTaker(running, WeightStore(),
+                           Loaded(ModelId(model), running.version, ''))
+        return EngineApp(running, engine_orders_http.routes(taker)).app
+
+    serve(make_app)
 
 
 @standin.command()
@@ -94,3 +111,13 @@
 def members(serve: Serve) -> None:
     """The platform's membership list."""
     serve(lambda: MembersApp(MembersModel()).app)
+
+
+@standin.command()
+@settings.option('--name', type=settings.NAME, default='store')
+@click.pass_obj
+def store(serve: Serve, name: str) -> None:
+    """A store of cache blocks, with memory and disk."""
+    serve(lambda: StoreApp(
+        StoreModel(StoreId(name), STORE_MEMORY_BLOCKS, STORE_DISK_BLOCKS,
+                   STORE_LINK_BYTES_PER_S)).app)
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -12,7 +13,8 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge.ids import AttemptId, EndpointId, RequestId, VmId
+from plantainridge.ids import (AttemptId, EndpointId, RequestId, VmId,
+                               WeightVersion)
 from plantainridge.metrics import Metrics
 from plantainridge.ports import (CallerPort, EnginePort, PeerPort, Post,
                                  ReportPort)
@@ -36,6 +38,7 @@
 
     cut: set[frozenset[str]] = attrs.field(factory=set)
     latency_s: float = LINK_S
+    sent: deque[Callable[[], None]] = attrs.field(factory=deque)
 
     def reaches(self, a: str, b: str) -> bool:
         """Whether two nodes can reach each other."""
@@ -46,8 +49,15 @@
         self.cut ^= {frozenset((a, b))}
 
     def later(self, act: Callable[[], None]) -> None:
-        """Acts after one delay."""
-        asyncio.get_running_loop().call_later(self.latency_s, act)
+        """Acts after one delay; what was sent first arrives first.
+
+        The loop alone does not keep the order of equal times.
+        """
+        self.sent.append(act)
+        asyncio.get_running_loop().call_later(self.latency_s, self._arrive)
+
+    def _arrive(self) -> None:
+        self.sent.popleft()()
 
 
 @attrs.define
@@ -120,9 +130,10 @@
 class _PostSink(Sink):
 
     def __init__(self, port: 'MemoryEnginePort', effect: fx.StartAttempt,
-                 post: Post) -> None:
+                 version: WeightVersion, post: Post) -> None:
         self.port = port
         self.effect = effect
+        self.version = version
         self.post = post
 
     def _send(self, event: ev.Event) -> None:
@@ -130,10 +141,9 @@
 
     def tokens(self, first: int, tokens: tuple[str, ...],
                cached_tokens: int) -> None:
-        model = self.port.models[self.effect.endpoint]
         self._send(
             ev.TokensArrived(self.effect.attempt, self.effect.request,
-                             model.version, first, tokens, cached_tokens))
+                             self.version, first, tokens, cached_tokens))
 
     def end(self, total: int) -> None:
         self._send(
@@ -186,6 +196,11 @@
                                       ev.Failure.CONNECT_REFUSED)
             self.network.later(lambda: post(failed))
             return
+        if effect.version != model.version:
+            rejected = ev.AttemptFailed(effect.attempt,
+                                        ev.Failure.OTHER_VERSION, model.version)
+            self.network.later(lambda: post(rejected))
+            return
         job = Job(request=effect.request,
                   prompt=effect.prompt.text,
                   prompt_tokens=effect.prompt.tokens,
@@ -193,7 +208,7 @@
                   max_tokens=effect.max_tokens,
                   priority=effect.priority,
                   next_index=effect.resume_from,
-                  sink=_PostSink(self, effect, post),
+                  sink=_PostSink(self, effect, model.version, post),
                   version=model.version,
                   team=effect.team,
                   model=effect.model,
