--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -11,7 +11,7 @@
 from plantainridge.events import StopRequested
 from plantainridge.feeds import Feeds
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
-                                      HttpServicePort, Tasks, new_client)
+                                      HttpServicePort, new_client)
 from plantainridge.http_transfers import HttpTransferPort, StorePolls
 from plantainridge.ids import DcId, Incarnation, VmId
 from plantainridge.mailboxes import Mailboxes
@@ -24,6 +24,7 @@
 from plantainridge.runtime import Runtime
 from plantainridge.serve import AppServer
 from plantainridge.state import VmState
+from plantainridge.tasks import Tasks
 
 
 @attrs.frozen
--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -34,7 +34,7 @@
 class TimerKey:
     """Names one timer; setting it again replaces it."""
 
-    kind: TimerKind
+    kind: enum.Enum
     subject: str = ''
 
 
--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -18,7 +18,8 @@
 from plantainridge import events as ev
 from plantainridge.config import EndpointKind
 from plantainridge.endpoints import EndpointView
-from plantainridge.http_ports import STATUS_OK, Tasks
+from plantainridge.http_ports import STATUS_OK
+from plantainridge.tasks import Tasks
 from plantainridge.ids import BlockKey, EndpointId, WeightVersion
 from plantainridge.runtime import Runtime
 
--- /dev/null
+++ b/src/plantainridge/gateway/config.py
@@ -0,0 +1,187 @@
+"""The operators' configuration: routes, services, teams and limits."""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+from plantainridge.ids import ModelId, ServiceId, TeamId
+
+DEFAULT_HEAD_BYTES: Final = 16_384
+DEFAULT_BODY_BYTES: Final = 4 * 1_024 * 1_024
+DEFAULT_HEAD_TIMEOUT_S: Final = 3.0
+DEFAULT_IDLE_TIMEOUT_S: Final = 15.0
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = 'idempotent'
+    ONCE = 'once'
+    STREAM = 'stream'
+
+
+@attrs.frozen
+class Share:
+    """Part of a route's requests that one service takes."""
+
+    service: ServiceId
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """How requests of one host and path prefix are served.
+
+    Attributes:
+        target_s: Time to the (first piece of the) answer that earns full
+            credit, in s.
+        timeout_s: Longest time that a request may be kept, in s.
+        gap_s: Longest pause within a stream, in s; 0 if not a stream.
+        attempts: Most endpoints that may run one request.
+        priority: Rank, 0 first.
+        resumable: Whether a stream may go on at another endpoint.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    shares: tuple[Share, ...]
+    target_s: float
+    timeout_s: float
+    gap_s: float = 0.0
+    attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return (self.kind is RequestKind.IDEMPOTENT or
+                self.kind is RequestKind.STREAM and self.resumable)
+
+
+@attrs.frozen
+class EngineTerms:
+    """What all model engines of a service have in common.
+
+    Attributes:
+        cache_tokens: KV cache memory, in tokens.
+        token_bytes: Size of one cached token.
+        link_mbps: Rate of an engine's transfers, in Mbit/s.
+    """
+
+    slots: int
+    cache_tokens: int
+    token_bytes: int
+    link_mbps: float
+    models: tuple[ModelId, ...]
+
+
+@attrs.frozen
+class StoreTerms:
+    """A KV cache store.
+
+    Attributes:
+        address: IP number and port.
+        capacity_tokens: What it has room for, in tokens.
+        link_mbps: Rate of its transfers, in Mbit/s.
+        setup_s: Wait before each transfer, in s.
+        manual: Whether it drops nothing on its own.
+        max_polls: Event calls that it holds at once.
+    """
+
+    address: str
+    dc: str
+    capacity_tokens: int
+    link_mbps: float
+    setup_s: float
+    manual: bool
+    max_polls: int
+
+
+@attrs.frozen
+class Service:
+    """A service: model engines, plain instances, or one KV cache store."""
+
+    name: ServiceId
+    connection_limit: int = 0
+    engine: EngineTerms | None = None
+    store: StoreTerms | None = None
+
+
+@attrs.frozen
+class Team:
+    """A team; `isolated` ones share no cached part with others."""
+
+    name: TeamId
+    keys: frozenset[str] = attrs.field(repr=False)
+    priority: int | None = None
+    isolated: bool = False
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    head_bytes: int = DEFAULT_HEAD_BYTES
+    body_bytes: int = DEFAULT_BODY_BYTES
+    head_timeout_s: float = DEFAULT_HEAD_TIMEOUT_S
+    idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+
+
+@attrs.frozen
+class Configuration:
+    """One version of the whole configuration.
+
+    Attributes:
+        has_teams: Whether requests need a key at all.
+        by_host: Routes of each host, longest prefix first.
+        by_key: Teams by their keys.
+    """
+
+    version: int
+    services: Mapping[ServiceId, Service]
+    limits: CallerLimits
+    has_teams: bool
+    by_host: Mapping[str, tuple[Route, ...]]
+    by_key: Mapping[str, Team] = attrs.field(repr=False)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path, or None."""
+        plain = path.split('?', 1)[0]
+        for route in self.by_host.get(normal_host(host), ()):
+            if plain.startswith(route.prefix):
+                return route
+        return None
+
+
+NO_CONFIGURATION: Final = Configuration(-1, {}, CallerLimits(), True, {}, {})
+
+
+def normal_host(host: str) -> str:
+    """Returns a host name without its port, in lower case."""
+    return host.rsplit(':', 1)[0].lower()
+
+
+def build(version: int, routes: Iterable[Route], services: Iterable[Service],
+          teams: Iterable[Team] | None, limits: CallerLimits) -> Configuration:
+    """Returns a configuration with its look-up tables."""
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(normal_host(route.host), []).append(route)
+    for group in by_host.values():
+        group.sort(key=lambda each: -len(each.prefix))
+    known = list(teams or ())
+    return Configuration(
+        version=version,
+        services={each.name: each for each in services},
+        limits=limits,
+        has_teams=teams is not None,
+        by_host={
+            host: tuple(group) for host, group in by_host.items()
+        },
+        by_key={key: team for team in known for key in team.keys})
--- /dev/null
+++ b/src/plantainridge/gateway/drain.py
@@ -0,0 +1,45 @@
+"""Graceful stop of a VM: unready, every request answered, then exit."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+from plantainridge.effects import Effect, Exit, LogLine
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.events import StopRequested
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# The balancer needs two checks, a second apart, to see that a VM is not ready.
+UNREADY_S: Final = 3.0
+# Requests that crossed the closing of their connection arrive within this
+# time, in s.
+CROSSING_S: Final = 0.3
+# Time before the kill at which the process ends whatever still runs, in s.
+KILL_MARGIN_S: Final = 0.7
+
+
+def on_stop_requested(state: 'GatewayState', event: StopRequested,
+                      now: float) -> Iterator[Effect]:
+    """Makes the VM unready; a second word changes nothing."""
+    del event
+    if state.stopping_since is not None:
+        return
+    state.stopping_since = now
+    yield fx.CloseAfterAnswers()
+    yield LogLine('stopping', (('requests', len(state.calls.calls)),))
+
+
+def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Stops listening, then exits once nothing is left to answer."""
+    if state.stopping_since is None or state.exiting:
+        return
+    passed = now - state.stopping_since
+    if state.listening and passed >= UNREADY_S:
+        state.listening = False
+        yield fx.StopListening()
+    ended = passed >= UNREADY_S + CROSSING_S and not state.calls.calls
+    if ended or passed >= state.settings.bounds.grace_s - KILL_MARGIN_S:
+        state.exiting = True
+        yield LogLine('stopped', (('requests', len(state.calls.calls)),))
+        yield Exit()
--- /dev/null
+++ b/src/plantainridge/gateway/endpoints.py
@@ -0,0 +1,91 @@
+"""Endpoints as they register themselves, and what this VM saw of them."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from plantainridge.gateway.rates import Average
+from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, ServiceId)
+
+
+@attrs.frozen
+class EndpointEntry:
+    """One endpoint's own entry in the registry.
+
+    Attributes:
+        born_ms: Unix time of its start, in ms; 0 if it doesn't say.
+        orders: Orders that it has accepted since its start.
+        versions: Weight version of each model that it runs.
+    """
+
+    id: EndpointId
+    service: ServiceId
+    address: str
+    dc: DcId
+    slots: int
+    draining: bool
+    born_ms: int = 0
+    orders: int = 0
+    versions: Mapping[ModelId, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class EndpointLoad:
+    """An endpoint's word on its load.
+
+    Attributes:
+        told_at: Loop time at which the word arrived, in s.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    told_at: float
+
+
+@attrs.define
+class EndpointView:
+    """What this VM knows of one endpoint.
+
+    Attributes:
+        entry: Its latest entry.
+        entry_at: Loop time at which the entry was read, in s.
+        own: Attempts of this VM in flight, with their prompt tokens to read.
+        load: Its last word on its load, or None.
+        versions: Weight version of each model, by the latest news of any kind.
+        away_until: Loop time until which it gets no work, in s.
+        failures: Failures in a row since its last good answer.
+        heard_at: Loop time at which any byte came from it, in s.
+        first_piece_s: Time to the first piece, over what its load explains.
+        missing_since: Loop time since which its entry is gone, or None.
+    """
+
+    entry: EndpointEntry
+    entry_at: float
+    own: dict[AttemptId, int] = attrs.field(factory=dict)
+    load: EndpointLoad | None = None
+    versions: dict[ModelId, int] = attrs.field(factory=dict)
+    away_until: float = 0.0
+    failures: int = 0
+    heard_at: float = 0.0
+    slowness: Average = attrs.field(factory=Average)
+    missing_since: float | None = None
+
+    def takes_work(self, now: float) -> bool:
+        """Whether it is registered, stays, and has not just failed."""
+        return not self.entry.draining and now >= self.away_until
+
+    @property
+    def running(self) -> int:
+        """Requests on it, by the larger of its word and this VM's count."""
+        told = self.load.running + self.load.waiting if self.load else 0
+        return max(told, len(self.own))
+
+
+def ready(views: Mapping[EndpointId, EndpointView], service: ServiceId,
+          now: float) -> list[EndpointView]:
+    """Returns the endpoints of a service that take work now."""
+    return [
+        view for view in views.values()
+        if view.entry.service == service and view.takes_work(now)
+    ]
--- /dev/null
+++ b/src/plantainridge/gateway/health.py
@@ -0,0 +1,124 @@
+"""What answers, latency and silence say of endpoints."""
+
+from typing import TYPE_CHECKING, Final
+
+from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.events import AnswerHead, Failure
+from plantainridge.gateway.requests import Attempt, Call
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# How long an endpoint that could not be reached gets no work, in s; twice as
+# long after each further failure, up to the longest.
+AWAY_S: Final = 0.5
+AWAY_LONGEST_S: Final = 4.0
+# How long one that is full gets no work, in s.
+FULL_S: Final = 0.15
+# Broken answers in a row after which an endpoint is taken to be down.
+BREAKS_DOWN: Final = 2
+# Part of its target after which a silent endpoint is given up.
+PATIENCE_PART: Final = 0.6
+# The same where the endpoint answers others meanwhile.
+PATIENCE_HEARD: Final = 2.0
+# Pauses that make a stream stalled, in times its longest good pause.
+STALL_FACTOR: Final = 3.0
+STATUS_MISDIRECTED: Final = 421
+
+
+def note_heard(state: 'GatewayState', attempt: Attempt, now: float) -> None:
+    """Notes that an endpoint lives."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is not None:
+        view.heard_at = now
+
+
+def note_head(state: 'GatewayState', attempt: Attempt, head: AnswerHead,
+              now: float) -> None:
+    """Takes in what an answer's head says of its endpoint."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is None:
+        return
+    view.heard_at = now
+    if head.load is not None:
+        view.load = head.load
+
+
+def note_answer(state: 'GatewayState', attempt: Attempt, head: AnswerHead,
+                now: float) -> None:
+    """Takes in a whole answer."""
+    note_head(state, attempt, head, now)
+    if not head.not_run and head.status < 500:
+        note_whole(state, attempt, now)
+
+
+def note_first_piece(state: 'GatewayState', attempt: Attempt,
+                     now: float) -> None:
+    """Takes in that a prompt was read."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is not None:
+        view.heard_at = now
+        view.own[attempt.id] = 0
+
+
+def note_whole(state: 'GatewayState', attempt: Attempt, now: float) -> None:
+    """Takes in a good answer."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is not None:
+        view.heard_at = now
+        view.failures = 0
+
+
+def note_full(state: 'GatewayState', attempt: Attempt, now: float) -> None:
+    """Takes in that an endpoint turned a request away."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is not None:
+        view.away_until = max(view.away_until, now + FULL_S)
+
+
+def note_misdirected(state: 'GatewayState', call: Call, attempt: Attempt,
+                     head: AnswerHead, now: float) -> None:
+    """Takes in that another instance or version answers at an address."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is None:
+        return
+    if head.instance and head.instance != attempt.endpoint:
+        view.away_until = now + AWAY_LONGEST_S
+        return
+    model = call.request.model
+    newest = state.versions.newest(model)
+    if head.version is not None:
+        view.versions[model] = head.version
+    elif newest is not None and attempt.version != newest:
+        view.versions[model] = newest
+    else:
+        view.versions.pop(model, None)
+    call.tried.discard(attempt.endpoint)
+
+
+def note_failure(state: 'GatewayState', attempt: Attempt, failure: Failure,
+                 now: float) -> None:
+    """Takes in a send without an answer."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is None:
+        return
+    view.failures += 1
+    unreachable = failure in (Failure.NOT_CONNECTED, Failure.SILENT)
+    if unreachable or view.failures >= BREAKS_DOWN:
+        _send_away(view, now)
+
+
+def _send_away(view: EndpointView, now: float) -> None:
+    pause = AWAY_S * 2.0**min(view.failures - 1, 8)
+    view.away_until = max(view.away_until, now + min(pause, AWAY_LONGEST_S))
+
+
+def silent_at(state: 'GatewayState', call: Call, attempt: Attempt) -> float:
+    """Returns the loop time at which a send counts as silent, in s."""
+    view = state.endpoints.get(attempt.endpoint)
+    heard = view is not None and view.heard_at > attempt.progress_at
+    if attempt.answered:
+        pause = STALL_FACTOR * call.route.gap_s * (2.0 if heard else 1.0)
+        return attempt.progress_at + pause
+    part = PATIENCE_HEARD if heard else PATIENCE_PART
+    return attempt.sent_at + part * call.route.target_s
--- /dev/null
+++ b/src/plantainridge/gateway/placement.py
@@ -0,0 +1,127 @@
+"""Chooses the endpoint that a request is sent to.
+
+Every candidate has one expected cost in seconds: its queue, what it has to
+read, and the way there. It answers steady load from many VMs that do not talk
+to one another: sessions stay where their parts lie, and move on once waiting
+there costs more than reading them again elsewhere.
+"""
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from plantainridge.gateway import cache, endpoints
+from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.requests import Call
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# Prompt tokens that an engine is taken to read per second.
+READ_TOKENS_PER_S: Final = 60_000.0
+# How much a running request slows a further one on the same engine, in s.
+RUNNING_S: Final = 0.002
+# What a busy slot of a plain service counts for, in s.
+BUSY_SLOT_S: Final = 0.02
+# What a request between data centres counts for, in s: its bytes are paid for.
+FAR_S: Final = 0.1
+# What older weights count for, in s.
+OLD_VERSION_S: Final = 1.0
+# Advantage of the engine that all VMs would choose for a prompt, in s.
+HOME_S: Final = 0.01
+# Cost of each failure in a row, in s.
+FAILURE_S: Final = 0.2
+# Age at which an endpoint's word on its load counts no more, in s.
+LOAD_AGE_S: Final = 2.0
+# Time before the bound at which older weights get no more requests, in s.
+VERSION_MARGIN_S: Final = 2.0
+
+
+@attrs.frozen
+class Choice:
+    """An endpoint and what is expected of it.
+
+    Attributes:
+        version: Weight version to be bound to, or None.
+        read_tokens: Prompt tokens that it has to read.
+        cost_s: Expected cost, in s.
+    """
+
+    view: EndpointView
+    version: int | None
+    read_tokens: int
+    cost_s: float
+
+
+def choose(state: 'GatewayState', call: Call, now: float) -> Choice | None:
+    """Returns the cheapest endpoint for a request, or None."""
+    candidates = [
+        view for view in endpoints.ready(state.endpoints, call.service, now)
+        if view.entry.id not in call.tried
+    ]
+    if call.request.model:
+        choices = _engines(state, call, candidates, now)
+    else:
+        choices = [_plain(state, view, now) for view in candidates]
+    return min(choices, key=lambda each: each.cost_s, default=None)
+
+
+def _plain(state: 'GatewayState', view: EndpointView, now: float) -> Choice:
+    cost = _way_s(state, view) + BUSY_SLOT_S * _busy(view, now)
+    if _busy(view, now) >= view.entry.slots:
+        cost += 1.0
+    return Choice(view, None, 0, cost + state.rng.random() * BUSY_SLOT_S)
+
+
+def _engines(state: 'GatewayState', call: Call, candidates: list[EndpointView],
+             now: float) -> list[Choice]:
+    choices = []
+    model = call.request.model
+    named = state.versions.named.get(model)
+    for view in candidates:
+        version = view.versions.get(model)
+        old = (named is not None and version is not None and
+               version < named.version)
+        if old and named is not None and _too_old(state, named.seen_at, now):
+            continue
+        choice = _engine(state, call, view, version, now)
+        penalty = OLD_VERSION_S if old else 0.0
+        choices.append(attrs.evolve(choice, cost_s=choice.cost_s + penalty))
+    homes = sorted(
+        choices,
+        key=lambda each: cache.affinity(each.view.entry.id, call.request.parts))
+    if homes:
+        home = homes[0]
+        choices.remove(home)
+        choices.append(attrs.evolve(home, cost_s=home.cost_s - HOME_S))
+    return choices
+
+
+def _too_old(state: 'GatewayState', named_at: float, now: float) -> bool:
+    bound = state.settings.bounds.version_s - VERSION_MARGIN_S
+    return now - named_at > bound
+
+
+def _engine(state: 'GatewayState', call: Call, view: EndpointView,
+            version: int | None, now: float) -> Choice:
+    request = call.request
+    salt = cache.salt_of(request.model, version, call.team)
+    held = state.cache.held_tokens(view.entry.id, salt, request.parts)
+    read = max(1, request.prompt_tokens - held)
+    queued = sum(view.own.values())
+    seconds = (queued + read) / READ_TOKENS_PER_S
+    seconds += RUNNING_S * _busy(view, now)
+    return Choice(view, version, read, seconds + _way_s(state, view))
+
+
+def _busy(view: EndpointView, now: float) -> int:
+    """Requests on an endpoint, as far as known."""
+    own = len(view.own)
+    if view.load is None or now - view.load.told_at > LOAD_AGE_S:
+        return own
+    return max(own, view.load.running + view.load.waiting)
+
+
+def _way_s(state: 'GatewayState', view: EndpointView) -> float:
+    far = 0.0 if view.entry.dc == state.settings.dc else FAR_S
+    return far + FAILURE_S * view.failures
--- /dev/null
+++ b/src/plantainridge/gateway/ports.py
@@ -0,0 +1,69 @@
+"""What the gateway needs of the outside, as abstract classes."""
+
+import abc
+from collections.abc import Callable
+
+from plantainridge.events import Event
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.settings import GatewaySettings
+from plantainridge.gateway.wire import RequestWire
+from plantainridge.tasks import Tasks
+
+Post = Callable[[Event], None]
+
+
+class StorePort(abc.ABC):
+    """The way to the metadata store."""
+
+    @abc.abstractmethod
+    def load_view(self, effect: fx.LoadView) -> None:
+        """Posts `ViewRead` with all that a view holds, or `ViewFailed`."""
+
+    @abc.abstractmethod
+    def read_view(self, effect: fx.ReadView) -> None:
+        """Posts `ViewRead` with news, or `ViewFailed`."""
+
+    @abc.abstractmethod
+    def announce(self, effect: fx.AnnounceVm) -> None:
+        """Writes this VM's own entry; may fail."""
+
+    @abc.abstractmethod
+    def read_lease(self, effect: fx.ReadLease) -> None:
+        """Posts `LeaseRead` or `LeaseFailed`."""
+
+    @abc.abstractmethod
+    def write_lease(self, effect: fx.WriteLease) -> None:
+        """Posts `LeaseWritten`."""
+
+
+class EnginePort(abc.ABC):
+    """The way to what engines offer beside serving."""
+
+    @abc.abstractmethod
+    def ask_report(self, effect: fx.AskReport) -> None:
+        """Posts `EndpointReported` or `ReportMissed`."""
+
+    @abc.abstractmethod
+    def order_version(self, effect: fx.OrderVersion) -> None:
+        """Posts `OrderAnswered`."""
+
+
+class Adapter(abc.ABC):
+    """Makes what translates between the gateway and the outside.
+
+    Attributes:
+        wire: How callers and endpoints write requests and answers.
+    """
+
+    wire: RequestWire
+
+    @abc.abstractmethod
+    def store(self, settings: GatewaySettings, pool: Pool, tasks: Tasks,
+              post: Post) -> StorePort:
+        """Returns the way to the metadata store."""
+
+    @abc.abstractmethod
+    def engines(self, settings: GatewaySettings, pool: Pool, tasks: Tasks,
+                post: Post) -> EnginePort:
+        """Returns the way to engines."""
--- /dev/null
+++ b/src/plantainridge/gateway/process.py
@@ -0,0 +1,150 @@
+"""The process of one gateway VM."""
+
+import asyncio
+import random
+import signal
+import time
+import uuid
+from typing import Final
+
+from plantainridge import effects as base
+from plantainridge.events import Event
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import reducer
+from plantainridge.gateway.events import StopRequested
+from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.http_server import HttpServer, PageServer
+from plantainridge.gateway.journal import Journal
+from plantainridge.gateway.ports import Adapter
+from plantainridge.gateway.sending import EndpointSender
+from plantainridge.gateway.settings import GatewaySettings
+from plantainridge.gateway.state import GatewayState
+from plantainridge.ids import Incarnation
+from plantainridge.metrics import Metrics
+from plantainridge.reducer_loop import ReducerLoop
+from plantainridge.tasks import Tasks
+
+SWEEP_S: Final = 0.5
+READINESS_PATH: Final = '/readiness'
+METRICS_PATH: Final = '/metrics'
+
+
+class BootTimeLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock also counts time in which the VM was suspended."""
+
+    def time(self) -> float:
+        """Returns the time since the VM's start, in s."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Gateway(ReducerLoop):
+    """One VM's gateway on the running loop.
+
+    Attributes:
+        state: The reducer's state.
+        exited: Set once every request was answered after a stop.
+    """
+
+    def __init__(self, settings: GatewaySettings, adapter: Adapter) -> None:
+        """Prepares a process.
+
+        Args:
+            settings: Where it listens and whom it asks.
+            adapter: Translates to and from the outside.
+        """
+        super().__init__()
+        life = Incarnation(uuid.uuid4().hex)
+        self.state = GatewayState(settings, life, random.Random(life))
+        self.state.retries.bounds = settings.bounds
+        self.tasks = Tasks()
+        self.pool = Pool()
+        self.metrics = Metrics()
+        self.journal = Journal(settings.vm)
+        self.exited = asyncio.Event()
+        self.callers = HttpServer(adapter.wire, self.post)
+        self.readiness = PageServer(adapter.wire, self._readiness_page)
+        self.statistics = PageServer(adapter.wire, self._metrics_page)
+        sender = EndpointSender(adapter.wire, self.pool, self.tasks, self.post)
+        store = adapter.store(settings, self.pool, self.tasks, self.post)
+        engines = adapter.engines(settings, self.pool, self.tasks, self.post)
+        self.carriers.update({
+            base.LogLine: self.journal.write,
+            base.Observe: self._observe,
+            fx.Reply: self.callers.reply,
+            fx.StartReply: self.callers.start_reply,
+            fx.PassPieces: self.callers.pass_pieces,
+            fx.EndReply: self.callers.end_reply,
+            fx.BreakReply: self.callers.break_reply,
+            fx.Refuse: self.callers.refuse,
+            fx.CloseAfterAnswers: self._close_after_answers,
+            fx.StopListening: self.callers.stop_listening,
+            fx.Send: sender.send,
+            fx.CancelSend: sender.cancel,
+            fx.DropConnections: sender.drop,
+            fx.LoadView: store.load_view,
+            fx.ReadView: store.read_view,
+            fx.AnnounceVm: store.announce,
+            fx.ReadLease: store.read_lease,
+            fx.WriteLease: store.write_lease,
+            fx.AskReport: engines.ask_report,
+            fx.OrderVersion: engines.order_version,
+        })
+
+    def first_effects(self, now: float) -> list[base.Effect]:
+        return reducer.start(self.state, now)
+
+    def reduce(self, event: Event, now: float) -> list[base.Effect]:
+        found = reducer.reduce(self.state, event, now)
+        self.callers.limits = self.state.config.limits
+        return found
+
+    def on_exit(self) -> None:
+        self.exited.set()
+
+    async def serve(self) -> None:
+        """Listens; returns once callers can connect."""
+        settings = self.state.settings
+        await self.readiness.start(*_split(settings.readiness_address))
+        await self.statistics.start(settings.host, settings.metrics_port)
+        await self.callers.start(*_split(settings.callers_address))
+        self.start()
+        self.tasks.spawn(self._sweep())
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then until every request is answered."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.post, StopRequested())
+        await self.serve()
+        await self.exited.wait()
+        # What was written last is still on its way out.
+        await asyncio.sleep(0.05)
+        self.journal.flush()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.pool.sweep()
+            self.journal.flush()
+
+    def _observe(self, effect: base.Observe) -> None:
+        self.metrics.observe(effect.metric, effect.team, effect.klass,
+                             effect.value)
+
+    def _close_after_answers(self, effect: fx.CloseAfterAnswers) -> None:
+        del effect
+        self.callers.closing = True
+
+    def _readiness_page(self, path: str) -> tuple[int, str] | None:
+        if path != READINESS_PATH:
+            return None
+        return (200, 'ready\n') if self.state.ready else (503, 'not ready\n')
+
+    def _metrics_page(self, path: str) -> tuple[int, str] | None:
+        if path != METRICS_PATH:
+            return None
+        return 200, '\n'.join([*self.metrics.prometheus(), ''])
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/src/plantainridge/gateway/reducer.py
@@ -0,0 +1,84 @@
+"""The gateway's reducer: every event goes through `reduce`."""
+
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+from plantainridge.effects import Effect, LogLine, SetTimer
+from plantainridge.events import Event, TimerFired, TimerKey
+from plantainridge.gateway import (drain, events, forwarding, lease, rollout,
+                                   views)
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.events import TimerKind
+from plantainridge.gateway.state import GatewayState
+
+# Period of the work that is done from time to time, in s.
+TICK_S: Final = 0.05
+
+_TICK: Final = TimerKey(TimerKind.TICK)
+
+Handler = Callable[[GatewayState, Any, float], Iterator[Effect]]
+
+
+def _on_tick(state: GatewayState, event: TimerFired,
+             now: float) -> Iterator[Effect]:
+    yield SetTimer(_TICK, now + TICK_S)
+    yield from forwarding.on_tick(state, event, now)
+    yield from rollout.on_tick(state, now)
+    yield from drain.on_tick(state, now)
+
+
+TIMERS: Final[dict[TimerKind, Handler]] = {
+    TimerKind.TICK: _on_tick,
+    TimerKind.VIEW: views.on_timer,
+    TimerKind.DEADLINE: forwarding.on_deadline,
+    TimerKind.PATIENCE: forwarding.on_patience,
+}
+
+
+def _on_timer(state: GatewayState, event: TimerFired,
+              now: float) -> Iterator[Effect]:
+    assert isinstance(event.key.kind, TimerKind)
+    yield from TIMERS[event.key.kind](state, event, now)
+
+
+HANDLERS: Final[dict[type[Event], Handler]] = {
+    TimerFired: _on_timer,
+    events.RequestArrived: forwarding.on_arrived,
+    events.CallerLeft: forwarding.on_caller_left,
+    events.AnswerArrived: forwarding.on_answer,
+    events.StreamStarted: forwarding.on_stream_started,
+    events.PiecesArrived: forwarding.on_pieces,
+    events.StreamEnded: forwarding.on_stream_ended,
+    events.SendFailed: forwarding.on_failed,
+    events.EndpointReported: rollout.on_reported,
+    events.ReportMissed: rollout.on_missed,
+    events.OrderAnswered: rollout.on_ordered,
+    events.ViewRead: views.on_read,
+    events.ViewFailed: views.on_failed,
+    events.LeaseRead: lease.on_read,
+    events.LeaseFailed: lease.on_failed,
+    events.LeaseWritten: lease.on_written,
+    events.StopRequested: drain.on_stop_requested,
+}
+
+
+def start(state: GatewayState, now: float) -> list[Effect]:
+    """Returns the first effects of a new process."""
+    settings = state.settings
+    return [
+        LogLine('started', (('life', state.life), ('dc', settings.dc))),
+        *views.first_reads(),
+        fx.AnnounceVm(settings.dc, f'{settings.host}:{settings.peer_port}'),
+        SetTimer(_TICK, now + TICK_S),
+    ]
+
+
+def reduce(state: GatewayState, event: Event, now: float) -> list[Effect]:
+    """Takes one event in and returns what is to be done, in order.
+
+    Args:
+        state: The VM's state; changed in place.
+        event: What happened.
+        now: Loop time in s.
+    """
+    return list(HANDLERS[type(event)](state, event, now))
--- /dev/null
+++ b/src/plantainridge/gateway/rollout.py
@@ -0,0 +1,168 @@
+"""Brings engines to the weight versions that operators name.
+
+The holder of the lease orders a few engines at a time, so that most keep
+serving. It asks an engine first and tells it how many orders it must have
+accepted, so that an order that comes true late changes nothing.
+"""
+
+import hashlib
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from plantainridge.effects import Effect, LogLine
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import lease
+from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.events import (EndpointReported, OrderAnswered,
+                                          ReportMissed)
+from plantainridge.ids import EndpointId, ModelId
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# Engines that load at once: more slow one another down.
+AT_ONCE: Final = 2
+# Time between two questions to an engine, in s.
+ASK_S: Final = 0.2
+# Pause before an engine that does not answer is asked again, in s.
+MISSED_S: Final = 1.0
+# Delay between VMs that would take the lease for the same work, in s.
+STAGGER_S: Final = 0.25
+
+
+@attrs.define
+class Swap:
+    """One engine on its way to a version.
+
+    Attributes:
+        ask_at: Loop time at which to ask it again, in s.
+        asking: Whether an answer is awaited.
+        reached: Whether it answered lately.
+    """
+
+    model: ModelId
+    ask_at: float
+    asking: bool = False
+    reached: bool = True
+
+
+@attrs.define
+class RolloutState:
+    """Engines on their way to a version; empty unless this VM gives orders."""
+
+    swaps: dict[EndpointId, Swap] = attrs.field(factory=dict)
+
+
+def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Takes the lease while engines lag, and orders them."""
+    lagging = dict(_lagging(state))
+    state.lease.wanted = bool(lagging) and _is_due(state, lagging, now)
+    yield from lease.on_tick(state, now)
+    if state.lease.fence(now) == lease.NO_TERM:
+        state.rollout.swaps.clear()
+        return
+    swaps = state.rollout.swaps
+    for name in [name for name in swaps if name not in lagging]:
+        del swaps[name]
+    _begin(state, lagging, now)
+    for name, swap in swaps.items():
+        if not swap.asking and now >= swap.ask_at:
+            swap.asking = True
+            yield fx.AskReport(name, lagging[name][0].entry.address)
+
+
+def _begin(state: 'GatewayState', lagging: dict[EndpointId, tuple[EndpointView,
+                                                                  ModelId]],
+           now: float) -> None:
+    """Takes up engines, those with the least work first."""
+    swaps = state.rollout.swaps
+    waiting = sorted((name for name in lagging if name not in swaps),
+                     key=lambda each: lagging[each][0].running)
+    busy = sum(swap.reached for swap in swaps.values())
+    for name in waiting[:max(0, AT_ONCE - busy)]:
+        swaps[name] = Swap(lagging[name][1], now)
+
+
+def _lagging(
+    state: 'GatewayState'
+) -> Iterator[tuple[EndpointId, tuple[EndpointView, ModelId]]]:
+    for name, view in state.endpoints.items():
+        if view.entry.draining:
+            continue
+        for model, named in state.versions.named.items():
+            if view.versions.get(model, named.version) < named.version:
+                yield name, (view, model)
+                break
+
+
+def _is_due(state: 'GatewayState', lagging: dict[EndpointId, tuple[EndpointView,
+                                                                   ModelId]],
+            now: float) -> bool:
+    """Whether it is this VM's turn to try for the lease."""
+    models = {model for _, model in lagging.values()}
+    seen_at = min(state.versions.named[each].seen_at for each in models)
+    versions = [state.versions.named[each].version for each in models]
+    return now >= seen_at + STAGGER_S * _rank(state, max(versions))
+
+
+def _rank(state: 'GatewayState', version: int) -> int:
+    """Returns this VM's place in an order that all VMs agree on."""
+    own = _draw(state.settings.vm, version)
+    return sum(
+        _draw(vm, version) < own
+        for vm in state.peers
+        if vm != state.settings.vm)
+
+
+def _draw(vm: str, version: int) -> bytes:
+    return hashlib.blake2b(f'{vm}/{version}'.encode(), digest_size=8).digest()
+
+
+def on_reported(state: 'GatewayState', event: EndpointReported,
+                now: float) -> Iterator[Effect]:
+    """Orders an engine that lags and is free to be ordered."""
+    view = state.endpoints.get(event.endpoint)
+    swap = state.rollout.swaps.get(event.endpoint)
+    if view is None:
+        return
+    view.versions.update(event.versions)
+    if swap is None:
+        return
+    swap.asking, swap.reached, swap.ask_at = False, True, now + ASK_S
+    named = state.versions.named[swap.model]
+    if event.versions.get(swap.model, named.version) >= named.version:
+        del state.rollout.swaps[event.endpoint]
+        yield LogLine('version_reached', (('endpoint', event.endpoint),
+                                          ('version', named.version)))
+        return
+    fence = state.lease.fence(now)
+    if event.busy or fence == lease.NO_TERM:
+        return
+    yield LogLine('version_ordered',
+                  (('endpoint', event.endpoint), ('version', named.version),
+                   ('term', fence), ('orders', event.orders)))
+    swap.asking = True
+    yield fx.OrderVersion(event.endpoint, view.entry.address, swap.model,
+                          named.version, event.orders, fence)
+
+
+def on_missed(state: 'GatewayState', event: ReportMissed,
+              now: float) -> Iterator[Effect]:
+    """Lets another engine go first while one does not answer."""
+    swap = state.rollout.swaps.get(event.endpoint)
+    if swap is not None:
+        swap.asking, swap.reached, swap.ask_at = False, False, now + MISSED_S
+    yield from ()
+
+
+def on_ordered(state: 'GatewayState', event: OrderAnswered,
+               now: float) -> Iterator[Effect]:
+    """Asks an engine how it is after its order."""
+    swap = state.rollout.swaps.get(event.endpoint)
+    yield LogLine('order_answered', (('endpoint', event.endpoint),
+                                     ('result', event.result.value)))
+    if swap is None:
+        return
+    swap.asking, swap.ask_at = False, now + ASK_S
--- /dev/null
+++ b/src/plantainridge/gateway/sending.py
@@ -0,0 +1,145 @@
+"""Carries out sends to endpoints and posts what becomes of them."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from plantainridge.events import Event
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.events import Failure, Headers
+from plantainridge.gateway.http_client import Connection, Handler, Pool
+from plantainridge.gateway.streams import EventSplitter
+from plantainridge.gateway.wire import RequestWire
+from plantainridge.ids import AttemptId
+from plantainridge.tasks import Tasks
+
+Post = Callable[[Event], None]
+STATUS_OK: Final = 200
+STREAM_TYPE: Final = b'text/event-stream'
+# Longest answer that is no stream, in bytes.
+MAX_ANSWER_BYTES: Final = 16 * 1_024 * 1_024
+
+
+class EndpointSender:
+    """Sends requests to endpoints, each once.
+
+    Attributes:
+        sending: Connections and connects in progress, by send.
+    """
+
+    def __init__(self, wire: RequestWire, pool: Pool, tasks: Tasks,
+                 post: Post) -> None:
+        self.wire = wire
+        self.pool = pool
+        self.tasks = tasks
+        self.post = post
+        self.loop = asyncio.get_running_loop()
+        self.sending: dict[AttemptId, Connection | asyncio.Task[None]] = {}
+
+    def send(self, effect: fx.Send) -> None:
+        """Sends a request."""
+        connection = None if effect.fresh else self.pool.take(effect.address)
+        if connection is not None:
+            self._send_on(connection, effect)
+            return
+        task = self.tasks.spawn(self._connect(effect))
+        self.sending[effect.attempt] = task
+
+    def cancel(self, effect: fx.CancelSend) -> None:
+        """Closes a send's connection."""
+        found = self.sending.pop(effect.attempt, None)
+        if isinstance(found, Connection):
+            found.abort()
+        elif found is not None:
+            found.cancel()
+
+    def drop(self, effect: fx.DropConnections) -> None:
+        """Closes the idle connections to an address."""
+        self.pool.drop(effect.address)
+
+    async def _connect(self, effect: fx.Send) -> None:
+        began = self.loop.time()
+        try:
+            connection = await self.pool.connect(effect.address)
+        except OSError:
+            self.sending.pop(effect.attempt, None)
+            self.post(ev.SendFailed(effect.attempt, Failure.NOT_CONNECTED))
+            return
+        if effect.attempt not in self.sending or not connection.usable:
+            connection.abort()
+            if self.sending.pop(effect.attempt, None) is not None:
+                self.post(ev.SendFailed(effect.attempt, Failure.NOT_CONNECTED))
+            return
+        self._send_on(connection, effect, self.loop.time() - began)
+
+    def _send_on(self,
+                 connection: Connection,
+                 effect: fx.Send,
+                 spent_s: float = 0.0) -> None:
+        self.sending[effect.attempt] = connection
+        raw = self.wire.write_request(effect, spent_s)
+        connection.send(raw, _Answer(self, effect))
+
+    def ended(self, attempt: AttemptId, event: Event) -> None:
+        """Posts the last event of a send."""
+        if self.sending.pop(attempt, None) is not None:
+            self.post(event)
+
+
+class _Answer(Handler):
+    """Reads one answer."""
+
+    def __init__(self, sender: EndpointSender, effect: fx.Send) -> None:
+        self.sender = sender
+        self.effect = effect
+        self.head: ev.AnswerHead | None = None
+        self.body = bytearray()
+        self.splitter: EventSplitter | None = None
+
+    def on_head(self, status: int, headers: Headers) -> bool:
+        effect = self.effect
+        head = self.sender.wire.read_answer(effect, status, headers,
+                                            self.sender.loop.time())
+        if head is None:
+            return False
+        self.head = head
+        kind = dict(headers).get(b'content-type', b'')
+        if (effect.stream and status == STATUS_OK and
+                kind.startswith(STREAM_TYPE)):
+            self.splitter = EventSplitter(effect.last_event_id)
+            self._post(ev.StreamStarted(effect.attempt, head))
+        return True
+
+    def on_data(self, data: bytes) -> None:
+        if self.splitter is None:
+            self.body += data
+            if len(self.body) > MAX_ANSWER_BYTES:
+                self.sender.cancel(fx.CancelSend(self.effect.attempt))
+                self.on_failure(Failure.MALFORMED)
+            return
+        pieces = self.splitter.feed(data)
+        if pieces is not None:
+            self._post(
+                ev.PiecesArrived(self.effect.attempt, pieces.data,
+                                 pieces.first_id, pieces.last_id))
+
+    def on_end(self) -> None:
+        assert self.head is not None
+        attempt = self.effect.attempt
+        if self.splitter is None:
+            event = ev.AnswerArrived(attempt, self.head, bytes(self.body))
+            self.sender.ended(attempt, event)
+        elif self.splitter.rest:
+            # A whole answer does not end within an event.
+            self.on_failure(Failure.MALFORMED)
+        else:
+            self.sender.ended(attempt, ev.StreamEnded(attempt))
+
+    def on_failure(self, failure: Failure) -> None:
+        attempt = self.effect.attempt
+        self.sender.ended(attempt, ev.SendFailed(attempt, failure))
+
+    def _post(self, event: Event) -> None:
+        if self.effect.attempt in self.sender.sending:
+            self.sender.post(event)
--- /dev/null
+++ b/src/plantainridge/gateway/views.py
@@ -0,0 +1,192 @@
+"""Follows the store's views: configuration, versions, endpoints, VMs."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from plantainridge.effects import Effect, LogLine, SetTimer
+from plantainridge.events import TimerFired, TimerKey
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.config import Configuration
+from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
+from plantainridge.gateway.events import (Gone, NamedVersion, News, TimerKind,
+                                          Unreadable, View, ViewFailed,
+                                          ViewRead, VmEntry)
+from plantainridge.ids import EndpointId
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# How long one read waits for news, in s; a connection that went silent is
+# noticed at the read's end, well within the time to apply a configuration.
+WAIT_S: Final[dict[View, float]] = {View.OPERATOR: 1.5}
+# Pause between two reads, in s; endpoints write about once a second.
+PAUSE_S: Final[dict[View, float]] = {View.REGISTRY: 0.7, View.VMS: 15.0}
+# Pause after a read that failed, in s.
+RETRY_S: Final = 0.25
+# How long entries that vanished while the store was away may take to come
+# back, in s.
+LAPSE_S: Final = 2.2
+
+
+@attrs.define
+class Follow:
+    """How far one view was followed.
+
+    Attributes:
+        offset: Where to read on; None before the view was loaded.
+        read_at: Loop time of the last good read, in s.
+        failing_since: Loop time of the first failure since then, or None.
+        back_at: Loop time at which reads last worked again, in s.
+    """
+
+    offset: int | None = None
+    read_at: float = float('-inf')
+    failing_since: float | None = None
+    back_at: float = float('-inf')
+
+
+@attrs.define
+class ViewTable:
+    """All views that this VM follows."""
+
+    follows: dict[View, Follow] = attrs.field(
+        factory=lambda: {view: Follow() for view in View})
+
+    @property
+    def registry_known(self) -> bool:
+        """Whether the endpoints were read at least once."""
+        return self.follows[View.REGISTRY].offset is not None
+
+    def age_s(self, view: View, now: float) -> float:
+        """Returns the time since a view was last read, in s."""
+        return now - self.follows[view].read_at
+
+
+def first_reads() -> Iterator[Effect]:
+    """Loads every view."""
+    for view in View:
+        yield fx.LoadView(view)
+
+
+def on_timer(state: 'GatewayState', event: TimerFired,
+             now: float) -> Iterator[Effect]:
+    """Reads a view again."""
+    del now
+    view = View(event.key.subject)
+    follow = state.views.follows[view]
+    if follow.offset is None:
+        yield fx.LoadView(view)
+    else:
+        yield fx.ReadView(view, follow.offset, WAIT_S.get(view, 0.0))
+
+
+def on_failed(state: 'GatewayState', event: ViewFailed,
+              now: float) -> Iterator[Effect]:
+    """Keeps what is known and tries again."""
+    follow = state.views.follows[event.view]
+    if event.trimmed:
+        follow.offset = None
+    if follow.failing_since is None:
+        follow.failing_since = now
+        yield LogLine('view_lost',
+                      (('view', event.view.value), ('reason', event.reason)))
+    yield SetTimer(_timer(event.view), now + RETRY_S)
+
+
+def on_read(state: 'GatewayState', event: ViewRead,
+            now: float) -> Iterator[Effect]:
+    """Takes a view's news in."""
+    follow = state.views.follows[event.view]
+    if follow.failing_since is not None:
+        yield LogLine('view_back',
+                      (('view', event.view.value),
+                       ('away_s', round(now - follow.failing_since, 3))))
+        follow.failing_since = None
+        follow.back_at = now
+    follow.offset = event.next
+    follow.read_at = now
+    for news in event.news:
+        yield from _take(state, news, now)
+    if event.whole and event.view is View.REGISTRY:
+        yield from _drop_unlisted(state, event.news, now)
+    yield from _drop_missing(state, now)
+    yield SetTimer(_timer(event.view), now + PAUSE_S.get(event.view, 0.0))
+
+
+def _take(state: 'GatewayState', news: News, now: float) -> Iterator[Effect]:
+    if isinstance(news, Configuration):
+        if news.version > state.config.version:
+            state.config = news
+            state.config_at = now
+            yield LogLine('configuration_taken', (('version', news.version),))
+    elif isinstance(news, NamedVersion):
+        if state.versions.name(news.model, news.version, now):
+            yield LogLine('version_named',
+                          (('model', news.model), ('version', news.version)))
+    elif isinstance(news, EndpointEntry):
+        yield from _take_entry(state, news, now)
+    elif isinstance(news, Gone):
+        view = state.endpoints.get(news.id)
+        if view is not None and view.missing_since is None:
+            view.missing_since = now
+    elif isinstance(news, VmEntry):
+        state.peers[news.vm] = news
+        state.retries.vms = max(1, len(state.peers))
+    elif isinstance(news, Unreadable):
+        yield LogLine('record_unreadable',
+                      (('key', news.key), ('reason', news.reason)))
+
+
+def _take_entry(state: 'GatewayState', entry: EndpointEntry,
+                now: float) -> Iterator[Effect]:
+    view = state.endpoints.get(entry.id)
+    if view is not None and view.entry.born_ms != entry.born_ms:
+        # The same id after a restart: nothing known of it holds.
+        view = None
+    if view is None:
+        view = EndpointView(entry, now, versions=dict(entry.versions))
+        state.endpoints[entry.id] = view
+        yield LogLine('endpoint_known',
+                      (('endpoint', entry.id), ('service', entry.service),
+                       ('dc', entry.dc)))
+    if entry.draining and not view.entry.draining:
+        yield LogLine('endpoint_leaving', (('endpoint', entry.id),))
+    leaving = view.entry.draining
+    view.entry = entry
+    if leaving and not entry.draining:
+        # An old entry that was written late does not undo a leave.
+        view.entry = attrs.evolve(entry, draining=True)
+    view.entry_at = now
+    view.missing_since = None
+    view.versions.update(entry.versions)
+
+
+def _drop_unlisted(state: 'GatewayState', news: tuple[News, ...],
+                   now: float) -> Iterator[Effect]:
+    """Marks endpoints that a whole listing no longer names."""
+    listed = {each.id for each in news if isinstance(each, EndpointEntry)}
+    for name, view in state.endpoints.items():
+        if name not in listed and view.missing_since is None:
+            view.missing_since = now
+    yield from ()
+
+
+def _drop_missing(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Forgets endpoints whose entry is gone for good."""
+    follow = state.views.follows[View.REGISTRY]
+    if now - follow.back_at < LAPSE_S:
+        return
+    gone: list[EndpointId] = [
+        name for name, view in state.endpoints.items()
+        if view.missing_since is not None
+    ]
+    for name in gone:
+        view = state.endpoints.pop(name)
+        yield LogLine('endpoint_gone', (('endpoint', name),))
+        yield fx.DropConnections(view.entry.address)
+
+
+def _timer(view: View) -> TimerKey:
+    return TimerKey(TimerKind.VIEW, view.value)
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import json
-from collections.abc import Coroutine
 from typing import Any, Final
 
 import aiosonic
@@ -16,6 +15,7 @@
 from plantainridge import events as ev
 from plantainridge.ids import AttemptId, RequestId, WeightVersion
 from plantainridge.ports import EnginePort, LogPort, Post, ServicePort
+from plantainridge.tasks import Tasks
 
 POOL_SIZE: Final = 4_096
 # Shorter than any server keeps an idle connection open.
@@ -30,26 +30,6 @@
 STATUS_OTHER_VERSION: Final = 409
 
 
-class Tasks:
-    """Tasks in the background, kept until they end."""
-
-    def __init__(self) -> None:
-        self.running: set[asyncio.Task[None]] = set()
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Starts a task and keeps it."""
-        task = asyncio.create_task(work)
-        self.running.add(task)
-        task.add_done_callback(self.running.discard)
-        return task
-
-    async def cancel(self) -> None:
-        """Cancels all and waits for them."""
-        for task in list(self.running):
-            task.cancel()
-        await asyncio.gather(*self.running, return_exceptions=True)
-
-
 def new_client() -> aiosonic.HTTPClient:
     """Returns a client whose pool serves many concurrent streams."""
     connector = TCPConnector(pool_configs={
--- a/src/plantainridge/http_transfers.py
+++ b/src/plantainridge/http_transfers.py
@@ -12,7 +12,8 @@
 from plantainridge import events as ev
 from plantainridge.config import Store
 from plantainridge.feeds import Feeds, POLL_FAULTS
-from plantainridge.http_ports import STATUS_OK, Tasks
+from plantainridge.http_ports import STATUS_OK
+from plantainridge.tasks import Tasks
 from plantainridge.ids import BlockKey, StoreId, TransferId
 from plantainridge.ports import Post, TransferPort
 from plantainridge.runtime import Runtime
--- a/src/plantainridge/orders_http.py
+++ b/src/plantainridge/orders_http.py
@@ -7,7 +7,8 @@
 from aiosonic import exceptions as http_errors
 
 from plantainridge import orders
-from plantainridge.http_ports import STATUS_OK, Tasks
+from plantainridge.http_ports import STATUS_OK
+from plantainridge.tasks import Tasks
 from plantainridge.ids import ModelId, WeightVersion
 from plantainridge.orders import Loaded, OrderOutcome
 from plantainridge.ports import OrderPort, Post
--- a/src/plantainridge/peers_net.py
+++ b/src/plantainridge/peers_net.py
@@ -5,7 +5,7 @@
 
 from plantainridge import effects as fx
 from plantainridge.events import PeerSaid
-from plantainridge.http_ports import Tasks
+from plantainridge.tasks import Tasks
 from plantainridge.ids import VmId
 from plantainridge.peer_messages import MAX_MESSAGE_BYTES
 from plantainridge.ports import PeerPort, Post
--- /dev/null
+++ b/src/plantainridge/platform/configuration.py
@@ -0,0 +1,108 @@
+"""Decodes the operators' configuration."""
+
+from typing import Any
+
+from plantainridge.gateway import config
+from plantainridge.gateway.config import RequestKind
+from plantainridge.ids import ModelId, ServiceId, TeamId
+from plantainridge.platform import names
+from plantainridge.platform.fields import FieldFault, get, get_or, rows
+
+MS = 1_000.0
+
+_KINDS = {
+    names.KIND_IDEMPOTENT: RequestKind.IDEMPOTENT,
+    names.KIND_ONCE: RequestKind.ONCE,
+    names.KIND_STREAM: RequestKind.STREAM,
+}
+
+
+def decode(data: Any) -> config.Configuration:
+    """Decodes a whole configuration.
+
+    Raises:
+        FieldFault: A field is missing or of another type.
+    """
+    teams = None
+    if isinstance(data, dict) and data.get('tenants') is not None:
+        teams = [_team(each) for each in rows(data, 'tenants')]
+    return config.build(
+        version=get(data, 'version', int),
+        routes=[_route(each) for each in rows(data, 'routes')],
+        services=[_service(each) for each in rows(data, 'services')],
+        teams=teams,
+        limits=_limits(data.get('limits') or {}))
+
+
+def _route(data: Any) -> config.Route:
+    kind = _KINDS.get(get(data, 'kind', str))
+    if kind is None:
+        raise FieldFault('kind', f'one of {sorted(_KINDS)}')
+    shares = tuple(
+        config.Share(ServiceId(get(each, 'service', str)),
+                     get(each, 'weight', float))
+        for each in rows(data, 'traffic-split'))
+    if not shares:
+        shares = (config.Share(ServiceId(get(data, 'service', str)), 1.0),)
+    target_ms = get(data, 'target-latency-ms', float)
+    return config.Route(name=get(data, 'name', str),
+                        host=get(data, 'host', str),
+                        prefix=get(data, 'path-prefix', str),
+                        kind=kind,
+                        shares=shares,
+                        target_s=target_ms / MS,
+                        timeout_s=get(data, 'timeout-ms', float) / MS,
+                        gap_s=get_or(data, 'target-gap-ms', 0.0) / MS,
+                        attempts=get_or(data, 'attempts', 1),
+                        priority=get_or(data, 'priority', 0),
+                        public=get_or(data, 'public', False),
+                        resumable=get_or(data, 'resumable', False))
+
+
+def _service(data: Any) -> config.Service:
+    address = get_or(data, 'cache-store-address', '')
+    engine = data.get('engine')
+    return config.Service(
+        name=ServiceId(get(data, 'name', str)),
+        connection_limit=get_or(data, 'connection-limit', 0),
+        engine=_engine(engine) if engine is not None else None,
+        store=_store(data, address) if address else None)
+
+
+def _engine(data: Any) -> config.EngineTerms:
+    return config.EngineTerms(
+        slots=get_or(data, 'slots', 1),
+        cache_tokens=get_or(data, 'cache-capacity-tokens', 0),
+        token_bytes=get_or(data, 'token-size-bytes', 0),
+        link_mbps=get_or(data, 'link-mbps', 0.0),
+        models=tuple(
+            ModelId(get(each, 'name', str)) for each in rows(data, 'models')))
+
+
+def _store(data: Any, address: str) -> config.StoreTerms:
+    return config.StoreTerms(address=address,
+                             dc=get_or(data, 'zone', ''),
+                             capacity_tokens=get_or(data,
+                                                    'cache-capacity-tokens', 0),
+                             link_mbps=get_or(data, 'link-mbps', 0.0),
+                             setup_s=get_or(data, 'first_ms', 0.0) / MS,
+                             manual=get_or(data, 'managed', False),
+                             max_polls=get_or(data, 'max-concurrent', 1))
+
+
+def _team(data: Any) -> config.Team:
+    return config.Team(name=TeamId(get(data, 'name', str)),
+                       keys=frozenset(
+                           str(each) for each in rows(data, 'api-keys')),
+                       priority=data.get('priority'),
+                       isolated=get_or(data, 'isolated', False))
+
+
+def _limits(data: Any) -> config.CallerLimits:
+    idle = config.DEFAULT_IDLE_TIMEOUT_S * MS
+    head = config.DEFAULT_HEAD_TIMEOUT_S * MS
+    return config.CallerLimits(
+        head_bytes=get_or(data, 'max-header-bytes', config.DEFAULT_HEAD_BYTES),
+        body_bytes=get_or(data, 'max-body-bytes', config.DEFAULT_BODY_BYTES),
+        head_timeout_s=get_or(data, 'header-timeout-ms', head) / MS,
+        idle_timeout_s=get_or(data, 'idle-timeout-ms', idle) / MS)
--- /dev/null
+++ b/src/plantainridge/platform/engines.py
@@ -0,0 +1,83 @@
+"""Calls to what model engines offer beside serving."""
+
+import json
+from collections.abc import Callable
+from typing import Final
+
+from plantainridge.events import Event
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.calls import JSON_TYPE, NoReply, Reply, call
+from plantainridge.gateway.events import OrderResult
+from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.ports import EnginePort
+from plantainridge.tasks import Tasks
+from plantainridge.ids import VmId
+from plantainridge.platform import names
+from plantainridge.platform.fields import FieldFault, get, get_or
+from plantainridge.platform.records import decode_models
+
+# An engine answers within a step of its batch; more means that it is gone.
+TIMEOUT_S: Final = 0.6
+
+_RESULTS: Final = {
+    202: OrderResult.ACCEPTED,
+    200: OrderResult.HOLDS_ALREADY,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    400: OrderResult.INVALID,
+    421: OrderResult.MISDIRECTED,
+}
+# Runs in progress finish under the version that they began with.
+SWAP_AFTER_RUNS: Final = 'wait'
+
+
+class PlatformEngines(EnginePort):
+    """Reports and orders over HTTP."""
+
+    def __init__(self, pool: Pool, tasks: Tasks, vm: VmId,
+                 post: Callable[[Event], None]) -> None:
+        self.pool = pool
+        self.tasks = tasks
+        self.vm = vm
+        self.post = post
+
+    def ask_report(self, effect: fx.AskReport) -> None:
+        self.tasks.spawn(self._ask(effect))
+
+    def order_version(self, effect: fx.OrderVersion) -> None:
+        self.tasks.spawn(self._order(effect))
+
+    async def _ask(self, effect: fx.AskReport) -> None:
+        reply = await call(self.pool, effect.address, 'GET', '/report',
+                           TIMEOUT_S)
+        if isinstance(reply, NoReply) or reply.status != 200:
+            self.post(ev.ReportMissed(effect.endpoint))
+            return
+        try:
+            data = reply.json()
+            self.post(
+                ev.EndpointReported(effect.endpoint, decode_models(data),
+                                    get(data, 'sequence', int),
+                                    get(data, 'busy', bool),
+                                    get_or(data, 'clock_ms', 0.0)))
+        except FieldFault:
+            self.post(ev.ReportMissed(effect.endpoint))
+
+    async def _order(self, effect: fx.OrderVersion) -> None:
+        body = json.dumps({
+            'operation': 'version',
+            'model': effect.model,
+            'version': effect.version,
+            'swap-mode': SWAP_AFTER_RUNS,
+            'holder': self.vm,
+            'fencing-token': effect.fence,
+            'expect': effect.orders,
+        }).encode()
+        expected = (names.EXPECTED_INSTANCE, effect.endpoint.encode())
+        reply = await call(self.pool, effect.address, 'POST', '/order',
+                           TIMEOUT_S, body, (*JSON_TYPE, expected))
+        result = OrderResult.UNKNOWN
+        if isinstance(reply, Reply):
+            result = _RESULTS.get(reply.status, OrderResult.UNKNOWN)
+        self.post(ev.OrderAnswered(effect.endpoint, result))
--- /dev/null
+++ b/src/plantainridge/platform/fields.py
@@ -0,0 +1,56 @@
+"""Reads typed fields out of decoded JSON."""
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import attrs
+
+T = TypeVar('T')
+
+
+@attrs.frozen
+class FieldFault(Exception):
+    """Says which field is missing or of another type."""
+
+    field: str
+    wanted: str
+
+    def __str__(self) -> str:
+        return f'{self.field} is not {self.wanted}'
+
+
+def get(data: Any, field: str, kind: type[T]) -> T:
+    """Returns a field of a JSON object.
+
+    Raises:
+        FieldFault: It is missing or of another type.
+    """
+    value = data.get(field) if isinstance(data, Mapping) else None
+    # JSON has one kind of number, Python's bool is an int.
+    if kind is float and type(value) is int:
+        value = float(value)
+    if not isinstance(value, kind) or kind is int and isinstance(value, bool):
+        raise FieldFault(field, kind.__name__)
+    return value
+
+
+def get_or(data: Any, field: str, default: T) -> T:
+    """Returns a field of a JSON object, or a default if it is absent.
+
+    Raises:
+        FieldFault: It is of another type.
+    """
+    if isinstance(data, Mapping) and data.get(field) is None:
+        return default
+    return get(data, field, type(default))
+
+
+def rows(data: Any, field: str) -> list[Any]:
+    """Returns a list field of a JSON object; an absent one is empty.
+
+    Raises:
+        FieldFault: It is no list.
+    """
+    if isinstance(data, Mapping) and data.get(field) is None:
+        return []
+    return get(data, field, list)
--- /dev/null
+++ b/src/plantainridge/platform/names.py
@@ -0,0 +1,76 @@
+"""Names on the platform's wire."""
+
+from typing import Final
+
+# --- Headers of requests and answers, in lower case ---
+
+# Names one attempt of a caller.
+ATTEMPT_ID: Final = b'x-attempt-id'
+# Remaining time of the sender, in ms.
+DEADLINE: Final = b'x-deadline-milliseconds'
+MODEL: Final = b'x-model'
+# Prompt tokens and most output tokens.
+TOKEN_USAGE: Final = b'x-token-usage'
+# Parts of the prompt: ID:TOKENS, separated by commas.
+PROMPT_PREFIX: Final = b'x-prompt-prefix'
+LAST_EVENT_ID: Final = b'last-event-id'
+# The caller's guess of the output's length, in tokens.
+LENGTH_HINT: Final = b'x-length-hint'
+AUTHORIZATION: Final = b'authorization'
+# The endpoint's signature of its answer.
+SEAL: Final = b'x-response-seal'
+TEAM: Final = b'x-tenant'
+EXPECTED_INSTANCE: Final = b'x-expected-instance'
+EXPECTED_VERSION: Final = b'x-expected-version'
+INSTANCE: Final = b'x-instance-id'
+# Running and waiting requests, and slots.
+LOAD: Final = b'x-server-load'
+NOT_RUN: Final = b'x-not-executed'
+# In answers one weight version, despite the plural.
+WEIGHT_VERSION: Final = b'x-weight-versions'
+URGENCY: Final = b'x-request-urgency'
+CACHE_SALT: Final = b'x-cache-salt'
+CACHE_FETCH: Final = b'x-cache-fetch-from'
+CACHE_SAVE: Final = b'x-cache-save-to'
+CACHE_UNTIL: Final = b'x-cache-until'
+CACHE_BACKUP: Final = b'x-cache-backup'
+PIN: Final = b'x-pin-milliseconds'
+HOLD: Final = b'x-hold'
+MOVED_FROM: Final = b'kv-from'
+RETRY_AFTER: Final = b'retry-after'
+
+# Set by the system alone; a caller's own are dropped.
+SYSTEM_HEADERS: Final = frozenset({
+    TEAM, EXPECTED_INSTANCE, EXPECTED_VERSION, URGENCY, CACHE_SALT, CACHE_FETCH,
+    CACHE_SAVE, CACHE_UNTIL, CACHE_BACKUP, PIN, HOLD, MOVED_FROM
+})
+# Written anew for each send.
+REWRITTEN_HEADERS: Final = frozenset(
+    {DEADLINE, AUTHORIZATION, LAST_EVENT_ID, b'content-length', b'expect'})
+# Concern one connection only.
+CONNECTION_HEADERS: Final = frozenset({
+    b'connection', b'keep-alive', b'proxy-connection', b'proxy-authenticate',
+    b'proxy-authorization', b'te', b'trailer', b'transfer-encoding', b'upgrade'
+})
+# Between an endpoint and this system.
+INTERNAL_ANSWER_HEADERS: Final = frozenset(
+    {LOAD, INSTANCE, NOT_RUN, b'content-length'})
+
+# --- The metadata store ---
+
+OPERATOR_TOPIC: Final = 'keyed.op'
+REGISTRY_TOPIC: Final = 'keyed.servers'
+# The system's own topics.
+VMS_TOPIC: Final = 'keyed.vms'
+LEASE_TOPIC: Final = 'keyed.lease'
+LEASE_KEY: Final = 'orders'
+CONFIGURATION_KEY: Final = 'config'
+VERSION_KEYS: Final = 'version/'
+
+# --- Words ---
+
+KIND_IDEMPOTENT: Final = 'safe'
+KIND_ONCE: Final = 'unsafe'
+KIND_STREAM: Final = 'streaming'
+STATE_READY: Final = 'ready'
+STATE_DRAINING: Final = 'draining'
--- /dev/null
+++ b/src/plantainridge/platform/records.py
@@ -0,0 +1,175 @@
+"""Decodes the store's records and what stands in them."""
+
+import base64
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from plantainridge.gateway.endpoints import EndpointEntry
+from plantainridge.gateway.events import (Gone, LeaseRecord, NamedVersion, News,
+                                          Unreadable, View, VmEntry)
+from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
+                               ServiceId, VmId)
+from plantainridge.platform import configuration, names
+from plantainridge.platform.fields import FieldFault, get, get_or, rows
+
+LENGTH_BYTES = 4
+OFFSET_BYTES = 8
+
+
+@attrs.frozen
+class Keyed:
+    """A record of a keyed topic; no value says that the key is dropped."""
+
+    key: str
+    value: bytes | None = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Page:
+    """Records as the store returns them.
+
+    Attributes:
+        next: Offset from which to read on.
+    """
+
+    records: tuple[Keyed, ...]
+    next: int
+
+
+def decode_log(data: bytes, start: int) -> Page:
+    """Decodes records of a keyed topic that were read from an offset.
+
+    Raises:
+        FieldFault: The bytes end within a record.
+    """
+    if len(data) < 2 * OFFSET_BYTES:
+        raise FieldFault('end', 'there')
+    records = tuple(_records(data, 2 * OFFSET_BYTES))
+    return Page(records, start + len(records))
+
+
+def _records(data: bytes, at: int) -> Iterator[Keyed]:
+    while at < len(data):
+        size = int.from_bytes(data[at:at + LENGTH_BYTES], 'big')
+        at += LENGTH_BYTES
+        content = data[at:at + size]
+        if len(content) < size or not content:
+            raise FieldFault('record', 'whole')
+        at += size
+        split = 1 + content[0]
+        key = content[1:split].decode(errors='replace')
+        yield Keyed(key, content[split:] or None)
+
+
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """Returns a record of a keyed topic as it is appended."""
+    content = bytes([len(key.encode())]) + key.encode() + value
+    return len(content).to_bytes(LENGTH_BYTES, 'big') + content
+
+
+def decode_newest(data: Any) -> tuple[Page, bool]:
+    """Decodes a page of the newest records, and whether more follow.
+
+    Raises:
+        FieldFault: A field is missing or of another type.
+    """
+    records = tuple(
+        Keyed(get(each, 'key', str),
+              base64.b64decode(get_or(each, 'value', '')) or None)
+        for each in rows(data, 'items'))
+    return Page(records, get(data, 'end', int)), get_or(data, 'has-more', False)
+
+
+def decode_news(view: View, record: Keyed) -> News:
+    """Decodes one record of a view; a strange one names nothing."""
+    try:
+        if view is View.OPERATOR:
+            return _operator_news(record)
+        if view is View.REGISTRY:
+            if record.value is None:
+                return Gone(EndpointId(record.key))
+            return _endpoint(record.key, json.loads(record.value))
+        return _vm(record)
+    except (ValueError, FieldFault, AttributeError, TypeError) as error:
+        return Unreadable(record.key, str(error))
+
+
+def _operator_news(record: Keyed) -> News:
+    if record.value is None:
+        return Unreadable(record.key, 'it was dropped')
+    data = json.loads(record.value)
+    if record.key == names.CONFIGURATION_KEY:
+        return configuration.decode(data)
+    if record.key.startswith(names.VERSION_KEYS):
+        return NamedVersion(ModelId(get(data, 'model', str)),
+                            get(data, 'version', int))
+    return Unreadable(record.key, 'the key is not known')
+
+
+def _endpoint(key: str, data: Any) -> EndpointEntry:
+    state = get(data, 'state', str)
+    if state not in (names.STATE_READY, names.STATE_DRAINING):
+        raise FieldFault('state', 'ready or draining')
+    address = get(data, 'address', str)
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdecimal():
+        raise FieldFault('address', 'IP:PORT')
+    return EndpointEntry(id=EndpointId(key),
+                         service=ServiceId(get(data, 'service', str)),
+                         address=address,
+                         dc=DcId(get(data, 'zone', str)),
+                         slots=get(data, 'slots', int),
+                         draining=state == names.STATE_DRAINING,
+                         born_ms=get_or(data, 'born', 0),
+                         orders=get_or(data, 'sequence', 0),
+                         versions=decode_models(data))
+
+
+def decode_models(data: Any) -> dict[ModelId, int]:
+    """Returns the weight version of each model that an engine names.
+
+    Raises:
+        FieldFault: A field is missing or of another type.
+    """
+    return {
+        ModelId(get(each, 'name', str)): get(each, 'version', int)
+        for each in rows(data, 'models')
+    }
+
+
+def _vm(record: Keyed) -> News:
+    if record.value is None:
+        return Unreadable(record.key, 'it was dropped')
+    data = json.loads(record.value)
+    return VmEntry(VmId(record.key), get(data, 'dc', str),
+                   get(data, 'address', str))
+
+
+def encode_vm(dc: str, address: str) -> bytes:
+    """Returns a VM's own entry."""
+    return json.dumps({'dc': dc, 'address': address}).encode()
+
+
+def decode_lease(record: Keyed) -> LeaseRecord:
+    """Decodes the lease's record.
+
+    Raises:
+        FieldFault: A field is missing or of another type.
+        ValueError: It is no JSON.
+    """
+    data = json.loads(record.value or b'')
+    return LeaseRecord(VmId(get(data, 'holder', str)),
+                       Incarnation(get(data, 'life', str)),
+                       get(data, 'term', int))
+
+
+def encode_lease(record: LeaseRecord) -> bytes:
+    """Returns the lease's record as it is appended."""
+    return json.dumps({
+        'holder': record.holder,
+        'life': record.life,
+        'term': record.term
+    }).encode()
--- /dev/null
+++ b/src/plantainridge/platform/requests.py
@@ -0,0 +1,151 @@
+"""Translates callers' requests and endpoints' answers."""
+
+import math
+
+from plantainridge.gateway.effects import CachePlan, Send
+from plantainridge.gateway.endpoints import EndpointLoad
+from plantainridge.gateway.events import AnswerHead, Headers, Part, Request
+from plantainridge.gateway.wire import BadRequest, RawRequest, RequestWire
+from plantainridge.ids import ModelId, RequestId
+from plantainridge.platform import names
+
+MS = 1_000.0
+BEARER = 'bearer '
+
+
+class PlatformWire(RequestWire):
+    """Requests as the platform's callers and endpoints speak them."""
+
+    def read_request(self, name: RequestId,
+                     raw: RawRequest) -> Request | BadRequest:
+        fields = {key: value.decode('latin-1') for key, value in raw.headers}
+        attempt_id = fields.get(names.ATTEMPT_ID, '')
+        if not attempt_id:
+            return BadRequest(400, 'the attempt has no id')
+        deadline = _whole(fields.get(names.DEADLINE))
+        prompt_tokens, output_tokens = _usage(fields.get(names.TOKEN_USAGE, ''))
+        return Request(id=name,
+                       attempt_id=attempt_id,
+                       method=raw.method.decode(),
+                       host=fields.get(b'host', ''),
+                       target=raw.target.decode('latin-1'),
+                       headers=_forwarded(raw.headers),
+                       body=raw.body,
+                       key=_key(fields.get(names.AUTHORIZATION)),
+                       patience_s=None if deadline is None else deadline / MS,
+                       model=ModelId(fields.get(names.MODEL, '')),
+                       prompt_tokens=prompt_tokens,
+                       output_tokens=output_tokens,
+                       expected_tokens=_whole(fields.get(names.LENGTH_HINT)) or
+                       0,
+                       parts=_parts(fields.get(names.PROMPT_PREFIX, '')),
+                       last_event_id=fields.get(names.LAST_EVENT_ID, ''))
+
+    def write_request(self, send: Send, spent_s: float) -> RawRequest:
+        headers = list(send.request.headers)
+        remaining_s = send.remaining_s - spent_s
+        deadline = max(1, math.floor(remaining_s * MS))
+        headers.append((names.DEADLINE, str(deadline).encode()))
+        headers.append((names.EXPECTED_INSTANCE, send.endpoint.encode()))
+        if send.team is not None:
+            headers.append((names.TEAM, send.team.encode()))
+        if send.last_event_id:
+            headers.append((names.LAST_EVENT_ID, send.last_event_id.encode()))
+        if send.version is not None:
+            headers.append((names.EXPECTED_VERSION, str(send.version).encode()))
+        if send.urgency is not None:
+            headers.append((names.URGENCY, str(send.urgency).encode()))
+        if send.cache is not None:
+            headers.extend(_cache_headers(send.cache))
+        return RawRequest(send.request.method.encode(),
+                          send.request.target.encode('latin-1'), tuple(headers),
+                          send.request.body)
+
+    def read_answer(self, send: Send, status: int, headers: Headers,
+                    now: float) -> AnswerHead | None:
+        fields = {key: value.decode('latin-1') for key, value in headers}
+        if fields.get(names.ATTEMPT_ID,
+                      send.request.attempt_id) != (send.request.attempt_id):
+            return None
+        return AnswerHead(status=status,
+                          headers=tuple(
+                              (key, value)
+                              for key, value in _plain(headers)
+                              if key not in names.INTERNAL_ANSWER_HEADERS),
+                          sealed=names.SEAL in fields,
+                          not_run=names.NOT_RUN in fields or status == 421,
+                          instance=fields.get(names.INSTANCE, ''),
+                          load=_load(fields.get(names.LOAD, ''), now),
+                          version=_whole(fields.get(names.WEIGHT_VERSION)))
+
+    def refusal_headers(self, retry_after_s: float | None) -> Headers:
+        if retry_after_s is None:
+            return ()
+        return ((names.RETRY_AFTER, f'{retry_after_s:.2f}'.encode()),)
+
+
+def _forwarded(headers: Headers) -> Headers:
+    """Returns a caller's headers less those that the system writes."""
+    dropped = names.SYSTEM_HEADERS | names.REWRITTEN_HEADERS
+    return tuple(
+        (key, value) for key, value in _plain(headers) if key not in dropped)
+
+
+def _plain(headers: Headers) -> Headers:
+    """Returns headers less those that concern one connection."""
+    named = {
+        option.strip().lower() for key, value in headers if key == b'connection'
+        for option in value.split(b',')
+    }
+    dropped = names.CONNECTION_HEADERS | named
+    return tuple((key, value) for key, value in headers if key not in dropped)
+
+
+def _key(header: str | None) -> str | None:
+    if header is None or not header.lower().startswith(BEARER):
+        return None
+    return header[len(BEARER):].strip()
+
+
+def _whole(text: str | None) -> int | None:
+    """Returns a whole number, or None for anything else."""
+    if text is None or not text.strip().isdecimal():
+        return None
+    return int(text)
+
+
+def _usage(text: str) -> tuple[int, int]:
+    prompt, _, output = text.partition(',')
+    return _whole(prompt) or 0, _whole(output) or 0
+
+
+def _parts(text: str) -> tuple[Part, ...]:
+    parts = []
+    for entry in filter(None, (each.strip() for each in text.split(','))):
+        name, _, tokens = entry.partition(':')
+        parts.append(Part(name, _whole(tokens) or 0))
+    return tuple(parts)
+
+
+def _load(text: str, now: float) -> EndpointLoad | None:
+    figures = [_whole(each) for each in text.split(',')]
+    if len(figures) != 3 or None in figures:
+        return None
+    running, waiting, slots = (each or 0 for each in figures)
+    return EndpointLoad(running, waiting, slots, now)
+
+
+def _cache_headers(plan: CachePlan) -> Headers:
+    headers = [(names.CACHE_SALT, plan.salt.encode())]
+    if any(plan.fetch_from):
+        headers.append((names.CACHE_FETCH, _addresses(plan.fetch_from)))
+        if plan.fetch_until_ms:
+            headers.append(
+                (names.CACHE_UNTIL, str(plan.fetch_until_ms).encode()))
+    if any(plan.save_to):
+        headers.append((names.CACHE_SAVE, _addresses(plan.save_to)))
+    return tuple(headers)
+
+
+def _addresses(parts: tuple[str, ...]) -> bytes:
+    return ','.join(each or '-' for each in parts).encode()
--- /dev/null
+++ b/src/plantainridge/platform/settings.py
@@ -0,0 +1,82 @@
+"""Reads the settings file that the platform lays down for a process."""
+
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from plantainridge.gateway.settings import (Bounds, GatewaySettings,
+                                            SettingsFault)
+from plantainridge.ids import DcId, VmId
+from plantainridge.platform.fields import FieldFault, get, get_or
+
+SETTINGS_PATH_VARIABLE = 'PLANTAINRIDGE_CONFIG'
+MS = 1_000.0
+
+
+def read(path: str) -> GatewaySettings | SettingsFault:
+    """Reads and checks the settings file."""
+    try:
+        with open(path, 'rb') as file:
+            data = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        return SettingsFault(path, str(error), 'a readable TOML file')
+    try:
+        return _decode(data)
+    except FieldFault as fault:
+        return SettingsFault(fault.field, str(data.get(fault.field)),
+                             fault.wanted)
+
+
+def _decode(data: Mapping[str, Any]) -> GatewaySettings:
+    listen = get(data, 'listen-addresses', dict)
+    ports = get(data, 'internal-port-range', list)
+    if len(ports) != 2 or not all(isinstance(each, int) for each in ports):
+        raise FieldFault('internal-port-range', 'two port numbers')
+    return GatewaySettings(
+        vm=VmId(get(data, 'node-name', str)),
+        dc=DcId(get(data, 'zone', str)),
+        host=get(data, 'ip-address', str),
+        callers_address=_address(listen, 'frontend'),
+        readiness_address=_address(listen, 'readiness'),
+        peer_port=ports[0],
+        metrics_port=ports[1],
+        store_address=_address(get(data, 'platform', dict), 'address'),
+        heartbeat_s=get_or(data, 'heartbeat-interval-ms', 1_200) / MS,
+        bounds=_bounds(get_or(data, 'bounds', {})))
+
+
+def _bounds(data: Mapping[str, Any]) -> Bounds:
+    default = Bounds()
+    given = {
+        'drain_s':
+            get_or(data, 'drain-ms', default.drain_s * MS) / MS,
+        'grace_s':
+            get_or(data, 'grace-period-s', default.grace_s),
+        'apply_s':
+            get_or(data, 'configuration-apply-ms', default.apply_s * MS) / MS,
+        'version_s':
+            get_or(data, 'version-ms', default.version_s * MS) / MS,
+        'lease_s':
+            get_or(data, 'lease-ms', default.lease_s * MS) / MS,
+        'retry_ratio':
+            get_or(data, 'retry-budget-ratio', default.retry_ratio),
+        'retry_slack':
+            get_or(data, 'retry-budget-slack', default.retry_slack),
+        'retry_window_s':
+            get_or(data, 'budget-window-s', default.retry_window_s),
+        'reuse_s':
+            get_or(data, 'reuse-window-s', default.reuse_s),
+        'stable_s':
+            get_or(data, 'stable-window-ms', default.stable_s * MS) / MS,
+    }
+    return attrs.evolve(default, **given)
+
+
+def _address(data: Mapping[str, Any], field: str) -> str:
+    address = get(data, field, str)
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdecimal():
+        raise FieldFault(field, 'IP:PORT')
+    return address
--- /dev/null
+++ b/src/plantainridge/platform/store.py
@@ -0,0 +1,172 @@
+"""Calls to the platform's metadata store."""
+
+import urllib.parse
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from plantainridge.events import Event
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.calls import NoReply, Reply, call
+from plantainridge.gateway.events import View
+from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.ports import StorePort
+from plantainridge.tasks import Tasks
+from plantainridge.ids import VmId
+from plantainridge.platform import names, records
+from plantainridge.platform.fields import FieldFault
+
+# Longer than a slow store takes; a silent one is noticed after this, in s.
+TIMEOUT_S: Final = 1.0
+PAGE_RECORDS: Final = 500
+MAX_READ_KB: Final = 1_024
+
+_TOPICS: Final = {
+    View.OPERATOR: names.OPERATOR_TOPIC,
+    View.REGISTRY: names.REGISTRY_TOPIC,
+    View.VMS: names.VMS_TOPIC,
+}
+
+
+class PlatformStore(StorePort):
+    """The platform's log as the gateway's store."""
+
+    def __init__(self, pool: Pool, tasks: Tasks, address: str, vm: VmId,
+                 post: Callable[[Event], None]) -> None:
+        self.pool = pool
+        self.tasks = tasks
+        self.address = address
+        self.vm = vm
+        self.post = post
+
+    def load_view(self, effect: fx.LoadView) -> None:
+        self.tasks.spawn(self._load(effect.view))
+
+    def read_view(self, effect: fx.ReadView) -> None:
+        self.tasks.spawn(self._read(effect))
+
+    def announce(self, effect: fx.AnnounceVm) -> None:
+        value = records.encode_vm(effect.dc, effect.address)
+        body = records.encode_keyed(self.vm, value)
+        self.tasks.spawn(self._announce(body))
+
+    def read_lease(self, effect: fx.ReadLease) -> None:
+        del effect
+        self.tasks.spawn(self._read_lease())
+
+    def write_lease(self, effect: fx.WriteLease) -> None:
+        self.tasks.spawn(self._write_lease(effect))
+
+    async def _load(self, view: View) -> None:
+        news: list[ev.News] = []
+        end: int | None = None
+        after: str | None = None
+        more = True
+        while more:
+            query = {'topic': _TOPICS[view], 'part': '0'}
+            if after is not None:
+                query['after'] = after
+            reply = await self._call('GET', 'log-newest', query)
+            if not isinstance(reply, Reply) or reply.status != 200:
+                self._failed(view, reply)
+                return
+            try:
+                page, more = records.decode_newest(reply.json())
+            except (FieldFault, ValueError) as error:
+                self.post(ev.ViewFailed(view, False, str(error)))
+                return
+            news.extend(
+                records.decode_news(view, each) for each in page.records)
+            # Pages are no snapshot: what came meanwhile is read again.
+            end = page.next if end is None else min(end, page.next)
+            after = page.records[-1].key if page.records else None
+            more = more and after is not None
+        self.post(ev.ViewRead(view, True, tuple(news), end or 0))
+
+    async def _read(self, effect: fx.ReadView) -> None:
+        query = {
+            'topic': _TOPICS[effect.view],
+            'part': '0',
+            'from': str(effect.offset),
+            'max-kilobytes': str(MAX_READ_KB),
+        }
+        if effect.wait_s:
+            query['wait-ms'] = str(round(effect.wait_s * 1_000))
+        reply = await self._call('GET', 'log-read', query,
+                                 TIMEOUT_S + effect.wait_s)
+        if not isinstance(reply, Reply) or reply.status != 200:
+            self._failed(effect.view, reply)
+            return
+        try:
+            page = records.decode_log(reply.body, effect.offset)
+        except FieldFault as fault:
+            self.post(ev.ViewFailed(effect.view, False, str(fault)))
+            return
+        news = tuple(
+            records.decode_news(effect.view, each) for each in page.records)
+        self.post(ev.ViewRead(effect.view, False, news, page.next))
+
+    def _failed(self, view: View, reply: Reply | NoReply) -> None:
+        if isinstance(reply, NoReply):
+            self.post(ev.ViewFailed(view, False, reply.reason))
+            return
+        self.post(
+            ev.ViewFailed(view, reply.status == 410, f'status {reply.status}'))
+
+    async def _announce(self, body: bytes) -> None:
+        await self._call('POST',
+                         'log-append', {
+                             'topic': names.VMS_TOPIC,
+                             'part': '0'
+                         },
+                         body=body)
+
+    async def _read_lease(self) -> None:
+        reply = await self._call('GET', 'log-newest', {
+            'topic': names.LEASE_TOPIC,
+            'part': '0'
+        })
+        if not isinstance(reply, Reply) or reply.status != 200:
+            # A topic that was never written may not exist yet.
+            if isinstance(reply, Reply) and reply.status == 404:
+                self.post(ev.LeaseRead(None, 0))
+            else:
+                self.post(ev.LeaseFailed())
+            return
+        try:
+            page, _ = records.decode_newest(reply.json())
+            found = [
+                records.decode_lease(each)
+                for each in page.records
+                if each.key == names.LEASE_KEY
+            ]
+        except (FieldFault, ValueError):
+            self.post(ev.LeaseFailed())
+            return
+        self.post(ev.LeaseRead(found[-1] if found else None, page.next))
+
+    async def _write_lease(self, effect: fx.WriteLease) -> None:
+        body = records.encode_keyed(names.LEASE_KEY,
+                                    records.encode_lease(effect.record))
+        reply = await self._call('POST',
+                                 'log-append', {
+                                     'topic': names.LEASE_TOPIC,
+                                     'part': '0',
+                                     'at': str(effect.end)
+                                 },
+                                 body=body)
+        result = ev.AppendResult.UNKNOWN
+        if isinstance(reply, Reply) and reply.status == 200:
+            result = ev.AppendResult.DONE
+        elif isinstance(reply, Reply) and reply.status in (409, 412):
+            result = ev.AppendResult.MOVED_ON
+        self.post(ev.LeaseWritten(effect.record, result))
+
+    def _call(self,
+              method: str,
+              path: str,
+              query: dict[str, str],
+              timeout_s: float = TIMEOUT_S,
+              body: bytes = b'') -> Coroutine[Any, Any, Reply | NoReply]:
+        target = f'/{path}?{urllib.parse.urlencode(query)}'
+        return call(self.pool, self.address, method, target, timeout_s, body)
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -1,5 +1,6 @@
 """The one reducer: every event of a VM goes through `reduce`."""
 
+import enum
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
@@ -28,7 +29,7 @@
 
 
 # Handlers of timers by kind; those of `TICK` run every `tick_s`.
-TIMERS: Final[dict[events.TimerKind, tuple[Handler, ...]]] = {
+TIMERS: Final[dict[enum.Enum, tuple[Handler, ...]]] = {
     events.TimerKind.TICK:
         (_on_tick, caching.on_tick, revisions.on_tick, catchup.on_tick,
          checkpoints.on_tick, limits.on_tick, fairness.on_tick, health.on_tick,
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,7 +8,7 @@
 from plantainridge import peer_messages as pm
 from plantainridge.events import PeerSaid
 from plantainridge.exchange import Topic
-from plantainridge.http_ports import Tasks
+from plantainridge.tasks import Tasks
 from plantainridge.ids import VmId
 from plantainridge.peers_net import NetPeers
 from plantainridge.effects import SendPeer
--- a/tests/test_http_transfers.py
+++ b/tests/test_http_transfers.py
@@ -5,7 +5,8 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge.http_ports import Tasks, new_client
+from plantainridge.http_ports import new_client
+from plantainridge.tasks import Tasks
 from plantainridge.http_transfers import HttpTransferPort
 from plantainridge.ids import BlockKey, EndpointId, StoreId, TransferId
 from plantainridge.serve import AppServer
--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -6,7 +6,8 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge.http_ports import HttpServicePort, Tasks
+from plantainridge.http_ports import HttpServicePort
+from plantainridge.tasks import Tasks
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
                                TeamId)
 
--- a/tools/boot.py
+++ b/tools/boot.py
@@ -16,9 +16,9 @@
 from types import ModuleType
 
 MIN_VERSION = (3, 11)
-# Directories in memory, of which the first that is writable is used while the
+# Directories, in memory on most VMs, of which the first that is writable is used while the
 # schema of messages is read.
-MEMORY_FOLDERS = ('/dev/shm', '/run')
+MEMORY_FOLDERS = ('/run', '/tmp')
 
 
 class MemoryFinder(importlib.abc.MetaPathFinder):
