Keep shared parts of prompts in the KV cache stores

Change: each VM follows the stores' events, saves parts that no store keeps, fetches those that one keeps whole, and frees replaced weights'.

--- a/src/plantainridge/gateway/cache.py
+++ b/src/plantainridge/gateway/cache.py
@@ -52,10 +52,20 @@
 
 
 def salt_of(model: ModelId, version: int | None, team: Team | None) -> str:
-    """Names who may share parts: one version, and one team if isolated."""
+    """Names who may share parts: one version, and one team if isolated.
+
+    The version stands in front so that parts of replaced weights are known.
+    """
     owner = team.name if team is not None and team.isolated else ''
-    text = f'{model}/{version}/{owner}'
-    return hashlib.blake2b(text.encode(), digest_size=SALT_BYTES).hexdigest()
+    digest = hashlib.blake2b(f'{model}/{owner}'.encode(),
+                             digest_size=SALT_BYTES)
+    return f'{version or 0}.{digest.hexdigest()}'
+
+
+def version_of(salt: str) -> int | None:
+    """Returns the version that a salt names, or None if it names none."""
+    version = salt.partition('.')[0]
+    return int(version) if version.isdecimal() else None
 
 
 def affinity(endpoint: EndpointId, parts: tuple[Part, ...]) -> int:
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -3,9 +3,10 @@
 import attrs
 
 from plantainridge.effects import Effect
-from plantainridge.gateway.events import (Headers, LeaseRecord, Request, View)
+from plantainridge.gateway.events import (Headers, KeptPart, LeaseRecord,
+                                          Request, View)
 from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, RequestId,
-                               TeamId)
+                               ServiceId, TeamId)
 
 # --- To callers -------------------------------------------------------------
 
@@ -153,6 +154,34 @@
     fence: int
 
 
+@attrs.frozen
+class ListStore(Effect):
+    """Asks a KV cache store for all it keeps: `StoreListed`/`StoreMissed`."""
+
+    store: ServiceId
+    address: str
+
+
+@attrs.frozen
+class PollStore(Effect):
+    """Asks a KV cache store what changed: `StoreChanged`/`StoreMissed`."""
+
+    store: ServiceId
+    address: str
+    since: int
+    wait_s: float
+
+
+@attrs.frozen
+class FreeParts(Effect):
+    """Frees parts at a KV cache store if it is still in an epoch."""
+
+    store: ServiceId
+    address: str
+    epoch: int
+    parts: tuple[KeptPart, ...]
+
+
 # --- To the store -----------------------------------------------------------
 
 
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -9,7 +9,7 @@
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.ids import (AttemptId, EndpointId, Incarnation, ModelId,
-                               RequestId, VmId)
+                               RequestId, ServiceId, VmId)
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -21,8 +21,7 @@
     DEADLINE = 'deadline'
     PATIENCE = 'patience'
     VIEW = 'view'
-    LEASE = 'lease'
-    ROLLOUT = 'rollout'
+    STORE = 'store'
 
 
 # --- From callers -----------------------------------------------------------
@@ -216,6 +215,59 @@
     result: OrderResult
 
 
+@attrs.frozen
+class KeptPart:
+    """A part that a KV cache store keeps whole."""
+
+    salt: str
+    id: str
+
+
+@attrs.frozen
+class StoreListed(Event):
+    """Everything that a KV cache store keeps.
+
+    Attributes:
+        epoch: Changes when the store restarts, empty.
+        next: Number of the first event after this listing.
+        kept: Whole parts with their tokens.
+        partial: Parts that are being written, or broke off, with the tokens
+            that they reserve.
+    """
+
+    store: ServiceId
+    epoch: int
+    next: int
+    kept: Mapping[KeptPart, int]
+    partial: Mapping[KeptPart, int]
+
+
+@attrs.frozen
+class StoreChanged(Event):
+    """What changed at a KV cache store.
+
+    Attributes:
+        lost: Whether events are missing before these.
+        kept: Tokens of each part, in order; 0 for one that is gone.
+        clock_ms: The engines' clock, in ms; 0 if it was not told.
+    """
+
+    store: ServiceId
+    epoch: int
+    next: int
+    lost: bool
+    kept: tuple[tuple[KeptPart, int], ...]
+    clock_ms: float
+
+
+@attrs.frozen
+class StoreMissed(Event):
+    """A KV cache store did not answer."""
+
+    store: ServiceId
+    reason: str
+
+
 # --- From the store ---------------------------------------------------------
 
 
--- a/src/plantainridge/gateway/forwarding.py
+++ b/src/plantainridge/gateway/forwarding.py
@@ -6,7 +6,8 @@
 from plantainridge.effects import (CancelTimer, Effect, LogLine, Observe,
                                    SetTimer)
 from plantainridge.events import TimerFired, TimerKey
-from plantainridge.gateway import cache, health, placement, retries, suspects
+from plantainridge.gateway import (cache, health, placement, retries, stores,
+                                   suspects)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Route, Service, Team
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, CallerLeft,
@@ -162,18 +163,16 @@
                                             now, now, choice.version)
     view.own[attempt] = choice.read_tokens
     CALL.fire(call, 'send')
-    plan = None
-    if request.model:
-        salt = cache.salt_of(request.model, choice.version, call.team)
-        state.cache.note_sent(view.entry.id, salt, request.parts)
-        plan = fx.CachePlan(salt)
-    yield LogLine(
-        'request_sent',
-        (('request', request.attempt_id), ('send', call.sends),
-         ('endpoint', view.entry.id), ('cost_s', round(choice.cost_s, 4)),
-         ('read_tokens', choice.read_tokens), ('version', choice.version or 0),
-         ('entry_age_s', round(now - view.entry_at, 3)),
-         ('configuration', state.config.version)))
+    plan = _cache_plan(state, call, choice, now) if request.model else None
+    yield LogLine('request_sent',
+                  (('request', request.attempt_id), ('send', call.sends),
+                   ('endpoint', view.entry.id),
+                   ('cost_s', round(choice.cost_s, 4)),
+                   ('read_tokens', choice.read_tokens),
+                   ('fetch_tokens', choice.fetch.tokens),
+                   ('version', choice.version or 0),
+                   ('entry_age_s', round(now - view.entry_at, 3)),
+                   ('configuration', state.config.version)))
     yield from _watch(call, attempt, now)
     yield fx.Send(attempt=attempt,
                   request=request,
@@ -189,6 +188,22 @@
                   cache=plan)
 
 
+def _cache_plan(state: 'GatewayState', call: Call, choice: Choice,
+                now: float) -> fx.CachePlan:
+    """Says which parts are fetched and which are to be kept at a store."""
+    request = call.request
+    salt = cache.salt_of(request.model, choice.version, call.team)
+    state.cache.note_sent(choice.view.entry.id, salt, request.parts)
+    newest = state.versions.newest(request.model)
+    if choice.version is None or choice.version != (newest or choice.version):
+        return fx.CachePlan(salt)
+    return fx.CachePlan(salt,
+                        fetch_from=choice.fetch.sources,
+                        save_to=stores.plan_save(state, salt, request.parts,
+                                                 now),
+                        fetch_until_ms=stores.until_ms(state, now))
+
+
 def _is_engine(service: Service | None) -> bool:
     return service is not None and service.engine is not None
 
@@ -288,7 +303,8 @@
     if not attempt.answered:
         attempt.answered = True
         health.note_first_piece(state, attempt, now)
-        if call.request.last_event_id == call.last_event_id:
+        if call.first_piece_s is None:
+            call.first_piece_s = now - call.arrived_at
             yield Observe('first_piece_s', call.team.name if call.team else '',
                           call.route.name, now - call.arrived_at)
     attempt.progress_at = now
@@ -417,6 +433,7 @@
                   (('request', call.request.attempt_id), ('team', team),
                    ('route', call.route.name), ('outcome', outcome),
                    ('status', status), ('sends', call.sends),
+                   ('first_piece_s', round(call.first_piece_s or 0.0, 4)),
                    ('took_s', round(now - call.arrived_at, 4))))
 
 
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from plantainridge.gateway import cache, endpoints
+from plantainridge.gateway import cache, endpoints, stores
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.requests import Call
 
@@ -45,12 +45,14 @@
         version: Weight version to be bound to, or None.
         read_tokens: Prompt tokens that it has to read.
         cost_s: Expected cost, in s.
+        fetch: From where parts of the prompt can be fetched.
     """
 
     view: EndpointView
     version: int | None
     read_tokens: int
     cost_s: float
+    fetch: stores.Fetch = stores.NO_FETCH
 
 
 def choose(state: 'GatewayState', call: Call, now: float) -> Choice | None:
@@ -87,14 +89,21 @@
         choice = _engine(state, call, view, version, now)
         penalty = OLD_VERSION_S if old else 0.0
         choices.append(attrs.evolve(choice, cost_s=choice.cost_s + penalty))
-    homes = sorted(
-        choices,
-        key=lambda each: cache.affinity(each.view.entry.id, call.request.parts))
-    if homes:
-        home = homes[0]
-        choices.remove(home)
-        choices.append(attrs.evolve(home, cost_s=home.cost_s - HOME_S))
-    return choices
+    return _prefer_home(state, call, choices)
+
+
+def _prefer_home(state: 'GatewayState', call: Call,
+                 choices: list[Choice]) -> list[Choice]:
+    """Favours the engine that all VMs of the data centre would choose."""
+    near = [each for each in choices if each.view.entry.dc == state.settings.dc]
+    home = max(
+        near or choices,
+        key=lambda each: cache.affinity(each.view.entry.id, call.request.parts),
+        default=None)
+    return [
+        attrs.evolve(each, cost_s=each.cost_s -
+                     HOME_S) if each is home else each for each in choices
+    ]
 
 
 def _too_old(state: 'GatewayState', named_at: float, now: float) -> bool:
@@ -107,11 +116,25 @@
     request = call.request
     salt = cache.salt_of(request.model, version, call.team)
     held = state.cache.held_tokens(view.entry.id, salt, request.parts)
-    read = max(1, request.prompt_tokens - held)
+    fetch = stores.NO_FETCH
+    newest = state.versions.newest(request.model)
+    if version is not None and version == (newest or version):
+        fetch = stores.plan_fetch(state, salt, request.parts,
+                                  _token_bytes(state, call), now)
+    read = max(1, request.prompt_tokens - max(held, fetch.tokens))
     queued = sum(view.own.values())
     seconds = (queued + read) / READ_TOKENS_PER_S
+    if fetch.tokens > held:
+        seconds += fetch.seconds * (1.0 - held / fetch.tokens)
     seconds += RUNNING_S * _busy(view, now)
-    return Choice(view, version, read, seconds + _way_s(state, view))
+    return Choice(view, version, read, seconds + _way_s(state, view), fetch)
+
+
+def _token_bytes(state: 'GatewayState', call: Call) -> int:
+    service = state.config.services.get(call.service)
+    if service is None or service.engine is None:
+        return 0
+    return service.engine.token_bytes
 
 
 def _busy(view: EndpointView, now: float) -> int:
--- a/src/plantainridge/gateway/ports.py
+++ b/src/plantainridge/gateway/ports.py
@@ -48,6 +48,18 @@
     def order_version(self, effect: fx.OrderVersion) -> None:
         """Posts `OrderAnswered`."""
 
+    @abc.abstractmethod
+    def list_store(self, effect: fx.ListStore) -> None:
+        """Posts `StoreListed` or `StoreMissed`."""
+
+    @abc.abstractmethod
+    def poll_store(self, effect: fx.PollStore) -> None:
+        """Posts `StoreChanged` or `StoreMissed`."""
+
+    @abc.abstractmethod
+    def free_parts(self, effect: fx.FreeParts) -> None:
+        """Frees parts; may fail."""
+
 
 class Adapter(abc.ABC):
     """Makes what translates between the gateway and the outside.
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -88,6 +88,9 @@
             fx.WriteLease: store.write_lease,
             fx.AskReport: engines.ask_report,
             fx.OrderVersion: engines.order_version,
+            fx.ListStore: engines.list_store,
+            fx.PollStore: engines.poll_store,
+            fx.FreeParts: engines.free_parts,
         })
 
     def first_effects(self, now: float) -> list[base.Effect]:
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -6,7 +6,7 @@
 from plantainridge.effects import Effect, LogLine, SetTimer
 from plantainridge.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import (drain, events, forwarding, lease, rollout,
-                                   views)
+                                   stores, views)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
@@ -30,6 +30,7 @@
 TIMERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
     TimerKind.VIEW: views.on_timer,
+    TimerKind.STORE: stores.on_timer,
     TimerKind.DEADLINE: forwarding.on_deadline,
     TimerKind.PATIENCE: forwarding.on_patience,
 }
@@ -53,6 +54,9 @@
     events.EndpointReported: rollout.on_reported,
     events.ReportMissed: rollout.on_missed,
     events.OrderAnswered: rollout.on_ordered,
+    events.StoreListed: stores.on_listed,
+    events.StoreChanged: stores.on_changed,
+    events.StoreMissed: stores.on_missed,
     events.ViewRead: views.on_read,
     events.ViewFailed: views.on_failed,
     events.LeaseRead: lease.on_read,
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -47,7 +47,8 @@
         last_event_id: Last event of the stream that the caller has, or ''.
         waiting_since: Loop time since which it waits for an endpoint, in s.
         fingerprint: Names its team, target and content.
-        spare: A worker's own failure to answer with if nothing better comes.
+        spare: An endpoint's failure to answer with if nothing better comes.
+        first_piece_s: Time from arrival to the first piece, in s, or None.
     """
 
     request: Request
@@ -67,6 +68,7 @@
     waiting_since: float = 0.0
     fingerprint: str = ''
     spare: 'SpareAnswer | None' = None
+    first_piece_s: float | None = None
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -11,6 +11,7 @@
 from plantainridge.gateway.retries import RetryBudget
 from plantainridge.gateway.rollout import RolloutState
 from plantainridge.gateway.settings import GatewaySettings
+from plantainridge.gateway.stores import StoreTable
 from plantainridge.gateway.suspects import SuspectTable
 from plantainridge.gateway.versions import VersionTable
 from plantainridge.gateway.views import ViewTable
@@ -34,7 +35,8 @@
         calls: Requests and sends in flight.
         retries: How often a request may be sent again.
         suspects: Requests that may crash endpoints.
-        cache: Who keeps which parts of prompts.
+        stores: What KV cache stores keep.
+        cache: Which parts engines read.
         lease: The right to give orders.
         rollout: Orders in progress.
         stopping_since: Loop time of the word to stop, in s, or None.
@@ -54,6 +56,7 @@
     calls: CallTable = attrs.field(factory=CallTable)
     retries: RetryBudget = attrs.field(factory=RetryBudget)
     suspects: SuspectTable = attrs.field(factory=SuspectTable)
+    stores: StoreTable = attrs.field(factory=StoreTable)
     cache: CacheState = attrs.field(factory=CacheState)
     lease: Lease = attrs.field(factory=Lease)
     rollout: RolloutState = attrs.field(factory=RolloutState)
--- /dev/null
+++ b/src/plantainridge/gateway/stores.py
@@ -0,0 +1,337 @@
+"""What KV cache stores keep: followed by events, used only while certain.
+
+A store checks nothing when a part is fetched, so a part is fetched only if the
+store itself said that it is whole, in its present life, and was heard a moment
+ago. Parts of replaced weights are freed once no VM can still fetch them.
+"""
+
+import hashlib
+import math
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from plantainridge.effects import Effect, LogLine, SetTimer
+from plantainridge.events import TimerFired, TimerKey
+from plantainridge.gateway import cache
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.config import StoreTerms
+from plantainridge.gateway.events import (KeptPart, Part, StoreChanged,
+                                          StoreListed, StoreMissed, TimerKind,
+                                          View)
+from plantainridge.ids import ServiceId
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# How long one question to a store waits for events, in s; the most it allows.
+WAIT_S: Final = 1.0
+# Pause between two questions, in s.
+PAUSE_S: Final = 0.25
+# Pause before a store that did not answer is asked again, in s.
+RETRY_S: Final = 0.5
+# Age of a store's last word beyond which nothing is fetched from it, in s.
+FRESH_S: Final = 1.8
+# Time between two listings, in s: a few events never arrive.
+RELIST_S: Final = 10.0
+# Longest time that a fetch may take, in s; what comes later is thrown away.
+FETCH_S: Final = 1.0
+# Age of the operators' view beyond which nothing is fetched, in s.
+VIEW_FRESH_S: Final = 2.5
+# How long newer weights must be known before older parts are freed, in s:
+# longer than a view may be old and a fetch may take.
+FREE_AFTER_S: Final = 5.0
+# Lead of one VM over the next in freeing the same parts, in s.
+FREE_STAGGER_S: Final = 1.0
+# Parts freed by one call.
+FREE_AT_ONCE: Final = 256
+# How long a part that is on its way to a store is not sent again, in s.
+SAVING_S: Final = 3.0
+# Part of a store's room that is used.
+FULL_PART: Final = 0.97
+
+
+@attrs.define
+class StoreView:
+    """What this VM knows of one store.
+
+    Attributes:
+        kept: Whole parts, with their tokens.
+        partial: Parts that were not whole at the last listing.
+        epoch: The store's present life; None before it was listed.
+        next: Number of the next event.
+        heard_at: Loop time of its last word, in s; -inf after a failure.
+        listed_at: Loop time of the last listing, in s.
+        saving: Loop time at which each part was last sent there, in s.
+    """
+
+    name: ServiceId
+    terms: StoreTerms
+    kept: dict[KeptPart, int] = attrs.field(factory=dict)
+    partial: dict[KeptPart, int] = attrs.field(factory=dict)
+    epoch: int | None = None
+    next: int = 0
+    heard_at: float = -math.inf
+    listed_at: float = -math.inf
+    saving: dict[KeptPart, float] = attrs.field(factory=dict)
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether its last word is recent."""
+        return now - self.heard_at <= FRESH_S
+
+    @property
+    def used_tokens(self) -> int:
+        """Room that is taken, as far as known."""
+        return sum(self.kept.values()) + sum(self.partial.values())
+
+
+@attrs.define
+class StoreTable:
+    """All stores of the configuration.
+
+    Attributes:
+        clock_ms: The engines' clock less the loop's, in ms; None if unknown.
+    """
+
+    views: dict[ServiceId, StoreView] = attrs.field(factory=dict)
+    clock_ms: float | None = None
+
+
+@attrs.frozen
+class Fetch:
+    """Where leading shared parts of a prompt can be fetched.
+
+    Attributes:
+        sources: For each part a store's address, or ''.
+        tokens: Tokens of the parts that are there without a gap.
+        seconds: Expected time of the transfer, in s.
+    """
+
+    sources: tuple[str, ...]
+    tokens: int
+    seconds: float
+
+
+NO_FETCH: Final = Fetch((), 0, 0.0)
+
+# --- Following --------------------------------------------------------------
+
+
+def on_configuration(state: 'GatewayState') -> Iterator[Effect]:
+    """Follows the stores of a new configuration."""
+    views = state.stores.views
+    wanted = {
+        service.name: service.store
+        for service in state.config.services.values()
+        if service.store is not None
+    }
+    for name in [name for name in views if name not in wanted]:
+        del views[name]
+    for name, terms in wanted.items():
+        if name in views:
+            views[name].terms = terms
+            continue
+        views[name] = StoreView(name, terms)
+        yield fx.ListStore(name, terms.address)
+
+
+def on_listed(state: 'GatewayState', event: StoreListed,
+              now: float) -> Iterator[Effect]:
+    """Replaces what is known of a store."""
+    view = state.stores.views.get(event.store)
+    if view is None:
+        return
+    view.kept = dict(event.kept)
+    view.partial = dict(event.partial)
+    view.epoch, view.next = event.epoch, event.next
+    view.heard_at = view.listed_at = now
+    yield LogLine('store_listed',
+                  (('store', event.store), ('parts', len(view.kept)),
+                   ('tokens', view.used_tokens)))
+    yield SetTimer(_timer(view), now)
+
+
+def on_changed(state: 'GatewayState', event: StoreChanged,
+               now: float) -> Iterator[Effect]:
+    """Takes a store's news in; a gap or a new life calls for a listing."""
+    view = state.stores.views.get(event.store)
+    if view is None:
+        return
+    if event.clock_ms:
+        state.stores.clock_ms = event.clock_ms - now * 1_000
+    if event.epoch != view.epoch or event.lost:
+        view.kept.clear()
+        view.heard_at = -math.inf
+        yield LogLine('store_unsure',
+                      (('store', event.store), ('lost', event.lost)))
+        yield fx.ListStore(view.name, view.terms.address)
+        return
+    for part, tokens in event.kept:
+        view.saving.pop(part, None)
+        view.partial.pop(part, None)
+        if tokens:
+            view.kept[part] = tokens
+        else:
+            view.kept.pop(part, None)
+    view.next = event.next
+    view.heard_at = now
+    yield SetTimer(_timer(view), now + PAUSE_S)
+
+
+def on_missed(state: 'GatewayState', event: StoreMissed,
+              now: float) -> Iterator[Effect]:
+    """Fetches nothing from a store that did not answer."""
+    view = state.stores.views.get(event.store)
+    if view is None:
+        return
+    if view.heard_at > -math.inf:
+        yield LogLine('store_lost',
+                      (('store', event.store), ('reason', event.reason)))
+    # It may come back empty and be written anew: all it kept is unsure.
+    view.kept.clear()
+    view.epoch = None
+    view.heard_at = -math.inf
+    yield SetTimer(_timer(view), now + RETRY_S)
+
+
+def on_timer(state: 'GatewayState', event: TimerFired,
+             now: float) -> Iterator[Effect]:
+    """Asks a store again, and frees what is of no use."""
+    view = state.stores.views.get(ServiceId(event.key.subject))
+    if view is None:
+        return
+    address = view.terms.address
+    if view.epoch is None or now - view.listed_at > RELIST_S:
+        yield fx.ListStore(view.name, address)
+        return
+    yield from _free_replaced(state, view, now)
+    yield fx.PollStore(view.name, address, view.next, WAIT_S)
+
+
+def _timer(view: StoreView) -> TimerKey:
+    return TimerKey(TimerKind.STORE, view.name)
+
+
+# --- Freeing ----------------------------------------------------------------
+
+
+def _free_replaced(state: 'GatewayState', view: StoreView,
+                   now: float) -> Iterator[Effect]:
+    """Frees parts of weights that were replaced some time ago."""
+    if not state.versions.named or view.epoch is None:
+        return
+    newest = max(state.versions.named.values(), key=lambda each: each.seen_at)
+    due = newest.seen_at + FREE_AFTER_S + FREE_STAGGER_S * _rank(state, view)
+    if now < due:
+        return
+    versions = {named.version for named in state.versions.named.values()}
+    oldest = min(versions)
+    old = [
+        part for part in (*view.kept, *view.partial)
+        if (cache.version_of(part.salt) or oldest) < oldest
+    ][:FREE_AT_ONCE]
+    if not old:
+        return
+    for part in old:
+        view.kept.pop(part, None)
+        view.partial.pop(part, None)
+    yield LogLine('parts_freed', (('store', view.name), ('parts', len(old)),
+                                  ('below_version', oldest)))
+    yield fx.FreeParts(view.name, view.terms.address, view.epoch, tuple(old))
+
+
+def _rank(state: 'GatewayState', view: StoreView) -> int:
+    """Returns this VM's place among those that would free parts."""
+    own = _draw(state.settings.vm, view.name)
+    return sum(
+        _draw(vm, view.name) < own
+        for vm in state.peers
+        if vm != state.settings.vm)
+
+
+def _draw(name: str, subject: str) -> int:
+    digest = hashlib.blake2b(f'{name}/{subject}'.encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+# --- Using ------------------------------------------------------------------
+
+
+def plan_fetch(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
+               token_bytes: int, now: float) -> Fetch:
+    """Returns from where a prompt's shared parts can be fetched."""
+    if state.views.age_s(View.OPERATOR, now) > VIEW_FRESH_S:
+        return NO_FETCH
+    if state.stores.clock_ms is None:
+        return NO_FETCH
+    sources: list[str] = []
+    tokens, seconds = 0, 0.0
+    for part in parts[:-1]:
+        view = _holder(state, KeptPart(salt, part.id), now)
+        if view is None:
+            break
+        sources.append(view.terms.address)
+        tokens += part.tokens
+        seconds += view.terms.setup_s + _seconds(view, part, token_bytes)
+    if not sources:
+        return NO_FETCH
+    rest = ('',) * (len(parts) - len(sources))
+    return Fetch((*sources, *rest), tokens, seconds)
+
+
+def _seconds(view: StoreView, part: Part, token_bytes: int) -> float:
+    bits = part.tokens * token_bytes * 8
+    return bits / max(1.0, view.terms.link_mbps * 1e6)
+
+
+def _holder(state: 'GatewayState', part: KeptPart,
+            now: float) -> StoreView | None:
+    """Returns the fastest store that keeps a part whole."""
+    found = [
+        view for view in state.stores.views.values()
+        if part in view.kept and view.is_fresh(now)
+    ]
+    return max(found, key=lambda each: each.terms.link_mbps, default=None)
+
+
+def plan_save(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
+              now: float) -> tuple[str, ...]:
+    """Returns for each part the store that is to keep it, or ''."""
+    targets = []
+    for part in parts[:-1]:
+        kept = KeptPart(salt, part.id)
+        targets.append(_target(state, kept, part.tokens, now))
+    if not any(targets):
+        return ()
+    return (*targets, '')
+
+
+def _target(state: 'GatewayState', part: KeptPart, tokens: int,
+            now: float) -> str:
+    fresh = [view for view in state.stores.views.values() if view.is_fresh(now)]
+    for view in fresh:
+        saving_at = view.saving.get(part, -math.inf)
+        if part in view.kept or now - saving_at < SAVING_S:
+            return ''
+    room = [
+        view for view in fresh
+        if view.used_tokens + tokens < FULL_PART * view.terms.capacity_tokens
+    ]
+    if not room:
+        return ''
+    chosen = max(room, key=lambda each: _weight(each, part))
+    chosen.saving[part] = now
+    return chosen.terms.address
+
+
+def _weight(view: StoreView, part: KeptPart) -> float:
+    """Draws stores in proportion to their room, the same on every VM."""
+    share = (_draw(view.name, part.id) + 1) / (2**64 + 1)
+    return -view.terms.capacity_tokens / math.log(share)
+
+
+def until_ms(state: 'GatewayState', now: float) -> int:
+    """Returns the engines' time after which a fetch begun now is too late."""
+    clock = state.stores.clock_ms or 0.0
+    return round((now + FETCH_S) * 1_000 + clock)
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -8,6 +8,7 @@
 from plantainridge.effects import Effect, LogLine, SetTimer
 from plantainridge.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
+from plantainridge.gateway import stores
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
 from plantainridge.gateway.events import (Gone, NamedVersion, News, TimerKind,
@@ -121,6 +122,7 @@
             state.config = news
             state.config_at = now
             yield LogLine('configuration_taken', (('version', news.version),))
+            yield from stores.on_configuration(state)
     elif isinstance(news, NamedVersion):
         if state.versions.name(news.model, news.version, now):
             yield LogLine('version_named',
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -13,12 +13,14 @@
 from plantainridge.gateway.ports import EnginePort
 from plantainridge.tasks import Tasks
 from plantainridge.ids import VmId
-from plantainridge.platform import names
+from plantainridge.platform import kv_records, names
 from plantainridge.platform.fields import FieldFault, get, get_or
 from plantainridge.platform.records import decode_models
 
 # An engine answers within a step of its batch; more means that it is gone.
 TIMEOUT_S: Final = 0.6
+# A listing of a full store is some hundred kB.
+LIST_TIMEOUT_S: Final = 2.0
 
 _RESULTS: Final = {
     202: OrderResult.ACCEPTED,
@@ -48,6 +50,50 @@
     def order_version(self, effect: fx.OrderVersion) -> None:
         self.tasks.spawn(self._order(effect))
 
+    def list_store(self, effect: fx.ListStore) -> None:
+        self.tasks.spawn(self._list(effect))
+
+    def poll_store(self, effect: fx.PollStore) -> None:
+        self.tasks.spawn(self._poll(effect))
+
+    def free_parts(self, effect: fx.FreeParts) -> None:
+        self.tasks.spawn(self._free(effect))
+
+    async def _list(self, effect: fx.ListStore) -> None:
+        reply = await call(self.pool, effect.address, 'GET', '/kv-list',
+                           LIST_TIMEOUT_S)
+        if isinstance(reply, NoReply) or reply.status != 200:
+            self.post(ev.StoreMissed(effect.store, _why(reply)))
+            return
+        try:
+            self.post(kv_records.decode_listing(effect.store, reply.json()))
+        except FieldFault as fault:
+            self.post(ev.StoreMissed(effect.store, str(fault)))
+
+    async def _poll(self, effect: fx.PollStore) -> None:
+        wait = (names.WAIT, str(round(effect.wait_s * 1_000)).encode())
+        reply = await call(self.pool,
+                           effect.address,
+                           'GET',
+                           f'/kv-events?since={effect.since}',
+                           TIMEOUT_S + effect.wait_s,
+                           headers=(wait,))
+        if isinstance(reply, NoReply) or reply.status != 200:
+            self.post(ev.StoreMissed(effect.store, _why(reply)))
+            return
+        try:
+            self.post(kv_records.decode_changes(effect.store, reply.json()))
+        except FieldFault as fault:
+            self.post(ev.StoreMissed(effect.store, str(fault)))
+
+    async def _free(self, effect: fx.FreeParts) -> None:
+        body = json.dumps({
+            'parts': [[part.salt, part.id] for part in effect.parts],
+            'epoch': effect.epoch,
+        }).encode()
+        await call(self.pool, effect.address, 'POST', '/kv-free', TIMEOUT_S,
+                   body)
+
     async def _ask(self, effect: fx.AskReport) -> None:
         reply = await call(self.pool, effect.address, 'GET', '/report',
                            TIMEOUT_S)
@@ -81,3 +127,9 @@
         if isinstance(reply, Reply):
             result = _RESULTS.get(reply.status, OrderResult.UNKNOWN)
         self.post(ev.OrderAnswered(effect.endpoint, result))
+
+
+def _why(reply: Reply | NoReply) -> str:
+    if isinstance(reply, NoReply):
+        return reply.reason
+    return f'status {reply.status}'
--- a/src/plantainridge/platform/names.py
+++ b/src/plantainridge/platform/names.py
@@ -37,6 +37,8 @@
 PIN: Final = b'x-pin-milliseconds'
 HOLD: Final = b'x-hold'
 MOVED_FROM: Final = b'kv-from'
+# How long a call may wait for events, in ms.
+WAIT: Final = b'wait-ms'
 RETRY_AFTER: Final = b'retry-after'
 
 # Set by the system alone; a caller's own are dropped.
