Fetch parts of older weights while engines change over

Busy engines were given up after 0.6 of the target. Change: older parts are fetched for 8 s, freed once unused; opening parts lie at two stores; no regular listings; older weights count 0.25 s, after 1.5 s only.

--- a/src/plantainridge/gateway/cache.py
+++ b/src/plantainridge/gateway/cache.py
@@ -17,7 +17,7 @@
 
 @attrs.define
 class CacheState:
-    """What this VM sent to each engine.
+    """What this VM knows that each engine read.
 
     Attributes:
         read: Salted parts by engine, least recently used first.
@@ -25,9 +25,9 @@
 
     read: dict[EndpointId, OrderedDict[str, int]] = attrs.field(factory=dict)
 
-    def note_sent(self, endpoint: EndpointId, salt: str,
+    def note_read(self, endpoint: EndpointId, salt: str,
                   parts: tuple[Part, ...]) -> None:
-        """Remembers that an engine reads a prompt's parts."""
+        """Remembers that an engine has read a prompt's parts."""
         known = self.read.setdefault(endpoint, OrderedDict())
         for part in parts:
             known[_key(salt, part)] = part.tokens
@@ -35,16 +35,14 @@
         while len(known) > MAX_PARTS:
             known.popitem(last=False)
 
-    def held_tokens(self, endpoint: EndpointId, salt: str,
-                    parts: tuple[Part, ...]) -> int:
-        """Returns the tokens of the leading parts that an engine read."""
-        known = self.read.get(endpoint)
-        tokens = 0
-        for part in parts if known else ():
-            if known is None or _key(salt, part) not in known:
-                break
-            tokens += part.tokens
-        return tokens
+    def held_parts(self, endpoint: EndpointId, salt: str,
+                   parts: tuple[Part, ...]) -> int:
+        """Returns how many leading parts an engine has read."""
+        known = self.read.get(endpoint, {})
+        for count, part in enumerate(parts):
+            if _key(salt, part) not in known:
+                return count
+        return len(parts)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Forgets an engine that is gone or begins anew."""
@@ -68,10 +66,15 @@
     return int(version) if version.isdecimal() else None
 
 
+def context_of(parts: tuple[Part, ...]) -> str:
+    """Names what a prompt shares with others: its last part but one."""
+    return parts[-2].id if len(parts) > 1 else ''
+
+
 def affinity(endpoint: EndpointId, parts: tuple[Part, ...]) -> int:
     """Ranks engines for a prompt, the same way on every VM."""
-    shared = parts[-2].id if len(parts) > 1 else ''.join(p.id for p in parts)
-    digest = hashlib.blake2b(f'{endpoint}/{shared}'.encode(), digest_size=8)
+    text = f'{endpoint}/{context_of(parts)}'
+    digest = hashlib.blake2b(text.encode(), digest_size=8)
     return int.from_bytes(digest.digest(), 'big')
 
 
--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -58,6 +58,7 @@
         heard_at: Loop time at which any byte came from it, in s.
         first_piece_s: Time to the first piece, over what its load explains.
         missing_since: Loop time since which its entry is gone, or None.
+        changed_at: Loop time at which its entry named other versions, in s.
     """
 
     entry: EndpointEntry
@@ -70,6 +71,7 @@
     heard_at: float = 0.0
     slowness: Average = attrs.field(factory=Average)
     missing_since: float | None = None
+    changed_at: float = 0.0
 
     def takes_work(self, now: float) -> bool:
         """Whether it is registered, stays, and has not just failed."""
--- a/src/plantainridge/gateway/forwarding.py
+++ b/src/plantainridge/gateway/forwarding.py
@@ -164,15 +164,7 @@
     view.own[attempt] = choice.read_tokens
     CALL.fire(call, 'send')
     plan = _cache_plan(state, call, choice, now) if request.model else None
-    yield LogLine('request_sent',
-                  (('request', request.attempt_id), ('send', call.sends),
-                   ('endpoint', view.entry.id),
-                   ('cost_s', round(choice.cost_s, 4)),
-                   ('read_tokens', choice.read_tokens),
-                   ('fetch_tokens', choice.fetch.tokens),
-                   ('version', choice.version or 0),
-                   ('entry_age_s', round(now - view.entry_at, 3)),
-                   ('configuration', state.config.version)))
+    yield _sent_line(state, call, choice, now)
     yield from _watch(call, attempt, now)
     yield fx.Send(attempt=attempt,
                   request=request,
@@ -188,19 +180,41 @@
                   cache=plan)
 
 
+def _sent_line(state: 'GatewayState', call: Call, choice: Choice,
+               now: float) -> LogLine:
+    """Tells which endpoint was chosen, and from what."""
+    view, request = choice.view, call.request
+    load = view.load
+    return LogLine('request_sent', (
+        ('request', request.attempt_id),
+        ('send', call.sends),
+        ('endpoint', view.entry.id),
+        ('cost_s', round(choice.cost_s, 4)),
+        ('read_tokens', choice.read_tokens),
+        ('fetch_tokens', choice.fetch.tokens),
+        ('context', cache.context_of(request.parts)),
+        ('version', choice.version or 0),
+        ('own', len(view.own)),
+        ('load', load.running + load.waiting if load else 0),
+        ('load_age_s', round(now - load.told_at, 3) if load else -1.0),
+        ('entry_age_s', round(now - view.entry_at, 3)),
+        ('configuration', state.config.version),
+    ))
+
+
 def _cache_plan(state: 'GatewayState', call: Call, choice: Choice,
                 now: float) -> fx.CachePlan:
     """Says which parts are fetched and which are to be kept at a store."""
     request = call.request
     salt = cache.salt_of(request.model, choice.version, call.team)
-    state.cache.note_sent(choice.view.entry.id, salt, request.parts)
     newest = state.versions.newest(request.model)
-    if choice.version is None or choice.version != (newest or choice.version):
-        return fx.CachePlan(salt)
+    save_to: tuple[str, ...] = ()
+    if choice.version is not None and choice.version == (newest or
+                                                         choice.version):
+        save_to = stores.plan_save(state, salt, request.parts, now)
     return fx.CachePlan(salt,
                         fetch_from=choice.fetch.sources,
-                        save_to=stores.plan_save(state, salt, request.parts,
-                                                 now),
+                        save_to=save_to,
                         fetch_until_ms=stores.until_ms(state, now))
 
 
@@ -302,6 +316,9 @@
     attempt = state.calls.attempts[event.attempt]
     if not attempt.answered:
         attempt.answered = True
+        if call.request.model:
+            salt = cache.salt_of(call.request.model, attempt.version, call.team)
+            state.cache.note_read(attempt.endpoint, salt, call.request.parts)
         health.note_first_piece(state, attempt, now)
         if call.first_piece_s is None:
             call.first_piece_s = now - call.arrived_at
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -17,10 +17,11 @@
 FULL_S: Final = 0.15
 # Broken answers in a row after which an endpoint is taken to be down.
 BREAKS_DOWN: Final = 2
-# Part of its target after which a silent endpoint is given up.
-PATIENCE_PART: Final = 0.6
-# The same where the endpoint answers others meanwhile.
-PATIENCE_HEARD: Final = 2.0
+# Times its target after which a send to a silent endpoint is given up.
+PATIENCE_PART: Final = 1.5
+# The same where the endpoint answers others meanwhile: it is only busy, and a
+# prompt that is read again elsewhere makes all others wait.
+PATIENCE_HEARD: Final = 6.0
 # Pauses that make a stream stalled, in times its longest good pause.
 STALL_FACTOR: Final = 3.0
 STATUS_MISDIRECTED: Final = 421
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -25,8 +25,10 @@
 BUSY_SLOT_S: Final = 0.02
 # What a request between data centres counts for, in s: its bytes are paid for.
 FAR_S: Final = 0.1
-# What older weights count for, in s.
-OLD_VERSION_S: Final = 1.0
+# What older weights count for, in s, once they cost a part of the credit.
+OLD_VERSION_S: Final = 0.25
+# Time after which older weights cost a part of the credit, in s.
+OLD_VERSION_GRACE_S: Final = 1.5
 # Advantage of the engine that all VMs would choose for a prompt, in s.
 HOME_S: Final = 0.01
 # Cost of each failure in a row, in s.
@@ -87,7 +89,8 @@
         if old and named is not None and _too_old(state, named.seen_at, now):
             continue
         choice = _engine(state, call, view, version, now)
-        penalty = OLD_VERSION_S if old else 0.0
+        graced = named is None or now - named.seen_at < OLD_VERSION_GRACE_S
+        penalty = OLD_VERSION_S if old and not graced else 0.0
         choices.append(attrs.evolve(choice, cost_s=choice.cost_s + penalty))
     return _prefer_home(state, call, choices)
 
@@ -115,17 +118,15 @@
             version: int | None, now: float) -> Choice:
     request = call.request
     salt = cache.salt_of(request.model, version, call.team)
-    held = state.cache.held_tokens(view.entry.id, salt, request.parts)
+    parts = state.cache.held_parts(view.entry.id, salt, request.parts)
+    held = sum(part.tokens for part in request.parts[:parts])
     fetch = stores.NO_FETCH
-    newest = state.versions.newest(request.model)
-    if version is not None and version == (newest or version):
-        fetch = stores.plan_fetch(state, salt, request.parts,
+    if stores.usable(state, request.model, version, now):
+        fetch = stores.plan_fetch(state, salt, request.parts, parts,
                                   _token_bytes(state, call), now)
     read = max(1, request.prompt_tokens - max(held, fetch.tokens))
     queued = sum(view.own.values())
-    seconds = (queued + read) / READ_TOKENS_PER_S
-    if fetch.tokens > held:
-        seconds += fetch.seconds * (1.0 - held / fetch.tokens)
+    seconds = (queued + read) / READ_TOKENS_PER_S + fetch.seconds
     seconds += RUNNING_S * _busy(view, now)
     return Choice(view, version, read, seconds + _way_s(state, view), fetch)
 
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -20,7 +20,7 @@
 from plantainridge.gateway.events import (KeptPart, Part, StoreChanged,
                                           StoreListed, StoreMissed, TimerKind,
                                           View)
-from plantainridge.ids import ServiceId
+from plantainridge.ids import ModelId, ServiceId
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -33,15 +33,24 @@
 RETRY_S: Final = 0.5
 # Age of a store's last word beyond which nothing is fetched from it, in s.
 FRESH_S: Final = 1.8
-# Time between two listings, in s: a few events never arrive.
-RELIST_S: Final = 10.0
+# Least and most time between two listings, in s: a few events never arrive,
+# but a listing holds up the store's transfers.
+RELIST_S: Final = (90.0, 180.0)
 # Longest time that a fetch may take, in s; what comes later is thrown away.
 FETCH_S: Final = 1.0
 # Age of the operators' view beyond which nothing is fetched, in s.
 VIEW_FRESH_S: Final = 2.5
-# How long newer weights must be known before older parts are freed, in s:
-# longer than a view may be old and a fetch may take.
-FREE_AFTER_S: Final = 5.0
+# How long after a VM heard of newer weights it still fetches older parts, in
+# s: engines take some seconds to change over.
+OLD_FETCH_S: Final = 8.0
+# How long newer weights must be known before older parts are freed while some
+# engine may still use them, in s: longer than a view may be old and an older
+# part may be fetched.
+FREE_AFTER_S: Final = 12.0
+# The same once every engine was seen to run the newer weights, in s.
+FREE_UNUSED_S: Final = 2.0
+# Stores that keep a part which opens many prompts.
+OPENING_COPIES: Final = 2
 # Lead of one VM over the next in freeing the same parts, in s.
 FREE_STAGGER_S: Final = 1.0
 # Parts freed by one call.
@@ -62,7 +71,7 @@
         epoch: The store's present life; None before it was listed.
         next: Number of the next event.
         heard_at: Loop time of its last word, in s; -inf after a failure.
-        listed_at: Loop time of the last listing, in s.
+        list_at: Loop time at which it is listed again, in s.
         saving: Loop time at which each part was last sent there, in s.
     """
 
@@ -73,7 +82,7 @@
     epoch: int | None = None
     next: int = 0
     heard_at: float = -math.inf
-    listed_at: float = -math.inf
+    list_at: float = -math.inf
     saving: dict[KeptPart, float] = attrs.field(factory=dict)
 
     def is_fresh(self, now: float) -> bool:
@@ -145,7 +154,8 @@
     view.kept = dict(event.kept)
     view.partial = dict(event.partial)
     view.epoch, view.next = event.epoch, event.next
-    view.heard_at = view.listed_at = now
+    view.heard_at = now
+    view.list_at = now + state.rng.uniform(*RELIST_S)
     yield LogLine('store_listed',
                   (('store', event.store), ('parts', len(view.kept)),
                    ('tokens', view.used_tokens)))
@@ -202,7 +212,7 @@
     if view is None:
         return
     address = view.terms.address
-    if view.epoch is None or now - view.listed_at > RELIST_S:
+    if view.epoch is None or now >= view.list_at:
         yield fx.ListStore(view.name, address)
         return
     yield from _free_replaced(state, view, now)
@@ -221,9 +231,7 @@
     """Frees parts of weights that were replaced some time ago."""
     if not state.versions.named or view.epoch is None:
         return
-    newest = max(state.versions.named.values(), key=lambda each: each.seen_at)
-    due = newest.seen_at + FREE_AFTER_S + FREE_STAGGER_S * _rank(state, view)
-    if now < due:
+    if now < _free_at(state) + FREE_STAGGER_S * _rank(state, view):
         return
     versions = {named.version for named in state.versions.named.values()}
     oldest = min(versions)
@@ -241,6 +249,18 @@
     yield fx.FreeParts(view.name, view.terms.address, view.epoch, tuple(old))
 
 
+def _free_at(state: 'GatewayState') -> float:
+    """Returns the loop time from which replaced weights' parts go, in s."""
+    newest = max(state.versions.named.values(), key=lambda each: each.seen_at)
+    reached_at = newest.seen_at
+    for view in state.endpoints.values():
+        for model, version in view.entry.versions.items():
+            if version < (state.versions.newest(model) or version):
+                return newest.seen_at + FREE_AFTER_S
+            reached_at = max(reached_at, view.changed_at)
+    return min(reached_at + FREE_UNUSED_S, newest.seen_at + FREE_AFTER_S)
+
+
 def _rank(state: 'GatewayState', view: StoreView) -> int:
     """Returns this VM's place among those that would free parts."""
     own = _draw(state.settings.vm, view.name)
@@ -259,22 +279,31 @@
 
 
 def plan_fetch(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
-               token_bytes: int, now: float) -> Fetch:
-    """Returns from where a prompt's shared parts can be fetched."""
-    if state.views.age_s(View.OPERATOR, now) > VIEW_FRESH_S:
-        return NO_FETCH
-    if state.stores.clock_ms is None:
+               held: int, token_bytes: int, now: float) -> Fetch:
+    """Returns from where a prompt's shared parts can be fetched.
+
+    Args:
+        state: The VM's state.
+        salt: Names who may share the parts.
+        parts: The prompt's parts, in order.
+        held: Leading parts that the engine is likely to keep itself.
+        token_bytes: Size of one cached token.
+        now: Loop time in s.
+    """
+    if (state.views.age_s(View.OPERATOR, now) > VIEW_FRESH_S or
+            state.stores.clock_ms is None):
         return NO_FETCH
     sources: list[str] = []
     tokens, seconds = 0, 0.0
-    for part in parts[:-1]:
+    for place, part in enumerate(parts[:-1]):
         view = _holder(state, KeptPart(salt, part.id), now)
-        if view is None:
+        if view is None and place >= held:
             break
-        sources.append(view.terms.address)
         tokens += part.tokens
-        seconds += view.terms.setup_s + _seconds(view, part, token_bytes)
-    if not sources:
+        sources.append(view.terms.address if view is not None else '')
+        if view is not None and place >= held:
+            seconds += view.terms.setup_s + _seconds(view, part, token_bytes)
+    if not any(sources):
         return NO_FETCH
     rest = ('',) * (len(parts) - len(sources))
     return Fetch((*sources, *rest), tokens, seconds)
@@ -295,28 +324,40 @@
     return max(found, key=lambda each: each.terms.link_mbps, default=None)
 
 
+def usable(state: 'GatewayState', model: ModelId, version: int | None,
+           now: float) -> bool:
+    """Whether parts made under a version may still be fetched."""
+    named = state.versions.named.get(model)
+    if version is None or named is None:
+        return version is not None
+    return version == named.version or now - named.seen_at < OLD_FETCH_S
+
+
 def plan_save(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
               now: float) -> tuple[str, ...]:
     """Returns for each part the store that is to keep it, or ''."""
     targets = []
-    for part in parts[:-1]:
+    for place, part in enumerate(parts[:-1]):
+        # Without the opening part nothing behind it is of use.
+        copies = OPENING_COPIES if place == 0 else 1
         kept = KeptPart(salt, part.id)
-        targets.append(_target(state, kept, part.tokens, now))
+        targets.append(_target(state, kept, part.tokens, copies, now))
     if not any(targets):
         return ()
     return (*targets, '')
 
 
-def _target(state: 'GatewayState', part: KeptPart, tokens: int,
+def _target(state: 'GatewayState', part: KeptPart, tokens: int, copies: int,
             now: float) -> str:
+    """Returns the store that is to keep one more copy of a part, or ''."""
     fresh = [view for view in state.stores.views.values() if view.is_fresh(now)]
-    for view in fresh:
-        saving_at = view.saving.get(part, -math.inf)
-        if part in view.kept or now - saving_at < SAVING_S:
-            return ''
+    if any(now - view.saving.get(part, -math.inf) < SAVING_S for view in fresh):
+        return ''
+    if sum(part in view.kept for view in fresh) >= copies:
+        return ''
     room = [
-        view for view in fresh
-        if view.used_tokens + tokens < FULL_PART * view.terms.capacity_tokens
+        view for view in fresh if part not in view.kept and view.used_tokens +
+        tokens < FULL_PART * view.terms.capacity_tokens
     ]
     if not room:
         return ''
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -148,13 +148,18 @@
         # The same id after a restart: nothing known of it holds.
         view = None
     if view is None:
-        view = EndpointView(entry, now, versions=dict(entry.versions))
+        view = EndpointView(entry,
+                            now,
+                            versions=dict(entry.versions),
+                            changed_at=now)
         state.endpoints[entry.id] = view
         yield LogLine('endpoint_known',
                       (('endpoint', entry.id), ('service', entry.service),
                        ('dc', entry.dc)))
     if entry.draining and not view.entry.draining:
         yield LogLine('endpoint_leaving', (('endpoint', entry.id),))
+    if entry.versions != view.entry.versions:
+        view.changed_at = now
     leaving = view.entry.draining
     view.entry = entry
     if leaving and not entry.draining:
