Place by expected cost as a part of a request's worth

Cause: a linear cost in seconds sent requests to other data centres although the nearer engine would still have answered in time. Change: lateness counts by the square of time over target; older weights, far data centres and shared tokens read again are added as parts of the worth. Requests wait for endpoints that are expected back soon.

--- a/src/plantainridge/gateway/cache.py
+++ b/src/plantainridge/gateway/cache.py
@@ -38,7 +38,9 @@
     def held_parts(self, endpoint: EndpointId, salt: str,
                    parts: tuple[Part, ...]) -> int:
         """Returns how many leading parts an engine has read."""
-        known = self.read.get(endpoint, {})
+        known = self.read.get(endpoint)
+        if known is None:
+            return 0
         for count, part in enumerate(parts):
             if _key(salt, part) not in known:
                 return count
--- a/src/plantainridge/gateway/forwarding.py
+++ b/src/plantainridge/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """Life of a request: taken in, sent, answered; sent again or refused."""
 
+import math
 from collections.abc import Generator, Iterator
 from typing import TYPE_CHECKING, Final
 
@@ -27,6 +28,9 @@
 ANSWER_GRACE_S: Final = 0.06
 # Part of its target for which a request is held while no endpoint takes it.
 HOLD_PART: Final = 0.125
+# Part of a request's time for which it is held for an endpoint that is
+# expected back within it.
+HOLD_HOPE_PART: Final = 0.4
 # Shortest and longest time after which a refused caller may come back, in s.
 RETRY_AFTER_LEAST_S: Final = 0.2
 RETRY_AFTER_MOST_S: Final = 2.0
@@ -137,11 +141,29 @@
     if call.phase is not CallPhase.WAITING:
         CALL.fire(call, 'wait')
         call.waiting_since = now
-    if now - call.waiting_since >= HOLD_PART * call.route.target_s:
+    if now >= _hold_until(state, call):
         yield from _give_up(state, call, 'no endpoint takes it',
                             _retry_after_s(state, call, now), now)
 
 
+def _hold_until(state: 'GatewayState', call: Call) -> float:
+    """Returns the loop time until which a request waits for an endpoint.
+
+    One that is expected back soon is waited for while an answer can still come
+    in time; else the caller had better come again.
+    """
+    back_at = min(
+        (view.away_until
+         for view in state.endpoints.values()
+         if view.entry.service == call.service and not view.entry.draining),
+        default=math.inf)
+    latest = call.arrived_at + HOLD_HOPE_PART * (call.expires_at -
+                                                 call.arrived_at)
+    if back_at < latest:
+        return latest
+    return call.waiting_since + HOLD_PART * call.route.target_s
+
+
 def _may_resend(state: 'GatewayState', call: Call, now: float) -> bool:
     if call.sends >= retries.MAX_SENDS or call.runs >= call.route.attempts:
         return False
@@ -189,7 +211,7 @@
         ('request', request.attempt_id),
         ('send', call.sends),
         ('endpoint', view.entry.id),
-        ('cost_s', round(choice.cost_s, 4)),
+        ('cost', round(choice.cost, 4)),
         ('read_tokens', choice.read_tokens),
         ('fetch_tokens', choice.fetch.tokens),
         ('context', cache.context_of(request.parts)),
@@ -269,6 +291,7 @@
         return
     else:
         health.note_full(state, attempt, now)
+        call.tried.discard(attempt.endpoint)
     yield from _dispatch(state, call, now)
 
 
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -15,6 +15,8 @@
 AWAY_LONGEST_S: Final = 4.0
 # How long one that is full gets no work, in s.
 FULL_S: Final = 0.15
+# The same for an engine: it takes up new weights, which lasts longer.
+SWAP_S: Final = 0.3
 # Broken answers in a row after which an endpoint is taken to be down.
 BREAKS_DOWN: Final = 2
 # Times its target after which a send to a silent endpoint is given up.
@@ -74,7 +76,8 @@
     """Takes in that an endpoint turned a request away."""
     view = state.endpoints.get(attempt.endpoint)
     if view is not None:
-        view.away_until = max(view.away_until, now + FULL_S)
+        pause = FULL_S if attempt.version is None else SWAP_S
+        view.away_until = max(view.away_until, now + pause)
 
 
 def note_misdirected(state: 'GatewayState', call: Call, attempt: Attempt,
--- a/src/plantainridge/gateway/lease.py
+++ b/src/plantainridge/gateway/lease.py
@@ -29,7 +29,7 @@
 MARGIN_S: Final = 0.3
 # Time between reads while the lease is wanted, and while it is not, in s.
 READ_S: Final = 0.4
-IDLE_READ_S: Final = 3.0
+IDLE_READ_S: Final = 8.0
 # Time after which a call to the store is taken to be lost, in s.
 CALL_S: Final = 2.5
 NO_TERM: Final = -1
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -1,7 +1,7 @@
 """Chooses the endpoint that a request is sent to.
 
-Every candidate has one expected cost in seconds: its queue, what it has to
-read, and the way there. It answers steady load from many VMs that do not talk
+Every candidate has one expected cost, as a part of what the request is worth:
+the risk that it is late, what is read again, and the bytes on the way. It answers steady load from many VMs that do not talk
 to one another: sessions stay where their parts lie, and move on once waiting
 there costs more than reading them again elsewhere.
 """
@@ -21,22 +21,28 @@
 READ_TOKENS_PER_S: Final = 60_000.0
 # How much a running request slows a further one on the same engine, in s.
 RUNNING_S: Final = 0.002
-# What a busy slot of a plain service counts for, in s.
-BUSY_SLOT_S: Final = 0.02
-# What a request between data centres counts for, in s: its bytes are paid for.
-FAR_S: Final = 0.1
-# What older weights count for, in s, once they cost a part of the credit.
-OLD_VERSION_S: Final = 0.25
-# Time after which older weights cost a part of the credit, in s.
-OLD_VERSION_GRACE_S: Final = 1.5
-# Advantage of the engine that all VMs would choose for a prompt, in s.
-HOME_S: Final = 0.01
-# Cost of each failure in a row, in s.
-FAILURE_S: Final = 0.2
 # Age at which an endpoint's word on its load counts no more, in s.
 LOAD_AGE_S: Final = 2.0
 # Time before the bound at which older weights get no more requests, in s.
 VERSION_MARGIN_S: Final = 2.0
+# Time after which older weights cost a part of the credit, in s.
+OLD_VERSION_GRACE_S: Final = 1.5
+
+# Costs, as parts of what a request is worth.
+# An answer that takes as long as its target; grows with the square of it.
+LATE_COST: Final = 0.5
+# Older weights, once they cost a part of the credit.
+OLD_VERSION_COST: Final = 0.2
+# A request's bytes between data centres.
+FAR_COST: Final = 0.07
+# Reading 1,000 shared tokens that another engine or a store has at hand.
+REREAD_COST: Final = 0.05
+# Advantage of the engine that all VMs would choose for a prompt.
+HOME_COST: Final = 0.01
+# Each failure in a row.
+FAILURE_COST: Final = 0.1
+# Random part that keeps VMs from choosing alike.
+SPREAD_COST: Final = 0.02
 
 
 @attrs.frozen
@@ -46,14 +52,16 @@
     Attributes:
         version: Weight version to be bound to, or None.
         read_tokens: Prompt tokens that it has to read.
-        cost_s: Expected cost, in s.
+        ready_tokens: Prompt tokens that it keeps or fetches.
+        cost: Expected cost, as a part of what the request is worth.
         fetch: From where parts of the prompt can be fetched.
     """
 
     view: EndpointView
     version: int | None
     read_tokens: int
-    cost_s: float
+    ready_tokens: int
+    cost: float
     fetch: stores.Fetch = stores.NO_FETCH
 
 
@@ -66,15 +74,16 @@
     if call.request.model:
         choices = _engines(state, call, candidates, now)
     else:
-        choices = [_plain(state, view, now) for view in candidates]
-    return min(choices, key=lambda each: each.cost_s, default=None)
+        choices = [_plain(state, call, view, now) for view in candidates]
+    return min(choices, key=lambda each: each.cost, default=None)
 
 
-def _plain(state: 'GatewayState', view: EndpointView, now: float) -> Choice:
-    cost = _way_s(state, view) + BUSY_SLOT_S * _busy(view, now)
-    if _busy(view, now) >= view.entry.slots:
-        cost += 1.0
-    return Choice(view, None, 0, cost + state.rng.random() * BUSY_SLOT_S)
+def _plain(state: 'GatewayState', call: Call, view: EndpointView,
+           now: float) -> Choice:
+    del call
+    filled = (_busy(view, now) + 1) / max(1, view.entry.slots)
+    cost = LATE_COST * filled**2 + _fixed_cost(state, view)
+    return Choice(view, None, 0, 0, cost + SPREAD_COST * state.rng.random())
 
 
 def _engines(state: 'GatewayState', call: Call, candidates: list[EndpointView],
@@ -90,8 +99,14 @@
             continue
         choice = _engine(state, call, view, version, now)
         graced = named is None or now - named.seen_at < OLD_VERSION_GRACE_S
-        penalty = OLD_VERSION_S if old and not graced else 0.0
-        choices.append(attrs.evolve(choice, cost_s=choice.cost_s + penalty))
+        penalty = OLD_VERSION_COST if old and not graced else 0.0
+        choices.append(attrs.evolve(choice, cost=choice.cost + penalty))
+    most = max((each.ready_tokens for each in choices), default=0)
+    choices = [
+        attrs.evolve(each,
+                     cost=each.cost + REREAD_COST *
+                     (most - each.ready_tokens) / 1_000) for each in choices
+    ]
     return _prefer_home(state, call, choices)
 
 
@@ -104,8 +119,8 @@
         key=lambda each: cache.affinity(each.view.entry.id, call.request.parts),
         default=None)
     return [
-        attrs.evolve(each, cost_s=each.cost_s -
-                     HOME_S) if each is home else each for each in choices
+        attrs.evolve(each, cost=each.cost - HOME_COST) if each is home else each
+        for each in choices
     ]
 
 
@@ -124,11 +139,14 @@
     if stores.usable(state, request.model, version, now):
         fetch = stores.plan_fetch(state, salt, request.parts, parts,
                                   _token_bytes(state, call), now)
-    read = max(1, request.prompt_tokens - max(held, fetch.tokens))
+    ready = max(held, fetch.tokens)
+    read = max(1, request.prompt_tokens - ready)
     queued = sum(view.own.values())
     seconds = (queued + read) / READ_TOKENS_PER_S + fetch.seconds
-    seconds += RUNNING_S * _busy(view, now)
-    return Choice(view, version, read, seconds + _way_s(state, view), fetch)
+    seconds += RUNNING_S * _busy(view, now) + now - call.arrived_at
+    cost = LATE_COST * (seconds / call.route.target_s)**2
+    return Choice(view, version, read, ready, cost + _fixed_cost(state, view),
+                  fetch)
 
 
 def _token_bytes(state: 'GatewayState', call: Call) -> int:
@@ -146,6 +164,6 @@
     return max(own, view.load.running + view.load.waiting)
 
 
-def _way_s(state: 'GatewayState', view: EndpointView) -> float:
-    far = 0.0 if view.entry.dc == state.settings.dc else FAR_S
-    return far + FAILURE_S * view.failures
+def _fixed_cost(state: 'GatewayState', view: EndpointView) -> float:
+    far = 0.0 if view.entry.dc == state.settings.dc else FAR_COST
+    return far + FAILURE_COST * view.failures
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -19,7 +19,7 @@
 # VMs that share the fixed number while their count is unknown.
 ASSUMED_VMS: Final = 8
 # Most sends of one request, with those that were not run.
-MAX_SENDS: Final = 4
+MAX_SENDS: Final = 6
 
 
 @attrs.define
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -39,7 +39,7 @@
 # Longest time that a fetch may take, in s; what comes later is thrown away.
 FETCH_S: Final = 1.0
 # Age of the operators' view beyond which nothing is fetched, in s.
-VIEW_FRESH_S: Final = 2.5
+VIEW_FRESH_S: Final = 3.0
 # How long after a VM heard of newer weights it still fetches older parts, in
 # s: engines take some seconds to change over.
 OLD_FETCH_S: Final = 8.0
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -21,9 +21,9 @@
 
 # How long one read waits for news, in s; a connection that went silent is
 # noticed at the read's end, well within the time to apply a configuration.
-WAIT_S: Final[dict[View, float]] = {View.OPERATOR: 1.5}
+WAIT_S: Final[dict[View, float]] = {View.OPERATOR: 2.0}
 # Pause between two reads, in s; endpoints write about once a second.
-PAUSE_S: Final[dict[View, float]] = {View.REGISTRY: 0.7, View.VMS: 15.0}
+PAUSE_S: Final[dict[View, float]] = {View.REGISTRY: 0.9, View.VMS: 15.0}
 # Pause after a read that failed, in s.
 RETRY_S: Final = 0.25
 # How long entries that vanished while the store was away may take to come
