--- a/src/plantainridge/gateway/forwarding.py
+++ b/src/plantainridge/gateway/forwarding.py
@@ -390,6 +390,7 @@
         return
     if failure is Failure.BROKEN:
         state.suspects.note_break(call.fingerprint, attempt.endpoint, now)
+        state.hints.suspects.append((call.fingerprint, attempt.endpoint))
     if call.route.repeatable:
         yield from _resend(state, call, now)
         return
--- /dev/null
+++ b/src/plantainridge/gateway/hints.capnp
@@ -0,0 +1,27 @@
+@0xb7f0c1e4a2957d63;
+# What the VMs of one data centre tell one another; any message may be lost.
+
+struct Hint {
+  vm @0 :Text;
+  # Counts the sender's messages within one life of its process.
+  life @1 :Text;
+  number @2 :UInt64;
+  loads @3 :List(Load);
+  suspects @4 :List(Suspect);
+}
+
+# What the sender has in flight on one endpoint.
+struct Load {
+  endpoint @0 :Text;
+  # Prompt tokens that are not read yet.
+  pendingTokens @1 :UInt32;
+  requests @2 :UInt16;
+  # How much longer the sender spares it, in ms.
+  awayMs @3 :UInt16;
+}
+
+# A request under which an endpoint broke off.
+struct Suspect {
+  fingerprint @0 :Text;
+  endpoint @1 :Text;
+}
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -81,7 +81,7 @@
 def _plain(state: 'GatewayState', call: Call, view: EndpointView,
            now: float) -> Choice:
     del call
-    filled = (_busy(view, now) + 1) / max(1, view.entry.slots)
+    filled = (_busy(state, view, now) + 1) / max(1, view.entry.slots)
     cost = LATE_COST * filled**2 + _fixed_cost(state, view)
     return Choice(view, None, 0, 0, cost + SPREAD_COST * state.rng.random())
 
@@ -142,8 +142,9 @@
     ready = max(held, fetch.tokens)
     read = max(1, request.prompt_tokens - ready)
     queued = sum(view.own.values())
+    queued += state.hints.pending_tokens(view.entry.id, now)
     seconds = (queued + read) / READ_TOKENS_PER_S + fetch.seconds
-    seconds += RUNNING_S * _busy(view, now) + now - call.arrived_at
+    seconds += RUNNING_S * _busy(state, view, now) + now - call.arrived_at
     cost = LATE_COST * (seconds / call.route.target_s)**2
     return Choice(view, version, read, ready, cost + _fixed_cost(state, view),
                   fetch)
@@ -156,9 +157,9 @@
     return service.engine.token_bytes
 
 
-def _busy(view: EndpointView, now: float) -> int:
+def _busy(state: 'GatewayState', view: EndpointView, now: float) -> int:
     """Requests on an endpoint, as far as known."""
-    own = len(view.own)
+    own = len(view.own) + state.hints.requests(view.entry.id, now)
     if view.load is None or now - view.load.told_at > LOAD_AGE_S:
         return own
     return max(own, view.load.running + view.load.waiting)
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -21,6 +21,7 @@
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import Incarnation
 from plantainridge.metrics import Metrics
+from plantainridge.peers_net import NetPeers
 from plantainridge.reducer_loop import ReducerLoop
 from plantainridge.tasks import Tasks
 
@@ -61,6 +62,7 @@
         self.metrics = Metrics()
         self.journal = Journal(settings.vm)
         self.exited = asyncio.Event()
+        self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
         self.callers = HttpServer(adapter.wire, self.post)
         self.readiness = PageServer(adapter.wire, self._readiness_page)
         self.statistics = PageServer(adapter.wire, self._metrics_page)
@@ -70,6 +72,7 @@
         self.carriers.update({
             base.LogLine: self.journal.write,
             base.Observe: self._observe,
+            base.SendPeer: self.peers.send,
             fx.Reply: self.callers.reply,
             fx.StartReply: self.callers.start_reply,
             fx.PassPieces: self.callers.pass_pieces,
@@ -109,6 +112,7 @@
         settings = self.state.settings
         await self.readiness.start(*_split(settings.readiness_address))
         await self.statistics.start(settings.host, settings.metrics_port)
+        await self.peers.start(self.post)
         await self.callers.start(*_split(settings.callers_address))
         self.start()
         self.tasks.spawn(self._sweep())
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -4,9 +4,9 @@
 from typing import Any, Final
 
 from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import Event, TimerFired, TimerKey
-from plantainridge.gateway import (drain, events, forwarding, lease, rollout,
-                                   stores, views)
+from plantainridge.events import Event, PeerSaid, TimerFired, TimerKey
+from plantainridge.gateway import (drain, events, forwarding, hints, lease,
+                                   rollout, stores, views)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
@@ -24,6 +24,7 @@
     yield SetTimer(_TICK, now + TICK_S)
     yield from forwarding.on_tick(state, event, now)
     yield from rollout.on_tick(state, now)
+    yield from hints.on_tick(state, now)
     yield from drain.on_tick(state, now)
 
 
@@ -57,6 +58,7 @@
     events.StoreListed: stores.on_listed,
     events.StoreChanged: stores.on_changed,
     events.StoreMissed: stores.on_missed,
+    PeerSaid: hints.on_peer_said,
     events.ViewRead: views.on_read,
     events.ViewFailed: views.on_failed,
     events.LeaseRead: lease.on_read,
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -6,6 +6,7 @@
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.hints import HintTable
 from plantainridge.gateway.lease import Lease
 from plantainridge.gateway.requests import CallTable
 from plantainridge.gateway.retries import RetryBudget
@@ -35,6 +36,7 @@
         calls: Requests and sends in flight.
         retries: How often a request may be sent again.
         suspects: Requests that may crash endpoints.
+        hints: What peers have in flight.
         stores: What KV cache stores keep.
         cache: Which parts engines read.
         lease: The right to give orders.
@@ -56,6 +58,7 @@
     calls: CallTable = attrs.field(factory=CallTable)
     retries: RetryBudget = attrs.field(factory=RetryBudget)
     suspects: SuspectTable = attrs.field(factory=SuspectTable)
+    hints: HintTable = attrs.field(factory=HintTable)
     stores: StoreTable = attrs.field(factory=StoreTable)
     cache: CacheState = attrs.field(factory=CacheState)
     lease: Lease = attrs.field(factory=Lease)
