Count the memory that runs take when placing them

Cause: after new weights were named, runs on an engine took up to 5 s for 64 tokens: prompts beyond its memory pushed one another out and were read again. Refusals came from retry budgets spent on engines that were changing over. Change: memory of own and peers' runs counts against an engine; the VM that orders tells all others which engines change over and when they are ready; VMs tell other data centres of their load while engines are loaded.

--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -43,6 +43,19 @@
     told_at: float
 
 
+@attrs.define
+class OwnSend:
+    """One send of this VM that is in flight.
+
+    Attributes:
+        pending_tokens: Prompt tokens that the engine has yet to read.
+        memory_tokens: Memory that the run takes at its end, in tokens.
+    """
+
+    pending_tokens: int = 0
+    memory_tokens: int = 0
+
+
 @attrs.define
 class EndpointView:
     """What this VM knows of one endpoint.
@@ -50,7 +63,7 @@
     Attributes:
         entry: Its latest entry.
         entry_at: Loop time at which the entry was read, in s.
-        own: Attempts of this VM in flight, with their prompt tokens to read.
+        own: Sends of this VM in flight.
         load: Its last word on its load, or None.
         versions: Weight version of each model, by the latest news of any kind.
         away_until: Loop time until which it gets no work, in s.
@@ -58,12 +71,14 @@
         heard_at: Loop time at which any byte came from it, in s.
         first_piece_s: Time to the first piece, over what its load explains.
         missing_since: Loop time since which its entry is gone, or None.
+        reached_at: Loop time at which it was last told to have taken up new
+            weights, in s.
         changed_at: Loop time at which its entry named other versions, in s.
     """
 
     entry: EndpointEntry
     entry_at: float
-    own: dict[AttemptId, int] = attrs.field(factory=dict)
+    own: dict[AttemptId, OwnSend] = attrs.field(factory=dict)
     load: EndpointLoad | None = None
     versions: dict[ModelId, int] = attrs.field(factory=dict)
     away_until: float = 0.0
@@ -72,11 +87,29 @@
     slowness: Average = attrs.field(factory=Average)
     missing_since: float | None = None
     changed_at: float = 0.0
+    reached_at: float = 0.0
+
+    def note_reached(self, model: ModelId, version: int, now: float) -> None:
+        """Takes in that it has taken up new weights and serves again."""
+        if self.versions.get(model, version) > version:
+            return
+        self.versions[model] = version
+        self.reached_at = self.away_until = now
 
     def takes_work(self, now: float) -> bool:
         """Whether it is registered, stays, and has not just failed."""
         return not self.entry.draining and now >= self.away_until
 
+    @property
+    def pending_tokens(self) -> int:
+        """Prompt tokens of this VM's sends that are not read yet."""
+        return sum(send.pending_tokens for send in self.own.values())
+
+    @property
+    def memory_tokens(self) -> int:
+        """Memory that this VM's sends take, in tokens."""
+        return sum(send.memory_tokens for send in self.own.values())
+
     @property
     def running(self) -> int:
         """Requests on it, by the larger of its word and this VM's count."""
--- a/src/plantainridge/gateway/forwarding.py
+++ b/src/plantainridge/gateway/forwarding.py
@@ -11,6 +11,7 @@
                                    suspects)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Route, Service, Team
+from plantainridge.gateway.endpoints import OwnSend
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, CallerLeft,
                                           Failure, PiecesArrived,
                                           RequestArrived, SendFailed,
@@ -136,7 +137,8 @@
         yield from _send(state, call, choice, now)
         return
     if choice is not None:
-        yield from _give_up(state, call, 'no more sends are allowed', None, now)
+        yield from _give_up(state, call, 'no more sends are allowed',
+                            RETRY_AFTER_LEAST_S, now)
         return
     if call.phase is not CallPhase.WAITING:
         CALL.fire(call, 'wait')
@@ -183,7 +185,8 @@
     call.tried.add(view.entry.id)
     state.calls.attempts[attempt] = Attempt(attempt, request.id, view.entry.id,
                                             now, now, choice.version)
-    view.own[attempt] = choice.read_tokens
+    view.own[attempt] = OwnSend(choice.read_tokens,
+                                placement.memory_tokens(request))
     CALL.fire(call, 'send')
     plan = _cache_plan(state, call, choice, now) if request.model else None
     yield _sent_line(state, call, choice, now)
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -16,7 +16,7 @@
 # How long one that is full gets no work, in s.
 FULL_S: Final = 0.15
 # The same for an engine: it takes up new weights, which lasts longer.
-SWAP_S: Final = 0.3
+SWAP_S: Final = 0.7
 # Broken answers in a row after which an endpoint is taken to be down.
 BREAKS_DOWN: Final = 2
 # Times its target after which a send to a silent endpoint is given up.
@@ -61,7 +61,9 @@
     view = state.endpoints.get(attempt.endpoint)
     if view is not None:
         view.heard_at = now
-        view.own[attempt.id] = 0
+        send = view.own.get(attempt.id)
+        if send is not None:
+            send.pending_tokens = 0
 
 
 def note_whole(state: 'GatewayState', attempt: Attempt, now: float) -> None:
--- a/src/plantainridge/gateway/hint_messages.py
+++ b/src/plantainridge/gateway/hint_messages.py
@@ -6,7 +6,7 @@
 import attrs
 import capnp
 
-from plantainridge.ids import EndpointId, Incarnation, VmId
+from plantainridge.ids import EndpointId, Incarnation, ModelId, VmId
 
 MS: Final = 1_000.0
 # Longest time that a field of a message holds, in ms.
@@ -28,15 +28,26 @@
 
     Attributes:
         pending_tokens: Prompt tokens that are not read yet.
+        memory_tokens: Memory that the requests take at their end, in tokens.
         requests: Requests in flight.
         away_s: How much longer the VM spares it, in s.
     """
 
     pending_tokens: int
+    memory_tokens: int
     requests: int
     away_s: float
 
 
+@attrs.frozen
+class Reached:
+    """An engine that has just taken up new weights."""
+
+    endpoint: EndpointId
+    model: ModelId
+    version: int
+
+
 @attrs.frozen
 class Hint:
     """One VM's word.
@@ -44,6 +55,7 @@
     Attributes:
         number: Counts the VM's words within one life.
         suspects: Fingerprints with the endpoints that broke off under them.
+        reached: Engines that have just taken up new weights.
     """
 
     vm: VmId
@@ -51,6 +63,7 @@
     number: int
     loads: dict[EndpointId, OwnLoad]
     suspects: tuple[tuple[str, EndpointId], ...] = ()
+    reached: tuple[Reached, ...] = ()
 
 
 @attrs.frozen
@@ -67,12 +80,18 @@
     for row, (endpoint, load) in zip(loads, hint.loads.items()):
         row.endpoint = endpoint
         row.pendingTokens = load.pending_tokens
+        row.memoryTokens = load.memory_tokens
         row.requests = load.requests
         row.awayMs = min(MAX_MS, max(0, round(load.away_s * MS)))
     suspects = message.init('suspects', len(hint.suspects))
     for row, (fingerprint, endpoint) in zip(suspects, hint.suspects):
         row.fingerprint = fingerprint
         row.endpoint = endpoint
+    reached = message.init('reached', len(hint.reached))
+    for row, each in zip(reached, hint.reached):
+        row.endpoint = each.endpoint
+        row.model = each.model
+        row.version = each.version
     encoded: bytes = message.to_bytes_packed()
     return encoded
 
@@ -83,12 +102,15 @@
         message = _HINT.from_bytes_packed(payload)
         loads = {
             EndpointId(row.endpoint):
-                OwnLoad(row.pendingTokens, row.requests, row.awayMs / MS)
-            for row in message.loads
+                OwnLoad(row.pendingTokens, row.memoryTokens, row.requests,
+                        row.awayMs / MS) for row in message.loads
         }
         suspects = tuple((str(row.fingerprint), EndpointId(row.endpoint))
                          for row in message.suspects)
+        reached = tuple(
+            Reached(EndpointId(row.endpoint), ModelId(row.model), row.version)
+            for row in message.reached)
         return Hint(VmId(message.vm), Incarnation(message.life), message.number,
-                    loads, suspects)
+                    loads, suspects, reached)
     except (capnp.KjException, ValueError) as error:
         return UnreadableHint(str(error))
--- a/src/plantainridge/gateway/hints.capnp
+++ b/src/plantainridge/gateway/hints.capnp
@@ -8,6 +8,7 @@
   number @2 :UInt64;
   loads @3 :List(Load);
   suspects @4 :List(Suspect);
+  reached @5 :List(Reached);
 }
 
 # What the sender has in flight on one endpoint.
@@ -18,6 +19,8 @@
   requests @2 :UInt16;
   # How much longer the sender spares it, in ms.
   awayMs @3 :UInt16;
+  # Memory that these requests take at their end.
+  memoryTokens @4 :UInt32;
 }
 
 # A request under which an endpoint broke off.
@@ -25,3 +28,10 @@
   fingerprint @0 :Text;
   endpoint @1 :Text;
 }
+
+# An engine that has just taken up new weights.
+struct Reached {
+  endpoint @0 :Text;
+  model @1 :Text;
+  version @2 :UInt32;
+}
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -3,7 +3,8 @@
 Several VMs that each see only their own requests would all send to the engine
 that looks idle. A hint costs one datagram within the data centre; a lost one
 is replaced by the next. Suspects go to all VMs, since a request that crashes
-engines comes again at any of them.
+engines comes again at any of them, and so does the word of the VM that orders
+engines to take up new weights.
 """
 
 import math
@@ -16,7 +17,8 @@
 from plantainridge.events import PeerSaid
 from plantainridge.gateway import hint_messages
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.hint_messages import Hint, OwnLoad, UnreadableHint
+from plantainridge.gateway.hint_messages import (Hint, OwnLoad, Reached,
+                                                 UnreadableHint)
 from plantainridge.ids import EndpointId, VmId
 
 if TYPE_CHECKING:
@@ -24,6 +26,14 @@
 
 # Age at which a peer's hint counts no more, in s.
 FRESH_S: Final = 0.6
+# Time between hints to other data centres while engines are loaded, in s:
+# bytes between them are paid for.
+FAR_EVERY_S: Final = 0.1
+# Prompt tokens in flight on one engine that make it loaded: reading them takes
+# a good part of a usual target.
+LOADED_TOKENS: Final = 12_000
+# Longest time for which a peer's word keeps requests off an endpoint, in s.
+SPARE_S: Final = 1.0
 # Longest time between two hints of a VM that has requests in flight, in s.
 REPEAT_S: Final = 0.25
 
@@ -44,23 +54,38 @@
         number: Hints sent so far.
         told: Loads in the last hint.
         told_at: Loop time of the last hint, in s.
+        told_far_at: Loop time of the last hint to other data centres, in s.
         suspects: Suspects that are to be told.
+        reached: Engines with new weights that are to be told.
     """
 
     heard: dict[VmId, Heard] = attrs.field(factory=dict)
     number: int = 0
     told: dict[EndpointId, OwnLoad] = attrs.field(factory=dict)
     told_at: float = -math.inf
+    told_far_at: float = -math.inf
     suspects: list[tuple[str, EndpointId]] = attrs.field(factory=list)
+    reached: list[Reached] = attrs.field(factory=list)
 
     def pending_tokens(self, endpoint: EndpointId, now: float) -> int:
         """Returns prompt tokens that peers have sent and are not read yet."""
         return sum(load.pending_tokens for load in self._loads(endpoint, now))
 
+    def memory_tokens(self, endpoint: EndpointId, now: float) -> int:
+        """Returns the memory that peers' requests take, in tokens."""
+        return sum(load.memory_tokens for load in self._loads(endpoint, now))
+
     def requests(self, endpoint: EndpointId, now: float) -> int:
         """Returns requests that peers have in flight on an endpoint."""
         return sum(load.requests for load in self._loads(endpoint, now))
 
+    def spared(self, view: EndpointView, now: float) -> bool:
+        """Whether a peer found that an endpoint takes no work for now."""
+        name = view.entry.id
+        return any(now < heard.at + min(heard.hint.loads[name].away_s, SPARE_S)
+                   for heard in self.heard.values()
+                   if name in heard.hint.loads and heard.at > view.reached_at)
+
     def _loads(self, endpoint: EndpointId, now: float) -> Iterator[OwnLoad]:
         for heard in self.heard.values():
             if now - heard.at <= FRESH_S and endpoint in heard.hint.loads:
@@ -76,25 +101,42 @@
         if view.own or view.away_until > now
     }
     due = loads != hints.told or (loads and now - hints.told_at >= REPEAT_S)
-    if not due and not hints.suspects:
+    news = bool(hints.suspects or hints.reached)
+    if not due and not news:
         return
     hints.number += 1
     hints.told, hints.told_at = loads, now
     payload = hint_messages.encode(
         Hint(state.settings.vm, state.life, hints.number, loads,
-             tuple(hints.suspects)))
-    everywhere = bool(hints.suspects)
+             tuple(hints.suspects), tuple(hints.reached)))
+    everywhere = news or _is_far_due(state, loads, now)
+    if everywhere:
+        hints.told_far_at = now
     hints.suspects.clear()
+    hints.reached.clear()
     for vm, entry in state.peers.items():
         near = entry.dc == state.settings.dc
         if vm != state.settings.vm and (near or everywhere):
             yield SendPeer(vm, entry.address, payload)
 
 
+def _is_far_due(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
+                now: float) -> bool:
+    """Whether other data centres are to hear of this VM's load now."""
+    if now - state.hints.told_far_at < FAR_EVERY_S:
+        return False
+    if state.rollout.swaps:
+        return True
+    return any(load.pending_tokens +
+               state.hints.pending_tokens(name, now) >= LOADED_TOKENS
+               for name, load in loads.items())
+
+
 def _load(view: EndpointView, now: float) -> OwnLoad:
     # In steps, so that the passing of time alone is no news.
-    away_s = math.ceil(max(0.0, view.away_until - now) * 2) / 2
-    return OwnLoad(sum(view.own.values()), len(view.own), away_s)
+    away_s = math.ceil(max(0.0, view.away_until - now) * 5) / 5
+    return OwnLoad(view.pending_tokens, view.memory_tokens, len(view.own),
+                   away_s)
 
 
 def on_peer_said(state: 'GatewayState', event: PeerSaid,
@@ -111,3 +153,7 @@
     state.hints.heard[hint.vm] = Heard(hint, now)
     for fingerprint, endpoint in hint.suspects:
         state.suspects.note_break(fingerprint, endpoint, now)
+    for each in hint.reached:
+        view = state.endpoints.get(each.endpoint)
+        if view is not None:
+            view.note_reached(each.model, each.version, now)
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -12,6 +12,7 @@
 
 from plantainridge.gateway import cache, endpoints, stores
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.events import Request
 from plantainridge.gateway.requests import Call
 
 if TYPE_CHECKING:
@@ -37,6 +38,11 @@
 FAR_COST: Final = 0.07
 # Reading 1,000 shared tokens that another engine or a store has at hand.
 REREAD_COST: Final = 0.05
+# Runs that take as much memory again as an engine has beyond its roomy part:
+# it stops some of them and reads them in again later.
+MEMORY_COST: Final = 2.0
+# Part of an engine's memory that runs may take without cost.
+ROOMY_PART: Final = 0.8
 # Advantage of the engine that all VMs would choose for a prompt.
 HOME_COST: Final = 0.01
 # Each failure in a row.
@@ -68,8 +74,8 @@
 def choose(state: 'GatewayState', call: Call, now: float) -> Choice | None:
     """Returns the cheapest endpoint for a request, or None."""
     candidates = [
-        view for view in endpoints.ready(state.endpoints, call.service, now)
-        if view.entry.id not in call.tried
+        view for view in endpoints.ready(state.endpoints, call.service, now) if
+        view.entry.id not in call.tried and not state.hints.spared(view, now)
     ]
     if call.request.model:
         choices = _engines(state, call, candidates, now)
@@ -141,15 +147,34 @@
                                   _token_bytes(state, call), now)
     ready = max(held, fetch.tokens)
     read = max(1, request.prompt_tokens - ready)
-    queued = sum(view.own.values())
+    queued = view.pending_tokens
     queued += state.hints.pending_tokens(view.entry.id, now)
     seconds = (queued + read) / READ_TOKENS_PER_S + fetch.seconds
     seconds += RUNNING_S * _busy(state, view, now) + now - call.arrived_at
     cost = LATE_COST * (seconds / call.route.target_s)**2
+    cost += _memory_cost(state, call, view, now)
     return Choice(view, version, read, ready, cost + _fixed_cost(state, view),
                   fetch)
 
 
+def _memory_cost(state: 'GatewayState', call: Call, view: EndpointView,
+                 now: float) -> float:
+    """Returns the cost of runs that would push one another out of memory."""
+    service = state.config.services.get(call.service)
+    if service is None or service.engine is None:
+        return 0.0
+    taken = view.memory_tokens + memory_tokens(call.request)
+    taken += state.hints.memory_tokens(view.entry.id, now)
+    over = taken / max(1, service.engine.cache_tokens) - ROOMY_PART
+    return MEMORY_COST * max(0.0, over)
+
+
+def memory_tokens(request: Request) -> int:
+    """Returns the memory that a run takes at its end, in tokens."""
+    output = request.expected_tokens or request.output_tokens
+    return request.prompt_tokens + output
+
+
 def _token_bytes(state: 'GatewayState', call: Call) -> int:
     service = state.config.services.get(call.service)
     if service is None or service.engine is None:
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -15,7 +15,7 @@
 
 # Part of the allowance that is used; the rest covers windows that slide
 # between those that are counted here.
-USED_PART: Final = 0.7
+USED_PART: Final = 0.85
 # VMs that share the fixed number while their count is unknown.
 ASSUMED_VMS: Final = 8
 # Most sends of one request, with those that were not run.
--- a/src/plantainridge/gateway/rollout.py
+++ b/src/plantainridge/gateway/rollout.py
@@ -16,7 +16,8 @@
 from plantainridge.gateway import lease
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import (EndpointReported, OrderAnswered,
-                                          ReportMissed)
+                                          OrderResult, ReportMissed)
+from plantainridge.gateway.hint_messages import Reached
 from plantainridge.ids import EndpointId, ModelId
 
 if TYPE_CHECKING:
@@ -26,6 +27,8 @@
 AT_ONCE: Final = 2
 # Time between two questions to an engine, in s.
 ASK_S: Final = 0.2
+# How long an engine that takes up weights gets no work, in s; renewed.
+SPARE_S: Final = 2 * ASK_S + 0.2
 # Pause before an engine that does not answer is asked again, in s.
 MISSED_S: Final = 1.0
 # Delay between VMs that would take the lease for the same work, in s.
@@ -134,10 +137,15 @@
     named = state.versions.named[swap.model]
     if event.versions.get(swap.model, named.version) >= named.version:
         del state.rollout.swaps[event.endpoint]
+        view.note_reached(swap.model, named.version, now)
+        state.hints.reached.append(
+            Reached(event.endpoint, swap.model, named.version))
         yield LogLine('version_reached', (('endpoint', event.endpoint),
                                           ('version', named.version)))
         return
     fence = state.lease.fence(now)
+    if event.busy:
+        _spare(view, now)
     if event.busy or fence == lease.NO_TERM:
         return
     yield LogLine('version_ordered',
@@ -166,3 +174,11 @@
     if swap is None:
         return
     swap.asking, swap.ask_at = False, now + ASK_S
+    view = state.endpoints.get(event.endpoint)
+    if event.result is OrderResult.ACCEPTED and view is not None:
+        _spare(view, now)
+
+
+def _spare(view: EndpointView, now: float) -> None:
+    """Sends an engine nothing while it takes up new weights."""
+    view.away_until = max(view.away_until, now + SPARE_S)
