Let one VM of a data centre read for all of them

Change: the VMs of a data centre agree on one reader for each view and store by the same draw; it relays; who hears nothing for a while reads by itself. Hints are spaced by the number of VMs near.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -262,10 +262,15 @@
 
 @attrs.frozen
 class StoreMissed(Event):
-    """A KV cache store did not answer."""
+    """A KV cache store did not answer.
+
+    Attributes:
+        busy: Whether it holds as many calls as it can.
+    """
 
     store: ServiceId
     reason: str
+    busy: bool = False
 
 
 # --- From the store ---------------------------------------------------------
@@ -279,6 +284,14 @@
     VMS = 'vms'
 
 
+@attrs.frozen
+class RawRecord:
+    """A record as the metadata store gave it; no value for a dropped key."""
+
+    key: str
+    value: bytes | None = attrs.field(repr=False)
+
+
 @attrs.frozen
 class NamedVersion:
     """The operators' word that a model is to run a version."""
@@ -322,12 +335,29 @@
     Attributes:
         whole: Whether this is all that the view holds now.
         next: Offset from which to read on.
+        records: The records of the news, to be relayed.
     """
 
     view: View
     whole: bool
     news: tuple[News, ...]
     next: int
+    records: tuple[RawRecord, ...] = ()
+
+
+@attrs.frozen
+class ViewRelayed(Event):
+    """News of a view that a peer read.
+
+    Attributes:
+        start: Offset up to which this VM must have read.
+        end: Offset up to which it has read then.
+    """
+
+    view: View
+    start: int
+    end: int
+    news: tuple[News, ...]
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -13,12 +13,11 @@
 
 import attrs
 
-from plantainridge.effects import Effect, LogLine, SendPeer
-from plantainridge.events import PeerSaid
-from plantainridge.gateway import hint_messages
+from plantainridge.effects import Effect, SendPeer
+from plantainridge.events import Event
+from plantainridge.gateway import peer_messages
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.hint_messages import (Hint, OwnLoad, Reached,
-                                                 UnreadableHint)
+from plantainridge.gateway.peer_messages import Hint, OwnLoad, Reached
 from plantainridge.ids import EndpointId, VmId
 
 if TYPE_CHECKING:
@@ -35,7 +34,19 @@
 # Longest time for which a peer's word keeps requests off an endpoint, in s.
 SPARE_S: Final = 1.0
 # Longest time between two hints of a VM that has requests in flight, in s.
-REPEAT_S: Final = 0.25
+REPEAT_S: Final = 0.3
+# The same of one that has none, in s: peers must know that it lives.
+IDLE_S: Final = 1.0
+# Least time between two hints, in s for each VM of the data centre: what one
+# VM sends and hears in all does not grow with their number.
+SPACING_S: Final = 0.012
+
+
+@attrs.frozen
+class HintHeard(Event):
+    """A peer's hint arrived."""
+
+    hint: Hint
 
 
 @attrs.define
@@ -100,15 +111,15 @@
         for name, view in state.endpoints.items()
         if view.own or view.away_until > now
     }
-    due = loads != hints.told or (loads and now - hints.told_at >= REPEAT_S)
     news = bool(hints.suspects or hints.reached)
-    if not due and not news:
+    if not news and not _is_due(state, loads, now):
         return
     hints.number += 1
     hints.told, hints.told_at = loads, now
-    payload = hint_messages.encode(
+    payload = peer_messages.encode(
         Hint(state.settings.vm, state.life, hints.number, loads,
-             tuple(hints.suspects), tuple(hints.reached)))
+             tuple(hints.suspects), tuple(hints.reached),
+             state.views.is_cut_off(now)))
     everywhere = news or _is_far_due(state, loads, now)
     if everywhere:
         hints.told_far_at = now
@@ -120,6 +131,17 @@
             yield SendPeer(vm, entry.address, payload)
 
 
+def _is_due(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
+            now: float) -> bool:
+    """Whether the data centre is to hear of this VM's load now."""
+    hints = state.hints
+    passed = now - hints.told_at
+    if passed >= (REPEAT_S if loads else IDLE_S):
+        return True
+    near = sum(entry.dc == state.settings.dc for entry in state.peers.values())
+    return loads != hints.told and passed >= SPACING_S * near
+
+
 def _is_far_due(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
                 now: float) -> bool:
     """Whether other data centres are to hear of this VM's load now."""
@@ -139,13 +161,10 @@
                    away_s)
 
 
-def on_peer_said(state: 'GatewayState', event: PeerSaid,
-                 now: float) -> Iterator[Effect]:
-    """Takes a peer's hint in; older ones and those of earlier lives are not."""
-    hint = hint_messages.decode(event.payload)
-    if isinstance(hint, UnreadableHint):
-        yield LogLine('hint_unreadable', (('reason', hint.reason),))
-        return
+def on_hint(state: 'GatewayState', event: HintHeard,
+            now: float) -> Iterator[Effect]:
+    """Takes a peer's hint in; one that was overtaken counts no more."""
+    hint = event.hint
     before = state.hints.heard.get(hint.vm)
     if (before is not None and before.hint.life == hint.life and
             before.hint.number >= hint.number):
@@ -157,3 +176,4 @@
         view = state.endpoints.get(each.endpoint)
         if view is not None:
             view.note_reached(each.model, each.version, now)
+    yield from ()
--- a/src/plantainridge/gateway/ports.py
+++ b/src/plantainridge/gateway/ports.py
@@ -5,6 +5,7 @@
 
 from plantainridge.events import Event
 from plantainridge.gateway import effects as fx
+from plantainridge.gateway.events import News, RawRecord, View
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.settings import GatewaySettings
 from plantainridge.gateway.wire import RequestWire
@@ -70,6 +71,10 @@
 
     wire: RequestWire
 
+    @abc.abstractmethod
+    def decode_record(self, view: View, record: RawRecord) -> News:
+        """Decodes a record of a view that a peer relayed."""
+
     @abc.abstractmethod
     def store(self, settings: GatewaySettings, pool: Pool, tasks: Tasks,
               post: Post) -> StorePort:
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -8,17 +8,21 @@
 from typing import Final
 
 from plantainridge import effects as base
-from plantainridge.events import Event
+from plantainridge.events import Event, PeerSaid
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import reducer
-from plantainridge.gateway.events import StopRequested
+from plantainridge.gateway import peer_messages, reducer
+from plantainridge.gateway.events import StopRequested, View, ViewRelayed
+from plantainridge.gateway.hints import HintHeard
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.http_server import HttpServer, PageServer
 from plantainridge.gateway.journal import Journal
+from plantainridge.gateway.peer_messages import (Hint, RelayedStore,
+                                                 RelayedView, StoreWanted)
 from plantainridge.gateway.ports import Adapter
 from plantainridge.gateway.sending import EndpointSender
 from plantainridge.gateway.settings import GatewaySettings
 from plantainridge.gateway.state import GatewayState
+from plantainridge.gateway.stores import StoreAsked, StoreRelayed
 from plantainridge.ids import Incarnation
 from plantainridge.metrics import Metrics
 from plantainridge.peers_net import NetPeers
@@ -57,6 +61,7 @@
         life = Incarnation(uuid.uuid4().hex)
         self.state = GatewayState(settings, life, random.Random(life))
         self.state.retries.bounds = settings.bounds
+        self.adapter = adapter
         self.tasks = Tasks()
         self.pool = Pool()
         self.metrics = Metrics()
@@ -112,7 +117,7 @@
         settings = self.state.settings
         await self.readiness.start(*_split(settings.readiness_address))
         await self.statistics.start(settings.host, settings.metrics_port)
-        await self.peers.start(self.post)
+        await self.peers.start(self._on_peer_said)
         await self.callers.start(*_split(settings.callers_address))
         self.start()
         self.tasks.spawn(self._sweep())
@@ -127,6 +132,27 @@
         await asyncio.sleep(0.05)
         self.journal.flush()
 
+    def _on_peer_said(self, event: Event) -> None:
+        """Turns a peer's message into an event."""
+        assert isinstance(event, PeerSaid)
+        message = peer_messages.decode(event.payload)
+        if isinstance(message, Hint):
+            self.post(HintHeard(message))
+        elif isinstance(message, RelayedView):
+            view = View(message.view)
+            news = tuple(
+                self.adapter.decode_record(view, each)
+                for each in message.records)
+            self.post(ViewRelayed(view, message.start, message.end, news))
+        elif isinstance(message, RelayedStore):
+            self.post(StoreRelayed(message))
+        elif isinstance(message, StoreWanted):
+            self.post(StoreAsked(message))
+        else:
+            self.journal.write(
+                base.LogLine('message_unreadable',
+                             (('reason', message.reason),)))
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import Event, PeerSaid, TimerFired, TimerKey
+from plantainridge.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import (drain, events, forwarding, hints, lease,
                                    rollout, stores, views)
 from plantainridge.gateway import effects as fx
@@ -58,7 +58,10 @@
     events.StoreListed: stores.on_listed,
     events.StoreChanged: stores.on_changed,
     events.StoreMissed: stores.on_missed,
-    PeerSaid: hints.on_peer_said,
+    hints.HintHeard: hints.on_hint,
+    stores.StoreRelayed: stores.on_relayed,
+    stores.StoreAsked: stores.on_wanted,
+    events.ViewRelayed: views.on_relayed,
     events.ViewRead: views.on_read,
     events.ViewFailed: views.on_failed,
     events.LeaseRead: lease.on_read,
--- a/src/plantainridge/gateway/rollout.py
+++ b/src/plantainridge/gateway/rollout.py
@@ -5,7 +5,6 @@
 accepted, so that an order that comes true late changes nothing.
 """
 
-import hashlib
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
@@ -13,11 +12,11 @@
 
 from plantainridge.effects import Effect, LogLine
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import lease
+from plantainridge.gateway import lease, relays
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import (EndpointReported, OrderAnswered,
                                           OrderResult, ReportMissed)
-from plantainridge.gateway.hint_messages import Reached
+from plantainridge.gateway.peer_messages import Reached
 from plantainridge.ids import EndpointId, ModelId
 
 if TYPE_CHECKING:
@@ -107,20 +106,7 @@
     models = {model for _, model in lagging.values()}
     seen_at = min(state.versions.named[each].seen_at for each in models)
     versions = [state.versions.named[each].version for each in models]
-    return now >= seen_at + STAGGER_S * _rank(state, max(versions))
-
-
-def _rank(state: 'GatewayState', version: int) -> int:
-    """Returns this VM's place in an order that all VMs agree on."""
-    own = _draw(state.settings.vm, version)
-    return sum(
-        _draw(vm, version) < own
-        for vm in state.peers
-        if vm != state.settings.vm)
-
-
-def _draw(vm: str, version: int) -> bytes:
-    return hashlib.blake2b(f'{vm}/{version}'.encode(), digest_size=8).digest()
+    return now >= seen_at + STAGGER_S * relays.rank(state, str(max(versions)))
 
 
 def on_reported(state: 'GatewayState', event: EndpointReported,
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -5,7 +5,6 @@
 ago. Parts of replaced weights are freed once no VM can still fetch them.
 """
 
-import hashlib
 import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
@@ -13,13 +12,14 @@
 import attrs
 
 from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import TimerFired, TimerKey
-from plantainridge.gateway import cache
+from plantainridge.events import Event, TimerFired, TimerKey
+from plantainridge.gateway import cache, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import StoreTerms
 from plantainridge.gateway.events import (KeptPart, Part, StoreChanged,
                                           StoreListed, StoreMissed, TimerKind,
                                           View)
+from plantainridge.gateway.peer_messages import RelayedStore, StoreWanted
 from plantainridge.ids import ModelId, ServiceId
 
 if TYPE_CHECKING:
@@ -31,6 +31,12 @@
 PAUSE_S: Final = 0.25
 # Pause before a store that did not answer is asked again, in s.
 RETRY_S: Final = 0.5
+# Time from the first configuration to the first listing, in s.
+FIRST_LISTING_S: Final = 2.0
+# Time without a relayed word after which a VM asks a store itself, in s.
+SILENT_S: Final = 2.0
+# Least time between two requests to peers for all of a store, in s.
+WANT_S: Final = 0.5
 # Age of a store's last word beyond which nothing is fetched from it, in s.
 FRESH_S: Final = 1.8
 # Least and most time between two listings, in s: a few events never arrive,
@@ -61,6 +67,20 @@
 FULL_PART: Final = 0.97
 
 
+@attrs.frozen
+class StoreRelayed(Event):
+    """A peer's word on a store arrived."""
+
+    relay: RelayedStore
+
+
+@attrs.frozen
+class StoreAsked(Event):
+    """A peer asks for all that is known of a store."""
+
+    wanted: StoreWanted
+
+
 @attrs.define
 class StoreView:
     """What this VM knows of one store.
@@ -73,6 +93,7 @@
         heard_at: Loop time of its last word, in s; -inf after a failure.
         list_at: Loop time at which it is listed again, in s.
         saving: Loop time at which each part was last sent there, in s.
+        wanted_at: Loop time at which a peer was last asked for all, in s.
     """
 
     name: ServiceId
@@ -84,6 +105,7 @@
     heard_at: float = -math.inf
     list_at: float = -math.inf
     saving: dict[KeptPart, float] = attrs.field(factory=dict)
+    wanted_at: float = -math.inf
 
     def is_fresh(self, now: float) -> bool:
         """Whether its last word is recent."""
@@ -127,7 +149,7 @@
 # --- Following --------------------------------------------------------------
 
 
-def on_configuration(state: 'GatewayState') -> Iterator[Effect]:
+def on_configuration(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Follows the stores of a new configuration."""
     views = state.stores.views
     wanted = {
@@ -142,7 +164,8 @@
             views[name].terms = terms
             continue
         views[name] = StoreView(name, terms)
-        yield fx.ListStore(name, terms.address)
+        # By then the VMs have heard of one another and know who lists it.
+        yield SetTimer(_timer(views[name]), now + FIRST_LISTING_S)
 
 
 def on_listed(state: 'GatewayState', event: StoreListed,
@@ -159,6 +182,7 @@
     yield LogLine('store_listed',
                   (('store', event.store), ('parts', len(view.kept)),
                    ('tokens', view.used_tokens)))
+    yield from relays.tell(state, _whole(state, view))
     yield SetTimer(_timer(view), now)
 
 
@@ -177,16 +201,67 @@
                       (('store', event.store), ('lost', event.lost)))
         yield fx.ListStore(view.name, view.terms.address)
         return
-    for part, tokens in event.kept:
+    start = view.next
+    _apply(view, event.kept, event.next, now)
+    if relays.is_reader(state, view.name, now):
+        yield from relays.tell(
+            state,
+            RelayedStore(state.settings.vm, view.name, event.epoch, start,
+                         event.next, False, False, event.kept, event.clock_ms))
+    yield SetTimer(_timer(view), now + PAUSE_S)
+
+
+def _apply(view: StoreView, changes: tuple[tuple[KeptPart, int], ...], end: int,
+           now: float) -> None:
+    for part, tokens in changes:
         view.saving.pop(part, None)
         view.partial.pop(part, None)
         if tokens:
             view.kept[part] = tokens
         else:
             view.kept.pop(part, None)
-    view.next = event.next
+    view.next = end
     view.heard_at = now
-    yield SetTimer(_timer(view), now + PAUSE_S)
+
+
+def _whole(state: 'GatewayState', view: StoreView) -> RelayedStore:
+    """Returns all that this VM knows of a store, for a peer."""
+    return RelayedStore(state.settings.vm, view.name, view.epoch or 0,
+                        view.next, view.next, True, view.epoch is None,
+                        tuple(view.kept.items()), 0.0)
+
+
+def on_relayed(state: 'GatewayState', event: StoreRelayed,
+               now: float) -> Iterator[Effect]:
+    """Takes in what a peer heard, if nothing is missing before it."""
+    relay = event.relay
+    view = state.stores.views.get(relay.store)
+    if view is None:
+        return
+    if relay.clock_ms:
+        state.stores.clock_ms = relay.clock_ms - now * 1_000
+    if relay.lost:
+        yield from _lose(view, f'{relay.vm} does not reach it', now)
+    elif relay.whole:
+        view.kept = dict(relay.parts)
+        view.epoch, view.next, view.heard_at = relay.epoch, relay.end, now
+        view.list_at = now + state.rng.uniform(*RELIST_S)
+        yield SetTimer(_timer(view), now + SILENT_S)
+    elif relay.epoch == view.epoch and relay.start == view.next:
+        _apply(view, relay.parts, relay.end, now)
+    elif relay.epoch != view.epoch or relay.start > view.next:
+        if now - view.wanted_at >= WANT_S:
+            view.wanted_at = now
+            yield from relays.answer(state, relay.vm,
+                                     StoreWanted(state.settings.vm, view.name))
+
+
+def on_wanted(state: 'GatewayState', event: StoreAsked,
+              now: float) -> Iterator[Effect]:
+    """Tells a peer all that is known of a store."""
+    view = state.stores.views.get(event.wanted.store)
+    if view is not None and view.epoch is not None and view.is_fresh(now):
+        yield from relays.answer(state, event.wanted.vm, _whole(state, view))
 
 
 def on_missed(state: 'GatewayState', event: StoreMissed,
@@ -195,10 +270,21 @@
     view = state.stores.views.get(event.store)
     if view is None:
         return
-    if view.heard_at > -math.inf:
-        yield LogLine('store_lost',
-                      (('store', event.store), ('reason', event.reason)))
-    # It may come back empty and be written anew: all it kept is unsure.
+    if event.busy:
+        yield SetTimer(_timer(view), now + RETRY_S)
+        return
+    if view.epoch is not None and relays.is_reader(state, view.name, now):
+        yield from relays.tell(
+            state,
+            RelayedStore(state.settings.vm, view.name, 0, 0, 0, False, True, (),
+                         0.0))
+    yield from _lose(view, event.reason, now)
+
+
+def _lose(view: StoreView, reason: str, now: float) -> Iterator[Effect]:
+    """Forgets what a store kept: it may come back empty and be written anew."""
+    if view.epoch is not None:
+        yield LogLine('store_lost', (('store', view.name), ('reason', reason)))
     view.kept.clear()
     view.epoch = None
     view.heard_at = -math.inf
@@ -212,10 +298,14 @@
     if view is None:
         return
     address = view.terms.address
+    yield from _free_replaced(state, view, now)
+    silent_at = view.heard_at + SILENT_S
+    if now < silent_at and not relays.is_reader(state, view.name, now):
+        yield SetTimer(event.key, silent_at)
+        return
     if view.epoch is None or now >= view.list_at:
         yield fx.ListStore(view.name, address)
         return
-    yield from _free_replaced(state, view, now)
     yield fx.PollStore(view.name, address, view.next, WAIT_S)
 
 
@@ -231,7 +321,7 @@
     """Frees parts of weights that were replaced some time ago."""
     if not state.versions.named or view.epoch is None:
         return
-    if now < _free_at(state) + FREE_STAGGER_S * _rank(state, view):
+    if now < _free_at(state) + FREE_STAGGER_S * relays.rank(state, view.name):
         return
     versions = {named.version for named in state.versions.named.values()}
     oldest = min(versions)
@@ -261,20 +351,6 @@
     return min(reached_at + FREE_UNUSED_S, newest.seen_at + FREE_AFTER_S)
 
 
-def _rank(state: 'GatewayState', view: StoreView) -> int:
-    """Returns this VM's place among those that would free parts."""
-    own = _draw(state.settings.vm, view.name)
-    return sum(
-        _draw(vm, view.name) < own
-        for vm in state.peers
-        if vm != state.settings.vm)
-
-
-def _draw(name: str, subject: str) -> int:
-    digest = hashlib.blake2b(f'{name}/{subject}'.encode(), digest_size=8)
-    return int.from_bytes(digest.digest(), 'big')
-
-
 # --- Using ------------------------------------------------------------------
 
 
@@ -368,7 +444,7 @@
 
 def _weight(view: StoreView, part: KeptPart) -> float:
     """Draws stores in proportion to their room, the same on every VM."""
-    share = (_draw(view.name, part.id) + 1) / (2**64 + 1)
+    share = (relays.draw(view.name, part.id) + 1) / (2**64 + 1)
     return -view.terms.capacity_tokens / math.log(share)
 
 
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -1,5 +1,7 @@
 """Follows the store's views: configuration, versions, endpoints, VMs."""
 
+import itertools
+import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
@@ -8,12 +10,13 @@
 from plantainridge.effects import Effect, LogLine, SetTimer
 from plantainridge.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import stores
+from plantainridge.gateway import relays, stores
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
 from plantainridge.gateway.events import (Gone, NamedVersion, News, TimerKind,
                                           Unreadable, View, ViewFailed,
-                                          ViewRead, VmEntry)
+                                          ViewRead, ViewRelayed, VmEntry)
+from plantainridge.gateway.peer_messages import RelayedView
 from plantainridge.ids import EndpointId
 
 if TYPE_CHECKING:
@@ -21,11 +24,21 @@
 
 # How long one read waits for news, in s; a connection that went silent is
 # noticed at the read's end, well within the time to apply a configuration.
-WAIT_S: Final[dict[View, float]] = {View.OPERATOR: 2.0}
+WAIT_S: Final[dict[View, float]] = {View.OPERATOR: 1.0}
 # Pause between two reads, in s; endpoints write about once a second.
-PAUSE_S: Final[dict[View, float]] = {View.REGISTRY: 0.9, View.VMS: 15.0}
+PAUSE_S: Final[dict[View, float]] = {View.REGISTRY: 0.8, View.VMS: 5.0}
+# Time without a relayed read after which a VM reads by itself, in s: together
+# with a reader's pause less than the time in which a leaving endpoint must get
+# no more work.
+SILENT_S: Final[dict[View, float]] = {
+    View.OPERATOR: 1.3,
+    View.REGISTRY: 1.05,
+    View.VMS: 8.0
+}
 # Pause after a read that failed, in s.
 RETRY_S: Final = 0.25
+# Time of failing reads after which peers are to read, in s.
+CUT_OFF_S: Final = 0.4
 # How long entries that vanished while the store was away may take to come
 # back, in s.
 LAPSE_S: Final = 2.2
@@ -60,6 +73,12 @@
         """Whether the endpoints were read at least once."""
         return self.follows[View.REGISTRY].offset is not None
 
+    def is_cut_off(self, now: float) -> bool:
+        """Whether the metadata store was out of reach for a while."""
+        return any(follow.failing_since is not None and now -
+                   follow.failing_since > CUT_OFF_S
+                   for follow in self.follows.values())
+
     def age_s(self, view: View, now: float) -> float:
         """Returns the time since a view was last read, in s."""
         return now - self.follows[view].read_at
@@ -73,10 +92,13 @@
 
 def on_timer(state: 'GatewayState', event: TimerFired,
              now: float) -> Iterator[Effect]:
-    """Reads a view again."""
-    del now
+    """Reads a view again, unless a peer reads for this VM."""
     view = View(event.key.subject)
     follow = state.views.follows[view]
+    silent_at = follow.read_at + SILENT_S[view]
+    if now < silent_at and not relays.is_reader(state, view.value, now):
+        yield SetTimer(event.key, silent_at)
+        return
     if follow.offset is None:
         yield fx.LoadView(view)
     else:
@@ -106,23 +128,61 @@
                        ('away_s', round(now - follow.failing_since, 3))))
         follow.failing_since = None
         follow.back_at = now
-    follow.offset = event.next
+    start, follow.offset = follow.offset, event.next
     follow.read_at = now
+    changed = [_is_change(state, news) for news in event.news]
     for news in event.news:
         yield from _take(state, news, now)
+    if start is not None and relays.is_reader(state, event.view.value, now):
+        records = tuple(itertools.compress(event.records, changed))
+        yield from relays.tell(
+            state,
+            RelayedView(state.settings.vm, event.view.value, start, event.next,
+                        records))
     if event.whole and event.view is View.REGISTRY:
         yield from _drop_unlisted(state, event.news, now)
     yield from _drop_missing(state, now)
     yield SetTimer(_timer(event.view), now + PAUSE_S.get(event.view, 0.0))
 
 
+def on_relayed(state: 'GatewayState', event: ViewRelayed,
+               now: float) -> Iterator[Effect]:
+    """Takes in what a peer read, if nothing is missing before it."""
+    follow = state.views.follows[event.view]
+    if follow.offset is None or event.end < follow.offset:
+        return
+    if event.start > follow.offset:
+        # Something was not relayed: reads it itself.
+        yield SetTimer(_timer(event.view), now)
+        follow.read_at = -math.inf
+        return
+    if event.start < follow.offset < event.end:
+        return
+    if event.start == follow.offset:
+        for news in event.news:
+            yield from _take(state, news, now)
+        follow.offset = event.end
+    follow.read_at = now
+    yield from _drop_missing(state, now)
+
+
+def _is_change(state: 'GatewayState', news: News) -> bool:
+    """Whether news says more than that an endpoint lives."""
+    if not isinstance(news, EndpointEntry):
+        return not isinstance(news, Unreadable)
+    view = state.endpoints.get(news.id)
+    if view is None or view.missing_since is not None:
+        return True
+    return attrs.evolve(news, orders=0) != attrs.evolve(view.entry, orders=0)
+
+
 def _take(state: 'GatewayState', news: News, now: float) -> Iterator[Effect]:
     if isinstance(news, Configuration):
         if news.version > state.config.version:
             state.config = news
             state.config_at = now
             yield LogLine('configuration_taken', (('version', news.version),))
-            yield from stores.on_configuration(state)
+            yield from stores.on_configuration(state, now)
     elif isinstance(news, NamedVersion):
         if state.versions.name(news.model, news.version, now):
             yield LogLine('version_named',
--- a/src/plantainridge/platform/adapter.py
+++ b/src/plantainridge/platform/adapter.py
@@ -6,9 +6,11 @@
 import click
 
 from plantainridge.gateway import ports
+from plantainridge.gateway.events import News, RawRecord, View
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.process import BootTimeLoop, Gateway
 from plantainridge.gateway.settings import GatewaySettings, SettingsFault
+from plantainridge.platform import records
 from plantainridge.platform import settings as platform_settings
 from plantainridge.platform.engines import PlatformEngines
 from plantainridge.platform.requests import PlatformWire
@@ -33,6 +35,9 @@
                 post: ports.Post) -> ports.EnginePort:
         return PlatformEngines(pool, tasks, settings.vm, post)
 
+    def decode_record(self, view: View, record: RawRecord) -> News:
+        return records.decode_news(view, record)
+
 
 async def _run(settings: GatewaySettings) -> None:
     await Gateway(settings, PlatformAdapter()).run()
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -12,7 +12,7 @@
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.ports import EnginePort
 from plantainridge.tasks import Tasks
-from plantainridge.ids import VmId
+from plantainridge.ids import ServiceId, VmId
 from plantainridge.platform import kv_records, names
 from plantainridge.platform.fields import FieldFault, get, get_or
 from plantainridge.platform.records import decode_models
@@ -63,7 +63,7 @@
         reply = await call(self.pool, effect.address, 'GET', '/kv-list',
                            LIST_TIMEOUT_S)
         if isinstance(reply, NoReply) or reply.status != 200:
-            self.post(ev.StoreMissed(effect.store, _why(reply)))
+            self.post(_missed(effect.store, reply))
             return
         try:
             self.post(kv_records.decode_listing(effect.store, reply.json()))
@@ -79,7 +79,7 @@
                            TIMEOUT_S + effect.wait_s,
                            headers=(wait,))
         if isinstance(reply, NoReply) or reply.status != 200:
-            self.post(ev.StoreMissed(effect.store, _why(reply)))
+            self.post(_missed(effect.store, reply))
             return
         try:
             self.post(kv_records.decode_changes(effect.store, reply.json()))
@@ -129,7 +129,7 @@
         self.post(ev.OrderAnswered(effect.endpoint, result))
 
 
-def _why(reply: Reply | NoReply) -> str:
+def _missed(store: ServiceId, reply: Reply | NoReply) -> ev.StoreMissed:
     if isinstance(reply, NoReply):
-        return reply.reason
-    return f'status {reply.status}'
+        return ev.StoreMissed(store, reply.reason)
+    return ev.StoreMissed(store, f'status {reply.status}', reply.status == 429)
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -9,7 +9,7 @@
 
 from plantainridge.gateway.endpoints import EndpointEntry
 from plantainridge.gateway.events import (Gone, LeaseRecord, NamedVersion, News,
-                                          Unreadable, View, VmEntry)
+                                          RawRecord, Unreadable, View, VmEntry)
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, VmId)
 from plantainridge.platform import configuration, names
@@ -19,14 +19,6 @@
 OFFSET_BYTES = 8
 
 
-@attrs.frozen
-class Keyed:
-    """A record of a keyed topic; no value says that the key is dropped."""
-
-    key: str
-    value: bytes | None = attrs.field(repr=False)
-
-
 @attrs.frozen
 class Page:
     """Records as the store returns them.
@@ -35,7 +27,7 @@
         next: Offset from which to read on.
     """
 
-    records: tuple[Keyed, ...]
+    records: tuple[RawRecord, ...]
     next: int
 
 
@@ -51,7 +43,7 @@
     return Page(records, start + len(records))
 
 
-def _records(data: bytes, at: int) -> Iterator[Keyed]:
+def _records(data: bytes, at: int) -> Iterator[RawRecord]:
     while at < len(data):
         size = int.from_bytes(data[at:at + LENGTH_BYTES], 'big')
         at += LENGTH_BYTES
@@ -61,7 +53,7 @@
         at += size
         split = 1 + content[0]
         key = content[1:split].decode(errors='replace')
-        yield Keyed(key, content[split:] or None)
+        yield RawRecord(key, content[split:] or None)
 
 
 def encode_keyed(key: str, value: bytes) -> bytes:
@@ -77,13 +69,13 @@
         FieldFault: A field is missing or of another type.
     """
     records = tuple(
-        Keyed(get(each, 'key', str),
-              base64.b64decode(get_or(each, 'value', '')) or None)
+        RawRecord(get(each, 'key', str),
+                  base64.b64decode(get_or(each, 'value', '')) or None)
         for each in rows(data, 'items'))
     return Page(records, get(data, 'end', int)), get_or(data, 'has-more', False)
 
 
-def decode_news(view: View, record: Keyed) -> News:
+def decode_news(view: View, record: RawRecord) -> News:
     """Decodes one record of a view; a strange one names nothing."""
     try:
         if view is View.OPERATOR:
@@ -97,7 +89,7 @@
         return Unreadable(record.key, str(error))
 
 
-def _operator_news(record: Keyed) -> News:
+def _operator_news(record: RawRecord) -> News:
     if record.value is None:
         return Unreadable(record.key, 'it was dropped')
     data = json.loads(record.value)
@@ -140,7 +132,7 @@
     }
 
 
-def _vm(record: Keyed) -> News:
+def _vm(record: RawRecord) -> News:
     if record.value is None:
         return Unreadable(record.key, 'it was dropped')
     data = json.loads(record.value)
@@ -153,7 +145,7 @@
     return json.dumps({'dc': dc, 'address': address}).encode()
 
 
-def decode_lease(record: Keyed) -> LeaseRecord:
+def decode_lease(record: RawRecord) -> LeaseRecord:
     """Decodes the lease's record.
 
     Raises:
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -58,7 +58,7 @@
         self.tasks.spawn(self._write_lease(effect))
 
     async def _load(self, view: View) -> None:
-        news: list[ev.News] = []
+        raw: list[ev.RawRecord] = []
         end: int | None = None
         after: str | None = None
         more = True
@@ -75,13 +75,12 @@
             except (FieldFault, ValueError) as error:
                 self.post(ev.ViewFailed(view, False, str(error)))
                 return
-            news.extend(
-                records.decode_news(view, each) for each in page.records)
+            raw.extend(page.records)
             # Pages are no snapshot: what came meanwhile is read again.
             end = page.next if end is None else min(end, page.next)
             after = page.records[-1].key if page.records else None
             more = more and after is not None
-        self.post(ev.ViewRead(view, True, tuple(news), end or 0))
+        self._post_read(view, True, tuple(raw), end or 0)
 
     async def _read(self, effect: fx.ReadView) -> None:
         query = {
@@ -102,9 +101,12 @@
         except FieldFault as fault:
             self.post(ev.ViewFailed(effect.view, False, str(fault)))
             return
-        news = tuple(
-            records.decode_news(effect.view, each) for each in page.records)
-        self.post(ev.ViewRead(effect.view, False, news, page.next))
+        self._post_read(effect.view, False, page.records, page.next)
+
+    def _post_read(self, view: View, whole: bool,
+                   found: tuple[ev.RawRecord, ...], end: int) -> None:
+        news = tuple(records.decode_news(view, each) for each in found)
+        self.post(ev.ViewRead(view, whole, news, end, found))
 
     def _failed(self, view: View, reply: Reply | NoReply) -> None:
         if isinstance(reply, NoReply):
