Space hints and relays by the number of VMs near

Cause: with 20 VMs a data centre a VM sent and heard some 400 datagrams a second; until peers were known each VM read every view itself. Change: hints and questions to stores are spaced by the VMs near; the VMs are read again a second after the start.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -15,7 +15,7 @@
 
 from plantainridge.effects import Effect, SendPeer
 from plantainridge.events import Event
-from plantainridge.gateway import peer_messages
+from plantainridge.gateway import peer_messages, relays
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.peer_messages import Hint, OwnLoad, Reached
 from plantainridge.ids import EndpointId, VmId
@@ -39,7 +39,7 @@
 IDLE_S: Final = 1.0
 # Least time between two hints, in s for each VM of the data centre: what one
 # VM sends and hears in all does not grow with their number.
-SPACING_S: Final = 0.012
+SPACING_S: Final = 0.02
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -38,6 +38,11 @@
             yield vm
 
 
+def vms_near(state: 'GatewayState') -> int:
+    """Returns the number of VMs of the data centre."""
+    return sum(entry.dc == state.settings.dc for entry in state.peers.values())
+
+
 def rank(state: 'GatewayState', subject: str) -> int:
     """Returns this VM's place in an order of all VMs."""
     own = draw(state.settings.vm, subject)
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -27,18 +27,20 @@
 
 # How long one question to a store waits for events, in s; the most it allows.
 WAIT_S: Final = 1.0
-# Pause between two questions, in s.
+# Least pause between two questions, in s, and what each VM of the data centre
+# adds to it: every answer is relayed to all of them.
 PAUSE_S: Final = 0.25
+PAUSE_PER_VM_S: Final = 0.025
 # Pause before a store that did not answer is asked again, in s.
 RETRY_S: Final = 0.5
 # Time from the first configuration to the first listing, in s.
 FIRST_LISTING_S: Final = 2.0
 # Time without a relayed word after which a VM asks a store itself, in s.
-SILENT_S: Final = 2.0
+SILENT_S: Final = 2.2
 # Least time between two requests to peers for all of a store, in s.
 WANT_S: Final = 0.5
 # Age of a store's last word beyond which nothing is fetched from it, in s.
-FRESH_S: Final = 1.8
+FRESH_S: Final = 2.0
 # Least and most time between two listings, in s: a few events never arrive,
 # but a listing holds up the store's transfers.
 RELIST_S: Final = (90.0, 180.0)
@@ -208,7 +210,8 @@
             state,
             RelayedStore(state.settings.vm, view.name, event.epoch, start,
                          event.next, False, False, event.kept, event.clock_ms))
-    yield SetTimer(_timer(view), now + PAUSE_S)
+    pause_s = max(PAUSE_S, PAUSE_PER_VM_S * relays.vms_near(state))
+    yield SetTimer(_timer(view), now + pause_s)
 
 
 def _apply(view: StoreView, changes: tuple[tuple[KeptPart, int], ...], end: int,
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -27,6 +27,8 @@
 WAIT_S: Final[dict[View, float]] = {View.OPERATOR: 1.0}
 # Pause between two reads, in s; endpoints write about once a second.
 PAUSE_S: Final[dict[View, float]] = {View.REGISTRY: 0.8, View.VMS: 5.0}
+# Pause before the VMs are read for the second time, in s.
+STARTING_S: Final = 1.0
 # Time without a relayed read after which a VM reads by itself, in s: together
 # with a reader's pause less than the time in which a leaving endpoint must get
 # no more work.
@@ -142,7 +144,11 @@
     if event.whole and event.view is View.REGISTRY:
         yield from _drop_unlisted(state, event.news, now)
     yield from _drop_missing(state, now)
-    yield SetTimer(_timer(event.view), now + PAUSE_S.get(event.view, 0.0))
+    pause_s = PAUSE_S.get(event.view, 0.0)
+    if event.whole and event.view is View.VMS:
+        # The VMs that start together have announced themselves by then.
+        pause_s = STARTING_S
+    yield SetTimer(_timer(event.view), now + pause_s)
 
 
 def on_relayed(state: 'GatewayState', event: ViewRelayed,
