Test the gateway's decisions without I/O

Each decision of the gateway is played on its reducer alone: routing, requests that run once, resumption, retries in budget, placement by load pattern, stored parts, lease, orders, relays and the stop.

--- /dev/null
+++ b/tests/gateway_scene.py
@@ -0,0 +1,180 @@
+"""A gateway's reducer with a configuration and endpoints, without I/O."""
+
+import random
+from typing import Any, TypeVar
+
+from plantainridge import effects as base
+from plantainridge.events import Event, TimerFired, TimerKey
+from plantainridge.gateway import config, reducer
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.config import RequestKind
+from plantainridge.gateway.endpoints import EndpointEntry
+from plantainridge.gateway.events import TimerKind, View
+from plantainridge.gateway.settings import GatewaySettings
+from plantainridge.gateway.state import GatewayState
+from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
+                               RequestId, ServiceId, TeamId, VmId)
+
+E = TypeVar('E')
+
+NEAR = DcId('near')
+FAR = DcId('far')
+ENGINES = ServiceId('engines')
+LEDGER = ServiceId('ledger')
+MODEL = ModelId('m')
+TEAM = config.Team(TeamId('team'), frozenset({'key'}), priority=0)
+ISOLATED = config.Team(TeamId('alone'), frozenset({'other'}), isolated=True)
+HEADERS = ((b'content-type', b'text/plain'),)
+
+
+def route(prefix: str, kind: RequestKind, service: ServiceId,
+          **given: Any) -> config.Route:
+    """Returns a route of one service."""
+    terms: dict[str, Any] = {
+        'target_s': 1.0,
+        'timeout_s': 10.0,
+        'gap_s': 0.3,
+        'attempts': 2
+    }
+    terms.update(given)
+    return config.Route(prefix, 'host', prefix, kind,
+                        (config.Share(service, 1.0),), **terms)
+
+
+ROUTES = (
+    route('/report/', RequestKind.STREAM, ENGINES, resumable=True),
+    route('/tag/', RequestKind.STREAM, ENGINES, attempts=1),
+    route('/submit/', RequestKind.ONCE, LEDGER, attempts=1),
+    route('/view/', RequestKind.IDEMPOTENT, LEDGER, target_s=0.3),
+)
+
+STORES = tuple(
+    config.Service(ServiceId(name),
+                   store=config.StoreTerms(f'10.0.9.{at}:1', NEAR, 100_000,
+                                           84_000.0, 0.0005, True, 12))
+    for at, name in enumerate(('store-a', 'store-b')))
+
+SERVICES = (config.Service(ENGINES,
+                           engine=config.EngineTerms(64, 84_000, 18_432,
+                                                     550_000.0, (MODEL,))),
+            config.Service(LEDGER), *STORES)
+
+
+def configuration(version: int = 1, **given: Any) -> config.Configuration:
+    """Returns a configuration with the usual routes."""
+    return config.build(version=version,
+                        routes=given.get('routes', ROUTES),
+                        services=SERVICES,
+                        teams=given.get('teams', (TEAM, ISOLATED)),
+                        limits=config.CallerLimits())
+
+
+def endpoint(name: str,
+             service: ServiceId = ENGINES,
+             dc: DcId = NEAR,
+             **given: Any) -> EndpointEntry:
+    """Returns an endpoint's entry."""
+    terms: dict[str, Any] = {
+        'slots': 64 if service == ENGINES else 6,
+        'draining': False,
+        'versions': {
+            MODEL: 1
+        } if service == ENGINES else {}
+    }
+    terms.update(given)
+    return EndpointEntry(EndpointId(name), service, f'{name}:1', dc, **terms)
+
+
+def request(target: str, name: str = 'r1', **given: Any) -> ev.Request:
+    """Returns a request of the team's."""
+    terms: dict[str, Any] = {'key': 'key', 'patience_s': 10.0}
+    if target.startswith(('/report', '/tag')):
+        terms.update(model=MODEL, prompt_tokens=1_000, output_tokens=50)
+    terms.update(given)
+    return ev.Request(RequestId(name), f'caller-{name}', 'POST', 'host', target,
+                      HEADERS, b'', **terms)
+
+
+def settings(vm: str = 'vm1') -> GatewaySettings:
+    """Returns settings of a VM in the near data centre."""
+    return GatewaySettings(VmId(vm), NEAR, '10.0.0.1', '10.0.0.1:1',
+                           '10.0.0.1:2', 3, 4, '10.9.9.9:1', 1.2)
+
+
+class GatewayScene:
+    """A VM's reducer on a clock that the test moves.
+
+    Attributes:
+        now: Loop time in s.
+        done: Every effect so far, but for timers and log lines.
+        lines: Every log line so far.
+        timers: Timers that are set, with their loop times in s.
+    """
+
+    def __init__(self, *entries: EndpointEntry, vm: str = 'vm1') -> None:
+        self.state = GatewayState(settings(vm), Incarnation('life'),
+                                  random.Random(1))
+        self.now = 100.0
+        self.done: list[base.Effect] = []
+        self.lines: list[base.LogLine] = []
+        self.timers: dict[TimerKey, float] = {}
+        self._take(reducer.start(self.state, self.now))
+        self.read(View.OPERATOR, configuration(), whole=True)
+        self.read(View.REGISTRY, *entries, whole=True)
+
+    def read(self, view: View, *news: ev.News, whole: bool = False) -> None:
+        """Gives news of a view."""
+        self.post(ev.ViewRead(view, whole, news, 1))
+
+    def post(self, event: Event) -> list[base.Effect]:
+        """Takes an event in; returns its effects."""
+        return self._take(reducer.reduce(self.state, event, self.now))
+
+    def ask(self, target: str, name: str = 'r1', **given: Any) -> Any:
+        """Sends a request in; returns its last effect that is no timer."""
+        self.post(ev.RequestArrived(request(target, name, **given)))
+        return self.done[-1]
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock on and fires what comes due, in order."""
+        end = self.now + seconds
+        while self.timers:
+            key = min(self.timers, key=lambda each: self.timers[each])
+            if self.timers[key] > end:
+                break
+            self.now = max(self.now, self.timers.pop(key))
+            self.post(TimerFired(key))
+        self.now = end
+
+    def tick(self) -> None:
+        """Runs the work that is done from time to time."""
+        self.post(TimerFired(TimerKey(TimerKind.TICK)))
+
+    def all(self, kind: type[E]) -> list[E]:
+        """Returns every effect of a kind so far."""
+        return [each for each in self.done if isinstance(each, kind)]
+
+    def last(self, kind: type[E]) -> E:
+        """Returns the latest effect of a kind."""
+        return self.all(kind)[-1]
+
+    def _take(self, found: list[base.Effect]) -> list[base.Effect]:
+        kept: list[base.Effect] = []
+        for effect in found:
+            if isinstance(effect, base.SetTimer):
+                self.timers[effect.key] = effect.at
+            elif isinstance(effect, base.CancelTimer):
+                self.timers.pop(effect.key, None)
+            elif isinstance(effect, base.LogLine):
+                self.lines.append(effect)
+            elif not isinstance(effect, base.Observe):
+                kept.append(effect)
+        self.done.extend(kept)
+        return kept
+
+
+def head(status: int = 200, **given: Any) -> ev.AnswerHead:
+    """Returns the head of an endpoint's answer."""
+    terms: dict[str, Any] = {'sealed': True, 'not_run': False}
+    terms.update(given)
+    return ev.AnswerHead(status, HEADERS, **terms)
--- /dev/null
+++ b/tests/test_gateway_duties.py
@@ -0,0 +1,240 @@
+"""Tests of the lease, of orders, of relays between VMs and of the stop."""
+
+import unittest
+
+from plantainridge import effects as base
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.events import (AppendResult, LeaseRecord,
+                                          OrderResult, View)
+from plantainridge.gateway.hints import HintHeard
+from plantainridge.gateway.lease import NO_TERM, TERM_S
+from plantainridge.gateway.peer_messages import Hint, RelayedView, decode
+from plantainridge.ids import EndpointId, Incarnation, VmId
+from tests.gateway_scene import (LEDGER, MODEL, NEAR, GatewayScene, endpoint,
+                                 head)
+
+A = endpoint('a')
+OTHER = LeaseRecord(VmId('vm9'), Incarnation('life9'), 4)
+
+
+class LeaseTest(unittest.TestCase):
+    """Orders come from one VM at a time."""
+
+    def _lagging(self) -> GatewayScene:
+        scene = GatewayScene(A)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.advance(0.1)
+        return scene
+
+    def test_free_lease_is_taken_under_the_offset_of_its_record(self) -> None:
+        scene = self._lagging()
+        self.assertTrue(scene.all(fx.ReadLease))
+        scene.post(ev.LeaseRead(None, 7))
+        written = scene.last(fx.WriteLease)
+        self.assertEqual((written.end, written.record.term), (7, 7))
+        self.assertEqual(scene.state.lease.fence(scene.now), NO_TERM)
+        scene.post(ev.LeaseWritten(written.record, AppendResult.DONE))
+        self.assertEqual(scene.state.lease.fence(scene.now), 7)
+
+    def test_lease_of_another_is_waited_out(self) -> None:
+        scene = self._lagging()
+        bounds = scene.state.settings.bounds
+        waited = 0.0
+        while not scene.all(fx.WriteLease):
+            scene.post(ev.LeaseRead(OTHER, 5))
+            scene.advance(0.5)
+            waited += 0.5
+            self.assertLess(waited, 10.0)
+        # The other may act for its term; then orders must be apart.
+        self.assertGreater(waited, TERM_S + bounds.lease_s)
+
+    def test_renewed_lease_of_another_is_never_taken(self) -> None:
+        scene = self._lagging()
+        for end in range(5, 40):
+            scene.post(ev.LeaseRead(OTHER, end))
+            scene.advance(0.5)
+        self.assertEqual(scene.all(fx.WriteLease), [])
+
+    def test_holder_that_stood_still_gives_no_orders(self) -> None:
+        scene = self._lagging()
+        scene.post(ev.LeaseRead(None, 7))
+        scene.post(
+            ev.LeaseWritten(
+                scene.last(fx.WriteLease).record, AppendResult.DONE))
+        scene.tick()
+        self.assertTrue(scene.all(fx.AskReport))
+        scene.now += 4.0
+        scene.post(ev.EndpointReported(A.id, {MODEL: 1}, 0, False))
+        self.assertEqual(scene.all(fx.OrderVersion), [])
+
+    def test_write_that_lost_or_has_no_answer_holds_nothing(self) -> None:
+        for result in (AppendResult.MOVED_ON, AppendResult.UNKNOWN):
+            with self.subTest(result):
+                scene = self._lagging()
+                scene.post(ev.LeaseRead(None, 7))
+                scene.post(
+                    ev.LeaseWritten(scene.last(fx.WriteLease).record, result))
+                self.assertEqual(scene.state.lease.fence(scene.now), NO_TERM)
+
+
+class RolloutTest(unittest.TestCase):
+    """Engines are brought to new weights, two at a time."""
+
+    def _holder(self, *names: str) -> GatewayScene:
+        scene = GatewayScene(*(endpoint(name) for name in names))
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.advance(0.1)
+        scene.post(ev.LeaseRead(None, 7))
+        record = scene.last(fx.WriteLease).record
+        scene.post(ev.LeaseWritten(record, AppendResult.DONE))
+        scene.tick()
+        return scene
+
+    def test_at_most_two_at_once(self) -> None:
+        scene = self._holder(*'abcde')
+        self.assertEqual(len(scene.all(fx.AskReport)), 2)
+
+    def test_order_names_what_the_engine_last_accepted(self) -> None:
+        scene = self._holder('a')
+        scene.post(ev.EndpointReported(A.id, {MODEL: 1}, 3, False))
+        order = scene.last(fx.OrderVersion)
+        self.assertEqual((order.version, order.orders, order.fence), (2, 3, 7))
+
+    def test_busy_engine_gets_no_second_order(self) -> None:
+        scene = self._holder('a')
+        scene.post(ev.EndpointReported(A.id, {MODEL: 1}, 0, False))
+        scene.post(ev.OrderAnswered(A.id, OrderResult.ACCEPTED))
+        scene.post(ev.EndpointReported(A.id, {MODEL: 1}, 1, True))
+        self.assertEqual(len(scene.all(fx.OrderVersion)), 1)
+
+    def test_order_without_an_answer_is_given_again_after_a_look(self) -> None:
+        scene = self._holder('a')
+        scene.post(ev.EndpointReported(A.id, {MODEL: 1}, 0, False))
+        scene.post(ev.OrderAnswered(A.id, OrderResult.UNKNOWN))
+        scene.advance(0.3)
+        scene.post(ev.EndpointReported(A.id, {MODEL: 1}, 0, False))
+        # The same expectation: at most one of the two comes true.
+        orders = scene.all(fx.OrderVersion)
+        self.assertEqual([each.orders for each in orders], [0, 0])
+
+    def test_engine_that_does_not_answer_holds_nobody_up(self) -> None:
+        scene = self._holder(*'abc')
+        for asked in scene.all(fx.AskReport):
+            scene.post(ev.ReportMissed(asked.endpoint))
+        scene.tick()
+        self.assertEqual(len({x.endpoint for x in scene.all(fx.AskReport)}), 3)
+
+    def test_engine_under_order_gets_no_requests(self) -> None:
+        scene = self._holder('a', 'b')
+        scene.post(ev.EndpointReported(A.id, {MODEL: 1}, 0, False))
+        scene.post(ev.OrderAnswered(A.id, OrderResult.ACCEPTED))
+        for number in range(5):
+            send = scene.ask('/report/x', f'r{number}')
+            self.assertEqual(send.endpoint, 'b')
+        scene.post(ev.EndpointReported(A.id, {MODEL: 2}, 1, False))
+        self.assertTrue(scene.state.endpoints[A.id].takes_work(scene.now))
+
+
+class RelayTest(unittest.TestCase):
+    """One VM of a data centre reads for all."""
+
+    def _with_peer(self, vm: str) -> GatewayScene:
+        scene = GatewayScene(A, vm=vm)
+        for name in ('vm1', 'vm2'):
+            scene.read(View.VMS, ev.VmEntry(VmId(name), NEAR, f'{name}:1'))
+        other = 'vm2' if vm == 'vm1' else 'vm1'
+        scene.post(HintHeard(Hint(VmId(other), Incarnation('life'), 1, {})))
+        return scene
+
+    def test_exactly_one_of_two_reads(self) -> None:
+        readers = []
+        for vm in ('vm1', 'vm2'):
+            scene = self._with_peer(vm)
+            scene.read(View.REGISTRY)
+            scene.done.clear()
+            scene.advance(0.85)
+            readers.append(
+                any(each.view is View.REGISTRY
+                    for each in scene.all(fx.ReadView)))
+        self.assertEqual(sorted(readers), [False, True])
+
+    def test_silent_reader_is_replaced_in_time(self) -> None:
+        for vm in ('vm1', 'vm2'):
+            scene = self._with_peer(vm)
+            scene.read(View.REGISTRY)
+            scene.done.clear()
+            scene.advance(1.2)
+            self.assertTrue(
+                any(each.view is View.REGISTRY
+                    for each in scene.all(fx.ReadView)), vm)
+
+    def test_relayed_news_counts_only_without_a_gap(self) -> None:
+        scene = GatewayScene(A)
+        leaving = endpoint('a', draining=True)
+        gap = ev.ViewRelayed(View.REGISTRY, 5, 6, (leaving,))
+        scene.post(gap)
+        self.assertFalse(scene.state.endpoints[A.id].entry.draining)
+        follows = ev.ViewRelayed(View.REGISTRY, 1, 6, (leaving,))
+        scene.post(follows)
+        self.assertTrue(scene.state.endpoints[A.id].entry.draining)
+        # What was relayed before is no news.
+        scene.post(ev.ViewRelayed(View.REGISTRY, 1, 2, (A,)))
+        self.assertTrue(scene.state.endpoints[A.id].entry.draining)
+
+    def test_heartbeats_are_not_relayed(self) -> None:
+        for vm in ('vm1', 'vm2'):
+            scene = self._with_peer(vm)
+            scene.done.clear()
+            raw = ev.RawRecord('a', b'{}')
+            scene.post(ev.ViewRead(View.REGISTRY, False, (A,), 2, (raw,)))
+            for sent in scene.all(base.SendPeer):
+                message = decode(sent.payload)
+                if isinstance(message, RelayedView):
+                    self.assertEqual(message.records, ())
+
+    def test_reader_that_is_cut_off_is_passed_over(self) -> None:
+        scene = self._with_peer('vm1')
+        cut_off = Hint(VmId('vm2'), Incarnation('life'), 2, {}, cut_off=True)
+        scene.post(HintHeard(cut_off))
+        scene.read(View.REGISTRY)
+        scene.done.clear()
+        scene.advance(0.85)
+        self.assertTrue(
+            any(each.view is View.REGISTRY for each in scene.all(fx.ReadView)))
+
+
+class StopTest(unittest.TestCase):
+    """A planned stop cuts no request."""
+
+    def test_unready_at_once_and_gone_when_all_is_answered(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER))
+        self.assertTrue(scene.state.ready)
+        send = scene.ask('/submit/x')
+        scene.post(ev.StopRequested())
+        self.assertFalse(scene.state.ready)
+        self.assertEqual(len(scene.all(fx.CloseAfterAnswers)), 1)
+        # Connections that came before the balancer noticed are served.
+        late = scene.ask('/view/x', 'late')
+        self.assertIsInstance(late, fx.Send)
+        scene.advance(4.0)
+        self.assertEqual(len(scene.all(fx.StopListening)), 1)
+        self.assertEqual(scene.all(base.Exit), [])
+        for each in (send, late):
+            scene.post(ev.AnswerArrived(each.attempt, head(), b''))
+        scene.advance(0.5)
+        self.assertEqual(len(scene.all(base.Exit)), 1)
+
+    def test_ends_before_it_is_killed(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER))
+        scene.ask('/submit/x', patience_s=60.0)
+        scene.post(ev.StopRequested())
+        scene.advance(scene.state.settings.bounds.grace_s)
+        self.assertEqual(len(scene.all(base.Exit)), 1)
+
+    def test_not_ready_before_it_knows_anything(self) -> None:
+        scene = GatewayScene()
+        self.assertTrue(scene.state.ready)
+        scene.state.views.follows[View.REGISTRY].offset = None
+        self.assertFalse(scene.state.ready)
+        self.assertNotIn(EndpointId('a'), scene.state.endpoints)
--- /dev/null
+++ b/tests/test_gateway_forwarding.py
@@ -0,0 +1,308 @@
+"""Tests of the life of a forwarded request."""
+
+import unittest
+from typing import Any
+
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.events import Failure, View
+from tests.gateway_scene import (FAR, LEDGER, GatewayScene, configuration,
+                                 endpoint, head)
+
+A = endpoint('a', LEDGER)
+B = endpoint('b', LEDGER)
+
+
+class RoutingTest(unittest.TestCase):
+    """Who is served, and who is denied."""
+
+    def test_denials(self) -> None:
+        cases: dict[str, tuple[str, dict[str, Any], int]] = {
+            'no route': ('/none/', {}, 404),
+            'no key': ('/view/x', {
+                'key': None
+            }, 401),
+            'unknown key': ('/view/x', {
+                'key': 'stolen'
+            }, 401),
+        }
+        for name, (target, given, status) in cases.items():
+            with self.subTest(name):
+                refused = GatewayScene(A).ask(target, **given)
+                self.assertEqual(refused.status, status)
+
+    def test_stale_view_denies_nothing(self) -> None:
+        scene = GatewayScene(A)
+        scene.now += 5.0
+        refused = scene.ask('/none/')
+        self.assertEqual(refused.status, 503)
+        self.assertIsNotNone(refused.retry_after_s)
+
+    def test_configuration_never_goes_back(self) -> None:
+        scene = GatewayScene(A)
+        scene.read(View.OPERATOR, configuration(5, teams=()))
+        scene.read(View.OPERATOR, configuration(4))
+        self.assertEqual(scene.ask('/view/x').status, 401)
+
+    def test_longest_prefix_wins(self) -> None:
+        found = configuration().route('HOST:80', '/view/x?y=/report/')
+        assert found is not None
+        self.assertEqual(found.prefix, '/view/')
+
+
+class OnceTest(unittest.TestCase):
+    """A request that may not be repeated."""
+
+    def test_runs_at_most_once_when_its_endpoint_breaks(self) -> None:
+        for failure in (Failure.BROKEN, Failure.MALFORMED, Failure.SILENT):
+            with self.subTest(failure):
+                scene = GatewayScene(A, B)
+                send = scene.ask('/submit/x')
+                scene.post(ev.SendFailed(send.attempt, failure))
+                self.assertEqual(len(scene.all(fx.Send)), 1)
+                refused = scene.last(fx.Refuse)
+                # 503 would promise that it has not run.
+                self.assertEqual(refused.status, 502)
+                self.assertIsNone(refused.retry_after_s)
+
+    def test_goes_on_where_it_surely_has_not_run(self) -> None:
+        scene = GatewayScene(A, B)
+        first = scene.ask('/submit/x')
+        scene.post(ev.SendFailed(first.attempt, Failure.NOT_CONNECTED))
+        second = scene.last(fx.Send)
+        self.assertNotEqual(first.endpoint, second.endpoint)
+        scene.post(
+            ev.AnswerArrived(second.attempt,
+                             head(503, not_run=True, sealed=False), b''))
+        # Both endpoints had it and neither ran it.
+        scene.advance(1.0)
+        third = scene.last(fx.Send)
+        self.assertEqual(len(scene.all(fx.Send)), 3)
+        scene.post(ev.AnswerArrived(third.attempt, head(), b'done'))
+        self.assertEqual(scene.last(fx.Reply).body, b'done')
+
+    def test_needs_a_new_connection(self) -> None:
+        self.assertTrue(GatewayScene(A).ask('/submit/x').fresh)
+        self.assertFalse(GatewayScene(A).ask('/view/x').fresh)
+
+    def test_runs_on_without_its_caller(self) -> None:
+        scene = GatewayScene(A)
+        scene.ask('/submit/x')
+        scene.post(ev.CallerLeft(scene.all(fx.Send)[0].request.id))
+        self.assertEqual(scene.all(fx.CancelSend), [])
+        self.assertEqual(scene.state.calls.calls, {})
+
+    def test_late_answer_is_delivered(self) -> None:
+        scene = GatewayScene(A)
+        send = scene.ask('/submit/x')
+        scene.advance(9.9)
+        scene.post(ev.AnswerArrived(send.attempt, head(), b'late'))
+        self.assertEqual(scene.last(fx.Reply).body, b'late')
+
+    def test_deadline_says_that_it_may_have_run(self) -> None:
+        scene = GatewayScene(A)
+        scene.ask('/submit/x', patience_s=2.0)
+        scene.advance(2.2)
+        self.assertEqual(scene.last(fx.Refuse).status, 504)
+
+
+class IdempotentTest(unittest.TestCase):
+    """A request that may be repeated."""
+
+    def test_tries_another_endpoint_after_a_failure(self) -> None:
+        scene = GatewayScene(A, B)
+        first = scene.ask('/view/x')
+        scene.post(ev.AnswerArrived(first.attempt, head(500), b'bad'))
+        second = scene.last(fx.Send)
+        self.assertNotEqual(first.endpoint, second.endpoint)
+        scene.post(ev.AnswerArrived(second.attempt, head(), b'good'))
+        self.assertEqual(scene.last(fx.Reply).body, b'good')
+
+    def test_passes_the_failure_on_when_nothing_better_comes(self) -> None:
+        scene = GatewayScene(A)
+        send = scene.ask('/view/x')
+        scene.post(ev.AnswerArrived(send.attempt, head(500), b'bad'))
+        reply = scene.last(fx.Reply)
+        self.assertEqual((reply.status, reply.body), (500, b'bad'))
+
+    def test_unsigned_success_is_not_passed_on(self) -> None:
+        scene = GatewayScene(A)
+        send = scene.ask('/submit/x')
+        scene.post(ev.AnswerArrived(send.attempt, head(sealed=False), b'?'))
+        self.assertEqual(scene.all(fx.Reply), [])
+        self.assertEqual(scene.last(fx.Refuse).status, 502)
+
+    def test_work_ends_when_its_caller_leaves(self) -> None:
+        scene = GatewayScene(A)
+        send = scene.ask('/view/x')
+        scene.post(ev.CallerLeft(send.request.id))
+        self.assertEqual(scene.last(fx.CancelSend).attempt, send.attempt)
+        scene.post(ev.AnswerArrived(send.attempt, head(), b'late'))
+        self.assertEqual(scene.all(fx.Reply), [])
+
+    def test_retries_stay_within_the_budget(self) -> None:
+        scene = GatewayScene(A, B)
+        for number in range(400):
+            send = scene.ask('/view/x', f'r{number}')
+            scene.post(ev.AnswerArrived(send.attempt, head(500), b''))
+            resend = scene.last(fx.Send)
+            if resend.attempt != send.attempt:
+                scene.post(ev.AnswerArrived(resend.attempt, head(500), b''))
+        again = len(scene.all(fx.Send)) - 400
+        bounds = scene.state.settings.bounds
+        self.assertGreater(again, 0)
+        self.assertLessEqual(again,
+                             bounds.retry_ratio * 400 + bounds.retry_slack / 8)
+
+
+class StreamTest(unittest.TestCase):
+    """Streams are passed on whole, each event once."""
+
+    def _begin(self, target: str) -> tuple[GatewayScene, fx.Send]:
+        scene = GatewayScene(endpoint('a'), endpoint('b'))
+        send = scene.ask(target)
+        scene.post(ev.StreamStarted(send.attempt, head()))
+        scene.post(ev.PiecesArrived(send.attempt, b'one', '1', '1'))
+        return scene, send
+
+    def test_resumes_at_another_endpoint(self) -> None:
+        scene, first = self._begin('/report/x')
+        scene.post(ev.SendFailed(first.attempt, Failure.BROKEN))
+        second = scene.last(fx.Send)
+        self.assertNotEqual(first.endpoint, second.endpoint)
+        self.assertEqual(second.last_event_id, '1')
+        scene.post(ev.StreamStarted(second.attempt, head()))
+        scene.post(ev.PiecesArrived(second.attempt, b'two', '2', '2'))
+        scene.post(ev.StreamEnded(second.attempt))
+        self.assertEqual([each.data for each in scene.all(fx.PassPieces)],
+                         [b'one', b'two'])
+        # The answer keeps the head of its first endpoint.
+        self.assertEqual(len(scene.all(fx.StartReply)), 1)
+        self.assertEqual(len(scene.all(fx.EndReply)), 1)
+
+    def test_is_broken_off_where_it_may_not_be_resumed(self) -> None:
+        scene, send = self._begin('/tag/x')
+        scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+        self.assertEqual(len(scene.all(fx.BreakReply)), 1)
+        self.assertEqual(scene.all(fx.EndReply), [])
+
+    def test_never_runs_on_more_endpoints_than_allowed(self) -> None:
+        scene = GatewayScene(endpoint('a'), endpoint('b'), endpoint('c'))
+        scene.ask('/report/x')
+        for _ in range(4):
+            send = scene.last(fx.Send)
+            scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+        self.assertEqual(len(scene.all(fx.Send)), 2)
+
+    def test_busy_engine_is_waited_for(self) -> None:
+        scene = GatewayScene(endpoint('a'), endpoint('b'))
+        send = scene.ask('/report/x')
+        scene.advance(1.4)
+        scene.state.endpoints[send.endpoint].heard_at = scene.now
+        scene.advance(2.0)
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+
+    def test_silent_engine_is_given_up(self) -> None:
+        scene = GatewayScene(endpoint('a'), endpoint('b'))
+        scene.ask('/report/x')
+        scene.advance(2.0)
+        self.assertEqual(len(scene.all(fx.Send)), 2)
+        self.assertEqual(len(scene.all(fx.CancelSend)), 1)
+
+
+class RefusalTest(unittest.TestCase):
+    """What can't be served is refused at once, with a time to come back."""
+
+    def test_without_endpoints(self) -> None:
+        scene = GatewayScene()
+        scene.ask('/view/x')
+        scene.advance(0.3)
+        refused = scene.last(fx.Refuse)
+        self.assertEqual(refused.status, 503)
+        self.assertIsNotNone(refused.retry_after_s)
+        self.assertEqual(scene.all(fx.Send), [])
+
+    def test_waits_for_an_endpoint_that_is_full_for_a_moment(self) -> None:
+        scene = GatewayScene(A)
+        first = scene.ask('/submit/x')
+        scene.post(
+            ev.AnswerArrived(first.attempt, head(503,
+                                                 not_run=True,
+                                                 sealed=False), b''))
+        self.assertEqual(scene.all(fx.Refuse), [])
+        scene.advance(0.3)
+        self.assertEqual(len(scene.all(fx.Send)), 2)
+
+    def test_request_that_breaks_endpoints_is_sent_no_more(self) -> None:
+        scene = GatewayScene(*(endpoint(name) for name in 'abcd'))
+        scene.ask('/report/x')
+        for _ in range(2):
+            scene.post(
+                ev.SendFailed(scene.last(fx.Send).attempt, Failure.BROKEN))
+        sends = len(scene.all(fx.Send))
+        refused = scene.ask('/report/x', 'again')
+        self.assertEqual(refused.status, 503)
+        self.assertEqual(len(scene.all(fx.Send)), sends)
+
+    def test_innocent_request_is_sent_after_another_broke_endpoints(
+            self) -> None:
+        scene = GatewayScene(*(endpoint(name) for name in 'abcd'))
+        scene.ask('/report/x')
+        for _ in range(2):
+            scene.post(
+                ev.SendFailed(scene.last(fx.Send).attempt, Failure.BROKEN))
+        scene.advance(5.0)
+        self.assertIsInstance(scene.ask('/report/y', 'other'), fx.Send)
+
+
+class EndpointNewsTest(unittest.TestCase):
+    """Endpoints that leave, lapse or are named by others."""
+
+    def test_leaving_endpoint_gets_nothing(self) -> None:
+        scene = GatewayScene(A, endpoint('b', LEDGER, FAR))
+        scene.read(View.REGISTRY, endpoint('a', LEDGER, draining=True))
+        # An entry from before, written late.
+        scene.read(View.REGISTRY, A)
+        for number in range(20):
+            self.assertEqual(scene.ask('/view/x', f'r{number}').endpoint, 'b')
+
+    def test_removed_endpoint_gets_nothing(self) -> None:
+        scene = GatewayScene(A)
+        scene.advance(10.0)
+        scene.read(View.REGISTRY, ev.Gone(A.id))
+        scene.ask('/view/x')
+        self.assertEqual(scene.all(fx.Send), [])
+
+    def test_lapsed_endpoint_may_come_back_after_an_outage(self) -> None:
+        scene = GatewayScene(A)
+        scene.post(ev.ViewFailed(View.REGISTRY, False, 'down'))
+        scene.advance(5.0)
+        scene.read(View.REGISTRY, ev.Gone(A.id))
+        self.assertIsInstance(scene.ask('/view/x'), fx.Send)
+        scene.advance(1.0)
+        scene.read(View.REGISTRY, A)
+        scene.advance(3.0)
+        scene.read(View.REGISTRY)
+        self.assertIn(A.id, scene.state.endpoints)
+
+    def test_lapsed_endpoint_that_stays_away_is_gone(self) -> None:
+        scene = GatewayScene(A)
+        scene.post(ev.ViewFailed(View.REGISTRY, False, 'down'))
+        scene.advance(5.0)
+        scene.read(View.REGISTRY, ev.Gone(A.id))
+        scene.advance(2.5)
+        scene.read(View.REGISTRY)
+        self.assertNotIn(A.id, scene.state.endpoints)
+
+    def test_endpoint_that_starts_again_under_its_id_is_new(self) -> None:
+        scene = GatewayScene(A)
+        scene.state.endpoints[A.id].failures = 5
+        scene.read(View.REGISTRY, endpoint('a', LEDGER, born_ms=7))
+        self.assertEqual(scene.state.endpoints[A.id].failures, 0)
+
+    def test_unreadable_record_changes_nothing(self) -> None:
+        scene = GatewayScene(A)
+        scene.read(View.REGISTRY, ev.Unreadable('a', 'no JSON'))
+        self.assertIsInstance(scene.ask('/view/x'), fx.Send)
+        self.assertIn('record_unreadable', [each.event for each in scene.lines])
--- /dev/null
+++ b/tests/test_gateway_placement.py
@@ -0,0 +1,301 @@
+"""Tests of where requests are placed, each by the load that it answers."""
+
+import unittest
+from collections import Counter
+from collections.abc import Callable
+
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway import peer_messages
+from plantainridge.gateway.events import KeptPart, Part, View
+from plantainridge.gateway.hints import HintHeard
+from plantainridge.gateway.peer_messages import Hint, OwnLoad, Reached
+from plantainridge.gateway.stores import StoreView
+from plantainridge.ids import EndpointId, Incarnation, ServiceId, VmId
+from tests.gateway_scene import (FAR, LEDGER, MODEL, GatewayScene, endpoint,
+                                 head)
+
+A = endpoint('a')
+B = endpoint('b')
+
+
+def prompt(context: str, own: str = 'own') -> tuple[Part, ...]:
+    """Returns a prompt that shares an opening and a context."""
+    return (Part('opening', 500), Part(context, 8_000), Part(own, 1_000))
+
+
+class SessionTest(unittest.TestCase):
+    """Contexts that return after a while, in light load."""
+
+    def test_returns_to_the_engine_that_read_it(self) -> None:
+        scene = GatewayScene(A, B)
+        for context in (f'c{number}' for number in range(20)):
+            engines = set()
+            for visit in range(3):
+                name = f'{context}-{visit}'
+                send = scene.ask('/report/x',
+                                 name,
+                                 parts=prompt(context, name),
+                                 prompt_tokens=9_500)
+                engines.add(send.endpoint)
+                scene.post(ev.StreamStarted(send.attempt, head()))
+                scene.post(ev.PiecesArrived(send.attempt, b'.', '1', '1'))
+                scene.post(ev.StreamEnded(send.attempt))
+                scene.advance(1.0)
+            self.assertEqual(len(engines), 1, context)
+
+    def test_two_vms_choose_alike_without_talking(self) -> None:
+        chosen = []
+        for vm in ('vm1', 'vm2'):
+            scene = GatewayScene(A, B, vm=vm)
+            chosen.append([
+                scene.ask('/report/x',
+                          f'r{number}',
+                          parts=prompt(f'c{number}'),
+                          prompt_tokens=9_500).endpoint for number in range(3)
+            ])
+        self.assertEqual(chosen[0], chosen[1])
+
+
+class BurstTest(unittest.TestCase):
+    """Many prompts at once: queues and memory fill."""
+
+    def test_large_prompts_do_not_overfill_one_engine(self) -> None:
+        scene = GatewayScene(A, B, endpoint('c', dc=FAR))
+        placed: Counter[str] = Counter()
+        for number in range(15):
+            send = scene.ask('/report/x',
+                             f'r{number}',
+                             parts=prompt('same', f'own{number}'),
+                             prompt_tokens=12_000)
+            placed[send.endpoint] += 1
+            # Read at once, so that only memory is taken.
+            scene.post(ev.StreamStarted(send.attempt, head()))
+            scene.post(ev.PiecesArrived(send.attempt, b'.', '1', '1'))
+        # An engine has memory for seven of them.
+        self.assertLessEqual(max(placed.values()), 7, placed)
+
+    def test_queue_of_a_peer_counts(self) -> None:
+        scene = GatewayScene(A, B)
+        parts = prompt('same')
+        home = scene.ask('/report/x', parts=parts, prompt_tokens=9_500)
+        scene.post(ev.CallerLeft(home.request.id))
+        loads = {home.endpoint: OwnLoad(60_000, 60_000, 6, 0.0)}
+        scene.post(HintHeard(Hint(VmId('vm2'), Incarnation('life'), 1, loads)))
+        moved = scene.ask('/report/x', 'r2', parts=parts, prompt_tokens=9_500)
+        self.assertNotEqual(moved.endpoint, home.endpoint)
+        # Without a word for a while it is not believed any more.
+        scene.post(ev.CallerLeft(moved.request.id))
+        scene.advance(2.0)
+        back = scene.ask('/report/x', 'r3', parts=parts, prompt_tokens=9_500)
+        self.assertEqual(back.endpoint, home.endpoint)
+
+    def test_plain_calls_spread_over_instances(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER), endpoint('b', LEDGER),
+                             endpoint('c', LEDGER, FAR))
+        placed = Counter(
+            scene.ask('/submit/x', f'r{number}').endpoint
+            for number in range(18))
+        self.assertLessEqual(max(placed.values()), 7, placed)
+
+    def test_light_load_stays_in_the_data_centre(self) -> None:
+        scene = GatewayScene(A, endpoint('c', dc=FAR))
+        for number in range(10):
+            send = scene.ask('/tag/x', f'r{number}')
+            self.assertEqual(send.endpoint, 'a')
+            scene.post(ev.StreamStarted(send.attempt, head()))
+            scene.post(ev.StreamEnded(send.attempt))
+
+
+class NewWeightsTest(unittest.TestCase):
+    """Engines change over to new weights while load goes on."""
+
+    def _scene(self) -> GatewayScene:
+        scene = GatewayScene(A, endpoint('b', versions={MODEL: 2}))
+        scene.advance(5.0)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        return scene
+
+    def test_older_weights_serve_until_the_bound_is_near(self) -> None:
+        scene = self._scene()
+        view = scene.state.endpoints[EndpointId('b')]
+        view.away_until = scene.now + 100.0
+        scene.now += 5.0
+        self.assertEqual(scene.ask('/report/x').endpoint, 'a')
+        scene.now += 4.0
+        sends = len(scene.all(fx.Send))
+        scene.ask('/report/x', 'r2')
+        self.assertEqual(len(scene.all(fx.Send)), sends)
+
+    def test_request_is_bound_to_the_engine_s_version(self) -> None:
+        scene = self._scene()
+        scene.state.endpoints[EndpointId('a')].away_until = scene.now + 9.0
+        send = scene.ask('/report/x')
+        self.assertEqual((send.endpoint, send.version), ('b', 2))
+        assert send.cache is not None
+        self.assertTrue(send.cache.salt.startswith('2.'))
+
+    def test_engine_that_changed_meanwhile_is_asked_again(self) -> None:
+        scene = GatewayScene(A)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        send = scene.ask('/report/x')
+        self.assertEqual(send.version, 1)
+        scene.post(
+            ev.AnswerArrived(send.attempt, head(421, not_run=True,
+                                                sealed=False), b''))
+        self.assertEqual(scene.last(fx.Send).version, 2)
+
+    def test_engines_that_change_over_are_spared_by_all(self) -> None:
+        scene = GatewayScene(A, B)
+        loads = {A.id: OwnLoad(0, 0, 0, 1.0)}
+        scene.post(HintHeard(Hint(VmId('vm2'), Incarnation('life'), 1, loads)))
+        for number in range(10):
+            send = scene.ask('/report/x', f'r{number}')
+            self.assertEqual(send.endpoint, 'b')
+            scene.post(ev.CallerLeft(send.request.id))
+        news = (Reached(A.id, MODEL, 2),)
+        scene.post(
+            HintHeard(
+                Hint(VmId('vm2'), Incarnation('life'), 2, loads, reached=news)))
+        view = scene.state.endpoints[A.id]
+        self.assertEqual(view.versions[MODEL], 2)
+        self.assertFalse(scene.state.hints.spared(view, scene.now + 0.01))
+
+
+class IsolationTest(unittest.TestCase):
+    """Teams and versions share no parts that they must not."""
+
+    def test_salts(self) -> None:
+        scene = GatewayScene(A)
+        shared = scene.ask('/report/x').cache
+        alone = scene.ask('/report/x', 'r2', key='other').cache
+        assert shared is not None and alone is not None
+        self.assertNotEqual(shared.salt, alone.salt)
+
+
+class StoredPartsTest(unittest.TestCase):
+    """Parts are fetched only where they are surely whole."""
+
+    def _scene(self) -> GatewayScene:
+        scene = GatewayScene(A)
+        scene.state.stores.clock_ms = 0.0
+        for name, store in scene.state.stores.views.items():
+            scene.post(ev.StoreListed(name, 1, 0, {}, {}))
+            self.assertIsInstance(store, StoreView)
+        return scene
+
+    def _keep(self, scene: GatewayScene, *parts: str) -> None:
+        salt = self._salt(scene)
+        kept = tuple((KeptPart(salt, part), 500) for part in parts)
+        store = next(iter(scene.state.stores.views))
+        scene.post(ev.StoreChanged(store, 1, 9, False, kept, 1.0))
+
+    def _salt(self, scene: GatewayScene) -> str:
+        send = scene.ask('/report/x', 'salt')
+        scene.post(ev.CallerLeft(send.request.id))
+        salt: str = send.cache.salt
+        return salt
+
+    def _plan(self, scene: GatewayScene) -> fx.CachePlan:
+        send = scene.ask('/report/x',
+                         'planned',
+                         parts=prompt('context'),
+                         prompt_tokens=9_500)
+        plan: fx.CachePlan = send.cache
+        return plan
+
+    def test_whole_parts_are_fetched_until_a_set_time(self) -> None:
+        scene = self._scene()
+        self._keep(scene, 'opening', 'context')
+        plan = self._plan(scene)
+        self.assertTrue(plan.fetch_from[0] and plan.fetch_from[1])
+        self.assertEqual(plan.fetch_from[2], '')
+        self.assertGreater(plan.fetch_until_ms, 0)
+
+    def test_new_parts_are_saved_but_never_a_request_s_own(self) -> None:
+        plan = self._plan(self._scene())
+        self.assertEqual(plan.fetch_from, ())
+        self.assertTrue(plan.save_to[0] and plan.save_to[1])
+        self.assertEqual(plan.save_to[2], '')
+
+    def test_nothing_is_fetched_behind_a_missing_part(self) -> None:
+        scene = self._scene()
+        self._keep(scene, 'context')
+        self.assertEqual(self._plan(scene).fetch_from, ())
+
+    def test_nothing_is_fetched_from_a_store_that_is_unsure(self) -> None:
+        store = ServiceId('store-a')
+        troubles: dict[str, Callable[[GatewayScene], object]] = {
+            'silent':
+                lambda scene: scene.advance(2.5),
+            'lost':
+                lambda scene: scene.post(ev.StoreMissed(store, 'down')),
+            'restarted':
+                lambda scene: scene.post(
+                    ev.StoreChanged(store, 2, 0, False, (), 1.0)),
+            'gap':
+                lambda scene: scene.post(
+                    ev.StoreChanged(store, 1, 20, True, (), 1.0)),
+            'freed':
+                lambda scene: scene.post(
+                    ev.StoreChanged(
+                        store, 1, 20, False,
+                        tuple((part, 0) for part in scene.state.stores.views[
+                            store].kept), 1.0)),
+        }
+        for name, trouble in troubles.items():
+            with self.subTest(name):
+                scene = self._scene()
+                self._keep(scene, 'opening', 'context')
+                trouble(scene)
+                self.assertEqual(self._plan(scene).fetch_from, ())
+
+    def test_opening_parts_lie_at_two_stores(self) -> None:
+        scene = self._scene()
+        self._keep(scene, 'opening')
+        first = next(iter(scene.state.stores.views.values()))
+        plan = self._plan(scene)
+        self.assertNotIn(plan.save_to[0], ('', first.terms.address))
+
+    def test_replaced_parts_are_freed_once_no_engine_uses_them(self) -> None:
+        scene = self._scene()
+        self._keep(scene, 'opening', 'context')
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.advance(5.0)
+        self.assertEqual(scene.all(fx.FreeParts), [])
+        scene.read(View.REGISTRY, endpoint('a', versions={MODEL: 2}))
+        scene.advance(1.0)
+        self.assertEqual(scene.all(fx.FreeParts), [])
+        scene.advance(6.0)
+        store = next(iter(scene.state.stores.views))
+        scene.post(ev.StoreChanged(store, 1, 9, False, (), 1.0))
+        scene.advance(1.0)
+        freed = scene.last(fx.FreeParts)
+        self.assertEqual({part.id for part in freed.parts},
+                         {'opening', 'context'})
+
+
+class PeerMessageTest(unittest.TestCase):
+    """Messages between VMs."""
+
+    def test_come_back_as_they_were(self) -> None:
+        part = KeptPart('1.s', 'p')
+        messages: list[peer_messages.PeerMessage] = [
+            Hint(VmId('vm'), Incarnation('l'), 7, {A.id: OwnLoad(1, 2, 3, 0.5)},
+                 (('f', A.id),), (Reached(A.id, MODEL, 2),), True),
+            peer_messages.RelayedView(
+                VmId('vm'), 'registry', 3, 5,
+                (ev.RawRecord('k', b'v'), ev.RawRecord('gone', None))),
+            peer_messages.RelayedStore(
+                VmId('vm'),
+                list(GatewayScene().state.stores.views)[0], 4, 5, 6, True,
+                False, ((part, 9),), 1.5),
+        ]
+        for message in messages:
+            encoded = peer_messages.encode(message)
+            self.assertEqual(peer_messages.decode(encoded), message)
+
+    def test_noise_is_unreadable(self) -> None:
+        for noise in (b'', b'\xff' * 40):
+            self.assertIsInstance(peer_messages.decode(noise),
+                                  peer_messages.UnreadableMessage)
