Test the gateway's HTTP and the platform's formats

Found by it: a request that h11 cannot write left its caller waiting until the deadline; it now counts as not sent. A stream to an HTTP/1.0 caller that was broken off ended like a whole one; its connection is reset.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -79,11 +79,18 @@
         headers = list(raw.headers)
         if raw.body or raw.method not in (b'GET', b'HEAD', b'DELETE'):
             headers.append((b'content-length', str(len(raw.body)).encode()))
-        data = self.http.send(
-            h11.Request(method=raw.method, target=raw.target, headers=headers))
-        if raw.body:
-            data += self.http.send(h11.Data(data=raw.body)) or b''
-        data += self.http.send(h11.EndOfMessage()) or b''
+        try:
+            data = self.http.send(
+                h11.Request(method=raw.method,
+                            target=raw.target,
+                            headers=headers))
+            if raw.body:
+                data += self.http.send(h11.Data(data=raw.body)) or b''
+            data += self.http.send(h11.EndOfMessage()) or b''
+        except h11.LocalProtocolError:
+            # Nothing was sent.
+            self._fail(Failure.NOT_CONNECTED)
+            return
         self.transport.write(data)
 
     def abort(self) -> None:
--- a/src/plantainridge/gateway/http_server.py
+++ b/src/plantainridge/gateway/http_server.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import socket
+import struct
 from collections.abc import Callable
 from typing import Final
 
@@ -30,6 +32,8 @@
 MAX_BEHIND_BYTES: Final = 64 * 1_024
 # How long a caller may leave sent bytes unacknowledged, in ms.
 UNACKNOWLEDGED_MS: Final = 10_000
+# Lingers for no time: closing resets the connection.
+RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 # How long bytes behind a refused head are read and dropped, in s.
 DISCARD_S: Final = 0.5
 PAGE_HEADERS: Final[Headers] = ((b'content-type',
@@ -330,8 +334,15 @@
     def abort(self) -> None:
         """Resets the connection."""
         self.request = None
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if self.head is not None and self.head.http_version == b'1.0':
+            # An answer without chunks would end like a whole one.
+            sock: socket.socket = self.transport.get_extra_info('socket')
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                RESET_ON_CLOSE)
+        self.transport.abort()
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is being read or served."""
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -24,7 +24,7 @@
 MODEL = ModelId('m')
 TEAM = config.Team(TeamId('team'), frozenset({'key'}), priority=0)
 ISOLATED = config.Team(TeamId('alone'), frozenset({'other'}), isolated=True)
-HEADERS = ((b'content-type', b'text/plain'),)
+HEADERS = ((b'host', b'host'), (b'content-type', b'text/plain'))
 
 
 def route(prefix: str, kind: RequestKind, service: ServiceId,
--- /dev/null
+++ b/tests/test_gateway_http.py
@@ -0,0 +1,324 @@
+"""Tests of the gateway's HTTP on loopback: framing, whole answers, ends."""
+
+import asyncio
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+
+from plantainridge.events import Event
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.config import CallerLimits
+from plantainridge.gateway.events import Failure
+from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.http_server import RESET_ON_CLOSE, HttpServer
+from plantainridge.gateway.sending import EndpointSender
+from plantainridge.gateway.streams import EventSplitter
+from plantainridge.ids import AttemptId, EndpointId, TeamId
+from plantainridge.platform.requests import PlatformWire
+from plantainridge.tasks import Tasks
+from tests.gateway_scene import request
+
+HOST = '127.0.0.1'
+HEAD = (b'POST /submit/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: 7\r\n')
+SEALED = b'X-Attempt-Id: caller-r1\r\nX-Response-Seal: s\r\n'
+
+
+class Caller:
+    """A caller's connection to a server whose events are kept."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+        self.server = HttpServer(PlatformWire(), self.events.append)
+
+    async def connect(self) -> None:
+        """Starts the server and connects."""
+        address = await self.server.start(HOST, 0)
+        self.reader, self.writer = await asyncio.open_connection(
+            HOST, int(address.rpartition(':')[2]))
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes and lets the server read them."""
+        self.writer.write(data)
+        await asyncio.sleep(0.05)
+
+    async def answer(self) -> bytes:
+        """Returns what came back."""
+        return await asyncio.wait_for(self.reader.read(65_536), 2.0)
+
+    def requests(self) -> list[ev.Request]:
+        """Returns the requests that were read whole."""
+        return [
+            each.request
+            for each in self.events
+            if isinstance(each, ev.RequestArrived)
+        ]
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """What callers may send."""
+
+    async def test_ambiguous_framing_is_refused_and_closed(self) -> None:
+        smuggled = b'0\r\n\r\nGET /view/x HTTP/1.1\r\nHost: host\r\n\r\n'
+        cases = {
+            'length and chunked':
+                HEAD +
+                b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n' +
+                smuggled,
+            'two lengths':
+                HEAD + b'Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef',
+            'two equal lengths':
+                HEAD + b'Content-Length: 1\r\nContent-Length: 1\r\n\r\na',
+            'bare newline':
+                HEAD + b'X-A: b\nContent-Length: 0\r\n\r\n',
+            'space before the colon':
+                HEAD + b'Content-Length : 0\r\n\r\n',
+            'no host':
+                b'GET / HTTP/1.1\r\nX-Attempt-Id: 7\r\n\r\n',
+            'coded twice':
+                HEAD + b'Transfer-Encoding: chunked\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n' + smuggled,
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                caller = Caller()
+                await caller.connect()
+                await caller.send(data)
+                answer = await caller.answer()
+                self.assertIn(answer[:13], (b'HTTP/1.1 400 ', b'HTTP/1.1 501 '))
+                self.assertIn(b'connection: close', answer.lower())
+                self.assertEqual(caller.requests(), [])
+
+    async def test_limits(self) -> None:
+        caller = Caller()
+        caller.server.limits = CallerLimits(head_bytes=200,
+                                            body_bytes=10,
+                                            head_timeout_s=0.1)
+        await caller.connect()
+        await caller.send(HEAD + b'X-A: ' + b'a' * 300)
+        self.assertTrue((await caller.answer()).startswith(b'HTTP/1.1 431'))
+        await caller.connect()
+        await caller.send(HEAD + b'Content-Length: 11\r\n\r\n12345678901')
+        self.assertTrue((await caller.answer()).startswith(b'HTTP/1.1 413'))
+        await caller.connect()
+        await caller.send(HEAD)
+        self.assertTrue((await caller.answer()).startswith(b'HTTP/1.1 408'))
+
+    async def test_reads_bodies_by_length_and_in_chunks(self) -> None:
+        for body in (
+                b'Content-Length: 3\r\n\r\nabc',
+                b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'):
+            caller = Caller()
+            await caller.connect()
+            await caller.send(HEAD + body)
+            self.assertEqual(caller.requests()[0].body, b'abc')
+
+    async def test_kept_connection_serves_one_after_the_other(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        await caller.send((HEAD + b'Content-Length: 0\r\n\r\n') * 2)
+        self.assertEqual(len(caller.requests()), 1)
+        for count in (1, 2):
+            name = caller.requests()[-1].id
+            caller.server.reply(fx.Reply(name, 200, (), b'ok'))
+            self.assertTrue((await caller.answer()).endswith(b'ok'))
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(caller.requests()), 2, count)
+
+    async def test_caller_that_leaves_is_noticed(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        caller.writer.close()
+        await asyncio.sleep(0.05)
+        self.assertIsInstance(caller.events[-1], ev.CallerLeft)
+
+    async def test_broken_stream_does_not_look_whole(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        name = caller.requests()[0].id
+        caller.server.start_reply(fx.StartReply(name, 200, ()))
+        caller.server.pass_pieces(fx.PassPieces(name, b'id: 1\n\n'))
+        await asyncio.sleep(0.05)
+        caller.server.break_reply(fx.BreakReply(name))
+        got = await asyncio.wait_for(caller.reader.read(), 2.0)
+        self.assertIn(b'id: 1', got)
+        self.assertFalse(got.endswith(b'0\r\n\r\n'))
+
+    async def test_broken_stream_without_chunks_is_reset(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        await caller.send(HEAD.replace(b'1.1', b'1.0') + b'\r\n')
+        name = caller.requests()[0].id
+        caller.server.start_reply(fx.StartReply(name, 200, ()))
+        await asyncio.sleep(0.05)
+        caller.server.break_reply(fx.BreakReply(name))
+        with self.assertRaises(ConnectionResetError):
+            while await asyncio.wait_for(caller.reader.read(65_536), 2.0):
+                pass
+
+    async def test_stop_closes_after_the_answer(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        caller.server.closing = True
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        caller.server.reply(fx.Reply(caller.requests()[0].id, 200, (), b'ok'))
+        answer = await caller.answer()
+        self.assertIn(b'connection: close', answer.lower())
+        self.assertTrue(answer.endswith(b'ok'))
+
+    async def test_headers_of_the_system_are_dropped(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        forged = b''.join(
+            name + b': forged\r\n'
+            for name in (b'X-Tenant', b'X-Cache-Salt', b'X-Hold', b'Kv-From',
+                         b'X-Expected-Instance', b'X-Request-Urgency',
+                         b'X-Pin-Milliseconds', b'X-Cache-Fetch-From',
+                         b'X-Cache-Save-To', b'X-Cache-Backup'))
+        await caller.send(HEAD + forged + b'X-Own: kept\r\nContent-Length: 0'
+                          b'\r\nAuthorization: Bearer key\r\n\r\n')
+        kept = dict(caller.requests()[0].headers)
+        self.assertEqual(kept[b'x-own'], b'kept')
+        self.assertNotIn(b'forged', kept.values())
+        self.assertNotIn(b'authorization', kept)
+        self.assertEqual(caller.requests()[0].key, 'key')
+
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def answering(data: bytes, reset: bool = False) -> Serve:
+    """Returns an endpoint that answers each request with the same bytes."""
+
+    async def serve(reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter) -> None:
+        while await reader.read(65_536):
+            writer.write(data)
+            await writer.drain()
+            if reset:
+                await asyncio.sleep(0.05)
+                sock = writer.get_extra_info('socket')
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                RESET_ON_CLOSE)
+                writer.transport.abort()
+                return
+
+    return serve
+
+
+class SenderTest(unittest.IsolatedAsyncioTestCase):
+    """What endpoints may answer."""
+
+    async def _send(self,
+                    serve: Serve,
+                    count: int = 1,
+                    stream: bool = False) -> list[Event]:
+        """Sends requests one after the other; returns what became of them."""
+        server = await asyncio.start_server(serve, HOST, 0)
+        address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        events: list[Event] = []
+        pool = Pool()
+        sender = EndpointSender(PlatformWire(), pool, Tasks(), events.append)
+        for number in range(count):
+            sender.send(
+                fx.Send(AttemptId(f'r1.{number}'), request('/submit/x'),
+                        EndpointId('e'), address, stream, False, 5.0,
+                        TeamId('team')))
+            await asyncio.sleep(0.15)
+        pool.drop(address)
+        await asyncio.sleep(0.05)
+        server.close()
+        return events
+
+    async def test_whole_answer(self) -> None:
+        data = (b'HTTP/1.1 200 OK\r\n' + SEALED +
+                b'Content-Length: 2\r\n\r\nok')
+        answer, = await self._send(answering(data))
+        assert isinstance(answer, ev.AnswerArrived)
+        self.assertEqual((answer.head.sealed, answer.body), (True, b'ok'))
+
+    async def test_bytes_behind_an_answer_belong_to_nobody(self) -> None:
+        one = (b'HTTP/1.1 200 OK\r\n' + SEALED + b'Content-Length: 2\r\n\r\nok')
+        events = await self._send(answering(one + one.replace(b'ok', b'no')), 2)
+        bodies = [
+            each.body for each in events if isinstance(each, ev.AnswerArrived)
+        ]
+        self.assertEqual(bodies, [b'ok', b'ok'])
+
+    async def test_answer_to_another_request_is_dropped(self) -> None:
+        data = (b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n'
+                b'X-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok')
+        self.assertEqual(await self._send(answering(data)),
+                         [ev.SendFailed(AttemptId('r1.0'), Failure.MALFORMED)])
+
+    async def test_answers_that_are_not_whole(self) -> None:
+        ok = b'HTTP/1.1 200 OK\r\n' + SEALED
+        cases = {
+            'cut short':
+                ok + b'Content-Length: 9\r\n\r\nok',
+            'no length, then a reset':
+                ok + b'\r\nok',
+            'chunks without an end':
+                ok + b'Transfer-Encoding: chunked\r\n\r\n'
+                b'2\r\nok\r\n',
+            'nothing':
+                b'',
+            'no HTTP':
+                b'hello\r\n\r\n',
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                event, = await self._send(answering(data, reset=True))
+                self.assertIsInstance(event, ev.SendFailed)
+
+    async def test_no_length_ends_with_the_connection(self) -> None:
+
+        async def serve(reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+            await reader.read(65_536)
+            writer.write(b'HTTP/1.1 200 OK\r\n' + SEALED + b'\r\nok')
+            writer.close()
+
+        answer, = await self._send(serve)
+        assert isinstance(answer, ev.AnswerArrived)
+        self.assertEqual(answer.body, b'ok')
+
+    async def test_stream_that_ends_within_an_event_is_not_whole(self) -> None:
+        start = (b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n' +
+                 SEALED + b'Transfer-Encoding: chunked\r\n\r\n')
+        body = b'id: 1\ndata: a\n\nid: 2\nda'
+        chunk = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+        events = await self._send(answering(start + chunk), stream=True)
+        self.assertEqual([type(each) for each in events],
+                         [ev.StreamStarted, ev.PiecesArrived, ev.SendFailed])
+
+    async def test_refused_connection_is_surely_not_run(self) -> None:
+        events: list[Event] = []
+        sender = EndpointSender(PlatformWire(), Pool(), Tasks(), events.append)
+        sender.send(
+            fx.Send(AttemptId('r1.0'), request('/submit/x'), EndpointId('e'),
+                    f'{HOST}:1', False, True, 5.0, None))
+        await asyncio.sleep(0.1)
+        self.assertEqual(
+            events, [ev.SendFailed(AttemptId('r1.0'), Failure.NOT_CONNECTED)])
+
+
+class SplitterTest(unittest.TestCase):
+    """Streams are cut between events, wherever the bytes are cut."""
+
+    def test_any_cut_gives_the_same_events(self) -> None:
+        stream = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n'
+        for cut in range(len(stream)):
+            splitter = EventSplitter()
+            found = [splitter.feed(stream[:cut]), splitter.feed(stream[cut:])]
+            data = b''.join(each.data for each in found if each is not None)
+            self.assertEqual(data, stream)
+            self.assertEqual(splitter.rest, b'')
+
+    def test_events_that_the_caller_has_are_left_out(self) -> None:
+        splitter = EventSplitter('2')
+        pieces = splitter.feed(b'id: 1\n\nid: 2\n\nid: 3\ndata: c\n\n')
+        assert pieces is not None
+        self.assertEqual(pieces.data, b'id: 3\ndata: c\n\n')
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,220 @@
+"""Tests of the platform's names and formats."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+from typing import Any
+
+from plantainridge.gateway.config import Configuration, RequestKind
+from plantainridge.gateway.endpoints import EndpointEntry
+from plantainridge.gateway.events import (Gone, KeptPart, LeaseRecord,
+                                          NamedVersion, RawRecord, Unreadable,
+                                          View)
+from plantainridge.gateway.settings import GatewaySettings, SettingsFault
+from plantainridge.ids import Incarnation, ServiceId, VmId
+from plantainridge.platform import kv_records, records, settings
+from plantainridge.platform.fields import FieldFault
+
+ROUTE = {
+    'name': 'r',
+    'host': 'h.example',
+    'path-prefix': '/a/',
+    'kind': 'streaming',
+    'timeout-ms': 15_000,
+    'target-latency-ms': 1_000,
+    'target-gap-ms': 300,
+    'traffic-split': [{
+        'service': 's',
+        'weight': 90
+    }, {
+        'service': 't',
+        'weight': 10
+    }],
+    'attempts': 2,
+    'resumable': True
+}
+STORE = {
+    'name': 'kv',
+    'cache-store-address': '10.0.0.9:1',
+    'zone': 'z',
+    'cache-capacity-tokens': 100,
+    'managed': True,
+    'first_ms': 0.5
+}
+CONFIG = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [STORE, {
+        'name': 's'
+    }],
+    'limits': {
+        'max-header-bytes': 99
+    },
+    'tenants': [{
+        'name': 'team',
+        'api-keys': ['k'],
+        'isolated': True
+    }]
+}
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'slots': 64,
+    'state': 'ready',
+    'models': [{
+        'name': 'm',
+        'version': 3
+    }],
+    'sequence': 4
+}
+
+
+def record(key: str, value: Any) -> RawRecord:
+    """Returns a record of a JSON value."""
+    return RawRecord(key, json.dumps(value).encode())
+
+
+class RecordTest(unittest.TestCase):
+    """Records of the metadata store."""
+
+    def test_log_bytes(self) -> None:
+        first = records.encode_keyed('a', b'1')
+        dropped = b'\0\0\0\2\1b'
+        data = (12).to_bytes(8, 'big') + (3).to_bytes(8, 'big')
+        page = records.decode_log(data + first + dropped, 10)
+        self.assertEqual(page.next, 12)
+        self.assertEqual(page.records,
+                         (RawRecord('a', b'1'), RawRecord('b', None)))
+        with self.assertRaises(FieldFault):
+            records.decode_log(data + first[:-1], 10)
+
+    def test_configuration(self) -> None:
+        found = records.decode_news(View.OPERATOR, record('config', CONFIG))
+        assert isinstance(found, Configuration)
+        route = found.route('h.example:80', '/a/b?c')
+        assert route is not None
+        self.assertEqual((route.kind, route.timeout_s, route.gap_s),
+                         (RequestKind.STREAM, 15.0, 0.3))
+        self.assertEqual([each.weight for each in route.shares], [90.0, 10.0])
+        self.assertTrue(found.by_key['k'].isolated)
+        store = found.services[ServiceId('kv')].store
+        assert store is not None
+        self.assertEqual((store.setup_s, store.manual), (0.0005, True))
+
+    def test_versions_and_endpoints(self) -> None:
+        named = records.decode_news(
+            View.OPERATOR, record('version/m', {
+                'model': 'm',
+                'version': 2
+            }))
+        self.assertEqual(named, NamedVersion('m', 2))  # type: ignore[arg-type]
+        entry = records.decode_news(View.REGISTRY, record('i-1', ENTRY))
+        assert isinstance(entry, EndpointEntry)
+        self.assertEqual(entry.versions, {'m': 3})
+        gone = records.decode_news(View.REGISTRY, RawRecord('i-1', None))
+        self.assertIsInstance(gone, Gone)
+
+    def test_entries_of_other_writers_name_nothing(self) -> None:
+        wrong: dict[str, Any] = {
+            'state': 'sleeping',
+            'address': 'nowhere',
+            'slots': 'many',
+            'service': None,
+            'zone': 4,
+            'models': 'none',
+        }
+        for field, value in wrong.items():
+            with self.subTest(field):
+                found = records.decode_news(
+                    View.REGISTRY, record('i-1', {
+                        **ENTRY, field: value
+                    }))
+                self.assertIsInstance(found, Unreadable)
+        for data in (b'\xff\xfe', b'[]', b'null', b'{', b'7'):
+            for view in (View.REGISTRY, View.OPERATOR, View.VMS):
+                found = records.decode_news(view, RawRecord('config', data))
+                self.assertIsInstance(found, Unreadable, (view, data))
+
+    def test_lease(self) -> None:
+        lease = LeaseRecord(VmId('vm'), Incarnation('life'), 9)
+        encoded = RawRecord('orders', records.encode_lease(lease))
+        self.assertEqual(records.decode_lease(encoded), lease)
+
+    def test_store_contents(self) -> None:
+        store = ServiceId('kv')
+        listed = kv_records.decode_listing(
+            store, {
+                'epoch': 1,
+                'next': 5,
+                'held': [['s', 'p', 800, 'm']],
+                'partial': [['s', 'q', 10, 400]]
+            })
+        self.assertEqual(listed.kept, {KeptPart('s', 'p'): 800})
+        self.assertEqual(listed.partial, {KeptPart('s', 'q'): 400})
+        changed = kv_records.decode_changes(
+            store, {
+                'epoch':
+                    1,
+                'next':
+                    7,
+                'lost':
+                    False,
+                'clock_ms':
+                    12,
+                'events': [[5, '+', 's', 'q', 400, 'm'],
+                           [6, '-', 's', 'p', 0, 'm']]
+            })
+        self.assertEqual([tokens for _, tokens in changed.kept], [400, 0])
+        for data in (None, {}, {'epoch': 1, 'next': 2, 'events': [['x']]}):
+            with self.assertRaises(FieldFault):
+                kv_records.decode_changes(store, data)
+
+
+SETTINGS = '''
+node-name = "front-1"
+zone = "z"
+ip-address = "10.0.0.1"
+internal-port-range = [7580, 7595]
+heartbeat-interval-ms = 1200
+unknown-field = 1
+[listen-addresses]
+frontend = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+[platform]
+address = "10.0.0.9:82"
+[bounds]
+drain-ms = 3000
+'''
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file of a process."""
+
+    def _read(self, text: str) -> GatewaySettings | SettingsFault:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'boot.toml'
+            path.write_text(text)
+            return settings.read(str(path))
+
+    def test_good_file(self) -> None:
+        found = self._read(SETTINGS)
+        assert isinstance(found, GatewaySettings)
+        self.assertEqual(found.callers_address, '10.0.0.1:80')
+        self.assertEqual(found.bounds.drain_s, 3.0)
+        self.assertEqual(found.bounds.grace_s, 8.0)
+
+    def test_bad_files_name_the_field_and_what_is_allowed(self) -> None:
+        cases = {
+            'ip-address': ('"10.0.0.1"\n', '7\n'),
+            'internal-port-range': ('[7580, 7595]', '[7580]'),
+            'readiness': ('10.0.0.1:81', 'nowhere'),
+        }
+        for field, (good, bad) in cases.items():
+            with self.subTest(field):
+                fault = self._read(SETTINGS.replace(good, bad, 1))
+                assert isinstance(fault, SettingsFault)
+                self.assertEqual(fault.field, field)
+                self.assertIn('allowed:', str(fault))
+        self.assertIsInstance(self._read('='), SettingsFault)
