Play the gateway against a small platform; explain a request from logs

A stand-in of the metadata store, of engines and of plain instances on loopback; the whole path, resumption, orders, an outage of the store and true refusals run over sockets. 'plantainridge explain' prints a request's story out of the logs of several VMs, or counts reasons; failures are always logged.

--- a/src/plantainridge/cli.py
+++ b/src/plantainridge/cli.py
@@ -12,6 +12,8 @@
                            settings, sheet_cli)
 from plantainridge.callers import BODY_TIMEOUT_S, MAX_BODY_BYTES, Limits
 from plantainridge.entry import EntryPart, EntrySettings
+from plantainridge.gateway import explain
+from plantainridge.platform import adapter
 from plantainridge.standins.commands import standin
 
 
@@ -109,4 +111,6 @@
 
 
 main.add_command(matrix.matrix)
+main.add_command(explain.main)
+main.add_command(adapter.main)
 main.add_command(sheet_cli.commands)
--- a/src/plantainridge/gateway/journal.py
+++ b/src/plantainridge/gateway/journal.py
@@ -13,6 +13,7 @@
 MAX_LINES_PER_S: Final = 400
 # Bytes kept for a reader that is slow; further lines are counted and left out.
 MAX_KEPT_BYTES: Final = 512 * 1_024
+STATUS_OK: Final = 200
 _FLUSH_BYTES: Final = 16 * 1_024
 
 
@@ -39,7 +40,8 @@
         if int(at) != self._second:
             self._second, self._lines = int(at), 0
         self._lines += 1
-        if (self._lines > MAX_LINES_PER_S or len(self._kept) > MAX_KEPT_BYTES):
+        over = self._lines > MAX_LINES_PER_S and not _tells_failure(line)
+        if over or len(self._kept) > MAX_KEPT_BYTES:
             self.left_out += 1
             return
         if self.left_out:
@@ -67,3 +69,11 @@
         record.update(line.fields)
         self._kept += json.dumps(record, separators=(',', ':')).encode()
         self._kept += b'\n'
+
+
+def _tells_failure(line: LogLine) -> bool:
+    """Whether a line tells of a request that failed or was refused."""
+    if line.event in ('request_refused', 'send_failed'):
+        return True
+    status = dict(line.fields).get('status', 0)
+    return line.event == 'request_ended' and status != STATUS_OK
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -50,12 +50,16 @@
         exited: Set once every request was answered after a stop.
     """
 
-    def __init__(self, settings: GatewaySettings, adapter: Adapter) -> None:
+    def __init__(self,
+                 settings: GatewaySettings,
+                 adapter: Adapter,
+                 journal: Journal | None = None) -> None:
         """Prepares a process.
 
         Args:
             settings: Where it listens and whom it asks.
             adapter: Translates to and from the outside.
+            journal: Where log lines go; standard output by default.
         """
         super().__init__()
         life = Incarnation(uuid.uuid4().hex)
@@ -65,7 +69,7 @@
         self.tasks = Tasks()
         self.pool = Pool()
         self.metrics = Metrics()
-        self.journal = Journal(settings.vm)
+        self.journal = journal or Journal(settings.vm)
         self.exited = asyncio.Event()
         self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
         self.callers = HttpServer(adapter.wire, self.post)
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -87,12 +87,12 @@
 
 def request(target: str, name: str = 'r1', **given: Any) -> ev.Request:
     """Returns a request of the team's."""
-    terms: dict[str, Any] = {'key': 'key', 'patience_s': 10.0}
+    terms: dict[str, Any] = {'key': 'key', 'patience_s': 10.0, 'body': b''}
     if target.startswith(('/report', '/tag')):
         terms.update(model=MODEL, prompt_tokens=1_000, output_tokens=50)
     terms.update(given)
     return ev.Request(RequestId(name), f'caller-{name}', 'POST', 'host', target,
-                      HEADERS, b'', **terms)
+                      HEADERS, **terms)
 
 
 def settings(vm: str = 'vm1') -> GatewaySettings:
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,207 @@
+"""Plays the gateway against a small platform, over sockets."""
+
+import asyncio
+import logging
+import os
+import socket
+import unittest
+from typing import Any
+
+from plantainridge.gateway.calls import NoReply, Reply, call
+from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.journal import Journal
+from plantainridge.gateway.process import Gateway
+from plantainridge.gateway.settings import Bounds, GatewaySettings
+from plantainridge.ids import DcId, VmId
+from plantainridge.platform import names
+from plantainridge.platform.adapter import PlatformAdapter
+from plantainridge.standins.platform_site import (HOST, StandinEndpoint,
+                                                  StandinStore)
+
+
+def free_port() -> int:
+    """Returns a port that is free now."""
+    with socket.socket() as found:
+        found.bind((HOST, 0))
+        port: int = found.getsockname()[1]
+        return port
+
+
+def route(prefix: str, kind: str, service: str, **given: Any) -> Any:
+    """Returns a route as operators write it."""
+    return {
+        'name': prefix,
+        'host': 'h',
+        'path-prefix': prefix,
+        'kind': kind,
+        'timeout-ms': 3_000,
+        'target-latency-ms': 500,
+        'service': service,
+        'attempts': 2,
+        **given
+    }
+
+
+CONFIG = {
+    'version': 1,
+    'routes': [
+        route('/report/',
+              'streaming',
+              'llm',
+              resumable=True,
+              **{'target-gap-ms': 100}),
+        route('/submit/', 'unsafe', 'app')
+    ],
+    'services': [{
+        'name': 'llm',
+        'engine': {
+            'slots': 6,
+            'cache-capacity-tokens': 9_999,
+            'models': [{
+                'name': 'm'
+            }]
+        }
+    }, {
+        'name': 'app'
+    }],
+    'tenants': [{
+        'name': 'team',
+        'api-keys': ['key']
+    }]
+}
+
+
+class PlatformPathTest(unittest.IsolatedAsyncioTestCase):
+    """One VM before two engines and one plain instance."""
+
+    async def asyncSetUp(self) -> None:
+        # Streams that break off on demand are logged by the server.
+        logging.disable(logging.CRITICAL)
+        self.store = StandinStore()
+        self.engines = [StandinEndpoint(f'e{at}', 'llm', 1) for at in (1, 2)]
+        self.app = StandinEndpoint('a1', 'app')
+        self.all = [*self.engines, self.app]
+        self.servers = [self.store.server, *(each.server for each in self.all)]
+        for server in self.servers:
+            await server.start()
+        self.store.put(names.OPERATOR_TOPIC, 'config', CONFIG)
+        for each in self.all:
+            self.store.put(names.REGISTRY_TOPIC, each.name, each.entry())
+        ports = [free_port() for _ in range(4)]
+        settings = GatewaySettings(VmId('vm'), DcId('z'), HOST,
+                                   f'{HOST}:{ports[0]}', f'{HOST}:{ports[1]}',
+                                   ports[2], ports[3],
+                                   self.store.server.address, 1.2,
+                                   Bounds(lease_s=0.2))
+        self.log = os.open(os.devnull, os.O_WRONLY)
+        self.gateway = Gateway(settings, PlatformAdapter(),
+                               Journal('vm', self.log))
+        self.pool = Pool()
+        self.address = settings.callers_address
+        await self.gateway.serve()
+        for _ in range(100):
+            if self.gateway.state.ready:
+                break
+            await asyncio.sleep(0.02)
+
+    async def asyncTearDown(self) -> None:
+        self.gateway.halt()
+        await self.gateway.tasks.cancel()
+        self.pool.drop(self.address)
+        for server in self.servers:
+            await server.kill()
+        os.close(self.log)
+        logging.disable(logging.NOTSET)
+
+    async def _ask(self,
+                   target: str,
+                   attempt: str,
+                   key: str = 'key') -> Reply | NoReply:
+        headers = [(b'host', b'h'), (names.ATTEMPT_ID, attempt.encode()),
+                   (names.DEADLINE, b'3000'),
+                   (names.AUTHORIZATION, f'Bearer {key}'.encode())]
+        if target.startswith('/report'):
+            headers += [(names.MODEL, b'm'), (names.TOKEN_USAGE, b'10,5')]
+        return await call(self.pool, self.address, 'POST', target, 3.0, b'body',
+                          tuple(headers[1:]))
+
+    async def _served(self, target: str, attempt: str) -> bytes:
+        reply = await self._ask(target, attempt)
+        assert isinstance(reply, Reply), reply
+        self.assertEqual(reply.status, 200, reply.body)
+        return reply.body
+
+    def _configure(self, **given: Any) -> None:
+        host = self.address
+        routes = [{
+            **each, 'host': host
+        } for each in CONFIG['routes']]  # type: ignore[attr-defined]
+        self.store.put(names.OPERATOR_TOPIC, 'config', {
+            **CONFIG, 'routes': routes,
+            **given
+        })
+
+    async def test_whole_path(self) -> None:
+        self._configure(version=2)
+        await asyncio.sleep(0.2)
+        self.assertEqual(await self._served('/submit/x', 'one'), b'done by a1')
+        seen = self.app.seen[0]
+        self.assertEqual(seen[names.TEAM.decode()], 'team')
+        self.assertEqual(seen[names.EXPECTED_INSTANCE.decode()], 'a1')
+        self.assertLessEqual(int(seen[names.DEADLINE.decode()]), 3_000)
+        self.assertNotIn('authorization', seen)
+        stream = await self._served('/report/x', 'two')
+        self.assertEqual(stream.count(b'data: t'), 5)
+
+    async def test_stream_is_resumed_where_an_engine_broke_off(self) -> None:
+        self._configure(version=2)
+        await asyncio.sleep(0.2)
+        for engine in self.engines:
+            engine.cut_after = 3
+        self.engines[0].cut_after = 2
+        stream = await self._ask('/report/x', 'two')
+        runs = [run for each in self.engines for run in each.runs]
+        self.assertEqual(runs, ['two', 'two'])
+        # Both broke off: the answer must not look whole.
+        self.assertIsInstance(stream, NoReply)
+        for engine in self.engines:
+            engine.cut_after = 0
+        self.engines[0].cut_after = self.engines[1].cut_after = 0
+        self.engines[0].events = self.engines[1].events = 6
+        whole = await self._served('/report/y', 'three')
+        self.assertEqual(
+            [f'data: t{at}\n'.encode() in whole for at in range(1, 7)],
+            [True] * 6)
+
+    async def test_new_weights_reach_every_engine(self) -> None:
+        self.store.put(names.OPERATOR_TOPIC, 'version/m', {
+            'model': 'm',
+            'version': 2
+        })
+        await asyncio.sleep(1.5)
+        self.assertEqual([each.version for each in self.engines], [2, 2])
+        fences = [each.orders[0]['fencing-token'] for each in self.engines]
+        self.assertEqual(fences, [0, 0])
+
+    async def test_serves_on_while_the_store_is_down(self) -> None:
+        self._configure(version=2)
+        await asyncio.sleep(0.2)
+        self.store.status = 503
+        await asyncio.sleep(1.0)
+        self.assertEqual(await self._served('/submit/x', 'one'), b'done by a1')
+        self.store.status = 0
+        self._configure(version=3, tenants=[])
+        await asyncio.sleep(0.8)
+        reply = await self._ask('/submit/x', 'two')
+        assert isinstance(reply, Reply)
+        self.assertEqual(reply.status, 401)
+
+    async def test_refusal_is_true_and_says_when_to_come_back(self) -> None:
+        self._configure(version=2)
+        await asyncio.sleep(0.2)
+        self.app.refuse = True
+        reply = await self._ask('/submit/x', 'one')
+        assert isinstance(reply, Reply)
+        self.assertEqual(reply.status, 503)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.app.runs, [])
