Split the gateway's modules by subject; write down its design

forwarding.py becomes intake, dispatch, answers and endings; stores.py keeps the following of stores, kept_parts the use of what they keep.

--- /dev/null
+++ b/src/plantainridge/gateway/answers.py
@@ -0,0 +1,199 @@
+"""What follows an endpoint's answer, or the lack of one."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from plantainridge.effects import Effect, LogLine, Observe, SetTimer
+from plantainridge.events import TimerFired
+from plantainridge.gateway import cache, dispatch, endings, health, placement
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
+                                          PiecesArrived, SendFailed,
+                                          StreamEnded, StreamStarted)
+from plantainridge.gateway.requests import CALL, Attempt, Call, SpareAnswer
+from plantainridge.ids import AttemptId
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+
+def on_answer(state: 'GatewayState', event: AnswerArrived,
+              now: float) -> Iterator[Effect]:
+    """Passes a whole answer on, or tries another endpoint."""
+    call = state.calls.of_attempt(event.attempt)
+    if call is None:
+        return
+    attempt = yield from endings.close_attempt(state, event.attempt)
+    health.note_answer(state, attempt, event.head, now)
+    head = event.head
+    if head.not_run:
+        call.runs -= 1
+        yield from _after_not_run(state, call, attempt, head, now)
+        return
+    if head.status < 300 and not head.sealed:
+        yield from _after_failure(state, call, attempt, Failure.MALFORMED, now)
+        return
+    if head.status >= 500 and call.route.repeatable and not call.replying:
+        call.spare = SpareAnswer(head.status, head.headers, event.body)
+        yield from _again_or_spare(state, call, now)
+        return
+    if call.replying:
+        yield from endings.break_off(state, call, 'the stream was refused', now)
+        return
+    if head.status < 500:
+        state.suspects.note_whole(call.fingerprint)
+    yield fx.Reply(call.request.id, head.status, head.headers, event.body)
+    yield from endings.end(state, call, 'answered', head.status, now)
+
+
+def _after_not_run(state: 'GatewayState', call: Call, attempt: Attempt,
+                   head: AnswerHead, now: float) -> Iterator[Effect]:
+    """Tries another endpoint for a request that one turned away."""
+    yield LogLine('request_turned_away',
+                  (('request', call.request.attempt_id),
+                   ('endpoint', attempt.endpoint), ('status', head.status),
+                   ('instance', head.instance)))
+    if head.status == 421:
+        health.note_misdirected(state, call, attempt, head, now)
+    elif head.status == 400:
+        yield fx.Reply(call.request.id, head.status, head.headers, b'')
+        yield from endings.end(state, call, 'answered', head.status, now)
+        return
+    else:
+        health.note_full(state, attempt, now)
+        call.tried.discard(attempt.endpoint)
+    yield from dispatch.dispatch(state, call, now)
+
+
+def _again_or_spare(state: 'GatewayState', call: Call,
+                    now: float) -> Iterator[Effect]:
+    """Tries another endpoint, else passes the failure on."""
+    choice = None
+    if dispatch.may_resend(state, call, now):
+        choice = placement.choose(state, call, now)
+    if choice is not None:
+        yield from dispatch.send(state, call, choice, now)
+        return
+    spare = call.spare
+    assert spare is not None
+    yield fx.Reply(call.request.id, spare.status, spare.headers, spare.body)
+    yield from endings.end(state, call, 'answered', spare.status, now)
+
+
+def on_stream_started(state: 'GatewayState', event: StreamStarted,
+                      now: float) -> Iterator[Effect]:
+    """Begins to pass a stream on, or gives an unsigned one up."""
+    call = state.calls.of_attempt(event.attempt)
+    if call is None:
+        return
+    attempt = state.calls.attempts[event.attempt]
+    health.note_head(state, attempt, event.head, now)
+    if not event.head.sealed:
+        yield fx.CancelSend(event.attempt)
+        yield from on_failed(state, SendFailed(event.attempt,
+                                               Failure.MALFORMED), now)
+        return
+    CALL.fire(call, 'stream')
+    if not call.replying:
+        call.replying = True
+        yield fx.StartReply(call.request.id, event.head.status,
+                            event.head.headers)
+
+
+def on_pieces(state: 'GatewayState', event: PiecesArrived,
+              now: float) -> Iterator[Effect]:
+    """Passes whole events of a stream on, each once."""
+    call = state.calls.of_attempt(event.attempt)
+    if call is None:
+        return
+    attempt = state.calls.attempts[event.attempt]
+    if not attempt.answered:
+        attempt.answered = True
+        if call.request.model:
+            salt = cache.salt_of(call.request.model, attempt.version, call.team)
+            state.cache.note_read(attempt.endpoint, salt, call.request.parts)
+        health.note_first_piece(state, attempt, now)
+        if call.first_piece_s is None:
+            call.first_piece_s = now - call.arrived_at
+            yield Observe('first_piece_s', call.team.name if call.team else '',
+                          call.route.name, now - call.arrived_at)
+    attempt.progress_at = now
+    health.note_heard(state, attempt, now)
+    if event.last_id:
+        call.last_event_id = event.last_id
+    yield fx.PassPieces(call.request.id, event.data)
+
+
+def on_stream_ended(state: 'GatewayState', event: StreamEnded,
+                    now: float) -> Iterator[Effect]:
+    """Ends a whole stream."""
+    call = state.calls.of_attempt(event.attempt)
+    if call is None:
+        return
+    attempt = yield from endings.close_attempt(state, event.attempt)
+    health.note_whole(state, attempt, now)
+    state.suspects.note_whole(call.fingerprint)
+    yield fx.EndReply(call.request.id)
+    yield from endings.end(state, call, 'answered', 200, now)
+
+
+def on_failed(state: 'GatewayState', event: SendFailed,
+              now: float) -> Iterator[Effect]:
+    """Sends again what may be repeated, or says that it may have run."""
+    call = state.calls.of_attempt(event.attempt)
+    if call is None:
+        return
+    attempt = yield from endings.close_attempt(state, event.attempt)
+    yield from _after_failure(state, call, attempt, event.failure, now)
+
+
+def _after_failure(state: 'GatewayState', call: Call, attempt: Attempt,
+                   failure: Failure, now: float) -> Iterator[Effect]:
+    health.note_failure(state, attempt, failure, now)
+    yield LogLine('send_failed',
+                  (('request', call.request.attempt_id),
+                   ('endpoint', attempt.endpoint), ('failure', failure.value),
+                   ('after_s', round(now - attempt.sent_at, 4))))
+    if failure is Failure.NOT_CONNECTED:
+        call.runs -= 1
+        yield from dispatch.dispatch(state, call, now)
+        return
+    if failure is Failure.BROKEN:
+        state.suspects.note_break(call.fingerprint, attempt.endpoint, now)
+        state.hints.suspects.append((call.fingerprint, attempt.endpoint))
+    if call.route.repeatable:
+        yield from _resend(state, call, now)
+        return
+    if call.replying:
+        yield from endings.break_off(state, call, failure.value, now)
+        return
+    yield fx.Refuse(call.request.id, endings.STATUS_BROKEN,
+                    f'the endpoint failed: {failure.value}')
+    yield from endings.end(state, call, failure.value, endings.STATUS_BROKEN,
+                           now)
+
+
+def _resend(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
+    if dispatch.may_resend(state, call, now):
+        yield from dispatch.dispatch(state, call, now)
+        return
+    yield from endings.give_up(state, call, 'no more sends are allowed', None,
+                               now)
+
+
+def on_patience(state: 'GatewayState', event: TimerFired,
+                now: float) -> Iterator[Effect]:
+    """Gives up a send whose endpoint has gone silent."""
+    name = AttemptId(event.key.subject)
+    call = state.calls.of_attempt(name)
+    if call is None:
+        return
+    attempt = state.calls.attempts[name]
+    silent_at = health.silent_at(state, call, attempt)
+    if now < silent_at:
+        yield SetTimer(event.key, silent_at)
+        return
+    if not dispatch.may_resend(state, call, now):
+        return
+    yield fx.CancelSend(name)
+    yield from on_failed(state, SendFailed(name, Failure.SILENT), now)
--- /dev/null
+++ b/src/plantainridge/gateway/dispatch.py
@@ -0,0 +1,181 @@
+"""Sends requests to endpoints, lets them wait, or turns them away.
+
+Answers bursts and endpoints that are full for a moment: a request waits while
+one is expected back in time, else its caller is told at once when to return.
+"""
+
+import math
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+from plantainridge.effects import Effect, LogLine, SetTimer
+from plantainridge.events import TimerFired
+from plantainridge.gateway import (cache, endings, health, kept_parts,
+                                   placement, retries)
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.config import RequestKind, Service
+from plantainridge.gateway.endpoints import OwnSend
+from plantainridge.gateway.placement import Choice
+from plantainridge.gateway.requests import CALL, Attempt, Call, CallPhase
+from plantainridge.ids import AttemptId
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# Part of its target for which a request is held while no endpoint takes it.
+HOLD_PART: Final = 0.125
+# Part of a request's time for which it is held for an endpoint that is
+# expected back within it.
+HOLD_HOPE_PART: Final = 0.4
+# Shortest and longest time after which a refused caller may come back, in s.
+RETRY_AFTER_LEAST_S: Final = 0.2
+RETRY_AFTER_MOST_S: Final = 2.0
+
+
+def dispatch(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
+    """Sends a request, lets it wait, or refuses it."""
+    if state.suspects.convicted(call.fingerprint, now):
+        yield from endings.give_up(state, call, 'endpoints broke off under it',
+                                   None, now)
+        return
+    choice = placement.choose(state, call, now)
+    if choice is not None and (call.sends == 0 or may_resend(state, call, now)):
+        yield from send(state, call, choice, now)
+        return
+    if choice is not None:
+        yield from endings.give_up(state, call, 'no more sends are allowed',
+                                   RETRY_AFTER_LEAST_S, now)
+        return
+    if call.phase is not CallPhase.WAITING:
+        CALL.fire(call, 'wait')
+        call.waiting_since = now
+    if now >= _hold_until(state, call):
+        yield from endings.give_up(state, call, 'no endpoint takes it',
+                                   _retry_after_s(state, call, now), now)
+
+
+def _hold_until(state: 'GatewayState', call: Call) -> float:
+    """Returns the loop time until which a request waits for an endpoint.
+
+    One that is expected back soon is waited for while an answer can still come
+    in time; else the caller had better come again.
+    """
+    back_at = min(
+        (view.away_until
+         for view in state.endpoints.values()
+         if view.entry.service == call.service and not view.entry.draining),
+        default=math.inf)
+    latest = call.arrived_at + HOLD_HOPE_PART * (call.expires_at -
+                                                 call.arrived_at)
+    if back_at < latest:
+        return latest
+    return call.waiting_since + HOLD_PART * call.route.target_s
+
+
+def may_resend(state: 'GatewayState', call: Call, now: float) -> bool:
+    """Whether a request may be sent once more, within all limits."""
+    if call.sends >= retries.MAX_SENDS or call.runs >= call.route.attempts:
+        return False
+    return state.retries.allows(call.service, now)
+
+
+def send(state: 'GatewayState', call: Call, choice: Choice,
+         now: float) -> Iterator[Effect]:
+    """Sends a request to the endpoint that was chosen for it."""
+    view, request = choice.view, call.request
+    service = state.config.services.get(call.service)
+    call.sends += 1
+    call.runs += 1
+    if call.sends > 1:
+        state.retries.note_again(call.service, now)
+    attempt = AttemptId(f'{request.id}.{call.sends}')
+    call.attempt = attempt
+    call.tried.add(view.entry.id)
+    state.calls.attempts[attempt] = Attempt(attempt, request.id, view.entry.id,
+                                            now, now, choice.version)
+    view.own[attempt] = OwnSend(choice.read_tokens,
+                                placement.memory_tokens(request))
+    CALL.fire(call, 'send')
+    plan = _cache_plan(state, call, choice, now) if request.model else None
+    yield _sent_line(state, call, choice, now)
+    yield from _watch(call, attempt, now)
+    yield fx.Send(attempt=attempt,
+                  request=request,
+                  endpoint=view.entry.id,
+                  address=view.entry.address,
+                  stream=call.route.kind is RequestKind.STREAM,
+                  fresh=not call.route.repeatable,
+                  remaining_s=call.expires_at - now,
+                  team=call.team.name if call.team else None,
+                  version=choice.version,
+                  urgency=call.urgency if _is_engine(service) else None,
+                  last_event_id=call.last_event_id,
+                  cache=plan)
+
+
+def _sent_line(state: 'GatewayState', call: Call, choice: Choice,
+               now: float) -> LogLine:
+    """Tells which endpoint was chosen, and from what."""
+    view, request = choice.view, call.request
+    load = view.load
+    return LogLine('request_sent', (
+        ('request', request.attempt_id),
+        ('send', call.sends),
+        ('endpoint', view.entry.id),
+        ('cost', round(choice.cost, 4)),
+        ('read_tokens', choice.read_tokens),
+        ('fetch_tokens', choice.fetch.tokens),
+        ('context', cache.context_of(request.parts)),
+        ('version', choice.version or 0),
+        ('own', len(view.own)),
+        ('load', load.running + load.waiting if load else 0),
+        ('load_age_s', round(now - load.told_at, 3) if load else -1.0),
+        ('entry_age_s', round(now - view.entry_at, 3)),
+        ('configuration', state.config.version),
+    ))
+
+
+def _cache_plan(state: 'GatewayState', call: Call, choice: Choice,
+                now: float) -> fx.CachePlan:
+    """Says which parts are fetched and which are to be kept at a store."""
+    request = call.request
+    salt = cache.salt_of(request.model, choice.version, call.team)
+    newest = state.versions.newest(request.model)
+    save_to: tuple[str, ...] = ()
+    if choice.version is not None and choice.version == (newest or
+                                                         choice.version):
+        save_to = kept_parts.plan_save(state, salt, request.parts, now)
+    return fx.CachePlan(salt,
+                        fetch_from=choice.fetch.sources,
+                        save_to=save_to,
+                        fetch_until_ms=kept_parts.until_ms(state, now))
+
+
+def _is_engine(service: Service | None) -> bool:
+    return service is not None and service.engine is not None
+
+
+def on_tick(state: 'GatewayState', event: TimerFired,
+            now: float) -> Iterator[Effect]:
+    """Looks again for endpoints for requests that wait."""
+    del event
+    for call in state.calls.waiting():
+        if call.request.id in state.calls.calls:
+            yield from dispatch(state, call, now)
+
+
+def _watch(call: Call, attempt: AttemptId, now: float) -> Iterator[Effect]:
+    """Sets the time at which a send that may be repeated looks stalled."""
+    if call.route.repeatable:
+        yield SetTimer(endings.patience_key(attempt),
+                       now + health.PATIENCE_PART * call.route.target_s)
+
+
+def _retry_after_s(state: 'GatewayState', call: Call, now: float) -> float:
+    """Returns when an endpoint is likely to take work again, in s."""
+    back = min(
+        (view.away_until - now
+         for view in state.endpoints.values()
+         if view.entry.service == call.service and not view.entry.draining),
+        default=RETRY_AFTER_MOST_S)
+    return max(RETRY_AFTER_LEAST_S, min(RETRY_AFTER_MOST_S, back))
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -138,8 +138,9 @@
     passed = now - hints.told_at
     if passed >= (REPEAT_S if loads else IDLE_S):
         return True
-    near = sum(entry.dc == state.settings.dc for entry in state.peers.values())
-    return loads != hints.told and passed >= SPACING_S * near
+    if loads == hints.told:
+        return False
+    return passed >= SPACING_S * relays.vms_near(state)
 
 
 def _is_far_due(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
--- /dev/null
+++ b/src/plantainridge/gateway/intake.py
@@ -0,0 +1,98 @@
+"""Takes requests in: routes them, knows their teams, or refuses them."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+from plantainridge.effects import Effect, LogLine, SetTimer
+from plantainridge.gateway import dispatch, endings, suspects
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.config import Route, Team
+from plantainridge.gateway.events import RequestArrived, View
+from plantainridge.gateway.requests import Call
+from plantainridge.ids import RequestId, ServiceId
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# Answers of an endpoint travel this long behind its own deadline, in s.
+ANSWER_GRACE_S: Final = 0.06
+MAX_URGENCY: Final = 9
+# Ranks that a team's priority outweighs.
+URGENCY_STEP: Final = 3
+
+
+def on_arrived(state: 'GatewayState', event: RequestArrived,
+               now: float) -> Iterator[Effect]:
+    """Takes a request in and sends it, or refuses it."""
+    request = event.request
+    refusal = _refuse_unroutable(state, event, now)
+    if refusal is not None:
+        yield refusal
+        yield LogLine('request_refused',
+                      (('request', request.attempt_id),
+                       ('status', refusal.status), ('reason', refusal.reason)))
+        return
+    route = state.config.route(request.host, request.target)
+    assert route is not None
+    team = state.config.by_key.get(request.key or '')
+    patience = request.patience_s
+    limit = route.timeout_s if patience is None else min(
+        patience, route.timeout_s)
+    call = Call(request=request,
+                route=route,
+                service=_service(state, route),
+                team=team,
+                arrived_at=now,
+                expires_at=now + limit,
+                urgency=_urgency(route, team),
+                last_event_id=request.last_event_id,
+                waiting_since=now,
+                fingerprint=suspects.fingerprint_of(team.name if team else None,
+                                                    request))
+    state.calls.calls[request.id] = call
+    state.retries.note_request(call.service, now)
+    yield SetTimer(endings.deadline_key(call), call.expires_at + ANSWER_GRACE_S)
+    yield from dispatch.dispatch(state, call, now)
+
+
+def _refuse_unroutable(state: 'GatewayState', event: RequestArrived,
+                       now: float) -> fx.Refuse | None:
+    """Refuses what the configuration does not allow."""
+    request = event.request
+    if state.config.version < 0:
+        return fx.Refuse(request.id, endings.STATUS_REFUSED,
+                         'the configuration is not known yet',
+                         dispatch.RETRY_AFTER_LEAST_S)
+    route = state.config.route(request.host, request.target)
+    if route is None:
+        return _denied(state, request.id, 404, 'there is no such route', now)
+    if route.public or not state.config.has_teams:
+        return None
+    if request.key is None or request.key not in state.config.by_key:
+        return _denied(state, request.id, 401, 'the key is not known', now)
+    return None
+
+
+def _denied(state: 'GatewayState', request: RequestId, status: int, reason: str,
+            now: float) -> fx.Refuse:
+    """Denies a request, unless a newer configuration may allow it."""
+    if state.views.age_s(View.OPERATOR, now) > state.settings.bounds.apply_s:
+        return fx.Refuse(request, endings.STATUS_REFUSED,
+                         'the configuration may be out of date',
+                         dispatch.RETRY_AFTER_LEAST_S)
+    return fx.Refuse(request, status, reason)
+
+
+def _service(state: 'GatewayState', route: Route) -> ServiceId:
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    names = [share.service for share in route.shares]
+    weights = [share.weight for share in route.shares]
+    return state.rng.choices(names, weights)[0]
+
+
+def _urgency(route: Route, team: Team | None) -> int:
+    rank = route.priority
+    if team is not None and team.priority is not None:
+        rank += URGENCY_STEP * team.priority
+    return max(0, min(MAX_URGENCY, rank))
--- /dev/null
+++ b/src/plantainridge/gateway/kept_parts.py
@@ -0,0 +1,199 @@
+"""Which stored parts of prompts are fetched, saved and freed.
+
+A store checks nothing when a part is fetched, so a part is fetched only if the
+store itself said that it is whole, in its present life, and was heard a moment
+ago. Parts of replaced weights are freed once no VM can still fetch them.
+"""
+
+import math
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from plantainridge.effects import Effect, LogLine
+from plantainridge.gateway import cache, relays
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway.events import KeptPart, Part, View
+from plantainridge.ids import ModelId
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+    from plantainridge.gateway.stores import StoreView
+
+# Longest time that a fetch may take, in s; what comes later is thrown away.
+FETCH_S: Final = 1.0
+# Age of the operators' view beyond which nothing is fetched, in s.
+VIEW_FRESH_S: Final = 3.0
+# How long after a VM heard of newer weights it still fetches older parts, in
+# s: engines take some seconds to change over.
+OLD_FETCH_S: Final = 8.0
+# How long newer weights must be known before older parts are freed while some
+# engine may still use them, in s: longer than a view may be old and an older
+# part may be fetched.
+FREE_AFTER_S: Final = 12.0
+# The same once every engine was seen to run the newer weights, in s.
+FREE_UNUSED_S: Final = 2.0
+# Stores that keep a part which opens many prompts.
+OPENING_COPIES: Final = 2
+# Lead of one VM over the next in freeing the same parts, in s.
+FREE_STAGGER_S: Final = 1.0
+# Parts freed by one call.
+FREE_AT_ONCE: Final = 256
+# How long a part that is on its way to a store is not sent again, in s.
+SAVING_S: Final = 3.0
+# Part of a store's room that is used.
+FULL_PART: Final = 0.97
+
+
+@attrs.frozen
+class Fetch:
+    """Where leading shared parts of a prompt can be fetched.
+
+    Attributes:
+        sources: For each part a store's address, or ''.
+        tokens: Tokens of the parts that are there without a gap.
+        seconds: Expected time of the transfer, in s.
+    """
+
+    sources: tuple[str, ...]
+    tokens: int
+    seconds: float
+
+
+NO_FETCH: Final = Fetch((), 0, 0.0)
+
+
+def free_replaced(state: 'GatewayState', view: 'StoreView',
+                  now: float) -> Iterator[Effect]:
+    """Frees parts of weights that were replaced some time ago."""
+    if not state.versions.named or view.epoch is None:
+        return
+    if now < _free_at(state) + FREE_STAGGER_S * relays.rank(state, view.name):
+        return
+    versions = {named.version for named in state.versions.named.values()}
+    oldest = min(versions)
+    old = [
+        part for part in (*view.kept, *view.partial)
+        if (cache.version_of(part.salt) or oldest) < oldest
+    ][:FREE_AT_ONCE]
+    if not old:
+        return
+    for part in old:
+        view.kept.pop(part, None)
+        view.partial.pop(part, None)
+    yield LogLine('parts_freed', (('store', view.name), ('parts', len(old)),
+                                  ('below_version', oldest)))
+    yield fx.FreeParts(view.name, view.terms.address, view.epoch, tuple(old))
+
+
+def _free_at(state: 'GatewayState') -> float:
+    """Returns the loop time from which replaced weights' parts go, in s."""
+    newest = max(state.versions.named.values(), key=lambda each: each.seen_at)
+    reached_at = newest.seen_at
+    for view in state.endpoints.values():
+        for model, version in view.entry.versions.items():
+            if version < (state.versions.newest(model) or version):
+                return newest.seen_at + FREE_AFTER_S
+            reached_at = max(reached_at, view.changed_at)
+    return min(reached_at + FREE_UNUSED_S, newest.seen_at + FREE_AFTER_S)
+
+
+def plan_fetch(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
+               held: int, token_bytes: int, now: float) -> Fetch:
+    """Returns from where a prompt's shared parts can be fetched.
+
+    Args:
+        state: The VM's state.
+        salt: Names who may share the parts.
+        parts: The prompt's parts, in order.
+        held: Leading parts that the engine is likely to keep itself.
+        token_bytes: Size of one cached token.
+        now: Loop time in s.
+    """
+    if (state.views.age_s(View.OPERATOR, now) > VIEW_FRESH_S or
+            state.stores.clock_ms is None):
+        return NO_FETCH
+    sources: list[str] = []
+    tokens, seconds = 0, 0.0
+    for place, part in enumerate(parts[:-1]):
+        view = _holder(state, KeptPart(salt, part.id), now)
+        if view is None and place >= held:
+            break
+        tokens += part.tokens
+        sources.append(view.terms.address if view is not None else '')
+        if view is not None and place >= held:
+            seconds += view.terms.setup_s + _seconds(view, part, token_bytes)
+    if not any(sources):
+        return NO_FETCH
+    rest = ('',) * (len(parts) - len(sources))
+    return Fetch((*sources, *rest), tokens, seconds)
+
+
+def _seconds(view: 'StoreView', part: Part, token_bytes: int) -> float:
+    bits = part.tokens * token_bytes * 8
+    return bits / max(1.0, view.terms.link_mbps * 1e6)
+
+
+def _holder(state: 'GatewayState', part: KeptPart,
+            now: float) -> 'StoreView | None':
+    """Returns the fastest store that keeps a part whole."""
+    found = [
+        view for view in state.stores.views.values()
+        if part in view.kept and view.is_fresh(now)
+    ]
+    return max(found, key=lambda each: each.terms.link_mbps, default=None)
+
+
+def usable(state: 'GatewayState', model: ModelId, version: int | None,
+           now: float) -> bool:
+    """Whether parts made under a version may still be fetched."""
+    named = state.versions.named.get(model)
+    if version is None or named is None:
+        return version is not None
+    return version == named.version or now - named.seen_at < OLD_FETCH_S
+
+
+def plan_save(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
+              now: float) -> tuple[str, ...]:
+    """Returns for each part the store that is to keep it, or ''."""
+    targets = []
+    for place, part in enumerate(parts[:-1]):
+        # Without the opening part nothing behind it is of use.
+        copies = OPENING_COPIES if place == 0 else 1
+        kept = KeptPart(salt, part.id)
+        targets.append(_target(state, kept, part.tokens, copies, now))
+    if not any(targets):
+        return ()
+    return (*targets, '')
+
+
+def _target(state: 'GatewayState', part: KeptPart, tokens: int, copies: int,
+            now: float) -> str:
+    """Returns the store that is to keep one more copy of a part, or ''."""
+    fresh = [view for view in state.stores.views.values() if view.is_fresh(now)]
+    if any(now - view.saving.get(part, -math.inf) < SAVING_S for view in fresh):
+        return ''
+    if sum(part in view.kept for view in fresh) >= copies:
+        return ''
+    room = [
+        view for view in fresh if part not in view.kept and view.used_tokens +
+        tokens < FULL_PART * view.terms.capacity_tokens
+    ]
+    if not room:
+        return ''
+    chosen = max(room, key=lambda each: _weight(each, part))
+    chosen.saving[part] = now
+    return chosen.terms.address
+
+
+def _weight(view: 'StoreView', part: KeptPart) -> float:
+    """Draws stores in proportion to their room, the same on every VM."""
+    share = (relays.draw(view.name, part.id) + 1) / (2**64 + 1)
+    return -view.terms.capacity_tokens / math.log(share)
+
+
+def until_ms(state: 'GatewayState', now: float) -> int:
+    """Returns the engines' time after which a fetch begun now is too late."""
+    clock = state.stores.clock_ms or 0.0
+    return round((now + FETCH_S) * 1_000 + clock)
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -1,16 +1,17 @@
 """Chooses the endpoint that a request is sent to.
 
 Every candidate has one expected cost, as a part of what the request is worth:
-the risk that it is late, what is read again, and the bytes on the way. It answers steady load from many VMs that do not talk
-to one another: sessions stay where their parts lie, and move on once waiting
-there costs more than reading them again elsewhere.
+the risk that it is late, what is read again, and the bytes on the way. It
+answers steady load from many VMs that know little of one another: sessions
+stay where their parts lie, and move on once waiting there costs more than
+reading them elsewhere.
 """
 
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
-from plantainridge.gateway import cache, endpoints, stores
+from plantainridge.gateway import cache, endpoints, kept_parts
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import Request
 from plantainridge.gateway.requests import Call
@@ -68,7 +69,7 @@
     read_tokens: int
     ready_tokens: int
     cost: float
-    fetch: stores.Fetch = stores.NO_FETCH
+    fetch: kept_parts.Fetch = kept_parts.NO_FETCH
 
 
 def choose(state: 'GatewayState', call: Call, now: float) -> Choice | None:
@@ -141,10 +142,10 @@
     salt = cache.salt_of(request.model, version, call.team)
     parts = state.cache.held_parts(view.entry.id, salt, request.parts)
     held = sum(part.tokens for part in request.parts[:parts])
-    fetch = stores.NO_FETCH
-    if stores.usable(state, request.model, version, now):
-        fetch = stores.plan_fetch(state, salt, request.parts, parts,
-                                  _token_bytes(state, call), now)
+    fetch = kept_parts.NO_FETCH
+    if kept_parts.usable(state, request.model, version, now):
+        fetch = kept_parts.plan_fetch(state, salt, request.parts, parts,
+                                      _token_bytes(state, call), now)
     ready = max(held, fetch.tokens)
     read = max(1, request.prompt_tokens - ready)
     queued = view.pending_tokens
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -5,8 +5,8 @@
 
 from plantainridge.effects import Effect, LogLine, SetTimer
 from plantainridge.events import Event, TimerFired, TimerKey
-from plantainridge.gateway import (drain, events, forwarding, hints, lease,
-                                   rollout, stores, views)
+from plantainridge.gateway import (answers, dispatch, drain, endings, events,
+                                   hints, intake, lease, rollout, stores, views)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
@@ -22,7 +22,7 @@
 def _on_tick(state: GatewayState, event: TimerFired,
              now: float) -> Iterator[Effect]:
     yield SetTimer(_TICK, now + TICK_S)
-    yield from forwarding.on_tick(state, event, now)
+    yield from dispatch.on_tick(state, event, now)
     yield from rollout.on_tick(state, now)
     yield from hints.on_tick(state, now)
     yield from drain.on_tick(state, now)
@@ -32,8 +32,8 @@
     TimerKind.TICK: _on_tick,
     TimerKind.VIEW: views.on_timer,
     TimerKind.STORE: stores.on_timer,
-    TimerKind.DEADLINE: forwarding.on_deadline,
-    TimerKind.PATIENCE: forwarding.on_patience,
+    TimerKind.DEADLINE: endings.on_deadline,
+    TimerKind.PATIENCE: answers.on_patience,
 }
 
 
@@ -45,13 +45,13 @@
 
 HANDLERS: Final[dict[type[Event], Handler]] = {
     TimerFired: _on_timer,
-    events.RequestArrived: forwarding.on_arrived,
-    events.CallerLeft: forwarding.on_caller_left,
-    events.AnswerArrived: forwarding.on_answer,
-    events.StreamStarted: forwarding.on_stream_started,
-    events.PiecesArrived: forwarding.on_pieces,
-    events.StreamEnded: forwarding.on_stream_ended,
-    events.SendFailed: forwarding.on_failed,
+    events.RequestArrived: intake.on_arrived,
+    events.CallerLeft: endings.on_caller_left,
+    events.AnswerArrived: answers.on_answer,
+    events.StreamStarted: answers.on_stream_started,
+    events.PiecesArrived: answers.on_pieces,
+    events.StreamEnded: answers.on_stream_ended,
+    events.SendFailed: answers.on_failed,
     events.EndpointReported: rollout.on_reported,
     events.ReportMissed: rollout.on_missed,
     events.OrderAnswered: rollout.on_ordered,
--- a/src/plantainridge/gateway/suspects.py
+++ b/src/plantainridge/gateway/suspects.py
@@ -46,7 +46,7 @@
         return recent >= MAX_BREAKS
 
 
-def fingerprint(team: TeamId | None, request: Request) -> str:
+def fingerprint_of(team: TeamId | None, request: Request) -> str:
     """Names a request by what it asks for, whoever resends it."""
     digest = hashlib.blake2b(digest_size=12)
     for part in (team or '', request.method, request.host, request.target):
--- a/src/plantainridge/platform/fields.py
+++ b/src/plantainridge/platform/fields.py
@@ -27,9 +27,11 @@
     """
     value = data.get(field) if isinstance(data, Mapping) else None
     # JSON has one kind of number, Python's bool is an int.
-    if kind is float and type(value) is int:
+    if isinstance(value, bool) and kind is not bool:
+        raise FieldFault(field, kind.__name__)
+    if kind is float and isinstance(value, int):
         value = float(value)
-    if not isinstance(value, kind) or kind is int and isinstance(value, bool):
+    if not isinstance(value, kind):
         raise FieldFault(field, kind.__name__)
     return value
 
--- a/src/plantainridge/standins/platform_site.py
+++ b/src/plantainridge/standins/platform_site.py
@@ -174,7 +174,7 @@
         return Response(status_code=202)
 
     async def _serve(self, request: Request) -> Response:
-        fields = {key: value for key, value in request.headers.items()}
+        fields = dict(request.headers.items())
         await request.body()
         attempt = fields[names.ATTEMPT_ID.decode()]
         echo = {names.ATTEMPT_ID.decode(): attempt}
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -1,7 +1,6 @@
 """Tests of the life of a forwarded request."""
 
 import unittest
-from typing import Any
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
@@ -17,18 +16,14 @@
     """Who is served, and who is denied."""
 
     def test_denials(self) -> None:
-        cases: dict[str, tuple[str, dict[str, Any], int]] = {
-            'no route': ('/none/', {}, 404),
-            'no key': ('/view/x', {
-                'key': None
-            }, 401),
-            'unknown key': ('/view/x', {
-                'key': 'stolen'
-            }, 401),
+        cases = {
+            'no route': ('/none/', 'key', 404),
+            'no key': ('/view/x', None, 401),
+            'unknown key': ('/view/x', 'stolen', 401),
         }
-        for name, (target, given, status) in cases.items():
+        for name, (target, key, status) in cases.items():
             with self.subTest(name):
-                refused = GatewayScene(A).ask(target, **given)
+                refused = GatewayScene(A).ask(target, key=key)
                 self.assertEqual(refused.status, status)
 
     def test_stale_view_denies_nothing(self) -> None:
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -20,13 +20,16 @@
 from tests.gateway_scene import request
 
 HOST = '127.0.0.1'
-HEAD = (b'POST /submit/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: 7\r\n')
+HEAD = b'POST /submit/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: 7\r\n'
 SEALED = b'X-Attempt-Id: caller-r1\r\nX-Response-Seal: s\r\n'
 
 
 class Caller:
     """A caller's connection to a server whose events are kept."""
 
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
     def __init__(self) -> None:
         self.events: list[Event] = []
         self.server = HttpServer(PlatformWire(), self.events.append)
@@ -240,7 +243,7 @@
         self.assertEqual((answer.head.sealed, answer.body), (True, b'ok'))
 
     async def test_bytes_behind_an_answer_belong_to_nobody(self) -> None:
-        one = (b'HTTP/1.1 200 OK\r\n' + SEALED + b'Content-Length: 2\r\n\r\nok')
+        one = b'HTTP/1.1 200 OK\r\n' + SEALED + b'Content-Length: 2\r\n\r\nok'
         events = await self._send(answering(one + one.replace(b'ok', b'no')), 2)
         bodies = [
             each.body for each in events if isinstance(each, ev.AnswerArrived)
