--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -68,14 +68,16 @@
 def _again_or_spare(state: 'GatewayState', call: Call,
                     now: float) -> Iterator[Effect]:
     """Tries another endpoint, else passes the failure on."""
+    spare = call.spare
+    assert spare is not None
+    yield LogLine('endpoint_failed', (('request', call.request.attempt_id),
+                                      ('status', spare.status)))
     choice = None
     if dispatch.may_resend(state, call, now):
         choice = placement.choose(state, call, now)
     if choice is not None:
         yield from dispatch.send(state, call, choice, now)
         return
-    spare = call.spare
-    assert spare is not None
     yield fx.Reply(call.request.id, spare.status, spare.headers, spare.body)
     yield from endings.end(state, call, 'answered', spare.status, now)
 
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
 from plantainridge.gateway.endpoints import OwnSend
+from plantainridge.gateway.events import View
 from plantainridge.gateway.placement import Choice
 from plantainridge.gateway.requests import CALL, Attempt, Call, CallPhase
 from plantainridge.ids import AttemptId
@@ -130,7 +131,7 @@
         ('own', len(view.own)),
         ('load', load.running + load.waiting if load else 0),
         ('load_age_s', round(now - load.told_at, 3) if load else -1.0),
-        ('entry_age_s', round(now - view.entry_at, 3)),
+        ('registry_age_s', round(state.views.age_s(View.REGISTRY, now), 3)),
         ('configuration', state.config.version),
     ))
 
