Take in changed settings; serve metrics on a fixed port

SIGHUP and a settings file that changed without a signal are read again; bounds count at once, addresses after a restart, bad settings are logged and ignored. An event that cannot be handled is logged and stops no other.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -8,6 +8,7 @@
 from plantainridge.events import Event
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
+from plantainridge.gateway.settings import GatewaySettings, SettingsFault
 from plantainridge.ids import (AttemptId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, VmId)
 
@@ -426,7 +427,7 @@
 
 
 @attrs.frozen
-class StoodStill(Event):
-    """The process found that it had not run for a while."""
+class SettingsRead(Event):
+    """The settings changed, or were read again."""
 
-    seconds: float
+    settings: GatewaySettings | SettingsFault
--- a/src/plantainridge/gateway/ports.py
+++ b/src/plantainridge/gateway/ports.py
@@ -7,7 +7,7 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import News, RawRecord, View
 from plantainridge.gateway.http_client import Pool
-from plantainridge.gateway.settings import GatewaySettings
+from plantainridge.gateway.settings import GatewaySettings, SettingsFault
 from plantainridge.gateway.wire import RequestWire
 from plantainridge.tasks import Tasks
 
@@ -71,6 +71,14 @@
 
     wire: RequestWire
 
+    @abc.abstractmethod
+    def read_settings(self) -> GatewaySettings | SettingsFault:
+        """Reads the settings as they are now."""
+
+    @abc.abstractmethod
+    def settings_stamp(self) -> float:
+        """Returns a number that changes with the settings."""
+
     @abc.abstractmethod
     def decode_record(self, view: View, record: RawRecord) -> News:
         """Decodes a record of a view that a peer relayed."""
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+import traceback
 import uuid
 from typing import Final
 
@@ -11,7 +12,8 @@
 from plantainridge.events import Event, PeerSaid
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import peer_messages, reducer
-from plantainridge.gateway.events import StopRequested, View, ViewRelayed
+from plantainridge.gateway.events import (RequestArrived, SettingsRead,
+                                          StopRequested, View, ViewRelayed)
 from plantainridge.gateway.hints import HintHeard
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.http_server import HttpServer, PageServer
@@ -109,7 +111,11 @@
         return reducer.start(self.state, now)
 
     def reduce(self, event: Event, now: float) -> list[base.Effect]:
-        found = reducer.reduce(self.state, event, now)
+        try:
+            found = reducer.reduce(self.state, event, now)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # One event that cannot be handled must not stop the others.
+            return _give_event_up(event, error)
         self.callers.limits = self.state.config.limits
         return found
 
@@ -130,6 +136,7 @@
         """Serves until SIGTERM, then until every request is answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.post, StopRequested())
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.serve()
         await self.exited.wait()
         # What was written last is still on its way out.
@@ -157,9 +164,16 @@
                 base.LogLine('message_unreadable',
                              (('reason', message.reason),)))
 
+    def _reload(self) -> None:
+        self.post(SettingsRead(self.adapter.read_settings()))
+
     async def _sweep(self) -> None:
+        stamp = self.adapter.settings_stamp()
         while True:
             await asyncio.sleep(SWEEP_S)
+            if self.adapter.settings_stamp() != stamp:
+                stamp = self.adapter.settings_stamp()
+                self._reload()
             self.pool.sweep()
             self.journal.flush()
 
@@ -182,6 +196,19 @@
         return 200, '\n'.join([*self.metrics.prometheus(), ''])
 
 
+def _give_event_up(event: Event, error: Exception) -> list[base.Effect]:
+    """Reports an event that could not be handled; none of it was done."""
+    trace = ''.join(traceback.format_exception(error))
+    effects: list[base.Effect] = [
+        base.LogLine('event_failed',
+                     (('kind', type(event).__name__), ('trace', trace)))
+    ]
+    if isinstance(event, RequestArrived):
+        effects.append(
+            fx.Refuse(event.request.id, 503, 'the request cannot be handled'))
+    return effects
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -6,7 +6,8 @@
 from plantainridge.effects import Effect, LogLine, SetTimer
 from plantainridge.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import (answers, dispatch, drain, endings, events,
-                                   hints, intake, lease, rollout, stores, views)
+                                   hints, intake, lease, reload, rollout,
+                                   stores, views)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
@@ -68,6 +69,7 @@
     events.LeaseFailed: lease.on_failed,
     events.LeaseWritten: lease.on_written,
     events.StopRequested: drain.on_stop_requested,
+    events.SettingsRead: reload.on_settings,
 }
 
 
--- a/src/plantainridge/platform/adapter.py
+++ b/src/plantainridge/platform/adapter.py
@@ -1,8 +1,10 @@
 """The platform as the gateway sees it, and its command."""
 
 import asyncio
+import os
 import sys
 
+import attrs
 import click
 
 from plantainridge.gateway import ports
@@ -23,8 +25,28 @@
 class PlatformAdapter(ports.Adapter):
     """Translates between the gateway and the platform."""
 
-    def __init__(self) -> None:
+    def __init__(self, path: str, metrics_port: int | None = None) -> None:
+        """Prepares a process.
+
+        Args:
+            path: The settings file.
+            metrics_port: Port for metrics; None for the last internal port.
+        """
         self.wire = PlatformWire()
+        self.path = path
+        self.metrics_port = metrics_port
+
+    def read_settings(self) -> GatewaySettings | SettingsFault:
+        found = platform_settings.read(self.path)
+        if isinstance(found, SettingsFault) or self.metrics_port is None:
+            return found
+        return attrs.evolve(found, metrics_port=self.metrics_port)
+
+    def settings_stamp(self) -> float:
+        try:
+            return os.stat(self.path).st_mtime
+        except OSError:
+            return 0.0
 
     def store(self, settings: GatewaySettings, pool: Pool, tasks: Tasks,
               post: ports.Post) -> ports.StorePort:
@@ -39,8 +61,8 @@
         return records.decode_news(view, record)
 
 
-async def _run(settings: GatewaySettings) -> None:
-    await Gateway(settings, PlatformAdapter()).run()
+async def _run(settings: GatewaySettings, adapter: PlatformAdapter) -> None:
+    await Gateway(settings, adapter).run()
 
 
 @click.command('gateway')
@@ -50,11 +72,17 @@
               show_envvar=True,
               required=True,
               help="The platform's settings file.")
-def main(path: str) -> None:
+@click.option('--metrics-port',
+              envvar='PLANTAINRIDGE_METRICS_PORT',
+              show_envvar=True,
+              type=click.IntRange(1, 65_535),
+              help='Port for metrics; the last internal port by default.')
+def main(path: str, metrics_port: int | None) -> None:
     """Runs the process of one gateway VM until SIGTERM."""
-    found = platform_settings.read(path)
+    adapter = PlatformAdapter(path, metrics_port)
+    found = adapter.read_settings()
     if isinstance(found, SettingsFault):
         click.echo(str(found), err=True)
         sys.exit(EXIT_SETTINGS)
     with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
-        runner.run(_run(found))
+        runner.run(_run(found, adapter))
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from plantainridge import effects as base
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
@@ -10,9 +12,10 @@
 from plantainridge.gateway.hints import HintHeard
 from plantainridge.gateway.lease import NO_TERM, TERM_S
 from plantainridge.gateway.peer_messages import Hint, RelayedView, decode
+from plantainridge.gateway.settings import Bounds, SettingsFault
 from plantainridge.ids import EndpointId, Incarnation, VmId
 from tests.gateway_scene import (LEDGER, MODEL, NEAR, GatewayScene, endpoint,
-                                 head)
+                                 head, settings)
 
 A = endpoint('a')
 OTHER = LeaseRecord(VmId('vm9'), Incarnation('life9'), 4)
@@ -239,3 +242,23 @@
         scene.state.views.follows[View.REGISTRY].offset = None
         self.assertFalse(scene.state.ready)
         self.assertNotIn(EndpointId('a'), scene.state.endpoints)
+
+
+class ReloadTest(unittest.TestCase):
+    """Settings that change while the process runs."""
+
+    def test_bounds_are_used_at_once(self) -> None:
+        scene = GatewayScene(A)
+        bounds = Bounds(drain_s=9.0)
+        wanted = attrs.evolve(settings(), bounds=bounds, host='10.9.9.9')
+        scene.post(ev.SettingsRead(wanted))
+        self.assertEqual(scene.state.settings.bounds, bounds)
+        self.assertEqual(scene.state.settings.host, settings().host)
+        self.assertEqual(dict(scene.lines[-1].fields)['needs_restart'], 'host')
+
+    def test_bad_settings_change_nothing(self) -> None:
+        scene = GatewayScene(A)
+        before = scene.state.settings
+        scene.post(ev.SettingsRead(SettingsFault('zone', '7', 'text')))
+        self.assertEqual(scene.state.settings, before)
+        self.assertEqual(scene.lines[-1].event, 'settings_refused')
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -94,7 +94,7 @@
                                    self.store.server.address, 1.2,
                                    Bounds(lease_s=0.2))
         self.log = os.open(os.devnull, os.O_WRONLY)
-        self.gateway = Gateway(settings, PlatformAdapter(),
+        self.gateway = Gateway(settings, PlatformAdapter(os.devnull),
                                Journal('vm', self.log))
         self.pool = Pool()
         self.address = settings.callers_address
