--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -1,6 +1,7 @@
 """The process of one gateway VM."""
 
 import asyncio
+import gc
 import random
 import signal
 import time
@@ -130,6 +131,8 @@
         await self.peers.start(self._on_peer_said)
         await self.callers.start(*_split(settings.callers_address))
         self.start()
+        # What was loaded so far lives as long as the process.
+        gc.freeze()
         self.tasks.spawn(self._sweep())
 
     async def run(self) -> None:
