Wait lapses out also where a peer tells of them

Cause, found by reading: a VM that heard of the store's return from its reader dropped lapsed endpoints at once, and one that lost the store's history counted as not ready until it had read anew. Change: two seconds without news are an outage whoever ends it; readiness needs one whole read in a life. Tests fail first. The test of a removed endpoint reads its view as often as a VM does.

--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -41,6 +41,8 @@
 RETRY_S: Final = 0.25
 # Time of failing reads after which peers are to read, in s.
 CUT_OFF_S: Final = 0.4
+# Time without news after which they count as the end of an outage, in s.
+OUTAGE_S: Final = 2.0
 # How long entries that vanished while the store was away may take to come
 # back, in s.
 LAPSE_S: Final = 2.2
@@ -54,13 +56,21 @@
         offset: Where to read on; None before the view was loaded.
         read_at: Loop time of the last good read, in s.
         failing_since: Loop time of the first failure since then, or None.
-        back_at: Loop time at which reads last worked again, in s.
+        back_at: Loop time at which news came again after an outage, in s.
+        loaded: Whether it was ever read whole.
     """
 
     offset: int | None = None
     read_at: float = float('-inf')
     failing_since: float | None = None
     back_at: float = float('-inf')
+    loaded: bool = False
+
+    def note_read(self, now: float) -> None:
+        """Takes in that news came, by a read or from a peer."""
+        if now - self.read_at > OUTAGE_S:
+            self.back_at = now
+        self.read_at = now
 
 
 @attrs.define
@@ -73,7 +83,7 @@
     @property
     def registry_known(self) -> bool:
         """Whether the endpoints were read at least once."""
-        return self.follows[View.REGISTRY].offset is not None
+        return self.follows[View.REGISTRY].loaded
 
     def is_cut_off(self, now: float) -> bool:
         """Whether the metadata store was out of reach for a while."""
@@ -129,9 +139,9 @@
                       (('view', event.view.value),
                        ('away_s', round(now - follow.failing_since, 3))))
         follow.failing_since = None
-        follow.back_at = now
     start, follow.offset = follow.offset, event.next
-    follow.read_at = now
+    follow.note_read(now)
+    follow.loaded = follow.loaded or event.whole
     changed = [_is_change(state, news) for news in event.news]
     for news in event.news:
         yield from _take(state, news, now)
@@ -168,7 +178,7 @@
         for news in event.news:
             yield from _take(state, news, now)
         follow.offset = event.end
-    follow.read_at = now
+    follow.note_read(now)
     yield from _drop_missing(state, now)
 
 
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -239,7 +239,7 @@
     def test_not_ready_before_it_knows_anything(self) -> None:
         scene = GatewayScene()
         self.assertTrue(scene.state.ready)
-        scene.state.views.follows[View.REGISTRY].offset = None
+        scene.state.views.follows[View.REGISTRY].loaded = False
         self.assertFalse(scene.state.ready)
         self.assertNotIn(EndpointId('a'), scene.state.endpoints)
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -265,6 +265,11 @@
     def test_removed_endpoint_gets_nothing(self) -> None:
         scene = GatewayScene(A)
         scene.advance(10.0)
+        scene.read(View.REGISTRY)
+        for _ in range(3):
+            scene.advance(0.8)
+            scene.read(View.REGISTRY)
+        scene.advance(0.8)
         scene.read(View.REGISTRY, ev.Gone(A.id))
         scene.ask('/view/x')
         self.assertEqual(scene.all(fx.Send), [])
@@ -296,6 +301,28 @@
         scene.read(View.REGISTRY, endpoint('a', LEDGER, born_ms=7))
         self.assertEqual(scene.state.endpoints[A.id].failures, 0)
 
+    def test_lapse_is_waited_out_by_who_hears_of_it_from_a_peer(self) -> None:
+        scene = GatewayScene(A)
+        scene.post(ev.ViewFailed(View.REGISTRY, False, 'down'))
+        scene.now += 5.0
+        relayed = ev.ViewRelayed(View.REGISTRY, 1, 2, (ev.Gone(A.id),))
+        scene.post(relayed)
+        self.assertIn(A.id, scene.state.endpoints)
+        for _ in range(2):
+            scene.now += 1.0
+            scene.post(ev.ViewRelayed(View.REGISTRY, 2, 2, ()))
+            self.assertIn(A.id, scene.state.endpoints)
+        scene.now += 1.0
+        scene.post(ev.ViewRelayed(View.REGISTRY, 2, 2, ()))
+        self.assertNotIn(A.id, scene.state.endpoints)
+
+    def test_lost_history_leaves_the_vm_ready(self) -> None:
+        scene = GatewayScene(A)
+        scene.post(ev.ViewFailed(View.REGISTRY, True, 'trimmed'))
+        self.assertTrue(scene.state.ready)
+        scene.advance(0.3)
+        self.assertEqual(scene.last(fx.LoadView).view, View.REGISTRY)
+
     def test_unreadable_record_changes_nothing(self) -> None:
         scene = GatewayScene(A)
         scene.read(View.REGISTRY, ev.Unreadable('a', 'no JSON'))
