Fetch stored parts also while the metadata store is down

Change: parts are freed only once every registered engine runs newer weights for 2 s, by a VM with fresh views; an engine of another version turns requests away, so a fetch needs no fresh view.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -28,6 +28,8 @@
 # Part of a request's time for which it is held for an endpoint that is
 # expected back within it.
 HOLD_HOPE_PART: Final = 0.4
+# Part of its target that must be left for a request to be sent again.
+LEAST_SEND_PART: Final = 0.1
 # Shortest and longest time after which a refused caller may come back, in s.
 RETRY_AFTER_LEAST_S: Final = 0.2
 RETRY_AFTER_MOST_S: Final = 2.0
@@ -77,6 +79,8 @@
     """Whether a request may be sent once more, within all limits."""
     if call.sends >= retries.MAX_SENDS or call.runs >= call.route.attempts:
         return False
+    if call.expires_at - now < LEAST_SEND_PART * call.route.target_s:
+        return False
     return state.retries.allows(call.service, now)
 
 
--- a/src/plantainridge/gateway/kept_parts.py
+++ b/src/plantainridge/gateway/kept_parts.py
@@ -2,7 +2,7 @@
 
 A store checks nothing when a part is fetched, so a part is fetched only if the
 store itself said that it is whole, in its present life, and was heard a moment
-ago. Parts of replaced weights are freed once no VM can still fetch them.
+ago. Parts of replaced weights are freed once no engine runs these any more.
 """
 
 import math
@@ -15,7 +15,6 @@
 from plantainridge.gateway import cache, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import KeptPart, Part, View
-from plantainridge.ids import ModelId
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -23,19 +22,13 @@
 
 # Longest time that a fetch may take, in s; what comes later is thrown away.
 FETCH_S: Final = 1.0
-# Age of the operators' view beyond which nothing is fetched, in s.
-VIEW_FRESH_S: Final = 3.0
-# How long after a VM heard of newer weights it still fetches older parts, in
-# s: engines take some seconds to change over.
-OLD_FETCH_S: Final = 8.0
-# How long newer weights must be known before older parts are freed while some
-# engine may still use them, in s: longer than a view may be old and an older
-# part may be fetched.
-FREE_AFTER_S: Final = 12.0
-# The same once every engine was seen to run the newer weights, in s.
-FREE_UNUSED_S: Final = 2.0
 # Stores that keep a part which opens many prompts.
 OPENING_COPIES: Final = 2
+# How long every engine must have run newer weights before older parts are
+# freed, in s: longer than a fetch may take.
+FREE_UNUSED_S: Final = 2.0
+# Age of this VM's views beyond which it frees nothing, in s.
+VIEW_FRESH_S: Final = 2.0
 # Lead of one VM over the next in freeing the same parts, in s.
 FREE_STAGGER_S: Final = 1.0
 # Parts freed by one call.
@@ -72,7 +65,8 @@
     """Frees parts of weights that were replaced some time ago."""
     if not state.versions.named or view.epoch is None:
         return
-    if now < _free_at(state) + FREE_STAGGER_S * relays.rank(state, view.name):
+    if now < _free_at(state,
+                      now) + FREE_STAGGER_S * relays.rank(state, view.name):
         return
     versions = {named.version for named in state.versions.named.values()}
     oldest = min(versions)
@@ -89,23 +83,29 @@
     yield fx.FreeParts(view.name, view.terms.address, view.epoch, tuple(old))
 
 
-def _free_at(state: 'GatewayState') -> float:
-    """Returns the loop time from which replaced weights' parts go, in s."""
-    newest = max(state.versions.named.values(), key=lambda each: each.seen_at)
-    reached_at = newest.seen_at
-    for view in state.endpoints.values():
-        for model, version in view.entry.versions.items():
+def _free_at(state: 'GatewayState', now: float) -> float:
+    """Returns the loop time from which replaced weights' parts go, in s.
+
+    A request is bound to a version, and an engine of another one turns it
+    away; so nobody fetches a part whose version no engine runs, however old
+    its view.
+    """
+    for view in (View.OPERATOR, View.REGISTRY):
+        if state.views.age_s(view, now) > VIEW_FRESH_S:
+            return math.inf
+    changed_at = max(each.seen_at for each in state.versions.named.values())
+    for each in state.endpoints.values():
+        for model, version in each.entry.versions.items():
             if version < (state.versions.newest(model) or version):
-                return newest.seen_at + FREE_AFTER_S
-            reached_at = max(reached_at, view.changed_at)
-    return min(reached_at + FREE_UNUSED_S, newest.seen_at + FREE_AFTER_S)
+                return math.inf
+            changed_at = max(changed_at, each.changed_at)
+    return changed_at + FREE_UNUSED_S
 
 
 def find(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
          now: float) -> Stored:
     """Returns for each shared part of a prompt a store that keeps it whole."""
-    if (state.views.age_s(View.OPERATOR, now) > VIEW_FRESH_S or
-            state.stores.clock_ms is None):
+    if state.stores.clock_ms is None:
         return ()
     fresh = [view for view in state.stores.views.values() if view.is_fresh(now)]
     fresh.sort(key=lambda each: -each.terms.link_mbps)
@@ -149,15 +149,6 @@
     return bits / max(1.0, view.terms.link_mbps * 1e6)
 
 
-def usable(state: 'GatewayState', model: ModelId, version: int | None,
-           now: float) -> bool:
-    """Whether parts made under a version may still be fetched."""
-    named = state.versions.named.get(model)
-    if version is None or named is None:
-        return version is not None
-    return version == named.version or now - named.seen_at < OLD_FETCH_S
-
-
 def plan_save(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
               now: float) -> tuple[str, ...]:
     """Returns for each part the store that is to keep it, or ''."""
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -179,7 +179,7 @@
     parts = state.cache.held_parts(view.entry.id, salt, request.parts)
     held = sum(part.tokens for part in request.parts[:parts])
     fetch = kept_parts.NO_FETCH
-    if kept_parts.usable(state, request.model, version, now):
+    if version is not None:
         fetch = kept_parts.plan_fetch(weighing.stored_parts(salt),
                                       request.parts, parts,
                                       _token_bytes(state, call))
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -120,6 +120,14 @@
         reply = scene.last(fx.Reply)
         self.assertEqual((reply.status, reply.body), (500, b'bad'))
 
+    def test_is_not_sent_again_when_its_time_is_over(self) -> None:
+        scene = GatewayScene(A, B)
+        send = scene.ask('/view/x', patience_s=2.0)
+        scene.now += 1.99
+        scene.post(ev.AnswerArrived(send.attempt, head(504), b'late'))
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+        self.assertEqual(scene.last(fx.Reply).status, 504)
+
     def test_unsigned_success_is_not_passed_on(self) -> None:
         scene = GatewayScene(A)
         send = scene.ask('/submit/x')
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -7,6 +7,7 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import peer_messages
+from plantainridge.gateway.endpoints import EndpointEntry
 from plantainridge.gateway.events import KeptPart, Part, View
 from plantainridge.gateway.hints import HintHeard
 from plantainridge.gateway.peer_messages import Hint, OwnLoad, Reached
@@ -262,18 +263,45 @@
         scene = self._scene()
         self._keep(scene, 'opening', 'context')
         scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
-        scene.advance(5.0)
-        self.assertEqual(scene.all(fx.FreeParts), [])
+        for _ in range(20):
+            self._hear(scene, endpoint('a'))
+            self.assertEqual(scene.all(fx.FreeParts), [])
+        for _ in range(6):
+            self._hear(scene, endpoint('a', versions={MODEL: 2}))
+        freed = scene.last(fx.FreeParts)
+        self.assertEqual({part.id for part in freed.parts},
+                         {'opening', 'context'})
+
+    def test_nothing_is_freed_by_a_vm_with_old_views(self) -> None:
+        scene = self._scene()
+        self._keep(scene, 'opening', 'context')
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
         scene.read(View.REGISTRY, endpoint('a', versions={MODEL: 2}))
-        scene.advance(1.0)
+        scene.post(ev.ViewFailed(View.OPERATOR, False, 'down'))
+        for _ in range(10):
+            scene.advance(0.8)
+            store = next(iter(scene.state.stores.views))
+            scene.post(ev.StoreChanged(store, 1, 9, False, (), 1.0))
         self.assertEqual(scene.all(fx.FreeParts), [])
-        scene.advance(6.0)
+
+    def test_parts_are_fetched_while_the_metadata_store_is_down(self) -> None:
+        scene = self._scene()
+        self._keep(scene, 'opening', 'context')
+        for view in View:
+            scene.post(ev.ViewFailed(view, False, 'down'))
+        for _ in range(10):
+            scene.advance(0.8)
+            store = next(iter(scene.state.stores.views))
+            scene.post(ev.StoreChanged(store, 1, 9, False, (), 1.0))
+        self.assertTrue(self._plan(scene).fetch_from)
+
+    def _hear(self, scene: GatewayScene, entry: EndpointEntry) -> None:
+        """Lets the views and the stores say something."""
+        scene.advance(0.8)
+        scene.read(View.OPERATOR)
+        scene.read(View.REGISTRY, entry)
         store = next(iter(scene.state.stores.views))
         scene.post(ev.StoreChanged(store, 1, 9, False, (), 1.0))
-        scene.advance(1.0)
-        freed = scene.last(fx.FreeParts)
-        self.assertEqual({part.id for part in freed.parts},
-                         {'opening', 'context'})
 
 
 class PeerMessageTest(unittest.TestCase):
