--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -135,16 +135,14 @@
     choices = []
     state, now = weighing.state, weighing.now
     model = weighing.call.request.model
-    named = state.versions.named.get(model)
-    graced = named is None or now - named.seen_at < OLD_VERSION_GRACE_S
     for view in candidates:
         version = view.versions.get(model)
-        old = (named is not None and version is not None and
-               version < named.version)
-        if old and named is not None and _too_old(state, named.seen_at, now):
+        replaced_at = state.versions.replaced_at(model, version)
+        old_s = 0.0 if replaced_at is None else now - replaced_at
+        if old_s > state.settings.bounds.version_s - VERSION_MARGIN_S:
             continue
         choice = _engine(weighing, view, version)
-        if old and not graced:
+        if old_s > OLD_VERSION_GRACE_S:
             choice.cost += OLD_VERSION_COST
         choices.append(choice)
     most = max((each.ready_tokens for each in choices), default=0)
@@ -166,11 +164,6 @@
         home.cost -= HOME_COST
 
 
-def _too_old(state: 'GatewayState', named_at: float, now: float) -> bool:
-    bound = state.settings.bounds.version_s - VERSION_MARGIN_S
-    return now - named_at > bound
-
-
 def _engine(weighing: _Weighing, view: EndpointView,
             version: int | None) -> Choice:
     state, call, now = weighing.state, weighing.call, weighing.now
--- a/src/plantainridge/gateway/versions.py
+++ b/src/plantainridge/gateway/versions.py
@@ -7,7 +7,7 @@
 
 @attrs.frozen
 class Named:
-    """The newest version of a model, and when this VM read of it.
+    """A version of a model, and when this VM read of it.
 
     Attributes:
         seen_at: Loop time, in s.
@@ -19,19 +19,35 @@
 
 @attrs.define
 class VersionTable:
-    """The newest named version of each model; none goes back."""
+    """The named versions of each model, oldest first; none goes back."""
 
-    named: dict[ModelId, Named] = attrs.field(factory=dict)
+    history: dict[ModelId, list[Named]] = attrs.field(factory=dict)
 
     def name(self, model: ModelId, version: int, now: float) -> bool:
         """Takes a named version in; False if it is not news."""
-        known = self.named.get(model)
-        if known is not None and known.version >= version:
+        known = self.history.setdefault(model, [])
+        if known and known[-1].version >= version:
             return False
-        self.named[model] = Named(version, now)
+        known.append(Named(version, now))
         return True
 
+    @property
+    def named(self) -> dict[ModelId, Named]:
+        """The newest version of each model."""
+        return {model: known[-1] for model, known in self.history.items()}
+
     def newest(self, model: ModelId) -> int | None:
         """Returns the newest named version, or None."""
-        known = self.named.get(model)
-        return None if known is None else known.version
+        known = self.history.get(model)
+        return known[-1].version if known else None
+
+    def replaced_at(self, model: ModelId, version: int | None) -> float | None:
+        """Returns the loop time at which a version was first replaced, in s.
+
+        None if it was not; each newer version is judged from its own naming,
+        so that a later one does not put the bound off.
+        """
+        for known in self.history.get(model, ()):
+            if version is not None and known.version > version:
+                return known.seen_at
+        return None
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -128,6 +128,16 @@
         scene.ask('/report/x', 'r2')
         self.assertEqual(len(scene.all(fx.Send)), sends)
 
+    def test_bound_runs_from_the_first_version_that_replaced_them(self) -> None:
+        scene = GatewayScene(A)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.now += 7.0
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 3))
+        self.assertIsInstance(scene.ask('/report/x'), fx.Send)
+        scene.now += 2.0
+        scene.ask('/report/x', 'r2')
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+
     def test_request_is_bound_to_the_engine_s_version(self) -> None:
         scene = self._scene()
         scene.state.endpoints[EndpointId('a')].away_until = scene.now + 9.0
