--- a/src/plantainridge/platform/names.py
+++ b/src/plantainridge/platform/names.py
@@ -62,6 +62,9 @@
 
 OPERATOR_TOPIC: Final = 'keyed.op'
 REGISTRY_TOPIC: Final = 'keyed.servers'
+LOG_NEWEST: Final = '/log-newest'
+LOG_READ: Final = '/log-read'
+LOG_APPEND: Final = '/log-append'
 # The system's own topics.
 VMS_TOPIC: Final = 'keyed.vms'
 LEASE_TOPIC: Final = 'keyed.lease'
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -66,7 +66,7 @@
             query = {'topic': _TOPICS[view], 'part': '0'}
             if after is not None:
                 query['after'] = after
-            reply = await self._call('GET', 'log-newest', query)
+            reply = await self._call('GET', names.LOG_NEWEST, query)
             if not isinstance(reply, Reply) or reply.status != 200:
                 self._failed(view, reply)
                 return
@@ -91,7 +91,7 @@
         }
         if effect.wait_s:
             query['wait-ms'] = str(round(effect.wait_s * 1_000))
-        reply = await self._call('GET', 'log-read', query,
+        reply = await self._call('GET', names.LOG_READ, query,
                                  TIMEOUT_S + effect.wait_s)
         if not isinstance(reply, Reply) or reply.status != 200:
             self._failed(effect.view, reply)
@@ -117,14 +117,14 @@
 
     async def _announce(self, body: bytes) -> None:
         await self._call('POST',
-                         'log-append', {
+                         names.LOG_APPEND, {
                              'topic': names.VMS_TOPIC,
                              'part': '0'
                          },
                          body=body)
 
     async def _read_lease(self) -> None:
-        reply = await self._call('GET', 'log-newest', {
+        reply = await self._call('GET', names.LOG_NEWEST, {
             'topic': names.LEASE_TOPIC,
             'part': '0'
         })
@@ -151,7 +151,7 @@
         body = records.encode_keyed(names.LEASE_KEY,
                                     records.encode_lease(effect.record))
         reply = await self._call('POST',
-                                 'log-append', {
+                                 names.LOG_APPEND, {
                                      'topic': names.LEASE_TOPIC,
                                      'part': '0',
                                      'at': str(effect.end)
@@ -170,5 +170,5 @@
               query: dict[str, str],
               timeout_s: float = TIMEOUT_S,
               body: bytes = b'') -> Coroutine[Any, Any, Reply | NoReply]:
-        target = f'/{path}?{urllib.parse.urlencode(query)}'
+        target = f'{path}?{urllib.parse.urlencode(query)}'
         return call(self.pool, self.address, method, target, timeout_s, body)
--- a/src/plantainridge/standins/platform_site.py
+++ b/src/plantainridge/standins/platform_site.py
@@ -48,9 +48,9 @@
         self.status = 0
         self.calls: dict[str, int] = {}
         routes = {
-            '/log-newest': self._newest,
-            '/log-read': self._read,
-            '/log-append': self._append
+            names.LOG_NEWEST: self._newest,
+            names.LOG_READ: self._read,
+            names.LOG_APPEND: self._append
         }
         self.server = AppServer(
             Starlette(routes=[
