Close a stopping VM's connections after any answer

Change: connections close after any answer that ends during a stop, and requests are refused, not run, from 3.5 s after it. Both tests fail first.

--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -12,6 +12,9 @@
 
 # The balancer needs two checks, a second apart, to see that a VM is not ready.
 UNREADY_S: Final = 3.0
+# Time after the word to stop from which requests are refused, in s: a long one
+# would not end before the process must.
+REFUSE_S: Final = UNREADY_S + 0.5
 # Requests that crossed the closing of their connection arrive within this
 # time, in s.
 CROSSING_S: Final = 0.3
@@ -30,6 +33,12 @@
     yield LogLine('stopping', (('requests', len(state.calls.calls)),))
 
 
+def refuses_new(state: 'GatewayState', now: float) -> bool:
+    """Whether a request that arrives now comes too late to be served."""
+    return (state.stopping_since is not None and
+            now - state.stopping_since >= REFUSE_S)
+
+
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Stops listening, then exits once nothing is left to answer."""
     if state.stopping_since is None or state.exiting:
--- a/src/plantainridge/gateway/http_server.py
+++ b/src/plantainridge/gateway/http_server.py
@@ -315,7 +315,9 @@
             # Closing with unread bytes would reset the answer away.
             self.transport.write_eof()
             return
-        if (self.close_after or http is None or
+        # An answer that began before the word to stop did not announce it.
+        stopping = self.server.closing and not self.buffer
+        if (self.close_after or stopping or http is None or
                 http.our_state is h11.MUST_CLOSE):
             self.transport.close()
             return
--- a/src/plantainridge/gateway/intake.py
+++ b/src/plantainridge/gateway/intake.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.gateway import dispatch, endings, suspects
+from plantainridge.gateway import dispatch, drain, endings, suspects
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import Route, Team
 from plantainridge.gateway.events import RequestArrived, View
@@ -59,6 +59,9 @@
                        now: float) -> fx.Refuse | None:
     """Refuses what the configuration does not allow."""
     request = event.request
+    if drain.refuses_new(state, now):
+        return fx.Refuse(request.id, endings.STATUS_REFUSED,
+                         'the VM is stopping', dispatch.RETRY_AFTER_LEAST_S)
     if state.config.version < 0:
         return fx.Refuse(request.id, endings.STATUS_REFUSED,
                          'the configuration is not known yet',
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -233,6 +233,15 @@
         scene.advance(0.5)
         self.assertEqual(len(scene.all(base.Exit)), 1)
 
+    def test_request_that_comes_too_late_to_end_is_refused(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER))
+        scene.post(ev.StopRequested())
+        scene.now += 6.0
+        refused = scene.ask('/submit/x')
+        self.assertEqual(refused.status, 503)
+        self.assertIsNotNone(refused.retry_after_s)
+        self.assertEqual(scene.all(fx.Send), [])
+
     def test_ends_before_it_is_killed(self) -> None:
         scene = GatewayScene(endpoint('a', LEDGER))
         scene.ask('/submit/x', patience_s=60.0)
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -171,6 +171,18 @@
         self.assertIn(b'connection: close', answer.lower())
         self.assertTrue(answer.endswith(b'ok'))
 
+    async def test_stream_that_began_before_the_stop_closes_at_its_end(
+            self) -> None:
+        caller = Caller()
+        await caller.connect()
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        name = caller.requests()[0].id
+        caller.server.start_reply(fx.StartReply(name, 200, ()))
+        caller.server.closing = True
+        caller.server.end_reply(fx.EndReply(name))
+        got = await asyncio.wait_for(caller.reader.read(), 2.0)
+        self.assertTrue(got.endswith(b'0\r\n\r\n'))
+
     async def test_headers_of_the_system_are_dropped(self) -> None:
         caller = Caller()
         await caller.connect()
--- a/tools/boot.py
+++ b/tools/boot.py
@@ -16,8 +16,8 @@
 from types import ModuleType
 
 MIN_VERSION = (3, 11)
-# Directories, in memory on most VMs, of which the first that is writable is used while the
-# schema of messages is read.
+# Directories, in memory on most VMs, of which the first that is writable is
+# used while the schema of messages is read.
 MEMORY_FOLDERS = ('/run', '/tmp')
 
 
