--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from plantainridge.gateway.rates import Average
 from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, ServiceId)
 
 
@@ -68,7 +67,6 @@
         away_until: Loop time until which it gets no work, in s.
         failures: Failures in a row since its last good answer.
         heard_at: Loop time at which any byte came from it, in s.
-        first_piece_s: Time to the first piece, over what its load explains.
         missing_since: Loop time since which its entry is gone, or None.
         reached_at: Loop time at which it was last told to have taken up new
             weights, in s.
@@ -82,7 +80,6 @@
     away_until: float = 0.0
     failures: int = 0
     heard_at: float = 0.0
-    slowness: Average = attrs.field(factory=Average)
     missing_since: float | None = None
     changed_at: float = 0.0
     reached_at: float = 0.0
--- a/src/plantainridge/gateway/rates.py
+++ b/src/plantainridge/gateway/rates.py
@@ -1,26 +1,7 @@
-"""Readings that fade with time."""
-
-from typing import Final
+"""Events counted over time."""
 
 import attrs
 
-# Weight of a new reading.
-NEW_SHARE: Final = 0.2
-
-
-@attrs.define
-class Average:
-    """An exponentially weighted average."""
-
-    value: float = 0.0
-    readings: int = 0
-
-    def add(self, reading: float) -> None:
-        """Takes a reading in."""
-        self.readings += 1
-        share = max(NEW_SHARE, 1.0 / self.readings)
-        self.value += (reading - self.value) * share
-
 
 @attrs.define
 class WindowCount:
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -222,6 +222,7 @@
     view = state.endpoints.get(entry.id)
     if view is not None and view.entry.born_ms != entry.born_ms:
         # The same id after a restart: nothing known of it holds.
+        state.cache.forget(entry.id)
         view = None
     if view is None:
         view = EndpointView(entry,
@@ -265,6 +266,7 @@
     ]
     for name in gone:
         view = state.endpoints.pop(name)
+        state.cache.forget(name)
         yield LogLine('endpoint_gone', (('endpoint', name),))
         yield fx.DropConnections(view.entry.address)
 
