--- a/src/plantainridge/bench_config.py
+++ b/src/plantainridge/bench_config.py
@@ -20,7 +20,7 @@
 from plantainridge import revision_records as rr
 from plantainridge.config import Config, Team
 from plantainridge.differences import Difference, items
-from plantainridge.effects import LogLine
+from plantainridge.loop.effects import LogLine
 from plantainridge.events import Record
 from plantainridge.ids import DcId, ModelId, TeamId, VmId
 from plantainridge.publishing import LogUnavailable, Publisher
--- a/src/plantainridge/bench_footprint.py
+++ b/src/plantainridge/bench_footprint.py
@@ -25,8 +25,9 @@
 from plantainridge.differences import Difference, items
 from plantainridge.directory import (MAX_ENDPOINT_ENTRIES, MAX_STORE_ENTRIES,
                                      Directory)
-from plantainridge.effects import Effect, SendPeer
-from plantainridge.events import CacheListed, Event, LoadReported, PeerSaid
+from plantainridge.loop.effects import Effect, SendPeer
+from plantainridge.events import CacheListed, LoadReported
+from plantainridge.loop.events import Event, PeerSaid
 from plantainridge.ids import (BlockKey, DcId, EndpointId, TeamId,
                                WeightVersion)
 from plantainridge.metrics import MAX_HISTOGRAMS, Metrics
--- a/src/plantainridge/caching.py
+++ b/src/plantainridge/caching.py
@@ -10,12 +10,13 @@
 
 from plantainridge import requests, transfers
 from plantainridge.calls import Call
-from plantainridge.effects import (Effect, ListEndpointCache, ListStore,
-                                   Observe, RaiseBlocks)
+from plantainridge.effects import ListEndpointCache, ListStore, RaiseBlocks
+from plantainridge.loop.effects import Effect, Observe
 from plantainridge.events import (AttemptEnded, BlockRef, CacheChanged,
                                   CacheListed, LoadReported, ModelCalled,
                                   StoreChanged, StoreListed, StoreLoadReported,
-                                  Tier, TimerFired, TransferEnded)
+                                  Tier, TransferEnded)
+from plantainridge.loop.events import TimerFired
 from plantainridge.ids import BlockKey, StoreId
 from plantainridge.returns import Expected
 from plantainridge.state import VmState
--- a/src/plantainridge/callers.py
+++ b/src/plantainridge/callers.py
@@ -21,6 +21,7 @@
 from plantainridge.config import Team
 from plantainridge.event_stream import EventStream
 from plantainridge.ids import RequestId, ServiceId
+from plantainridge.loop import effects as base
 from plantainridge.mailboxes import HungUp, Mailbox, Mailboxes
 from plantainridge.problems import problem, problem_body
 from plantainridge.refusals import RanState, Reason, Refusal
@@ -314,13 +315,13 @@
         took_s = time.monotonic() - visit.began_at
         report = self.runtime.ports.report
         report.observe(
-            fx.Observe('request_s', visit.team, visit.outcome, took_s))
+            base.Observe('request_s', visit.team, visit.outcome, took_s))
         report.log(
-            fx.LogLine('request_ended',
-                       (('request', visit.name), ('team', visit.team),
-                        ('target', visit.target), ('outcome', visit.outcome),
-                        ('tokens', visit.tokens),
-                        ('took_s', round(took_s, 4)))))
+            base.LogLine('request_ended',
+                         (('request', visit.name), ('team', visit.team),
+                          ('target', visit.target), ('outcome', visit.outcome),
+                          ('tokens', visit.tokens),
+                          ('took_s', round(took_s, 4)))))
 
 
 def _new_visit(request: Request) -> _Visit:
--- a/src/plantainridge/checkpoints.py
+++ b/src/plantainridge/checkpoints.py
@@ -11,8 +11,10 @@
 import attrs
 
 from plantainridge import revision_records as rr
-from plantainridge.effects import AppendLog, Effect, LogLine
-from plantainridge.events import AppendEnded, AppendFailed, Stream, TimerFired
+from plantainridge.effects import AppendLog
+from plantainridge.loop.effects import Effect, LogLine
+from plantainridge.events import AppendEnded, AppendFailed, Stream
+from plantainridge.loop.events import TimerFired
 
 if TYPE_CHECKING:
     from plantainridge.state import VmState
--- a/src/plantainridge/claim_answers.py
+++ b/src/plantainridge/claim_answers.py
@@ -11,7 +11,8 @@
 from plantainridge.claim_records import Ending, Outcome
 from plantainridge.claim_state import ClaimLimits
 from plantainridge.claim_table import ClaimTable
-from plantainridge.effects import Effect, Refuse, SendServiceAnswer
+from plantainridge.effects import Refuse, SendServiceAnswer
+from plantainridge.loop.effects import Effect
 from plantainridge.events import ServiceCalled
 from plantainridge.refusals import RanState, Reason, Refusal
 
--- a/src/plantainridge/claim_state.py
+++ b/src/plantainridge/claim_state.py
@@ -9,7 +9,7 @@
 from plantainridge.claim_table import ClaimTable
 from plantainridge.events import ServiceCalled
 from plantainridge.ids import RequestId
-from plantainridge.lifecycles import LifeCycle
+from plantainridge.loop.lifecycle import LifeCycle
 
 
 class WorkPhase(enum.Enum):
--- a/src/plantainridge/claim_sync.py
+++ b/src/plantainridge/claim_sync.py
@@ -6,9 +6,11 @@
 from plantainridge import claim_batches, claim_records
 from plantainridge.claim_records import BadClaimRecord, ClaimRecord, Mark
 from plantainridge.claim_state import ClaimsState, Tail, WorkPhase
-from plantainridge.effects import CancelTimer, Effect, ReadLog, SetTimer
+from plantainridge.effects import ReadLog
+from plantainridge.loop.effects import CancelTimer, Effect, SetTimer
 from plantainridge.events import (LogRead, LogReadFailed, Record, Stream,
-                                  TimerFired, TimerKey, TimerKind)
+                                  TimerKind)
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.state import VmState
 
 # Pause between reads while no claim of this VM waits to be read back, in s.
--- a/src/plantainridge/claims.py
+++ b/src/plantainridge/claims.py
@@ -16,12 +16,12 @@
                                          Outcome, Release)
 from plantainridge.claim_state import WORK, KeyWork, WorkPhase
 from plantainridge.claim_table import ClaimTable, Entry
-from plantainridge.effects import (CancelTimer, Effect, Observe, Refuse,
-                                   SendServiceAnswer, SetTimer)
+from plantainridge.effects import Refuse, SendServiceAnswer
+from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
 from plantainridge.events import (AppendEnded, AppendFailed, CallerGone,
                                   Failure, LogRead, ServiceAnswered,
-                                  ServiceCalled, Stream, TimerFired, TimerKey,
-                                  TimerKind)
+                                  ServiceCalled, Stream, TimerKind)
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.lifecycles import REQUEST, RequestPhase
 from plantainridge.refusals import Refusal
 from plantainridge.service_attempts import (MAX_TRIES, SERVICE_TIMEOUT_S,
--- a/src/plantainridge/drain.py
+++ b/src/plantainridge/drain.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge.effects import Effect, Exit, LogLine
-from plantainridge.events import StopRequested, TimerFired
+from plantainridge.loop.effects import Effect, Exit, LogLine
+from plantainridge.events import StopRequested
+from plantainridge.loop.events import TimerFired
 from plantainridge.state import VmState
 
 # Least time between the word to stop and the exit, in s: the balancer sends
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -18,13 +18,13 @@
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
 from plantainridge.orders_http import HttpOrderPort
-from plantainridge.peers_net import NetPeers
+from plantainridge.loop.peers_net import NetPeers
 from plantainridge.ports import Ports, TransferPort
 from plantainridge.reports import ProcessReport
 from plantainridge.runtime import Runtime
 from plantainridge.serve import AppServer
 from plantainridge.state import VmState
-from plantainridge.tasks import Tasks
+from plantainridge.loop.tasks import Tasks
 
 
 @attrs.frozen
--- a/src/plantainridge/events.py
+++ b/src/plantainridge/events.py
@@ -7,11 +7,7 @@
 from plantainridge.ids import (AttemptId, BlockKey, EndpointId, ModelId,
                                RequestId, ServiceId, StoreId, TeamId,
                                TransferId, VmId, WeightVersion)
-
-
-@attrs.frozen
-class Event:
-    """Base of all events."""
+from plantainridge.loop.events import Event
 
 
 class TimerKind(enum.Enum):
@@ -30,21 +26,6 @@
     STOP = 'stop'
 
 
-@attrs.frozen
-class TimerKey:
-    """Names one timer; setting it again replaces it."""
-
-    kind: enum.Enum
-    subject: str = ''
-
-
-@attrs.frozen
-class TimerFired(Event):
-    """A timer set by `SetTimer` came due."""
-
-    key: TimerKey
-
-
 # --- From callers -----------------------------------------------------------
 
 
@@ -415,14 +396,6 @@
     leaving_endpoints: frozenset[EndpointId] = frozenset()
 
 
-@attrs.frozen
-class PeerSaid(Event):
-    """A message from another VM's process, undecoded."""
-
-    sender: VmId
-    payload: bytes = attrs.field(repr=False)
-
-
 # --- From the process -------------------------------------------------------
 
 
--- a/src/plantainridge/exchange.py
+++ b/src/plantainridge/exchange.py
@@ -18,8 +18,8 @@
 import attrs
 
 from plantainridge import peer_messages as pm
-from plantainridge.effects import Effect, SendPeer
-from plantainridge.events import TimerFired
+from plantainridge.loop.effects import Effect, SendPeer
+from plantainridge.loop.events import TimerFired
 from plantainridge.ids import VmId
 
 if TYPE_CHECKING:
--- a/src/plantainridge/fairness.py
+++ b/src/plantainridge/fairness.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from plantainridge.effects import Effect
-from plantainridge.events import TimerFired
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import TimerFired
 from plantainridge.ids import TeamId
 
 if TYPE_CHECKING:
--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -19,7 +19,8 @@
 from plantainridge.config import EndpointKind
 from plantainridge.endpoints import EndpointView
 from plantainridge.http_ports import STATUS_OK
-from plantainridge.tasks import Tasks
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import BlockKey, EndpointId, WeightVersion
 from plantainridge.runtime import Runtime
 
@@ -124,7 +125,7 @@
 
 
 def _engine_events(endpoint: EndpointId, followed: _Followed, body: Any,
-                   now: float) -> Iterable[ev.Event]:
+                   now: float) -> Iterable[Event]:
     load = body['load']
     yield ev.LoadReported(endpoint, now - load['age_s'], load['running'],
                           load['waiting_tokens'], load['prefill_tokens_per_s'],
--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from plantainridge.effects import Effect, LogLine, Observe, SetTimer
-from plantainridge.events import TimerFired
+from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
+from plantainridge.loop.events import TimerFired
 from plantainridge.gateway import cache, dispatch, endings, health, placement
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
--- a/src/plantainridge/gateway/cache.py
+++ b/src/plantainridge/gateway/cache.py
@@ -29,22 +29,21 @@
                   parts: tuple[Part, ...]) -> None:
         """Remembers that an engine has read a prompt's parts."""
         known = self.read.setdefault(endpoint, OrderedDict())
-        for part in parts:
-            known[_key(salt, part)] = part.tokens
-            known.move_to_end(_key(salt, part))
+        for part, key in zip(parts, keys_of(salt, parts)):
+            known[key] = part.tokens
+            known.move_to_end(key)
         while len(known) > MAX_PARTS:
             known.popitem(last=False)
 
-    def held_parts(self, endpoint: EndpointId, salt: str,
-                   parts: tuple[Part, ...]) -> int:
-        """Returns how many leading parts an engine has read."""
+    def held_parts(self, endpoint: EndpointId, keys: tuple[str, ...]) -> int:
+        """Returns how many leading parts an engine has read, by their keys."""
         known = self.read.get(endpoint)
         if known is None:
             return 0
-        for count, part in enumerate(parts):
-            if _key(salt, part) not in known:
+        for count, key in enumerate(keys):
+            if key not in known:
                 return count
-        return len(parts)
+        return len(keys)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Forgets an engine that is gone or begins anew."""
@@ -80,5 +79,6 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
-def _key(salt: str, part: Part) -> str:
-    return f'{salt}/{part.id}'
+def keys_of(salt: str, parts: tuple[Part, ...]) -> tuple[str, ...]:
+    """Names a prompt's parts under a salt."""
+    return tuple(f'{salt}/{part.id}' for part in parts)
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import TimerFired
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import TimerFired
 from plantainridge.gateway import (cache, endings, health, kept_parts,
                                    placement, retries)
 from plantainridge.gateway import effects as fx
@@ -98,8 +98,8 @@
     call.tried.add(view.entry.id)
     state.calls.attempts[attempt] = Attempt(attempt, request.id, view.entry.id,
                                             now, now, choice.version)
-    view.own[attempt] = OwnSend(choice.read_tokens,
-                                placement.memory_tokens(request))
+    view.add_send(attempt,
+                  OwnSend(choice.read_tokens, placement.memory_tokens(request)))
     CALL.fire(call, 'send')
     plan = _cache_plan(state, call, choice, now) if request.model else None
     yield _sent_line(state, call, choice, now)
--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.effects import Effect, Exit, LogLine
+from plantainridge.loop.effects import Effect, Exit, LogLine
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import StopRequested
 
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from plantainridge.effects import Effect
+from plantainridge.loop.effects import Effect
 from plantainridge.gateway.events import (Headers, KeptPart, LeaseRecord,
                                           Request, View)
 from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, RequestId,
--- a/src/plantainridge/gateway/endings.py
+++ b/src/plantainridge/gateway/endings.py
@@ -3,8 +3,8 @@
 from collections.abc import Generator, Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.effects import CancelTimer, Effect, LogLine, Observe
-from plantainridge.events import TimerFired, TimerKey
+from plantainridge.loop.effects import CancelTimer, Effect, LogLine, Observe
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind
 from plantainridge.gateway.events import CallerLeft, TimerKind
@@ -94,7 +94,7 @@
     attempt = state.calls.attempts.pop(name)
     view = state.endpoints.get(attempt.endpoint)
     if view is not None:
-        view.own.pop(name, None)
+        view.drop_send(name)
     yield CancelTimer(patience_key(name))
     return attempt
 
--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -62,6 +62,8 @@
     Attributes:
         entry: Its latest entry.
         own: Sends of this VM in flight.
+        pending_tokens: Prompt tokens of these that are not read yet.
+        memory_tokens: Memory that these take at their end, in tokens.
         load: Its last word on its load, or None.
         versions: Weight version of each model, by the latest news of any kind.
         away_until: Loop time until which it gets no work, in s.
@@ -75,6 +77,8 @@
 
     entry: EndpointEntry
     own: dict[AttemptId, OwnSend] = attrs.field(factory=dict)
+    pending_tokens: int = 0
+    memory_tokens: int = 0
     load: EndpointLoad | None = None
     versions: dict[ModelId, int] = attrs.field(factory=dict)
     away_until: float = 0.0
@@ -91,20 +95,30 @@
         self.versions[model] = version
         self.reached_at = self.away_until = now
 
+    def add_send(self, attempt: AttemptId, send: OwnSend) -> None:
+        """Counts a send of this VM."""
+        self.own[attempt] = send
+        self.pending_tokens += send.pending_tokens
+        self.memory_tokens += send.memory_tokens
+
+    def note_prompt_read(self, attempt: AttemptId) -> None:
+        """Takes in that a send's prompt was read."""
+        send = self.own.get(attempt)
+        if send is not None:
+            self.pending_tokens -= send.pending_tokens
+            send.pending_tokens = 0
+
+    def drop_send(self, attempt: AttemptId) -> None:
+        """Counts a send no more that has ended."""
+        send = self.own.pop(attempt, None)
+        if send is not None:
+            self.pending_tokens -= send.pending_tokens
+            self.memory_tokens -= send.memory_tokens
+
     def takes_work(self, now: float) -> bool:
         """Whether it is registered, stays, and has not just failed."""
         return not self.entry.draining and now >= self.away_until
 
-    @property
-    def pending_tokens(self) -> int:
-        """Prompt tokens of this VM's sends that are not read yet."""
-        return sum(send.pending_tokens for send in self.own.values())
-
-    @property
-    def memory_tokens(self) -> int:
-        """Memory that this VM's sends take, in tokens."""
-        return sum(send.memory_tokens for send in self.own.values())
-
     @property
     def running(self) -> int:
         """Requests on it, by the larger of its word and this VM's count."""
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from plantainridge.events import Event
+from plantainridge.loop.events import Event
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.settings import GatewaySettings, SettingsFault
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -61,9 +61,7 @@
     view = state.endpoints.get(attempt.endpoint)
     if view is not None:
         view.heard_at = now
-        send = view.own.get(attempt.id)
-        if send is not None:
-            send.pending_tokens = 0
+        view.note_prompt_read(attempt.id)
 
 
 def note_whole(state: 'GatewayState', attempt: Attempt, now: float) -> None:
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -13,18 +13,17 @@
 
 import attrs
 
-from plantainridge.effects import Effect, SendPeer
-from plantainridge.events import Event
+from plantainridge.loop.effects import Effect, SendPeer
+from plantainridge.loop.events import Event
 from plantainridge.gateway import peer_messages, relays
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoadTable
 from plantainridge.gateway.peer_messages import Hint, OwnLoad, Reached
 from plantainridge.ids import EndpointId, VmId
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
 
-# Age at which a peer's hint counts no more, in s.
-FRESH_S: Final = 1.2
 # Time between hints to other data centres while engines are loaded, in s:
 # bytes between them are paid for.
 FAR_EVERY_S: Final = 0.1
@@ -36,8 +35,6 @@
 # Prompt tokens in flight on one engine that make it loaded: reading them takes
 # a good part of a usual target.
 LOADED_TOKENS: Final = 12_000
-# Longest time for which a peer's word keeps requests off an endpoint, in s.
-SPARE_S: Final = 1.0
 # Longest time between two hints of a VM that has requests in flight, in s.
 REPEAT_S: Final = 0.3
 # The same of one that has none, in s: peers must know that it lives.
@@ -62,24 +59,6 @@
     at: float
 
 
-@attrs.define
-class PeerLoad:
-    """What all peers together have in flight on one endpoint.
-
-    Attributes:
-        pending_tokens: Prompt tokens that are not read yet.
-        memory_tokens: Memory that the requests take at their end, in tokens.
-        requests: Requests in flight.
-    """
-
-    pending_tokens: int = 0
-    memory_tokens: int = 0
-    requests: int = 0
-
-
-NO_LOAD: Final = PeerLoad()
-
-
 @attrs.define
 class HintTable:
     """Hints of peers, and what was told to them.
@@ -89,6 +68,7 @@
         told: Loads in the last hint.
         told_at: Loop time of the last hint, in s.
         told_far_at: Loop time of the last hint to other data centres, in s.
+        loads: What peers have in flight.
         suspects: Suspects that are to be told.
         reached: Engines with new weights that are to be told.
     """
@@ -98,36 +78,10 @@
     told: dict[EndpointId, OwnLoad] = attrs.field(factory=dict)
     told_at: float = -math.inf
     told_far_at: float = -math.inf
+    loads: PeerLoadTable = attrs.field(factory=PeerLoadTable)
     suspects: list[tuple[str, EndpointId]] = attrs.field(factory=list)
     reached: list[Reached] = attrs.field(factory=list)
 
-    def peer_loads(self, now: float) -> dict[EndpointId, PeerLoad]:
-        """Returns what peers have in flight on each endpoint."""
-        found: dict[EndpointId, PeerLoad] = {}
-        for heard in self.heard.values():
-            if now - heard.at > FRESH_S:
-                continue
-            for name, load in heard.hint.loads.items():
-                total = found.setdefault(name, PeerLoad())
-                total.pending_tokens += load.pending_tokens
-                total.memory_tokens += load.memory_tokens
-                total.requests += load.requests
-        return found
-
-    def spared(self, now: float) -> dict[EndpointId, float]:
-        """Returns endpoints that peers found to take no work for now.
-
-        Each comes with the loop time of the latest word on it, in s.
-        """
-        found: dict[EndpointId, float] = {}
-        for heard in self.heard.values():
-            if now - heard.at > SPARE_S:
-                continue
-            for name, load in heard.hint.loads.items():
-                if now < heard.at + load.away_s:
-                    found[name] = max(heard.at, found.get(name, heard.at))
-        return found
-
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Tells peers of the data centre what changed."""
@@ -178,7 +132,7 @@
         return True
     if len(state.peers) > MAX_FAR_VMS:
         return False
-    peers = state.hints.peer_loads(now)
+    peers = state.hints.loads.fresh(now)
     return any(load.pending_tokens +
                peers.get(name, NO_LOAD).pending_tokens >= LOADED_TOKENS
                for name, load in loads.items())
@@ -200,6 +154,7 @@
             before.hint.number >= hint.number):
         return
     state.hints.heard[hint.vm] = Heard(hint, now)
+    state.hints.loads.replace(hint.vm, hint.loads, now)
     for fingerprint, endpoint in hint.suspects:
         state.suspects.note_break(fingerprint, endpoint, now)
     for each in hint.reached:
--- a/src/plantainridge/gateway/http_server.py
+++ b/src/plantainridge/gateway/http_server.py
@@ -15,14 +15,12 @@
 
 import h11
 
-from plantainridge.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import CallerLimits
 from plantainridge.gateway.events import CallerLeft, Headers, RequestArrived
 from plantainridge.gateway.wire import BadRequest, RawRequest, RequestWire
 from plantainridge.ids import RequestId
-
-Post = Callable[[Event], None]
+from plantainridge.loop.ports import Post
 
 BACKLOG: Final = 512
 HEAD_END: Final = b'\r\n\r\n'
--- a/src/plantainridge/gateway/intake.py
+++ b/src/plantainridge/gateway/intake.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
 from plantainridge.gateway import dispatch, drain, endings, suspects
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import Route, Team
--- a/src/plantainridge/gateway/journal.py
+++ b/src/plantainridge/gateway/journal.py
@@ -6,7 +6,7 @@
 import time
 from typing import Final
 
-from plantainridge.effects import LogLine
+from plantainridge.loop.effects import LogLine
 
 # Lines written per second; further ones are counted and left out, except
 # those that tell of a failure.
--- a/src/plantainridge/gateway/kept_parts.py
+++ b/src/plantainridge/gateway/kept_parts.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from plantainridge.effects import Effect, LogLine
+from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.gateway import cache, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import KeptPart, Part, View
--- a/src/plantainridge/gateway/membership.py
+++ b/src/plantainridge/gateway/membership.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import TimerFired, TimerKey
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import TimerKind, VmAnnounced
 
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -13,9 +13,10 @@
 import attrs
 
 from plantainridge.gateway import cache, endpoints, kept_parts
+from plantainridge.gateway.config import EngineTerms
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import Request
-from plantainridge.gateway.hints import NO_LOAD, PeerLoad
+from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoad
 from plantainridge.gateway.requests import Call
 from plantainridge.ids import EndpointId
 
@@ -75,47 +76,88 @@
     fetch: kept_parts.Fetch = kept_parts.NO_FETCH
 
 
+@attrs.define
+class _Reading:
+    """What reading a prompt takes on engines of one weight version.
+
+    Attributes:
+        keys: Names of the prompt's parts in the memory of engines.
+        stored: For each shared part a store that keeps it whole, or None.
+        fetches: What can be fetched, by the leading parts that are held.
+    """
+
+    version: int | None
+    keys: tuple[str, ...]
+    stored: kept_parts.Stored
+    fetches: dict[int, kept_parts.Fetch] = attrs.field(factory=dict)
+
+
 @attrs.define
 class _Weighing:
     """What all candidates for one request are weighed with.
 
     Attributes:
+        engine: What the engines have in common; None for a plain service.
         peers: What peers have in flight on each endpoint.
-        stored: For each salt, the stores that keep the prompt's parts.
+        memory_tokens: Memory that the run takes at its end, in tokens.
+        waited_s: Time since the request came, in s.
+        readings: What reading the prompt takes, by weight version.
     """
 
     state: 'GatewayState'
     call: Call
     now: float
+    engine: EngineTerms | None
     peers: Mapping[EndpointId, PeerLoad]
-    stored: dict[str, kept_parts.Stored] = attrs.field(factory=dict)
+    memory_tokens: int
+    waited_s: float
+    readings: dict[int | None, _Reading] = attrs.field(factory=dict)
 
-    def busy(self, view: EndpointView) -> int:
+    def busy(self, view: EndpointView, peers: PeerLoad) -> int:
         """Returns the requests on an endpoint, as far as known."""
-        own = len(view.own) + self.peers.get(view.entry.id, NO_LOAD).requests
+        own = len(view.own) + peers.requests
         if view.load is None or self.now - view.load.told_at > LOAD_AGE_S:
             return own
         return max(own, view.load.running + view.load.waiting)
 
-    def stored_parts(self, salt: str) -> kept_parts.Stored:
-        """Returns the stores that keep the prompt's parts under a salt."""
-        found = self.stored.get(salt)
+    def reading(self, version: int | None) -> _Reading:
+        """Returns what reading the prompt takes under a version."""
+        found = self.readings.get(version)
+        if found is not None:
+            return found
+        request = self.call.request
+        salt = cache.salt_of(request.model, version, self.call.team)
+        stored: kept_parts.Stored = ()
+        if version is not None:
+            stored = kept_parts.find(self.state, salt, request.parts, self.now)
+        found = _Reading(version, cache.keys_of(salt, request.parts), stored)
+        self.readings[version] = found
+        return found
+
+    def fetch(self, reading: _Reading, held: int) -> kept_parts.Fetch:
+        """Returns what can be fetched beyond the leading parts held."""
+        found = reading.fetches.get(held)
         if found is None:
-            found = kept_parts.find(self.state, salt, self.call.request.parts,
-                                    self.now)
-            self.stored[salt] = found
+            token_bytes = self.engine.token_bytes if self.engine else 0
+            found = kept_parts.plan_fetch(reading.stored,
+                                          self.call.request.parts, held,
+                                          token_bytes)
+            reading.fetches[held] = found
         return found
 
 
 def choose(state: 'GatewayState', call: Call, now: float) -> Choice | None:
     """Returns the cheapest endpoint for a request, or None."""
-    spared = state.hints.spared(now)
+    spared = state.hints.loads.spared(now)
     candidates = [
         view for view in endpoints.ready(state.endpoints, call.service, now)
         if view.entry.id not in call.tried and
         spared.get(view.entry.id, view.reached_at) <= view.reached_at
     ]
-    weighing = _Weighing(state, call, now, state.hints.peer_loads(now))
+    service = state.config.services.get(call.service)
+    weighing = _Weighing(state, call, now, service.engine if service else None,
+                         state.hints.loads.fresh(now),
+                         memory_tokens(call.request), now - call.arrived_at)
     if call.request.model:
         choices = _engines(weighing, candidates)
     else:
@@ -124,7 +166,8 @@
 
 
 def _plain(weighing: _Weighing, view: EndpointView) -> Choice:
-    filled = (weighing.busy(view) + 1) / max(1, view.entry.slots)
+    peers = weighing.peers.get(view.entry.id, NO_LOAD)
+    filled = (weighing.busy(view, peers) + 1) / max(1, view.entry.slots)
     cost = LATE_COST * filled**2 + _fixed_cost(weighing.state, view)
     cost += SPREAD_COST * weighing.state.rng.random()
     return Choice(view, None, 0, 0, cost)
@@ -141,7 +184,7 @@
         old_s = 0.0 if replaced_at is None else now - replaced_at
         if old_s > state.settings.bounds.version_s - VERSION_MARGIN_S:
             continue
-        choice = _engine(weighing, view, version)
+        choice = _engine(weighing, view, weighing.reading(version))
         if old_s > OLD_VERSION_GRACE_S:
             choice.cost += OLD_VERSION_COST
         choices.append(choice)
@@ -165,40 +208,32 @@
 
 
 def _engine(weighing: _Weighing, view: EndpointView,
-            version: int | None) -> Choice:
-    state, call, now = weighing.state, weighing.call, weighing.now
+            reading: _Reading) -> Choice:
+    state, call = weighing.state, weighing.call
     request = call.request
-    salt = cache.salt_of(request.model, version, call.team)
-    parts = state.cache.held_parts(view.entry.id, salt, request.parts)
-    held = sum(part.tokens for part in request.parts[:parts])
-    fetch = kept_parts.NO_FETCH
-    if version is not None:
-        fetch = kept_parts.plan_fetch(weighing.stored_parts(salt),
-                                      request.parts, parts,
-                                      _token_bytes(state, call))
+    parts = state.cache.held_parts(view.entry.id, reading.keys)
+    held = sum(part.tokens for part in request.parts[:parts]) if parts else 0
+    fetch = weighing.fetch(reading, parts)
     ready = max(held, fetch.tokens)
     read = max(1, request.prompt_tokens - ready)
     peers = weighing.peers.get(view.entry.id, NO_LOAD)
     queued = view.pending_tokens + peers.pending_tokens
     seconds = (queued + read) / READ_TOKENS_PER_S + fetch.seconds
-    seconds += RUNNING_S * weighing.busy(view) + now - call.arrived_at
+    seconds += RUNNING_S * weighing.busy(view, peers) + weighing.waited_s
     cost = LATE_COST * (seconds / call.route.target_s)**2
     cost += _memory_cost(weighing, view, peers)
     cost += _fixed_cost(state, view)
-    return Choice(view, version, read, ready, cost, fetch)
+    return Choice(view, reading.version, read, ready, cost, fetch)
 
 
 def _memory_cost(weighing: _Weighing, view: EndpointView,
                  peers: PeerLoad) -> float:
     """Returns the cost of runs that would push one another out of memory."""
-    call = weighing.call
-    service = weighing.state.config.services.get(call.service)
-    if service is None or service.engine is None:
+    if weighing.engine is None:
         return 0.0
-    taken = view.memory_tokens + memory_tokens(call.request)
-    taken += peers.memory_tokens
-    over = taken / max(1, service.engine.cache_tokens) - ROOMY_PART
-    return MEMORY_COST * max(0.0, over)
+    taken = view.memory_tokens + weighing.memory_tokens + peers.memory_tokens
+    over = taken / max(1, weighing.engine.cache_tokens) - ROOMY_PART
+    return MEMORY_COST * over if over > 0.0 else 0.0
 
 
 def memory_tokens(request: Request) -> int:
@@ -207,13 +242,6 @@
     return request.prompt_tokens + output
 
 
-def _token_bytes(state: 'GatewayState', call: Call) -> int:
-    service = state.config.services.get(call.service)
-    if service is None or service.engine is None:
-        return 0
-    return service.engine.token_bytes
-
-
 def _fixed_cost(state: 'GatewayState', view: EndpointView) -> float:
     far = 0.0 if view.entry.dc == state.settings.dc else FAR_COST
     return far + FAILURE_COST * view.failures
--- a/src/plantainridge/gateway/ports.py
+++ b/src/plantainridge/gateway/ports.py
@@ -1,17 +1,14 @@
 """What the gateway needs of the outside, as abstract classes."""
 
 import abc
-from collections.abc import Callable
 
-from plantainridge.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import News, RawRecord, View
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.settings import GatewaySettings, SettingsFault
 from plantainridge.gateway.wire import RequestWire
-from plantainridge.tasks import Tasks
-
-Post = Callable[[Event], None]
+from plantainridge.loop.ports import Post
+from plantainridge.loop.tasks import Tasks
 
 
 class StorePort(abc.ABC):
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import Event, TimerFired, TimerKey
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import (answers, dispatch, drain, endings, events,
                                    hints, intake, lease, membership, reload,
                                    rollout, stores, views)
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.effects import Effect, SendPeer
+from plantainridge.loop.effects import Effect, SendPeer
 from plantainridge.gateway import peer_messages
 from plantainridge.gateway.peer_messages import (PeerMessage, RelayedStore,
                                                  RelayedView)
--- a/src/plantainridge/gateway/reload.py
+++ b/src/plantainridge/gateway/reload.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from plantainridge.effects import Effect, LogLine
+from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.gateway.events import SettingsRead
 from plantainridge.gateway.settings import SettingsFault
 
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -8,7 +8,7 @@
 from plantainridge.gateway.config import Route, Team
 from plantainridge.gateway.events import Headers, Request
 from plantainridge.ids import AttemptId, EndpointId, RequestId, ServiceId
-from plantainridge.lifecycles import LifeCycle
+from plantainridge.loop.lifecycle import LifeCycle
 
 
 class CallPhase(enum.Enum):
--- a/src/plantainridge/gateway/sending.py
+++ b/src/plantainridge/gateway/sending.py
@@ -1,10 +1,9 @@
 """Carries out sends to endpoints and posts what becomes of them."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Final
 
-from plantainridge.events import Event
+from plantainridge.loop.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Failure, Headers
@@ -12,9 +11,9 @@
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.wire import RequestWire
 from plantainridge.ids import AttemptId
-from plantainridge.tasks import Tasks
+from plantainridge.loop.ports import Post
+from plantainridge.loop.tasks import Tasks
 
-Post = Callable[[Event], None]
 STATUS_OK: Final = 200
 STREAM_TYPE: Final = b'text/event-stream'
 # Longest answer that is no stream, in bytes.
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import Event, TimerFired, TimerKey
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import kept_parts, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import StoreTerms
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from plantainridge.effects import Effect, LogLine, SetTimer
-from plantainridge.events import TimerFired, TimerKey
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import relays, stores
 from plantainridge.gateway.config import Configuration
--- a/src/plantainridge/health.py
+++ b/src/plantainridge/health.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from plantainridge.effects import Effect
-from plantainridge.events import Failure, TimerFired
+from plantainridge.loop.effects import Effect
+from plantainridge.events import Failure
+from plantainridge.loop.events import TimerFired
 from plantainridge.ids import EndpointId
 from plantainridge.lifecycles import RequestPhase
 from plantainridge.rates import Rate
--- a/src/plantainridge/http_transfers.py
+++ b/src/plantainridge/http_transfers.py
@@ -13,9 +13,11 @@
 from plantainridge.config import Store
 from plantainridge.feeds import Feeds, POLL_FAULTS
 from plantainridge.http_ports import STATUS_OK
-from plantainridge.tasks import Tasks
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import BlockKey, StoreId, TransferId
-from plantainridge.ports import Post, TransferPort
+from plantainridge.loop.ports import Post
+from plantainridge.ports import TransferPort
 from plantainridge.runtime import Runtime
 
 # Period in which each store is asked for its changes, in s.
@@ -139,7 +141,7 @@
 
 
 def store_events(store: StoreId, followed: _Followed, body: Any,
-                 now: float) -> Iterable[ev.Event]:
+                 now: float) -> Iterable[Event]:
     """Yields what a store's answer to a poll says."""
     yield ev.StoreLoadReported(store, now, body['transfers'],
                                body['queued_bytes'], body['bytes_per_s'])
--- a/src/plantainridge/leases.py
+++ b/src/plantainridge/leases.py
@@ -14,10 +14,11 @@
 import attrs
 
 from plantainridge import lease_records as lr
-from plantainridge.effects import AppendLog, Effect, LogLine, ReadLog
-from plantainridge.events import (LogRead, LogReadFailed, Record, Stream,
-                                  TimerFired)
-from plantainridge.lifecycles import LifeCycle
+from plantainridge.effects import AppendLog, ReadLog
+from plantainridge.loop.effects import Effect, LogLine
+from plantainridge.events import LogRead, LogReadFailed, Record, Stream
+from plantainridge.loop.events import TimerFired
+from plantainridge.loop.lifecycle import LifeCycle
 
 if TYPE_CHECKING:
     from plantainridge.state import VmState
--- a/src/plantainridge/limits.py
+++ b/src/plantainridge/limits.py
@@ -17,8 +17,8 @@
 from cattrs.preconf.json import make_converter
 
 from plantainridge import exchange, members
-from plantainridge.effects import Effect
-from plantainridge.events import TimerFired
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import TimerFired
 from plantainridge.exchange import Topic
 from plantainridge.ids import TeamId, VmId
 from plantainridge.rates import Rate
--- /dev/null
+++ b/src/plantainridge/loop/__init__.py
@@ -0,0 +1,1 @@
+"""What every process with a reducer is made of."""
--- a/src/plantainridge/peers_net.py
+++ b/src/plantainridge/loop/peers_net.py
@@ -3,12 +3,12 @@
 import asyncio
 from typing import Final
 
-from plantainridge import effects as fx
-from plantainridge.events import PeerSaid
-from plantainridge.tasks import Tasks
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import PeerSaid
+from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import VmId
-from plantainridge.peer_messages import MAX_MESSAGE_BYTES
-from plantainridge.ports import PeerPort, Post
+from plantainridge.loop.ports import MAX_MESSAGE_BYTES
+from plantainridge.loop.ports import PeerPort, Post
 
 # Longest message that goes as one datagram, below any usual path's limit.
 MAX_DATAGRAM_BYTES: Final = 1_200
@@ -68,7 +68,7 @@
             self._server.close()
             await self._server.wait_closed()
 
-    def send(self, effect: fx.SendPeer) -> None:
+    def send(self, effect: base.SendPeer) -> None:
         host, _, port = effect.address.rpartition(':')
         if not port.isdigit() or self._transport is None:
             return
--- a/src/plantainridge/reducer_loop.py
+++ b/src/plantainridge/loop/reducer_loop.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from plantainridge import effects as fx
-from plantainridge.events import Event, TimerFired, TimerKey
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 
 Carrier = Callable[[Any], None]
 
@@ -26,25 +26,25 @@
         self.loop = asyncio.get_running_loop()
         self.halted = False
         self.paused = False
-        self.watchers: list[Callable[[Event | fx.Effect], None]] = []
+        self.watchers: list[Callable[[Event | base.Effect], None]] = []
         self._queue: deque[Event] = deque()
-        self._effects: deque[fx.Effect] = deque()
+        self._effects: deque[base.Effect] = deque()
         self._watched = False
         self._busy = False
         self._exiting = False
         self._timers: dict[TimerKey, asyncio.TimerHandle] = {}
-        self.carriers: dict[type[fx.Effect], Carrier] = {
-            fx.SetTimer: self._set_timer,
-            fx.CancelTimer: self._cancel_timer,
-            fx.Exit: self._exit,
+        self.carriers: dict[type[base.Effect], Carrier] = {
+            base.SetTimer: self._set_timer,
+            base.CancelTimer: self._cancel_timer,
+            base.Exit: self._exit,
         }
 
     @abc.abstractmethod
-    def first_effects(self, now: float) -> list[fx.Effect]:
+    def first_effects(self, now: float) -> list[base.Effect]:
         """Returns what a new process does first."""
 
     @abc.abstractmethod
-    def reduce(self, event: Event, now: float) -> list[fx.Effect]:
+    def reduce(self, event: Event, now: float) -> list[base.Effect]:
         """Takes one event in and returns what is to be done, in order."""
 
     @abc.abstractmethod
@@ -113,12 +113,12 @@
         if carrier is not None:
             carrier(upcoming)
 
-    def _set_timer(self, effect: fx.SetTimer) -> None:
-        self._cancel_timer(fx.CancelTimer(effect.key))
+    def _set_timer(self, effect: base.SetTimer) -> None:
+        self._cancel_timer(base.CancelTimer(effect.key))
         self._timers[effect.key] = self.loop.call_at(effect.at, self._fire,
                                                      effect.key)
 
-    def _cancel_timer(self, effect: fx.CancelTimer) -> None:
+    def _cancel_timer(self, effect: base.CancelTimer) -> None:
         handle = self._timers.pop(effect.key, None)
         if handle is not None:
             handle.cancel()
@@ -127,7 +127,7 @@
         self._timers.pop(key, None)
         self.post(TimerFired(key))
 
-    def _exit(self, effect: fx.Exit) -> None:
+    def _exit(self, effect: base.Exit) -> None:
         # Requests that came before the end still get their final word.
         del effect
         self._exiting = True
--- a/src/plantainridge/members.py
+++ b/src/plantainridge/members.py
@@ -6,7 +6,7 @@
 import attrs
 
 from plantainridge import exchange
-from plantainridge.effects import Effect
+from plantainridge.loop.effects import Effect
 from plantainridge.events import Member, MembersListed
 from plantainridge.ids import EndpointId, VmId
 
--- a/src/plantainridge/members_http.py
+++ b/src/plantainridge/members_http.py
@@ -9,7 +9,7 @@
 from cattrs.preconf.json import make_converter
 
 from plantainridge.events import MembersListed
-from plantainridge.ports import Post
+from plantainridge.loop.ports import Post
 
 PERIOD_S: Final = 1.0
 STATUS_OK: Final = 200
--- a/src/plantainridge/orders.py
+++ b/src/plantainridge/orders.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from plantainridge.effects import Effect
-from plantainridge.events import Event
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import Event
 from plantainridge.ids import EndpointId, ModelId, WeightVersion
 
 
--- a/src/plantainridge/peer_messages.py
+++ b/src/plantainridge/peer_messages.py
@@ -9,9 +9,9 @@
 
 from plantainridge.events import Record
 from plantainridge.ids import VmId
+from plantainridge.loop.ports import MAX_MESSAGE_BYTES
 
-# Longest message that is decoded, in bytes, and in words of 8 bytes.
-MAX_MESSAGE_BYTES: Final = 4 << 20
+# Longest message that is decoded, in words of 8 bytes.
 _TRAVERSAL_LIMIT_WORDS: Final = MAX_MESSAGE_BYTES
 
 
--- a/src/plantainridge/peering.py
+++ b/src/plantainridge/peering.py
@@ -4,8 +4,8 @@
 
 from plantainridge import catchup, exchange
 from plantainridge import peer_messages as pm
-from plantainridge.effects import Effect
-from plantainridge.events import PeerSaid
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import PeerSaid
 from plantainridge.state import VmState
 
 
--- a/src/plantainridge/platform/adapter.py
+++ b/src/plantainridge/platform/adapter.py
@@ -12,12 +12,13 @@
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.process import BootTimeLoop, Gateway
 from plantainridge.gateway.settings import GatewaySettings, SettingsFault
+from plantainridge.loop.ports import Post
 from plantainridge.platform import records
 from plantainridge.platform import settings as platform_settings
 from plantainridge.platform.engines import PlatformEngines
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.platform.store import PlatformStore
-from plantainridge.tasks import Tasks
+from plantainridge.loop.tasks import Tasks
 
 EXIT_SETTINGS = 2
 
@@ -49,12 +50,12 @@
             return 0.0
 
     def store(self, settings: GatewaySettings, pool: Pool, tasks: Tasks,
-              post: ports.Post) -> ports.StorePort:
+              post: Post) -> ports.StorePort:
         return PlatformStore(pool, tasks, settings.store_address, settings.vm,
                              post)
 
     def engines(self, settings: GatewaySettings, pool: Pool, tasks: Tasks,
-                post: ports.Post) -> ports.EnginePort:
+                post: Post) -> ports.EnginePort:
         return PlatformEngines(pool, tasks, settings.vm, post)
 
     def decode_record(self, view: View, record: RawRecord) -> News:
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -4,14 +4,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from plantainridge.events import Event
+from plantainridge.loop.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway.calls import JSON_TYPE, NoReply, Reply, call, reason_of
+from plantainridge.gateway.calls import (JSON_TYPE, NoReply, Reply, call,
+                                         reason_of)
 from plantainridge.gateway.events import OrderResult
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.ports import EnginePort
-from plantainridge.tasks import Tasks
+from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import ServiceId, VmId
 from plantainridge.platform import kv_records, names
 from plantainridge.platform.fields import FieldFault, get, get_or
--- a/src/plantainridge/ports.py
+++ b/src/plantainridge/ports.py
@@ -10,9 +10,8 @@
 import attrs
 
 from plantainridge import effects, orders
-from plantainridge.events import Event
-
-Post = Callable[[Event], None]
+from plantainridge.loop import effects as base
+from plantainridge.loop.ports import PeerPort, Post
 
 
 class CallerPort(abc.ABC):
@@ -94,14 +93,6 @@
         """Posts `StoreListed`, or nothing if the store is unreachable."""
 
 
-class PeerPort(abc.ABC):
-    """The way to other VMs' processes."""
-
-    @abc.abstractmethod
-    def send(self, effect: effects.SendPeer) -> None:
-        """Sends a message that may be lost."""
-
-
 class OrderPort(abc.ABC):
     """The way to engines' order interfaces."""
 
@@ -118,11 +109,11 @@
     """Where log lines and measurements go."""
 
     @abc.abstractmethod
-    def log(self, effect: effects.LogLine) -> None:
+    def log(self, effect: base.LogLine) -> None:
         """Writes one log line."""
 
     @abc.abstractmethod
-    def observe(self, effect: effects.Observe) -> None:
+    def observe(self, effect: base.Observe) -> None:
         """Counts one measurement."""
 
 
--- a/src/plantainridge/publishing.py
+++ b/src/plantainridge/publishing.py
@@ -15,6 +15,7 @@
 from plantainridge import events as ev
 from plantainridge import revision_records as rr
 from plantainridge.differences import Difference
+from plantainridge.loop.events import Event
 from plantainridge.ports import LogPort
 from plantainridge.replica import Accepted, Conflict, Outcome, Replica
 
@@ -120,5 +121,5 @@
         return ended
 
 
-def _answer() -> asyncio.Future[ev.Event]:
+def _answer() -> asyncio.Future[Event]:
     return asyncio.get_running_loop().create_future()
--- a/src/plantainridge/reducer.py
+++ b/src/plantainridge/reducer.py
@@ -9,22 +9,23 @@
                            fairness, health, leases, limits, members, orders,
                            peering, quarantine, requests, revisions, rollout,
                            services)
-from plantainridge.effects import Effect, ReadLog, SetTimer
+from plantainridge.effects import ReadLog
+from plantainridge.loop.effects import Effect, SetTimer
+from plantainridge.loop.events import Event, PeerSaid, TimerFired, TimerKey
 from plantainridge.state import VmState
 
-_TICK: Final = events.TimerKey(events.TimerKind.TICK)
+_TICK: Final = TimerKey(events.TimerKind.TICK)
 
 Handler = Callable[[VmState, Any, float], Iterator[Effect]]
 
 
-def _on_timer(state: VmState, event: events.TimerFired,
+def _on_timer(state: VmState, event: TimerFired,
               now: float) -> Iterator[Effect]:
     for handler in TIMERS.get(event.key.kind, ()):
         yield from handler(state, event, now)
 
 
-def _on_tick(state: VmState, event: events.TimerFired,
-             now: float) -> Iterator[Effect]:
+def _on_tick(state: VmState, event: TimerFired, now: float) -> Iterator[Effect]:
     yield SetTimer(event.key, now + state.tick_s)
 
 
@@ -45,7 +46,7 @@
     events.TimerKind.RETRY: (requests.on_retry,),
 }
 
-HANDLERS: Final[dict[type[events.Event], tuple[Handler, ...]]] = {
+HANDLERS: Final[dict[type[Event], tuple[Handler, ...]]] = {
     events.ModelCalled: (caching.on_model_called, requests.on_model_called),
     events.ServiceCalled: (services.on_service_called,),
     events.CallerGone: (services.on_caller_gone, requests.on_caller_gone),
@@ -61,7 +62,7 @@
     events.StoreListed: (caching.on_store_listed,),
     events.StoreLoadReported: (caching.on_store_load_reported,),
     events.TransferEnded: (caching.on_transfer_ended,),
-    events.TimerFired: (_on_timer,),
+    TimerFired: (_on_timer,),
     events.StopRequested: (drain.on_stop_requested,),
     events.AppendEnded: (claims.on_append_ended, checkpoints.on_append_ended),
     events.AppendFailed:
@@ -71,7 +72,7 @@
     events.LogReadFailed: (revisions.on_read_failed, claim_sync.on_read_failed,
                            leases.on_read_failed),
     events.MembersListed: (members.on_listed,),
-    events.PeerSaid: (peering.on_peer_said, quarantine.on_peer_said),
+    PeerSaid: (peering.on_peer_said, quarantine.on_peer_said),
     orders.EngineReported: (rollout.on_reported,),
     orders.OrderEnded: (rollout.on_order_ended,),
 }
@@ -86,7 +87,7 @@
     ]
 
 
-def reduce(state: VmState, event: events.Event, now: float) -> list[Effect]:
+def reduce(state: VmState, event: Event, now: float) -> list[Effect]:
     """Takes one event in and returns what is to be done, in order.
 
     Args:
--- a/src/plantainridge/reports.py
+++ b/src/plantainridge/reports.py
@@ -6,7 +6,7 @@
 
 from absl import flags, logging
 
-from plantainridge import effects as fx
+from plantainridge.loop import effects as base
 from plantainridge.metrics import Metrics
 from plantainridge.ports import ReportPort
 
@@ -47,11 +47,11 @@
         self.metrics = metrics
         self.vm = vm
 
-    def log(self, effect: fx.LogLine) -> None:
+    def log(self, effect: base.LogLine) -> None:
         fields = dict(effect.fields)
         fields['vm'] = self.vm
         logging.get_absl_logger().info(effect.event, extra={'fields': fields})
 
-    def observe(self, effect: fx.Observe) -> None:
+    def observe(self, effect: base.Observe) -> None:
         self.metrics.observe(effect.metric, effect.team, effect.klass,
                              effect.value)
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -7,13 +7,14 @@
                            transfers, versions)
 from plantainridge.admission import Expected
 from plantainridge.calls import Attempt, Call
-from plantainridge.effects import (CancelAttempt, CancelTimer, Effect,
-                                   FinishAnswer, Observe, Refuse, SendTokens,
-                                   SetTimer, StartAttempt)
+from plantainridge.effects import (CancelAttempt, FinishAnswer, Refuse,
+                                   SendTokens, StartAttempt)
+from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
 from plantainridge.endpoints import EndpointView
 from plantainridge.events import (AttemptEnded, AttemptFailed, CallerGone,
-                                  Failure, ModelCalled, TimerFired, TimerKey,
-                                  TimerKind, TokensArrived)
+                                  Failure, ModelCalled, TimerKind,
+                                  TokensArrived)
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.ids import AttemptId, EndpointId, RequestId
 from plantainridge.lifecycles import REQUEST, RequestPhase
 from plantainridge.refusals import RanState, Reason, Refusal
--- a/src/plantainridge/rollout.py
+++ b/src/plantainridge/rollout.py
@@ -14,8 +14,8 @@
 
 from plantainridge import leases
 from plantainridge.config import Endpoint, EndpointKind
-from plantainridge.effects import Effect, LogLine
-from plantainridge.events import TimerFired
+from plantainridge.loop.effects import Effect, LogLine
+from plantainridge.loop.events import TimerFired
 from plantainridge.ids import EndpointId, ModelId
 from plantainridge.orders import (AskEngine, EngineReported, Loaded, OrderEnded,
                                   OrderEngine, OrderOutcome)
--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -2,9 +2,10 @@
 
 from plantainridge import effects as fx
 from plantainridge import orders, reducer
-from plantainridge.events import Event
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event
 from plantainridge.ports import Ports
-from plantainridge.reducer_loop import ReducerLoop
+from plantainridge.loop.reducer_loop import ReducerLoop
 from plantainridge.state import VmState
 
 
@@ -30,8 +31,8 @@
             fx.CallService: lambda e: ports.services.call(e, self.post),
             fx.AppendLog: lambda e: ports.log.append(e, self.post),
             fx.ReadLog: lambda e: ports.log.read(e, self.post),
-            fx.LogLine: ports.report.log,
-            fx.Observe: ports.report.observe,
+            base.LogLine: ports.report.log,
+            base.Observe: ports.report.observe,
         })
         if ports.transfers is not None:
             transfers = ports.transfers
@@ -50,12 +51,12 @@
             self.carriers[orders.AskEngine] = (
                 lambda e: order_port.ask(e, self.post))
         if ports.peers is not None:
-            self.carriers[fx.SendPeer] = ports.peers.send
+            self.carriers[base.SendPeer] = ports.peers.send
 
-    def first_effects(self, now: float) -> list[fx.Effect]:
+    def first_effects(self, now: float) -> list[base.Effect]:
         return reducer.start(self.state, now)
 
-    def reduce(self, event: Event, now: float) -> list[fx.Effect]:
+    def reduce(self, event: Event, now: float) -> list[base.Effect]:
         return reducer.reduce(self.state, event, now)
 
     def on_exit(self) -> None:
--- a/src/plantainridge/service_attempts.py
+++ b/src/plantainridge/service_attempts.py
@@ -7,9 +7,11 @@
 
 from plantainridge.calls import Attempt, Call
 from plantainridge.config import EndpointKind
-from plantainridge.effects import CallService, Effect, SetTimer
+from plantainridge.effects import CallService
+from plantainridge.loop.effects import Effect, SetTimer
 from plantainridge.endpoints import EndpointView
-from plantainridge.events import Failure, ServiceCalled, TimerKey, TimerKind
+from plantainridge.events import Failure, ServiceCalled, TimerKind
+from plantainridge.loop.events import TimerKey
 from plantainridge.ids import AttemptId, ServiceId
 from plantainridge.lifecycles import REQUEST
 from plantainridge.state import VmState
--- a/src/plantainridge/sheet_cli.py
+++ b/src/plantainridge/sheet_cli.py
@@ -15,7 +15,7 @@
 from plantainridge import differences, sheet, sheet_checks
 from plantainridge.config import Config
 from plantainridge.http_ports import HttpLogPort, new_client
-from plantainridge.tasks import Tasks
+from plantainridge.loop.tasks import Tasks
 from plantainridge.publishing import LogUnavailable, NoCheckpoint, Publisher
 from plantainridge.replica import Accepted
 from plantainridge.sheet_rows import SheetRejected
--- a/src/plantainridge/standins/claim_faults.py
+++ b/src/plantainridge/standins/claim_faults.py
@@ -9,6 +9,8 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.ids import EndpointId
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event, TimerFired
 from plantainridge.standins.claim_world import ClaimWorld
 from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
 from plantainridge.standins.memory_services import ServiceFaults
@@ -19,11 +21,11 @@
 # Pauses are short as often as they are long.
 SHORT_PAUSE_S: Final = 5.0
 # Steps at which a VM is killed or held.
-STEPS: Final[tuple[type[ev.Event | fx.Effect],
+STEPS: Final[tuple[type[Event | base.Effect],
                    ...]] = (fx.AppendLog, ev.AppendEnded, ev.AppendFailed,
                             ev.LogRead, fx.CallService, ev.ServiceAnswered,
                             ev.AttemptFailed, fx.SendServiceAnswer, fx.Refuse,
-                            ev.TimerFired)
+                            TimerFired)
 
 
 class FaultPlan:
@@ -177,14 +179,14 @@
 class _StepWatcher:
     """Acts once, just before a VM's next step of a kind."""
 
-    def __init__(self, vm: Vm, kind: type[ev.Event | fx.Effect],
+    def __init__(self, vm: Vm, kind: type[Event | base.Effect],
                  act: Callable[[Vm], None]) -> None:
         self.vm = vm
         self.kind = kind
         self.act = act
         self.done = False
 
-    def __call__(self, step: ev.Event | fx.Effect) -> None:
+    def __call__(self, step: Event | base.Effect) -> None:
         if self.done or not isinstance(step, self.kind):
             return
         if isinstance(step, fx.AppendLog | ev.LogRead):
--- a/src/plantainridge/standins/claim_world.py
+++ b/src/plantainridge/standins/claim_world.py
@@ -12,7 +12,10 @@
 from plantainridge import events as ev
 from plantainridge.claim_state import ClaimLimits
 from plantainridge.ids import DcId, EndpointId, ServiceId
-from plantainridge.ports import LogPort, Post
+from plantainridge.loop import effects as loop_fx
+from plantainridge.loop.events import Event
+from plantainridge.loop.ports import Post
+from plantainridge.ports import LogPort
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.memory import Network
 from plantainridge.standins.memory_log import MemoryLogPort
@@ -117,6 +120,6 @@
                                             self.rng)
         return vm
 
-    def _observe(self, step: ev.Event | fx.Effect) -> None:
-        if isinstance(step, fx.Observe) and step.metric == 'claim_s':
+    def _observe(self, step: Event | loop_fx.Effect) -> None:
+        if isinstance(step, loop_fx.Observe) and step.metric == 'claim_s':
             self.claim_s.append(step.value)
--- a/src/plantainridge/standins/cycles.py
+++ b/src/plantainridge/standins/cycles.py
@@ -12,6 +12,8 @@
 from plantainridge import leases
 from plantainridge.events import Stream
 from plantainridge.ids import EndpointId, WeightVersion
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import PeerSaid
 from plantainridge.orders import EngineReported, OrderEnded, OrderEngine
 from plantainridge.standins import world as worlds
 from plantainridge.standins.scene import Scene, Sign, resend_until_final
@@ -51,7 +53,7 @@
 
 
 def _logs(event: str) -> Callable[[Sign], bool]:
-    return lambda sign: isinstance(sign, fx.LogLine) and sign.event == event
+    return lambda sign: isinstance(sign, base.LogLine) and sign.event == event
 
 
 def _exports(sign: Sign) -> bool:
@@ -165,7 +167,7 @@
         Step('first_read', _is(fx.ReadLog)),
         Step('records_read', _reads(Stream.CONFIG)),
         Step('in_force', _logs('config_in_force')),
-        Step('peer_heard', _is(ev.PeerSaid)),
+        Step('peer_heard', _is(PeerSaid)),
         Step('first_call', _is(ev.ModelCalled)),
     )
 
@@ -184,7 +186,7 @@
     steps = (
         Step('asked', _is(ev.StopRequested)),
         Step('stream_ended', _is(ev.AttemptEnded)),
-        Step('exit', _is(fx.Exit)),
+        Step('exit', _is(base.Exit)),
     )
 
     async def run(self, scene: Scene) -> None:
--- a/src/plantainridge/standins/feeds.py
+++ b/src/plantainridge/standins/feeds.py
@@ -10,7 +10,8 @@
 from plantainridge import events as ev
 from plantainridge.events import BlockRef, StoredCopy, Tier
 from plantainridge.ids import BlockKey
-from plantainridge.ports import Post
+from plantainridge.loop.events import Event
+from plantainridge.loop.ports import Post
 from plantainridge.standins.engine import CacheWatcher, EngineModel
 from plantainridge.standins.memory import Network
 from plantainridge.standins.store import StoreModel, StoreWatcher
@@ -50,11 +51,11 @@
         self._handle: asyncio.TimerHandle | None = None
 
     @abc.abstractmethod
-    def changes(self) -> ev.Event | None:
+    def changes(self) -> Event | None:
         """Returns the next piece of changes, or None if there are none."""
 
     @abc.abstractmethod
-    def load(self) -> ev.Event:
+    def load(self) -> Event:
         """Returns the load as it is now."""
 
     @abc.abstractmethod
@@ -80,7 +81,7 @@
         if self.busy():
             self.touch()
 
-    def _deliver(self, vm: str, event: ev.Event) -> None:
+    def _deliver(self, vm: str, event: Event) -> None:
 
         def arrive() -> None:
             post = self.posts.get(vm)
@@ -118,7 +119,7 @@
         self.seq = 0
         self.news.clear()
 
-    def changes(self) -> ev.Event | None:
+    def changes(self) -> Event | None:
         if not self.news:
             return None
         piece = ev.CacheChanged(
@@ -130,7 +131,7 @@
         self.news.clear()
         return piece
 
-    def load(self) -> ev.Event:
+    def load(self) -> Event:
         self._was_busy = bool(self.engine.running or self.engine.waiting)
         return ev.LoadReported(
             self.engine.name,
@@ -142,7 +143,7 @@
     def busy(self) -> bool:
         return self._was_busy and self.engine.alive
 
-    def listing(self) -> ev.Event:
+    def listing(self) -> Event:
         """Returns the whole cache as of the last piece."""
         blocks = [key for key in self.engine.cache if key not in self.news]
         blocks += [key for key, held in self.news.items() if not held]
@@ -175,7 +176,7 @@
         self.news.clear()
         self.touch()
 
-    def changes(self) -> ev.Event | None:
+    def changes(self) -> Event | None:
         if not self.news and self.seq:
             return None
         news = self.news.values()
@@ -190,7 +191,7 @@
         self.news.clear()
         return piece
 
-    def load(self) -> ev.Event:
+    def load(self) -> Event:
         link = self.store.link
         return ev.StoreLoadReported(self.store.name,
                                     asyncio.get_running_loop().time(),
@@ -201,7 +202,7 @@
     def busy(self) -> bool:
         return self.store.alive and self.store.transfers > 0
 
-    def listing(self) -> ev.Event:
+    def listing(self) -> Event:
         """Returns all copies as of now."""
         return ev.StoreListed(self.store.name, self.seq - 1,
                               tuple(self.store.copies()), self.life)
--- a/src/plantainridge/standins/fleet.py
+++ b/src/plantainridge/standins/fleet.py
@@ -13,7 +13,9 @@
 from plantainridge.config import EndpointKind
 from plantainridge.ids import (BlockKey, DcId, EndpointId, Incarnation, ModelId,
                                RequestId, StoreId, VmId, WeightVersion)
-from plantainridge.ports import CallerPort, LogPort, Ports, Post
+from plantainridge.loop.events import Event
+from plantainridge.loop.ports import Post
+from plantainridge.ports import CallerPort, LogPort, Ports
 from plantainridge.revisions import Revision, encode
 from plantainridge.routing import Policy
 from plantainridge.runtime import Runtime
@@ -232,7 +234,7 @@
                         random.Random(self.rng.getrandbits(64)),
                         policy=new_policy(self),
                         tick_s=TICK_S)
-        listings: dict[str, Callable[[], ev.Event]] = {}
+        listings: dict[str, Callable[[], Event]] = {}
         listings.update({f.node: f.listing for f in self.engine_feeds})
         listings.update({f.node: f.listing for f in self.store_feeds})
         ports = Ports(callers=FleetCallers(self.heard),
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -15,9 +15,11 @@
 from plantainridge import events as ev
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, VmId,
                                WeightVersion)
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event, PeerSaid
 from plantainridge.metrics import Metrics
-from plantainridge.ports import (CallerPort, EnginePort, PeerPort, Post,
-                                 ReportPort)
+from plantainridge.loop.ports import PeerPort, Post
+from plantainridge.ports import CallerPort, EnginePort, ReportPort
 from plantainridge.refusals import Refusal
 from plantainridge.runtime import Runtime
 from plantainridge.standins.engine import EngineModel, Job, Sink
@@ -136,7 +138,7 @@
         self.version = version
         self.post = post
 
-    def _send(self, event: ev.Event) -> None:
+    def _send(self, event: Event) -> None:
         self.port.deliver(self.effect, event, self.post)
 
     def tokens(self, first: int, tokens: tuple[str, ...],
@@ -218,7 +220,7 @@
         self.jobs[effect.attempt] = (model, job)
         model.submit(job)
 
-    def deliver(self, effect: fx.StartAttempt, event: ev.Event,
+    def deliver(self, effect: fx.StartAttempt, event: Event,
                 post: Post) -> None:
         """Carries a piece of an answer back, unless the path is cut."""
         if effect.attempt not in self.jobs:
@@ -272,12 +274,12 @@
         self.network = network
         self.posts = posts
 
-    def send(self, effect: fx.SendPeer) -> None:
+    def send(self, effect: base.SendPeer) -> None:
         if not self.network.reaches(self.vm, effect.vm):
             return
         post = self.posts.get(effect.vm)
         if post is not None:
-            event = ev.PeerSaid(VmId(self.vm), effect.payload)
+            event = PeerSaid(VmId(self.vm), effect.payload)
             self.network.later(lambda: post(event))
 
 
@@ -306,12 +308,12 @@
     """Keeps log lines and histograms."""
 
     def __init__(self) -> None:
-        self.lines: list[fx.LogLine] = []
+        self.lines: list[base.LogLine] = []
         self.metrics = Metrics()
 
-    def log(self, effect: fx.LogLine) -> None:
+    def log(self, effect: base.LogLine) -> None:
         self.lines.append(effect)
 
-    def observe(self, effect: fx.Observe) -> None:
+    def observe(self, effect: base.Observe) -> None:
         self.metrics.observe(effect.metric, effect.team, effect.klass,
                              effect.value)
--- a/src/plantainridge/standins/memory_log.py
+++ b/src/plantainridge/standins/memory_log.py
@@ -10,7 +10,8 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge.ports import LogPort, Post
+from plantainridge.loop.ports import Post
+from plantainridge.ports import LogPort
 from plantainridge.standins.log import LogModel
 from plantainridge.standins.memory import Network
 
--- a/src/plantainridge/standins/memory_services.py
+++ b/src/plantainridge/standins/memory_services.py
@@ -8,7 +8,9 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.ids import EndpointId, RequestId
-from plantainridge.ports import Post, ServicePort
+from plantainridge.loop.events import Event
+from plantainridge.loop.ports import Post
+from plantainridge.ports import ServicePort
 from plantainridge.standins.audit import Audit, MarkedCall
 from plantainridge.standins.memory import Network
 from plantainridge.standins.service import Run, ServiceModel
@@ -75,9 +77,8 @@
             self.run_s, lambda: self._answer(effect, run, post))
 
     def _answer(self, effect: fx.CallService, run: Run, post: Post) -> None:
-        event: ev.Event = ev.ServiceAnswered(effect.attempt, effect.request,
-                                             200,
-                                             str(run.count).encode())
+        event: Event = ev.ServiceAnswered(effect.attempt, effect.request, 200,
+                                          str(run.count).encode())
         if self._draw(self.faults.cross):
             event = ev.ServiceAnswered(effect.attempt, RequestId('another'),
                                        200, b'crossed')
--- a/src/plantainridge/standins/movers.py
+++ b/src/plantainridge/standins/movers.py
@@ -10,7 +10,9 @@
 from plantainridge import events as ev
 from plantainridge.events import BlockRef, Tier, TransferFailure
 from plantainridge.ids import BlockKey, EndpointId, StoreId, TransferId
-from plantainridge.ports import Post, TransferPort
+from plantainridge.loop.events import Event
+from plantainridge.loop.ports import Post
+from plantainridge.ports import TransferPort
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.memory import Network
 from plantainridge.standins.store import (BLOCK_LENGTH_BYTES, Stored,
@@ -128,7 +130,7 @@
     def __init__(self, vm: str, network: Network, engines: dict[EndpointId,
                                                                 EngineModel],
                  stores: dict[StoreId, StoreModel],
-                 listings: dict[str, Callable[[], ev.Event]]) -> None:
+                 listings: dict[str, Callable[[], Event]]) -> None:
         self.vm = vm
         self.network = network
         self.engines = engines
--- a/src/plantainridge/standins/oracle.py
+++ b/src/plantainridge/standins/oracle.py
@@ -16,6 +16,8 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.ids import EndpointId, VmId
+from plantainridge.loop import effects as loop_fx
+from plantainridge.loop.events import Event
 from plantainridge.refusals import RanState
 from plantainridge.standins.audit import MarkedCall
 from plantainridge.standins.engine import token_at
@@ -172,7 +174,7 @@
     def _fail(self, check: Check, detail: str) -> None:
         self.found.append(Violation(check, detail))
 
-    def _on(self, vm: Vm, each: ev.Event | fx.Effect) -> None:
+    def _on(self, vm: Vm, each: Event | loop_fx.Effect) -> None:
         self._follow_config(vm)
         if isinstance(each, (fx.StartAttempt, fx.CallService)):
             self._judge_dispatch(vm, each.endpoint)
--- a/src/plantainridge/standins/scene.py
+++ b/src/plantainridge/standins/scene.py
@@ -8,8 +8,9 @@
 
 from plantainridge import config
 from plantainridge import effects as fx
-from plantainridge import events as ev
 from plantainridge.ids import DcId, EndpointId
+from plantainridge.loop import effects as loop_fx
+from plantainridge.loop.events import Event
 from plantainridge.refusals import RanState
 from plantainridge.standins import world as worlds
 from plantainridge.standins.oracle import Oracle
@@ -20,7 +21,7 @@
 ENGINES: Final = 3
 START_S: Final = 15.0
 
-Sign = ev.Event | fx.Effect
+Sign = Event | loop_fx.Effect
 
 
 class Scene:
--- a/src/plantainridge/standins/site.py
+++ b/src/plantainridge/standins/site.py
@@ -18,7 +18,8 @@
 from plantainridge.ids import (DcId, EndpointId, ModelId, ServiceId, TeamId,
                                VmId, WeightVersion)
 from plantainridge.orders import Loaded
-from plantainridge.ports import Post, TransferPort
+from plantainridge.loop.ports import Post
+from plantainridge.ports import TransferPort
 from plantainridge.revisions import Revision, encode
 from plantainridge.serve import AppServer
 from plantainridge.standins import engine_orders_http
--- a/src/plantainridge/standins/traffic.py
+++ b/src/plantainridge/standins/traffic.py
@@ -10,6 +10,7 @@
 from plantainridge import config
 from plantainridge import events as ev
 from plantainridge.ids import TeamId
+from plantainridge.loop.events import Event
 from plantainridge.standins.engine import PREFILL_TOKENS_PER_S
 from plantainridge.standins.memory import Told
 from plantainridge.standins.world import MODEL, Vm, World, sample_config
@@ -96,7 +97,7 @@
         """Lists the VMs whose process runs."""
         return [vm for vm in self.world.vms if not vm.runtime.halted]
 
-    def _post_all(self, event: ev.Event) -> None:
+    def _post_all(self, event: Event) -> None:
         for vm in self.live():
             vm.runtime.post(event)
 
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -11,7 +11,8 @@
                                RequestId, ServiceId, StoreId, TeamId, VmId,
                                WeightVersion)
 from plantainridge.orders import Loaded
-from plantainridge.ports import Ports, Post
+from plantainridge.loop.ports import Post
+from plantainridge.ports import Ports
 from plantainridge.revisions import Revision, encode
 from plantainridge.runtime import Runtime
 from plantainridge.standins.audit import Audit
--- a/src/plantainridge/transfers.py
+++ b/src/plantainridge/transfers.py
@@ -7,10 +7,11 @@
 
 import attrs
 
-from plantainridge.effects import (CancelTimer, CancelTransfer, Effect, Observe,
-                                   SetTimer, StartTransfer)
-from plantainridge.events import (BlockRef, TimerKey, TimerKind, TransferEnded,
+from plantainridge.effects import CancelTransfer, StartTransfer
+from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
+from plantainridge.events import (BlockRef, TimerKind, TransferEnded,
                                   TransferFailure)
+from plantainridge.loop.events import TimerKey
 from plantainridge.ids import BlockKey, EndpointId, RequestId, StoreId
 from plantainridge.ids import TransferId
 from plantainridge.lifecycles import TRANSFER, TransferPhase
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -3,8 +3,8 @@
 import random
 from typing import Any, TypeVar
 
-from plantainridge import effects as base
-from plantainridge.events import Event, TimerFired, TimerKey
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import config, reducer
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.config import RequestKind
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,6 +9,8 @@
 from plantainridge import events as ev
 from plantainridge import claim_keys, paused
 from plantainridge.claim_state import ClaimLimits
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.standins.memory import Told
 from plantainridge.standins.memory_log import LogFaults
@@ -26,12 +28,12 @@
     return world
 
 
-def stop_before(vm: Vm, kind: type[fx.Effect | ev.Event],
+def stop_before(vm: Vm, kind: type[base.Effect | Event],
                 stop: Callable[[], None]) -> None:
     """Stops a VM just before its next step of a kind, once."""
-    seen: list[fx.Effect | ev.Event] = []
+    seen: list[base.Effect | Event] = []
 
-    def watch(step: fx.Effect | ev.Event) -> None:
+    def watch(step: base.Effect | Event) -> None:
         if isinstance(step, kind) and not seen:
             seen.append(step)
             stop()
@@ -168,12 +170,12 @@
     """A VM stands still at a step for longer than any timeout."""
 
     def test_one_run_whatever_the_step(self) -> None:
-        steps: tuple[type[fx.Effect | ev.Event],
+        steps: tuple[type[base.Effect | Event],
                      ...] = (fx.AppendLog, ev.AppendEnded, ev.LogRead,
                              fx.CallService, ev.ServiceAnswered,
                              fx.SendServiceAnswer)
 
-        async def scenario(step: type[fx.Effect | ev.Event]) -> None:
+        async def scenario(step: type[base.Effect | Event]) -> None:
             world = await warm()
             first, second = world.vms
             stop_before(first, step, first.runtime.pause)
@@ -202,7 +204,7 @@
     def test_later_tries_hear_unknown_or_the_outcome(self) -> None:
         # Step before which the VM dies, and what became of the key.
         unknown = (Reason.OUTCOME_UNKNOWN, RanState.UNKNOWN)
-        cases: dict[type[fx.Effect | ev.Event], tuple[int, Any]] = {
+        cases: dict[type[base.Effect | Event], tuple[int, Any]] = {
             fx.AppendLog: (1, None),
             ev.AppendEnded: (0, unknown),
             fx.CallService: (0, unknown),
@@ -210,7 +212,7 @@
             fx.SendServiceAnswer: (1, unknown),
         }
 
-        async def scenario(step: type[fx.Effect | ev.Event], runs: int,
+        async def scenario(step: type[base.Effect | Event], runs: int,
                            word: Any) -> None:
             world = await warm()
             first, second = world.vms
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from plantainridge import effects as base
+from plantainridge.loop import effects as base
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import (AppendResult, LeaseRecord,
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -6,7 +6,7 @@
 from typing import Any
 from collections.abc import Awaitable, Callable
 
-from plantainridge.events import Event
+from plantainridge.loop.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.config import CallerLimits
@@ -17,7 +17,7 @@
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.ids import AttemptId, EndpointId, TeamId
 from plantainridge.platform.requests import PlatformWire
-from plantainridge.tasks import Tasks
+from plantainridge.loop.tasks import Tasks
 from tests.gateway_scene import request
 
 HOST = '127.0.0.1'
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -6,7 +6,7 @@
 
 from click.testing import CliRunner
 
-from plantainridge.effects import LogLine
+from plantainridge.loop.effects import LogLine
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import explain
 from plantainridge.gateway.events import Failure, View
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -171,7 +171,7 @@
         view = scene.state.endpoints[A.id]
         self.assertEqual(view.versions[MODEL], 2)
         self.assertLessEqual(
-            scene.state.hints.spared(scene.now)[A.id], view.reached_at)
+            scene.state.hints.loads.spared(scene.now)[A.id], view.reached_at)
 
 
 class IsolationTest(unittest.TestCase):
--- a/tests/test_http_transfers.py
+++ b/tests/test_http_transfers.py
@@ -6,7 +6,8 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.http_ports import new_client
-from plantainridge.tasks import Tasks
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.http_transfers import HttpTransferPort
 from plantainridge.ids import BlockKey, EndpointId, StoreId, TransferId
 from plantainridge.serve import AppServer
@@ -50,7 +51,7 @@
         blocks: tuple[BlockKey, ...] = ()
     ) -> ev.TransferEnded:
         """Has blocks moved and returns how that ended."""
-        ended: asyncio.Queue[ev.Event] = asyncio.Queue()
+        ended: asyncio.Queue[Event] = asyncio.Queue()
         self.port.start(
             fx.StartTransfer(TransferId('t'), self.engines[engine].name,
                              self.servers[1 + engine].address, self.store.name,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,8 +6,8 @@
 import attrs
 
 from plantainridge import fairness, limits, members
-from plantainridge.events import (Member, MembersListed, TimerFired, TimerKey,
-                                  TimerKind)
+from plantainridge.events import Member, MembersListed, TimerKind
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.exchange import Heard, Topic
 from plantainridge.ids import DcId, Incarnation, TeamId, VmId
 from plantainridge.standins.traffic import new_team
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -5,7 +5,8 @@
 
 from plantainridge import effects as fx
 from plantainridge import paused
-from plantainridge.events import Event
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event
 from plantainridge.standins.world import LOOKUP, World
 
 
@@ -34,9 +35,9 @@
             world = World()
             await asyncio.sleep(1)
             vm = world.vms[0]
-            watched: list[fx.Effect] = []
+            watched: list[base.Effect] = []
 
-            def watch(step: Event | fx.Effect) -> None:
+            def watch(step: Event | base.Effect) -> None:
                 if isinstance(step, fx.CallService):
                     watched.append(step)
                     vm.runtime.pause()
--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -7,7 +7,8 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.http_ports import HttpServicePort
-from plantainridge.tasks import Tasks
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
                                TeamId)
 
@@ -46,7 +47,7 @@
     def setUp(self) -> None:
         self.heads: list[bytes] = []
 
-    async def calls(self, serve: Serve, count: int = 1) -> list[ev.Event]:
+    async def calls(self, serve: Serve, count: int = 1) -> list[Event]:
         """Sends calls one after the other; returns what was posted."""
         self.heads.clear()
 
@@ -58,7 +59,7 @@
 
         server = await asyncio.start_server(on_connection, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
-        posted: asyncio.Queue[ev.Event] = asyncio.Queue()
+        posted: asyncio.Queue[Event] = asyncio.Queue()
         tasks = Tasks()
         services = HttpServicePort(tasks)
         got = []
@@ -95,7 +96,7 @@
         self.assertIn(b'idempotency-key: bureau/1-a', self.heads[0].lower())
 
     async def test_refused_connection_is_surely_not_run(self) -> None:
-        posted: asyncio.Queue[ev.Event] = asyncio.Queue()
+        posted: asyncio.Queue[Event] = asyncio.Queue()
         server = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         server.close()
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -7,9 +7,11 @@
 import attrs
 
 from plantainridge import config, paused, transfers
-from plantainridge.effects import (CancelTransfer, Effect, StartTransfer)
-from plantainridge.events import (BlockRef, StoredCopy, Tier, TimerKey,
-                                  TimerKind, TransferEnded, TransferFailure)
+from plantainridge.effects import CancelTransfer, StartTransfer
+from plantainridge.loop.effects import Effect
+from plantainridge.events import (BlockRef, StoredCopy, Tier, TimerKind,
+                                  TransferEnded, TransferFailure)
+from plantainridge.loop.events import TimerKey
 from plantainridge.ids import (BlockKey, EndpointId, Incarnation, RequestId,
                                StoreId, TransferId, VmId)
 from plantainridge.routing import Fetch
