Keep what KV cache stores hold through an outage; read by the widest links

Change: a store that does not answer keeps its contents here and is fetched from only once it told what changed; one VM at a time asks it, the next in turn after a miss; listings go to those that need one; VMs read by the rate of their links. Sends that found no connection take nothing of the retry budget.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -161,6 +161,7 @@
                    ('after_s', round(now - attempt.sent_at, 4))))
     if failure is Failure.NOT_CONNECTED:
         call.runs -= 1
+        call.arrivals -= 1
         yield from dispatch.dispatch(state, call, now)
         return
     if failure is Failure.BROKEN:
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -81,7 +81,7 @@
         return False
     if call.expires_at - now < LEAST_SEND_PART * call.route.target_s:
         return False
-    return state.retries.allows(call.service, now)
+    return not call.arrivals or state.retries.allows(call.service, now)
 
 
 def send(state: 'GatewayState', call: Call, choice: Choice,
@@ -89,10 +89,11 @@
     """Sends a request to the endpoint that was chosen for it."""
     view, request = choice.view, call.request
     service = state.config.services.get(call.service)
+    if call.arrivals:
+        state.retries.note_again(call.service, now)
     call.sends += 1
     call.runs += 1
-    if call.sends > 1:
-        state.retries.note_again(call.service, now)
+    call.arrivals += 1
     attempt = AttemptId(f'{request.id}.{call.sends}')
     call.attempt = attempt
     call.tried.add(view.entry.id)
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -207,6 +207,7 @@
 
     dc: DcId
     address: str
+    link_mbps: float
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -8,7 +8,8 @@
 from plantainridge.loop.events import Event
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
-from plantainridge.gateway.settings import GatewaySettings, SettingsFault
+from plantainridge.gateway.settings import (DEFAULT_LINK_MBPS, GatewaySettings,
+                                            SettingsFault)
 from plantainridge.ids import (AttemptId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, VmId)
 
@@ -317,11 +318,16 @@
 
 @attrs.frozen
 class VmEntry:
-    """A VM's own entry: where peers reach it."""
+    """A VM's own entry: where peers reach it.
+
+    Attributes:
+        link_mbps: Rate of its link, in Mbit/s.
+    """
 
     vm: VmId
     dc: str
     address: str
+    link_mbps: float = DEFAULT_LINK_MBPS
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/membership.py
+++ b/src/plantainridge/gateway/membership.py
@@ -25,7 +25,8 @@
 def announce(state: 'GatewayState') -> Iterator[Effect]:
     """Writes this VM's entry."""
     settings = state.settings
-    yield fx.AnnounceVm(settings.dc, f'{settings.host}:{settings.peer_port}')
+    yield fx.AnnounceVm(settings.dc, f'{settings.host}:{settings.peer_port}',
+                        settings.link_mbps)
 
 
 def on_announced(state: 'GatewayState', event: VmAnnounced,
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -2,16 +2,21 @@
 
 Calls to the metadata store and to KV cache stores are paid for and limited, so
 for each subject the live VMs of a data centre agree on one reader by the same
-draw. The reader relays what it read; who hears nothing for a while reads by
-itself, and a reader that cannot reach the metadata store is passed over.
+draw, in which a VM counts by the rate of its link: relaying takes most of what
+a thin link carries. The reader relays what it read; who hears nothing for a
+while reads by itself, and a reader that cannot reach the metadata store, or the
+subject, is passed over.
 """
 
+import functools
 import hashlib
-from collections.abc import Iterator
+import math
+from collections.abc import Collection, Iterator
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.loop.effects import Effect, SendPeer
 from plantainridge.gateway import peer_messages
+from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.peer_messages import (PeerMessage, RelayedStore,
                                                  RelayedView)
 from plantainridge.ids import VmId
@@ -22,20 +27,47 @@
 # Age of a peer's last word beyond which it is passed over, in s; each VM says
 # something once a second.
 LIVE_S: Final = 1.6
-
-
-def is_reader(state: 'GatewayState', subject: str, now: float) -> bool:
-    """Whether this VM is to read a subject for its data centre."""
-    own = draw(state.settings.vm, subject)
-    return not any(draw(vm, subject) < own for vm in _live_readers(state, now))
-
-
-def _live_readers(state: 'GatewayState', now: float) -> Iterator[VmId]:
+# Draws that are remembered; a fleet has fewer pairs of VM and subject.
+MAX_TURNS: Final = 16_384
+
+
+def is_reader(state: 'GatewayState',
+              subject: str,
+              now: float,
+              passed_over: Collection[VmId] = ()) -> bool:
+    """Whether this VM is to read a subject for its data centre.
+
+    Args:
+        subject: What is read.
+        now: Loop time in s.
+        passed_over: VMs that do not reach it.
+    """
+    settings = state.settings
+    if settings.vm in passed_over:
+        return False
+    own = _turn(settings.vm, subject, settings.link_mbps)
+    return not any(
+        _turn(entry.vm, subject, entry.link_mbps) < own
+        for entry in _live_readers(state, now)
+        if entry.vm not in passed_over)
+
+
+def _live_readers(state: 'GatewayState', now: float) -> Iterator[VmEntry]:
     for vm, heard in state.hints.heard.items():
         entry = state.peers.get(vm)
         near = entry is not None and entry.dc == state.settings.dc
-        if near and now - heard.at <= LIVE_S and not heard.hint.cut_off:
-            yield vm
+        if (entry is not None and near and now - heard.at <= LIVE_S and
+                not heard.hint.cut_off):
+            yield entry
+
+
+@functools.lru_cache(MAX_TURNS)
+def _turn(vm: VmId, subject: str, weight: float) -> float:
+    """Draws a place in the order of readers; the lowest comes first.
+
+    Over many subjects a VM comes first in proportion to its weight.
+    """
+    return -math.log((draw(vm, subject) + 1) / 2**64) / max(1.0, weight)
 
 
 def vms_near(state: 'GatewayState') -> int:
@@ -67,6 +99,15 @@
             yield SendPeer(vm, entry.address, payload)
 
 
+def ask_one(state: 'GatewayState', message: PeerMessage,
+            now: float) -> Iterator[Effect]:
+    """Sends a message to some live VM of the data centre, if there is one."""
+    live = list(_live_readers(state, now))
+    if live:
+        entry = state.rng.choice(live)
+        yield SendPeer(entry.vm, entry.address, peer_messages.encode(message))
+
+
 def answer(state: 'GatewayState', vm: VmId,
            message: PeerMessage) -> Iterator[Effect]:
     """Sends a message to one VM, if its address is known."""
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -42,6 +42,7 @@
         attempt: The send that runs now, or None.
         sends: Sends so far.
         runs: Sends that may have run.
+        arrivals: Sends that may have reached an endpoint.
         tried: Endpoints that it was sent to.
         replying: Whether the caller has the head of the answer.
         last_event_id: Last event of the stream that the caller has, or ''.
@@ -62,6 +63,7 @@
     attempt: AttemptId | None = None
     sends: int = 0
     runs: int = 0
+    arrivals: int = 0
     tried: set[EndpointId] = attrs.field(factory=set)
     replying: bool = False
     last_event_id: str = ''
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -2,7 +2,8 @@
 
 All VMs together may send again a part of the requests for a service, and a
 fixed number besides, in any window. Each VM keeps to its part of that number,
-so that no VM need know what the others do.
+so that no VM need know what the others do. A send that found no connection is
+no arrival and takes nothing of it.
 """
 
 from typing import Final
--- a/src/plantainridge/gateway/settings.py
+++ b/src/plantainridge/gateway/settings.py
@@ -1,9 +1,14 @@
 """Settings of one gateway process."""
 
+from typing import Final
+
 import attrs
 
 from plantainridge.ids import DcId, VmId
 
+# Link of a VM whose settings name none, in Mbit/s.
+DEFAULT_LINK_MBPS: Final = 1_000.0
+
 
 @attrs.frozen
 class SettingsFault:
@@ -60,6 +65,7 @@
         peer_port: Port for other VMs.
         metrics_port: Port for metrics.
         store_address: The platform's metadata store.
+        link_mbps: Rate of the VM's own link, in Mbit/s.
     """
 
     vm: VmId
@@ -71,3 +77,4 @@
     metrics_port: int
     store_address: str
     bounds: Bounds = Bounds()
+    link_mbps: float = DEFAULT_LINK_MBPS
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -1,7 +1,9 @@
 """What KV cache stores keep, as their events tell.
 
-One VM of a data centre asks each store and relays what it heard. A gap or a
-new life of a store makes all that is known of it unsure.
+One VM of a data centre asks each store and relays what it heard. While a store
+does not answer, nothing is fetched from it, but what it kept stays known: its
+events tell later what changed meanwhile. Only a new life of a store, or events
+that it has dropped, call for a listing, which every VM must then be sent.
 """
 
 import math
@@ -18,7 +20,7 @@
 from plantainridge.gateway.events import (KeptPart, StoreChanged, StoreListed,
                                           StoreMissed, TimerKind)
 from plantainridge.gateway.peer_messages import RelayedStore, StoreWanted
-from plantainridge.ids import ServiceId
+from plantainridge.ids import ServiceId, VmId
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -31,11 +33,20 @@
 PAUSE_PER_VM_S: Final = 0.05
 # Pause before a store that did not answer is asked again, in s.
 RETRY_S: Final = 0.5
-# Time from the first configuration to the first listing, in s.
-FIRST_LISTING_S: Final = 2.0
+# Time from the first configuration to the first listing, in s: by then the VMs
+# have heard of one another, and not all stores are listed at once.
+FIRST_LISTING_S: Final = (2.0, 4.0)
 # Time without a relayed word after which a VM asks a store itself, in s.
 SILENT_S: Final = 3.0
-# Least time between two requests to peers for all of a store, in s.
+# Longest time that a relayed word takes within a data centre, in s.
+RELAY_S: Final = 0.1
+# Spread of that over the VMs, in s, and the places in it.
+STAGGER_S: Final = 1.6
+STAGGER_PLACES: Final = 16
+# How long a VM that did not reach a store is passed over as its reader, in s.
+PASS_OVER_S: Final = 1.5
+# Least time between two requests to peers for all of a store, in s, and the
+# longest wait for the answer.
 WANT_S: Final = 0.5
 # Age of a store's last word beyond which nothing is fetched from it, in s.
 FRESH_S: Final = 2.6
@@ -69,6 +80,10 @@
         epoch: The store's present life; None before it was listed.
         next: Number of the next event.
         heard_at: Loop time of its last word, in s; -inf after a failure.
+        told_at: Loop time at which any VM last told of it, even that it does
+            not answer, in s.
+        behind: Whether a peer heard events that this VM did not.
+        missed_by: VMs that did not reach it, with loop times in s.
         list_at: Loop time at which it is listed again, in s.
         saving: Loop time at which each part was last sent there, in s.
         wanted_at: Loop time at which a peer was last asked for all, in s.
@@ -82,6 +97,9 @@
     epoch: int | None = None
     next: int = 0
     heard_at: float = -math.inf
+    told_at: float = -math.inf
+    behind: bool = False
+    missed_by: dict[VmId, float] = attrs.field(factory=dict)
     list_at: float = -math.inf
     saving: dict[KeptPart, float] = attrs.field(factory=dict)
     wanted_at: float = -math.inf
@@ -95,6 +113,24 @@
         """Room that is taken, as far as known."""
         return self.kept_tokens + sum(self.partial.values())
 
+    def note_reached(self, vm: VmId, now: float) -> None:
+        """Takes in that the store answered a VM, this one or a peer."""
+        self.heard_at = self.told_at = now
+        self.behind = False
+        self.missed_by.pop(vm, None)
+
+    def note_missed(self, vm: VmId, now: float) -> None:
+        """Takes in that a VM did not reach the store."""
+        self.heard_at = -math.inf
+        self.told_at = now
+        self.missed_by[vm] = now
+
+    def passed_over(self, now: float) -> list[VmId]:
+        """Returns VMs that did not reach the store a moment ago."""
+        return [
+            vm for vm, at in self.missed_by.items() if now < at + PASS_OVER_S
+        ]
+
     def replace(self, kept: Mapping[KeptPart, int]) -> None:
         """Takes in all that the store keeps."""
         self.kept = dict(kept)
@@ -134,9 +170,11 @@
         if name in views:
             views[name].terms = terms
             continue
-        views[name] = StoreView(name, terms)
-        # By then the VMs have heard of one another and know who lists it.
-        yield SetTimer(_timer(views[name]), now + FIRST_LISTING_S)
+        # Whoever is to list it has told of it by then.
+        told_at = now + FIRST_LISTING_S[1]
+        views[name] = StoreView(name, terms, told_at=told_at)
+        listing_s = state.rng.uniform(*FIRST_LISTING_S)
+        yield SetTimer(_timer(views[name]), now + listing_s)
 
 
 def on_listed(state: 'GatewayState', event: StoreListed,
@@ -148,12 +186,16 @@
     view.replace(event.kept)
     view.partial = dict(event.partial)
     view.epoch, view.next = event.epoch, event.next
-    view.heard_at = now
+    view.note_reached(state.settings.vm, now)
     view.list_at = now + state.rng.uniform(*RELIST_S)
     yield LogLine('store_listed',
                   (('store', event.store), ('parts', len(view.kept)),
                    ('tokens', view.used_tokens)))
-    yield from relays.tell(state, _whole(state, view))
+    # A peer that knows another life of the store asks for the listing.
+    yield from relays.tell(
+        state,
+        RelayedStore(state.settings.vm, view.name, event.epoch, event.next,
+                     event.next, False, False, (), 0.0))
     yield SetTimer(_timer(view), now)
 
 
@@ -172,15 +214,15 @@
                       (('store', event.store), ('lost', event.lost)))
         yield fx.ListStore(view.name, view.terms.address)
         return
-    start = view.next
+    start, alone = view.next, view.behind
     _apply(view, event.kept, event.next, now)
-    if relays.is_reader(state, view.name, now):
+    view.note_reached(state.settings.vm, now)
+    if not alone:
         yield from relays.tell(
             state,
             RelayedStore(state.settings.vm, view.name, event.epoch, start,
                          event.next, False, False, event.kept, event.clock_ms))
-    pause_s = max(PAUSE_S, PAUSE_PER_VM_S * relays.vms_near(state))
-    yield SetTimer(_timer(view), now + pause_s)
+    yield SetTimer(_timer(view), now + _pause_s(state))
 
 
 def _apply(view: StoreView, changes: tuple[tuple[KeptPart, int], ...], end: int,
@@ -189,7 +231,6 @@
         view.saving.pop(part, None)
         view.put(part, tokens)
     view.next = end
-    view.heard_at = now
 
 
 def _whole(state: 'GatewayState', view: StoreView) -> RelayedStore:
@@ -209,19 +250,41 @@
     if relay.clock_ms:
         state.stores.clock_ms = relay.clock_ms - now * 1_000
     if relay.lost:
-        yield from _lose(view, f'{relay.vm} does not reach it', now)
+        view.note_missed(relay.vm, now)
+        # Whoever comes next in turn asks the store.
+        yield SetTimer(_timer(view), now + RETRY_S)
+    elif relay.epoch == view.epoch and relay.end <= view.next:
+        view.note_reached(relay.vm, now)
+        yield from _take_over(state, view, now)
     elif relay.whole:
         view.replace(dict(relay.parts))
-        view.epoch, view.next, view.heard_at = relay.epoch, relay.end, now
+        view.epoch, view.next = relay.epoch, relay.end
+        view.note_reached(relay.vm, now)
         view.list_at = now + state.rng.uniform(*RELIST_S)
-        yield SetTimer(_timer(view), now + SILENT_S)
+        yield from _take_over(state, view, now)
     elif relay.epoch == view.epoch and relay.start == view.next:
         _apply(view, relay.parts, relay.end, now)
-    elif relay.epoch != view.epoch or relay.start > view.next:
-        if now - view.wanted_at >= WANT_S:
-            view.wanted_at = now
-            yield from relays.answer(state, relay.vm,
-                                     StoreWanted(state.settings.vm, view.name))
+        view.note_reached(relay.vm, now)
+        yield from _take_over(state, view, now)
+    elif relay.epoch == view.epoch:
+        # The store itself tells what was not relayed, in a few bytes.
+        view.behind = True
+        yield SetTimer(_timer(view), now)
+    elif now - view.wanted_at >= WANT_S:
+        view.wanted_at = now
+        yield from relays.answer(state, relay.vm,
+                                 StoreWanted(state.settings.vm, view.name))
+
+
+def _take_over(state: 'GatewayState', view: StoreView,
+               now: float) -> Iterator[Effect]:
+    """Goes on reading a store if it is this VM's turn, else only listens."""
+    pause_s = _pause_s(state) if _is_reader(state, view, now) else SILENT_S
+    yield SetTimer(_timer(view), now + pause_s)
+
+
+def _pause_s(state: 'GatewayState') -> float:
+    return max(PAUSE_S, PAUSE_PER_VM_S * relays.vms_near(state))
 
 
 def on_wanted(state: 'GatewayState', event: StoreAsked,
@@ -238,27 +301,30 @@
     view = state.stores.views.get(event.store)
     if view is None:
         return
-    if event.busy:
-        yield SetTimer(_timer(view), now + RETRY_S)
-        return
-    if view.epoch is not None and relays.is_reader(state, view.name, now):
-        yield from relays.tell(
-            state,
-            RelayedStore(state.settings.vm, view.name, 0, 0, 0, False, True, (),
-                         0.0))
-    yield from _lose(view, event.reason, now)
-
-
-def _lose(view: StoreView, reason: str, now: float) -> Iterator[Effect]:
-    """Forgets what a store kept: it may come back empty and be written anew."""
-    if view.epoch is not None:
-        yield LogLine('store_lost', (('store', view.name), ('reason', reason)))
-    view.replace({})
-    view.epoch = None
-    view.heard_at = -math.inf
+    if not event.busy:
+        yield LogLine('store_lost',
+                      (('store', event.store), ('reason', event.reason)))
+        if not view.behind:
+            lost = RelayedStore(state.settings.vm, view.name, 0, 0, 0, False,
+                                True, (), 0.0)
+            yield from relays.tell(state, lost)
+        view.note_missed(state.settings.vm, now)
+        # Peers hear of it later: none of them asks at the same time.
+        view.missed_by[state.settings.vm] = now + RELAY_S
     yield SetTimer(_timer(view), now + RETRY_S)
 
 
+def _is_reader(state: 'GatewayState', view: StoreView, now: float) -> bool:
+    """Whether this VM is to ask a store for its data centre."""
+    return relays.is_reader(state, view.name, now, view.passed_over(now))
+
+
+def _stagger_s(state: 'GatewayState', view: StoreView) -> float:
+    """Returns this VM's part of `STAGGER_S`, so that not all ask at once."""
+    place = relays.draw(state.settings.vm, view.name) % STAGGER_PLACES
+    return STAGGER_S * place / STAGGER_PLACES
+
+
 def on_timer(state: 'GatewayState', event: TimerFired,
              now: float) -> Iterator[Effect]:
     """Asks a store again, and frees what is of no use."""
@@ -267,9 +333,23 @@
         return
     address = view.terms.address
     yield from kept_parts.free_replaced(state, view, now)
-    silent_at = view.heard_at + SILENT_S
-    if now < silent_at and not relays.is_reader(state, view.name, now):
-        yield SetTimer(event.key, silent_at)
+    if view.told_at <= now < view.told_at + RETRY_S and not view.is_fresh(now):
+        # A peer has just found that it does not answer.
+        yield SetTimer(event.key, view.told_at + RETRY_S)
+        return
+    silent_at = view.told_at + SILENT_S + _stagger_s(state, view)
+    waits = now < silent_at and not view.behind
+    if waits and not _is_reader(state, view, now):
+        missed_at = view.missed_by.get(state.settings.vm, math.inf)
+        yield SetTimer(event.key, min(silent_at, missed_at + PASS_OVER_S))
+        return
+    if view.epoch is None and view.wanted_at == -math.inf:
+        # After a start peers know what a listing would tell.
+        view.wanted_at = now
+        yield from relays.ask_one(state,
+                                  StoreWanted(state.settings.vm, view.name),
+                                  now)
+        yield SetTimer(event.key, now + WANT_S)
         return
     if view.epoch is None or now >= view.list_at:
         yield fx.ListStore(view.name, address)
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -10,6 +10,7 @@
 from plantainridge.gateway.endpoints import EndpointEntry
 from plantainridge.gateway.events import (Gone, LeaseRecord, NamedVersion, News,
                                           RawRecord, Unreadable, View, VmEntry)
+from plantainridge.gateway.settings import DEFAULT_LINK_MBPS
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, VmId)
 from plantainridge.platform import configuration, names
@@ -137,12 +138,17 @@
         return Unreadable(record.key, 'it was dropped')
     data = json.loads(record.value)
     return VmEntry(VmId(record.key), get(data, 'dc', str),
-                   get(data, 'address', str))
+                   get(data, 'address', str),
+                   get_or(data, 'link_mbps', DEFAULT_LINK_MBPS))
 
 
-def encode_vm(dc: str, address: str) -> bytes:
+def encode_vm(dc: str, address: str, link_mbps: float) -> bytes:
     """Returns a VM's own entry."""
-    return json.dumps({'dc': dc, 'address': address}).encode()
+    return json.dumps({
+        'dc': dc,
+        'address': address,
+        'link_mbps': link_mbps
+    }).encode()
 
 
 def decode_lease(record: RawRecord) -> LeaseRecord:
--- a/src/plantainridge/platform/settings.py
+++ b/src/plantainridge/platform/settings.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from plantainridge.gateway.settings import (Bounds, GatewaySettings,
-                                            SettingsFault)
+from plantainridge.gateway.settings import (DEFAULT_LINK_MBPS, Bounds,
+                                            GatewaySettings, SettingsFault)
 from plantainridge.ids import DcId, VmId
 from plantainridge.platform.fields import FieldFault, get, get_or
 
@@ -43,7 +43,9 @@
                            metrics_port=ports[1],
                            store_address=_address(get(data, 'platform', dict),
                                                   'address'),
-                           bounds=_bounds(get_or(data, 'bounds', {})))
+                           bounds=_bounds(get_or(data, 'bounds', {})),
+                           link_mbps=get_or(get_or(data, 'limits', {}),
+                                            'link-mbps', DEFAULT_LINK_MBPS))
 
 
 def _bounds(data: Mapping[str, Any]) -> Bounds:
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -46,7 +46,7 @@
         self.tasks.spawn(self._read(effect))
 
     def announce(self, effect: fx.AnnounceVm) -> None:
-        value = records.encode_vm(effect.dc, effect.address)
+        value = records.encode_vm(effect.dc, effect.address, effect.link_mbps)
         body = records.encode_keyed(self.vm, value)
         self.tasks.spawn(self._announce(body))
 
--- /dev/null
+++ b/tests/gateway_fleet.py
@@ -0,0 +1,141 @@
+"""Gateway reducers of one data centre that talk, before fake KV cache stores."""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway import peer_messages, stores
+from plantainridge.gateway.events import KeptPart, View
+from plantainridge.gateway.hints import HintHeard
+from plantainridge.gateway.peer_messages import (Hint, RelayedStore,
+                                                 StoreWanted)
+from plantainridge.ids import ServiceId, VmId
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event
+from tests.gateway_scene import NEAR, GatewayScene, endpoint
+
+STEP_S: Final = 0.01
+MESSAGE_S: Final = 0.001
+ANSWER_S: Final = 0.004
+# A connection that nobody accepts is given up after this time, in s.
+MISSED_S: Final = 0.35
+
+
+@attrs.define
+class FakeStore:
+    """A KV cache store with events; `up` says whether it answers."""
+
+    kept: dict[KeptPart, int] = attrs.field(factory=dict)
+    events: list[tuple[KeptPart, int]] = attrs.field(factory=list)
+    epoch: int = 1
+    up: bool = True
+
+    def save(self, part: KeptPart, tokens: int) -> None:
+        """Keeps a part and tells of it."""
+        self.kept[part] = tokens
+        self.events.append((part, tokens))
+
+    def restart(self) -> None:
+        """Comes back empty."""
+        self.kept, self.events = {}, []
+        self.epoch += 1
+
+
+class GatewayFleet:
+    """VMs of one data centre on one clock.
+
+    Attributes:
+        calls: Calls to stores, by kind.
+        sent_bytes: Bytes of messages, by the VM that sent them.
+    """
+
+    def __init__(self, size: int, links: Callable[[int], float]) -> None:
+        self.vms = {
+            VmId(f'vm{at}'): GatewayScene(endpoint('a'), vm=f'vm{at}')
+            for at in range(size)
+        }
+        first = next(iter(self.vms.values()))
+        self.now = first.now
+        self.stores = {name: FakeStore() for name in first.state.stores.views}
+        self.calls: Counter[str] = Counter()
+        self.sent_bytes: Counter[VmId] = Counter()
+        self._seen = dict.fromkeys(self.vms, 0)
+        self._order = itertools.count()
+        self._coming: list[tuple[float, int, VmId, Event]] = []
+        entries = [
+            ev.VmEntry(name, NEAR, f'{name}:1', links(at))
+            for at, name in enumerate(self.vms)
+        ]
+        for at, scene in enumerate(self.vms.values()):
+            settings = attrs.evolve(scene.state.settings, link_mbps=links(at))
+            scene.state.settings = settings
+            scene.read(View.VMS, *entries)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            for name, scene in self.vms.items():
+                scene.advance(max(0.0, self.now - scene.now))
+                self._carry_out(name, scene)
+            while self._coming and self._coming[0][0] <= self.now:
+                _, _, name, event = heapq.heappop(self._coming)
+                self.vms[name].post(event)
+                self._carry_out(name, self.vms[name])
+
+    def forget_all(self) -> None:
+        """Starts counting anew."""
+        self.calls.clear()
+        self.sent_bytes.clear()
+
+    def _post_later(self, delay_s: float, vm: VmId, event: Event) -> None:
+        heapq.heappush(self._coming,
+                       (self.now + delay_s, next(self._order), vm, event))
+
+    def _carry_out(self, name: VmId, scene: GatewayScene) -> None:
+        found, scene.done[:] = list(scene.done), []
+        for effect in found:
+            if isinstance(effect, base.SendPeer):
+                self._deliver(name, effect)
+            elif isinstance(effect, fx.ListStore):
+                self.calls['list'] += 1
+                self._answer(name, effect.store, self._list(effect))
+            elif isinstance(effect, fx.PollStore):
+                self.calls['poll'] += 1
+                self._answer(name, effect.store, self._poll(effect))
+
+    def _answer(self, vm: VmId, store: ServiceId, event: Event) -> None:
+        if self.stores[store].up:
+            self._post_later(ANSWER_S, vm, event)
+        else:
+            self._post_later(MISSED_S, vm, ev.StoreMissed(store, 'silent'))
+
+    def _list(self, effect: fx.ListStore) -> Event:
+        store = self.stores[effect.store]
+        return ev.StoreListed(effect.store, store.epoch, len(store.events),
+                              dict(store.kept), {})
+
+    def _poll(self, effect: fx.PollStore) -> Event:
+        store = self.stores[effect.store]
+        return ev.StoreChanged(effect.store, store.epoch, len(store.events),
+                               False, tuple(store.events[effect.since:]), 1.0)
+
+    def _deliver(self, sender: VmId, effect: base.SendPeer) -> None:
+        self.sent_bytes[sender] += len(effect.payload)
+        message = peer_messages.decode(effect.payload)
+        event: Event | None = None
+        if isinstance(message, Hint):
+            event = HintHeard(message)
+        elif isinstance(message, RelayedStore):
+            event = stores.StoreRelayed(message)
+        elif isinstance(message, StoreWanted):
+            event = stores.StoreAsked(message)
+        if event is not None and effect.vm in self.vms:
+            self._post_later(MESSAGE_S, effect.vm, event)
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -157,6 +157,19 @@
         self.assertLessEqual(again,
                              bounds.retry_ratio * 400 + bounds.retry_slack / 8)
 
+    def test_sends_without_a_connection_take_nothing_of_the_budget(
+            self) -> None:
+        scene = GatewayScene(*(endpoint(f'a{at}', LEDGER) for at in range(40)))
+        for number in range(30):
+            first = scene.ask('/submit/x', f'r{number}')
+            scene.post(ev.SendFailed(first.attempt, Failure.NOT_CONNECTED))
+            second = scene.last(fx.Send)
+            self.assertNotEqual(second.attempt, first.attempt, number)
+            scene.post(ev.AnswerArrived(second.attempt, head(), b''))
+            scene.advance(0.02)
+        again = scene.state.retries.again.get(LEDGER)
+        self.assertEqual(again.total(scene.now) if again else 0, 0)
+
 
 class StreamTest(unittest.TestCase):
     """Streams are passed on whole, each event once."""
