Let large prompts wait at the VM while no engine has memory for them

Change: a prompt of a twentieth of an engine's memory or more goes only where it fits beside what is known there, or where nothing waits by the engine's own word; else it waits here, those that can still be in time first, up to two fifths of its time. VMs tell all others of engines whose memory is half taken.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -10,6 +10,7 @@
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           PiecesArrived, SendFailed,
                                           StreamEnded, StreamStarted)
+from plantainridge.gateway.placement import Choice
 from plantainridge.gateway.requests import CALL, Attempt, Call, SpareAnswer
 from plantainridge.ids import AttemptId
 
@@ -73,9 +74,10 @@
     assert spare is not None
     yield LogLine('endpoint_failed', (('request', call.request.attempt_id),
                                       ('status', spare.status)))
-    choice = None
+    choice: Choice | None = None
     if dispatch.may_resend(state, call, now):
-        choice = placement.choose(state, call, now)
+        found = placement.choose(state, call, now, crowded=True)
+        choice = found if isinstance(found, Choice) else None
     if choice is not None:
         yield from dispatch.send(state, call, choice, now)
         return
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -17,7 +17,7 @@
 from plantainridge.loop.events import Event
 from plantainridge.gateway import peer_messages, relays
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoadTable
+from plantainridge.gateway.peer_loads import (NO_LOAD, PeerLoad, PeerLoadTable)
 from plantainridge.gateway.peer_messages import Hint, OwnLoad, Reached
 from plantainridge.ids import EndpointId, VmId
 
@@ -35,6 +35,8 @@
 # Prompt tokens in flight on one engine that make it loaded: reading them takes
 # a good part of a usual target.
 LOADED_TOKENS: Final = 12_000
+# Part of an engine's memory in flight that makes it loaded as well.
+LOADED_MEMORY_PART: Final = 0.5
 # Longest time between two hints of a VM that has requests in flight, in s.
 REPEAT_S: Final = 0.3
 # The same of one that has none, in s: peers must know that it lives.
@@ -133,9 +135,21 @@
     if len(state.peers) > MAX_FAR_VMS:
         return False
     peers = state.hints.loads.fresh(now)
-    return any(load.pending_tokens +
-               peers.get(name, NO_LOAD).pending_tokens >= LOADED_TOKENS
-               for name, load in loads.items())
+    return any(
+        _is_loaded(state, name, load, peers.get(name, NO_LOAD))
+        for name, load in loads.items())
+
+
+def _is_loaded(state: 'GatewayState', name: EndpointId, load: OwnLoad,
+               peers: PeerLoad) -> bool:
+    """Whether all VMs should know what an engine has in flight."""
+    if load.pending_tokens + peers.pending_tokens >= LOADED_TOKENS:
+        return True
+    service = state.config.services.get(state.endpoints[name].entry.service)
+    if service is None or service.engine is None:
+        return False
+    taken = load.memory_tokens + peers.memory_tokens
+    return taken >= LOADED_MEMORY_PART * service.engine.cache_tokens
 
 
 def _load(view: EndpointView, now: float) -> OwnLoad:
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -24,7 +24,7 @@
 def _on_tick(state: GatewayState, event: TimerFired,
              now: float) -> Iterator[Effect]:
     yield from dispatch.on_tick(state, event, now)
-    waiting = bool(state.calls.waiting())
+    waiting = bool(state.calls.waiting(now))
     yield SetTimer(_TICK, now + (WAITING_TICK_S if waiting else TICK_S))
     yield from rollout.on_tick(state, now)
     yield from hints.on_tick(state, now)
