--- a/src/plantainridge/effects.py
+++ b/src/plantainridge/effects.py
@@ -5,7 +5,7 @@
 from plantainridge.events import BlockRef, Prompt, Stream
 from plantainridge.loop.effects import Effect
 from plantainridge.ids import (AttemptId, EndpointId, ModelId, RequestId,
-                               ServiceId, StoreId, TeamId, TransferId, VmId,
+                               ServiceId, StoreId, TeamId, TransferId,
                                WeightVersion, BlockKey)
 from plantainridge.refusals import Refusal
 
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -216,7 +216,7 @@
         yield fx.ListStore(view.name, view.terms.address)
         return
     start, alone = view.next, view.behind
-    _apply(view, event.kept, event.next, now)
+    _apply(view, event.kept, event.next)
     view.note_reached(state.settings.vm, now)
     if not alone:
         yield from relays.tell(
@@ -226,8 +226,8 @@
     yield SetTimer(_timer(view), now + _pause_s(state))
 
 
-def _apply(view: StoreView, changes: tuple[tuple[KeptPart, int], ...], end: int,
-           now: float) -> None:
+def _apply(view: StoreView, changes: tuple[tuple[KeptPart, int], ...],
+           end: int) -> None:
     for part, tokens in changes:
         view.saving.pop(part, None)
         view.put(part, tokens)
@@ -264,7 +264,7 @@
         view.list_at = now + state.rng.uniform(*RELIST_S)
         yield from _take_over(state, view, now)
     elif relay.epoch == view.epoch and relay.start == view.next:
-        _apply(view, relay.parts, relay.end, now)
+        _apply(view, relay.parts, relay.end)
         view.note_reached(relay.vm, now)
         yield from _take_over(state, view, now)
     elif relay.epoch == view.epoch:
