--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -31,11 +31,11 @@
 # Part of a request's time for which it is held for an endpoint that is
 # expected back within it.
 HOLD_HOPE_PART: Final = 0.4
-# Times its target for which a request waits for an engine's memory; callers give
-# a stream up that has not begun by four times its target.
+# Times its target for which a request waits for an engine's memory; callers
+# give a stream up that has not begun by four times its target.
 HOLD_ROOM_TARGETS: Final = 2.0
-# When a caller that waited for memory in vain may come back, in s: runs end after
-# about three, and those that were refused together should not return together.
+# When a caller that waited for memory in vain may come back, in s: runs end
+# after about three, and those refused together should not return together.
 ROOM_RETRY_S: Final = (0.8, 1.6)
 # Part of its target that must be left for a request to be sent again.
 LEAST_SEND_PART: Final = 0.1
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -34,8 +34,8 @@
 from plantainridge.loop.tasks import Tasks
 
 SWEEP_S: Final = 0.5
-# Allocations between two collections: requests leave few cycles, and looking for
-# them more often takes longer than they are worth.
+# Allocations between two collections: requests leave few cycles, and looking
+# for them more often takes longer than they are worth.
 GC_ALLOCATIONS: Final = 20_000
 READINESS_PATH: Final = '/readiness'
 METRICS_PATH: Final = '/metrics'
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -12,7 +12,8 @@
 from plantainridge.gateway.config import CallerLimits
 from plantainridge.gateway.events import Failure
 from plantainridge.gateway.http_client import Pool
-from plantainridge.gateway.http_server import RESET_ON_CLOSE, HttpServer
+from plantainridge.gateway.caller_connection import RESET_ON_CLOSE
+from plantainridge.gateway.http_server import HttpServer
 from plantainridge.gateway.sending import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.ids import AttemptId, EndpointId, TeamId
