--- a/src/plantainridge/loop/lifecycle.py
+++ b/src/plantainridge/loop/lifecycle.py
@@ -1,6 +1,6 @@
 """State machines of the things that live for a while.
 
-One `transitions` machine declares a kind; an instance keeps its phase in its own
+One `transitions` machine declares a kind; an instance keeps its phase in an
 attribute. Most steps are looked up in a table made from the machine, since its
 own dispatch takes longer than all else that a step of a request does.
 """
