Hand a store over to its next reader before its news gets old

Cause: VMs looked whether it was their turn to ask a store only after 3 s without news; nothing is fetched after 2.6 s. Change: they look after 1.8 s and every 0.3 s; a VM that is stopping says that it reads for nobody.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -101,7 +101,7 @@
     payload = peer_messages.encode(
         Hint(state.settings.vm, state.life, hints.number, loads,
              tuple(hints.suspects), tuple(hints.reached),
-             state.views.is_cut_off(now)))
+             _is_no_reader(state, now)))
     everywhere = news or _is_far_due(state, loads, now)
     if everywhere:
         hints.told_far_at = now
@@ -113,6 +113,11 @@
             yield SendPeer(vm, entry.address, payload)
 
 
+def _is_no_reader(state: 'GatewayState', now: float) -> bool:
+    """Whether peers are to read what this VM would read for them."""
+    return state.stopping_since is not None or state.views.is_cut_off(now)
+
+
 def _is_due(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
             now: float) -> bool:
     """Whether the data centre is to hear of this VM's load now."""
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -60,7 +60,8 @@
         number: Counts the VM's words within one life.
         suspects: Fingerprints with the endpoints that broke off under them.
         reached: Engines that have just taken up new weights.
-        cut_off: Whether the VM cannot reach the metadata store.
+        cut_off: Whether the VM reads for nobody: it cannot reach the metadata
+            store, or is stopping.
     """
 
     vm: VmId
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -55,7 +55,7 @@
   loads @3 :List(Load);
   suspects @4 :List(Suspect);
   reached @5 :List(Reached);
-  # Whether the sender cannot reach the metadata store.
+  # Whether the sender reads for nobody.
   isCutOff @6 :Bool;
 }
 
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -37,6 +37,11 @@
 # have heard of one another, and not all stores are listed at once. Until it
 # nothing is fetched.
 FIRST_LISTING_S: Final = (0.4, 1.2)
+# Time without a relayed word after which a VM looks whether it is its turn to
+# ask, in s: by then a reader that ended counts as gone.
+LOOK_S: Final = 1.8
+# Pause before it looks again, in s.
+LOOK_AGAIN_S: Final = 0.3
 # Time without a relayed word after which a VM asks a store itself, in s.
 SILENT_S: Final = 3.0
 # Longest time that a relayed word takes within a data centre, in s.
@@ -281,7 +286,7 @@
 def _take_over(state: 'GatewayState', view: StoreView,
                now: float) -> Iterator[Effect]:
     """Goes on reading a store if it is this VM's turn, else only listens."""
-    pause_s = _pause_s(state) if _is_reader(state, view, now) else SILENT_S
+    pause_s = _pause_s(state) if _is_reader(state, view, now) else LOOK_S
     yield SetTimer(_timer(view), now + pause_s)
 
 
@@ -343,8 +348,7 @@
     silent_at = view.told_at + SILENT_S + _stagger_s(state, view)
     waits = now < silent_at and not view.behind
     if waits and not _is_reader(state, view, now):
-        missed_at = view.missed_by.get(state.settings.vm, math.inf)
-        yield SetTimer(event.key, min(silent_at, missed_at + PASS_OVER_S))
+        yield SetTimer(event.key, min(silent_at, now + LOOK_AGAIN_S))
         return
     if view.epoch is None and view.wanted_at == -math.inf:
         # After a start peers know what a listing would tell.
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -87,8 +87,9 @@
                 self._carry_out(name, scene)
             while self._coming and self._coming[0][0] <= self.now:
                 _, _, name, event = heapq.heappop(self._coming)
-                self.vms[name].post(event)
-                self._carry_out(name, self.vms[name])
+                if name in self.vms:
+                    self.vms[name].post(event)
+                    self._carry_out(name, self.vms[name])
 
     def forget_all(self) -> None:
         """Starts counting anew."""
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -3,6 +3,7 @@
 import unittest
 
 from plantainridge.gateway import relays
+from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import KeptPart
 from plantainridge.ids import VmId
 from tests.gateway_fleet import GatewayFleet
@@ -97,6 +98,32 @@
 class ReaderTest(unittest.TestCase):
     """Which VM reads for the others."""
 
+    def _read_on(self, fleet: GatewayFleet) -> float:
+        """Returns the longest time for which some VM held a store unsure."""
+        longest = 0.0
+        since: dict[str, float] = {}
+        for _ in range(60):
+            fleet.run(0.1)
+            for name, scene in fleet.vms.items():
+                for view in scene.state.stores.views.values():
+                    key = f'{name}/{view.name}'
+                    if view.is_fresh(scene.now):
+                        since.pop(key, None)
+                        continue
+                    start = since.setdefault(key, fleet.now)
+                    longest = max(longest, fleet.now - start)
+        return longest
+
+    def test_reader_that_ends_leaves_no_store_unsure(self) -> None:
+        for name in (VmId('vm0'), VmId('vm1')):
+            for stops_first in (True, False):
+                fleet = _fleet()
+                if stops_first:
+                    fleet.vms[name].post(ev.StopRequested())
+                    fleet.run(3.0)
+                del fleet.vms[name]
+                self.assertLess(self._read_on(fleet), 0.3)
+
     def test_wide_links_read_most(self) -> None:
         fleet = _fleet()
         subjects = [f'store-{number}' for number in range(200)]
