Tell why a request waits, and from what; sort imports

Cause: the line on a wait named its reason and not its inputs; moved names had left imports out of order.

--- a/src/plantainridge/bench_config.py
+++ b/src/plantainridge/bench_config.py
@@ -20,9 +20,9 @@
 from plantainridge import revision_records as rr
 from plantainridge.config import Config, Team
 from plantainridge.differences import Difference, items
-from plantainridge.loop.effects import LogLine
 from plantainridge.events import Record
 from plantainridge.ids import DcId, ModelId, TeamId, VmId
+from plantainridge.loop.effects import LogLine
 from plantainridge.publishing import LogUnavailable, Publisher
 from plantainridge.replica import Accepted, Conflict, Replica
 from plantainridge.standins.memory_log import LogFaults, MemoryLogPort
--- a/src/plantainridge/bench_footprint.py
+++ b/src/plantainridge/bench_footprint.py
@@ -25,11 +25,11 @@
 from plantainridge.differences import Difference, items
 from plantainridge.directory import (MAX_ENDPOINT_ENTRIES, MAX_STORE_ENTRIES,
                                      Directory)
-from plantainridge.loop.effects import Effect, SendPeer
 from plantainridge.events import CacheListed, LoadReported
-from plantainridge.loop.events import Event, PeerSaid
 from plantainridge.ids import (BlockKey, DcId, EndpointId, TeamId,
                                WeightVersion)
+from plantainridge.loop.effects import Effect, SendPeer
+from plantainridge.loop.events import Event, PeerSaid
 from plantainridge.metrics import MAX_HISTOGRAMS, Metrics
 from plantainridge.standins.world import DC, MODEL, Vm, World, sample_config
 
--- a/src/plantainridge/caching.py
+++ b/src/plantainridge/caching.py
@@ -11,13 +11,13 @@
 from plantainridge import requests, transfers
 from plantainridge.calls import Call
 from plantainridge.effects import ListEndpointCache, ListStore, RaiseBlocks
-from plantainridge.loop.effects import Effect, Observe
 from plantainridge.events import (AttemptEnded, BlockRef, CacheChanged,
                                   CacheListed, LoadReported, ModelCalled,
                                   StoreChanged, StoreListed, StoreLoadReported,
                                   Tier, TransferEnded)
-from plantainridge.loop.events import TimerFired
 from plantainridge.ids import BlockKey, StoreId
+from plantainridge.loop.effects import Effect, Observe
+from plantainridge.loop.events import TimerFired
 from plantainridge.returns import Expected
 from plantainridge.state import VmState
 from plantainridge.transfers import Waiting
--- a/src/plantainridge/catchup.py
+++ b/src/plantainridge/catchup.py
@@ -14,9 +14,9 @@
 from plantainridge import differences, exchange, revisions
 from plantainridge import peer_messages as pm
 from plantainridge import revision_records as rr
+from plantainridge.ids import VmId
 from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.loop.events import TimerFired
-from plantainridge.ids import VmId
 from plantainridge.replica import Snapshot
 
 if TYPE_CHECKING:
--- a/src/plantainridge/checkpoints.py
+++ b/src/plantainridge/checkpoints.py
@@ -12,8 +12,8 @@
 
 from plantainridge import revision_records as rr
 from plantainridge.effects import AppendLog
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.events import AppendEnded, AppendFailed, Stream
+from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.loop.events import TimerFired
 
 if TYPE_CHECKING:
--- a/src/plantainridge/claim_answers.py
+++ b/src/plantainridge/claim_answers.py
@@ -12,8 +12,8 @@
 from plantainridge.claim_state import ClaimLimits
 from plantainridge.claim_table import ClaimTable
 from plantainridge.effects import Refuse, SendServiceAnswer
-from plantainridge.loop.effects import Effect
 from plantainridge.events import ServiceCalled
+from plantainridge.loop.effects import Effect
 from plantainridge.refusals import RanState, Reason, Refusal
 
 RETRY_SOON_S: Final = 1.0
--- a/src/plantainridge/claim_batches.py
+++ b/src/plantainridge/claim_batches.py
@@ -12,8 +12,8 @@
 from plantainridge.claim_records import AnyRecord, Claim, ClaimId, ClaimRecord
 from plantainridge.claim_state import ClaimsState, Owed
 from plantainridge.effects import AppendLog
-from plantainridge.loop.effects import Effect, SetTimer
 from plantainridge.events import Stream, TimerKind
+from plantainridge.loop.effects import Effect, SetTimer
 from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.state import VmState
 
--- a/src/plantainridge/claim_sync.py
+++ b/src/plantainridge/claim_sync.py
@@ -7,9 +7,9 @@
 from plantainridge.claim_records import BadClaimRecord, ClaimRecord, Mark
 from plantainridge.claim_state import ClaimsState, Tail, WorkPhase
 from plantainridge.effects import ReadLog
-from plantainridge.loop.effects import CancelTimer, Effect, SetTimer
 from plantainridge.events import (LogRead, LogReadFailed, Record, Stream,
                                   TimerKind)
+from plantainridge.loop.effects import CancelTimer, Effect, SetTimer
 from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.state import VmState
 
--- a/src/plantainridge/claims.py
+++ b/src/plantainridge/claims.py
@@ -17,12 +17,12 @@
 from plantainridge.claim_state import WORK, KeyWork, WorkPhase
 from plantainridge.claim_table import ClaimTable, Entry
 from plantainridge.effects import Refuse, SendServiceAnswer
-from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
 from plantainridge.events import (AppendEnded, AppendFailed, CallerGone,
                                   Failure, LogRead, ServiceAnswered,
                                   ServiceCalled, Stream, TimerKind)
-from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.lifecycles import REQUEST, RequestPhase
+from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.refusals import Refusal
 from plantainridge.service_attempts import (MAX_TRIES, SERVICE_TIMEOUT_S,
                                             SURELY_NOT_RUN, NoInstance)
--- a/src/plantainridge/drain.py
+++ b/src/plantainridge/drain.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from typing import Final
 
-from plantainridge.loop.effects import Effect, Exit, LogLine
 from plantainridge.events import StopRequested
+from plantainridge.loop.effects import Effect, Exit, LogLine
 from plantainridge.loop.events import TimerFired
 from plantainridge.state import VmState
 
--- a/src/plantainridge/effects.py
+++ b/src/plantainridge/effects.py
@@ -3,10 +3,10 @@
 import attrs
 
 from plantainridge.events import BlockRef, Prompt, Stream
-from plantainridge.loop.effects import Effect
 from plantainridge.ids import (AttemptId, EndpointId, ModelId, RequestId,
                                ServiceId, StoreId, TeamId, TransferId,
                                WeightVersion, BlockKey)
+from plantainridge.loop.effects import Effect
 from plantainridge.refusals import Refusal
 
 # --- To callers -------------------------------------------------------------
--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -14,17 +14,17 @@
                                       HttpServicePort, new_client)
 from plantainridge.http_transfers import HttpTransferPort, StorePolls
 from plantainridge.ids import DcId, Incarnation, VmId
+from plantainridge.loop.peers_net import NetPeers
+from plantainridge.loop.tasks import Tasks
 from plantainridge.mailboxes import Mailboxes
 from plantainridge.metrics import Metrics
 from plantainridge.operators import OperatorsApp
 from plantainridge.orders_http import HttpOrderPort
-from plantainridge.loop.peers_net import NetPeers
 from plantainridge.ports import Ports, TransferPort
 from plantainridge.reports import log_fault, ProcessReport
 from plantainridge.runtime import Runtime
 from plantainridge.serve import AppServer
 from plantainridge.state import VmState
-from plantainridge.loop.tasks import Tasks
 
 
 @attrs.frozen
--- a/src/plantainridge/exchange.py
+++ b/src/plantainridge/exchange.py
@@ -18,9 +18,9 @@
 import attrs
 
 from plantainridge import peer_messages as pm
+from plantainridge.ids import VmId
 from plantainridge.loop.effects import Effect, SendPeer
 from plantainridge.loop.events import TimerFired
-from plantainridge.ids import VmId
 
 if TYPE_CHECKING:
     from plantainridge.state import VmState
--- a/src/plantainridge/fairness.py
+++ b/src/plantainridge/fairness.py
@@ -9,9 +9,9 @@
 
 import attrs
 
+from plantainridge.ids import TeamId
 from plantainridge.loop.effects import Effect
 from plantainridge.loop.events import TimerFired
-from plantainridge.ids import TeamId
 
 if TYPE_CHECKING:
     from plantainridge.state import VmState
--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -19,9 +19,9 @@
 from plantainridge.config import EndpointKind
 from plantainridge.endpoints import EndpointView
 from plantainridge.http_ports import STATUS_OK
+from plantainridge.ids import BlockKey, EndpointId, WeightVersion
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
-from plantainridge.ids import BlockKey, EndpointId, WeightVersion
 from plantainridge.runtime import Runtime
 
 ROUND_S: Final = 0.25
--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
-from plantainridge.loop.events import TimerFired
 from plantainridge.gateway import cache, dispatch, endings, health, placement
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
@@ -13,6 +11,8 @@
 from plantainridge.gateway.placement import Choice
 from plantainridge.gateway.requests import CALL, Attempt, Call, SpareAnswer
 from plantainridge.ids import AttemptId
+from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
+from plantainridge.loop.events import TimerFired
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -10,8 +10,6 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.loop.effects import Effect, LogLine, SetTimer
-from plantainridge.loop.events import TimerFired
 from plantainridge.gateway import (cache, endings, health, kept_parts,
                                    placement, retries)
 from plantainridge.gateway import effects as fx
@@ -22,6 +20,8 @@
 from plantainridge.gateway.requests import (CALL, Attempt, Call, CallPhase,
                                             Unplaced)
 from plantainridge.ids import AttemptId, ServiceId
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import TimerFired
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -63,8 +63,7 @@
         call.waiting_since = now
     if call.held_for is not choice:
         call.held_for = choice
-        yield LogLine('request_waits', (('request', call.request.attempt_id),
-                                        ('reason', choice.value)))
+        yield _waits_line(state, call, choice, now)
     yield from _end_wait(state, call, now)
 
 
@@ -178,6 +177,22 @@
     ))
 
 
+def _waits_line(state: 'GatewayState', call: Call, reason: Unplaced,
+                now: float) -> LogLine:
+    """Tells why a request waits, and from what."""
+    return LogLine('request_waits', (
+        ('request', call.request.attempt_id),
+        ('reason', reason.value),
+        ('memory_tokens', placement.memory_tokens(call.request)),
+        ('endpoints',
+         sum(view.entry.service == call.service
+             for view in state.endpoints.values())),
+        ('waiting', len(state.calls.waiting(now))),
+        ('registry_age_s', round(state.views.age_s(View.REGISTRY, now), 3)),
+        ('configuration', state.config.version),
+    ))
+
+
 def _cache_plan(state: 'GatewayState', call: Call, choice: Choice,
                 now: float) -> fx.CachePlan:
     """Says which parts are fetched and which are to be kept at a store."""
--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.loop.effects import Effect, Exit, LogLine
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import StopRequested
+from plantainridge.loop.effects import Effect, Exit, LogLine
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -2,11 +2,11 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect
 from plantainridge.gateway.events import (Headers, KeptPart, LeaseRecord,
                                           Request, View)
 from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, RequestId,
                                ServiceId, TeamId)
+from plantainridge.loop.effects import Effect
 
 # --- To callers -------------------------------------------------------------
 
--- a/src/plantainridge/gateway/endings.py
+++ b/src/plantainridge/gateway/endings.py
@@ -3,13 +3,13 @@
 from collections.abc import Generator, Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.loop.effects import CancelTimer, Effect, LogLine, Observe
-from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind
 from plantainridge.gateway.events import CallerLeft, TimerKind
 from plantainridge.gateway.requests import CALL, Attempt, Call
 from plantainridge.ids import AttemptId, RequestId
+from plantainridge.loop.effects import CancelTimer, Effect, LogLine, Observe
+from plantainridge.loop.events import TimerFired, TimerKey
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -5,13 +5,13 @@
 
 import attrs
 
-from plantainridge.loop.events import Event
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.settings import (DEFAULT_LINK_MBPS, GatewaySettings,
                                             SettingsFault)
 from plantainridge.ids import (AttemptId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, VmId)
+from plantainridge.loop.events import Event
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -13,13 +13,13 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, SendPeer
-from plantainridge.loop.events import Event
 from plantainridge.gateway import peer_messages, relays
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.peer_loads import (NO_LOAD, PeerLoad, PeerLoadTable)
 from plantainridge.gateway.peer_messages import Hint, OwnLoad, Reached
 from plantainridge.ids import EndpointId, VmId
+from plantainridge.loop.effects import Effect, SendPeer
+from plantainridge.loop.events import Event
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/intake.py
+++ b/src/plantainridge/gateway/intake.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.loop.effects import Effect, LogLine, SetTimer
 from plantainridge.gateway import dispatch, drain, endings, suspects
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import Route, Team
 from plantainridge.gateway.events import RequestArrived, View
 from plantainridge.gateway.requests import Call
 from plantainridge.ids import RequestId, ServiceId
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/kept_parts.py
+++ b/src/plantainridge/gateway/kept_parts.py
@@ -11,10 +11,10 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.gateway import cache, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import KeptPart, Part, View
+from plantainridge.loop.effects import Effect, LogLine
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/lease.py
+++ b/src/plantainridge/gateway/lease.py
@@ -13,11 +13,11 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import relays
 from plantainridge.gateway.events import (AppendResult, LeaseFailed, LeaseRead,
                                           LeaseRecord, LeaseWritten)
+from plantainridge.loop.effects import Effect, LogLine
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/membership.py
+++ b/src/plantainridge/gateway/membership.py
@@ -7,10 +7,10 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.loop.effects import Effect, LogLine, SetTimer
-from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import TimerKind, VmAnnounced
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import TimerFired, TimerKey
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -9,8 +9,6 @@
 import uuid
 from typing import Final
 
-from plantainridge.loop import effects as base
-from plantainridge.loop.events import Event, PeerSaid
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import peer_messages, reducer
 from plantainridge.gateway.events import (RequestArrived, SettingsRead,
@@ -28,10 +26,12 @@
 from plantainridge.gateway.state import GatewayState
 from plantainridge.gateway.stores import StoreAsked, StoreRelayed
 from plantainridge.ids import Incarnation
-from plantainridge.metrics import Metrics
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event, PeerSaid
 from plantainridge.loop.peers_net import NetPeers
 from plantainridge.loop.reducer_loop import ReducerLoop
 from plantainridge.loop.tasks import Tasks
+from plantainridge.metrics import Metrics
 
 SWEEP_S: Final = 0.5
 # Allocations between two collections: requests leave few cycles, and looking
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge.loop.effects import Effect, LogLine, SetTimer
-from plantainridge.loop.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import (answers, dispatch, drain, endings, events,
                                    hints, intake, lease, membership, relays,
                                    reload, rollout, stores, views)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 
 # Period of the work that is done from time to time, in s, and while requests
 # wait for an endpoint.
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -16,12 +16,12 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, SendPeer
 from plantainridge.gateway import peer_messages
 from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.peer_messages import (PeerMessage, RelayedStore,
                                                  RelayedView, StoreBatch)
 from plantainridge.ids import VmId
+from plantainridge.loop.effects import Effect, SendPeer
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/reload.py
+++ b/src/plantainridge/gateway/reload.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.gateway.events import SettingsRead
 from plantainridge.gateway.settings import SettingsFault
+from plantainridge.loop.effects import Effect, LogLine
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/rollout.py
+++ b/src/plantainridge/gateway/rollout.py
@@ -11,7 +11,6 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import lease, relays
 from plantainridge.gateway.endpoints import EndpointView
@@ -19,6 +18,7 @@
                                           OrderResult, ReportMissed)
 from plantainridge.gateway.peer_messages import Reached
 from plantainridge.ids import EndpointId, ModelId
+from plantainridge.loop.effects import Effect, LogLine
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/sending.py
+++ b/src/plantainridge/gateway/sending.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Final
 
-from plantainridge.loop.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Failure, Headers
@@ -11,6 +10,7 @@
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.wire import RequestWire
 from plantainridge.ids import AttemptId
+from plantainridge.loop.events import Event
 from plantainridge.loop.ports import Post
 from plantainridge.loop.tasks import Tasks
 
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -6,6 +6,7 @@
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.hints import HintTable
 from plantainridge.gateway.lease import Lease
 from plantainridge.gateway.relays import RelayBox
@@ -17,7 +18,6 @@
 from plantainridge.gateway.suspects import SuspectTable
 from plantainridge.gateway.versions import VersionTable
 from plantainridge.gateway.views import ViewTable
-from plantainridge.gateway.events import VmEntry
 from plantainridge.ids import EndpointId, Incarnation, VmId
 
 
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -12,15 +12,15 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, LogLine, SetTimer
-from plantainridge.loop.events import Event, TimerFired, TimerKey
-from plantainridge.gateway import kept_parts, relays
 from plantainridge.gateway import effects as fx
+from plantainridge.gateway import kept_parts, relays
 from plantainridge.gateway.config import StoreTerms
 from plantainridge.gateway.events import (KeptPart, StoreChanged, StoreListed,
                                           StoreMissed, TimerKind)
 from plantainridge.gateway.peer_messages import RelayedStore, StoreWanted
 from plantainridge.ids import ServiceId, VmId
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -6,8 +6,6 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect, LogLine, SetTimer
-from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import relays, stores
 from plantainridge.gateway.config import Configuration
@@ -17,6 +15,8 @@
                                           ViewRead, ViewRelayed, VmEntry)
 from plantainridge.gateway.peer_messages import RelayedView
 from plantainridge.ids import EndpointId
+from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.events import TimerFired, TimerKey
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
--- a/src/plantainridge/health.py
+++ b/src/plantainridge/health.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from plantainridge.loop.effects import Effect
 from plantainridge.events import Failure
-from plantainridge.loop.events import TimerFired
 from plantainridge.ids import EndpointId
 from plantainridge.lifecycles import RequestPhase
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import TimerFired
 from plantainridge.rates import Rate
 
 if TYPE_CHECKING:
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -15,8 +15,8 @@
 from plantainridge import events as ev
 from plantainridge.ids import AttemptId, RequestId, WeightVersion
 from plantainridge.loop.ports import Post
-from plantainridge.ports import EnginePort, LogPort, ServicePort
 from plantainridge.loop.tasks import Tasks
+from plantainridge.ports import EnginePort, LogPort, ServicePort
 
 POOL_SIZE: Final = 4_096
 # Shorter than any server keeps an idle connection open.
--- a/src/plantainridge/http_transfers.py
+++ b/src/plantainridge/http_transfers.py
@@ -13,10 +13,10 @@
 from plantainridge.config import Store
 from plantainridge.feeds import Feeds, POLL_FAULTS
 from plantainridge.http_ports import STATUS_OK
-from plantainridge.loop.events import Event
-from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import BlockKey, StoreId, TransferId
+from plantainridge.loop.events import Event
 from plantainridge.loop.ports import Post
+from plantainridge.loop.tasks import Tasks
 from plantainridge.ports import TransferPort
 from plantainridge.runtime import Runtime
 
--- a/src/plantainridge/leases.py
+++ b/src/plantainridge/leases.py
@@ -15,8 +15,8 @@
 
 from plantainridge import lease_records as lr
 from plantainridge.effects import AppendLog, ReadLog
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.events import LogRead, LogReadFailed, Record, Stream
+from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.loop.events import TimerFired
 from plantainridge.loop.lifecycle import LifeCycle
 
--- a/src/plantainridge/limits.py
+++ b/src/plantainridge/limits.py
@@ -17,10 +17,10 @@
 from cattrs.preconf.json import make_converter
 
 from plantainridge import exchange, members
-from plantainridge.loop.effects import Effect
-from plantainridge.loop.events import TimerFired
 from plantainridge.exchange import Topic
 from plantainridge.ids import TeamId, VmId
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import TimerFired
 from plantainridge.rates import Rate
 
 if TYPE_CHECKING:
--- a/src/plantainridge/loop/peers_net.py
+++ b/src/plantainridge/loop/peers_net.py
@@ -3,12 +3,12 @@
 import asyncio
 from typing import Final
 
+from plantainridge.ids import VmId
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import PeerSaid
-from plantainridge.loop.tasks import Tasks
-from plantainridge.ids import VmId
 from plantainridge.loop.ports import MAX_MESSAGE_BYTES
 from plantainridge.loop.ports import PeerPort, Post
+from plantainridge.loop.tasks import Tasks
 
 # Longest message that goes as one datagram, below any usual path's limit.
 MAX_DATAGRAM_BYTES: Final = 1_200
--- a/src/plantainridge/members.py
+++ b/src/plantainridge/members.py
@@ -6,9 +6,9 @@
 import attrs
 
 from plantainridge import exchange
-from plantainridge.loop.effects import Effect
 from plantainridge.events import Member, MembersListed
 from plantainridge.ids import EndpointId, VmId
+from plantainridge.loop.effects import Effect
 
 if TYPE_CHECKING:
     from plantainridge.state import VmState
--- a/src/plantainridge/orders.py
+++ b/src/plantainridge/orders.py
@@ -4,9 +4,9 @@
 
 import attrs
 
+from plantainridge.ids import EndpointId, ModelId, WeightVersion
 from plantainridge.loop.effects import Effect
 from plantainridge.loop.events import Event
-from plantainridge.ids import EndpointId, ModelId, WeightVersion
 
 
 @attrs.frozen
--- a/src/plantainridge/orders_http.py
+++ b/src/plantainridge/orders_http.py
@@ -8,10 +8,10 @@
 
 from plantainridge import orders
 from plantainridge.http_ports import STATUS_OK
-from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import ModelId, WeightVersion
-from plantainridge.orders import Loaded, OrderOutcome
 from plantainridge.loop.ports import Post
+from plantainridge.loop.tasks import Tasks
+from plantainridge.orders import Loaded, OrderOutcome
 from plantainridge.ports import OrderPort
 
 # Answer of an engine that has seen a higher fencing number.
--- a/src/plantainridge/platform/adapter.py
+++ b/src/plantainridge/platform/adapter.py
@@ -13,12 +13,12 @@
 from plantainridge.gateway.process import BootTimeLoop, Gateway
 from plantainridge.gateway.settings import GatewaySettings, SettingsFault
 from plantainridge.loop.ports import Post
+from plantainridge.loop.tasks import Tasks
 from plantainridge.platform import records
 from plantainridge.platform import settings as platform_settings
 from plantainridge.platform.engines import PlatformEngines
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.platform.store import PlatformStore
-from plantainridge.loop.tasks import Tasks
 
 EXIT_SETTINGS = 2
 
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Final
 
-from plantainridge.loop.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.calls import (JSON_TYPE, NoReply, Reply, call,
@@ -12,8 +11,9 @@
 from plantainridge.gateway.events import OrderResult
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.ports import EnginePort
-from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import ServiceId, VmId
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.platform import kv_records, names
 from plantainridge.platform.fields import FieldFault, get, get_or
 from plantainridge.platform.records import decode_models
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-from plantainridge.loop.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.calls import NoReply, Reply, call, reason_of
 from plantainridge.gateway.events import View
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.ports import StorePort
-from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import VmId
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.platform import names, records
 from plantainridge.platform.fields import FieldFault
 
--- a/src/plantainridge/quarantine.py
+++ b/src/plantainridge/quarantine.py
@@ -18,13 +18,13 @@
 from plantainridge import exchange, suspect_words
 from plantainridge.calls import Attempt, Call
 from plantainridge.config import EndpointKind
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.endpoints import UNKNOWN_VERSION
 from plantainridge.events import ModelCalled
-from plantainridge.loop.events import PeerSaid, TimerFired
 from plantainridge.exchange import Topic
 from plantainridge.ids import EndpointId, RequestId, VmId
 from plantainridge.lifecycles import RequestPhase
+from plantainridge.loop.effects import Effect, LogLine
+from plantainridge.loop.events import PeerSaid, TimerFired
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.suspect_words import CrashCount, Unreadable, Word
 
--- a/src/plantainridge/requests.py
+++ b/src/plantainridge/requests.py
@@ -9,14 +9,14 @@
 from plantainridge.calls import Attempt, Call
 from plantainridge.effects import (CancelAttempt, FinishAnswer, Refuse,
                                    SendTokens, StartAttempt)
-from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
 from plantainridge.endpoints import EndpointView
 from plantainridge.events import (AttemptEnded, AttemptFailed, CallerGone,
                                   Failure, ModelCalled, TimerKind,
                                   TokensArrived)
-from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.ids import AttemptId, EndpointId, RequestId
 from plantainridge.lifecycles import REQUEST, RequestPhase
+from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.routing import Choice, NoEndpoint
 from plantainridge.state import VmState
--- a/src/plantainridge/revisions.py
+++ b/src/plantainridge/revisions.py
@@ -15,9 +15,9 @@
 from plantainridge import differences, exchange
 from plantainridge import revision_records as rr
 from plantainridge.effects import ReadLog
-from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.endpoints import EndpointView
 from plantainridge.events import LogRead, LogReadFailed, Stream
+from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.loop.events import TimerFired
 from plantainridge.readiness import Readiness
 from plantainridge.replica import Accepted, Conflict, Outcome, Replica
--- a/src/plantainridge/rollout.py
+++ b/src/plantainridge/rollout.py
@@ -14,9 +14,9 @@
 
 from plantainridge import leases
 from plantainridge.config import Endpoint, EndpointKind
+from plantainridge.ids import EndpointId, ModelId
 from plantainridge.loop.effects import Effect, LogLine
 from plantainridge.loop.events import TimerFired
-from plantainridge.ids import EndpointId, ModelId
 from plantainridge.orders import (AskEngine, EngineReported, Loaded, OrderEnded,
                                   OrderEngine, OrderOutcome)
 
--- a/src/plantainridge/runtime.py
+++ b/src/plantainridge/runtime.py
@@ -4,8 +4,8 @@
 from plantainridge import orders, reducer
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event
-from plantainridge.ports import Ports
 from plantainridge.loop.reducer_loop import ReducerLoop
+from plantainridge.ports import Ports
 from plantainridge.state import VmState
 
 
--- a/src/plantainridge/service_attempts.py
+++ b/src/plantainridge/service_attempts.py
@@ -8,12 +8,12 @@
 from plantainridge.calls import Attempt, Call
 from plantainridge.config import EndpointKind
 from plantainridge.effects import CallService
-from plantainridge.loop.effects import Effect, SetTimer
 from plantainridge.endpoints import EndpointView
 from plantainridge.events import Failure, ServiceCalled, TimerKind
-from plantainridge.loop.events import TimerKey
 from plantainridge.ids import AttemptId, ServiceId
 from plantainridge.lifecycles import REQUEST
+from plantainridge.loop.effects import Effect, SetTimer
+from plantainridge.loop.events import TimerKey
 from plantainridge.state import VmState
 
 # Failures after which the call certainly has not run.
--- a/src/plantainridge/services.py
+++ b/src/plantainridge/services.py
@@ -8,12 +8,12 @@
 from plantainridge import claim_answers, claims, drain, service_attempts
 from plantainridge.calls import Call
 from plantainridge.effects import Refuse, SendServiceAnswer
-from plantainridge.loop.effects import CancelTimer, Effect, SetTimer
 from plantainridge.events import (AttemptFailed, CallerGone, Failure,
                                   ModelCalled, ServiceAnswered, ServiceCalled)
-from plantainridge.loop.events import TimerFired
 from plantainridge.ids import AttemptId
 from plantainridge.lifecycles import REQUEST
+from plantainridge.loop.effects import CancelTimer, Effect, SetTimer
+from plantainridge.loop.events import TimerFired
 from plantainridge.refusals import RanState, Reason, Refusal
 from plantainridge.service_attempts import MAX_TRIES, NoInstance
 from plantainridge.state import VmState
--- a/src/plantainridge/standins/engine_orders.py
+++ b/src/plantainridge/standins/engine_orders.py
@@ -8,8 +8,8 @@
 
 from plantainridge import orders
 from plantainridge.ids import EndpointId
-from plantainridge.orders import Loaded, OrderOutcome
 from plantainridge.loop.ports import Post
+from plantainridge.orders import Loaded, OrderOutcome
 from plantainridge.ports import OrderPort
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.memory import Network
--- a/src/plantainridge/standins/memory.py
+++ b/src/plantainridge/standins/memory.py
@@ -17,8 +17,8 @@
                                WeightVersion)
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event, PeerSaid
-from plantainridge.metrics import Metrics
 from plantainridge.loop.ports import PeerPort, Post
+from plantainridge.metrics import Metrics
 from plantainridge.ports import CallerPort, EnginePort, ReportPort
 from plantainridge.refusals import Refusal
 from plantainridge.runtime import Runtime
--- a/src/plantainridge/standins/site.py
+++ b/src/plantainridge/standins/site.py
@@ -17,8 +17,8 @@
 from plantainridge.events import Member
 from plantainridge.ids import (DcId, EndpointId, ModelId, ServiceId, TeamId,
                                VmId, WeightVersion)
-from plantainridge.orders import Loaded
 from plantainridge.loop.ports import Post
+from plantainridge.orders import Loaded
 from plantainridge.ports import TransferPort
 from plantainridge.revisions import Revision, encode
 from plantainridge.serve import AppServer
@@ -27,9 +27,9 @@
 from plantainridge.standins.engine import EngineModel
 from plantainridge.standins.engine_http import EngineApp
 from plantainridge.standins.engine_orders import OrderTaker
-from plantainridge.standins.members import MembersApp, MembersModel
 from plantainridge.standins.feeds import FeedSettings, StoreFeed
 from plantainridge.standins.log import LogApp, LogModel
+from plantainridge.standins.members import MembersApp, MembersModel
 from plantainridge.standins.memory import Network
 from plantainridge.standins.movers import MemoryTransferPort
 from plantainridge.standins.service import ServiceApp, ServiceModel
--- a/src/plantainridge/standins/world.py
+++ b/src/plantainridge/standins/world.py
@@ -10,8 +10,8 @@
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, StoreId, TeamId, VmId,
                                WeightVersion)
-from plantainridge.orders import Loaded
 from plantainridge.loop.ports import Post
+from plantainridge.orders import Loaded
 from plantainridge.ports import Ports
 from plantainridge.revisions import Revision, encode
 from plantainridge.runtime import Runtime
@@ -32,8 +32,8 @@
                                                     ServiceFaults)
 from plantainridge.standins.movers import MemoryTransferPort
 from plantainridge.standins.service import ServiceModel
-from plantainridge.standins.weights import WeightStore
 from plantainridge.standins.store import StoreModel
+from plantainridge.standins.weights import WeightStore
 from plantainridge.state import VmState
 
 TEAM = TeamId('bureau')
--- a/src/plantainridge/state.py
+++ b/src/plantainridge/state.py
@@ -5,11 +5,11 @@
 import attrs
 
 from plantainridge import revisions
+from plantainridge.calls import CallTable
 from plantainridge.catchup import CatchUpState
 from plantainridge.checkpoints import CheckpointState
-from plantainridge.config import EMPTY, Config
-from plantainridge.calls import CallTable
 from plantainridge.claim_state import ClaimsState
+from plantainridge.config import EMPTY, Config
 from plantainridge.directory import Directory
 from plantainridge.endpoints import EngineIndex, EndpointView
 from plantainridge.exchange import ExchangeState
@@ -23,9 +23,9 @@
 from plantainridge.quarantine import QuarantineState
 from plantainridge.readiness import Readiness
 from plantainridge.retries import RetriesState
-from plantainridge.revisions import RevisionsState
 from plantainridge.returning import Returning
 from plantainridge.returns import ReturnTable
+from plantainridge.revisions import RevisionsState
 from plantainridge.rollout import RolloutState
 from plantainridge.routing import Policy
 from plantainridge.transfers import TransferTable
--- a/src/plantainridge/transfers.py
+++ b/src/plantainridge/transfers.py
@@ -8,14 +8,14 @@
 import attrs
 
 from plantainridge.effects import CancelTransfer, StartTransfer
-from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
 from plantainridge.events import (BlockRef, TimerKind, TransferEnded,
                                   TransferFailure)
-from plantainridge.loop.events import TimerKey
 from plantainridge.ids import BlockKey, EndpointId, RequestId, StoreId
 from plantainridge.ids import TransferId
 from plantainridge.lifecycles import TRANSFER, TransferPhase
 from plantainridge.links import DOWN_S
+from plantainridge.loop.effects import CancelTimer, Effect, Observe, SetTimer
+from plantainridge.loop.events import TimerKey
 from plantainridge.routing import Fetch
 
 if TYPE_CHECKING:
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -3,8 +3,6 @@
 import random
 from typing import Any, TypeVar
 
-from plantainridge.loop import effects as base
-from plantainridge.loop.events import Event, TimerFired, TimerKey
 from plantainridge.gateway import config, reducer
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.config import RequestKind
@@ -14,6 +12,8 @@
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                RequestId, ServiceId, TeamId, VmId)
+from plantainridge.loop import effects as base
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 
 E = TypeVar('E')
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -11,8 +11,8 @@
 
 from plantainridge.gateway import (cache, config, dispatch, drain, endings,
                                    lease, views)
-from plantainridge.gateway.events import AnswerHead
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.events import AnswerHead
 from plantainridge.platform import adapter, requests
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from plantainridge import claim_keys, paused
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge import claim_keys, paused
 from plantainridge.claim_state import ClaimLimits
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,12 +6,12 @@
 
 from plantainridge import exchange, members, paused
 from plantainridge import peer_messages as pm
-from plantainridge.loop.events import PeerSaid
 from plantainridge.exchange import Topic
-from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import VmId
-from plantainridge.loop.peers_net import NetPeers
 from plantainridge.loop.effects import SendPeer
+from plantainridge.loop.events import PeerSaid
+from plantainridge.loop.peers_net import NetPeers
+from plantainridge.loop.tasks import Tasks
 from plantainridge.reports import log_fault
 from plantainridge.standins.world import World
 
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from plantainridge.loop import effects as base
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import (AppendResult, LeaseRecord,
@@ -15,6 +14,7 @@
                                                  decode)
 from plantainridge.gateway.settings import Bounds, SettingsFault
 from plantainridge.ids import EndpointId, Incarnation, VmId
+from plantainridge.loop import effects as base
 from tests.gateway_scene import (LEDGER, MODEL, NEAR, GatewayScene, endpoint,
                                  head, settings)
 
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -6,19 +6,19 @@
 from typing import Any
 from collections.abc import Awaitable, Callable
 
-from plantainridge.loop.events import Event
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
+from plantainridge.gateway.caller_connection import RESET_ON_CLOSE
 from plantainridge.gateway.config import CallerLimits
 from plantainridge.gateway.events import Failure
 from plantainridge.gateway.http_client import Pool
-from plantainridge.gateway.caller_connection import RESET_ON_CLOSE
 from plantainridge.gateway.http_server import HttpServer
 from plantainridge.gateway.sending import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.ids import AttemptId, EndpointId, TeamId
-from plantainridge.platform.requests import PlatformWire
+from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
+from plantainridge.platform.requests import PlatformWire
 from plantainridge.reports import log_fault
 from tests.gateway_scene import request
 
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -6,12 +6,12 @@
 
 from click.testing import CliRunner
 
-from plantainridge.loop.effects import LogLine
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import explain
 from plantainridge.gateway.events import Failure, View
 from plantainridge.gateway.journal import (MAX_KEPT_BYTES, MAX_LINES_PER_S,
                                            Journal)
+from plantainridge.loop.effects import LogLine
 from tests.gateway_scene import LEDGER, GatewayScene, endpoint, head
 
 
@@ -74,6 +74,16 @@
                       'request_refused'):
             self.assertIn(event, told)
 
+    def test_line_of_a_wait_tells_what_decided_it(self) -> None:
+        scene = GatewayScene()
+        scene.ask('/submit/x')
+        line = next(
+            line for line in scene.lines if line.event == 'request_waits')
+        fields = dict(line.fields)
+        self.assertEqual(fields['request'], 'caller-r1')
+        self.assertEqual(fields['endpoints'], 0)
+        self.assertEqual(fields['configuration'], 1)
+
     def test_lines_of_beliefs(self) -> None:
         scene = GatewayScene(endpoint('a', LEDGER))
         scene.read(View.REGISTRY, endpoint('a', LEDGER, draining=True))
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from plantainridge.gateway import relays
 from plantainridge.gateway import events as ev
+from plantainridge.gateway import relays
 from plantainridge.gateway.events import KeptPart
 from plantainridge.ids import VmId
 from tests.gateway_fleet import GatewayFleet
--- a/tests/test_http_transfers.py
+++ b/tests/test_http_transfers.py
@@ -6,10 +6,10 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.http_ports import new_client
-from plantainridge.loop.events import Event
-from plantainridge.loop.tasks import Tasks
 from plantainridge.http_transfers import HttpTransferPort
 from plantainridge.ids import BlockKey, EndpointId, StoreId, TransferId
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.reports import log_fault
 from plantainridge.serve import AppServer
 from plantainridge.standins.engine import EngineModel
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,9 +7,9 @@
 
 from plantainridge import fairness, limits, members
 from plantainridge.events import Member, MembersListed, TimerKind
-from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.exchange import Heard, Topic
 from plantainridge.ids import DcId, Incarnation, TeamId, VmId
+from plantainridge.loop.events import TimerFired, TimerKey
 from plantainridge.standins.traffic import new_team
 from plantainridge.standins.world import sample_config
 from plantainridge.state import VmState
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -9,10 +9,10 @@
 from plantainridge import lease_records as lr
 from plantainridge import leases, paused
 from plantainridge.events import LoadReported, Record
-from plantainridge.loop.events import Event
 from plantainridge.http_ports import new_client
-from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import Incarnation, WeightVersion
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.orders import (AskEngine, EngineReported, OrderEnded,
                                   OrderEngine, OrderOutcome)
 from plantainridge.orders_http import HttpOrderPort
--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -7,10 +7,10 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.http_ports import HttpServicePort
-from plantainridge.loop.events import Event
-from plantainridge.loop.tasks import Tasks
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
                                TeamId)
+from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.reports import log_fault
 
 WAIT_S = 10.0
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -8,12 +8,13 @@
 
 from plantainridge import config, paused, transfers
 from plantainridge.effects import CancelTransfer, StartTransfer
-from plantainridge.loop.effects import Effect
+from plantainridge.endpoints import EndpointView
 from plantainridge.events import (BlockRef, StoredCopy, Tier, TimerKind,
                                   TransferEnded, TransferFailure)
-from plantainridge.loop.events import TimerKey
 from plantainridge.ids import (BlockKey, EndpointId, Incarnation, RequestId,
                                StoreId, TransferId, VmId)
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import TimerKey
 from plantainridge.routing import Fetch
 from plantainridge.standins import movers
 from plantainridge.standins.engine import EngineModel
@@ -21,7 +22,6 @@
                                           payload_of)
 from plantainridge.standins.world import DC, VERSION, sample_config
 from plantainridge.state import VmState
-from plantainridge.endpoints import EndpointView
 from plantainridge.transfers import Waiting
 
 STORE = StoreId('k0')
