--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -43,7 +43,10 @@
 LARGE_PART: Final = 0.05
 # Part of an engine's memory that large requests may fill; the rest is for small
 # ones, which are urgent and would push large ones out.
-ROOM_PART: Final = 0.9
+ROOM_PART: Final = 0.83
+# Part of its own size that counts in this: if all of it did, the largest would
+# find room last.
+OWN_SIZE_PART: Final = 0.5
 # Age of an engine's word that requests wait there up to which it has no room,
 # in s.
 QUEUED_AGE_S: Final = 0.4
@@ -284,7 +287,8 @@
     if (load is not None and load.waiting and
             weighing.now - load.told_at <= QUEUED_AGE_S):
         return False
-    return taken + weighing.memory_tokens <= ROOM_PART * memory
+    needed = taken + OWN_SIZE_PART * weighing.memory_tokens
+    return needed <= ROOM_PART * memory
 
 
 def memory_tokens(request: Request) -> int:
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -202,6 +202,16 @@
         times = {each.retry_after_s for each in refused}
         self.assertEqual(len(times), len(refused))
 
+    def test_large_prompt_finds_room_where_its_own_size_would_not_fit(
+            self) -> None:
+        scene = GatewayScene(A)
+        for number in range(5):
+            scene.ask('/report/x', f'r{number}', prompt_tokens=10_800)
+        # 54,000 of 84,000 tokens are taken; the largest prompts have 30,000.
+        sends = len(scene.all(fx.Send))
+        scene.ask('/report/x', 'largest', prompt_tokens=30_000)
+        self.assertEqual(len(scene.all(fx.Send)), sends + 1)
+
     def test_engine_where_requests_queue_has_no_room(self) -> None:
         scene = GatewayScene(A, B)
         first = scene.ask('/report/x', 'r0', prompt_tokens=9_500)
