Take far engines to be as loaded as near ones where nobody tells of them

Change: in larger fleets an engine of another data centre counts at least the mean load of the own one's. A test of the placement fails before.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -137,7 +137,7 @@
         return False
     if state.rollout.swaps:
         return True
-    if len(state.peers) > MAX_FAR_VMS:
+    if not tells_far(state):
         return False
     peers = state.hints.loads.fresh(now)
     return any(
@@ -145,6 +145,11 @@
         for name, load in loads.items())
 
 
+def tells_far(state: 'GatewayState') -> bool:
+    """Whether VMs tell other data centres of their load."""
+    return len(state.peers) <= MAX_FAR_VMS
+
+
 def _is_loaded(state: 'GatewayState', name: EndpointId, load: OwnLoad,
                peers: PeerLoad) -> bool:
     """Whether all VMs should know what an engine has in flight."""
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from plantainridge.gateway import cache, endpoints, kept_parts
+from plantainridge.gateway import cache, endpoints, hints, kept_parts
 from plantainridge.gateway.config import EngineTerms
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import Request
@@ -124,6 +124,8 @@
         peers: What peers have in flight on each endpoint.
         memory_tokens: Memory that the run takes at its end, in tokens.
         waited_s: Time since the request came, in s.
+        far_load: What other data centres' endpoints are taken to have in
+            flight at least.
         readings: What reading the prompt takes, by weight version.
     """
 
@@ -134,6 +136,7 @@
     peers: Mapping[EndpointId, PeerLoad]
     memory_tokens: int
     waited_s: float
+    far_load: PeerLoad = NO_LOAD
     readings: dict[int | None, _Reading] = attrs.field(factory=dict)
 
     def busy(self, view: EndpointView, peers: PeerLoad) -> int:
@@ -143,6 +146,14 @@
             return own
         return max(own, view.load.running + view.load.waiting)
 
+    def told(self, view: EndpointView) -> PeerLoad:
+        """Returns what peers have in flight on an endpoint, as far as known."""
+        told = self.peers.get(view.entry.id, NO_LOAD)
+        if (view.entry.dc == self.state.settings.dc or
+                told.memory_tokens >= self.far_load.memory_tokens):
+            return told
+        return self.far_load
+
     def reading(self, version: int | None) -> _Reading:
         """Returns what reading the prompt takes under a version."""
         found = self.readings.get(version)
@@ -192,6 +203,8 @@
                          state.hints.loads.fresh(now),
                          memory_tokens(call.request), now - call.arrived_at)
     if call.request.model:
+        if not hints.tells_far(state):
+            weighing.far_load = _near_average(weighing, candidates)
         choices = _engines(weighing, candidates)
     else:
         choices = [_plain(weighing, view) for view in candidates]
@@ -202,6 +215,29 @@
     return min(choices, key=lambda each: each.cost, default=Unplaced.NO_ROOM)
 
 
+def _near_average(weighing: _Weighing,
+                  candidates: list[EndpointView]) -> PeerLoad:
+    """Returns the mean load of the data centre's own engines.
+
+    Where nobody tells of the load of other data centres, their engines are
+    taken to be as loaded as these: engines that look idle because nobody tells
+    would be sent what finds no room here, by all VMs at once.
+    """
+    dc = weighing.state.settings.dc
+    near = [view for view in candidates if view.entry.dc == dc]
+    if not near:
+        return NO_LOAD
+    total = PeerLoad()
+    for view in near:
+        told = weighing.peers.get(view.entry.id, NO_LOAD)
+        total.pending_tokens += view.pending_tokens + told.pending_tokens
+        total.memory_tokens += view.memory_tokens + told.memory_tokens
+        total.requests += len(view.own) + told.requests
+    return PeerLoad(total.pending_tokens // len(near),
+                    total.memory_tokens // len(near),
+                    total.requests // len(near))
+
+
 def _plain(weighing: _Weighing, view: EndpointView) -> Choice:
     peers = weighing.peers.get(view.entry.id, NO_LOAD)
     filled = (weighing.busy(view, peers) + 1) / max(1, view.entry.slots)
@@ -256,7 +292,7 @@
     fetch = weighing.fetch(reading, parts)
     ready = max(held, fetch.tokens)
     read = max(1, request.prompt_tokens - ready)
-    peers = weighing.peers.get(view.entry.id, NO_LOAD)
+    peers = weighing.told(view)
     queued = view.pending_tokens + peers.pending_tokens
     seconds = (queued + read) / READ_TOKENS_PER_S + fetch.seconds
     seconds += RUNNING_S * weighing.busy(view, peers) + weighing.waited_s
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -202,6 +202,22 @@
         times = {each.retry_after_s for each in refused}
         self.assertEqual(len(times), len(refused))
 
+    def test_large_fleet_does_not_flood_far_engines_that_nobody_tells_of(
+            self) -> None:
+        for vms, far in ((6, True), (60, False)):
+            scene = GatewayScene(A, B, endpoint('c', dc=FAR))
+            scene.read(
+                View.VMS,
+                *(ev.VmEntry(VmId(f'p{at}'), FAR, f'p{at}:1')
+                  for at in range(vms)))
+            for number in range(16):
+                scene.ask('/report/x',
+                          f'r{number}',
+                          parts=prompt(f'c{number}', f'own{number}'),
+                          prompt_tokens=10_800)
+            engines = [send.endpoint for send in scene.all(fx.Send)]
+            self.assertEqual('c' in engines[:12], far, vms)
+
     def test_large_prompt_finds_room_where_its_own_size_would_not_fit(
             self) -> None:
         scene = GatewayScene(A)
