Ignore a store's answer that was overtaken by a later one

Cause, found by reading: a VM that hears a peer's word while its own question is on its way asks again; the older answer could then put a freed part back among those that are surely whole. Change: an answer that ends before what is known is dropped. The test fails before.

--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -44,11 +44,11 @@
 LOOK_AGAIN_S: Final = 0.3
 # Time without a relayed word after which a VM asks a store itself, in s.
 SILENT_S: Final = 3.0
-# Longest time that a relayed word takes within a data centre, in s.
-RELAY_S: Final = 0.1
 # Spread of that over the VMs, in s, and the places in it.
 STAGGER_S: Final = 1.6
 STAGGER_PLACES: Final = 16
+# Longest time that a relayed word takes within a data centre, in s.
+RELAY_S: Final = 0.1
 # How long a VM that did not reach a store is passed over as its reader, in s.
 PASS_OVER_S: Final = 1.5
 # Least time between two requests to peers for all of a store, in s, and the
@@ -220,6 +220,10 @@
                       (('store', event.store), ('lost', event.lost)))
         yield fx.ListStore(view.name, view.terms.address)
         return
+    if event.next < view.next:
+        # Overtaken by the answer to a later question, or by a peer's word.
+        yield SetTimer(_timer(view), now + _pause_s(state))
+        return
     start, alone = view.next, view.behind
     _apply(view, event.kept, event.next)
     view.note_reached(state.settings.vm, now)
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -68,6 +68,24 @@
                 self.assertEqual(list(view.kept), [KeptPart('1.s', 'new')])
 
 
+class OvertakenTest(unittest.TestCase):
+    """Two questions to a store whose answers arrive in the other order."""
+
+    def test_older_answer_brings_no_freed_part_back(self) -> None:
+        fleet = _fleet()
+        scene = next(iter(fleet.vms.values()))
+        name = next(iter(scene.state.stores.views))
+        view = scene.state.stores.views[name]
+        part, start = KeptPart('1.s', 'freed'), view.next
+        freed = ev.StoreChanged(name, 1, start + 2, False,
+                                ((part, 500), (part, 0)), 1.0)
+        older = ev.StoreChanged(name, 1, start + 1, False, ((part, 500),), 1.0)
+        scene.post(freed)
+        scene.post(older)
+        self.assertNotIn(part, view.kept)
+        self.assertEqual(view.next, start + 2)
+
+
 class StartTest(unittest.TestCase):
     """VMs that start, alone or all at once, on thin links."""
 
