--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,6 +47,8 @@
         ]
         await FaultInjector(site, rng).run(seconds)
         await asyncio.sleep(TAIL_S)
+        for name, code in site.died().items():
+            click.echo(f'endpoint {name} ended by itself with {code}')
         site.history.versions = {
             each.name: each.version
             for each in site.endpoints.values()
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -106,6 +106,14 @@
             while any(vm.misses for vm in self.gateways):
                 await asyncio.sleep(0.1)
 
+    def died(self) -> dict[str, int]:
+        """Returns exit codes of endpoints that nobody has ended."""
+        return {
+            each.name: each.process.returncode
+            for each in self.endpoints.values()
+            if each.process.returncode is not None
+        }
+
     async def stop(self) -> None:
         """Ends every process that was started here."""
         for task in self._tasks:
@@ -189,16 +197,18 @@
         """Starts an endpoint that registers itself."""
         name = f'i-{next(self._numbers)}'
         version = self.history.wanted_version if service == ENGINES else 0
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'tests.soak.endpoint',
-            name,
-            service,
-            str(version),
-            str(EVENTS),
-            cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE)
+        with (self.folder / f'{name}.log').open('ab') as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'tests.soak.endpoint',
+                name,
+                service,
+                str(version),
+                str(EVENTS),
+                cwd=ROOT,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log)
         assert process.stdout is not None
         address = json.loads(await process.stdout.readline())['address']
         proxy = FaultProxy(address, self.rng)
