--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -16,10 +16,11 @@
 from plantainridge.gateway.events import RawRecord, View, ViewRelayed
 from plantainridge.gateway.hints import HintReceived
 from plantainridge.gateway.peer_messages import Hint, RelayedView
+from plantainridge.gateway.views import ViewCursor
 from plantainridge.ids import EndpointId, VmId
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event
-from plantainridge.platform import records
+from plantainridge.platform import names, records
 from tests.gateway_scene import LOCAL_DC, MODEL, GatewayScene
 
 STEP_S: Final = 0.01
@@ -50,6 +51,13 @@
     return RawRecord(name, json.dumps(value).encode())
 
 
+def named_version(version: int) -> RawRecord:
+    """Return the record that names a weight version."""
+    value = {'model': MODEL, 'version': version}
+    return RawRecord(names.VERSION_KEY_PREFIX + MODEL,
+                     json.dumps(value).encode())
+
+
 def removal(name: str) -> RawRecord:
     """Return the record that removes an engine's entry."""
     return RawRecord(name, None)
@@ -83,7 +91,8 @@
         self.logs[view].extend(new)
         for record in new:
             if record.value:
-                self.starts[record.key] = json.loads(record.value)['born']
+                self.starts[record.key] = json.loads(record.value).get(
+                    'born', 1)
 
     def newest(self, view: View) -> dict[str, RawRecord]:
         """Return the newest record of each key that is not deleted."""
@@ -137,11 +146,11 @@
         self._sequence = itertools.count()
         self._queue: list[tuple[float, int, VmId, int, Event]] = []
         self._starts: dict[VmId, int] = {}
-        names = [VmId(f'vm{at}') for at in range(size)]
+        vms = [VmId(f'vm{at}') for at in range(size)]
         self._entries = [
-            ev.VmEntry(name, LOCAL_DC, f'{name}:1') for name in names
+            ev.VmEntry(name, LOCAL_DC, f'{name}:1') for name in vms
         ]
-        for name in names:
+        for name in vms:
             self.start(name)
 
     def start(self, name: VmId) -> None:
@@ -153,10 +162,12 @@
             scene.state.incarnation)(f'{name}-{next(self._sequence)}')
         scene.read(View.VMS, *self._entries)
         scene.state.views.cursors[View.REGISTRY].offset = None
+        scene.state.views.cursors[View.OPERATOR] = ViewCursor()
         self.vms[name] = scene
         self._starts[name] = self._starts.get(name, 0) + 1
         scene.post(ev.EraSeen(self.store.era))
         scene.post(self._load(View.REGISTRY))
+        scene.post(self._load(View.OPERATOR))
         self._execute(name)
 
     def load_ahead(self, name: VmId, count: int) -> None:
