Show that parts are freed while a VM may have them fetched

Cause, as far as these tests show it: a VM frees the parts of replaced weights once no engine in its own view of the registry runs them, and nothing bounds the time within which another VM sends to such an engine with a fetch. The free call carries no time after which it is void. Tests: two reducers on one clock. One frees; the other sends ten requests a second to an engine with replaced weights, whose entry expires, drains or returns for the first one only; that is cut off from the metadata store; that reads the new version late; that has just restarted. A fetch counts as under way until its own deadline.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -44,8 +44,10 @@
     up: bool = True
 
     def save(self, part: StoredPart, tokens: int) -> None:
-        """Add a complete part and its event."""
-        self.complete[part] = tokens
+        """Set the tokens of a complete part, 0 to remove it; add its event."""
+        self.complete.pop(part, None)
+        if tokens:
+            self.complete[part] = tokens
         self.events.append((part, tokens))
 
     def restart(self) -> None:
@@ -60,6 +62,8 @@
     Attributes:
         calls: Calls to stores, by type.
         sent_bytes: Bytes of messages, by sending VM.
+        sends: Requests sent to engines, with the time in s.
+        frees: Calls that free parts, with the time in s.
     """
 
     def __init__(self, size: int, links: Callable[[int], float]) -> None:
@@ -72,6 +76,8 @@
         self.stores = {name: FakeStore() for name in first.state.stores.views}
         self.calls: Counter[str] = Counter()
         self.sent_bytes: Counter[VmId] = Counter()
+        self.sends: list[tuple[float, fx.Send]] = []
+        self.frees: list[tuple[float, fx.FreeParts]] = []
         self._seen = dict.fromkeys(self.vms, 0)
         self._sequence = itertools.count()
         self._queue: list[tuple[float, int, VmId, Event]] = []
@@ -118,6 +124,12 @@
             elif isinstance(effect, fx.PollStore):
                 self.calls['poll'] += 1
                 self._answer(name, effect.store, self._poll(effect))
+            elif isinstance(effect, fx.Send):
+                self.sends.append((self.now, effect))
+            elif isinstance(effect, fx.FreeParts):
+                self.frees.append((self.now, effect))
+                for part in effect.parts:
+                    self.stores[effect.store].save(part, 0)
 
     def _answer(self, vm: VmId, store: ServiceId, event: Event) -> None:
         if self.stores[store].up:
@@ -134,7 +146,8 @@
     def _poll(self, effect: fx.PollStore) -> Event:
         store = self.stores[effect.store]
         return ev.StoreChanged(effect.store, store.epoch, len(store.events),
-                               False, tuple(store.events[effect.since:]), 1.0)
+                               False, tuple(store.events[effect.since:]),
+                               self.now * 1_000)
 
     def _deliver(self, sender: VmId, effect: base.SendPeer) -> None:
         self.sent_bytes[sender] += len(effect.payload)
