Count a weight version's age from its naming, not from a VM's first read

Cause: a VM counted the age from its own first read, in memory alone; a restart or a suspension began it anew, and the store keeps only the newest version, so that a VM which starts later does not learn which one replaced the engine's weights. Why this works: the age counts from the last read that lacked the version, which cannot lie after its naming, and from -inf at a VM that had none. Messages that waited while a VM was suspended do not count as reads. A VM that does not know asks a peer; the answer repeats the time of the question, so that a late answer makes a version older, never younger, and no clock is compared. Reads that fail are not counted against a version: nothing is named while the store is away. VMs ask only while an engine has weights that were replaced at an unknown time, or at the start where the store ever returned from an older copy. Older builds ignore the fields. What it costs: in calm a VM stops using replaced weights up to 1 s earlier than before (7 to 8 s after the naming at the default bound). If all VMs start at once after a naming, engines with older weights get nothing until they are updated. Test that changed: in NewWeightsTest the scene reads the operators' records before a version is named, as a VM that follows them does; it had not read them for 5 s, from which a VM can no longer tell when the version was named. The assertions are the same.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -6,6 +6,10 @@
 centre's load reporter alone (see `load_reports`). Hints with suspects go to all
 VMs, since a request that crashes engines may be repeated at any of them; so do
 hints with engines that loaded new weights, which the VM that orders them sends.
+
+A VM that does not know when a version was named asks in its hints. An answer
+repeats the time of the question, so that the version's age counts from there:
+it is not taken for younger than it is, however long the answer was on its way.
 """
 
 import math
@@ -15,7 +19,7 @@
 import attrs
 
 from plantainridge.gateway import (eras, load_reports, notices, peer_messages,
-                                   relays)
+                                   relays, versions)
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.load_reports import LoadReportTable
 from plantainridge.gateway.peer_loads import (NO_LOAD, PeerLoad, PeerLoadTable)
@@ -23,7 +27,7 @@
                                                  OwnLoad, WeightsLoaded)
 from plantainridge.gateway.rates import WindowCount
 from plantainridge.ids import DcId, EndpointId, ServiceId, VmId
-from plantainridge.loop.effects import Effect, SendPeer
+from plantainridge.loop.effects import Effect, LogLine, SendPeer
 from plantainridge.loop.events import Event
 
 if TYPE_CHECKING:
@@ -50,6 +54,16 @@
 MAX_INTERVAL_S: Final = 0.3
 # The same for a VM that has none, in s: hints also show that a VM is alive.
 IDLE_INTERVAL_S: Final = 1.0
+# Time between two hints that ask for the ages of versions, in s: for the first
+# of them, and for the others, since peers may not know either.
+ASK_INTERVAL_S: Final = 0.2
+LATER_ASK_INTERVAL_S: Final = 1.0
+FREQUENT_ASKS: Final = 10
+# Hints that ask in any case if the metadata store returned from an older copy:
+# it may show an older version than peers know.
+START_ASKS: Final = 3
+# Subject of the hash by which a VM chooses whom to ask.
+AGES_SUBJECT: Final = 'ages'
 
 
 @attrs.frozen
@@ -97,6 +111,9 @@
         loads: Load that peers have in flight.
         suspects: Suspects to be sent with the next hint.
         weights_loaded: Engines with new weights, to be sent with the next hint.
+        asked_at: Loop time of the last hint that asked for the ages of
+            versions, in s.
+        asks: Number of such hints.
         reports: Loads that data centres report to one another.
         arrivals: Prompt tokens that arrived at this VM, by service.
     """
@@ -111,20 +128,30 @@
     loads: PeerLoadTable = attrs.field(factory=PeerLoadTable)
     suspects: list[tuple[str, EndpointId]] = attrs.field(factory=list)
     weights_loaded: list[WeightsLoaded] = attrs.field(factory=list)
+    asked_at: float = -math.inf
+    asks: int = 0
     reports: LoadReportTable = attrs.field(factory=LoadReportTable)
     arrivals: dict[ServiceId, WindowCount] = attrs.field(factory=dict)
 
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Send a hint to peers and report the load if either is due."""
-    loads = {
+    loads = _own_loads(state, now)
+    yield from _send_hint(state, loads, now)
+    ask_interval_s = (ASK_INTERVAL_S if state.hints.asks < FREQUENT_ASKS else
+                      LATER_ASK_INTERVAL_S)
+    if now - state.hints.asked_at >= ask_interval_s:
+        yield from _ask_ages(state, loads, now)
+    if not shares_load_directly(state):
+        yield from _report_load(state, loads, now)
+
+
+def _own_loads(state: 'GatewayState', now: float) -> dict[EndpointId, OwnLoad]:
+    return {
         name: own_load(view, now)
         for name, view in state.endpoints.items()
         if view.in_flight or view.cooldown_until > now
     }
-    yield from _send_hint(state, loads, now)
-    if not shares_load_directly(state):
-        yield from _report_load(state, loads, now)
 
 
 def _send_hint(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
@@ -148,6 +175,40 @@
             yield SendPeer(vm, entry.address, payload)
 
 
+def _ask_ages(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
+              now: float) -> Iterator[Effect]:
+    """Ask a VM of this data centre, and one elsewhere if needed, for ages."""
+    hints, settings = state.hints, state.settings
+    needed = _needs_ages(state)
+    was_restored = state.views.era > 0
+    if not needed and not (was_restored and hints.asks < START_ASKS):
+        return
+    others = [each for vm, each in state.peers.items() if vm != settings.vm]
+    local = [each for each in others if each.dc == settings.dc]
+    remote = [each for each in others if each.dc != settings.dc]
+    # VMs that start together ask different ones, and then others.
+    turn = hints.asks + relays.rendezvous_hash(settings.vm, AGES_SUBJECT)
+    asked = [
+        candidates[turn % len(candidates)]
+        for candidates in (local, remote if needed or not local else [])
+        if candidates
+    ]
+    if not asked:
+        return
+    hints.asked_at, hints.asks = now, hints.asks + 1
+    payload = _next_hint(state, loads, now, asked_at=now)
+    for entry in asked:
+        yield SendPeer(entry.vm, entry.address, payload)
+
+
+def _needs_ages(state: 'GatewayState') -> bool:
+    """Return whether an engine's weights were replaced at an unknown time."""
+    return any(
+        state.versions.is_replaced_at_unknown(model, version)
+        for view in state.endpoints.values() if not view.is_leaving
+        for model, version in view.versions.items())
+
+
 def _forget_gone(state: 'GatewayState') -> None:
     """Stop reporting endpoints as leaving that are gone or have restarted."""
     leaving = state.leaving
@@ -156,8 +217,11 @@
         if leaving.has_left(name, view.entry.started_ms))
 
 
-def _next_hint(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
-               now: float) -> bytes:
+def _next_hint(state: 'GatewayState',
+               loads: dict[EndpointId, OwnLoad],
+               now: float,
+               asked_at: float = 0.0,
+               answers_at: float = 0.0) -> bytes:
     hints = state.hints
     hints.number += 1
     _forget_gone(state)
@@ -167,7 +231,8 @@
              _cannot_read(state, now), _arriving_work(state, now), {
                  name: state.leaving.started_ms[name]
                  for name in state.leaving.observed
-             }, state.views.era))
+             }, state.views.era, asked_at, answers_at,
+             state.versions.ages(now) if answers_at else ()))
 
 
 def record_arrival(state: 'GatewayState', service: ServiceId, tokens: int,
@@ -385,3 +450,26 @@
         state.rollout.progress_at = now
     for endpoint, started_ms in hint.leaving.items():
         yield from notices.on_peer_leaving(state, endpoint, started_ms)
+    yield from _apply_version_ages(state, hint, now)
+    peer = state.peers.get(hint.vm)
+    if hint.asked_at and peer is not None:
+        yield SendPeer(
+            hint.vm, peer.address,
+            _next_hint(state,
+                       _own_loads(state, now),
+                       now,
+                       answers_at=hint.asked_at))
+
+
+def _apply_version_ages(state: 'GatewayState', hint: Hint,
+                        now: float) -> Iterator[Effect]:
+    """Apply the ages of versions that a peer stated when asked."""
+    if not 0.0 < hint.answers_at <= now:
+        return
+    for each in hint.versions:
+        if state.versions.add_stated(each, hint.answers_at, now):
+            age_s = now - hint.answers_at + each.age_s
+            yield LogLine('version_age_stated',
+                          (('model', each.model), ('version', each.version),
+                           ('age_s', versions.loggable(age_s)),
+                           ('precise', int(each.precise)), ('vm', hint.vm)))
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -8,6 +8,7 @@
 import capnp
 
 from plantainridge.gateway.events import RawRecord, StoredPart
+from plantainridge.gateway.versions import VersionAge
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, VmId)
 
@@ -78,6 +79,11 @@
         leaving: Endpoints that stated to the VM that they are leaving, each
             with the Unix time of its start, in ms.
         era: Highest era of the metadata store that the VM knows.
+        asked_at: The VM's loop time at which it asks for the ages of versions,
+            in s; 0 if it does not ask.
+        answers_at: Such a time of the receiver if this hint answers it, in s;
+            else 0.
+        versions: The versions that the VM knows, in an answer.
     """
 
     vm: VmId
@@ -90,6 +96,9 @@
     work: Mapping[ServiceId, float] = attrs.field(factory=dict)
     leaving: Mapping[EndpointId, int] = attrs.field(factory=dict)
     era: int = 0
+    asked_at: float = 0.0
+    answers_at: float = 0.0
+    versions: tuple[VersionAge, ...] = ()
 
 
 @attrs.frozen
@@ -237,6 +246,11 @@
 def _write_hint(row: Any, hint: Hint) -> None:
     row.vm, row.life, row.number = hint.vm, hint.incarnation, hint.number
     row.isCutOff, row.era = hint.cannot_read, hint.era
+    row.askedAtS, row.answersAtS = hint.asked_at, hint.answers_at
+    for version, stated in zip(row.init('versions', len(hint.versions)),
+                               hint.versions):
+        version.model, version.version = stated.model, stated.version
+        version.ageS, version.isPrecise = stated.age_s, stated.precise
     _write_loads(row, hint.loads)
     _write_work(row, {NO_DC: hint.work})
     rows = row.init('leaving', len(hint.leaving))
@@ -368,7 +382,10 @@
         weights_loaded, row.isCutOff,
         _read_work(row).get(NO_DC, {}),
         {EndpointId(each.endpoint): each.startedMs for each in row.leaving},
-        row.era)
+        row.era, row.askedAtS, row.answersAtS,
+        tuple(
+            VersionAge(ModelId(each.model), each.version, each.ageS,
+                       each.isPrecise) for each in row.versions))
 
 
 def _read_view(row: Any) -> RelayedView:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -93,6 +93,23 @@
   leaving @8 :List(Leaving);
   # Highest era of the metadata store that the sender knows.
   era @9 :UInt64;
+  # Loop time at which the sender asks for the ages of versions, in s; 0 if it
+  # does not ask.
+  askedAtS @10 :Float64;
+  # That time of the receiver if `versions` answers it, in s; else 0.
+  answersAtS @11 :Float64;
+  versions @12 :List(VersionAge);
+}
+
+# Target version of a model.
+struct VersionAge {
+  model @0 :Text;
+  version @1 :UInt32;
+  # Longest time for which the version may have been named, in s; infinite if
+  # the sender does not know.
+  ageS @2 :Float64;
+  # Whether it was named at most shortly later.
+  isPrecise @3 :Bool;
 }
 
 struct Leaving {
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -105,4 +105,5 @@
         event: What happened.
         now: Loop time in s.
     """
+    state.suspension.record_event(now)
     return list(EVENT_HANDLERS[type(event)](state, event, now))
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -18,6 +18,7 @@
 from plantainridge.gateway.settings import GatewaySettings
 from plantainridge.gateway.stores import StoreTable
 from plantainridge.gateway.suspects import SuspectTable
+from plantainridge.gateway.suspension import Suspension
 from plantainridge.gateway.versions import VersionTable
 from plantainridge.gateway.views import ViewTable
 from plantainridge.ids import EndpointId, Incarnation, VmId
@@ -45,6 +46,7 @@
         cache: Prompt parts that engines are expected to have cached.
         lease: Lease whose holder orders engines to change versions.
         rollout: Progress of the rollout of weight versions.
+        suspension: The last time at which this VM did not run.
         stopping_since: Loop time of the stop request, in s, or None.
         listening: Whether new connections are accepted.
         exiting: Whether the reducer has emitted `Exit`.
@@ -68,6 +70,7 @@
     cache: CacheState = attrs.field(factory=CacheState)
     lease: Lease = attrs.field(factory=Lease)
     rollout: RolloutState = attrs.field(factory=RolloutState)
+    suspension: Suspension = attrs.field(factory=Suspension)
     stopping_since: float | None = None
     listening: bool = True
     exiting: bool = False
--- a/src/plantainridge/gateway/versions.py
+++ b/src/plantainridge/gateway/versions.py
@@ -1,4 +1,13 @@
-"""Target weight versions of the models, as set by operators."""
+"""Target weight versions of the models, as set by operators.
+
+The time for which replaced weights may be used counts from the naming of a
+newer version, not from when a VM first read it. A VM that did not follow the
+operators' records at that time (it started later, was suspended or was cut off)
+assumes the earliest time that is possible until a peer states a later one.
+"""
+
+import bisect
+import math
 
 import attrs
 
@@ -10,11 +19,31 @@
     """A target version of a model.
 
     Attributes:
-        seen_at: Loop time at which this VM first read it, in s.
+        seen_at: Loop time at which this VM learned of it, in s.
+        named_at: Loop time before which it, and any version between the
+            previous entry and it, was not named, in s; -inf if not known.
+        precise: Whether it was named shortly after that time.
     """
 
     version: int
     seen_at: float
+    named_at: float
+    precise: bool
+
+
+@attrs.frozen
+class VersionAge:
+    """Age of a version, as stated to another VM.
+
+    Attributes:
+        age_s: Time since `named_at`, in s; inf if not known.
+        precise: As in `VersionEntry`.
+    """
+
+    model: ModelId
+    version: int
+    age_s: float
+    precise: bool
 
 
 @attrs.define
@@ -27,18 +56,60 @@
 
     history: dict[ModelId, list[VersionEntry]] = attrs.field(factory=dict)
 
-    def add(self, model: ModelId, version: int, now: float) -> bool:
+    def add(self, model: ModelId, version: int, now: float, named_at: float,
+            precise: bool) -> bool:
         """Add a target version; return whether it is newer than all known."""
         entries = self.history.setdefault(model, [])
         if entries and entries[-1].version >= version:
             return False
-        entries.append(VersionEntry(version, now))
+        entries.append(VersionEntry(version, now, named_at, precise))
+        return True
+
+    def add_stated(self, stated: VersionAge, stated_at: float,
+                   now: float) -> bool:
+        """Add a version that a peer stated, or the time of its naming.
+
+        A time that is known precisely does not change any more.
+
+        Args:
+            stated: The version and its age.
+            stated_at: Loop time from which the age counts, in s.
+            now: Loop time in s.
+
+        Returns:
+            Whether this VM has learned anything.
+        """
+        entries = self.history.setdefault(stated.model, [])
+        at = bisect.bisect_left(entries,
+                                stated.version,
+                                key=lambda each: each.version)
+        named_at, seen_at, replaced = stated_at - stated.age_s, now, 0
+        if at < len(entries) and entries[at].version == stated.version:
+            known = entries[at]
+            if known.precise or not (stated.precise or
+                                     named_at > known.named_at):
+                return False
+            seen_at, replaced = known.seen_at, 1
+        entries[at:at + replaced] = [
+            VersionEntry(stated.version, seen_at, named_at, stated.precise)
+        ]
         return True
 
+    def ages(self, now: float) -> tuple[VersionAge, ...]:
+        """Return the ages of all versions."""
+        return tuple(
+            VersionAge(model, each.version, now - each.named_at, each.precise)
+            for model, entries in self.history.items()
+            for each in entries)
+
     @property
     def latest(self) -> dict[ModelId, VersionEntry]:
         """The newest target version of each model."""
-        return {model: entries[-1] for model, entries in self.history.items()}
+        return {
+            model: entries[-1]
+            for model, entries in self.history.items()
+            if entries
+        }
 
     def newest(self, model: ModelId) -> int | None:
         """Return the newest target version, or None."""
@@ -52,9 +123,24 @@
         time within which a version must be replaced.
 
         Returns:
-            The loop time, or None if the version has not been replaced.
+            The earliest loop time that is possible; -inf if nothing is known;
+            None if the version has not been replaced.
         """
+        named_at = -math.inf
         for entry in self.history.get(model, ()):
+            named_at = max(named_at, entry.named_at)
             if version is not None and entry.version > version:
-                return entry.seen_at
+                return named_at
         return None
+
+    def is_replaced_at_unknown(self, model: ModelId, version: int) -> bool:
+        """Return whether it is not known when a version was replaced."""
+        for entry in self.history.get(model, ()):
+            if entry.version > version:
+                return not entry.precise
+        return False
+
+
+def loggable(age_s: float) -> float:
+    """Return an age as a log field: -1 if it is not known."""
+    return -1.0 if math.isinf(age_s) else round(age_s, 3)
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -8,7 +8,7 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import eras, relays, stores
+from plantainridge.gateway import eras, relays, stores, versions
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
 from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
@@ -26,6 +26,10 @@
 # Time for which a read waits for updates. A connection that stopped responding
 # is noticed when the read ends, well within the time to apply a configuration.
 LONG_POLL_TIMEOUT_S: Final[dict[View, float]] = {View.OPERATOR: 1.0}
+# Time between two reads up to which a view was followed without a gap: a long
+# poll, and the latency of a read. Also the time after an outage within which a
+# read succeeds.
+MAX_READ_GAP_S: Final = 1.2
 # Pause between two reads; endpoints write about once a second.
 READ_INTERVAL_S: Final[dict[View, float]] = {View.REGISTRY: 0.8, View.VMS: 5.0}
 # Pause before the second read of the VMs.
@@ -62,6 +66,8 @@
         offset: Offset of the next read; None before the view was loaded, or
             was loaded anew in the store's present era.
         read_at: Loop time of the last successful read, in s.
+        unread_since: Loop time of the successful read before, in s.
+        failed: Whether reads failed between the two.
         failing_since: Loop time of the first failure since then, or None.
         recovered_at: Loop time of the first update after an outage, in s.
         loaded: Whether a snapshot was ever read.
@@ -74,6 +80,8 @@
 
     offset: int | None = None
     read_at: float = float('-inf')
+    unread_since: float = float('-inf')
+    failed: bool = False
     failing_since: float | None = None
     recovered_at: float = float('-inf')
     loaded: bool = False
@@ -119,6 +127,8 @@
         """Record that the view was read, by this VM or a peer."""
         if now - self.read_at > MIN_OUTAGE_S:
             self.recovered_at = now
+        self.unread_since = self.read_at
+        self.failed = self.failing_since is not None
         self.read_at = now
 
 
@@ -209,13 +219,13 @@
         # Offsets of an older era do not name the same records.
         yield SetTimer(_timer(event.view), now)
         return
+    cursor.record_read(now)
     if cursor.failing_since is not None:
         yield LogLine('view_back',
                       (('view', event.view.value),
                        ('away_s', round(now - cursor.failing_since, 3))))
         cursor.failing_since = None
     start = cursor.offset
-    cursor.record_read(now)
     cursor.behind = False
     if event.is_snapshot:
         cursor.load(event.next, now)
@@ -272,12 +282,12 @@
         cursor.behind = True
         yield SetTimer(_timer(event.view), now)
         return
+    cursor.record_read(now)
     if event.start == cursor.offset:
         for update in event.updates:
             cursor.record_logged(update)
             yield from _apply(state, update, now)
         cursor.offset = event.end
-    cursor.record_read(now)
     yield from _remove_missing(state, now)
 
 
@@ -328,9 +338,7 @@
             yield LogLine('configuration_taken', (('version', update.version),))
             yield from stores.on_configuration(state, now)
     elif isinstance(update, NamedVersion):
-        if state.versions.add(update.model, update.version, now):
-            yield LogLine('version_named', (('model', update.model),
-                                            ('version', update.version)))
+        yield from _apply_version(state, update, now)
     elif isinstance(update, EndpointEntry):
         yield from _apply_entry(state, update, now)
     elif isinstance(update, EndpointRemoved):
@@ -345,6 +353,25 @@
                       (('key', update.key), ('reason', update.reason)))
 
 
+def _apply_version(state: 'GatewayState', update: NamedVersion,
+                   now: float) -> Iterator[Effect]:
+    """Add a version with the earliest time at which it may have been named."""
+    cursor = state.views.cursors[View.OPERATOR]
+    named_at = cursor.unread_since
+    precise = now - named_at <= MAX_READ_GAP_S
+    if cursor.failed and named_at > float('-inf'):
+        # Nothing is named while the metadata store is down.
+        named_at = max(named_at, now - MAX_READ_GAP_S)
+    backlog_since = state.suspension.backlog_since(now)
+    if backlog_since < now:
+        named_at, precise = min(named_at, backlog_since), False
+    if state.versions.add(update.model, update.version, now, named_at, precise):
+        yield LogLine('version_named',
+                      (('model', update.model), ('version', update.version),
+                       ('age_s', versions.loggable(now - named_at)),
+                       ('precise', int(precise))))
+
+
 def _apply_entry(state: 'GatewayState', entry: EndpointEntry,
                  now: float) -> Iterator[Effect]:
     view = state.endpoints.get(entry.id)
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -1,5 +1,6 @@
 """Tests of endpoint selection, grouped by the kind of load."""
 
+import math
 import unittest
 from collections import Counter
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from plantainridge.gateway.hints import HintReceived
 from plantainridge.gateway.peer_messages import Hint, OwnLoad, WeightsLoaded
 from plantainridge.gateway.stores import StoreView
+from plantainridge.gateway.versions import VersionAge
 from plantainridge.ids import EndpointId, Incarnation, ServiceId, VmId
 from tests.gateway_scene import (LEDGER, MODEL, REMOTE_DC, GatewayScene,
                                  endpoint, head)
@@ -259,6 +261,8 @@
     def _scene(self) -> GatewayScene:
         scene = GatewayScene(A, endpoint('b', versions={MODEL: 2}))
         scene.advance(5.0)
+        # A VM that follows the operators' records knows when one is written.
+        scene.read(View.OPERATOR)
         scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
         return scene
 
@@ -473,8 +477,16 @@
     def test_messages_survive_a_round_trip(self) -> None:
         part = StoredPart('1.s', 'p')
         messages: list[peer_messages.PeerMessage] = [
-            Hint(VmId('vm'), Incarnation('l'), 7, {A.id: OwnLoad(1, 2, 3, 0.5)},
-                 (('f', A.id),), (WeightsLoaded(A.id, MODEL, 2),), True),
+            Hint(VmId('vm'),
+                 Incarnation('l'),
+                 7, {A.id: OwnLoad(1, 2, 3, 0.5)}, (('f', A.id),),
+                 (WeightsLoaded(A.id, MODEL, 2),),
+                 True,
+                 asked_at=2.5,
+                 answers_at=1.5,
+                 versions=(VersionAge(MODEL, 1, math.inf,
+                                      False), VersionAge(MODEL, 2, 0.25,
+                                                         True))),
             peer_messages.RelayedView(
                 VmId('vm'), 'registry', 3, 5,
                 (ev.RawRecord('k', b'v'), ev.RawRecord('gone', None))),
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -9,8 +9,8 @@
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
 from plantainridge.ids import VmId
-from tests.gateway_scene import request
-from tests.registry_fleet import RegistryFleet, entry, named_version
+from tests.gateway_scene import MODEL, GatewayScene, endpoint, request
+from tests.registry_fleet import (Delivery, RegistryFleet, entry, named_version)
 
 VM: Final = VmId('vm1')
 # Age of a newer version from which replaced weights get no requests.
@@ -46,6 +46,80 @@
         for vm in self.fleet.vms:
             self.assertFalse(self._sends(vm), vm)
 
+    def test_age_counts_from_a_version_that_was_replaced_meanwhile(
+            self) -> None:
+        self._name(2)
+        self.fleet.run(6.0)
+        self._name(3)
+        self.fleet.run(0.5)
+        self.fleet.start(VM)
+        self.fleet.run(1.0)
+        self.assertTrue(self._sends())
+        self.fleet.run(LIMIT_S - 7.5 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_version_of_unknown_age_counts_as_long_named(self) -> None:
+        self._name(2)
+        self.fleet.run(1.0)
+        for vm in list(self.fleet.vms):
+            self.fleet.start(vm)
+        self.fleet.run(1.0)
+        for vm in self.fleet.vms:
+            self.assertFalse(self._sends(vm), vm)
+
+    def test_suspension_does_not_extend_the_use_of_replaced_weights(
+            self) -> None:
+        self.fleet.paused.add(VM)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(5.0)
+        self.fleet.paused.clear()
+        self.fleet.run(1.0)
+        self.assertTrue(self._sends())
+        self.fleet.run(LIMIT_S - 6.0 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_suspended_vm_without_answers_assumes_the_longest_age(self) -> None:
+        self.fleet.paused.add(VM)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(5.0)
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.paused.clear()
+        self.fleet.run(LIMIT_S - 5.0 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_outage_of_the_store_does_not_age_a_version(self) -> None:
+        self.fleet.store.up = False
+        self.fleet.run(6.0)
+        self.fleet.store.up = True
+        self._name(2)
+        self.fleet.run(5.0)
+        self.assertTrue(self._sends())
+        self.fleet.run(LIMIT_S - 5.0 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_relays_that_a_suspended_vm_receives_late_give_no_age(self) -> None:
+        scene = GatewayScene(endpoint('a'))
+        suspended_at = scene.now
+        scene.now += 5.0
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 1, ()))
+        named = ev.NamedVersion(MODEL, 2)
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 2, (named,)))
+        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
+                         suspended_at)
+
+    def test_peers_state_a_version_that_a_restored_store_lacks(self) -> None:
+        self._name(2)
+        self.fleet.run(4.0)
+        self.fleet.store.restore(1)
+        self.fleet.run(1.0)
+        self.fleet.start(VM)
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.vms[VM].state.versions.newest(MODEL), 2)
+        self.fleet.run(LIMIT_S - 6.0 + 0.1)
+        self.assertFalse(self._sends())
+
 
 if __name__ == '__main__':
     unittest.main()
