Test that an engine of unknown weight version gets no request of its model

Failing tests alone; the fix follows. They show on the present code that after a 421 that states no version, from an engine that was sent the newest one, the version is forgotten and the request sent twice more without an expected version, with the cache salt 0., and that nothing asks the engine for its version.

--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -8,8 +8,8 @@
 from plantainridge.gateway.events import View
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
-from plantainridge.ids import VmId
-from tests.gateway_scene import MODEL, GatewayScene, endpoint, request
+from plantainridge.ids import EndpointId, VmId
+from tests.gateway_scene import MODEL, GatewayScene, endpoint, head, request
 from tests.registry_fleet import (Delivery, RegistryFleet, entry, named_version)
 
 VM: Final = VmId('vm1')
@@ -121,5 +121,32 @@
         self.assertFalse(self._sends())
 
 
+class UnknownVersionTest(unittest.TestCase):
+    """An engine rejects the newest version without stating its own."""
+
+    def setUp(self) -> None:
+        self.scene = GatewayScene(endpoint('a', versions={MODEL: 2}))
+        self.scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        send = self.scene.post_request('/report/x')
+        answer = ev.AnswerArrived(send.attempt, head(421, not_run=True), b'')
+        self.scene.post(answer)
+
+    def test_engine_of_unknown_version_gets_no_request_of_the_model(
+            self) -> None:
+        self.scene.post_request('/report/x', 'r2')
+        self.assertEqual(len(self.scene.all(fx.Send)), 1)
+
+    def test_report_of_its_version_brings_it_back(self) -> None:
+        for _ in range(2):
+            # The first request for a report is not answered.
+            self.scene.advance(1.2)
+            self.scene.post(ev.ReportFailed(EndpointId('a'), 'silent'))
+        self.assertGreater(len(self.scene.all(fx.RequestReport)), 1)
+        self.scene.post(
+            ev.EndpointReported(EndpointId('a'), {MODEL: 1}, 0, False))
+        send = self.scene.post_request('/report/x', 'r3')
+        self.assertEqual((send.endpoint, send.version), ('a', 1))
+
+
 if __name__ == '__main__':
     unittest.main()
