--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -8,9 +8,9 @@
 from plantainridge.gateway.events import View
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
-from plantainridge.ids import VmId
-from tests.gateway_scene import request
-from tests.registry_fleet import RegistryFleet, entry, named_version
+from plantainridge.ids import EndpointId, VmId
+from tests.gateway_scene import MODEL, GatewayScene, endpoint, head, request
+from tests.registry_fleet import (Delivery, RegistryFleet, entry, named_version)
 
 VM: Final = VmId('vm1')
 # Age of a newer version from which replaced weights get no requests.
@@ -46,6 +46,107 @@
         for vm in self.fleet.vms:
             self.assertFalse(self._sends(vm), vm)
 
+    def test_age_counts_from_a_version_that_was_replaced_meanwhile(
+            self) -> None:
+        self._name(2)
+        self.fleet.run(6.0)
+        self._name(3)
+        self.fleet.run(0.5)
+        self.fleet.start(VM)
+        self.fleet.run(1.0)
+        self.assertTrue(self._sends())
+        self.fleet.run(LIMIT_S - 7.5 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_version_of_unknown_age_counts_as_long_named(self) -> None:
+        self._name(2)
+        self.fleet.run(1.0)
+        for vm in list(self.fleet.vms):
+            self.fleet.start(vm)
+        self.fleet.run(1.0)
+        for vm in self.fleet.vms:
+            self.assertFalse(self._sends(vm), vm)
+
+    def test_suspension_does_not_extend_the_use_of_replaced_weights(
+            self) -> None:
+        self.fleet.paused.add(VM)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(5.0)
+        self.fleet.paused.clear()
+        self.fleet.run(1.0)
+        self.assertTrue(self._sends())
+        self.fleet.run(LIMIT_S - 6.0 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_suspended_vm_without_answers_assumes_the_longest_age(self) -> None:
+        self.fleet.paused.add(VM)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(5.0)
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.paused.clear()
+        self.fleet.run(LIMIT_S - 5.0 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_outage_of_the_store_does_not_age_a_version(self) -> None:
+        self.fleet.store.up = False
+        self.fleet.run(6.0)
+        self.fleet.store.up = True
+        self._name(2)
+        self.fleet.run(5.0)
+        self.assertTrue(self._sends())
+        self.fleet.run(LIMIT_S - 5.0 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_relays_that_a_suspended_vm_receives_late_give_no_age(self) -> None:
+        scene = GatewayScene(endpoint('a'))
+        suspended_at = scene.now
+        scene.now += 5.0
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 1, ()))
+        named = ev.NamedVersion(MODEL, 2)
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 2, (named,)))
+        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
+                         suspended_at)
+
+    def test_peers_state_a_version_that_a_restored_store_lacks(self) -> None:
+        self._name(2)
+        self.fleet.run(4.0)
+        self.fleet.store.restore(1)
+        self.fleet.run(1.0)
+        self.fleet.start(VM)
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.vms[VM].state.versions.newest(MODEL), 2)
+        self.fleet.run(LIMIT_S - 6.0 + 0.1)
+        self.assertFalse(self._sends())
+
+
+class UnknownVersionTest(unittest.TestCase):
+    """An engine rejects the newest version without stating its own."""
+
+    def setUp(self) -> None:
+        self.scene = GatewayScene(endpoint('a', versions={MODEL: 2}))
+        self.scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        send = self.scene.post_request('/report/x')
+        answer = ev.AnswerArrived(send.attempt, head(421, not_run=True), b'')
+        self.scene.post(answer)
+
+    def test_engine_of_unknown_version_gets_no_request_of_the_model(
+            self) -> None:
+        self.scene.post_request('/report/x', 'r2')
+        self.assertEqual(len(self.scene.all(fx.Send)), 1)
+
+    def test_report_of_its_version_brings_it_back(self) -> None:
+        for _ in range(2):
+            # The first request for a report is not answered.
+            self.scene.advance(1.2)
+            self.scene.post(ev.ReportFailed(EndpointId('a'), 'silent'))
+        self.assertGreater(len(self.scene.all(fx.RequestReport)), 1)
+        self.scene.post(
+            ev.EndpointReported(EndpointId('a'), {MODEL: 1}, 0, False))
+        send = self.scene.post_request('/report/x', 'r3')
+        self.assertEqual((send.endpoint, send.version), ('a', 1))
+
 
 if __name__ == '__main__':
     unittest.main()
