--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -79,13 +79,29 @@
         return
     for part in replaced:
         view.set_part(part, 0)
-    yield LogLine('parts_freed',
-                  (('store', view.name), ('parts', len(replaced)),
-                   ('below_version', oldest)))
+    yield _free_log_line(state, view, replaced, oldest, now)
     yield fx.FreeParts(view.name, view.spec.address, view.epoch,
                        tuple(replaced))
 
 
+def _free_log_line(state: 'GatewayState', view: 'StoreView',
+                   parts: list[StoredPart], oldest: int, now: float) -> LogLine:
+    """Return the log line of freed parts, with the inputs of the decision."""
+    versions = sorted({cache.salt_version(part.salt) or 0 for part in parts})
+    named_at = max(each.seen_at for each in state.versions.latest.values())
+    return LogLine('parts_freed', (
+        ('store', view.name),
+        ('parts', len(parts)),
+        ('below_version', oldest),
+        ('versions', ','.join(map(str, versions))),
+        ('named_for_s', round(now - named_at, 3)),
+        ('engines',
+         sum(bool(each.entry.versions) for each in state.endpoints.values())),
+        ('store_tokens', view.used_tokens),
+        ('registry_age_s', round(state.views.age_s(View.REGISTRY, now), 3)),
+    ))
+
+
 def _free_at(state: 'GatewayState', now: float) -> float:
     """Return the loop time at which replaced weights' parts are freed, in s.
 
