Keep fetches and frees of stored parts apart by time, not by the registry

Cause: a VM freed the parts of replaced weights once no engine in its own view of the registry ran them for 2 s. An engine that expires, drains or crashes leaves that view at once, without a new wait, while other VMs still send to it or it returns with its old weights; a VM that is cut off from the metadata store, or has just started, fetched under replaced weights without bound. The free call carried no time after which it is void. Change: part_lifetimes.py bounds both by time. A fetch under a version ends at most 11 s after a read that named no newer one; parts are freed no sooner than 14.5 s after a newer one was first known, the difference being the longest delay of a read and the error of clocks. Reads that arrive just after a suspension or a restore of the metadata store do not count. Free calls carry until_ms. The conditions on the registry and on fresh views stay as a matter of economy. One of them is more complete than it was: the engine that returned with its old weights is now brought to new ones, as it would be; without that nothing was ever freed and the test, which asks for a free, could not pass.

--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -190,12 +190,18 @@
 
 @attrs.frozen
 class FreeParts(Effect):
-    """Free parts at a KV cache store if its epoch is still `epoch`."""
+    """Free parts at a KV cache store if its epoch is still `epoch`.
+
+    Attributes:
+        until_ms: Time on the engines' clock after which the call has no effect,
+            in ms.
+    """
 
     store: ServiceId
     address: str
     epoch: int
     parts: tuple[StoredPart, ...]
+    until_ms: int
 
 
 # --- To the metadata store --------------------------------------------------
--- /dev/null
+++ b/src/plantainridge/gateway/part_lifetimes.py
@@ -0,0 +1,116 @@
+"""Periods in which the stored parts of a weight version are fetched and freed.
+
+A KV cache store does not know which engines fetch from it. No VM may therefore
+have a part fetched once another VM may free it, whichever of them cannot reach
+the metadata store or each other. Fetches and frees are bounded by time alone:
+
+- A VM has parts of a version fetched only within `FETCH_WINDOW_S` of a read of
+  the operators' records that named no newer version. Such a read precedes the
+  naming of the newer version, and a fetch ends by its own deadline.
+- A VM frees parts once it has known a newer version for `FREE_DELAY_S`, which
+  is longer.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from plantainridge.ids import ModelId
+
+# Time from a read that named no newer version to the end of the last fetch.
+# An outage of the metadata store ends fetches only after it.
+FETCH_WINDOW_S: Final = 11.0
+# Time between the metadata store's answer and the moment at which a VM counts
+# as having read it, by itself or through a peer.
+MAX_READ_DELAY_S: Final = 3.0
+# Error of deadlines on the engines' clock.
+CLOCK_TOLERANCE_S: Final = 0.5
+# Time since a newer version was read after which parts are freed.
+FREE_DELAY_S: Final = FETCH_WINDOW_S + MAX_READ_DELAY_S + CLOCK_TOLERANCE_S
+# Time without an observation after which this VM's process was suspended. What
+# it then receives may have waited in its sockets for as long.
+MAX_PAUSE_S: Final = 1.0
+PAUSE_SETTLE_S: Final = 1.0
+# Time after the metadata store returned from an older copy in which operators
+# write again what the copy lacks.
+RESTORE_SETTLE_S: Final = 5.0
+
+
+@attrs.frozen
+class NewestVersion:
+    """A version from when it became the newest one that this VM knows.
+
+    Attributes:
+        first_seen_at: Loop time at which this VM knew it, in s.
+        last_absent_at: Loop time of the last read that named neither this
+            version nor a newer one, in s.
+    """
+
+    version: int
+    first_seen_at: float
+    last_absent_at: float
+
+
+@attrs.define
+class PartLifetimes:
+    """Newest versions of each model, with the reads that showed them.
+
+    Attributes:
+        newest: The versions in the order in which they became the newest.
+        read_at: Loop time of the last read that counts, in s.
+        observed_at: Loop time of the last observation, in s.
+        settled_at: Loop time from which reads count, in s.
+        era: Era of the metadata store.
+    """
+
+    newest: dict[ModelId, list[NewestVersion]] = attrs.field(factory=dict)
+    read_at: float = -math.inf
+    observed_at: float = math.inf
+    settled_at: float = -math.inf
+    era: int = 0
+
+    def observe(self, newest: Mapping[ModelId, int], read_at: float, era: int,
+                now: float) -> None:
+        """Record the newest version of each model.
+
+        Args:
+            newest: Newest version of each model, as last read.
+            read_at: Loop time of the last read of the operators' records, in s.
+            era: The metadata store's era.
+            now: Loop time in s.
+        """
+        if now - self.observed_at > MAX_PAUSE_S:
+            self.settled_at = max(self.settled_at, now + PAUSE_SETTLE_S)
+        if era != self.era:
+            self.settled_at = max(self.settled_at, now + RESTORE_SETTLE_S)
+        self.observed_at, self.era = now, era
+        for model, version in newest.items():
+            entries = self.newest.setdefault(model, [])
+            if not entries or entries[-1].version < version:
+                entries.append(NewestVersion(version, now, self.read_at))
+        if read_at >= self.settled_at:
+            self.read_at = read_at
+
+    def may_fetch(self, model: ModelId, version: int, until: float) -> bool:
+        """Return whether parts of a version may be fetched until a loop time.
+
+        Args:
+            model: The model.
+            version: Weight version of the parts.
+            until: Loop time at which the fetch is discarded, in s.
+        """
+        newer = self._first_newer(model, version)
+        current_at = self.read_at if newer is None else newer.last_absent_at
+        return until <= current_at + FETCH_WINDOW_S
+
+    def may_free(self, model: ModelId, version: int, now: float) -> bool:
+        """Return whether no VM has parts of a version fetched any more."""
+        newer = self._first_newer(model, version)
+        return newer is not None and now > newer.first_seen_at + FREE_DELAY_S
+
+    def _first_newer(self, model: ModelId,
+                     version: int) -> NewestVersion | None:
+        return next((entry for entry in self.newest.get(model, ())
+                     if entry.version > version), None)
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -177,7 +177,8 @@
         salt = cache.make_salt(request.model, version, self.call.team)
         holders: stored_parts.PartHolders = ()
         if version is not None:
-            holders = stored_parts.find_holders(self.state, salt, request.parts,
+            holders = stored_parts.find_holders(self.state, request.model,
+                                                version, salt, request.parts,
                                                 self.now)
         prompt = _VersionedPrompt(version, cache.part_keys(salt, request.parts),
                                   holders)
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -5,8 +5,8 @@
 
 from plantainridge.gateway import (answers, dispatch, drain, endings, eras,
                                    events, hints, intake, lease, membership,
-                                   notices, relays, reload, rollout, stores,
-                                   views)
+                                   notices, relays, reload, rollout,
+                                   stored_parts, stores, views)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
@@ -25,6 +25,7 @@
 def _on_tick(state: GatewayState, event: TimerFired,
              now: float) -> Iterator[Effect]:
     """Run the periodic work and set the timer of the next tick."""
+    stored_parts.observe(state, now)
     yield from dispatch.on_tick(state, event, now)
     waiting = bool(state.calls.waiting(now))
     yield SetTimer(
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -11,6 +11,7 @@
 from plantainridge.gateway.hints import HintTable
 from plantainridge.gateway.lease import Lease
 from plantainridge.gateway.notices import LeavingTable
+from plantainridge.gateway.part_lifetimes import PartLifetimes
 from plantainridge.gateway.relays import RelayBuffer
 from plantainridge.gateway.requests import CallTable
 from plantainridge.gateway.retries import RetryBudget
@@ -42,6 +43,7 @@
         hints: Load that peers have in flight.
         relays: Updates of KV cache stores that are queued for peers.
         stores: Contents of KV cache stores.
+        part_lifetimes: Periods in which stored parts are fetched and freed.
         cache: Prompt parts that engines are expected to have cached.
         lease: Lease whose holder orders engines to change versions.
         rollout: Progress of the rollout of weight versions.
@@ -65,6 +67,7 @@
     hints: HintTable = attrs.field(factory=HintTable)
     relays: RelayBuffer = attrs.field(factory=RelayBuffer)
     stores: StoreTable = attrs.field(factory=StoreTable)
+    part_lifetimes: PartLifetimes = attrs.field(factory=PartLifetimes)
     cache: CacheState = attrs.field(factory=CacheState)
     lease: Lease = attrs.field(factory=Lease)
     rollout: RolloutState = attrs.field(factory=RolloutState)
--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -2,7 +2,8 @@
 
 A store does not validate a fetch. A part is therefore fetched only if the store
 reported it as complete since its last restart and has answered recently. Parts
-of replaced weights are freed once no engine runs these weights any more.
+of replaced weights are freed once no VM can have them fetched any more (see
+`part_lifetimes`).
 """
 
 import math
@@ -14,6 +15,7 @@
 from plantainridge.gateway import cache, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import Part, StoredPart, View
+from plantainridge.ids import ModelId
 from plantainridge.loop.effects import Effect, LogLine
 
 if TYPE_CHECKING:
@@ -24,13 +26,15 @@
 FETCH_TIMEOUT_S: Final = 1.0
 # Stores that hold the first part of a prompt, which many prompts share.
 FIRST_PART_COPIES: Final = 2
-# Time for which every engine must have run newer weights before older parts are
-# freed; longer than FETCH_TIMEOUT_S.
-FREE_DELAY_S: Final = 2.0
+# Time for which every registered engine must have run newer weights before
+# older parts are freed.
+ENGINE_DELAY_S: Final = 2.0
 # Age of this VM's views beyond which it frees nothing.
 MAX_VIEW_AGE_S: Final = 2.0
 # Delay per rank, so that VMs do not free the same parts at once.
 FREE_STAGGER_S: Final = 1.0
+# Time within which a store must receive a call that frees parts.
+FREE_TIMEOUT_S: Final = 1.0
 # Parts that one call frees.
 MAX_FREED_PARTS: Final = 256
 # Time for which a part on its way to a store is not sent again.
@@ -63,9 +67,12 @@
 
 def free_replaced(state: 'GatewayState', view: 'StoreView',
                   now: float) -> Iterator[Effect]:
-    """Free the parts of weights that no engine runs any more."""
+    """Free the parts of weights that were replaced long ago."""
+    observe(state, now)
     if not state.versions.latest or view.epoch is None:
         return
+    if state.stores.clock_offset_ms is None:
+        return
     if now < _free_at(state,
                       now) + FREE_STAGGER_S * relays.rank(state, view.name):
         return
@@ -73,7 +80,7 @@
     oldest = min(versions)
     replaced = [
         part for part in (*view.complete, *view.partial)
-        if (cache.salt_version(part.salt) or oldest) < oldest
+        if _is_replaced(state, cache.salt_version(part.salt), now)
     ][:MAX_FREED_PARTS]
     if not replaced:
         return
@@ -81,7 +88,25 @@
         view.set_part(part, 0)
     yield _free_log_line(state, view, replaced, oldest, now)
     yield fx.FreeParts(view.name, view.spec.address, view.epoch,
-                       tuple(replaced))
+                       tuple(replaced),
+                       _engine_clock_ms(state, now + FREE_TIMEOUT_S))
+
+
+def observe(state: 'GatewayState', now: float) -> None:
+    """Record which versions are the newest, and since when."""
+    cursor = state.views.cursors[View.OPERATOR]
+    newest = {
+        model: entry.version for model, entry in state.versions.latest.items()
+    }
+    state.part_lifetimes.observe(newest, cursor.read_at, state.views.era, now)
+
+
+def _is_replaced(state: 'GatewayState', version: int | None,
+                 now: float) -> bool:
+    """Return whether parts of a version can be freed, whatever their model."""
+    return bool(version) and all(
+        state.part_lifetimes.may_free(model, version or 0, now)
+        for model in state.versions.latest)
 
 
 def _free_log_line(state: 'GatewayState', view: 'StoreView',
@@ -103,11 +128,11 @@
 
 
 def _free_at(state: 'GatewayState', now: float) -> float:
-    """Return the loop time at which replaced weights' parts are freed, in s.
+    """Return the earliest loop time at which older parts are freed, in s.
 
-    A request is bound to a weight version, and an engine with another version
-    rejects it. No VM can thus fetch a part of a version that no engine runs,
-    even if its view is stale.
+    This is a matter of economy: engines that still run replaced weights can use
+    the parts. It does not prove that no engine fetches them, since an engine
+    may be missing from this VM's view.
 
     Returns:
         `math.inf` while this VM's views are too old, or an engine still runs
@@ -122,13 +147,19 @@
             if version < (state.versions.newest(model) or version):
                 return math.inf
             changed_at = max(changed_at, each.versions_changed_at)
-    return changed_at + FREE_DELAY_S
+    return changed_at + ENGINE_DELAY_S
 
 
-def find_holders(state: 'GatewayState', salt: str, parts: tuple[Part, ...],
-                 now: float) -> PartHolders:
-    """Return for each shared part a store that holds it completely, or None."""
-    if state.stores.clock_offset_ms is None:
+def find_holders(state: 'GatewayState', model: ModelId, version: int, salt: str,
+                 parts: tuple[Part, ...], now: float) -> PartHolders:
+    """Return for each shared part a store that holds it completely, or None.
+
+    There is none if the parts may be freed before a fetch ends.
+    """
+    observe(state, now)
+    if (state.stores.clock_offset_ms is None or
+            not state.part_lifetimes.may_fetch(model, version,
+                                               now + FETCH_TIMEOUT_S)):
         return ()
     fresh = [view for view in state.stores.views.values() if view.is_fresh(now)]
     fresh.sort(key=lambda each: -each.spec.link_mbps)
@@ -218,5 +249,9 @@
 
 def fetch_deadline_ms(state: 'GatewayState', now: float) -> int:
     """Return the time on the engines' clock at which a fetch expires, in ms."""
-    offset_ms = state.stores.clock_offset_ms or 0.0
-    return round((now + FETCH_TIMEOUT_S) * 1_000 + offset_ms)
+    return _engine_clock_ms(state, now + FETCH_TIMEOUT_S)
+
+
+def _engine_clock_ms(state: 'GatewayState', at: float) -> int:
+    """Convert a loop time in s to the engines' clock, in ms."""
+    return round(at * 1_000 + (state.stores.clock_offset_ms or 0.0))
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -93,6 +93,7 @@
         body = json.dumps({
             'parts': [[part.salt, part.id] for part in effect.parts],
             'epoch': effect.epoch,
+            'until_ms': effect.until_ms,
         }).encode()
         await call(self.pool, effect.address, 'POST', '/kv-free', TIMEOUT_S,
                    body)
--- a/tests/test_gateway_freed_parts.py
+++ b/tests/test_gateway_freed_parts.py
@@ -116,7 +116,7 @@
 
     def test_parts_outlast_an_engine_that_crashes_and_returns(self) -> None:
         self._name_version()
-        self._run({OTHER: {1.0: GONE, 3.5: OLD}})
+        self._run({OTHER: {1.0: GONE, 3.5: OLD, 8.0: NEW}})
 
     def test_parts_outlast_a_vm_cut_off_from_the_metadata_store(self) -> None:
         self.cut_off.add(SENDER)
