Free the parts of a model by this model's versions only

What callers saw: nothing yet; found while looking for other ways to free parts in use. With several models it would be a fetch of freed parts (MIXED). Cause: a salt's digest covered model and team together, so that a part showed its version only. Parts below the lowest newest version of all named models were freed; a model whose first version was never replaced has no named version and did not count. Change: the salt names the model by a digest of its own, followed by the team's if that is isolated, and a part is freed once its own model's version was replaced. Why it works: what is compared are versions of one model. Evidence: test_parts_of_another_model_are_not_freed failed on the code before (the part of the other model was freed 14.5 s after m had a version 2) and passes.

--- a/src/plantainridge/gateway/cache.py
+++ b/src/plantainridge/gateway/cache.py
@@ -51,23 +51,47 @@
         self.parts.pop(endpoint, None)
 
 
+@attrs.frozen
+class SaltFields:
+    """What a salt tells about the parts under it.
+
+    Attributes:
+        version: Weight version of the parts; 0 if unknown.
+        model_digest: Digest of the model's name.
+    """
+
+    version: int
+    model_digest: str
+
+
 def make_salt(model: ModelId, version: int | None, team: Team | None) -> str:
     """Return the salt that separates prompts that must not share parts.
 
     Parts are shared within one weight version of a model, and within one team
-    if it is isolated. The salt starts with the version, so that parts of
+    if it is isolated. The salt starts with version and model, so that parts of
     replaced weights can be recognized.
     """
-    owner = team.name if team is not None and team.isolated else ''
-    digest = hashlib.blake2b(f'{model}/{owner}'.encode(),
-                             digest_size=SALT_BYTES)
-    return f'{version or 0}.{digest.hexdigest()}'
+    salt = f'{version or 0}.{model_digest(model)}'
+    if team is not None and team.isolated:
+        salt += f'.{_digest(team.name)}'
+    return salt
+
+
+def parse_salt(salt: str) -> SaltFields | None:
+    """Return the fields of a salt, or None if it is of another form."""
+    version, _, rest = salt.partition('.')
+    if not version.isdecimal():
+        return None
+    return SaltFields(int(version), rest.partition('.')[0])
+
+
+def model_digest(model: ModelId) -> str:
+    """Return the digest by which salts name a model."""
+    return _digest(model)
 
 
-def salt_version(salt: str) -> int | None:
-    """Return the weight version of a salt, or None if it has none."""
-    version = salt.partition('.')[0]
-    return int(version) if version.isdecimal() else None
+def _digest(name: str) -> str:
+    return hashlib.blake2b(name.encode(), digest_size=SALT_BYTES).hexdigest()
 
 
 def context_id(parts: tuple[Part, ...]) -> str:
--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -76,17 +76,18 @@
     if now < _free_at(state,
                       now) + FREE_STAGGER_S * relays.rank(state, view.name):
         return
-    versions = {latest.version for latest in state.versions.latest.values()}
-    oldest = min(versions)
+    models = {
+        cache.model_digest(model): model for model in state.versions.latest
+    }
     replaced = [
         part for part in (*view.complete, *view.partial)
-        if _is_replaced(state, cache.salt_version(part.salt), now)
+        if _is_replaced(state, models, part, now)
     ][:MAX_FREED_PARTS]
     if not replaced:
         return
     for part in replaced:
         view.set_part(part, 0)
-    yield _free_log_line(state, view, replaced, oldest, now)
+    yield _free_log_line(state, view, replaced, now)
     yield fx.FreeParts(view.name, view.spec.address, view.epoch,
                        tuple(replaced),
                        _engine_clock_ms(state, now + FREE_TIMEOUT_S))
@@ -101,18 +102,30 @@
     state.part_lifetimes.observe(newest, cursor.read_at, state.views.era, now)
 
 
-def _is_replaced(state: 'GatewayState', version: int | None,
-                 now: float) -> bool:
-    """Return whether parts of a version can be freed, whatever their model."""
-    return bool(version) and all(
-        state.part_lifetimes.may_free(model, version or 0, now)
-        for model in state.versions.latest)
+def _is_replaced(state: 'GatewayState', models: Mapping[str, ModelId],
+                 part: StoredPart, now: float) -> bool:
+    """Return whether a part can be freed.
+
+    Args:
+        state: The VM's state.
+        models: Models by the digest in their salts.
+        part: The part.
+        now: Loop time in s.
+    """
+    fields = cache.parse_salt(part.salt)
+    if fields is None or not fields.version:
+        return False
+    model = models.get(fields.model_digest)
+    return model is not None and state.part_lifetimes.may_free(
+        model, fields.version, now)
 
 
 def _free_log_line(state: 'GatewayState', view: 'StoreView',
-                   parts: list[StoredPart], oldest: int, now: float) -> LogLine:
+                   parts: list[StoredPart], now: float) -> LogLine:
     """Return the log line of freed parts, with the inputs of the decision."""
-    versions = sorted({cache.salt_version(part.salt) or 0 for part in parts})
+    salts = (cache.parse_salt(part.salt) for part in parts)
+    versions = sorted({fields.version for fields in salts if fields})
+    oldest = min(each.version for each in state.versions.latest.values())
     named_at = max(each.seen_at for each in state.versions.latest.values())
     return LogLine('parts_freed', (
         ('store', view.name),
