Ignore news of a KV cache store from before its last restart

What callers saw: nothing yet; found by reading. It would be a fetch of parts that a store has lost and is writing again (MIXED). Change: a VM remembers the epochs that it has left. Relays and answers of these are ignored. Once a restart is noticed no epoch is current until the listing arrives. Why it works: a store never returns to an earlier epoch.

--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -85,7 +85,8 @@
         complete: Tokens of each complete part.
         complete_tokens: Sum of these tokens.
         partial: Tokens of the parts that were incomplete at the last listing.
-        epoch: Changes when the store restarts; None before the first listing.
+        epoch: Changes when the store restarts; None before a run's first listing.
+        past_epochs: Epochs of earlier runs of the store.
         next: Number of the next event.
         confirmed_at: Loop time of the store's last answer to any VM, in s;
             -inf after a failure.
@@ -105,6 +106,7 @@
     complete_tokens: int = 0
     partial: dict[StoredPart, int] = attrs.field(factory=dict)
     epoch: int | None = None
+    past_epochs: set[int] = attrs.field(factory=set)
     next: int = 0
     confirmed_at: float = -math.inf
     reported_at: float = -math.inf
@@ -142,6 +144,19 @@
             if now < at + UNREACHABLE_TIMEOUT_S
         ]
 
+    def enter_epoch(self, epoch: int) -> None:
+        """Record the epoch of the store's present run."""
+        if epoch != self.epoch:
+            self.leave_epoch()
+            self.epoch = epoch
+            self.past_epochs.discard(epoch)
+
+    def leave_epoch(self) -> None:
+        """Record that the store has restarted."""
+        if self.epoch is not None:
+            self.past_epochs.add(self.epoch)
+            self.epoch = None
+
     def replace_parts(self, complete: Mapping[StoredPart, int]) -> None:
         """Replace all complete parts."""
         self.complete = dict(complete)
@@ -197,7 +212,8 @@
         return
     view.replace_parts(event.complete)
     view.partial = dict(event.partial)
-    view.epoch, view.next = event.epoch, event.next
+    view.enter_epoch(event.epoch)
+    view.next = event.next
     view.record_answer(state.settings.vm, now)
     view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
     yield LogLine('store_listed',
@@ -219,7 +235,13 @@
         return
     if event.clock_ms:
         state.stores.clock_offset_ms = event.clock_ms - now * 1_000
+    if event.epoch in view.past_epochs:
+        # An answer from before the restart that was processed late.
+        yield SetTimer(_timer(view), now + _poll_interval_s(state))
+        return
     if event.epoch != view.epoch or event.has_gap:
+        if event.epoch != view.epoch:
+            view.leave_epoch()
         view.replace_parts({})
         view.confirmed_at = -math.inf
         yield LogLine('store_unsure',
@@ -264,6 +286,8 @@
     view = state.stores.views.get(relay.store)
     if view is None:
         return
+    if not relay.unreachable and relay.epoch in view.past_epochs:
+        return
     if relay.clock_ms:
         state.stores.clock_offset_ms = relay.clock_ms - now * 1_000
     if relay.unreachable:
@@ -275,7 +299,8 @@
         yield from _schedule_check(state, view, now)
     elif relay.is_snapshot:
         view.replace_parts(dict(relay.parts))
-        view.epoch, view.next = relay.epoch, relay.end
+        view.enter_epoch(relay.epoch)
+        view.next = relay.end
         view.record_answer(relay.vm, now)
         view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
         yield from _schedule_check(state, view, now)
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -125,6 +125,13 @@
         self._post_restart()
         self.assertEqual(self._post_relay(1, False, 0.0), [])
 
+    def test_late_answer_does_not_end_the_present_run(self) -> None:
+        self._post_restart()
+        self.scene.post(ev.StoreChanged(self.store, 1, 9, False, (), 0.0))
+        self.assertEqual(self.view.epoch, 2)
+        self._post_relay(2, True, 0.0)
+        self.assertEqual(self.view.complete, {self.part: 500})
+
     def test_relay_that_waited_in_a_suspended_vm_is_not_fresh(self) -> None:
         clock_ms = self.scene.now * 1_000
         self.scene.post(ev.StoreChanged(self.store, 1, 9, False, (), clock_ms))
