--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -85,7 +85,8 @@
         complete: Tokens of each complete part.
         complete_tokens: Sum of these tokens.
         partial: Tokens of the parts that were incomplete at the last listing.
-        epoch: Changes when the store restarts; None before a run's first listing.
+        epoch: Changes when the store restarts; None before the first listing of
+            a run.
         past_epochs: Epochs of earlier runs of the store.
         next: Number of the next event.
         confirmed_at: Loop time of the store's last answer to any VM, in s;
