Fail an answer that is too long instead of dropping it

What callers saw: an endpoint's answer of over 16 MiB, with chunks or without a length, ended nothing. The caller waited for its deadline and got a 504, also where another endpoint could have served it. Cause: the reader cancelled its send before it reported the failure, and a cancelled send posts nothing. Evidence: test_chunks_without_end and test_body_without_length_or_end saw no event within 3 s. Why this fix works: the reader returns a failure, `too_long`, and the connection is aborted and reports it like any other; `on_head` does the same.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -102,6 +102,8 @@
     # The answer is not HTTP, or belongs to another request: the request may
     # have run.
     MALFORMED = 'malformed'
+    # The answer exceeds a limit on its size: the request may have run.
+    TOO_LONG = 'too_long'
     # Nothing was received before the timeout: the request may still be running.
     SILENT = 'silent'
 
--- a/src/plantainridge/gateway/http_calls.py
+++ b/src/plantainridge/gateway/http_calls.py
@@ -64,12 +64,14 @@
         self.headers: Headers = ()
         self.body = bytearray()
 
-    def on_head(self, status: int, headers: Headers) -> bool:
+    # pylint: disable=useless-return
+    def on_head(self, status: int, headers: Headers) -> Failure | None:
         self.status, self.headers = status, headers
-        return True
+        return None
 
-    def on_data(self, data: bytes) -> None:
+    def on_data(self, data: bytes) -> Failure | None:
         self.body += data
+        return None
 
     def on_end(self) -> None:
         self._finish(Response(self.status, bytes(self.body),
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -30,12 +30,12 @@
     """Receiver of the answer to one request, or of its failure."""
 
     @abc.abstractmethod
-    def on_head(self, status: int, headers: Headers) -> bool:
-        """Receive the head; return False to reject the answer."""
+    def on_head(self, status: int, headers: Headers) -> Failure | None:
+        """Receive the head; return a failure to reject the answer."""
 
     @abc.abstractmethod
-    def on_data(self, data: bytes) -> None:
-        """Receive a part of the body."""
+    def on_data(self, data: bytes) -> Failure | None:
+        """Receive a part of the body; return a failure to reject the answer."""
 
     @abc.abstractmethod
     def on_end(self) -> None:
@@ -139,16 +139,18 @@
 
     def _handle_event(self, event: object) -> None:
         assert self.handler is not None
+        failure: Failure | None = None
         if isinstance(event, h11.Response):
-            if not self.handler.on_head(event.status_code, tuple(
-                    event.headers)):
-                self._fail(Failure.MALFORMED)
+            failure = self.handler.on_head(event.status_code,
+                                           tuple(event.headers))
         elif isinstance(event, h11.Data):
-            self.handler.on_data(bytes(event.data))
+            failure = self.handler.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._complete()
         elif isinstance(event, h11.ConnectionClosed):
-            self._fail(Failure.BROKEN)
+            failure = Failure.BROKEN
+        if failure is not None:
+            self._fail(failure)
 
     def _complete(self) -> None:
         assert self.http is not None and self.transport is not None
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -104,12 +104,12 @@
         self.body = bytearray()
         self.splitter: EventSplitter | None = None
 
-    def on_head(self, status: int, headers: Headers) -> bool:
+    def on_head(self, status: int, headers: Headers) -> Failure | None:
         effect = self.effect
         head = self.sender.wire.read_answer_head(effect, status, headers,
                                                  self.sender.loop.time())
         if head is None:
-            return False
+            return Failure.MALFORMED
         self.head = head
         is_expected = head.instance in ('', effect.endpoint)
         if is_expected and (head.leaving or head.pause_s is not None or
@@ -120,20 +120,19 @@
                 content_type.startswith(STREAM_CONTENT_TYPE)):
             self.splitter = EventSplitter(effect.last_event_id)
             self._post(ev.StreamStarted(effect.attempt, head))
-        return True
+        return None
 
-    def on_data(self, data: bytes) -> None:
+    def on_data(self, data: bytes) -> Failure | None:
         if self.splitter is None:
             self.body += data
-            if len(self.body) > MAX_ANSWER_BYTES:
-                self.sender.cancel(fx.CancelSend(self.effect.attempt))
-                self.on_failure(Failure.MALFORMED)
-            return
+            return (Failure.TOO_LONG
+                    if len(self.body) > MAX_ANSWER_BYTES else None)
         events = self.splitter.feed(data)
         if events is not None:
             self._post(
                 ev.StreamEventsReceived(self.effect.attempt, events.data,
                                         events.first_id, events.last_id))
+        return None
 
     def on_end(self) -> None:
         assert self.head is not None
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -22,7 +22,7 @@
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.reports import log_fault
-from tests.gateway_scene import request
+from tests.gateway_scene import GatewayScene, endpoint, head, request
 
 HOST: Final = '127.0.0.1'
 STATUS_LINE: Final = b'HTTP/1.1 200 OK\r\n'
@@ -310,3 +310,23 @@
         self.assertLess(time.process_time() - started_at, 0.5)
         assert events is not None
         self.assertEqual(len(events.data), 6_000 * 16 + 2)
+
+
+class FailedAnswerTest(unittest.TestCase):
+    """Callers of an answer without end are answered, or served elsewhere."""
+
+    def _scene_after_failure(self, target: str) -> GatewayScene:
+        scene = GatewayScene(endpoint('a'), endpoint('b'))
+        sent = scene.post_request(target)
+        scene.post(ev.StreamStarted(sent.attempt, head()))
+        scene.post(ev.StreamEventsReceived(sent.attempt, b'id: 1\n\n', '1',
+                                           '1'))
+        scene.post(ev.SendFailed(sent.attempt, Failure.TOO_LONG, 'x'))
+        return scene
+
+    def test_stream_goes_on_elsewhere_or_is_broken_off(self) -> None:
+        resumed = self._scene_after_failure('/report/x').last(fx.Send)
+        self.assertEqual(resumed.last_event_id, '1')
+        broken_off = self._scene_after_failure('/tag/x')
+        self.assertEqual(len(broken_off.all(fx.AbortReply)), 1)
+        self.assertIn('send_failed', [line.event for line in broken_off.lines])
