Bound the responses to control calls

What operators saw: nothing yet. An engine, store or metadata store whose response has no end was read at the link's rate until the call's timeout of 0.6 to 2 s, which is more than a VM's memory. Cause: the collector of a response had no limit. Evidence: test_endless_answer_to_a_control_call read until its timeout. Why this fix works: a response beyond 8 MiB, stated or received, fails at once with `too_long`, and its connection is aborted; every caller of a call handles that like any call without a response. The longest page of the metadata store takes 1 MB.

--- a/src/plantainridge/gateway/http_calls.py
+++ b/src/plantainridge/gateway/http_calls.py
@@ -3,14 +3,18 @@
 import asyncio
 import json
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 import attrs
 
 from plantainridge.gateway.events import Failure, Headers
-from plantainridge.gateway.http_client import AnswerHandler, Pool
+from plantainridge.gateway.http_client import (AnswerHandler, Pool,
+                                               stated_length)
 from plantainridge.gateway.wire import RawRequest
 
+# Longest response to a call, in bytes: several times the longest page of the
+# metadata store or listing of a store.
+MAX_RESPONSE_BYTES: Final = 8 * 1_024 * 1_024
 JSON_HEADERS: Headers = ((b'content-type', b'application/json'),)
 
 
@@ -64,14 +68,15 @@
         self.headers: Headers = ()
         self.body = bytearray()
 
-    # pylint: disable=useless-return
     def on_head(self, status: int, headers: Headers) -> Failure | None:
         self.status, self.headers = status, headers
-        return None
+        return (Failure.TOO_LONG
+                if stated_length(headers) > MAX_RESPONSE_BYTES else None)
 
     def on_data(self, data: bytes) -> Failure | None:
         self.body += data
-        return None
+        return (Failure.TOO_LONG
+                if len(self.body) > MAX_RESPONSE_BYTES else None)
 
     def on_end(self) -> None:
         self._finish(Response(self.status, bytes(self.body),
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -26,6 +26,11 @@
 MAX_HEAD_BYTES: Final = 64 * 1_024
 
 
+def stated_length(headers: Headers) -> int:
+    """Return the length of a body that a head states, or 0, in bytes."""
+    return int(dict(headers).get(b'content-length', 0))
+
+
 class AnswerHandler(abc.ABC):
     """Receiver of the answer to one request, or of its failure."""
 
