Choose an answer's limit by its head

What callers saw: an answer whose stated length is over the limit was read up to 16 MiB before its request went elsewhere. An error answer of up to 16 MiB was held with each request that was sent again. Cause: one limit for all answers, applied only to the bytes received. Evidence: two tests saw no failure before, and over 8 MiB sent after the limit was reported. Why this fix works: the head states status and length. An error answer is limited to 1 MiB, as it is held while its request is sent elsewhere, and a stated length over the limit fails at once. A HEAD request's answer states a length without a body and is exempt.

--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -6,7 +6,8 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Failure, Headers
-from plantainridge.gateway.http_client import AnswerHandler, Connection, Pool
+from plantainridge.gateway.http_client import (AnswerHandler, Connection, Pool,
+                                               stated_length)
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.wire import RequestWire
 from plantainridge.ids import AttemptId
@@ -15,9 +16,13 @@
 from plantainridge.loop.tasks import Tasks
 
 STATUS_OK: Final = 200
+# Lowest status of an endpoint's error.
+STATUS_ERROR: Final = 500
 STREAM_CONTENT_TYPE: Final = b'text/event-stream'
 # Longest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES: Final = 16 * 1_024 * 1_024
+# Longest error answer, in bytes: it is held while its request is sent again.
+MAX_ERROR_ANSWER_BYTES: Final = 1_024 * 1_024
 
 
 class EndpointSender:
@@ -120,13 +125,17 @@
                 content_type.startswith(STREAM_CONTENT_TYPE)):
             self.splitter = EventSplitter(effect.last_event_id)
             self._post(ev.StreamStarted(effect.attempt, head))
-        return None
+            return None
+        if effect.request.method == 'HEAD':
+            return None
+        return (Failure.TOO_LONG
+                if stated_length(headers) > self._max_bytes() else None)
 
     def on_data(self, data: bytes) -> Failure | None:
         if self.splitter is None:
             self.body += data
             return (Failure.TOO_LONG
-                    if len(self.body) > MAX_ANSWER_BYTES else None)
+                    if len(self.body) > self._max_bytes() else None)
         events = self.splitter.feed(data)
         if events is not None:
             self._post(
@@ -150,6 +159,11 @@
         attempt = self.effect.attempt
         self.sender.finish(attempt, ev.SendFailed(attempt, failure))
 
+    def _max_bytes(self) -> int:
+        """Return the longest body of this answer, in bytes."""
+        is_error = self.head is not None and self.head.status >= STATUS_ERROR
+        return MAX_ERROR_ANSWER_BYTES if is_error else MAX_ANSWER_BYTES
+
     def _post(self, event: Event) -> None:
         if self.effect.attempt in self.sender.in_flight:
             self.sender.post(event)
