Bound a stream's event and read its bytes once

What callers saw: a stream whose event never ends was read into memory until the request's time was over, at the link's rate, which kills a VM's process. Every new piece of the event was searched from the event's beginning. Cause: the splitter had no limit and kept no position. Evidence: test_event_without_end saw no failure within 3 s; 96 kB in 16-byte pieces took 2.3 to 3.3 s of processor time. Why this fix works: an event of over 1 MiB fails its stream with `too_long`, and only the last three bytes, in which a blank line may have begun, are searched again.

--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -141,7 +141,7 @@
             self._post(
                 ev.StreamEventsReceived(self.effect.attempt, events.data,
                                         events.first_id, events.last_id))
-        return None
+        return Failure.TOO_LONG if self.splitter.is_too_long else None
 
     def on_end(self) -> None:
         assert self.head is not None
--- a/src/plantainridge/gateway/streams.py
+++ b/src/plantainridge/gateway/streams.py
@@ -5,6 +5,10 @@
 
 import attrs
 
+# Longest event, in bytes, with the blank line that ends it.
+MAX_EVENT_BYTES: Final = 1_024 * 1_024
+# Length of the longest blank line that ends an event, in bytes.
+_MAX_END_BYTES: Final = 4
 _EVENT_END: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _ID_FIELD: Final = re.compile(rb'(?m)^id: ?([^\r\n]*)')
 
@@ -31,19 +35,23 @@
     Attributes:
         after_id: Events up to this numeric id are dropped; '' drops none.
         incomplete: Bytes of an event that is not complete yet.
+        is_too_long: Whether an event exceeds `MAX_EVENT_BYTES`.
     """
 
     after_id: str = ''
-    incomplete: bytes = b''
+    incomplete: bytearray = attrs.field(factory=bytearray)
+    is_too_long: bool = False
 
     def feed(self, data: bytes) -> StreamEvents | None:
         """Add bytes; return the events that they complete, or None."""
+        # Only the end of what is there already may be part of a blank line.
+        unread = max(0, len(self.incomplete) - _MAX_END_BYTES + 1)
         self.incomplete += data
         events: list[bytes] = []
         ids: list[str] = []
         start = 0
-        for delimiter in _EVENT_END.finditer(self.incomplete):
-            event = self.incomplete[start:delimiter.end()]
+        for delimiter in _EVENT_END.finditer(self.incomplete, unread):
+            event = bytes(self.incomplete[start:delimiter.end()])
             start = delimiter.end()
             match = _ID_FIELD.search(event)
             event_id = match.group(1).decode('latin-1') if match else ''
@@ -51,7 +59,8 @@
                 continue
             events.append(event)
             ids.append(event_id)
-        self.incomplete = self.incomplete[start:]
+        del self.incomplete[:start]
+        self.is_too_long = len(self.incomplete) > MAX_EVENT_BYTES
         if not events:
             return None
         known_ids = [event_id for event_id in ids if event_id]
