Bound the informational heads before an answer

What callers saw: an endpoint that sends 1xx heads without end kept its request until the caller's deadline, and a VM's processor busy. Cause: informational heads were dropped without a count. Evidence: test_informational_heads_without_end saw no failure within 3 s. Why this fix works: the ninth of an answer fails it with `too_long`. A head, trailer or chunk header over 64 kB, which failed as `malformed`, now fails with `too_long` too, so that the log tells the two apart.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -23,7 +23,12 @@
 # Longest idle time after which a connection is reused, in s: servers close idle
 # ones at will, and a request sent at that moment may have run.
 MAX_IDLE_S: Final = 0.9
+# Longest incomplete head, trailer or chunk header, in bytes.
 MAX_HEAD_BYTES: Final = 64 * 1_024
+# Status with which `h11` reports that `MAX_HEAD_BYTES` is exceeded.
+STATUS_HEAD_TOO_LONG: Final = 431
+# Informational heads (1xx) that may precede an answer's head.
+MAX_INFORMATIONAL_HEADS: Final = 8
 
 
 def stated_length(headers: Headers) -> int:
@@ -58,6 +63,7 @@
         on_idle: Called with the connection when it may be reused.
         http: Parser and framer of the current request, or None.
         handler: Receives the current answer; None if none is awaited.
+        informational_heads: Informational heads received for it.
         idle_since: Loop time at which the latest answer ended, in s.
         at_eof: Whether the server sends nothing more.
     """
@@ -68,6 +74,7 @@
         self.transport: asyncio.Transport | None = None
         self.http: h11.Connection | None = None
         self.handler: AnswerHandler | None = None
+        self.informational_heads = 0
         self.idle_since = 0.0
         self.at_eof = False
 
@@ -88,6 +95,7 @@
         """Send a request; `handler` receives its answer."""
         assert self.transport is not None and self.usable
         self.handler = handler
+        self.informational_heads = 0
         self.http = h11.Connection(h11.CLIENT,
                                    max_incomplete_event_size=MAX_HEAD_BYTES)
         headers = list(raw.headers)
@@ -138,14 +146,20 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 self._handle_event(event)
-        except h11.RemoteProtocolError:
+        except h11.RemoteProtocolError as error:
             failure = Failure.MALFORMED if data else Failure.BROKEN
+            if error.error_status_hint == STATUS_HEAD_TOO_LONG:
+                failure = Failure.TOO_LONG
             self._fail(failure)
 
     def _handle_event(self, event: object) -> None:
         assert self.handler is not None
         failure: Failure | None = None
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self.informational_heads += 1
+            if self.informational_heads > MAX_INFORMATIONAL_HEADS:
+                failure = Failure.TOO_LONG
+        elif isinstance(event, h11.Response):
             failure = self.handler.on_head(event.status_code,
                                            tuple(event.headers))
         elif isinstance(event, h11.Data):
