Count a stream that ends inside an event as broken off

What callers saw: a stream that ended with its connection right after its head was delivered as a complete stream without events. One that ended inside an event was resumed or broken off, but as `malformed`: a request that crashes endpoints in this way was not counted as one, and its connection was kept. Cause: the end of the framing was taken for the end of the stream. An answer without length or chunks ends with its connection also if its endpoint exits. Why this fix works: the reader judges the end before the connection completes. An unframed stream that ends between events can't be told from a complete one and stays complete, unless it is reset.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -97,7 +97,8 @@
 
     # No connection was established: the request did not run.
     NOT_CONNECTED = 'not_connected'
-    # The connection was closed or reset: the request may have run.
+    # The connection was closed or reset, or the answer ended within a stream
+    # event: the request may have run.
     BROKEN = 'broken'
     # The answer is not HTTP, or belongs to another request: the request may
     # have run.
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -47,6 +47,10 @@
     def on_data(self, data: bytes) -> Failure | None:
         """Receive a part of the body; return a failure to reject the answer."""
 
+    def check_end(self) -> Failure | None:
+        """Return why an answer whose framing ended is incomplete, or None."""
+        return None
+
     @abc.abstractmethod
     def on_end(self) -> None:
         """Receive the end of a complete answer."""
@@ -165,7 +169,9 @@
         elif isinstance(event, h11.Data):
             failure = self.handler.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._complete()
+            failure = self.handler.check_end()
+            if failure is None:
+                self._complete()
         elif isinstance(event, h11.ConnectionClosed):
             failure = Failure.BROKEN
         if failure is not None:
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -100,7 +100,13 @@
 
 
 class _AnswerReader(AnswerHandler):
-    """Reader of one answer; posts it complete or as stream events."""
+    """Reader of one answer; posts it complete or as stream events.
+
+    Attributes:
+        is_framed: Whether the end of the body is known without the end of the
+            connection.
+        has_events: Whether the stream had an event.
+    """
 
     def __init__(self, sender: EndpointSender, effect: fx.Send) -> None:
         self.sender = sender
@@ -108,6 +114,8 @@
         self.head: ev.AnswerHead | None = None
         self.body = bytearray()
         self.splitter: EventSplitter | None = None
+        self.is_framed = True
+        self.has_events = False
 
     def on_head(self, status: int, headers: Headers) -> Failure | None:
         effect = self.effect
@@ -120,7 +128,10 @@
         if is_expected and (head.leaving or head.pause_s is not None or
                             head.invalid_pause):
             self.sender.post(ev.EndpointNotified(effect.endpoint, head))
-        content_type = dict(headers).get(b'content-type', b'')
+        fields = dict(headers)
+        self.is_framed = (b'content-length' in fields or
+                          b'transfer-encoding' in fields)
+        content_type = fields.get(b'content-type', b'')
         if (effect.stream and status == STATUS_OK and
                 content_type.startswith(STREAM_CONTENT_TYPE)):
             self.splitter = EventSplitter(effect.last_event_id)
@@ -138,20 +149,28 @@
                     if len(self.body) > self._max_bytes() else None)
         events = self.splitter.feed(data)
         if events is not None:
+            self.has_events = True
             self._post(
                 ev.StreamEventsReceived(self.effect.attempt, events.data,
                                         events.first_id, events.last_id))
         return Failure.TOO_LONG if self.splitter.is_too_long else None
 
+    def check_end(self) -> Failure | None:
+        if self.splitter is None:
+            return None
+        # A stream whose end is that of its connection and that has no event
+        # looks like one of an endpoint that crashed.
+        is_empty = not (self.is_framed or self.has_events or
+                        self.effect.last_event_id)
+        return (Failure.BROKEN
+                if self.splitter.incomplete or is_empty else None)
+
     def on_end(self) -> None:
         assert self.head is not None
         attempt = self.effect.attempt
         if self.splitter is None:
             event = ev.AnswerArrived(attempt, self.head, bytes(self.body))
             self.sender.finish(attempt, event)
-        elif self.splitter.incomplete:
-            # A stream that ends within an event was cut off.
-            self.on_failure(Failure.MALFORMED)
         else:
             self.sender.finish(attempt, ev.StreamEnded(attempt))
 
