End a send whose deadline has passed

What callers saw: nothing; their request had ended. A run-once request is not cancelled when its caller leaves, and an endpoint that then sends a byte now and then, or nothing, kept its connection and what it had sent for as long as the process ran. Cause: the reducer's deadline ends with the request, and the send had none. Evidence: test_slow_answer_ends_after_its_deadline saw no close within 3 s of a deadline of 0.1 s. Why this fix works: a send ends as `silent` 1 s after the deadline that its endpoint was given; sends that the reducer still knows are cancelled by it before.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -101,6 +101,7 @@
         http: Parser and framer of the current request, or None.
         handler: Receives the current answer; None if none is awaited.
         informational_heads: Informational heads received for it.
+        timer: Timer after which the answer counts as silent, or None.
         idle_since: Loop time at which the latest answer ended, in s.
         at_eof: Whether the server sends nothing more.
     """
@@ -114,6 +115,7 @@
         self.http: h11.Connection | None = None
         self.handler: AnswerHandler | None = None
         self.informational_heads = 0
+        self.timer: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self.at_eof = False
 
@@ -130,8 +132,17 @@
         return (self.transport is not None and self.handler is None and
                 not self.transport.is_closing())
 
-    def send(self, raw: RawRequest, handler: AnswerHandler) -> None:
-        """Send a request; `handler` receives its answer."""
+    def send(self,
+             raw: RawRequest,
+             handler: AnswerHandler,
+             timeout_s: float | None = None) -> None:
+        """Send a request.
+
+        Args:
+            raw: The request.
+            handler: Receives the answer, or its failure.
+            timeout_s: Longest time until the end of the answer, in s, or None.
+        """
         assert self.transport is not None and self.usable
         self.handler = handler
         self.informational_heads = 0
@@ -153,11 +164,13 @@
             self.fail(Failure.NOT_CONNECTED)
             return
         self.transport.write(data)
+        if timeout_s is not None:
+            self.timer = self.loop.call_later(timeout_s, self.fail,
+                                              Failure.SILENT)
 
     def abort(self) -> None:
         """Close at once; the handler receives nothing more."""
-        self.handler = None
-        self.held_answers.set_size(self, 0)
+        self._release_handler()
         if self.transport is not None:
             self.transport.abort()
 
@@ -219,8 +232,7 @@
 
     def _complete(self) -> None:
         assert self.http is not None and self.transport is not None
-        handler, self.handler = self.handler, None
-        self.held_answers.set_size(self, 0)
+        handler = self._release_handler()
         is_reusable = (not self.at_eof and self.http.their_state is h11.DONE and
                        not self.http.trailing_data[0] and
                        self.transport.get_write_buffer_size() == 0)
@@ -234,13 +246,21 @@
 
     def fail(self, failure: Failure) -> None:
         """Close at once; the handler receives a failure."""
-        handler, self.handler = self.handler, None
-        self.held_answers.set_size(self, 0)
+        handler = self._release_handler()
         if self.transport is not None:
             self.transport.abort()
         if handler is not None:
             handler.on_failure(failure)
 
+    def _release_handler(self) -> AnswerHandler | None:
+        """Remove the handler, and what its answer held; return it."""
+        handler, self.handler = self.handler, None
+        self.held_answers.set_size(self, 0)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        return handler
+
 
 class Pool:
     """Pool of connections, by address.
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -19,6 +19,9 @@
 # Lowest status of an endpoint's error.
 STATUS_ERROR: Final = 500
 STREAM_CONTENT_TYPE: Final = b'text/event-stream'
+# Time after its deadline at which a send is abandoned, in s: a request
+# that may run only once runs on after its caller has left.
+OVERTIME_S: Final = 1.0
 # Longest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES: Final = 16 * 1_024 * 1_024
 # Longest error answer, in bytes: it is held while its request is sent again.
@@ -91,7 +94,8 @@
                  elapsed_s: float = 0.0) -> None:
         self.in_flight[effect.attempt] = connection
         raw = self.wire.write_request(effect, elapsed_s)
-        connection.send(raw, _AnswerReader(self, effect))
+        connection.send(raw, _AnswerReader(self, effect),
+                        max(0.0, effect.remaining_s - elapsed_s) + OVERTIME_S)
 
     def finish(self, attempt: AttemptId, event: Event) -> None:
         """Post the last event of a send, unless it was cancelled."""
