Reset an unframed stream whenever it is not complete

What callers saw: an HTTP/1.0 caller that read a stream too slowly, or whose VM stopped before the stream ended, got the end of its connection: without chunks that looks like a complete answer. Cause: only `abort` reset the connection; the limit of unread bytes and the end of the process closed it. Evidence: two tests that read to a clean end. Why this fix works: the socket of such a stream is set to reset when it closes, from before its first byte. Only once all answers are written to their ends and passed to the system does it close normally, so every other way out resets it.

--- a/src/plantainridge/gateway/caller_connection.py
+++ b/src/plantainridge/gateway/caller_connection.py
@@ -29,6 +29,8 @@
 TCP_USER_TIMEOUT_MS: Final = 10_000
 # Value of SO_LINGER with which closing resets the connection.
 LINGER_RESET: Final = struct.pack('ii', 1, 0)
+# Value of SO_LINGER with which closing delivers what was written.
+LINGER_OFF: Final = struct.pack('ii', 0, 0)
 # How long bytes after a malformed request are read and dropped, in s.
 DISCARD_TIMEOUT_S: Final = 0.5
 JSON_HEADERS: Final[Headers] = ((b'content-type', b'application/json'),)
@@ -44,6 +46,8 @@
         body: What was read of the current request's body.
         request: The request that is being answered, or None.
         close_after_answer: Whether the current answer is the last one.
+        answers_are_complete: Whether every answer that began was written to its
+            end.
         discarding: Whether further bytes are dropped.
         timer: Timer of the current read or idle timeout, or None.
     """
@@ -58,6 +62,7 @@
         self.body = bytearray()
         self.request: RequestId | None = None
         self.close_after_answer = False
+        self.answers_are_complete = False
         self.discarding = False
         self.timer: asyncio.TimerHandle | None = None
 
@@ -85,7 +90,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        del exc
+        if exc is None and self.answers_are_complete:
+            # All that was written has been passed to the system.
+            self._set_linger(LINGER_OFF)
         self.server.connections.discard(self)
         self._cancel_timeout()
         if self.request is not None:
@@ -191,6 +198,11 @@
 
     def start_reply(self, status: int, headers: Headers) -> None:
         """Write the head of a streamed answer."""
+        self.answers_are_complete = False
+        if self.head is not None and self.head.http_version == b'1.0':
+            # Without chunks, an answer that is cut off would look complete
+            # unless the connection is reset, also if this process ends.
+            self._set_linger(LINGER_RESET)
         self._write(
             h11.Response(status_code=status,
                          headers=[*headers, *self._connection_header()]))
@@ -208,6 +220,7 @@
         http, self.http = self.http, None
         if self.transport is None or self.transport.is_closing():
             return
+        self.answers_are_complete = True
         if self.discarding:
             # Closing with unread bytes would reset the connection, and the
             # caller might lose the answer.
@@ -236,16 +249,8 @@
     def abort(self) -> None:
         """Close the connection so that its answer does not look complete."""
         self.request = None
-        if self.transport is None:
-            return
-        if self.head is not None and self.head.http_version == b'1.0':
-            # Without chunks, an answer that is cut off would look complete
-            # unless the connection is reset.
-            sock: socket.socket = self.transport.get_extra_info('socket')
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                LINGER_RESET)
-        self.transport.abort()
+        if self.transport is not None:
+            self.transport.abort()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
@@ -282,6 +287,12 @@
             if self.transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
                 self.transport.abort()
 
+    def _set_linger(self, value: bytes) -> None:
+        assert self.transport is not None
+        sock: socket.socket = self.transport.get_extra_info('socket')
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     # --- timeouts ---
 
     def _set_timeout(self, seconds: float) -> None:
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -173,6 +173,7 @@
         caller.server.start_reply(fx.StartReply(request_id, 200, ()))
         caller.server.forward_stream_events(
             fx.ForwardStreamEvents(request_id, b'x' * (16 << 20)))
+        caller.server.end_reply(fx.EndReply(request_id))
         await self._assert_reset(caller)
 
     async def test_stream_without_chunks_is_reset_if_the_process_ends(
