--- a/src/plantainridge/gateway/http_server.py
+++ b/src/plantainridge/gateway/http_server.py
@@ -14,6 +14,9 @@
 from plantainridge.loop.ports import Post
 
 BACKLOG: Final = 512
+# Unread bytes of all complete answers at which the callers with most of them
+# are disconnected.
+MAX_TOTAL_UNREAD_BYTES: Final = 32 * 1_024 * 1_024
 PAGE_HEADERS: Final[Headers] = ((b'content-type',
                                  b'text/plain; charset=utf-8'),)
 
@@ -64,6 +67,16 @@
         self.by_request[request] = connection
         self.post(RequestArrived(decoded))
 
+    def limit_unread_bytes(self) -> None:
+        """Disconnect the callers with most unread bytes, beyond the limit."""
+        sizes = {each: each.unread_bytes for each in self.connections}
+        total = sum(sizes.values())
+        for connection in sorted(sizes, key=lambda each: -sizes[each]):
+            if total <= MAX_TOTAL_UNREAD_BYTES:
+                return
+            total -= sizes[connection]
+            connection.disconnect()
+
     def stop_listening(self, _: fx.StopListening) -> None:
         """Accept no further connections and close idle ones."""
         if self._server is not None:
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -15,7 +15,7 @@
 from plantainridge.gateway.http_server import HttpServer
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
-from plantainridge.ids import AttemptId, EndpointId, TeamId
+from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform.requests import PlatformWire
@@ -212,6 +212,21 @@
         body = await asyncio.wait_for(caller.reader.readexactly(15 << 20), 5.0)
         self.assertEqual(len(body), 15 << 20)
 
+    async def test_unread_answers_together_are_bounded(self) -> None:
+        server, callers = HttpServer(PlatformWire(), lambda event: None), []
+        for number in range(4):
+            caller = Caller()
+            caller.server = server
+            await caller.connect()
+            callers.append(caller)
+            await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+            server.reply(
+                fx.Reply(RequestId(f'r{number + 1}'), 200, (),
+                         b'x' * (15 << 20)))
+        await asyncio.sleep(0.05)
+        self.assertLessEqual(len(server.connections), 3)
+        self.assertGreaterEqual(len(server.connections), 2)
+
     async def _assert_reset(self, caller: Caller) -> None:
         with self.assertRaises(ConnectionResetError):
             while await asyncio.wait_for(caller.reader.read(65_536), 2.0):
