Bound what the product's door reads of a response

What callers saw: a response without end of an engine, plain service, store, the log or the membership list was read into memory until the client's timeout of 120 s, and one whose body drips had no timeout at all: a read of the log then never ended. Cause: the HTTP library bounds a line, but neither a head, a chunk nor a body. Evidence: of five responses without end of an engine four had not failed after 3 s, of a service four as well. All raise errors that the ports already report as broken. An event that its stream does not complete no longer counts.

--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -23,6 +23,7 @@
 from plantainridge.ids import BlockKey, EndpointId, WeightVersion
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
+from plantainridge.response_limits import read_body
 from plantainridge.runtime import Runtime
 
 ROUND_INTERVAL_S: Final = 0.25
@@ -136,7 +137,7 @@
         response = await self.client.get(f'http://{url}')
         if response.status_code != STATUS_OK:
             raise OSError(f'status {response.status_code}')
-        data = await response.content()
+        data = await read_body(response)
         self.credit_bytes -= POLL_OVERHEAD_BYTES + len(data)
         return json.loads(data)
 
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -2,24 +2,28 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import types
+from collections.abc import AsyncIterator
 from typing import Any, Final
 
 import aiosonic
 from aiosonic import exceptions as http_errors
-from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
+from plantainridge.gateway.streams import EventSplitter
 from plantainridge.ids import AttemptId, RequestId, WeightVersion
 from plantainridge.loop.monitor import LoopMonitor
 from plantainridge.loop.ports import Post
 from plantainridge.loop.tasks import Tasks
 from plantainridge.ports import EnginePort, LogPort, ServicePort
+from plantainridge.response_limits import (BoundedConnection, ResponseTooLong,
+                                           read_body, read_json)
 
 POOL_SIZE: Final = 4_096
 # Less than the time for which servers keep an idle connection open.
@@ -35,7 +39,7 @@
 STATUS_VERSION_MISMATCH: Final = 409
 
 
-class _Connection(Connection):  # type: ignore[misc]
+class _Connection(BoundedConnection):
     """A connection that is closed if its request does not end normally.
 
     The library returns a reused connection to the pool when a request is
@@ -92,7 +96,7 @@
             response = await self._send_with_retry(effect)
             if response.status_code == STATUS_VERSION_MISMATCH:
                 failure = ev.Failure.OTHER_VERSION
-                version = WeightVersion((await response.json())['version'])
+                version = WeightVersion((await read_json(response))['version'])
             elif response.status_code != STATUS_OK:
                 failure = ev.Failure.REJECTED
             elif await self._read_stream(effect, response, post):
@@ -141,7 +145,7 @@
     async def _read_stream(self, effect: fx.StartAttempt, response: Any,
                            post: Post) -> bool:
         try:
-            async for line in response.iter_lines():
+            async for line in _read_event_lines(response):
                 if not line.startswith('data: ') or line == 'data: [DONE]':
                     continue
                 chunk = json.loads(line[len('data: '):])
@@ -160,6 +164,23 @@
         return False
 
 
+async def _read_event_lines(response: Any) -> AsyncIterator[str]:
+    """Yield the lines of a stream's complete events.
+
+    Raises:
+        ResponseTooLong: An event exceeds its limit.
+    """
+    splitter = EventSplitter()
+    async with contextlib.aclosing(response.iter_bytes()) as parts:
+        async for part in parts:
+            events = splitter.feed(part)
+            if events is not None:
+                for line in events.data.decode(errors='replace').split('\n'):
+                    yield line.removesuffix('\r')
+            if splitter.is_too_long:
+                raise ResponseTooLong('an event of a stream is too long')
+
+
 def _engine_body(effect: fx.StartAttempt) -> dict[str, Any]:
     return {
         'request_id': effect.request,
@@ -192,7 +213,7 @@
         client = new_client()
         try:
             response = await self._connect_and_send(client, effect)
-            body = await response.content()
+            body = await read_body(response)
             echoed = RequestId(response.headers.get('x-request-id') or '')
             post(
                 ev.ServiceAnswered(effect.attempt, echoed, response.status_code,
@@ -257,7 +278,7 @@
                                                         effect.shard),
                                               json={'payloads': payloads})
             if response.status_code == STATUS_OK:
-                body = await response.json()
+                body = await read_json(response)
                 post(ev.AppendEnded(effect.append_id, body['first']))
                 return
         except (ConnectionRefusedError, http_errors.ConnectTimeout):
@@ -278,7 +299,7 @@
             if response.status_code == STATUS_OK:
                 post(
                     _parse_log_read(effect.stream, effect.shard, await
-                                    response.json()))
+                                    read_json(response)))
                 return
         except (http_errors.AiosonicError, OSError, ValueError, EOFError,
                 TimeoutError):
--- a/src/plantainridge/http_transfers.py
+++ b/src/plantainridge/http_transfers.py
@@ -18,6 +18,7 @@
 from plantainridge.loop.ports import Post
 from plantainridge.loop.tasks import Tasks
 from plantainridge.ports import TransferPort
+from plantainridge.response_limits import read_json
 from plantainridge.runtime import Runtime
 
 # Interval at which each store is polled for changes, in s.
@@ -74,7 +75,7 @@
                     'blocks': list(effect.blocks),
                 })
             if response.status_code == STATUS_OK:
-                result = _decode_result(effect, await response.json())
+                result = _decode_result(effect, await read_json(response))
         except (http_errors.AiosonicError, OSError, ValueError, EOFError,
                 KeyError, TypeError, TimeoutError):
             pass
@@ -147,7 +148,8 @@
                 f'&after={cursor.position}')
             if response.status_code != STATUS_OK:
                 return
-            for event in store_events(store.id, cursor, await response.json(),
+            for event in store_events(store.id, cursor, await
+                                      read_json(response),
                                       self.runtime.loop.time()):
                 self.runtime.post(event)
         except POLL_ERRORS:
--- a/src/plantainridge/members_http.py
+++ b/src/plantainridge/members_http.py
@@ -10,6 +10,7 @@
 
 from plantainridge.events import MembersListed
 from plantainridge.loop.ports import Post
+from plantainridge.response_limits import read_json
 
 POLL_INTERVAL_S: Final = 1.0
 STATUS_OK: Final = 200
@@ -42,7 +43,7 @@
         response = await client.get(f'http://{address}/members')
         if response.status_code != STATUS_OK:
             return None
-        return CONVERTER.structure(await response.json(), MembersListed)
+        return CONVERTER.structure(await read_json(response), MembersListed)
     except (http_errors.AiosonicError, OSError, ValueError, EOFError,
             cattrs.BaseValidationError):
         return None
--- a/src/plantainridge/orders_http.py
+++ b/src/plantainridge/orders_http.py
@@ -13,6 +13,7 @@
 from plantainridge.loop.tasks import Tasks
 from plantainridge.orders import LoadedModel, OrderOutcome
 from plantainridge.ports import OrderPort
+from plantainridge.response_limits import read_json
 
 # The engine has seen a higher fencing token.
 STATUS_FENCED: Final = 412
@@ -63,7 +64,7 @@
                     f'http://{effect.address}/loaded')
                 if response.status_code != STATUS_OK:
                     return
-                body: Any = await response.json()
+                body: Any = await read_json(response)
             loaded = LoadedModel(ModelId(str(body['model'])),
                                  WeightVersion(str(body['version'])),
                                  str(body['adapter']))
