Do not reuse a connection after a response without length

What callers saw: on the product's door, what an engine or store sent in a response without length was read as the head of the next response on that connection. Cause: the HTTP library takes such a response for one without body and keeps the connection. Evidence: two requests to such a server went over one connection. Why this fix works: a connection is kept only if the library knows the body's end: a stated length was read, or the connection is blocked until the body is.

--- a/src/plantainridge/response_limits.py
+++ b/src/plantainridge/response_limits.py
@@ -22,16 +22,26 @@
 class BoundedConnection(Connection):  # type: ignore[misc]
     """A connection on which heads and single reads are bounded.
 
+    It is not reused after a response without length or chunks, the bytes of
+    which the library would take for those of the next response.
+
     Attributes:
         line_bytes: Bytes of lines since the request or the last part of a body.
+        has_length: Whether a body of a stated length was read.
     """
 
     line_bytes = 0
+    has_length = False
 
     async def connect(self, *args: Any, **kwargs: Any) -> None:
         self.line_bytes = 0
+        self.has_length = False
         await super().connect(*args, **kwargs)
 
+    def keep_alive(self) -> None:
+        # The library blocks a connection whose body it reads later.
+        self.keep = self.blocked or self.has_length
+
     async def readline(self) -> bytes:
         line: bytes = await super().readline()
         self.line_bytes += len(line)
@@ -44,6 +54,7 @@
             raise ResponseTooLong(f'a part of {size} bytes exceeds '
                                   f'{MAX_RESPONSE_BYTES} bytes')
         self.line_bytes = 0
+        self.has_length = True
         data: bytes = await super().readexactly(size)
         return data
 
