Test responses of another form at the product's door

Cause: bytes that are JSON, but no response of the protocol, had no test there. Evidence: an engine's event without its fields, and a log's answer without them, end the port's task with KeyError or TypeError; no event is posted within 3 s, so the attempt, append or read never ends. A number, a string and a wrong type too.

--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -15,8 +15,8 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge.gateway.caller_connection import LINGER_RESET
-from plantainridge.http_ports import (HttpEnginePort, HttpServicePort,
-                                      new_client)
+from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
+                                      HttpServicePort, new_client)
 from plantainridge.ids import (AttemptId, EndpointId, ModelId, RequestId,
                                ServiceId, TeamId, WeightVersion)
 from plantainridge.loop.events import Event
@@ -278,6 +278,34 @@
         self.assertEqual(event,
                          ev.AttemptFailed(AttemptId('r1.1'), ev.Failure.BROKEN))
 
+    async def test_engine_events_of_another_form_are_broken(self) -> None:
+        events = []
+        for data in (b'{}', b'1', b'"x"', b'{"id":[]}', b'{"id":"r1"}'):
+            body = b'data: ' + data + b'\n\n'
+            length = b'Content-Length: %d\r\n\r\n' % len(body)
+            events.append(await self.run_attempt(OK_HEAD + length + body))
+        self.assertEqual(
+            events,
+            [ev.AttemptFailed(AttemptId('r1.1'), ev.Failure.BROKEN)] * 5)
+
+    async def test_log_answers_of_another_form_fail(self) -> None:
+        body = b'{"records":[{}]}'
+        address = await self.serve(OK_HEAD +
+                                   b'Content-Length: %d\r\n\r\n' % len(body) +
+                                   body)
+        posted: asyncio.Queue[Event] = asyncio.Queue()
+        tasks = Tasks(log_fault)
+        async with new_client() as client:
+            log = HttpLogPort(client, tasks, address)
+            log.append(fx.AppendLog('a', ev.Stream.CLAIMS, 0, (b'x',)),
+                       posted.put_nowait)
+            self.assertIsInstance(await self._first(posted, Tasks(log_fault)),
+                                  ev.AppendFailed)
+            log.read(fx.ReadLog(ev.Stream.CLAIMS, 0, 0, False),
+                     posted.put_nowait)
+            self.assertIsInstance(await self._first(posted, tasks),
+                                  ev.LogReadFailed)
+
     async def test_connection_of_a_response_without_length_is_not_reused(
             self) -> None:
         heads: list[bytes] = []
