Report responses of another form as broken

What callers saw: an engine's event that is JSON of another form ended the port's task, and the request waited until its engine counted as silent. A log's answer of that kind ended an append or the reading of the log for good. Cause: KeyError and TypeError were caught for polls and transfers, not for attempts and the log. Why this fix works: one list of the errors of a response serves all ports of the module and the polls.

--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -14,12 +14,11 @@
 
 import aiosonic
 import attrs
-from aiosonic import exceptions as http_errors
 
 from plantainridge import events as ev
 from plantainridge.config import EndpointKind
 from plantainridge.endpoints import EndpointView
-from plantainridge.http_ports import STATUS_OK
+from plantainridge.http_ports import RESPONSE_ERRORS, STATUS_OK
 from plantainridge.ids import BlockKey, EndpointId, WeightVersion
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
@@ -34,8 +33,7 @@
 POLL_OVERHEAD_BYTES: Final = 420
 EXPECTED_POLL_BYTES: Final = 700
 # Errors of a poll, which is repeated in a later round.
-POLL_ERRORS: Final = (http_errors.AiosonicError, OSError, ValueError, EOFError,
-                      KeyError, TypeError, TimeoutError)
+POLL_ERRORS: Final = RESPONSE_ERRORS
 
 
 @attrs.define
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -37,6 +37,9 @@
 LOG_POLL_TIMEOUT_S: Final = 5.0
 LOG_RETRY_DELAY_S: Final = 0.5
 STATUS_OK: Final = 200
+# Errors of a response that cannot be read, or that has another form.
+RESPONSE_ERRORS: Final = (http_errors.AiosonicError, OSError, ValueError,
+                          EOFError, KeyError, TypeError, TimeoutError)
 # Status with which an engine rejects a request for a weight version other than
 # the one it runs.
 STATUS_VERSION_MISMATCH: Final = 409
@@ -108,7 +111,7 @@
             failure = ev.Failure.CONNECT_REFUSED
         except (http_errors.BaseTimeout, TimeoutError):
             failure = ev.Failure.TIMED_OUT
-        except (http_errors.AiosonicError, OSError, ValueError, EOFError):
+        except RESPONSE_ERRORS:
             failure = ev.Failure.BROKEN
         post(ev.AttemptFailed(effect.attempt, failure, version))
 
@@ -292,8 +295,7 @@
                 return
         except (ConnectionRefusedError, http_errors.ConnectTimeout):
             may_have_applied = False
-        except (http_errors.AiosonicError, OSError, ValueError, EOFError,
-                TimeoutError):
+        except RESPONSE_ERRORS:
             pass
         post(ev.AppendFailed(effect.append_id, may_have_applied))
 
@@ -310,8 +312,7 @@
                     _parse_log_read(effect.stream, effect.shard, await
                                     read_json(response)))
                 return
-        except (http_errors.AiosonicError, OSError, ValueError, EOFError,
-                TimeoutError):
+        except RESPONSE_ERRORS:
             pass
         await asyncio.sleep(LOG_RETRY_DELAY_S)
         post(ev.LogReadFailed(effect.stream, effect.shard))
