Test that an engine with older weights again is updated again

An order that is carried out late, after a restart under the same id, may bring an engine back to an older version. The registry entry states it, is relayed since it differs, and makes the engine lag; requests are bound to what it runs. This held before; the test guards it.

--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -148,5 +148,19 @@
         self.assertEqual((send.endpoint, send.version), ('a', 1))
 
 
+class OlderWeightsTest(unittest.TestCase):
+    """An order that is carried out late brings older weights back."""
+
+    def test_engine_with_older_weights_again_is_updated_again(self) -> None:
+        scene = GatewayScene(endpoint('a', versions={MODEL: 2}))
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.tick()
+        self.assertFalse(scene.state.lease.wanted)
+        scene.read(View.REGISTRY, endpoint('a', versions={MODEL: 1}))
+        scene.tick()
+        self.assertTrue(scene.state.lease.wanted)
+        self.assertEqual(scene.post_request('/report/x').version, 1)
+
+
 if __name__ == '__main__':
     unittest.main()
