Date news of KV cache stores by the engines' clock

What callers saw: nothing yet; found by reading. Cause: an answer counted from the moment at which a VM processed it. The offset of the engines' clock was also taken from whichever message came last, so that deadlines of fetches fell behind after a delay. The highest offset counts, less 1 ms a second for drift; a clock that is further behind than a poll's timeouts allow was set back and is read anew. Why it works: delays only make a clock seem slow, so the highest offset is the one closest to the truth, and the age of any message follows from it. Evidence: test_relay_that_waited_in_a_suspended_vm_is_not_fresh failed on the code before (a relay 9.5 s old counted as fresh) and passes; two tests are new.

--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -90,7 +90,7 @@
     yield _free_log_line(state, view, replaced, now)
     yield fx.FreeParts(view.name, view.spec.address, view.epoch,
                        tuple(replaced),
-                       _engine_clock_ms(state, now + FREE_TIMEOUT_S))
+                       round(state.stores.clock_ms(now + FREE_TIMEOUT_S)))
 
 
 def observe(state: 'GatewayState', now: float) -> None:
@@ -262,9 +262,4 @@
 
 def fetch_deadline_ms(state: 'GatewayState', now: float) -> int:
     """Return the time on the engines' clock at which a fetch expires, in ms."""
-    return _engine_clock_ms(state, now + FETCH_TIMEOUT_S)
-
-
-def _engine_clock_ms(state: 'GatewayState', at: float) -> int:
-    """Convert a loop time in s to the engines' clock, in ms."""
-    return round(at * 1_000 + (state.stores.clock_offset_ms or 0.0))
+    return round(state.stores.clock_ms(now + FETCH_TIMEOUT_S))
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -58,6 +58,10 @@
 SNAPSHOT_REQUEST_INTERVAL_S: Final = 0.5
 # Time since a store last answered beyond which nothing is fetched from it.
 MAX_STATE_AGE_S: Final = 2.6
+# Time between a store's answer and its receipt by the VM that polled it.
+MAX_ANSWER_DELAY_S: Final = 2.0
+# Drift of the engines' clock and a VM's against each other, in s per s.
+MAX_CLOCK_DRIFT: Final = 0.001
 # Range of the time between two listings. A few events never arrive, but a
 # listing blocks the store's transfers.
 LISTING_INTERVAL_S: Final = (90.0, 180.0)
@@ -125,9 +129,10 @@
         """Known tokens of complete and partial parts."""
         return self.complete_tokens + sum(self.partial.values())
 
-    def record_answer(self, vm: VmId, now: float) -> None:
+    def record_answer(self, vm: VmId, at: float) -> None:
         """Record that the store answered a VM, this one or a peer."""
-        self.confirmed_at = self.reported_at = now
+        self.confirmed_at = max(self.confirmed_at, at)
+        self.reported_at = max(self.reported_at, at)
         self.behind = False
         self.unreachable_at.pop(vm, None)
 
@@ -177,10 +182,59 @@
     Attributes:
         clock_offset_ms: The engines' clock minus the loop's, in ms; None if
             unknown.
+        clock_read_at: Loop time at which this was measured, in s.
     """
 
     views: dict[ServiceId, StoreView] = attrs.field(factory=dict)
     clock_offset_ms: float | None = None
+    clock_read_at: float = -math.inf
+
+    def record_clock(self, clock_ms: float, now: float,
+                     max_delay_s: float) -> None:
+        """Measure the engines' clock by a time that was read from it.
+
+        A message that took long makes the clock seem slow. The highest value
+        therefore counts, less what the clocks may drift apart.
+
+        Args:
+            clock_ms: Time on the engines' clock, in ms; 0 if unknown.
+            now: Loop time in s.
+            max_delay_s: Longest time since it was read; a clock that is further
+                behind was set back.
+        """
+        if not clock_ms:
+            return
+        offset_ms = clock_ms - now * 1_000
+        expected_ms = -math.inf
+        if self.clock_offset_ms is not None:
+            drift_ms = MAX_CLOCK_DRIFT * (now - self.clock_read_at) * 1_000
+            expected_ms = self.clock_offset_ms - drift_ms
+        was_set_back = offset_ms < expected_ms - max_delay_s * 1_000
+        if offset_ms >= expected_ms or was_set_back:
+            self.clock_offset_ms, self.clock_read_at = offset_ms, now
+
+    def answered_at(self, clock_ms: float, now: float) -> float:
+        """Return the loop time at which a store answered, in s.
+
+        Args:
+            clock_ms: Time of the answer on the engines' clock, in ms; 0 if
+                unknown.
+            now: Loop time in s.
+        """
+        if not clock_ms:
+            return now
+        if self.clock_offset_ms is None:
+            return -math.inf
+        return min(now, (clock_ms - self.clock_offset_ms) / 1_000)
+
+    def clock_ms(self, at: float) -> float:
+        """Return the time on the engines' clock at a loop time, in ms.
+
+        It is 0 if this VM does not know the clock.
+        """
+        if self.clock_offset_ms is None:
+            return 0.0
+        return at * 1_000 + self.clock_offset_ms
 
 
 def on_configuration(state: 'GatewayState', now: float) -> Iterator[Effect]:
@@ -223,7 +277,7 @@
     yield from relays.broadcast(
         state,
         RelayedStore(state.settings.vm, view.name, event.epoch, event.next,
-                     event.next, False, False, (), 0.0))
+                     event.next, False, False, (), state.stores.clock_ms(now)))
     yield SetTimer(_timer(view), now)
 
 
@@ -233,8 +287,8 @@
     view = state.stores.views.get(event.store)
     if view is None:
         return
-    if event.clock_ms:
-        state.stores.clock_offset_ms = event.clock_ms - now * 1_000
+    state.stores.record_clock(event.clock_ms, now, MAX_ANSWER_DELAY_S)
+    answered_at = state.stores.answered_at(event.clock_ms, now)
     if event.epoch in view.past_epochs:
         # An answer from before the restart that was processed late.
         yield SetTimer(_timer(view), now + _poll_interval_s(state))
@@ -254,7 +308,7 @@
         return
     start, was_behind = view.next, view.behind
     _apply(view, event.parts, event.next)
-    view.record_answer(state.settings.vm, now)
+    view.record_answer(state.settings.vm, answered_at)
     if not was_behind:
         relays.enqueue(
             state,
@@ -276,7 +330,8 @@
     """Return all that this VM knows of a store's contents."""
     return RelayedStore(state.settings.vm, view.name, view.epoch or 0,
                         view.next, view.next, True, view.epoch is None,
-                        tuple(view.complete.items()), 0.0)
+                        tuple(view.complete.items()),
+                        state.stores.clock_ms(view.confirmed_at))
 
 
 def on_relayed(state: 'GatewayState', event: StoreRelayed,
@@ -288,25 +343,26 @@
         return
     if not relay.unreachable and relay.epoch in view.past_epochs:
         return
-    if relay.clock_ms:
-        state.stores.clock_offset_ms = relay.clock_ms - now * 1_000
+    if not relay.is_snapshot:
+        state.stores.record_clock(relay.clock_ms, now, math.inf)
+    answered_at = state.stores.answered_at(relay.clock_ms, now)
     if relay.unreachable:
         view.record_failure(relay.vm, now)
         # The next VM in the order of readers polls the store.
         yield SetTimer(_timer(view), now + RETRY_DELAY_S)
     elif relay.epoch == view.epoch and relay.end <= view.next:
-        view.record_answer(relay.vm, now)
+        view.record_answer(relay.vm, answered_at)
         yield from _schedule_check(state, view, now)
     elif relay.is_snapshot:
         view.replace_parts(dict(relay.parts))
         view.enter_epoch(relay.epoch)
         view.next = relay.end
-        view.record_answer(relay.vm, now)
+        view.record_answer(relay.vm, answered_at)
         view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
         yield from _schedule_check(state, view, now)
     elif relay.epoch == view.epoch and relay.start == view.next:
         _apply(view, relay.parts, relay.end)
-        view.record_answer(relay.vm, now)
+        view.record_answer(relay.vm, answered_at)
         yield from _schedule_check(state, view, now)
     elif relay.epoch == view.epoch:
         # A poll of the store returns the missing events in a few bytes.
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -3,11 +3,12 @@
 import unittest
 
 from plantainridge.gateway import events as ev
-from plantainridge.gateway import relays, stored_parts, stores
+from plantainridge.gateway import peer_messages, relays, stored_parts, stores
 from plantainridge.gateway.events import Part, StoredPart, View
-from plantainridge.gateway.peer_messages import RelayedStore
+from plantainridge.gateway.peer_messages import (RelayedStore,
+                                                 StoreSnapshotRequest)
 from plantainridge.ids import VmId
-from plantainridge.loop.effects import Effect
+from plantainridge.loop.effects import Effect, SendPeer
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_scene import LOCAL_DC, GatewayScene, endpoint
 
@@ -141,6 +142,25 @@
         self._post_relay(1, False, clock_ms + 9_900.0)
         self.assertTrue(self.view.is_fresh(self.scene.now))
 
+    def test_snapshot_is_as_old_as_the_answer_that_it_rests_on(self) -> None:
+        clock_ms = self.scene.now * 1_000
+        self.scene.post(ev.StoreChanged(self.store, 1, 9, False, (), clock_ms))
+        self.scene.now += 2.0
+        self.scene.post(
+            stores.StoreSnapshotRequested(StoreSnapshotRequest(
+                PEER, self.store)))
+        relay = peer_messages.decode(self.scene.last(SendPeer).payload)
+        assert isinstance(relay, RelayedStore)
+        self.assertAlmostEqual(relay.clock_ms, clock_ms)
+
+    def test_clock_that_was_set_back_is_read_anew(self) -> None:
+        table = self.scene.state.stores
+        table.record_clock(500_000.0, 100.0, 2.0)
+        table.record_clock(498_500.0, 100.0, 2.0)
+        self.assertAlmostEqual(table.clock_ms(100.0), 500_000.0)
+        table.record_clock(400_000.0, 100.0, 2.0)
+        self.assertAlmostEqual(table.clock_ms(100.0), 400_000.0)
+
     def test_parts_are_saved_anew_once_no_vm_fetches_the_lost_ones(
             self) -> None:
         self._post_restart()
