Save nothing to a restarted KV cache store while its old contents still count

What callers saw: nothing yet; found by reading. It would be a fetch of a part that is being written again (MIXED). Cause: a VM that has not noticed a store's restart has parts fetched from it for 2.6 s after its last answer, and the fetch takes up to 1 s. A VM that has noticed saved the same parts there at once. A fetch finds what is not yet whole. Change: a VM saves nothing to a store for 4.1 s after it noticed its restart. Why it works: the time is the sum of both and the error of clocks, and a restart is noticed after it has happened.

--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -244,8 +244,8 @@
         return ''
     candidates = [
         view for view in fresh
-        if part not in view.complete and view.used_tokens +
-        tokens < MAX_FILL_RATIO * view.spec.capacity_tokens
+        if view.accepts_saves(now) and part not in view.complete and
+        view.used_tokens + tokens < MAX_FILL_RATIO * view.spec.capacity_tokens
     ]
     if not candidates:
         return ''
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -14,7 +14,7 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import relays, stored_parts
+from plantainridge.gateway import part_lifetimes, relays, stored_parts
 from plantainridge.gateway.config import StoreSpec
 from plantainridge.gateway.events import (StoreChanged, StoredPart, StoreListed,
                                           StoreRequestFailed, TimerKind)
@@ -58,6 +58,10 @@
 SNAPSHOT_REQUEST_INTERVAL_S: Final = 0.5
 # Time since a store last answered beyond which nothing is fetched from it.
 MAX_STATE_AGE_S: Final = 2.6
+# Time from a store's restart to the first part that is saved there: the age of
+# contents that still count, the fetch's own time, and the error of clocks.
+RESTART_SAVE_DELAY_S: Final = (MAX_STATE_AGE_S + stored_parts.FETCH_TIMEOUT_S +
+                               part_lifetimes.CLOCK_TOLERANCE_S)
 # Time between a store's answer and its receipt by the VM that polled it.
 MAX_ANSWER_DELAY_S: Final = 2.0
 # Drift of the engines' clock and a VM's against each other, in s per s.
@@ -91,6 +95,7 @@
         partial: Tokens of the parts that were incomplete at the last listing.
         epoch: Changes when the store restarts; None before a run's first listing.
         past_epochs: Epochs of earlier runs of the store.
+        restarted_at: Loop time at which the last restart was noticed, in s.
         next: Number of the next event.
         confirmed_at: Loop time of the store's last answer to any VM, in s;
             -inf after a failure.
@@ -111,6 +116,7 @@
     partial: dict[StoredPart, int] = attrs.field(factory=dict)
     epoch: int | None = None
     past_epochs: set[int] = attrs.field(factory=set)
+    restarted_at: float = -math.inf
     next: int = 0
     confirmed_at: float = -math.inf
     reported_at: float = -math.inf
@@ -124,6 +130,15 @@
         """Return whether the store has answered recently."""
         return now - self.confirmed_at <= MAX_STATE_AGE_S
 
+    def accepts_saves(self, now: float) -> bool:
+        """Return whether parts may be saved to the store.
+
+        After a restart, VMs that have not noticed it may still have parts
+        fetched that the store has lost. These must not be written meanwhile.
+        """
+        return (self.is_fresh(now) and
+                now - self.restarted_at > RESTART_SAVE_DELAY_S)
+
     @property
     def used_tokens(self) -> int:
         """Known tokens of complete and partial parts."""
@@ -149,18 +164,18 @@
             if now < at + UNREACHABLE_TIMEOUT_S
         ]
 
-    def enter_epoch(self, epoch: int) -> None:
+    def enter_epoch(self, epoch: int, now: float) -> None:
         """Record the epoch of the store's present run."""
         if epoch != self.epoch:
-            self.leave_epoch()
+            self.leave_epoch(now)
             self.epoch = epoch
             self.past_epochs.discard(epoch)
 
-    def leave_epoch(self) -> None:
+    def leave_epoch(self, now: float) -> None:
         """Record that the store has restarted."""
         if self.epoch is not None:
             self.past_epochs.add(self.epoch)
-            self.epoch = None
+            self.epoch, self.restarted_at = None, now
 
     def replace_parts(self, complete: Mapping[StoredPart, int]) -> None:
         """Replace all complete parts."""
@@ -266,7 +281,7 @@
         return
     view.replace_parts(event.complete)
     view.partial = dict(event.partial)
-    view.enter_epoch(event.epoch)
+    view.enter_epoch(event.epoch, now)
     view.next = event.next
     view.record_answer(state.settings.vm, now)
     view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
@@ -295,7 +310,7 @@
         return
     if event.epoch != view.epoch or event.has_gap:
         if event.epoch != view.epoch:
-            view.leave_epoch()
+            view.leave_epoch(now)
         view.replace_parts({})
         view.confirmed_at = -math.inf
         yield LogLine('store_unsure',
@@ -355,7 +370,7 @@
         yield from _schedule_check(state, view, now)
     elif relay.is_snapshot:
         view.replace_parts(dict(relay.parts))
-        view.enter_epoch(relay.epoch)
+        view.enter_epoch(relay.epoch, now)
         view.next = relay.end
         view.record_answer(relay.vm, answered_at)
         view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
