Log for how long the weights of freed parts were replaced

Cause: parts_freed stated the time since the newest version of any model was named, which is not what the free rests on, and which other code may set. Change: it states the shortest time for which a newer version of a part's own model was known, from part_lifetimes. Result: decisions are the same; may_free is gone, its comparison stands where parts are chosen.

--- a/src/plantainridge/gateway/part_lifetimes.py
+++ b/src/plantainridge/gateway/part_lifetimes.py
@@ -105,10 +105,14 @@
         current_at = self.read_at if newer is None else newer.last_absent_at
         return until <= current_at + FETCH_WINDOW_S
 
-    def may_free(self, model: ModelId, version: int, now: float) -> bool:
-        """Return whether no VM has parts of a version fetched any more."""
+    def replaced_for_s(self, model: ModelId, version: int, now: float) -> float:
+        """Return for how long this VM has known a newer version, in s.
+
+        Parts are freed once this exceeds `FREE_DELAY_S`. It is -inf if no newer
+        version is known.
+        """
         newer = self._first_newer(model, version)
-        return newer is not None and now > newer.first_seen_at + FREE_DELAY_S
+        return -math.inf if newer is None else now - newer.first_seen_at
 
     def _first_newer(self, model: ModelId,
                      version: int) -> NewestVersion | None:
--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -6,6 +6,7 @@
 `part_lifetimes`).
 """
 
+import itertools
 import math
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING, Final
@@ -15,6 +16,7 @@
 from plantainridge.gateway import cache, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import Part, StoredPart, View
+from plantainridge.gateway.part_lifetimes import FREE_DELAY_S
 from plantainridge.ids import ModelId
 from plantainridge.loop.effects import Effect, LogLine
 
@@ -79,10 +81,12 @@
     models = {
         cache.model_digest(model): model for model in state.versions.latest
     }
-    replaced = [
-        part for part in (*view.complete, *view.partial)
-        if _is_replaced(state, models, part, now)
-    ][:MAX_FREED_PARTS]
+    ages_s = ((part, _replaced_for_s(state, models, part, now))
+              for part in (*view.complete, *view.partial))
+    replaced = dict(
+        itertools.islice(
+            ((part, age_s) for part, age_s in ages_s if age_s > FREE_DELAY_S),
+            MAX_FREED_PARTS))
     if not replaced:
         return
     for part in replaced:
@@ -102,37 +106,47 @@
     state.part_lifetimes.observe(newest, cursor.read_at, state.views.era, now)
 
 
-def _is_replaced(state: 'GatewayState', models: Mapping[str, ModelId],
-                 part: StoredPart, now: float) -> bool:
-    """Return whether a part can be freed.
+def _replaced_for_s(state: 'GatewayState', models: Mapping[str, ModelId],
+                    part: StoredPart, now: float) -> float:
+    """Return for how long a part's weights are known to be replaced, in s.
 
     Args:
         state: The VM's state.
         models: Models by the digest in their salts.
         part: The part.
         now: Loop time in s.
+
+    Returns:
+        The time, or -inf if they are not, or the salt is unknown.
     """
     fields = cache.parse_salt(part.salt)
     if fields is None or not fields.version:
-        return False
+        return -math.inf
     model = models.get(fields.model_digest)
-    return model is not None and state.part_lifetimes.may_free(
-        model, fields.version, now)
+    if model is None:
+        return -math.inf
+    return state.part_lifetimes.replaced_for_s(model, fields.version, now)
 
 
 def _free_log_line(state: 'GatewayState', view: 'StoreView',
-                   parts: list[StoredPart], now: float) -> LogLine:
-    """Return the log line of freed parts, with the inputs of the decision."""
-    salts = (cache.parse_salt(part.salt) for part in parts)
+                   replaced: Mapping[StoredPart, float], now: float) -> LogLine:
+    """Return the log line of freed parts, with the inputs of the decision.
+
+    Args:
+        state: The VM's state.
+        view: The store.
+        replaced: The parts, with the time since when each is replaced, in s.
+        now: Loop time in s.
+    """
+    salts = (cache.parse_salt(part.salt) for part in replaced)
     versions = sorted({fields.version for fields in salts if fields})
     oldest = min(each.version for each in state.versions.latest.values())
-    named_at = max(each.seen_at for each in state.versions.latest.values())
     return LogLine('parts_freed', (
         ('store', view.name),
-        ('parts', len(parts)),
+        ('parts', len(replaced)),
         ('below_version', oldest),
         ('versions', ','.join(map(str, versions))),
-        ('named_for_s', round(now - named_at, 3)),
+        ('replaced_for_s', round(min(replaced.values()), 3)),
         ('engines',
          sum(bool(each.entry.versions) for each in state.endpoints.values())),
         ('store_tokens', view.used_tokens),
--- a/tests/test_part_lifetimes.py
+++ b/tests/test_part_lifetimes.py
@@ -68,7 +68,8 @@
                     until = now + stored_parts.FETCH_TIMEOUT_S
                     if lifetimes.may_fetch(M, 1, until):
                         fetched_until = max(fetched_until, until)
-                    if lifetimes.may_free(M, 1, now):
+                    if (lifetimes.replaced_for_s(M, 1, now)
+                            > part_lifetimes.FREE_DELAY_S):
                         freed_from = min(freed_from, now)
             self.assertLess(fetched_until, freed_from, f'seed {seed}')
 
@@ -85,7 +86,8 @@
         lifetimes = PartLifetimes()
         self._read(lifetimes, 0.0, 1.0, 2)
         self.assertFalse(lifetimes.may_fetch(M, 1, 1.0))
-        self.assertFalse(lifetimes.may_free(M, 1, 1.0))
+        self.assertLess(lifetimes.replaced_for_s(M, 1, 1.0),
+                        part_lifetimes.FREE_DELAY_S)
         self.assertTrue(lifetimes.may_fetch(M, 2, 1.0))
 
     def test_reads_just_after_a_pause_do_not_count(self) -> None:
