Test JSON that is nested too deeply and members of another form

Cause: bytes without end need not be many to do harm: 100 kB of opening brackets are refused by the JSON decoder with RecursionError, which is no ValueError. Evidence: a record of the metadata store, and a control call's response, raise it; the product's poll of members ends for good at it, at `null` and at a number.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,7 @@
 import unittest
 from typing import Any
 
+from plantainridge.gateway import http_calls
 from plantainridge.gateway.config import Configuration, RequestKind
 from plantainridge.gateway.endpoints import EndpointEntry
 from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
@@ -171,6 +172,13 @@
             with self.assertRaises(InvalidField):
                 kv_records.decode_changes(store, data)
 
+    def test_json_that_is_nested_too_deeply_is_unreadable(self) -> None:
+        nested = b'[' * 100_000
+        for view in View:
+            update = records.decode_update(view, RawRecord('k', nested))
+            self.assertIsInstance(update, InvalidRecord)
+        self.assertIsNone(http_calls.Response(200, nested).json())
+
 
 SETTINGS = '''
 node-name = "front-1"
--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -14,6 +14,7 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
+from plantainridge import members_http
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, new_client)
@@ -306,6 +307,20 @@
             self.assertIsInstance(await self._first(posted, tasks),
                                   ev.LogReadFailed)
 
+    async def test_members_of_another_form_leave_the_list_in_force(
+            self) -> None:
+        for body in (b'null', b'1', b'[' * 50_000):
+            listed: list[Event] = []
+            address = await self.serve(OK_HEAD + b'Content-Length: %d\r\n\r\n' %
+                                       len(body) + body)
+            async with new_client() as client:
+                polling = asyncio.ensure_future(
+                    members_http.poll_members(client, address, listed.append))
+                await asyncio.sleep(0.2)
+                self.assertFalse(polling.done())
+                polling.cancel()
+            self.assertEqual(listed, [])
+
     async def test_connection_of_a_response_without_length_is_not_reused(
             self) -> None:
         heads: list[bytes] = []
