Refuse JSON that is nested too deeply like any unreadable JSON

What callers saw: a record of that kind in the metadata store ended the task that reads its view, for all VMs, and no later record was read by that call; a control call's response ended its task without an event; the product's poll of members ended for good, also at `null` or a number. Cause: the JSON decoder raises RecursionError, and a converter TypeError, neither of which the readers handle. Why this fix works: one function decodes the JSON of other servers and raises ValueError for it, which every reader handles as unreadable; members that are no object leave the last list in force.

--- a/src/plantainridge/feeds.py
+++ b/src/plantainridge/feeds.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import json
 import random
 from collections import deque
 from collections.abc import Iterable
@@ -16,6 +15,7 @@
 import attrs
 
 from plantainridge import events as ev
+from plantainridge import json_values
 from plantainridge.config import EndpointKind
 from plantainridge.endpoints import EndpointView
 from plantainridge.http_ports import RESPONSE_ERRORS, STATUS_OK
@@ -137,7 +137,7 @@
             raise OSError(f'status {response.status_code}')
         data = await read_body(response)
         self.credit_bytes -= POLL_OVERHEAD_BYTES + len(data)
-        return json.loads(data)
+        return json_values.decode(data)
 
 
 def _engine_events(endpoint: EndpointId, feed: _FeedPosition, body: Any,
--- a/src/plantainridge/gateway/http_calls.py
+++ b/src/plantainridge/gateway/http_calls.py
@@ -1,12 +1,12 @@
 """Calls of the gateway itself to other servers, such as the metadata store."""
 
 import asyncio
-import json
 from collections.abc import Mapping
 from typing import Any, Final
 
 import attrs
 
+from plantainridge import json_values
 from plantainridge.gateway.events import Failure, Headers
 from plantainridge.gateway.http_client import (AnswerHandler, Connection, Pool,
                                                stated_length)
@@ -33,7 +33,7 @@
     def json(self) -> Any:
         """Decode the body; return None if it is not JSON."""
         try:
-            return json.loads(self.body)
+            return json_values.decode(self.body)
         except ValueError:
             return None
 
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import contextlib
-import json
 import types
 from collections.abc import AsyncIterator
 from typing import Any, Final
@@ -16,6 +15,7 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
+from plantainridge import json_values
 from plantainridge.gateway.http_calls import NoResponse, call_on
 from plantainridge.gateway.http_client import Connection as ServiceConnection
 from plantainridge.gateway.http_client import Pool
@@ -154,7 +154,7 @@
             async for line in _read_event_lines(response):
                 if not line.startswith('data: ') or line == 'data: [DONE]':
                     continue
-                chunk = json.loads(line[len('data: '):])
+                chunk = json_values.decode(line[len('data: '):])
                 echoed = RequestId(chunk['id'])
                 if 'total' in chunk:
                     post(ev.AttemptEnded(effect.attempt, echoed,
--- a/src/plantainridge/members_http.py
+++ b/src/plantainridge/members_http.py
@@ -44,6 +44,6 @@
         if response.status_code != STATUS_OK:
             return None
         return CONVERTER.structure(await read_json(response), MembersListed)
-    except (http_errors.AiosonicError, OSError, ValueError, EOFError,
+    except (http_errors.AiosonicError, OSError, ValueError, EOFError, TypeError,
             cattrs.BaseValidationError):
         return None
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from plantainridge import json_values
 from plantainridge.gateway.endpoints import EndpointEntry
 from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
                                           LeaseRecord, NamedVersion, RawRecord,
@@ -95,7 +96,8 @@
         if view is View.REGISTRY:
             if record.value is None:
                 return EndpointRemoved(EndpointId(record.key))
-            return _decode_endpoint(record.key, json.loads(record.value))
+            return _decode_endpoint(record.key,
+                                    json_values.decode(record.value))
         return _decode_vm_entry(record)
     except (ValueError, InvalidField, AttributeError, TypeError) as error:
         return InvalidRecord(record.key, str(error))
@@ -104,7 +106,7 @@
 def _decode_operator_record(record: RawRecord) -> ViewUpdate:
     if record.value is None:
         return InvalidRecord(record.key, 'the key was deleted')
-    data = json.loads(record.value)
+    data = json_values.decode(record.value)
     if record.key == names.CONFIGURATION_KEY:
         return configuration.decode(data)
     if record.key.startswith(names.VERSION_KEY_PREFIX):
@@ -147,7 +149,7 @@
 def _decode_vm_entry(record: RawRecord) -> ViewUpdate:
     if record.value is None:
         return InvalidRecord(record.key, 'the key was deleted')
-    data = json.loads(record.value)
+    data = json_values.decode(record.value)
     return VmEntry(VmId(record.key), get(data, 'dc', str),
                    get(data, 'address', str),
                    get_or(data, 'link_mbps', DEFAULT_LINK_MBPS))
@@ -169,7 +171,7 @@
         InvalidField: A field is missing or has the wrong type.
         ValueError: The record is not JSON.
     """
-    data = json.loads(record.value or b'')
+    data = json_values.decode(record.value or b'')
     return LeaseRecord(VmId(get(data, 'holder', str)),
                        Incarnation(get(data, 'life', str)),
                        get(data, 'term', int))
--- a/src/plantainridge/response_limits.py
+++ b/src/plantainridge/response_limits.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
-import json
 from typing import Any, Final
 
 from aiosonic.connection import Connection
 
+from plantainridge import json_values
+
 # Longest head, or sequence of lines between two parts of a body, in bytes.
 MAX_HEAD_BYTES: Final = 64 * 1_024
 # Longest response that is not a stream, and longest chunk of any, in bytes.
@@ -82,4 +83,4 @@
 
 async def read_json(response: Any) -> Any:
     """Read and decode a JSON body; raises as `read_body`, and `ValueError`."""
-    return json.loads(await read_body(response))
+    return json_values.decode(await read_body(response))
