Test numbers of thousands of digits

Cause: Python refuses to read a decimal number of over 4,300 digits. Evidence: in an answer's head it breaks the connection off as `broken` with an unhandled error; in a caller's request and in a stream's event id it raises.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -17,7 +17,8 @@
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
-from plantainridge.ids import AttemptId, EndpointId
+from plantainridge.gateway.wire import RawRequest
+from plantainridge.ids import AttemptId, EndpointId, RequestId
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform.requests import PlatformWire
@@ -297,6 +298,37 @@
         self.assertIsInstance(event, ev.StreamEnded)
 
 
+class LongNumberTest(_SenderCase):
+    """A number of more digits than Python reads counts as not stated."""
+
+    DIGITS = b'9' * 5_000
+
+    async def test_number_in_an_answer(self) -> None:
+        for name in (b'X-Weight-Versions', b'X-Server-Load'):
+            value = self.DIGITS + b',1,1' * (name == b'X-Server-Load')
+            address = await self.listen(
+                ending(OK + name + b': ' + value +
+                       b'\r\nContent-Length: 2\r\n\r\nok'))
+            event = await self.outcome(address)
+            assert isinstance(event, ev.AnswerArrived), event
+            self.assertEqual((event.head.version, event.head.load),
+                             (None, None))
+
+    def test_number_in_a_request(self) -> None:
+        for name in (b'x-deadline-milliseconds', b'x-token-usage'):
+            raw = RawRequest(b'POST', b'/x',
+                             ((b'host', b'h'), (b'x-attempt-id', b'7'),
+                              (name, self.DIGITS)), b'')
+            decoded = PlatformWire().read_request(RequestId('r'), raw)
+            assert isinstance(decoded, ev.Request)
+            self.assertEqual((decoded.caller_timeout_s, decoded.prompt_tokens),
+                             (None, 0))
+
+    def test_number_of_an_event(self) -> None:
+        events = EventSplitter('3').feed(b'id: ' + self.DIGITS + b'\n\n')
+        self.assertIsNotNone(events)
+
+
 class SplitterLimitTest(unittest.TestCase):
     """The splitter's work is linear in the bytes of a stream."""
 
