Treat a number of too many digits as not stated

What callers saw: an endpoint whose answer had a header with a number of over 4,300 digits failed as if it had broken off; a caller's request with one got a closed connection in place of an answer. Cause: Python refuses to read such a number, and the parsers check for digits only. Why this fix works: numbers in headers are read up to 20 digits, the store's era too, and ids of events are compared by their digits.

--- a/src/plantainridge/gateway/streams.py
+++ b/src/plantainridge/gateway/streams.py
@@ -71,4 +71,10 @@
 def _is_repeated(event_id: str, after_id: str) -> bool:
     """Return whether the caller already has an event, by its numeric id."""
     return (event_id.isdecimal() and after_id.isdecimal() and
-            int(event_id) <= int(after_id))
+            _decimal_order(event_id) <= _decimal_order(after_id))
+
+
+def _decimal_order(digits: str) -> tuple[int, str]:
+    """Return a key that orders decimal numbers of any length."""
+    significant = digits.lstrip('0')
+    return len(significant), significant
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -15,6 +15,8 @@
 STATUS_UNAVAILABLE: Final = 503
 # A number of seconds, whole or with a fraction.
 _DECIMAL: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
+# Longest text of a whole number in a header: any 64-bit number fits.
+MAX_NUMBER_LENGTH: Final = 20
 BEARER_PREFIX = 'bearer '
 
 
@@ -123,7 +125,7 @@
     """Return a decimal number of digits only, or None for other text."""
     if text is None or not text.strip().isdecimal():
         return None
-    return int(text)
+    return int(text) if len(text) <= MAX_NUMBER_LENGTH else None
 
 
 def _parse_usage(text: str) -> tuple[int, int]:
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -21,6 +21,8 @@
 TIMEOUT_S: Final = 1.0
 MAX_PAGE_RECORDS: Final = 500
 MAX_READ_KB: Final = 1_024
+# Longest era that is read; any 64-bit number fits.
+MAX_ERA_DIGITS: Final = 20
 RESTORED: Final = 'the store returned from an older copy'
 
 _TOPICS: Final = {
@@ -215,4 +217,5 @@
 def _era_of(response: Response) -> int:
     """Return the era in an answer, or 0 if it states none."""
     text = response.headers.get(names.STORE_ERA, b'').strip()
-    return int(text) if text.isdigit() else 0
+    is_number = text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_number else 0
