Add failing tests of prompt parts that crash engines

A shared part of a prompt (never the last) may crash each engine that begins to answer on it. `CrashFleet` plays it on the reducers of six VMs and nine engines under load: an engine that begins to answer on such a part breaks all its runs and is down for 3 s.

- A sound request in flight at two crashes is refused when it comes again.

Two tests pass already and guard what must stay: a request that crashes engines each time it comes again is kept from them, and crashes of other causes lead to no refusal. `LoadFleet` gives each request a body of its own; all bodies were empty, so that all requests had one fingerprint.

--- a/tests/load_fleet.py
+++ b/tests/load_fleet.py
@@ -189,6 +189,7 @@
             self._show_all(vm)
         arrived = request('/report/x' if is_report else '/tag/x',
                           f'r{number}',
+                          body=f'{number}'.encode(),
                           parts=parts,
                           prompt_tokens=sum(part.tokens for part in parts),
                           output_tokens=output)
--- /dev/null
+++ b/tests/test_gateway_crashes.py
@@ -0,0 +1,115 @@
+"""Tests of the attribution of engines' crashes to what their prompts share."""
+
+import functools
+import unittest
+from typing import Final
+
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.events import Failure, Part, View
+from plantainridge.ids import DcId
+from tests.crash_fleet import CrashFleet
+from tests.gateway_scene import GatewayScene, endpoint
+
+# Crashes after which the platform counts further requests with a part, and
+# those after which it counts further sends of one request.
+CRASHES_BY_PART: Final = 5
+CRASHES_BY_REQUEST: Final = 3
+STABLE_S: Final = 3.0
+MAX_LATE_REQUESTS: Final = 3
+DCS: Final = tuple(DcId(name) for name in ('one', 'two', 'three'))
+
+
+def fleet_of(*deadly: str) -> CrashFleet:
+    """Return nine engines under load, served by six VMs."""
+    fleet = CrashFleet(dict.fromkeys(DCS, 6.0),
+                       vms_per_dc=2,
+                       engines_per_dc=3,
+                       deadly=deadly)
+    fleet.run(2.0)
+    return fleet
+
+
+class CrashingPartTest(unittest.TestCase):
+    """Tests of a deployment that gets prompts that crash engines."""
+
+    def assert_kept_from_engines(self,
+                                 fleet: CrashFleet,
+                                 crashes: int = CRASHES_BY_PART) -> None:
+        """Assert the bound on requests that crash engines."""
+        for part, times in fleet.reached_at.items():
+            crashed_at = fleet.crashed_at[part]
+            self.assertGreaterEqual(len(crashed_at), 2)
+            for counted_from in crashed_at[crashes - 1:crashes]:
+                late = [at for at in times if at > counted_from + STABLE_S]
+                self.assertLessEqual(len(late), MAX_LATE_REQUESTS, part)
+
+    def test_part_that_crashes_engines_is_kept_from_them(self) -> None:
+        for interval_s in (0.3, 0.7, 1.5):
+            fleet = fleet_of('bad')
+            fleet.repeat(interval_s, 14.0,
+                         functools.partial(fleet.send_new, 'bad'))
+            self.assert_kept_from_engines(fleet)
+
+    def test_two_parts_that_crash_engines_are_kept_from_them(self) -> None:
+        fleet = fleet_of('bad', 'worse')
+
+        def send_both() -> None:
+            fleet.send_new('bad')
+            fleet.send_new('worse')
+
+        fleet.repeat(0.8, 14.0, send_both)
+        self.assert_kept_from_engines(fleet)
+
+    def test_request_that_crashes_engines_is_kept_from_them(self) -> None:
+        fleet = fleet_of('own-bad')
+        fleet.repeat(0.7, 14.0, lambda: fleet.send_again('own-bad'))
+        self.assert_kept_from_engines(fleet, CRASHES_BY_REQUEST)
+
+    def test_sound_requests_are_served_beside_a_crashing_part(self) -> None:
+        fleet = fleet_of('bad')
+        started_at = fleet.now
+        fleet.repeat(0.3, 14.0, lambda: fleet.send_new('bad'))
+        before = fleet.served_ratio(0.0, started_at)
+        crashed_at = fleet.crashed_at['bad'][:CRASHES_BY_PART][-1]
+        after = fleet.served_ratio(crashed_at + 2 * STABLE_S, fleet.now - 1.0)
+        self.assertGreaterEqual(after, before / 2)
+
+    def test_restarted_vm_learns_which_part_crashes_engines(self) -> None:
+        fleet = fleet_of('bad')
+        names = list(fleet.vms)
+
+        def restart_one() -> None:
+            fleet.restart(names.pop())
+            fleet.send_new('bad')
+
+        fleet.repeat(0.7, 7.0, lambda: fleet.send_new('bad'))
+        fleet.repeat(1.2, 6.0, restart_one)
+        fleet.repeat(0.7, 4.0, lambda: fleet.send_new('bad'))
+        self.assert_kept_from_engines(fleet)
+
+    def test_other_crashes_lead_to_no_refusal(self) -> None:
+        fleet = fleet_of()
+        fleet.repeat(0.7, 8.0, fleet.crash_any)
+        stopped_at = fleet.now + 4.0
+        fleet.run(8.0)
+        self.assertEqual(fleet.served_ratio(stopped_at, fleet.now - 1.0), 1.0)
+
+
+class SoundRequestTest(unittest.TestCase):
+    """Tests of sound requests in flight at the crashes of others."""
+
+    def test_sound_request_at_two_crashes_is_not_refused(self) -> None:
+        scene = GatewayScene(endpoint('a'))
+        sound = {'parts': (Part('o', 100), Part('c', 500), Part('s', 9))}
+        deadly = {'parts': (Part('o', 100), Part('bad', 500), Part('d', 9))}
+        scene.post_request('/report/x', 'sound', **sound)
+        scene.post_request('/report/y', 'deadly', **deadly)
+        for engine in 'bc':
+            for send in scene.all(fx.Send)[-2:]:
+                scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+            scene.read(View.REGISTRY, endpoint(engine))
+            scene.advance(0.2)
+        again = scene.post_request('/report/x', 'again', **sound)
+        self.assertIsInstance(again, fx.Send)
+        self.assertEqual(len(scene.all(fx.Send)), 5)
