Attribute crashes of engines to the prompt part that causes them

What callers saw: requests of one kind kept crashing engines, one after the other; sound requests that shared the engine were cut off, and those in flight at two crashes were refused when they came again.

Cause: broken sends were counted by the hash of a whole request. Requests with a part that crashes engines are no two alike, so each had a count of its own and each crashed as many engines as its attempts allowed. The same count was raised for all runs on a crashed engine, so it refused the sound ones.

The fix: a crash is all sends to an endpoint that break within 1 s, on any VM. Its suspects are the requests and all parts of their prompts but the last. An answer clears its suspects of all crashes so far, on all VMs. A part that is in flight at three crashes, each with a send from after the one before, is quarantined unless another suspect explains the same crashes or nothing was answered meanwhile. VMs share broken sends, clearings and the quarantine in hints. A request with a quarantined part is refused with 503 and a time to come back; one request probes later.

Why it works: a part that crashes engines is never answered, while sound parts are cleared by the first answer, popular ones within milliseconds. A crash that a known culprit explains counts against nothing else, so sound requests beside it are not refused.

A request that comes again is refused after three crashes, or two at which it was alone on the engine, as before. The test of messages between VMs has the new fields of a broken send, clearings and the quarantine.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -3,14 +3,15 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from plantainridge.gateway import cache, dispatch, endings, health, placement
+from plantainridge.gateway import (cache, dispatch, endings, health, placement,
+                                   suspects)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
                                           StreamEventsReceived, StreamStarted)
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.requests import (CALL_LIFECYCLE, Attempt, Call,
-                                            FallbackAnswer)
+                                            CallPhase, FallbackAnswer)
 from plantainridge.ids import AttemptId
 from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
 from plantainridge.loop.events import TimerFired
@@ -45,7 +46,7 @@
                                         now)
         return
     if head.status < 500:
-        state.suspects.clear(call.fingerprint)
+        yield from suspects.record_answer(state, call, now)
     yield fx.Reply(call.request.id, head.status, head.headers, event.body)
     yield from endings.end(state, call, 'answered', head.status, now)
 
@@ -147,7 +148,8 @@
         return
     attempt = yield from endings.close_attempt(state, event.attempt)
     health.record_success(state, attempt, now)
-    state.suspects.clear(call.fingerprint)
+    if attempt.events_received:
+        yield from suspects.record_answer(state, call, now)
     yield fx.EndReply(call.request.id)
     yield from endings.end(state, call, 'answered', 200, now)
 
@@ -177,9 +179,10 @@
         call.deliveries -= 1
         yield from dispatch.dispatch(state, call, now)
         return
-    if failure is Failure.BROKEN:
-        state.suspects.record_break(call.fingerprint, attempt.endpoint, now)
-        state.hints.suspects.append((call.fingerprint, attempt.endpoint))
+    # A stream without a length that ends within an event was broken off, too.
+    if failure is Failure.BROKEN or (failure is Failure.MALFORMED and
+                                     call.phase is CallPhase.STREAMING):
+        yield from suspects.record_break(state, call, attempt, now)
     if call.route.repeatable:
         yield from _retry(state, call, now)
         return
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import (cache, endings, health, placement, retries,
-                                   stored_parts)
+                                   stored_parts, suspects)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
 from plantainridge.gateway.endpoints import InFlightSend
@@ -56,10 +56,10 @@
 
 def dispatch(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
     """Send a request, queue it, or refuse it."""
-    if state.suspects.is_quarantined(call.fingerprint, now):
-        yield from endings.fail_request(state, call,
-                                        'endpoints broke off under it', None,
-                                        now)
+    if not suspects.admits(state, call, now):
+        yield from endings.fail_request(
+            state, call, 'it, or a part of it, crashes endpoints',
+            suspects.RETRY_AFTER_S, now)
         return
     choice = _choose(state, call, now)
     if isinstance(choice, Placement) and may_send(state, call, now):
@@ -129,7 +129,8 @@
 def may_retry(state: 'GatewayState', call: Call, now: float) -> bool:
     """Return whether all limits allow a request to be sent again."""
     if (call.sends >= retries.MAX_SENDS or
-            call.executions >= call.route.attempts):
+            call.executions >= call.route.attempts or
+            not suspects.admits(state, call, now)):
         return False
     if call.expires_at - now < MIN_REMAINING_RATIO * call.route.target_s:
         return False
@@ -240,8 +241,9 @@
     unplaced_tokens: dict[ServiceId, int] = {}
     for call in state.calls.waiting(now):
         memory_tokens = placement.memory_tokens(call.request)
-        if memory_tokens >= unplaced_tokens.get(call.service,
-                                                memory_tokens + 1):
+        if (memory_tokens >= unplaced_tokens.get(call.service,
+                                                 memory_tokens + 1) and
+                suspects.admits(state, call, now)):
             # A request that is no larger did not fit just before.
             yield from _refuse_overdue(state, call, now)
             continue
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -19,13 +19,15 @@
 import attrs
 
 from plantainridge.gateway import (eras, load_reports, notices, peer_messages,
-                                   relays, versions)
+                                   relays, suspects, versions)
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.load_reports import LoadReportTable
 from plantainridge.gateway.peer_loads import (NO_LOAD, PeerLoad, PeerLoadTable)
-from plantainridge.gateway.peer_messages import (DcLoad, Hint, LoadTotals,
-                                                 OwnLoad, WeightsLoaded)
+from plantainridge.gateway.peer_messages import (BrokenSendReport, DcLoad, Hint,
+                                                 LoadTotals, OwnLoad,
+                                                 WeightsLoaded)
 from plantainridge.gateway.rates import WindowCount
+from plantainridge.gateway.suspects import BrokenSend
 from plantainridge.ids import DcId, EndpointId, ServiceId, VmId
 from plantainridge.loop.effects import Effect, LogLine, SendPeer
 from plantainridge.loop.events import Event
@@ -109,7 +111,6 @@
         reported_loads: Loads in the last hint to the data centre's reporter.
         reported_at: Loop time of that hint, in s.
         loads: Load that peers have in flight.
-        suspects: Suspects to be sent with the next hint.
         weights_loaded: Engines with new weights, to be sent with the next hint.
         asked_at: Loop time of the last hint that asked for the ages of
             versions, in s.
@@ -126,7 +127,6 @@
     reported_loads: dict[EndpointId, OwnLoad] = attrs.field(factory=dict)
     reported_at: float = -math.inf
     loads: PeerLoadTable = attrs.field(factory=PeerLoadTable)
-    suspects: list[tuple[str, EndpointId]] = attrs.field(factory=list)
     weights_loaded: list[WeightsLoaded] = attrs.field(factory=list)
     asked_at: float = -math.inf
     asks: int = 0
@@ -157,7 +157,8 @@
 def _send_hint(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
                now: float) -> Iterator[Effect]:
     hints = state.hints
-    is_urgent = bool(hints.suspects or hints.weights_loaded)
+    tells_suspects = state.suspects.is_urgent(len(state.peers), now)
+    is_urgent = tells_suspects or bool(hints.weights_loaded)
     if not (is_urgent or state.leaving.is_unsent or _is_due(state, loads, now)):
         return
     hints.sent_loads, hints.sent_at = loads, now
@@ -166,7 +167,8 @@
     if to_remote:
         hints.sent_remote_at = now
     hints.reported_loads, hints.reported_at = loads, now
-    hints.suspects.clear()
+    if to_remote:
+        state.suspects.record_sent(now)
     hints.weights_loaded.clear()
     state.leaving.is_unsent = False
     for vm, entry in state.peers.items():
@@ -227,12 +229,21 @@
     _forget_gone(state)
     return peer_messages.encode(
         Hint(state.settings.vm, state.incarnation, hints.number, loads,
-             tuple(hints.suspects), tuple(hints.weights_loaded),
+             _broken_sends(state, now), tuple(hints.weights_loaded),
              _cannot_read(state, now), _arriving_work(state, now), {
                  name: state.leaving.started_ms[name]
                  for name in state.leaving.observed
              }, state.views.era, asked_at, answers_at,
-             state.versions.ages(now) if answers_at else ()))
+             state.versions.ages(now) if answers_at else (),
+             tuple(state.suspects.cleared), state.suspects.idle_times(now)))
+
+
+def _broken_sends(state: 'GatewayState',
+                  now: float) -> tuple[BrokenSendReport, ...]:
+    return tuple(
+        BrokenSendReport(each.fingerprint, each.endpoint, each.parts, now -
+                         each.sent_at, now - each.broken_at)
+        for each in state.suspects.broken)
 
 
 def record_arrival(state: 'GatewayState', service: ServiceId, tokens: int,
@@ -440,8 +451,7 @@
     yield from eras.enter(state, hint.era, now)
     state.hints.received[hint.vm] = ReceivedHint(hint, now)
     state.hints.loads.replace(hint.vm, hint.loads, now)
-    for fingerprint, endpoint in hint.suspects:
-        state.suspects.record_break(fingerprint, endpoint, now)
+    yield from _apply_suspects(state, hint, now)
     for each in hint.weights_loaded:
         view = state.endpoints.get(each.endpoint)
         if view is not None:
@@ -473,3 +483,17 @@
                           (('model', each.model), ('version', each.version),
                            ('age_s', versions.loggable(age_s)),
                            ('precise', int(each.precise)), ('vm', hint.vm)))
+
+
+def _apply_suspects(state: 'GatewayState', hint: Hint,
+                    now: float) -> Iterator[Effect]:
+    """Apply broken sends, clearings and the quarantine of a peer."""
+    for each in hint.suspects:
+        suspects.on_peer_break(
+            state,
+            BrokenSend(each.fingerprint, each.endpoint, each.parts,
+                       now - each.sent_ago_s, now - each.broken_ago_s), now)
+    for suspect in hint.cleared:
+        yield from suspects.on_peer_cleared(state, suspect, now)
+    for suspect, idle_s in hint.quarantined.items():
+        yield from suspects.on_peer_quarantine(state, suspect, idle_s, now)
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -7,6 +7,7 @@
 import attrs
 import capnp
 
+from plantainridge.gateway.crash_attribution import Suspect
 from plantainridge.gateway.events import RawRecord, StoredPart
 from plantainridge.gateway.versions import VersionAge
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
@@ -63,6 +64,24 @@
     version: int
 
 
+@attrs.frozen
+class BrokenSendReport:
+    """A send during which an endpoint broke the connection.
+
+    Attributes:
+        fingerprint: Hash of its request.
+        parts: Ids of the parts of its prompt, without the last.
+        sent_ago_s: Time since the send, in s.
+        broken_ago_s: Time since the connection broke, in s.
+    """
+
+    fingerprint: str
+    endpoint: EndpointId
+    parts: tuple[str, ...] = ()
+    sent_ago_s: float = 0.0
+    broken_ago_s: float = 0.0
+
+
 @attrs.frozen
 class Hint:
     """A VM's periodic report to its peers.
@@ -70,8 +89,7 @@
     Attributes:
         number: Sequence number within one incarnation of the VM.
         loads: Load that the VM has in flight, by endpoint.
-        suspects: Fingerprints of requests, each with an endpoint that broke
-            the connection while it processed the request.
+        suspects: Sends during which endpoints broke the connection.
         weights_loaded: Engines that have just loaded a new weight version.
         cannot_read: Whether the VM does not read for its data centre, because
             it cannot reach the metadata store or is stopping.
@@ -84,13 +102,16 @@
         answers_at: Such a time of the receiver if this hint answers it, in s;
             else 0.
         versions: The versions that the VM knows, in an answer.
+        cleared: Suspects of crashes whose requests were answered since.
+        quarantined: Quarantined suspects, each with the time since the last
+            crash with it, in s.
     """
 
     vm: VmId
     incarnation: Incarnation
     number: int
     loads: dict[EndpointId, OwnLoad]
-    suspects: tuple[tuple[str, EndpointId], ...] = ()
+    suspects: tuple[BrokenSendReport, ...] = ()
     weights_loaded: tuple[WeightsLoaded, ...] = ()
     cannot_read: bool = False
     work: Mapping[ServiceId, float] = attrs.field(factory=dict)
@@ -99,6 +120,8 @@
     asked_at: float = 0.0
     answers_at: float = 0.0
     versions: tuple[VersionAge, ...] = ()
+    cleared: tuple[Suspect, ...] = ()
+    quarantined: Mapping[Suspect, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -256,15 +279,30 @@
     rows = row.init('leaving', len(hint.leaving))
     for each, (endpoint, started_ms) in zip(rows, hint.leaving.items()):
         each.endpoint, each.startedMs = endpoint, started_ms
-    suspects = row.init('suspects', len(hint.suspects))
-    for each, (fingerprint, endpoint) in zip(suspects, hint.suspects):
-        each.fingerprint, each.endpoint = fingerprint, endpoint
+    _write_suspects(row, hint)
     rows = row.init('reached', len(hint.weights_loaded))
     for each, loaded in zip(rows, hint.weights_loaded):
         each.endpoint, each.model = loaded.endpoint, loaded.model
         each.version = loaded.version
 
 
+def _write_suspects(row: Any, hint: Hint) -> None:
+    rows = row.init('suspects', len(hint.suspects))
+    for each, broken in zip(rows, hint.suspects):
+        each.fingerprint, each.endpoint = broken.fingerprint, broken.endpoint
+        each.parts = list(broken.parts)
+        each.sentAgoMs = _to_ms(broken.sent_ago_s)
+        each.brokenAgoMs = _to_ms(broken.broken_ago_s)
+    row.cleared = list(hint.cleared)
+    rows = row.init('quarantined', len(hint.quarantined))
+    for each, (suspect, idle_s) in zip(rows, hint.quarantined.items()):
+        each.suspect, each.idleMs = suspect, _to_ms(idle_s)
+
+
+def _to_ms(seconds: float) -> int:
+    return min(2**32 - 1, max(0, round(seconds * MS_PER_S)))
+
+
 def _write_loads(row: Any, loads: Mapping[EndpointId, OwnLoad]) -> None:
     rows = row.init('loads', len(loads))
     for each, (endpoint, load) in zip(rows, loads.items()):
@@ -372,8 +410,12 @@
 
 def _read_hint(row: Any) -> Hint:
     loads = _read_loads(row)
-    suspects = tuple((str(each.fingerprint), EndpointId(each.endpoint))
-                     for each in row.suspects)
+    suspects = tuple(
+        BrokenSendReport(str(each.fingerprint), EndpointId(each.endpoint),
+                         tuple(str(part)
+                               for part in each.parts), each.sentAgoMs /
+                         MS_PER_S, each.brokenAgoMs / MS_PER_S)
+        for each in row.suspects)
     weights_loaded = tuple(
         WeightsLoaded(EndpointId(each.endpoint), ModelId(each.model),
                       each.version) for each in row.reached)
@@ -385,7 +427,11 @@
         row.era, row.askedAtS, row.answersAtS,
         tuple(
             VersionAge(ModelId(each.model), each.version, each.ageS,
-                       each.isPrecise) for each in row.versions))
+                       each.isPrecise) for each in row.versions),
+        tuple(Suspect(str(each)) for each in row.cleared), {
+            Suspect(str(each.suspect)): each.idleMs / MS_PER_S
+            for each in row.quarantined
+        })
 
 
 def _read_view(row: Any) -> RelayedView:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -99,6 +99,9 @@
   # That time of the receiver if `versions` answers it, in s; else 0.
   answersAtS @11 :Float64;
   versions @12 :List(VersionAge);
+  # Suspects of crashes that answers cleared.
+  cleared @13 :List(Text);
+  quarantined @14 :List(Quarantined);
 }
 
 # Target version of a model.
@@ -134,6 +137,17 @@
 struct Suspect {
   fingerprint @0 :Text;
   endpoint @1 :Text;
+  # Ids of the prompt's parts, without the last.
+  parts @2 :List(Text);
+  sentAgoMs @3 :UInt32;
+  brokenAgoMs @4 :UInt32;
+}
+
+# A prompt part or a request that crashes endpoints.
+struct Quarantined {
+  suspect @0 :Text;
+  # Time since the last crash with it, in ms.
+  idleMs @1 :UInt32;
 }
 
 # An engine that has just loaded a new weight version.
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -6,7 +6,7 @@
 from plantainridge.gateway import (answers, dispatch, drain, endings, eras,
                                    events, hints, intake, lease, membership,
                                    notices, relays, reload, rollout,
-                                   stored_parts, stores, views)
+                                   stored_parts, stores, suspects, views)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
@@ -26,6 +26,7 @@
              now: float) -> Iterator[Effect]:
     """Run the periodic work and set the timer of the next tick."""
     stored_parts.observe(state, now)
+    yield from suspects.on_tick(state, now)
     yield from dispatch.on_tick(state, event, now)
     waiting = bool(state.calls.waiting(now))
     yield SetTimer(
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -6,10 +6,11 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
+from plantainridge.gateway import suspects
 from plantainridge.gateway.events import Failure, Part, View
 from plantainridge.ids import DcId
 from tests.crash_fleet import CrashFleet
-from tests.gateway_scene import GatewayScene, endpoint
+from tests.gateway_scene import GatewayScene, endpoint, head
 
 # Crashes after which the platform counts further requests with a part, and
 # those after which it counts further sends of one request.
@@ -113,3 +114,43 @@
         again = scene.post_request('/report/x', 'again', **sound)
         self.assertIsInstance(again, fx.Send)
         self.assertEqual(len(scene.all(fx.Send)), 5)
+
+
+class QuarantineTest(unittest.TestCase):
+    """Tests of the end of a quarantine."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.scene = GatewayScene(*(endpoint(name) for name in 'abcd'))
+        self.scene.post_request('/report/x')
+        for _ in range(2):
+            send = self.scene.last(fx.Send)
+            self.scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+
+    def test_one_request_probes_after_a_while(self) -> None:
+        self.scene.advance(suspects.PROBE_AFTER_S)
+        self.assertIsInstance(self.scene.post_request('/report/x', 'r2'),
+                              fx.Send)
+        self.assertIsInstance(self.scene.post_request('/report/x', 'r3'),
+                              fx.Refuse)
+
+    def test_answer_to_the_probe_ends_the_quarantine(self) -> None:
+        self.scene.advance(suspects.PROBE_AFTER_S)
+        probe = self.scene.post_request('/report/x', 'r2')
+        self.scene.post(ev.StreamStarted(probe.attempt, head()))
+        self.scene.post(
+            ev.StreamEventsReceived(probe.attempt, b'id: 1\n\n', '1', '1'))
+        self.scene.post(ev.StreamEnded(probe.attempt))
+        self.assertIsInstance(self.scene.post_request('/report/x', 'r3'),
+                              fx.Send)
+
+    def test_failed_probe_doubles_the_time_to_the_next(self) -> None:
+        self.scene.advance(suspects.PROBE_AFTER_S)
+        probe = self.scene.post_request('/report/x', 'r2')
+        self.scene.post(ev.SendFailed(probe.attempt, Failure.BROKEN))
+        self.scene.advance(suspects.PROBE_AFTER_S)
+        self.assertIsInstance(self.scene.post_request('/report/x', 'r3'),
+                              fx.Refuse)
+        self.scene.advance(suspects.PROBE_AFTER_S)
+        self.assertIsInstance(self.scene.post_request('/report/x', 'r4'),
+                              fx.Send)
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -9,10 +9,12 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import peer_messages
+from plantainridge.gateway.crash_attribution import Suspect
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.events import Part, StoredPart, View
 from plantainridge.gateway.hints import HintReceived
-from plantainridge.gateway.peer_messages import Hint, OwnLoad, WeightsLoaded
+from plantainridge.gateway.peer_messages import (BrokenSendReport, Hint,
+                                                 OwnLoad, WeightsLoaded)
 from plantainridge.gateway.stores import StoreView
 from plantainridge.gateway.versions import VersionAge
 from plantainridge.ids import (EndpointId, Incarnation, ModelId, ServiceId,
@@ -491,14 +493,16 @@
         messages: list[peer_messages.PeerMessage] = [
             Hint(VmId('vm'),
                  Incarnation('l'),
-                 7, {A.id: OwnLoad(1, 2, 3, 0.5)}, (('f', A.id),),
+                 7, {A.id: OwnLoad(1, 2, 3, 0.5)},
+                 (BrokenSendReport('f', A.id, ('p', 'q'), 1.5, 0.25),),
                  (WeightsLoaded(A.id, MODEL, 2),),
                  True,
                  asked_at=2.5,
                  answers_at=1.5,
                  versions=(VersionAge(MODEL, 1, math.inf,
-                                      False), VersionAge(MODEL, 2, 0.25,
-                                                         True))),
+                                      False), VersionAge(MODEL, 2, 0.25, True)),
+                 cleared=(Suspect('part/p'),),
+                 quarantined={Suspect('part/q'): 2.5}),
             peer_messages.RelayedView(
                 VmId('vm'), 'registry', 3, 5,
                 (ev.RawRecord('k', b'v'), ev.RawRecord('gone', None))),
