Count only broken connections as crashes

A malformed answer to a stream was counted as a crash of its endpoint, too, for streams without a length that end within an event.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -11,7 +11,7 @@
                                           StreamEventsReceived, StreamStarted)
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.requests import (CALL_LIFECYCLE, Attempt, Call,
-                                            CallPhase, FallbackAnswer)
+                                            FallbackAnswer)
 from plantainridge.ids import AttemptId
 from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
 from plantainridge.loop.events import TimerFired
@@ -179,9 +179,7 @@
         call.deliveries -= 1
         yield from dispatch.dispatch(state, call, now)
         return
-    # A stream without a length that ends within an event was broken off, too.
-    if failure is Failure.BROKEN or (failure is Failure.MALFORMED and
-                                     call.phase is CallPhase.STREAMING):
+    if failure is Failure.BROKEN:
         yield from suspects.record_break(state, call, attempt, now)
     if call.route.repeatable:
         yield from _retry(state, call, now)
