Date reads of the operators' records by their issue

What callers saw: a request could run on parts that were being freed. Parts of replaced weights are fetched for some time after the last read that named no newer version, and freed some time after the newer one was known. The first time was counted from the read's arrival. A relay of a peer's read that a choked link delayed by more than MAX_READ_DELAY_S (3 s) counted as a read "now", and the VM kept having parts fetched that another VM already freed. The VM ticks on, so the check for suspensions did not see it.

Cause: the bound on the delay was assumed, not enforced.

Fix: a read counts from when it was issued; what it lacks was written later, however late its answer arrives. For a relayed read, each hint states its sender's loop time, and a relay of the operators' records states to each receiver a time that the receiver's own clock had reached when the read was issued: that of its last hint, less the time by which the hint arrived after the issue. Delays of hints and relays only make it older. Dating by the engines' clock would not do: a VM that knows that clock only through delayed relays takes it to be slow, and the relay to be newer than it is. A relay without this time (of an older release, or for an earlier process of the receiver) is applied, but does not count. MAX_READ_DELAY_S is gone, and its 3 s went to FETCH_WINDOW_S, since a read's age before an outage now includes the long poll and the hint's interval; FREE_DELAY_S stays 14.5 s.

Changed tests: BoundsTest summed a read's delay into FREE_DELAY_S. There is no such delay any more; in its place the random runs of PartLifetimesTest delay reads by up to 30 s (before: by up to the assumed bound), and tests assert the date of own and relayed reads. The sum for an outage now includes both reads, the hint's interval, the tick and the relay, and a fleet runs through an outage of 9 s on relayed reads alone.

--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -212,9 +212,13 @@
     """Read a view's entire contents.
 
     Answered by `ViewRead` or `ViewFailed`.
+
+    Attributes:
+        issued_at: Loop time of this effect, in s.
     """
 
     view: View
+    issued_at: float
 
 
 @attrs.frozen
@@ -226,12 +230,14 @@
     Attributes:
         wait_s: Longest wait for an update, in s.
         era: The metadata store's era to which the offset belongs.
+        issued_at: Loop time of this effect, in s.
     """
 
     view: View
     offset: int
     wait_s: float
-    era: int = 0
+    era: int
+    issued_at: float
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -1,6 +1,7 @@
 """Events that the gateway's reducer handles, besides timers."""
 
 import enum
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -395,6 +396,7 @@
         ahead: Keys of a snapshot's records that do not lie before `next`: the
             pages of a snapshot are not read at one instant.
         era: The metadata store's era in which they were read.
+        issued_at: Loop time at which the read was issued, in s.
     """
 
     view: View
@@ -404,6 +406,7 @@
     records: tuple[RawRecord, ...] = ()
     ahead: frozenset[str] = frozenset()
     era: int = 0
+    issued_at: float = -math.inf
 
     def is_ahead(self, update: ViewUpdate) -> bool:
         """Return whether an endpoint's entry does not lie before `next`."""
@@ -420,6 +423,9 @@
         updates: Decoded records, in order.
         era: The metadata store's era in which they were read.
         is_snapshot: Whether the updates are the view's entire contents.
+        receiver_time: Loop time that this VM had reached when the read was
+            issued, in s; 0 if the peer does not know.
+        receiver_incarnation: Incarnation of this VM to which that time belongs.
     """
 
     view: View
@@ -428,6 +434,8 @@
     updates: tuple[ViewUpdate, ...]
     era: int = 0
     is_snapshot: bool = False
+    receiver_time: float = 0.0
+    receiver_incarnation: Incarnation = Incarnation('')
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -232,7 +232,7 @@
                  name: state.leaving.started_ms[name]
                  for name in state.leaving.observed
              }, state.views.era, asked_at, answers_at,
-             state.versions.ages(now) if answers_at else ()))
+             state.versions.ages(now) if answers_at else (), now))
 
 
 def record_arrival(state: 'GatewayState', service: ServiceId, tokens: int,
--- a/src/plantainridge/gateway/part_lifetimes.py
+++ b/src/plantainridge/gateway/part_lifetimes.py
@@ -4,9 +4,11 @@
 have a part fetched once another VM may free it, whichever of them cannot reach
 the metadata store or each other. Fetches and frees are bounded by time alone:
 
-- A VM has parts of a version fetched only within `FETCH_WINDOW_S` of a read of
-  the operators' records that named no newer version. Such a read precedes the
-  naming of the newer version, and a fetch ends by its own deadline.
+- A VM has parts of a version fetched only within `FETCH_WINDOW_S` of the issue
+  of a read of the operators' records that named no newer version. The newer
+  version was named later, and a fetch ends by its own deadline. A relayed read
+  counts from a time that this VM's own clock had reached when the peer issued
+  it, so that no delay makes it seem newer.
 - A VM frees parts once it has known a newer version for `FREE_DELAY_S`, which
   is longer.
 """
@@ -19,16 +21,13 @@
 
 from plantainridge.ids import ModelId
 
-# Time from a read that named no newer version to the end of the last fetch.
-# An outage of the metadata store ends fetches only after it.
-FETCH_WINDOW_S: Final = 11.0
-# Time between the metadata store's answer and the moment at which a VM counts
-# as having read it, by itself or through a peer.
-MAX_READ_DELAY_S: Final = 3.0
+# Time from the issue of a read that named no newer version to the end of the
+# last fetch. An outage of the metadata store ends fetches only after it.
+FETCH_WINDOW_S: Final = 14.0
 # Error of deadlines on the engines' clock.
 CLOCK_TOLERANCE_S: Final = 0.5
 # Time since a newer version was read after which parts are freed.
-FREE_DELAY_S: Final = FETCH_WINDOW_S + MAX_READ_DELAY_S + CLOCK_TOLERANCE_S
+FREE_DELAY_S: Final = FETCH_WINDOW_S + CLOCK_TOLERANCE_S
 # Time without an observation after which this VM's process was suspended. What
 # it then receives may have waited in its sockets for as long.
 MAX_PAUSE_S: Final = 1.0
@@ -44,8 +43,8 @@
 
     Attributes:
         first_seen_at: Loop time at which this VM knew it, in s.
-        last_absent_at: Loop time of the last read that named neither this
-            version nor a newer one, in s.
+        last_absent_at: Loop time of the issue of the last read that named
+            neither this version nor a newer one, in s.
     """
 
     version: int
@@ -59,7 +58,7 @@
 
     Attributes:
         newest: The versions in the order in which they became the newest.
-        read_at: Loop time of the last read that counts, in s.
+        read_at: Loop time of the issue of the last read that counts, in s.
         observed_at: Loop time of the last observation, in s.
         settled_at: Loop time from which reads count, in s.
         era: Era of the metadata store.
@@ -77,7 +76,8 @@
 
         Args:
             newest: Newest version of each model, as last read.
-            read_at: Loop time of the last read of the operators' records, in s.
+            read_at: Loop time of the issue of the last read of the operators'
+                records, in s.
             era: The metadata store's era.
             now: Loop time in s.
         """
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -22,6 +22,8 @@
 # Names in entries of work that stand for no data centre or service.
 NO_DC: Final = DcId('')
 NO_SERVICE: Final = ServiceId('')
+# Incarnation in relays that state no time of the receiver.
+NO_INCARNATION: Final = Incarnation('')
 # Largest message that is decoded, in words of 8 bytes.
 MAX_MESSAGE_WORDS: Final = 4 << 20
 
@@ -84,6 +86,8 @@
         answers_at: Such a time of the receiver if this hint answers it, in s;
             else 0.
         versions: The versions that the VM knows, in an answer.
+        sent_at: The VM's loop time at which it sent this hint, in s; 0 if not
+            stated.
     """
 
     vm: VmId
@@ -99,6 +103,7 @@
     asked_at: float = 0.0
     answers_at: float = 0.0
     versions: tuple[VersionAge, ...] = ()
+    sent_at: float = 0.0
 
 
 @attrs.frozen
@@ -151,6 +156,9 @@
         end: Offset up to which it has read afterwards.
         era: The metadata store's era in which they were read.
         is_snapshot: Whether the records are the view's entire contents.
+        receiver_time: Loop time that the receiver had reached when the read was
+            issued, as known from its hint, in s; 0 if unknown.
+        receiver_incarnation: Incarnation to which that time belongs.
     """
 
     vm: VmId
@@ -160,6 +168,8 @@
     records: tuple[RawRecord, ...]
     era: int = 0
     is_snapshot: bool = False
+    receiver_time: float = 0.0
+    receiver_incarnation: Incarnation = NO_INCARNATION
 
 
 @attrs.frozen
@@ -247,6 +257,7 @@
     row.vm, row.life, row.number = hint.vm, hint.incarnation, hint.number
     row.isCutOff, row.era = hint.cannot_read, hint.era
     row.askedAtS, row.answersAtS = hint.asked_at, hint.answers_at
+    row.sentAtS = hint.sent_at
     for version, stated in zip(row.init('versions', len(hint.versions)),
                                hint.versions):
         version.model, version.version = stated.model, stated.version
@@ -299,6 +310,8 @@
     row.vm, row.subject = relay.vm, relay.view
     row.start, row.end = relay.start, relay.end
     row.era, row.whole = relay.era, relay.is_snapshot
+    row.receiverTimeS = relay.receiver_time
+    row.receiverLife = relay.receiver_incarnation
     records = row.init('records', len(relay.records))
     for each, record in zip(records, relay.records):
         each.key = record.key
@@ -385,7 +398,7 @@
         row.era, row.askedAtS, row.answersAtS,
         tuple(
             VersionAge(ModelId(each.model), each.version, each.ageS,
-                       each.isPrecise) for each in row.versions))
+                       each.isPrecise) for each in row.versions), row.sentAtS)
 
 
 def _read_view(row: Any) -> RelayedView:
@@ -393,7 +406,8 @@
         RawRecord(str(each.key), None if each.isDropped else bytes(each.value))
         for each in row.records)
     return RelayedView(VmId(row.vm), str(row.subject), row.start, row.end,
-                       records, row.era, row.whole)
+                       records, row.era, row.whole, row.receiverTimeS,
+                       Incarnation(row.receiverLife))
 
 
 def _read_store(row: Any) -> RelayedStore:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -56,6 +56,11 @@
   vm @10 :Text;
   # The metadata store's era in which a view was read.
   era @11 :UInt64;
+  # Loop time that the receiver had reached when the read was issued, as known
+  # from its hint, in s; 0 if unknown.
+  receiverTimeS @12 :Float64;
+  # Incarnation of the receiver to which that time belongs.
+  receiverLife @13 :Text;
 }
 
 struct Record {
@@ -99,6 +104,8 @@
   # That time of the receiver if `versions` answers it, in s; else 0.
   answersAtS @11 :Float64;
   versions @12 :List(VersionAge);
+  # Loop time at which the sender sent this hint, in s; 0 if not stated.
+  sentAtS @13 :Float64;
 }
 
 # Target version of a model.
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -174,7 +174,9 @@
                 for each in message.records)
             self.post(
                 ViewRelayed(view, message.start, message.end, updates,
-                            message.era, message.is_snapshot))
+                            message.era, message.is_snapshot,
+                            message.receiver_time,
+                            message.receiver_incarnation))
         elif isinstance(message, RelayedStore):
             self.post(StoreRelayed(message))
         elif isinstance(message, StoreBatch):
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -92,7 +92,7 @@
     settings = state.settings
     return [
         LogLine('started', (('life', state.incarnation), ('dc', settings.dc))),
-        *views.load_all(),
+        *views.load_all(now),
         *membership.write_vm_entry(state),
         SetTimer(_TICK_KEY, now + TICK_INTERVAL_S),
     ]
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -18,7 +18,7 @@
 import attrs
 
 from plantainridge.gateway import peer_messages
-from plantainridge.gateway.events import VmEntry
+from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.peer_messages import (PeerMessage, RelayedStore,
                                                  RelayedView, StoreBatch)
 from plantainridge.ids import VmId
@@ -169,6 +169,34 @@
             yield SendPeer(vm, entry.address, payload)
 
 
+def broadcast_read(state: 'GatewayState', message: RelayedView,
+                   issued_at: float) -> Iterator[Effect]:
+    """Send a view's relay to all peers in the data centre.
+
+    Relays of the operators' records state to each peer a time that its own
+    clock had reached when the read was issued, as its last hint shows.
+
+    Args:
+        state: The VM's state.
+        message: The relay.
+        issued_at: Loop time at which the read was issued, in s.
+    """
+    if message.view != View.OPERATOR.value:
+        yield from broadcast(state, message)
+        return
+    for vm, entry in state.peers.items():
+        if vm == state.settings.vm or entry.dc != state.settings.dc:
+            continue
+        received = state.hints.received.get(vm)
+        relay = message
+        if received is not None and received.hint.sent_at:
+            since_s = max(0.0, received.at - issued_at)
+            relay = attrs.evolve(message,
+                                 receiver_time=received.hint.sent_at - since_s,
+                                 receiver_incarnation=received.hint.incarnation)
+        yield SendPeer(vm, entry.address, peer_messages.encode(relay))
+
+
 def enqueue(state: 'GatewayState', message: RelayedStore, now: float) -> None:
     """Queue a KV cache store's update, to be sent with later ones."""
     buffer = state.relays
--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -103,7 +103,8 @@
     newest = {
         model: entry.version for model, entry in state.versions.latest.items()
     }
-    state.part_lifetimes.observe(newest, cursor.read_at, state.views.era, now)
+    state.part_lifetimes.observe(newest, cursor.complete_at, state.views.era,
+                                 now)
 
 
 def _replaced_for_s(state: 'GatewayState', models: Mapping[str, ModelId],
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -66,6 +66,8 @@
         offset: Offset of the next read; None before the view was loaded, or
             was loaded anew in the store's present era.
         read_at: Loop time of the last successful read, in s.
+        complete_at: Loop time of a moment up to which this VM has everything
+            that was written to the view, in s.
         unread_since: Loop time of the successful read before, in s.
         failed: Whether reads failed between the two.
         failing_since: Loop time of the first failure since then, or None.
@@ -80,6 +82,7 @@
 
     offset: int | None = None
     read_at: float = float('-inf')
+    complete_at: float = float('-inf')
     unread_since: float = float('-inf')
     failed: bool = False
     failing_since: float | None = None
@@ -171,10 +174,10 @@
         return now - self.cursors[view].read_at
 
 
-def load_all() -> Iterator[Effect]:
+def load_all(now: float) -> Iterator[Effect]:
     """Load every view."""
     for view in View:
-        yield fx.LoadView(view)
+        yield fx.LoadView(view, now)
 
 
 def on_timer(state: 'GatewayState', event: TimerFired,
@@ -191,10 +194,11 @@
     if now >= cursor.reload_at:
         cursor.offset, cursor.reload_at = None, float('inf')
     if cursor.offset is None:
-        yield fx.LoadView(view)
+        yield fx.LoadView(view, now)
     else:
         yield fx.ReadView(view, cursor.offset,
-                          LONG_POLL_TIMEOUT_S.get(view, 0.0), state.views.era)
+                          LONG_POLL_TIMEOUT_S.get(view,
+                                                  0.0), state.views.era, now)
 
 
 def on_failed(state: 'GatewayState', event: ViewFailed,
@@ -220,6 +224,7 @@
         yield SetTimer(_timer(event.view), now)
         return
     cursor.record_read(now)
+    cursor.complete_at = max(cursor.complete_at, event.issued_at)
     if cursor.failing_since is not None:
         yield LogLine('view_back',
                       (('view', event.view.value),
@@ -243,16 +248,17 @@
             yield from _apply(state, update, now)
     if was_restored and relays.is_reader(state, event.view.value, now):
         # Other VMs need not load the view from the store as well.
-        yield from relays.broadcast(
+        yield from relays.broadcast_read(
             state,
             RelayedView(state.settings.vm, event.view.value, event.next,
-                        event.next, event.records, event.era, True))
+                        event.next, event.records, event.era, True),
+            event.issued_at)
     elif start is not None and relays.is_reader(state, event.view.value, now):
         records = tuple(itertools.compress(event.records, needed))
-        yield from relays.broadcast(
+        yield from relays.broadcast_read(
             state,
             RelayedView(state.settings.vm, event.view.value, start, event.next,
-                        records, event.era))
+                        records, event.era), event.issued_at)
     if event.is_snapshot and event.view is View.REGISTRY:
         yield from _mark_unlisted(state, event.updates, now)
     yield from _remove_missing(state, now)
@@ -283,6 +289,7 @@
         yield SetTimer(_timer(event.view), now)
         return
     cursor.record_read(now)
+    _record_complete(state, event)
     if event.start == cursor.offset:
         for update in event.updates:
             cursor.record_logged(update)
@@ -291,11 +298,22 @@
     yield from _remove_missing(state, now)
 
 
+def _record_complete(state: 'GatewayState', event: ViewRelayed) -> None:
+    """Record when a peer issued a read, by this VM's clock.
+
+    The time of arrival does not show it: a relay may be delayed.
+    """
+    if event.receiver_time and event.receiver_incarnation == state.incarnation:
+        cursor = state.views.cursors[event.view]
+        cursor.complete_at = max(cursor.complete_at, event.receiver_time)
+
+
 def _apply_relayed_snapshot(state: 'GatewayState', event: ViewRelayed,
                             now: float) -> Iterator[Effect]:
     """Apply a view's contents, as a peer read them after the store returned."""
     cursor = state.views.cursors[event.view]
     cursor.record_read(now)
+    _record_complete(state, event)
     cursor.load(event.end, now)
     yield from _apply_restored(state, event.view, event.updates, now)
     if event.view is View.REGISTRY:
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -45,7 +45,7 @@
         self.era = 0
 
     def load_view(self, effect: fx.LoadView) -> None:
-        self.tasks.spawn(self._load_view(effect.view))
+        self.tasks.spawn(self._load_view(effect))
 
     def read_view(self, effect: fx.ReadView) -> None:
         self.tasks.spawn(self._read_view(effect))
@@ -63,7 +63,8 @@
     def write_lease(self, effect: fx.WriteLease) -> None:
         self.tasks.spawn(self._write_lease(effect))
 
-    async def _load_view(self, view: View) -> None:
+    async def _load_view(self, effect: fx.LoadView) -> None:
+        view = effect.view
         offsets: dict[ev.RawRecord, int] = {}
         next_offset: int | None = None
         after_key: str | None = None
@@ -96,7 +97,8 @@
         end = next_offset or 0
         ahead = frozenset(
             record.key for record, offset in offsets.items() if offset >= end)
-        self._post_read(view, True, tuple(offsets), end, era or 0, ahead)
+        self._post_read(view, True, tuple(offsets), end, era or 0,
+                        effect.issued_at, ahead)
 
     async def _read_view(self, effect: fx.ReadView) -> None:
         query = {
@@ -121,20 +123,22 @@
             self.post(ev.ViewFailed(effect.view, False, str(error)))
             return
         self._post_read(effect.view, False, page.records, page.next_offset,
-                        effect.era)
-
-    def _post_read(self,
-                   view: View,
-                   is_snapshot: bool,
-                   raw_records: tuple[ev.RawRecord, ...],
-                   next_offset: int,
-                   era: int,
-                   ahead: frozenset[str] = frozenset()) -> None:
+                        effect.era, effect.issued_at)
+
+    def _post_read(
+        self,
+        view: View,
+        is_snapshot: bool,
+        raw_records: tuple[ev.RawRecord, ...],
+        next_offset: int,
+        era: int,
+        issued_at: float,
+        ahead: frozenset[str] = frozenset()) -> None:
         updates = tuple(
             records.decode_update(view, record) for record in raw_records)
         self.post(
             ev.ViewRead(view, is_snapshot, updates, next_offset, raw_records,
-                        ahead, era))
+                        ahead, era, issued_at))
 
     def _post_failure(self, view: View,
                       response: Response | NoResponse) -> None:
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -131,7 +131,8 @@
              *updates: ev.ViewUpdate,
              is_snapshot: bool = False) -> None:
         """Post updates of a view."""
-        self.post(ev.ViewRead(view, is_snapshot, updates, 1))
+        self.post(ev.ViewRead(view, is_snapshot, updates, 1,
+                              issued_at=self.now))
 
     def post(self, event: Event) -> list[base.Effect]:
         """Reduce an event and return its effects, as recorded in `done`."""
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -229,7 +229,8 @@
                 self._send(effect)
             elif isinstance(effect, fx.LoadView):
                 self.loads[effect.view] += 1
-                self._answer(name, effect.view, self._load(effect.view))
+                self._answer(name, effect.view,
+                             self._load(effect.view, effect.issued_at))
             elif isinstance(effect, fx.ReadView):
                 self.reads[name] = self.reads.get(name, 0) + 1
                 self._answer(name, effect.view, self._read(effect))
@@ -243,26 +244,29 @@
             self._post_later(CALL_TIMEOUT_S, vm,
                              ev.ViewFailed(view, False, 'silent'))
 
-    def _load(self, view: View) -> ev.ViewRead:
+    def _load(self, view: View, issued_at: float | None = None) -> ev.ViewRead:
         raw = tuple(self.store.newest(view).values())
-        return self._view_read(view, True, raw, len(self.store.logs[view]))
+        return self._view_read(view, True, raw, len(self.store.logs[view]),
+                               self.now if issued_at is None else issued_at)
 
     def _read(self, effect: fx.ReadView) -> Event:
         log = self.store.logs[effect.view]
         if effect.era != self.store.era or effect.offset > len(log):
             return ev.ViewFailed(effect.view, True, 'restored')
         return self._view_read(effect.view, False, tuple(log[effect.offset:]),
-                               len(log))
+                               len(log), effect.issued_at)
 
-    def _view_read(self, view: View, is_snapshot: bool,
-                   raw: tuple[RawRecord, ...], end: int) -> ev.ViewRead:
+    def _view_read(self, view: View, is_snapshot: bool, raw: tuple[RawRecord,
+                                                                   ...],
+                   end: int, issued_at: float) -> ev.ViewRead:
         updates = tuple(records.decode_update(view, each) for each in raw)
         return ev.ViewRead(view,
                            is_snapshot,
                            updates,
                            end,
                            raw,
-                           era=self.store.era)
+                           era=self.store.era,
+                           issued_at=issued_at)
 
     def _send(self, effect: base.SendPeer) -> None:
         event = _event_of(peer_messages.decode(effect.payload))
@@ -280,7 +284,8 @@
         return ViewRelayed(
             view, message.start, message.end,
             tuple(records.decode_update(view, raw) for raw in message.records),
-            message.era, message.is_snapshot)
+            message.era, message.is_snapshot, message.receiver_time,
+            message.receiver_incarnation)
     return None
 
 
--- a/tests/test_part_lifetimes.py
+++ b/tests/test_part_lifetimes.py
@@ -2,33 +2,43 @@
 
 import random
 import unittest
+from functools import partial
 from typing import Final
 
-from plantainridge.gateway import (http_client, part_lifetimes, stored_parts,
-                                   views)
+from plantainridge.gateway import events as ev
+from plantainridge.gateway import (part_lifetimes, reducer, relays,
+                                   stored_parts, stores, views)
 from plantainridge.gateway.events import View
 from plantainridge.gateway.part_lifetimes import PartLifetimes
-from plantainridge.ids import ModelId
-from plantainridge.platform import store
+from plantainridge.ids import Incarnation, ModelId, VmId
+from tests.gateway_scene import MODEL, GatewayScene
+from tests.registry_fleet import Delivery, RegistryFleet, named_version
 
 M: Final = ModelId('m')
 TICK_S: Final = 0.1
 # Longest outage of the metadata store during which parts are still fetched.
 OUTAGE_S: Final = 9.0
+# Longest delay of a read in a random run.
+MAX_DELAY_S: Final = 30.0
 
 
 class BoundsTest(unittest.TestCase):
     """Relations between constants, on which the absence of races rests."""
 
     def test_last_fetch_ends_before_the_first_free(self) -> None:
-        read_s = (views.LONG_POLL_TIMEOUT_S[View.OPERATOR] + store.TIMEOUT_S +
-                  http_client.CONNECT_TIMEOUT_S)
-        self.assertGreater(
-            part_lifetimes.FREE_DELAY_S, part_lifetimes.FETCH_WINDOW_S +
-            read_s + part_lifetimes.CLOCK_TOLERANCE_S)
+        # Reads count from their issue, which precedes the naming. What remains
+        # is the drift of the VMs' clocks and the engines' against one another.
+        drift_s = 3 * stores.MAX_CLOCK_DRIFT * part_lifetimes.FREE_DELAY_S
+        self.assertGreater(part_lifetimes.CLOCK_TOLERANCE_S, drift_s)
+        self.assertGreaterEqual(
+            part_lifetimes.FREE_DELAY_S,
+            part_lifetimes.FETCH_WINDOW_S + part_lifetimes.CLOCK_TOLERANCE_S)
 
     def test_parts_are_fetched_through_an_outage(self) -> None:
-        read_age_s = views.LONG_POLL_TIMEOUT_S[View.OPERATOR]
+        # The outage interrupts the second read.
+        read_age_s = (2 * views.MAX_READ_GAP_S +
+                      relays.MAX_MIN_HINT_INTERVAL_S + reducer.TICK_INTERVAL_S +
+                      stores.MAX_RELAY_DELAY_S)
         self.assertGreaterEqual(
             part_lifetimes.FETCH_WINDOW_S,
             OUTAGE_S + read_age_s + stored_parts.FETCH_TIMEOUT_S)
@@ -57,13 +67,14 @@
                 for step in range(600):
                     now = step * TICK_S
                     if not outage_at < now < outage_end:
-                        # The store answered some time before the VM reads.
-                        answered_at = now - rng.uniform(
-                            0.0, part_lifetimes.MAX_READ_DELAY_S)
+                        # The store answered between the read's issue and its
+                        # arrival, which any delay may separate.
+                        issued_at = now - rng.uniform(0.0, MAX_DELAY_S)
+                        answered_at = rng.uniform(issued_at, now)
                         newest = {
                             M: max(newest[M], 1 + (answered_at >= named_at))
                         }
-                        read_at = now
+                        read_at = max(read_at, issued_at)
                     lifetimes.observe(newest, read_at, 0, now)
                     until = now + stored_parts.FETCH_TIMEOUT_S
                     if lifetimes.may_fetch(M, 1, until):
@@ -105,3 +116,73 @@
         self.assertFalse(lifetimes.may_fetch(M, 1, 4.0))
         self._read(lifetimes, 4.0, 6.0, 1)
         self.assertTrue(lifetimes.may_fetch(M, 1, 6.0))
+
+
+class RelayedReadsTest(unittest.TestCase):
+    """VMs of which one receives the operators' records only through peers."""
+
+    def setUp(self) -> None:
+        self.fleet = RegistryFleet(3)
+        self.fleet.store.append(named_version(1), view=View.OPERATOR)
+        self.fleet.run(3.0)
+        self.relayed = next(
+            vm for vm, scene in self.fleet.vms.items() if
+            not relays.is_reader(scene.state, View.OPERATOR.value, scene.now))
+        self.fleet.rejected.add(self.relayed)
+
+    def _may_fetch(self, vm: VmId) -> bool:
+        scene = self.fleet.vms[vm]
+        until = scene.now + stored_parts.FETCH_TIMEOUT_S
+        return scene.state.part_lifetimes.may_fetch(MODEL, 1, until)
+
+    def _may_free(self, vm: VmId) -> bool:
+        scene = self.fleet.vms[vm]
+        lifetimes = scene.state.part_lifetimes
+        return (lifetimes.replaced_for_s(MODEL, 1, scene.now)
+                > part_lifetimes.FREE_DELAY_S)
+
+    def test_delayed_relay_does_not_extend_fetches(self) -> None:
+        for delay_s in (0.001, 2.0, 4.0, 8.0):
+            self.setUp()
+            fleet, fetched_until = self.fleet, 0.0
+            fleet.deliver = partial(Delivery, (delay_s,))
+            fleet.run(10.0)
+            fleet.store.append(named_version(2), view=View.OPERATOR)
+            while not any(map(self._may_free, fleet.vms)):
+                fleet.run(TICK_S)
+                for vm in filter(self._may_fetch, fleet.vms):
+                    fetched_until = (fleet.vms[vm].now +
+                                     stored_parts.FETCH_TIMEOUT_S)
+            self.assertLess(fetched_until, fleet.now, f'delay {delay_s} s')
+
+    def test_parts_are_fetched_by_relayed_reads_through_an_outage(self) -> None:
+        self.fleet.run(30.0)
+        self.fleet.store.up = False
+        for _ in range(round(OUTAGE_S / TICK_S)):
+            self.fleet.run(TICK_S)
+            for vm in self.fleet.vms:
+                self.assertTrue(self._may_fetch(vm))
+
+    def test_own_read_counts_from_its_issue(self) -> None:
+        scene = GatewayScene()
+        scene.now += 5.0
+        issued_at = scene.now
+        scene.now += 3.0
+        scene.post(ev.ViewRead(View.OPERATOR, False, (), 1,
+                               issued_at=issued_at))
+        cursor = scene.state.views.cursors[View.OPERATOR]
+        self.assertEqual(cursor.complete_at, issued_at)
+
+    def test_relay_counts_only_with_a_time_of_this_process(self) -> None:
+        scene = GatewayScene()
+        scene.tick()
+        scene.now += 30.0
+        for incarnation in ('', 'earlier'):
+            scene.post(
+                ev.ViewRelayed(View.OPERATOR,
+                               1,
+                               1, (),
+                               receiver_time=scene.now,
+                               receiver_incarnation=Incarnation(incarnation)))
+        cursor = scene.state.views.cursors[View.OPERATOR]
+        self.assertEqual(cursor.complete_at, scene.now - 30.0)
