--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -235,7 +235,8 @@
                  for name in state.leaving.observed
              }, state.views.era, asked_at, answers_at,
              state.versions.ages(now) if answers_at else (),
-             tuple(state.suspects.cleared), state.suspects.idle_times(now)))
+             tuple(state.suspects.cleared), state.suspects.idle_times(now),
+             now))
 
 
 def _broken_sends(state: 'GatewayState',
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -23,6 +23,8 @@
 # Names in entries of work that stand for no data centre or service.
 NO_DC: Final = DcId('')
 NO_SERVICE: Final = ServiceId('')
+# Incarnation in relays that state no time of the receiver.
+NO_INCARNATION: Final = Incarnation('')
 # Largest message that is decoded, in words of 8 bytes.
 MAX_MESSAGE_WORDS: Final = 4 << 20
 
@@ -105,6 +107,8 @@
         cleared: Suspects of crashes whose requests were answered since.
         quarantined: Quarantined suspects, each with the time since the last
             crash with it, in s.
+        sent_at: The VM's loop time at which it sent this hint, in s; 0 if not
+            stated.
     """
 
     vm: VmId
@@ -122,6 +126,7 @@
     versions: tuple[VersionAge, ...] = ()
     cleared: tuple[Suspect, ...] = ()
     quarantined: Mapping[Suspect, float] = attrs.field(factory=dict)
+    sent_at: float = 0.0
 
 
 @attrs.frozen
@@ -174,6 +179,9 @@
         end: Offset up to which it has read afterwards.
         era: The metadata store's era in which they were read.
         is_snapshot: Whether the records are the view's entire contents.
+        receiver_time: Loop time that the receiver had reached when the read was
+            issued, as known from its hint, in s; 0 if unknown.
+        receiver_incarnation: Incarnation to which that time belongs.
     """
 
     vm: VmId
@@ -183,6 +191,8 @@
     records: tuple[RawRecord, ...]
     era: int = 0
     is_snapshot: bool = False
+    receiver_time: float = 0.0
+    receiver_incarnation: Incarnation = NO_INCARNATION
 
 
 @attrs.frozen
@@ -270,6 +280,7 @@
     row.vm, row.life, row.number = hint.vm, hint.incarnation, hint.number
     row.isCutOff, row.era = hint.cannot_read, hint.era
     row.askedAtS, row.answersAtS = hint.asked_at, hint.answers_at
+    row.sentAtS = hint.sent_at
     for version, stated in zip(row.init('versions', len(hint.versions)),
                                hint.versions):
         version.model, version.version = stated.model, stated.version
@@ -337,6 +348,8 @@
     row.vm, row.subject = relay.vm, relay.view
     row.start, row.end = relay.start, relay.end
     row.era, row.whole = relay.era, relay.is_snapshot
+    row.receiverTimeS = relay.receiver_time
+    row.receiverLife = relay.receiver_incarnation
     records = row.init('records', len(relay.records))
     for each, record in zip(records, relay.records):
         each.key = record.key
@@ -431,7 +444,7 @@
         tuple(Suspect(str(each)) for each in row.cleared), {
             Suspect(str(each.suspect)): each.idleMs / MS_PER_S
             for each in row.quarantined
-        })
+        }, row.sentAtS)
 
 
 def _read_view(row: Any) -> RelayedView:
@@ -439,7 +452,8 @@
         RawRecord(str(each.key), None if each.isDropped else bytes(each.value))
         for each in row.records)
     return RelayedView(VmId(row.vm), str(row.subject), row.start, row.end,
-                       records, row.era, row.whole)
+                       records, row.era, row.whole, row.receiverTimeS,
+                       Incarnation(row.receiverLife))
 
 
 def _read_store(row: Any) -> RelayedStore:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -56,6 +56,11 @@
   vm @10 :Text;
   # The metadata store's era in which a view was read.
   era @11 :UInt64;
+  # Loop time that the receiver had reached when the read was issued, as known
+  # from its hint, in s; 0 if unknown.
+  receiverTimeS @12 :Float64;
+  # Incarnation of the receiver to which that time belongs.
+  receiverLife @13 :Text;
 }
 
 struct Record {
@@ -102,6 +107,8 @@
   # Suspects of crashes that answers cleared.
   cleared @13 :List(Text);
   quarantined @14 :List(Quarantined);
+  # Loop time at which the sender sent this hint, in s; 0 if not stated.
+  sentAtS @15 :Float64;
 }
 
 # Target version of a model.
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -502,10 +502,15 @@
                  versions=(VersionAge(MODEL, 1, math.inf,
                                       False), VersionAge(MODEL, 2, 0.25, True)),
                  cleared=(Suspect('part/p'),),
-                 quarantined={Suspect('part/q'): 2.5}),
+                 quarantined={Suspect('part/q'): 2.5},
+                 sent_at=3.5),
             peer_messages.RelayedView(
-                VmId('vm'), 'registry', 3, 5,
-                (ev.RawRecord('k', b'v'), ev.RawRecord('gone', None))),
+                VmId('vm'),
+                'registry',
+                3,
+                5, (ev.RawRecord('k', b'v'), ev.RawRecord('gone', None)),
+                receiver_time=2.5,
+                receiver_incarnation=Incarnation('l')),
             peer_messages.RelayedStore(
                 VmId('vm'),
                 list(GatewayScene().state.stores.views)[0], 4, 5, 6, True,
