Keep an assumed age of a version to the VM that assumes it

Callers: a request may be sent to replaced weights after the bound. In the paused-clock fixture three VMs are suspended for 5 s, version 2 is named 0.3 s into it, and then the reads of vm1 fail for 1.2 s: vm1 counted the version from 1.2 s before its read, and stated this to the others.

Cause: from its own failed reads a VM concluded that the metadata store was down and that nothing was named meanwhile. A suspension, a rejection or a local cut fail the same way. The time went out with the ages that peers ask for, and the younger of two imprecise ages was preferred.

Fix: the assumed time is apart from the one that cannot lie after the naming. It is not assumed if a suspension ended since the last read, it is never stated, and a precise age from a peer replaces it.

Weighed: no assumed time at all. After an outage of the metadata store of more than 8 s no VM would then use replaced weights for a version named as it returned, though no engine has the new ones yet, and every request of the model would wait or be refused until engines are updated. The price of keeping it: a VM that alone was cut off from the store, and whose relays were lost too, may count a version as 1.2 s old from its read until the first answer of a peer (asked at the next tick).

Evidence: test_failed_reads_after_a_suspension_make_no_version_younger and test_age_assumed_after_failed_reads_is_not_stated_to_peers failed on the code before (vm1 sent after the bound; an age of 2.17 s stated after an outage of 6 s) and pass now. test_outage_of_the_store_does_not_age_a_version is unchanged.

--- a/src/plantainridge/gateway/versions.py
+++ b/src/plantainridge/gateway/versions.py
@@ -23,12 +23,20 @@
         named_at: Loop time before which it, and any version between the
             previous entry and it, was not named, in s; -inf if not known.
         precise: Whether it was named shortly after that time.
+        assumed_at: Later loop time that this VM assumes by itself, as its reads
+            failed until then, in s; -inf if there is none.
     """
 
     version: int
     seen_at: float
     named_at: float
     precise: bool
+    assumed_at: float = -math.inf
+
+    @property
+    def counts_from(self) -> float:
+        """Loop time from which the age counts at this VM, in s."""
+        return max(self.named_at, self.assumed_at)
 
 
 @attrs.frozen
@@ -56,20 +64,21 @@
 
     history: dict[ModelId, list[VersionEntry]] = attrs.field(factory=dict)
 
-    def add(self, model: ModelId, version: int, now: float, named_at: float,
-            precise: bool) -> bool:
+    def add(self, model: ModelId, entry: VersionEntry) -> bool:
         """Add a target version; return whether it is newer than all known."""
         entries = self.history.setdefault(model, [])
-        if entries and entries[-1].version >= version:
+        if entries and entries[-1].version >= entry.version:
             return False
-        entries.append(VersionEntry(version, now, named_at, precise))
+        entries.append(entry)
         return True
 
     def add_stated(self, stated: VersionAge, stated_at: float,
                    now: float) -> bool:
         """Add a version that a peer stated, or the time of its naming.
 
-        A time that is known precisely does not change any more.
+        A time that is known precisely does not change any more. What this VM
+        assumes by itself is not stated to others, and gives way to a precise
+        time only.
 
         Args:
             stated: The version and its age.
@@ -84,14 +93,18 @@
                                 stated.version,
                                 key=lambda each: each.version)
         named_at, seen_at, replaced = stated_at - stated.age_s, now, 0
+        assumed_at = -math.inf
         if at < len(entries) and entries[at].version == stated.version:
             known = entries[at]
             if known.precise or not (stated.precise or
                                      named_at > known.named_at):
                 return False
             seen_at, replaced = known.seen_at, 1
+            if not stated.precise:
+                assumed_at = known.assumed_at
         entries[at:at + replaced] = [
-            VersionEntry(stated.version, seen_at, named_at, stated.precise)
+            VersionEntry(stated.version, seen_at, named_at, stated.precise,
+                         assumed_at)
         ]
         return True
 
@@ -128,7 +141,7 @@
         """
         named_at = -math.inf
         for entry in self.history.get(model, ()):
-            named_at = max(named_at, entry.named_at)
+            named_at = max(named_at, entry.counts_from)
             if version is not None and entry.version > version:
                 return named_at
         return None
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -356,19 +356,22 @@
 def _apply_version(state: 'GatewayState', update: NamedVersion,
                    now: float) -> Iterator[Effect]:
     """Add a version with the earliest time at which it may have been named."""
-    cursor = state.views.cursors[View.OPERATOR]
-    named_at = cursor.unread_since
+    cursor, suspension = state.views.cursors[View.OPERATOR], state.suspension
+    named_at, assumed_at = cursor.unread_since, float('-inf')
     precise = now - named_at <= MAX_READ_GAP_S
-    if cursor.failed and named_at > float('-inf'):
-        # Nothing is named while the metadata store is down.
-        named_at = max(named_at, now - MAX_READ_GAP_S)
-    backlog_since = state.suspension.backlog_since(now)
+    if cursor.failed and named_at > suspension.end:
+        # Nothing is named while the metadata store is down. After a suspension
+        # it may have been this VM alone that could not read.
+        assumed_at = now - MAX_READ_GAP_S
+    backlog_since = suspension.backlog_since(now)
     if backlog_since < now:
         named_at, precise = min(named_at, backlog_since), False
-    if state.versions.add(update.model, update.version, now, named_at, precise):
+    entry = versions.VersionEntry(update.version, now, named_at, precise,
+                                  assumed_at)
+    if state.versions.add(update.model, entry):
         yield LogLine('version_named',
                       (('model', update.model), ('version', update.version),
-                       ('age_s', versions.loggable(now - named_at)),
+                       ('age_s', versions.loggable(now - entry.counts_from)),
                        ('precise', int(precise))))
 
 
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -1,5 +1,6 @@
 """Tests of the time for which VMs use replaced weights."""
 
+import math
 import unittest
 from typing import Final
 
@@ -8,6 +9,7 @@
 from plantainridge.gateway.events import View
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
+from plantainridge.gateway.views import ViewCursor
 from plantainridge.ids import EndpointId, VmId
 from tests.gateway_scene import MODEL, GatewayScene, endpoint, head, request
 from tests.registry_fleet import (Delivery, RegistryFleet, entry, named_version)
@@ -99,6 +101,43 @@
         self.fleet.run(LIMIT_S - 5.0 + 0.1)
         self.assertFalse(self._sends())
 
+    def test_failed_reads_after_a_suspension_make_no_version_younger(
+            self) -> None:
+        self.fleet.paused |= set(self.fleet.vms)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(5.0)
+        self.fleet.paused.clear()
+        self.fleet.rejected.add(VM)
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.run(1.2)
+        self.fleet.rejected.clear()
+        self.fleet.run(1.2)
+        self.fleet.deliver = Delivery
+        self.fleet.run(LIMIT_S - 7.4 + 0.1)
+        for vm in self.fleet.vms:
+            self.assertFalse(self._sends(vm), vm)
+
+    def test_vm_that_starts_during_an_outage_assumes_no_age(self) -> None:
+        scene = GatewayScene(endpoint('a'))
+        scene.state.views.cursors[View.OPERATOR] = ViewCursor()
+        scene.post(ev.ViewFailed(View.OPERATOR, False, 'silent'))
+        scene.advance(2.0)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2), is_snapshot=True)
+        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
+                         -math.inf)
+
+    def test_age_assumed_after_failed_reads_is_not_stated_to_peers(
+            self) -> None:
+        self.fleet.store.up = False
+        self.fleet.run(6.0)
+        self.fleet.store.up = True
+        self._name(2)
+        self.fleet.run(1.0)
+        for vm, scene in self.fleet.vms.items():
+            age, = scene.state.versions.ages(self.fleet.now)
+            self.assertGreater(age.age_s, 6.0, vm)
+
     def test_relays_that_a_suspended_vm_receives_late_give_no_age(self) -> None:
         scene = GatewayScene(endpoint('a'))
         suspended_at = scene.now
