Count a replaced version by its first successor's own age

Callers: replaced weights get requests for longer than they may. With versions 2 and 3 read as the metadata store returned (assumed as 1.2 s old), and a peer that states version 3 as 10 s old, version 2 and with it version 1 counted as replaced 1.2 s ago, not 10 s. is_replaced_at_unknown was False for version 2, so the VM did not ask again.

Cause: replaced_at took the latest time of all entries up to the first newer version, so that an older entry's assumed time overrode a known one.

Fix: the first newer version's own time counts, but no later than a precise time of a later version, which was named after it.

Evidence: test_assumed_age_does_not_override_a_later_versions_known_age failed on the code before (98.8 in place of 90.0) and passes now.

--- a/src/plantainridge/gateway/versions.py
+++ b/src/plantainridge/gateway/versions.py
@@ -133,18 +133,22 @@
         """Return the loop time at which a version was first replaced, in s.
 
         The first newer version counts, so that later ones do not extend the
-        time within which a version must be replaced.
+        time within which a version must be replaced. It was named before them.
 
         Returns:
             The earliest loop time that is possible; -inf if nothing is known;
             None if the version has not been replaced.
         """
-        named_at = -math.inf
-        for entry in self.history.get(model, ()):
-            named_at = max(named_at, entry.counts_from)
-            if version is not None and entry.version > version:
-                return named_at
-        return None
+        newer = [
+            entry for entry in self.history.get(model, ())
+            if version is not None and entry.version > version
+        ]
+        if not newer:
+            return None
+        return min([
+            newer[0].counts_from,
+            *(each.named_at for each in newer if each.precise)
+        ])
 
     def is_replaced_at_unknown(self, model: ModelId, version: int) -> bool:
         """Return whether it is not known when a version was replaced."""
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -9,6 +9,8 @@
 from plantainridge.gateway.events import View
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
+from plantainridge.gateway.versions import (VersionAge, VersionEntry,
+                                            VersionTable)
 from plantainridge.gateway.views import ViewCursor
 from plantainridge.ids import EndpointId, VmId
 from tests.gateway_scene import MODEL, GatewayScene, endpoint, head, request
@@ -160,6 +162,27 @@
         self.assertFalse(self._sends())
 
 
+class VersionTableTest(unittest.TestCase):
+    """Ages of several versions of a model."""
+
+    def setUp(self) -> None:
+        self.table = VersionTable()
+        for version in (2, 3):
+            # Both were read as the store returned from an outage.
+            self.table.add(MODEL, VersionEntry(version, 100.0, 80.0, False,
+                                               98.8))
+
+    def _state(self, version: int, age_s: float) -> None:
+        stated = VersionAge(MODEL, version, age_s, True)
+        self.table.add_stated(stated, 100.0, 100.0)
+
+    def test_assumed_age_does_not_override_a_later_versions_known_age(
+            self) -> None:
+        self._state(3, 10.0)
+        for version in (1, 2):
+            self.assertEqual(self.table.replaced_at(MODEL, version), 90.0)
+
+
 class UnknownVersionTest(unittest.TestCase):
     """An engine rejects the newest version without stating its own."""
 
