Do not count a read that waited for a suspended VM as the last one

Callers: a request may be sent to replaced weights long after the bound. A VM is suspended for 12 s, in which a relay without updates waits for it; 1.04 s after it runs again a relay names version 2. The VM took the version for named since the first relay, 1.04 s ago, as a precise age, which no peer's answer changed.

Cause: what a VM reads in the second after a suspension was not trusted to give an age itself, but it counted as the read before, from which the next version's age is taken, for which the second is over.

Fix: the last read that was not outdated counts as the read before. The price: a version named within about two seconds after a suspension makes this VM ask its peers.

Evidence: test_late_relay_gives_no_age_after_the_suspension_either failed on the code before (the age counted as known) and passes now.

--- a/src/plantainridge/gateway/suspension.py
+++ b/src/plantainridge/gateway/suspension.py
@@ -42,4 +42,8 @@
         Returns:
             `now` if it has run for long enough to have handled them.
         """
-        return self.start if now - self.end <= BACKLOG_S else now
+        return self.start if self.may_have_backlog(now) else now
+
+    def may_have_backlog(self, now: float) -> bool:
+        """Return whether messages may have waited while it did not run."""
+        return now - self.end <= BACKLOG_S
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -66,7 +66,10 @@
         offset: Offset of the next read; None before the view was loaded, or
             was loaded anew in the store's present era.
         read_at: Loop time of the last successful read, in s.
-        unread_since: Loop time of the successful read before, in s.
+        unread_since: Loop time of the latest successful read before that is
+            not outdated, in s.
+        outdated: Whether the last read may have waited for this VM, so that
+            what it lacks may have been written before its time.
         failed: Whether reads failed between the two.
         failing_since: Loop time of the first failure since then, or None.
         recovered_at: Loop time of the first update after an outage, in s.
@@ -81,6 +84,7 @@
     offset: int | None = None
     read_at: float = float('-inf')
     unread_since: float = float('-inf')
+    outdated: bool = False
     failed: bool = False
     failing_since: float | None = None
     recovered_at: float = float('-inf')
@@ -123,13 +127,14 @@
             return previous is None or not update.is_heartbeat_after(previous)
         return not isinstance(update, InvalidRecord)
 
-    def record_read(self, now: float) -> None:
+    def record_read(self, now: float, outdated: bool) -> None:
         """Record that the view was read, by this VM or a peer."""
         if now - self.read_at > MIN_OUTAGE_S:
             self.recovered_at = now
-        self.unread_since = self.read_at
+        if not self.outdated:
+            self.unread_since = self.read_at
         self.failed = self.failing_since is not None
-        self.read_at = now
+        self.read_at, self.outdated = now, outdated
 
 
 @attrs.define
@@ -219,7 +224,7 @@
         # Offsets of an older era do not name the same records.
         yield SetTimer(_timer(event.view), now)
         return
-    cursor.record_read(now)
+    cursor.record_read(now, _is_outdated_read(state, now))
     if cursor.failing_since is not None:
         yield LogLine('view_back',
                       (('view', event.view.value),
@@ -282,7 +287,7 @@
         cursor.behind = True
         yield SetTimer(_timer(event.view), now)
         return
-    cursor.record_read(now)
+    cursor.record_read(now, _is_outdated_read(state, now))
     if event.start == cursor.offset:
         for update in event.updates:
             cursor.record_logged(update)
@@ -295,7 +300,7 @@
                             now: float) -> Iterator[Effect]:
     """Apply a view's contents, as a peer read them after the store returned."""
     cursor = state.views.cursors[event.view]
-    cursor.record_read(now)
+    cursor.record_read(now, _is_outdated_read(state, now))
     cursor.load(event.end, now)
     yield from _apply_restored(state, event.view, event.updates, now)
     if event.view is View.REGISTRY:
@@ -353,6 +358,11 @@
                       (('key', update.key), ('reason', update.reason)))
 
 
+def _is_outdated_read(state: 'GatewayState', now: float) -> bool:
+    """Return whether a read may lack what was written before its time."""
+    return state.suspension.may_have_backlog(now)
+
+
 def _apply_version(state: 'GatewayState', update: NamedVersion,
                    now: float) -> Iterator[Effect]:
     """Add a version with the earliest time at which it may have been named."""
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -126,8 +126,7 @@
         scene.post(ev.ViewFailed(View.OPERATOR, False, 'silent'))
         scene.advance(2.0)
         scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2), is_snapshot=True)
-        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
-                         -math.inf)
+        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1), -math.inf)
 
     def test_age_assumed_after_failed_reads_is_not_stated_to_peers(
             self) -> None:
@@ -150,6 +149,20 @@
         self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
                          suspended_at)
 
+    def test_late_relay_gives_no_age_after_the_suspension_either(self) -> None:
+        scene = GatewayScene(endpoint('a'))
+        suspended_at = scene.now
+        scene.now += 12.0
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 1, ()))
+        for _ in range(10):
+            scene.now += 0.104
+            scene.tick()
+        named = ev.NamedVersion(MODEL, 2)
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 2, (named,)))
+        self.assertTrue(scene.state.versions.is_replaced_at_unknown(MODEL, 1))
+        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
+                         suspended_at)
+
     def test_peers_state_a_version_that_a_restored_store_lacks(self) -> None:
         self._name(2)
         self.fleet.run(4.0)
