Prefer the older of two precise ages of a version

Callers: a VM that holds a precise age which is too young, from whatever cause, sends to replaced weights after the bound, and no peer's answer corrects it.

Cause: a time known as precise did not change any more.

Fix: of two precise times the earlier counts. So that an answer that was long on its way does not make a version older for good, its ages are not precise beyond 1.0 s from the question; they still bound the age, and the VM asks again. The price: each answer may add up to 1.0 s of age, which ends the use of replaced weights earlier, never later.

Evidence: test_earlier_of_two_precise_times_counts failed on the code before (91.0 in place of 90.0), test_late_answers_make_a_version_older_but_not_precise as well (answers after 1.2 s counted as precise); both pass now.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -59,6 +59,9 @@
 ASK_INTERVAL_S: Final = 0.2
 LATER_ASK_INTERVAL_S: Final = 1.0
 FREQUENT_ASKS: Final = 10
+# Time from a question to its answer beyond which the ages in it are too old to
+# count as precise, in s.
+MAX_ANSWER_DELAY_S: Final = 1.0
 # Hints that ask in any case if the metadata store returned from an older copy:
 # it may show an older version than peers know.
 START_ASKS: Final = 3
@@ -466,7 +469,9 @@
     """Apply the ages of versions that a peer stated when asked."""
     if not 0.0 < hint.answers_at <= now:
         return
-    for each in hint.versions:
+    is_late = now - hint.answers_at > MAX_ANSWER_DELAY_S
+    for stated in hint.versions:
+        each = attrs.evolve(stated, precise=stated.precise and not is_late)
         if state.versions.add_stated(each, hint.answers_at, now):
             age_s = now - hint.answers_at + each.age_s
             yield LogLine('version_age_stated',
--- a/src/plantainridge/gateway/versions.py
+++ b/src/plantainridge/gateway/versions.py
@@ -76,7 +76,7 @@
                    now: float) -> bool:
         """Add a version that a peer stated, or the time of its naming.
 
-        A time that is known precisely does not change any more. What this VM
+        Of two times that are known precisely the earlier counts. What this VM
         assumes by itself is not stated to others, and gives way to a precise
         time only.
 
@@ -96,8 +96,7 @@
         assumed_at = -math.inf
         if at < len(entries) and entries[at].version == stated.version:
             known = entries[at]
-            if known.precise or not (stated.precise or
-                                     named_at > known.named_at):
+            if not _is_better(stated.precise, named_at, known):
                 return False
             seen_at, replaced = known.seen_at, 1
             if not stated.precise:
@@ -158,6 +157,13 @@
         return False
 
 
+def _is_better(precise: bool, named_at: float, known: VersionEntry) -> bool:
+    """Return whether a stated time replaces one that is known."""
+    if precise and known.precise:
+        return named_at < known.named_at
+    return not known.precise and (precise or named_at > known.named_at)
+
+
 def loggable(age_s: float) -> float:
     """Return an age as a log field: -1 if it is not known."""
     return -1.0 if math.isinf(age_s) else round(age_s, 3)
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -7,6 +7,7 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import View
+from plantainridge.gateway.hints import MAX_ANSWER_DELAY_S
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
 from plantainridge.gateway.versions import (VersionAge, VersionEntry,
@@ -62,6 +63,20 @@
         self.fleet.run(LIMIT_S - 7.5 + 0.1)
         self.assertFalse(self._sends())
 
+    def test_late_answers_make_a_version_older_but_not_precise(self) -> None:
+        self._name(2)
+        self.fleet.run(1.0)
+        self.fleet.deliver = lambda: Delivery((0.6,))
+        self.fleet.start(VM)
+        self.fleet.run(2.0)
+        versions = self.fleet.vms[VM].state.versions
+        self.assertTrue(versions.is_replaced_at_unknown(MODEL, 1))
+        self.fleet.deliver = Delivery
+        self.fleet.run(1.5)
+        self.assertFalse(versions.is_replaced_at_unknown(MODEL, 1))
+        replaced_for_s = self.fleet.now - (versions.replaced_at(MODEL, 1) or 0)
+        self.assertLess(replaced_for_s, 4.5 + MAX_ANSWER_DELAY_S)
+
     def test_version_of_unknown_age_counts_as_long_named(self) -> None:
         self._name(2)
         self.fleet.run(1.0)
@@ -195,6 +210,11 @@
         for version in (1, 2):
             self.assertEqual(self.table.replaced_at(MODEL, version), 90.0)
 
+    def test_earlier_of_two_precise_times_counts(self) -> None:
+        for age_s in (9.0, 10.0, 9.5):
+            self._state(2, age_s)
+        self.assertEqual(self.table.replaced_at(MODEL, 1), 90.0)
+
 
 class UnknownVersionTest(unittest.TestCase):
     """An engine rejects the newest version without stating its own."""
