Do not date versions by reads of a store that was just restored

Callers: a request is sent to replaced weights 10.5 s after the naming, where the bound is 10 s. In the fixture version 2 is named, the metadata store returns 3 s later from a copy without it, vm1 starts and its questions get no answer, and the operator writes version 2 again 4 s after the restore: vm1 had read the restored store without version 2 just before, and counted it as new and precise.

Cause: a read without a version shows that it was not named before, except in a store that has lost what it acknowledged.

Fix: reads within RESTORE_SETTLE_S of a new era, in which operators write again what the copy lacks, do not count as the last read, nothing is precise meanwhile, and no age is assumed after failed reads. A VM that starts with a restored store cannot tell how long ago that was and waits as long. The price: for a version that is really named within 5 s of a restore, the time since the last read before the outage is lost; such engines may get nothing until they are updated.

Evidence: test_version_written_again_after_a_restore_is_not_new failed on the code before and passes now.

--- a/src/plantainridge/gateway/eras.py
+++ b/src/plantainridge/gateway/eras.py
@@ -39,6 +39,7 @@
     if era <= views.era:
         return
     previous, views.era = views.era, era
+    views.era_entered_at = now
     state.lease.enter_era(now)
     if not any(cursor.loaded for cursor in views.cursors.values()):
         return
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -15,6 +15,7 @@
                                           NamedVersion, TimerKind, View,
                                           ViewFailed, ViewRead, ViewRelayed,
                                           ViewUpdate, VmEntry)
+from plantainridge.gateway.part_lifetimes import RESTORE_SETTLE_S
 from plantainridge.gateway.peer_messages import RelayedView
 from plantainridge.ids import EndpointId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
@@ -68,8 +69,8 @@
         read_at: Loop time of the last successful read, in s.
         unread_since: Loop time of the latest successful read before that is
             not outdated, in s.
-        outdated: Whether the last read may have waited for this VM, so that
-            what it lacks may have been written before its time.
+        outdated: Whether the last read may lack what was written before its
+            time, since it waited for this VM or the store is an older copy.
         failed: Whether reads failed between the two.
         failing_since: Loop time of the first failure since then, or None.
         recovered_at: Loop time of the first update after an outage, in s.
@@ -144,11 +145,13 @@
     Attributes:
         era: Highest era of the metadata store that this VM knows; positions
             belong to it.
+        era_entered_at: Loop time at which this VM learned of it, in s.
         removed: Removed endpoints, with the Unix time of the start of the run
             that was removed, in ms.
     """
 
     era: int = 0
+    era_entered_at: float = float('-inf')
     removed: OrderedDict[EndpointId, int] = attrs.field(factory=OrderedDict)
     cursors: dict[View, ViewCursor] = attrs.field(
         factory=lambda: {view: ViewCursor() for view in View})
@@ -360,7 +363,8 @@
 
 def _is_outdated_read(state: 'GatewayState', now: float) -> bool:
     """Return whether a read may lack what was written before its time."""
-    return state.suspension.may_have_backlog(now)
+    return (state.suspension.may_have_backlog(now) or
+            now - state.views.era_entered_at < RESTORE_SETTLE_S)
 
 
 def _apply_version(state: 'GatewayState', update: NamedVersion,
@@ -368,14 +372,15 @@
     """Add a version with the earliest time at which it may have been named."""
     cursor, suspension = state.views.cursors[View.OPERATOR], state.suspension
     named_at, assumed_at = cursor.unread_since, float('-inf')
-    precise = now - named_at <= MAX_READ_GAP_S
-    if cursor.failed and named_at > suspension.end:
+    precise = (now - named_at <= MAX_READ_GAP_S and
+               not _is_outdated_read(state, now))
+    if (cursor.failed and named_at > suspension.end and
+            now - state.views.era_entered_at >= RESTORE_SETTLE_S):
         # Nothing is named while the metadata store is down. After a suspension
-        # it may have been this VM alone that could not read.
+        # it may have been this VM alone that could not read, and after a
+        # restore the version may have been named before.
         assumed_at = now - MAX_READ_GAP_S
-    backlog_since = suspension.backlog_since(now)
-    if backlog_since < now:
-        named_at, precise = min(named_at, backlog_since), False
+    named_at = min(named_at, suspension.backlog_since(now))
     entry = versions.VersionEntry(update.version, now, named_at, precise,
                                   assumed_at)
     if state.versions.add(update.model, entry):
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -189,6 +189,21 @@
         self.fleet.run(LIMIT_S - 6.0 + 0.1)
         self.assertFalse(self._sends())
 
+    def test_version_written_again_after_a_restore_is_not_new(self) -> None:
+        self._name(2)
+        self.fleet.run(3.0)
+        self.fleet.store.restore(1)
+        self.fleet.store.append(entry('i-0'))
+        self.fleet.run(0.5)
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.start(VM)
+        self.fleet.run(0.8)
+        self.fleet.deliver = Delivery
+        self.fleet.run(2.7)
+        self._name(2)
+        self.fleet.run(LIMIT_S - 7.0 + 0.1)
+        self.assertFalse(self._sends())
+
 
 class VersionTableTest(unittest.TestCase):
     """Ages of several versions of a model."""
