Know a version's age also while a silent reader is replaced

Callers: in a data centre whose reader stops, replaced weights may get nothing until engines are updated or a VM elsewhere states the age.

Cause: VMs take over the operators' records 1.3 s after the last relay, but an age counted as precise only for reads at most 1.2 s apart. With a version named as the reader stops, nobody in the data centre knew its age: they asked each other in vain.

Fix: the gap up to which an age is precise is the relay's timeout and the latency of a read, 1.5 s. The age still counts from the last read that lacked the version, so that it is never too young; at worst 0.3 s older than before.

--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -27,10 +27,6 @@
 # Time for which a read waits for updates. A connection that stopped responding
 # is noticed when the read ends, well within the time to apply a configuration.
 LONG_POLL_TIMEOUT_S: Final[dict[View, float]] = {View.OPERATOR: 1.0}
-# Time between two reads up to which a view was followed without a gap: a long
-# poll, and the latency of a read. Also the time after an outage within which a
-# read succeeds.
-MAX_READ_GAP_S: Final = 1.2
 # Pause between two reads; endpoints write about once a second.
 READ_INTERVAL_S: Final[dict[View, float]] = {View.REGISTRY: 0.8, View.VMS: 5.0}
 # Pause before the second read of the VMs.
@@ -43,6 +39,12 @@
     View.REGISTRY: 1.05,
     View.VMS: 8.0
 }
+# Latency of a read, or of a relay of it.
+READ_LATENCY_S: Final = 0.2
+# Time between two reads up to which a view was followed without a gap, also if
+# another VM had to replace the reader. Also the time after an outage within
+# which a read succeeds.
+MAX_READ_GAP_S: Final = RELAY_TIMEOUT_S[View.OPERATOR] + READ_LATENCY_S
 # Pause after a read that failed.
 RETRY_DELAY_S: Final = 0.25
 # Time of failing reads after which peers take over as readers.
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -6,13 +6,15 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
+from plantainridge.gateway import relays
 from plantainridge.gateway.events import View
 from plantainridge.gateway.hints import MAX_ANSWER_DELAY_S
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
 from plantainridge.gateway.versions import (VersionAge, VersionEntry,
                                             VersionTable)
-from plantainridge.gateway.views import ViewCursor
+from plantainridge.gateway.views import (READ_LATENCY_S, RELAY_TIMEOUT_S,
+                                         ViewCursor)
 from plantainridge.ids import EndpointId, VmId
 from tests.gateway_scene import MODEL, GatewayScene, endpoint, head, request
 from tests.registry_fleet import (Delivery, RegistryFleet, entry, named_version)
@@ -204,6 +206,20 @@
         self.fleet.run(LIMIT_S - 7.0 + 0.1)
         self.assertFalse(self._sends())
 
+    def test_age_is_known_while_the_reader_is_replaced(self) -> None:
+        reader = next(
+            vm for vm, scene in self.fleet.vms.items()
+            if relays.is_reader(scene.state, View.OPERATOR.value, scene.now))
+        # No hint is due in the next 0.3 s: peers wait for the timeout in full.
+        self.fleet.run(0.3)
+        self.fleet.paused.add(reader)
+        self._name(2)
+        self.fleet.run(RELAY_TIMEOUT_S[View.OPERATOR] + READ_LATENCY_S)
+        for vm in set(self.fleet.vms) - {reader}:
+            versions = self.fleet.vms[vm].state.versions
+            self.assertEqual(versions.newest(MODEL), 2, vm)
+            self.assertFalse(versions.is_replaced_at_unknown(MODEL, 1), vm)
+
 
 class VersionTableTest(unittest.TestCase):
     """Ages of several versions of a model."""
