Ask for ages often again for each new unknown age

Callers: in a VM's later life, replaced weights may get nothing for up to a second longer than needed at each version of unknown age.

Cause: the first ten questions in a VM's life were sent every 0.2 s, all later ones every 1.0 s, as the count never went back.

Fix: the count goes back to 0 once all ages are known. The three questions at a start with a restored store have their own count.

Evidence: test_questions_are_frequent_again_for_the_next_version failed on the code before (one question in 0.9 s, the eleventh) and passes now.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -116,7 +116,8 @@
         weights_loaded: Engines with new weights, to be sent with the next hint.
         asked_at: Loop time of the last hint that asked for the ages of
             versions, in s.
-        asks: Number of such hints.
+        asks: Number of such hints since this VM last knew all ages.
+        start_asks: Number of such hints, up to `START_ASKS`.
         reports: Loads that data centres report to one another.
         arrivals: Prompt tokens that arrived at this VM, by service.
     """
@@ -133,6 +134,7 @@
     weights_loaded: list[WeightsLoaded] = attrs.field(factory=list)
     asked_at: float = -math.inf
     asks: int = 0
+    start_asks: int = 0
     reports: LoadReportTable = attrs.field(factory=LoadReportTable)
     arrivals: dict[ServiceId, WindowCount] = attrs.field(factory=dict)
 
@@ -183,8 +185,9 @@
     """Ask a VM of this data centre, and one elsewhere if needed, for ages."""
     hints, settings = state.hints, state.settings
     needed = _needs_ages(state)
-    was_restored = state.views.era > 0
-    if not needed and not (was_restored and hints.asks < START_ASKS):
+    asks_at_start = state.views.era > 0 and hints.start_asks < START_ASKS
+    if not needed and not asks_at_start:
+        hints.asks = 0
         return
     others = [each for vm, each in state.peers.items() if vm != settings.vm]
     local = [each for each in others if each.dc == settings.dc]
@@ -199,6 +202,7 @@
     if not asked:
         return
     hints.asked_at, hints.asks = now, hints.asks + 1
+    hints.start_asks = min(hints.start_asks + 1, START_ASKS)
     payload = _next_hint(state, loads, now, asked_at=now)
     for entry in asked:
         yield SendPeer(entry.vm, entry.address, payload)
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -8,7 +8,8 @@
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import relays
 from plantainridge.gateway.events import View
-from plantainridge.gateway.hints import MAX_ANSWER_DELAY_S
+from plantainridge.gateway.hints import (FREQUENT_ASKS, LATER_ASK_INTERVAL_S,
+                                         MAX_ANSWER_DELAY_S)
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
 from plantainridge.gateway.versions import (VersionAge, VersionEntry,
@@ -79,6 +80,20 @@
         replaced_for_s = self.fleet.now - (versions.replaced_at(MODEL, 1) or 0)
         self.assertLess(replaced_for_s, 4.5 + MAX_ANSWER_DELAY_S)
 
+    def test_questions_are_frequent_again_for_the_next_version(self) -> None:
+        hints = self.fleet.vms[VM].state.hints
+        hints.asks = FREQUENT_ASKS
+        self.fleet.run(LATER_ASK_INTERVAL_S)
+        self.fleet.paused.add(VM)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(2.0)
+        self.fleet.paused.clear()
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.run(0.9)
+        self.assertGreaterEqual(hints.asks, 3)
+        self.assertLess(hints.asks, FREQUENT_ASKS)
+
     def test_version_of_unknown_age_counts_as_long_named(self) -> None:
         self._name(2)
         self.fleet.run(1.0)
