Place nothing on replaced weights that would begin after the bound

Callers: a request that is sent to replaced weights in time may wait at its engine beyond the bound (10 s after the naming), which counts when it begins.

Cause: the margin was the same for every engine, whatever its queue.

Fix: may_start_late, from the age and the expected start: the prompt tokens that VMs sent and that are not computed, and the queue in a load report, which advances as runs of about 3 s end. Once that start and 0.5 s reach the bound, the engine gets nothing on replaced weights, from 4 s before the bound at the earliest and from 2 s before it at the latest.

The price: engines with long queues are out up to 2 s earlier, at a time at which others load weights. What remains: a queue that grows after the send, or that no report showed.

Evidence: test_request_that_would_begin_after_the_bound_is_not_sent failed without the rule (sent 7.0 s after the naming to an engine with 20 runs and 20 in its queue) and passes now.

--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -39,6 +39,14 @@
 # Time before the version bound from which engines with replaced weights get no
 # more requests.
 VERSION_MARGIN_S: Final = 2.0
+# The most that it grows to for a long queue: a load report says little about a
+# longer wait, and engines that load new weights run nothing meanwhile.
+MAX_VERSION_MARGIN_S: Final = 4.0
+# Time between the expected start of a request on replaced weights and the
+# version bound.
+START_MARGIN_S: Final = 0.5
+# Time that a run takes, from which the wait in an engine's queue is estimated.
+ASSUMED_RUN_S: Final = 3.0
 # Time for which replaced weights are not penalized.
 OLD_VERSION_GRACE_S: Final = 1.5
 
@@ -327,7 +335,9 @@
         version = view.versions.get(model)
         replaced_at = state.versions.replaced_at(model, version)
         replaced_for_s = 0.0 if replaced_at is None else now - replaced_at
-        if replaced_for_s > state.settings.bounds.version_s - VERSION_MARGIN_S:
+        if replaced_at is not None and may_start_late(
+                replaced_for_s, _start_delay_s(inputs, view),
+                state.settings.bounds.version_s):
             continue
         placement = _place_on_engine(inputs, view, inputs.prompt_for(version))
         if replaced_for_s > OLD_VERSION_GRACE_S:
@@ -341,6 +351,35 @@
     return placements
 
 
+def may_start_late(replaced_for_s: float, start_delay_s: float,
+                   bound_s: float) -> bool:
+    """Return whether a request may begin on replaced weights after the bound.
+
+    Made for engines whose queues are long while others load new weights.
+
+    Args:
+        replaced_for_s: Time since the weights were replaced, in s.
+        start_delay_s: Expected time until the engine begins the request, in s.
+        bound_s: Time after which nothing may begin on replaced weights, in s.
+    """
+    margin_s = min(MAX_VERSION_MARGIN_S, start_delay_s + START_MARGIN_S)
+    return replaced_for_s > bound_s - max(VERSION_MARGIN_S, margin_s)
+
+
+def _start_delay_s(inputs: _CostInputs, view: EndpointView) -> float:
+    """Return the expected time until an engine begins another request, in s.
+
+    Requests in its queue begin as its runs end.
+    """
+    queued = view.pending_tokens + inputs.peer_load(view).pending_tokens
+    delay_s = queued / PREFILL_TOKENS_PER_S
+    load = view.load
+    if (load is not None and load.waiting and
+            inputs.now - load.reported_at <= MAX_LOAD_AGE_S):
+        delay_s += (load.waiting + 1) * ASSUMED_RUN_S / max(1, load.running)
+    return delay_s
+
+
 def _apply_preferred_bonus(inputs: _CostInputs,
                            placements: list[Placement]) -> None:
     """Lower the cost of the engine that all VMs of this data centre prefer."""
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -7,6 +7,7 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import relays
+from plantainridge.gateway.endpoints import EndpointLoad
 from plantainridge.gateway.events import View
 from plantainridge.gateway.hints import (FREQUENT_ASKS, LATER_ASK_INTERVAL_S,
                                          MAX_ANSWER_DELAY_S)
@@ -262,6 +263,32 @@
         self.assertEqual(self.table.replaced_at(MODEL, 1), 90.0)
 
 
+class QueueingTest(unittest.TestCase):
+    """Requests wait at an engine with replaced weights."""
+
+    def _sends(self, replaced_for_s: float, waiting: int) -> bool:
+        scene = GatewayScene(endpoint('a'))
+        scene.read(View.OPERATOR)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.now += replaced_for_s
+        view = scene.state.endpoints[EndpointId('a')]
+        view.load = EndpointLoad(20, waiting, 64, scene.now)
+        scene.post_request('/report/x')
+        return bool(scene.all(fx.Send))
+
+    def test_request_that_would_begin_after_the_bound_is_not_sent(self) -> None:
+        # 20 runs of 3 s each let a request of the queue begin every 0.15 s.
+        for replaced_for_s, waiting, expected in (
+            (7.0, 0, True),
+            (7.0, 10, True),
+            (7.0, 20, False),
+            (5.0, 20, True),
+            (5.0, 90, True),
+        ):
+            with self.subTest(replaced_for_s=replaced_for_s, waiting=waiting):
+                self.assertEqual(self._sends(replaced_for_s, waiting), expected)
+
+
 class UnknownVersionTest(unittest.TestCase):
     """An engine rejects the newest version without stating its own."""
 
