--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -61,6 +61,9 @@
 ASK_INTERVAL_S: Final = 0.2
 LATER_ASK_INTERVAL_S: Final = 1.0
 FREQUENT_ASKS: Final = 10
+# Time from a question to its answer beyond which the ages in it are too old to
+# count as precise, in s.
+MAX_ANSWER_DELAY_S: Final = 1.0
 # Hints that ask in any case if the metadata store returned from an older copy:
 # it may show an older version than peers know.
 START_ASKS: Final = 3
@@ -114,7 +117,8 @@
         weights_loaded: Engines with new weights, to be sent with the next hint.
         asked_at: Loop time of the last hint that asked for the ages of
             versions, in s.
-        asks: Number of such hints.
+        asks: Number of such hints since this VM last knew all ages.
+        start_asks: Number of such hints, up to `START_ASKS`.
         reports: Loads that data centres report to one another.
         arrivals: Prompt tokens that arrived at this VM, by service.
     """
@@ -130,6 +134,7 @@
     weights_loaded: list[WeightsLoaded] = attrs.field(factory=list)
     asked_at: float = -math.inf
     asks: int = 0
+    start_asks: int = 0
     reports: LoadReportTable = attrs.field(factory=LoadReportTable)
     arrivals: dict[ServiceId, WindowCount] = attrs.field(factory=dict)
 
@@ -182,8 +187,9 @@
     """Ask a VM of this data centre, and one elsewhere if needed, for ages."""
     hints, settings = state.hints, state.settings
     needed = _needs_ages(state)
-    was_restored = state.views.era > 0
-    if not needed and not (was_restored and hints.asks < START_ASKS):
+    asks_at_start = state.views.era > 0 and hints.start_asks < START_ASKS
+    if not needed and not asks_at_start:
+        hints.asks = 0
         return
     others = [each for vm, each in state.peers.items() if vm != settings.vm]
     local = [each for each in others if each.dc == settings.dc]
@@ -198,6 +204,7 @@
     if not asked:
         return
     hints.asked_at, hints.asks = now, hints.asks + 1
+    hints.start_asks = min(hints.start_asks + 1, START_ASKS)
     payload = _next_hint(state, loads, now, asked_at=now)
     for entry in asked:
         yield SendPeer(entry.vm, entry.address, payload)
@@ -477,7 +484,9 @@
     """Apply the ages of versions that a peer stated when asked."""
     if not 0.0 < hint.answers_at <= now:
         return
-    for each in hint.versions:
+    is_late = now - hint.answers_at > MAX_ANSWER_DELAY_S
+    for stated in hint.versions:
+        each = attrs.evolve(stated, precise=stated.precise and not is_late)
         if state.versions.add_stated(each, hint.answers_at, now):
             age_s = now - hint.answers_at + each.age_s
             yield LogLine('version_age_stated',
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -15,6 +15,7 @@
                                           NamedVersion, TimerKind, View,
                                           ViewFailed, ViewRead, ViewRelayed,
                                           ViewUpdate, VmEntry)
+from plantainridge.gateway.part_lifetimes import RESTORE_SETTLE_S
 from plantainridge.gateway.peer_messages import RelayedView
 from plantainridge.ids import EndpointId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
@@ -26,10 +27,6 @@
 # Time for which a read waits for updates. A connection that stopped responding
 # is noticed when the read ends, well within the time to apply a configuration.
 LONG_POLL_TIMEOUT_S: Final[dict[View, float]] = {View.OPERATOR: 1.0}
-# Time between two reads up to which a view was followed without a gap: a long
-# poll, and the latency of a read. Also the time after an outage within which a
-# read succeeds.
-MAX_READ_GAP_S: Final = 1.2
 # Pause between two reads; endpoints write about once a second.
 READ_INTERVAL_S: Final[dict[View, float]] = {View.REGISTRY: 0.8, View.VMS: 5.0}
 # Pause before the second read of the VMs.
@@ -42,6 +39,12 @@
     View.REGISTRY: 1.05,
     View.VMS: 8.0
 }
+# Latency of a read, or of a relay of it.
+READ_LATENCY_S: Final = 0.2
+# Time between two reads up to which a view was followed without a gap, also if
+# another VM had to replace the reader. Also the time after an outage within
+# which a read succeeds.
+MAX_READ_GAP_S: Final = RELAY_TIMEOUT_S[View.OPERATOR] + READ_LATENCY_S
 # Pause after a read that failed.
 RETRY_DELAY_S: Final = 0.25
 # Time of failing reads after which peers take over as readers.
@@ -68,7 +71,10 @@
         read_at: Loop time of the last successful read, in s.
         complete_at: Loop time of a moment up to which this VM has everything
             that was written to the view, in s.
-        unread_since: Loop time of the successful read before, in s.
+        unread_since: Loop time of the latest successful read before that is
+            not outdated, in s.
+        outdated: Whether the last read may lack what was written before its
+            time, since it waited for this VM or the store is an older copy.
         failed: Whether reads failed between the two.
         failing_since: Loop time of the first failure since then, or None.
         recovered_at: Loop time of the first update after an outage, in s.
@@ -84,6 +90,7 @@
     read_at: float = float('-inf')
     complete_at: float = float('-inf')
     unread_since: float = float('-inf')
+    outdated: bool = False
     failed: bool = False
     failing_since: float | None = None
     recovered_at: float = float('-inf')
@@ -126,13 +133,14 @@
             return previous is None or not update.is_heartbeat_after(previous)
         return not isinstance(update, InvalidRecord)
 
-    def record_read(self, now: float) -> None:
+    def record_read(self, now: float, outdated: bool) -> None:
         """Record that the view was read, by this VM or a peer."""
         if now - self.read_at > MIN_OUTAGE_S:
             self.recovered_at = now
-        self.unread_since = self.read_at
+        if not self.outdated:
+            self.unread_since = self.read_at
         self.failed = self.failing_since is not None
-        self.read_at = now
+        self.read_at, self.outdated = now, outdated
 
 
 @attrs.define
@@ -142,11 +150,13 @@
     Attributes:
         era: Highest era of the metadata store that this VM knows; positions
             belong to it.
+        era_entered_at: Loop time at which this VM learned of it, in s.
         removed: Removed endpoints, with the Unix time of the start of the run
             that was removed, in ms.
     """
 
     era: int = 0
+    era_entered_at: float = float('-inf')
     removed: OrderedDict[EndpointId, int] = attrs.field(factory=OrderedDict)
     cursors: dict[View, ViewCursor] = attrs.field(
         factory=lambda: {view: ViewCursor() for view in View})
@@ -223,7 +233,7 @@
         # Offsets of an older era do not name the same records.
         yield SetTimer(_timer(event.view), now)
         return
-    cursor.record_read(now)
+    cursor.record_read(now, _is_outdated_read(state, now))
     cursor.complete_at = max(cursor.complete_at, event.issued_at)
     if cursor.failing_since is not None:
         yield LogLine('view_back',
@@ -288,7 +298,7 @@
         cursor.behind = True
         yield SetTimer(_timer(event.view), now)
         return
-    cursor.record_read(now)
+    cursor.record_read(now, _is_outdated_read(state, now))
     _record_complete(state, event)
     if event.start == cursor.offset:
         for update in event.updates:
@@ -312,7 +322,7 @@
                             now: float) -> Iterator[Effect]:
     """Apply a view's contents, as a peer read them after the store returned."""
     cursor = state.views.cursors[event.view]
-    cursor.record_read(now)
+    cursor.record_read(now, _is_outdated_read(state, now))
     _record_complete(state, event)
     cursor.load(event.end, now)
     yield from _apply_restored(state, event.view, event.updates, now)
@@ -371,22 +381,32 @@
                       (('key', update.key), ('reason', update.reason)))
 
 
+def _is_outdated_read(state: 'GatewayState', now: float) -> bool:
+    """Return whether a read may lack what was written before its time."""
+    return (state.suspension.may_have_backlog(now) or
+            now - state.views.era_entered_at < RESTORE_SETTLE_S)
+
+
 def _apply_version(state: 'GatewayState', update: NamedVersion,
                    now: float) -> Iterator[Effect]:
     """Add a version with the earliest time at which it may have been named."""
-    cursor = state.views.cursors[View.OPERATOR]
-    named_at = cursor.unread_since
-    precise = now - named_at <= MAX_READ_GAP_S
-    if cursor.failed and named_at > float('-inf'):
-        # Nothing is named while the metadata store is down.
-        named_at = max(named_at, now - MAX_READ_GAP_S)
-    backlog_since = state.suspension.backlog_since(now)
-    if backlog_since < now:
-        named_at, precise = min(named_at, backlog_since), False
-    if state.versions.add(update.model, update.version, now, named_at, precise):
+    cursor, suspension = state.views.cursors[View.OPERATOR], state.suspension
+    named_at, assumed_at = cursor.unread_since, float('-inf')
+    precise = (now - named_at <= MAX_READ_GAP_S and
+               not _is_outdated_read(state, now))
+    if (cursor.failed and named_at > suspension.end and
+            now - state.views.era_entered_at >= RESTORE_SETTLE_S):
+        # Nothing is named while the metadata store is down. After a suspension
+        # it may have been this VM alone that could not read, and after a
+        # restore the version may have been named before.
+        assumed_at = now - MAX_READ_GAP_S
+    named_at = min(named_at, suspension.backlog_since(now))
+    entry = versions.VersionEntry(update.version, now, named_at, precise,
+                                  assumed_at)
+    if state.versions.add(update.model, entry):
         yield LogLine('version_named',
                       (('model', update.model), ('version', update.version),
-                       ('age_s', versions.loggable(now - named_at)),
+                       ('age_s', versions.loggable(now - entry.counts_from)),
                        ('precise', int(precise))))
 
 
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -1,13 +1,22 @@
 """Tests of the time for which VMs use replaced weights."""
 
+import math
 import unittest
 from typing import Final
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
+from plantainridge.gateway import relays
+from plantainridge.gateway.endpoints import EndpointLoad
 from plantainridge.gateway.events import View
+from plantainridge.gateway.hints import (FREQUENT_ASKS, LATER_ASK_INTERVAL_S,
+                                         MAX_ANSWER_DELAY_S)
 from plantainridge.gateway.placement import VERSION_MARGIN_S
 from plantainridge.gateway.settings import Bounds
+from plantainridge.gateway.versions import (VersionAge, VersionEntry,
+                                            VersionTable)
+from plantainridge.gateway.views import (READ_LATENCY_S, RELAY_TIMEOUT_S,
+                                         ViewCursor)
 from plantainridge.ids import EndpointId, VmId
 from tests.gateway_scene import MODEL, GatewayScene, endpoint, head, request
 from tests.registry_fleet import (Delivery, RegistryFleet, entry, named_version)
@@ -58,6 +67,34 @@
         self.fleet.run(LIMIT_S - 7.5 + 0.1)
         self.assertFalse(self._sends())
 
+    def test_late_answers_make_a_version_older_but_not_precise(self) -> None:
+        self._name(2)
+        self.fleet.run(1.0)
+        self.fleet.deliver = lambda: Delivery((0.6,))
+        self.fleet.start(VM)
+        self.fleet.run(2.0)
+        versions = self.fleet.vms[VM].state.versions
+        self.assertTrue(versions.is_replaced_at_unknown(MODEL, 1))
+        self.fleet.deliver = Delivery
+        self.fleet.run(1.5)
+        self.assertFalse(versions.is_replaced_at_unknown(MODEL, 1))
+        replaced_for_s = self.fleet.now - (versions.replaced_at(MODEL, 1) or 0)
+        self.assertLess(replaced_for_s, 4.5 + MAX_ANSWER_DELAY_S)
+
+    def test_questions_are_frequent_again_for_the_next_version(self) -> None:
+        hints = self.fleet.vms[VM].state.hints
+        hints.asks = FREQUENT_ASKS
+        self.fleet.run(LATER_ASK_INTERVAL_S)
+        self.fleet.paused.add(VM)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(2.0)
+        self.fleet.paused.clear()
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.run(0.9)
+        self.assertGreaterEqual(hints.asks, 3)
+        self.assertLess(hints.asks, FREQUENT_ASKS)
+
     def test_version_of_unknown_age_counts_as_long_named(self) -> None:
         self._name(2)
         self.fleet.run(1.0)
@@ -99,6 +136,42 @@
         self.fleet.run(LIMIT_S - 5.0 + 0.1)
         self.assertFalse(self._sends())
 
+    def test_failed_reads_after_a_suspension_make_no_version_younger(
+            self) -> None:
+        self.fleet.paused |= set(self.fleet.vms)
+        self.fleet.run(0.3)
+        self._name(2)
+        self.fleet.run(5.0)
+        self.fleet.paused.clear()
+        self.fleet.rejected.add(VM)
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.run(1.2)
+        self.fleet.rejected.clear()
+        self.fleet.run(1.2)
+        self.fleet.deliver = Delivery
+        self.fleet.run(LIMIT_S - 7.4 + 0.1)
+        for vm in self.fleet.vms:
+            self.assertFalse(self._sends(vm), vm)
+
+    def test_vm_that_starts_during_an_outage_assumes_no_age(self) -> None:
+        scene = GatewayScene(endpoint('a'))
+        scene.state.views.cursors[View.OPERATOR] = ViewCursor()
+        scene.post(ev.ViewFailed(View.OPERATOR, False, 'silent'))
+        scene.advance(2.0)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2), is_snapshot=True)
+        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1), -math.inf)
+
+    def test_age_assumed_after_failed_reads_is_not_stated_to_peers(
+            self) -> None:
+        self.fleet.store.up = False
+        self.fleet.run(6.0)
+        self.fleet.store.up = True
+        self._name(2)
+        self.fleet.run(1.0)
+        for vm, scene in self.fleet.vms.items():
+            age, = scene.state.versions.ages(self.fleet.now)
+            self.assertGreater(age.age_s, 6.0, vm)
+
     def test_relays_that_a_suspended_vm_receives_late_give_no_age(self) -> None:
         scene = GatewayScene(endpoint('a'))
         suspended_at = scene.now
@@ -109,6 +182,20 @@
         self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
                          suspended_at)
 
+    def test_late_relay_gives_no_age_after_the_suspension_either(self) -> None:
+        scene = GatewayScene(endpoint('a'))
+        suspended_at = scene.now
+        scene.now += 12.0
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 1, ()))
+        for _ in range(10):
+            scene.now += 0.104
+            scene.tick()
+        named = ev.NamedVersion(MODEL, 2)
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 2, (named,)))
+        self.assertTrue(scene.state.versions.is_replaced_at_unknown(MODEL, 1))
+        self.assertEqual(scene.state.versions.replaced_at(MODEL, 1),
+                         suspended_at)
+
     def test_peers_state_a_version_that_a_restored_store_lacks(self) -> None:
         self._name(2)
         self.fleet.run(4.0)
@@ -120,6 +207,87 @@
         self.fleet.run(LIMIT_S - 6.0 + 0.1)
         self.assertFalse(self._sends())
 
+    def test_version_written_again_after_a_restore_is_not_new(self) -> None:
+        self._name(2)
+        self.fleet.run(3.0)
+        self.fleet.store.restore(1)
+        self.fleet.store.append(entry('i-0'))
+        self.fleet.run(0.5)
+        self.fleet.deliver = lambda: Delivery(())
+        self.fleet.start(VM)
+        self.fleet.run(0.8)
+        self.fleet.deliver = Delivery
+        self.fleet.run(2.7)
+        self._name(2)
+        self.fleet.run(LIMIT_S - 7.0 + 0.1)
+        self.assertFalse(self._sends())
+
+    def test_age_is_known_while_the_reader_is_replaced(self) -> None:
+        reader = next(
+            vm for vm, scene in self.fleet.vms.items()
+            if relays.is_reader(scene.state, View.OPERATOR.value, scene.now))
+        # No hint is due in the next 0.3 s: peers wait for the timeout in full.
+        self.fleet.run(0.3)
+        self.fleet.paused.add(reader)
+        self._name(2)
+        self.fleet.run(RELAY_TIMEOUT_S[View.OPERATOR] + READ_LATENCY_S)
+        for vm in set(self.fleet.vms) - {reader}:
+            versions = self.fleet.vms[vm].state.versions
+            self.assertEqual(versions.newest(MODEL), 2, vm)
+            self.assertFalse(versions.is_replaced_at_unknown(MODEL, 1), vm)
+
+
+class VersionTableTest(unittest.TestCase):
+    """Ages of several versions of a model."""
+
+    def setUp(self) -> None:
+        self.table = VersionTable()
+        for version in (2, 3):
+            # Both were read as the store returned from an outage.
+            self.table.add(MODEL, VersionEntry(version, 100.0, 80.0, False,
+                                               98.8))
+
+    def _state(self, version: int, age_s: float) -> None:
+        stated = VersionAge(MODEL, version, age_s, True)
+        self.table.add_stated(stated, 100.0, 100.0)
+
+    def test_assumed_age_does_not_override_a_later_versions_known_age(
+            self) -> None:
+        self._state(3, 10.0)
+        for version in (1, 2):
+            self.assertEqual(self.table.replaced_at(MODEL, version), 90.0)
+
+    def test_earlier_of_two_precise_times_counts(self) -> None:
+        for age_s in (9.0, 10.0, 9.5):
+            self._state(2, age_s)
+        self.assertEqual(self.table.replaced_at(MODEL, 1), 90.0)
+
+
+class QueueingTest(unittest.TestCase):
+    """Requests wait at an engine with replaced weights."""
+
+    def _sends(self, replaced_for_s: float, waiting: int) -> bool:
+        scene = GatewayScene(endpoint('a'))
+        scene.read(View.OPERATOR)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.now += replaced_for_s
+        view = scene.state.endpoints[EndpointId('a')]
+        view.load = EndpointLoad(20, waiting, 64, scene.now)
+        scene.post_request('/report/x')
+        return bool(scene.all(fx.Send))
+
+    def test_request_that_would_begin_after_the_bound_is_not_sent(self) -> None:
+        # 20 runs of 3 s each let a request of the queue begin every 0.15 s.
+        for replaced_for_s, waiting, expected in (
+            (7.0, 0, True),
+            (7.0, 10, True),
+            (7.0, 20, False),
+            (5.0, 20, True),
+            (5.0, 90, True),
+        ):
+            with self.subTest(replaced_for_s=replaced_for_s, waiting=waiting):
+                self.assertEqual(self._sends(replaced_for_s, waiting), expected)
+
 
 class UnknownVersionTest(unittest.TestCase):
     """An engine rejects the newest version without stating its own."""
