--- a/src/plantainridge/gateway/cache.py
+++ b/src/plantainridge/gateway/cache.py
@@ -53,7 +53,7 @@
 
 @attrs.frozen
 class SaltFields:
-    """What a salt tells about the parts under it.
+    """Fields of a salt, which hold for all parts under it.
 
     Attributes:
         version: Weight version of the parts; 0 if unknown.
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -162,8 +162,8 @@
 def _send_hint(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
                now: float) -> Iterator[Effect]:
     hints = state.hints
-    tells_suspects = state.suspects.is_urgent(len(state.peers), now)
-    is_urgent = tells_suspects or bool(hints.weights_loaded)
+    has_suspects = state.suspects.is_urgent(len(state.peers), now)
+    is_urgent = has_suspects or bool(hints.weights_loaded)
     if not (is_urgent or state.leaving.is_unsent or _is_due(state, loads, now)):
         return
     hints.sent_loads, hints.sent_at = loads, now
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -39,8 +39,8 @@
 # Time before the version bound from which engines with replaced weights get no
 # more requests.
 VERSION_MARGIN_S: Final = 2.0
-# The most that it grows to for a long queue: a load report says little about a
-# longer wait, and engines that load new weights run nothing meanwhile.
+# Upper bound of that margin for a long queue: a longer wait cannot be estimated
+# from a load report, and engines that load new weights run nothing meanwhile.
 MAX_VERSION_MARGIN_S: Final = 4.0
 # Time between the expected start of a request on replaced weights and the
 # version bound.
--- a/src/plantainridge/gateway/suspects.py
+++ b/src/plantainridge/gateway/suspects.py
@@ -45,7 +45,7 @@
 MAX_QUARANTINED: Final = 256
 # Most quarantined suspects in a hint.
 MAX_HINTED: Final = 64
-# Time for which a cleared suspect is not quarantined on a peer's word, in s.
+# Time for which a cleared suspect is not quarantined by a peer's report, in s.
 CLEARED_S: Final = 5.0
 # Delay after which clearings are sent to all VMs, in s.
 CLEARING_DELAY_S: Final = 0.3
@@ -125,11 +125,11 @@
         answers: Number of answers to requests with a prompt.
         search_until: Loop time until which culprits are looked for, in s.
         searched_at: Loop time at which they were last looked for, in s.
-        broken: Broken sends of this VM that peers have not been told.
-        cleared: Suspects that this VM cleared, which peers have not been told.
+        broken: Broken sends of this VM that are still to be sent to peers.
+        cleared: Suspects that this VM cleared, still to be sent to peers.
         cleared_since: Loop time of the first of them, in s.
-        is_unsent: Whether peers have not been told the quarantine.
-        sent_at: Loop time at which all peers were told the quarantine, in s.
+        is_unsent: Whether the quarantine is still to be sent to peers.
+        sent_at: Loop time at which the quarantine was sent to all peers, in s.
     """
 
     crashes: list[Crash] = attrs.field(factory=list)
@@ -176,13 +176,13 @@
             self.search_until = now + SEARCH_S
         return was_suspect
 
-    def tell_cleared(self, suspect: Suspect, now: float) -> None:
-        """Have peers told that a suspect is cleared."""
+    def queue_clearing(self, suspect: Suspect, now: float) -> None:
+        """Queue the clearing of a suspect to be sent to peers."""
         self.cleared[suspect] = None
         self.cleared_since = min(self.cleared_since, now)
 
     def is_urgent(self, vm_count: int, now: float) -> bool:
-        """Return whether all peers are to be told something now."""
+        """Return whether a hint to all peers is due now."""
         interval_s = INTERVAL_PER_VM_S * vm_count
         return (bool(self.broken) or self.is_unsent or
                 now - self.cleared_since >= max(CLEARING_DELAY_S, interval_s) or
@@ -190,7 +190,7 @@
                 now - self.sent_at >= max(REPEAT_INTERVAL_S, interval_s))
 
     def record_sent(self, now: float) -> None:
-        """Record that all peers were told everything."""
+        """Record that everything was sent to all peers."""
         self.broken.clear()
         self.cleared.clear()
         self.cleared_since = math.inf
@@ -245,7 +245,7 @@
     for suspect in _suspects_of(call):
         was_suspect = yield from _clear(state, suspect, now)
         if was_suspect:
-            table.tell_cleared(suspect, now)
+            table.queue_clearing(suspect, now)
 
 
 def on_peer_break(state: 'GatewayState', broken: BrokenSend,
@@ -265,7 +265,7 @@
     """Quarantine a suspect that a peer reports, unless it was just cleared."""
     table = state.suspects
     if now - table.cleared_at.get(suspect, -math.inf) < CLEARED_S:
-        table.tell_cleared(suspect, now)
+        table.queue_clearing(suspect, now)
         return
     entry = table.quarantine.get(suspect)
     if entry is not None:
