Keep parts in the view until a store has freed them

What callers saw: prompts whose parts were planned to be saved to a store that had no room, and so were prefilled again.

Cause: a VM dropped replaced parts from its view of a store when it made the call that frees them. The call may be rejected (409: void by the engines' clock, or another epoch; 503) or get no answer; its result was ignored. Nothing freed these parts again before the next listing, 90 to 180 s later, and until then saves were planned into space that did not exist.

Evidence: FailedFreeTest.test_call_without_effect_is_repeated_and_frees_no_space failed before: 0 tokens counted as stored after a call without an answer, and not 400.

Fix: parts stay in the view until the store confirms the call or its events report them removed, and the call is repeated after 3 s, when the earlier one can no longer take effect. The port reports each call's result; a failure is logged as `parts_not_freed` with its reason. `store_tokens` of `parts_freed` remains the tokens left after the call.

--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -192,6 +192,8 @@
 class FreeParts(Effect):
     """Free parts at a KV cache store if its epoch is still `epoch`.
 
+    Answered by `PartsFreed` or `FreeFailed`.
+
     Attributes:
         until_ms: Time on the engines' clock after which the call has no effect,
             in ms.
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -295,6 +295,23 @@
     clock_ms: float
 
 
+@attrs.frozen
+class PartsFreed(Event):
+    """A KV cache store freed parts, as this VM had requested."""
+
+    store: ServiceId
+    epoch: int
+    parts: tuple[StoredPart, ...]
+
+
+@attrs.frozen
+class FreeFailed(Event):
+    """A call that frees parts at a KV cache store was rejected or lost."""
+
+    store: ServiceId
+    reason: str
+
+
 @attrs.frozen
 class StoreRequestFailed(Event):
     """A request to a KV cache store failed.
--- a/src/plantainridge/gateway/ports.py
+++ b/src/plantainridge/gateway/ports.py
@@ -56,7 +56,7 @@
 
     @abc.abstractmethod
     def free_parts(self, effect: fx.FreeParts) -> None:
-        """Free parts at a store; failures are ignored."""
+        """Free parts at a store; post `PartsFreed` or `FreeFailed`."""
 
 
 class Adapter(abc.ABC):
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -70,6 +70,8 @@
     events.StoreListed: stores.on_listed,
     events.StoreChanged: stores.on_changed,
     events.StoreRequestFailed: stores.on_request_failed,
+    events.PartsFreed: stored_parts.on_freed,
+    events.FreeFailed: stored_parts.on_free_failed,
     hints.HintReceived: hints.on_hint,
     hints.DcLoadReceived: hints.on_dc_load,
     hints.LoadTotalsReceived: hints.on_totals,
--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -15,7 +15,8 @@
 
 from plantainridge.gateway import cache, relays
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway.events import Part, StoredPart, View
+from plantainridge.gateway.events import (FreeFailed, Part, PartsFreed,
+                                          StoredPart, View)
 from plantainridge.gateway.part_lifetimes import FREE_DELAY_S
 from plantainridge.ids import ModelId
 from plantainridge.loop.effects import Effect, LogLine
@@ -37,6 +38,9 @@
 FREE_STAGGER_S: Final = 1.0
 # Time within which a store must receive a call that frees parts.
 FREE_TIMEOUT_S: Final = 1.0
+# Time after which a call is repeated for parts that the store still holds. By
+# then the earlier call was answered or is void.
+FREE_RETRY_S: Final = 3.0
 # Parts that one call frees.
 MAX_FREED_PARTS: Final = 256
 # Time for which a part on its way to a store is not sent again.
@@ -81,22 +85,46 @@
     models = {
         cache.model_digest(model): model for model in state.versions.latest
     }
+    view.free_called_at = {
+        part: at
+        for part, at in view.free_called_at.items()
+        if now - at < FREE_RETRY_S
+    }
     ages_s = ((part, _replaced_for_s(state, models, part, now))
-              for part in (*view.complete, *view.partial))
+              for part in (*view.complete, *view.partial)
+              if part not in view.free_called_at)
     replaced = dict(
         itertools.islice(
             ((part, age_s) for part, age_s in ages_s if age_s > FREE_DELAY_S),
             MAX_FREED_PARTS))
     if not replaced:
         return
-    for part in replaced:
-        view.set_part(part, 0)
+    view.free_called_at.update(dict.fromkeys(replaced, now))
     yield _free_log_line(state, view, replaced, now)
     yield fx.FreeParts(view.name, view.spec.address, view.epoch,
                        tuple(replaced),
                        round(state.stores.clock_ms(now + FREE_TIMEOUT_S)))
 
 
+def on_freed(state: 'GatewayState', event: PartsFreed,
+             now: float) -> Iterator[Effect]:
+    """Remove the parts that a store has freed."""
+    del now
+    view = state.stores.views.get(event.store)
+    if view is not None and view.epoch == event.epoch:
+        for part in event.parts:
+            view.set_part(part, 0)
+    yield from ()
+
+
+def on_free_failed(state: 'GatewayState', event: FreeFailed,
+                   now: float) -> Iterator[Effect]:
+    """Log that a call freed nothing; it is repeated."""
+    del state, now
+    yield LogLine('parts_not_freed',
+                  (('store', event.store), ('reason', event.reason)))
+
+
 def observe(state: 'GatewayState', now: float) -> None:
     """Record which versions are the newest, and since when."""
     cursor = state.views.cursors[View.OPERATOR]
@@ -150,7 +178,8 @@
         ('replaced_for_s', round(min(replaced.values()), 3)),
         ('engines',
          sum(bool(each.entry.versions) for each in state.endpoints.values())),
-        ('store_tokens', view.used_tokens),
+        ('store_tokens',
+         view.used_tokens - sum(map(view.stored_tokens, replaced))),
         ('registry_age_s', round(state.views.age_s(View.REGISTRY, now), 3)),
     ))
 
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -106,6 +106,8 @@
         unreachable_at: Loop times at which VMs failed to reach the store, in s.
         list_at: Loop time of the next listing, in s.
         save_started_at: Loop time at which each part was last sent there, in s.
+        free_called_at: Loop time at which this VM last called the store to free
+            each part, in s. Such a part takes space until the store confirms.
         snapshot_requested_at: Loop time of the last request to a peer for a
             snapshot, in s.
     """
@@ -125,6 +127,7 @@
     unreachable_at: dict[VmId, float] = attrs.field(factory=dict)
     list_at: float = -math.inf
     save_started_at: dict[StoredPart, float] = attrs.field(factory=dict)
+    free_called_at: dict[StoredPart, float] = attrs.field(factory=dict)
     snapshot_requested_at: float = -math.inf
 
     def is_fresh(self, now: float) -> bool:
@@ -145,6 +148,10 @@
         """Known tokens of complete and partial parts."""
         return self.complete_tokens + sum(self.partial.values())
 
+    def stored_tokens(self, part: StoredPart) -> int:
+        """Return the known tokens of a part."""
+        return self.complete.get(part, 0) + self.partial.get(part, 0)
+
     def record_answer(self, vm: VmId, at: float) -> None:
         """Record that the store answered a VM, this one or a peer."""
         self.confirmed_at = max(self.confirmed_at, at)
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -95,8 +95,12 @@
             'epoch': effect.epoch,
             'until_ms': effect.until_ms,
         }).encode()
-        await call(self.pool, effect.address, 'POST', '/kv-free', TIMEOUT_S,
-                   body)
+        response = await call(self.pool, effect.address, 'POST', '/kv-free',
+                              TIMEOUT_S, body)
+        if isinstance(response, NoResponse) or response.status != 200:
+            self.post(ev.FreeFailed(effect.store, failure_reason(response)))
+            return
+        self.post(ev.PartsFreed(effect.store, effect.epoch, effect.parts))
 
     async def _request_report(self, effect: fx.RequestReport) -> None:
         response = await call(self.pool, effect.address, 'GET', '/report',
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -130,6 +130,9 @@
                 self.frees.append((self.now, effect))
                 for part in effect.parts:
                     self.stores[effect.store].save(part, 0)
+                self._post_later(
+                    ANSWER_DELAY_S, name,
+                    ev.PartsFreed(effect.store, effect.epoch, effect.parts))
 
     def _answer(self, vm: VmId, store: ServiceId, event: Event) -> None:
         if self.stores[store].up:
--- a/tests/test_gateway_freed_parts.py
+++ b/tests/test_gateway_freed_parts.py
@@ -8,15 +8,16 @@
 from typing import Any, Final
 from unittest import mock
 
-from plantainridge.gateway import cache
+from plantainridge.gateway import cache, http_client, stored_parts
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Part, StoredPart, View
-from plantainridge.gateway.http_calls import NoResponse
-from plantainridge.ids import VmId
+from plantainridge.gateway.http_calls import NoResponse, Response
+from plantainridge.ids import ServiceId, VmId
+from plantainridge.loop.events import Event, TimerFired, TimerKey
 from plantainridge.platform import engines
 from tests.gateway_fleet import GatewayFleet
-from tests.gateway_scene import MODEL, TEAM, endpoint, request
+from tests.gateway_scene import (MODEL, TEAM, GatewayScene, endpoint, request)
 
 SENDER: Final = VmId('vm0')
 OTHER: Final = VmId('vm1')
@@ -158,6 +159,81 @@
         self.assertLess(until_ms, (freed_at + MAX_CALL_S) * 1_000)
 
 
+class FailedFreeTest(unittest.TestCase):
+    """One VM whose call that frees a part may fail."""
+
+    def setUp(self) -> None:
+        self.scene = GatewayScene(NEW)
+        self.store = next(iter(self.scene.state.stores.views))
+        self.part = StoredPart(cache.make_salt(MODEL, 1, TEAM), 'opening')
+        self.scene.post(ev.StoreListed(self.store, 1, 9, {self.part: 400}, {}))
+        self.scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+
+    def _run_to_free(self, count: int) -> float:
+        """Run until a number of calls were made; return the time in s."""
+        scene, start = self.scene, self.scene.now
+        while len(scene.all(fx.FreeParts)) < count:
+            self.assertLess(scene.now, start + RUN_S)
+            scene.now += STEP_S
+            scene.read(View.OPERATOR)
+            scene.read(View.REGISTRY, NEW)
+            scene.post(
+                ev.StoreChanged(self.store, 1, 9, False, (), scene.now * 1_000))
+            scene.post(TimerFired(TimerKey(ev.TimerKind.STORE, self.store)))
+            scene.tick()
+        return scene.now - start
+
+    def _used_tokens(self) -> int:
+        return self.scene.state.stores.views[self.store].used_tokens
+
+    def test_call_without_effect_is_repeated_and_frees_no_space(self) -> None:
+        self._run_to_free(1)
+        self.assertEqual(self._used_tokens(), 400)
+        self.assertLess(self._run_to_free(2), 5.0)
+        self.assertEqual(self._used_tokens(), 400)
+
+    def test_failed_call_is_logged_with_its_reason(self) -> None:
+        self._run_to_free(1)
+        self.scene.post(ev.FreeFailed(self.store, 'status 409'))
+        self.assertEqual(self.scene.lines[-1].event, 'parts_not_freed')
+        self.assertIn(('reason', 'status 409'), self.scene.lines[-1].fields)
+
+    def test_confirmed_call_frees_the_space_in_the_same_run_only(self) -> None:
+        self._run_to_free(1)
+        for epoch, tokens in ((2, 400), (1, 0)):
+            self.scene.post(ev.PartsFreed(self.store, epoch, (self.part,)))
+            self.assertEqual(self._used_tokens(), tokens)
+
+    def test_call_is_repeated_only_once_it_is_void(self) -> None:
+        self.assertGreater(
+            stored_parts.FREE_RETRY_S, stored_parts.FREE_TIMEOUT_S +
+            engines.TIMEOUT_S + http_client.CONNECT_TIMEOUT_S)
+
+
+class FreeCallTest(unittest.TestCase):
+    """Answers of a store to a call that frees parts."""
+
+    def test_each_answer_is_reported(self) -> None:
+        parts = (StoredPart('1.s', 'p'),)
+        free = fx.FreeParts(ServiceId('s'), '10.0.9.1:1', 3, parts, 0)
+        cases = (
+            (Response(200, b''), ev.PartsFreed(free.store, 3, parts)),
+            (Response(409, b''), ev.FreeFailed(free.store, 'status 409')),
+            (Response(503, b''), ev.FreeFailed(free.store, 'status 503')),
+            (NoResponse('down', True), ev.FreeFailed(free.store, 'down')),
+        )
+        for answer, event in cases:
+            with self.subTest(answer):
+                posted: list[Event] = []
+                port = engines.PlatformEngines(mock.Mock(),
+                                               mock.Mock(spawn=asyncio.run),
+                                               OTHER, posted.append)
+                with mock.patch.object(engines, 'call',
+                                       mock.AsyncMock(return_value=answer)):
+                    port.free_parts(free)
+                self.assertEqual(posted, [event])
+
+
 def _call_body(free: fx.FreeParts) -> dict[str, Any]:
     """Return the body with which a store is called to free parts."""
     bodies: list[dict[str, Any]] = []
