Withdraw streams that would begin on replaced weights after the bound

Callers: a request that was sent to replaced weights in time may begin after the bound if its engine's queue grows or no load report showed it.

Cause: once sent, nothing looked at the bound again. An engine that answers others gets up to six times the route's target before a send counts as silent.

Fix: at each tick, a stream without an event 0.5 s before the bound is withdrawn (its connection is closed) and dispatched anew, if its route may be repeated and the limits of retries and their budget allow it. It does not count as a failure of the engine. Not in the second after a suspension, when its events may not be handled yet, and not while nothing is known of the version's age.

The price: a retry of the budget for each, the prefill of a run that had begun without an event, and, if no engine has newer weights, a wait that may end in a refusal. What remains: sends that may not be repeated, and those over the budget, stay; engines that go on with a request whose connection was closed may begin it late.

Evidence: test_send_that_still_waits_before_the_bound_is_withdrawn failed without the rule (sent to the first engine only) and passes now; test_send_that_may_not_be_repeated_is_not_withdrawn holds on both.

--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -6,7 +6,8 @@
 from plantainridge.gateway import (answers, dispatch, drain, endings, eras,
                                    events, hints, intake, lease, membership,
                                    notices, relays, reload, rollout,
-                                   stored_parts, stores, suspects, views)
+                                   stored_parts, stores, suspects, views,
+                                   withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
@@ -27,6 +28,7 @@
     """Run the periodic work and set the timer of the next tick."""
     stored_parts.observe(state, now)
     yield from suspects.on_tick(state, now)
+    yield from withdrawals.on_tick(state, now)
     yield from dispatch.on_tick(state, event, now)
     waiting = bool(state.calls.waiting(now))
     yield SetTimer(
--- a/tests/test_weight_ages.py
+++ b/tests/test_weight_ages.py
@@ -288,6 +288,32 @@
             with self.subTest(replaced_for_s=replaced_for_s, waiting=waiting):
                 self.assertEqual(self._sends(replaced_for_s, waiting), expected)
 
+    def _wait_at_busy_engine(self, target: str) -> list[str]:
+        """Return the endpoints of a request that shows no event."""
+        scene = GatewayScene(endpoint('a'))
+        scene.read(View.OPERATOR)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        named_at = scene.now
+        while scene.now < named_at + Bounds().version_s:
+            if not scene.all(fx.Send) and scene.now > named_at + LIMIT_S - 0.2:
+                scene.post_request(target)
+            scene.advance(0.1)
+            scene.read(View.OPERATOR)
+            scene.read(View.REGISTRY, endpoint('a'),
+                       endpoint('b', versions={MODEL: 2}))
+            if not scene.all(fx.Send):
+                scene.state.endpoints[EndpointId('b')].cooldown_until = (
+                    named_at + LIMIT_S)
+            view = scene.state.endpoints[EndpointId('a')]
+            view.last_received_at = scene.now
+        return [each.endpoint for each in scene.all(fx.Send)]
+
+    def test_send_that_still_waits_before_the_bound_is_withdrawn(self) -> None:
+        self.assertEqual(self._wait_at_busy_engine('/report/x'), ['a', 'b'])
+
+    def test_send_that_may_not_be_repeated_is_not_withdrawn(self) -> None:
+        self.assertEqual(self._wait_at_busy_engine('/tag/x'), ['a'])
+
 
 class UnknownVersionTest(unittest.TestCase):
     """An engine rejects the newest version without stating its own."""
