Accept any success of a store's answer to a call that frees parts

Cause: the users' page does not state the status; with another 2xx the call would be repeated every 3 s until the store's events arrive. Change: 200 to 299 count as success.

--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -21,6 +21,7 @@
 # An engine answers within one step of its batch; one that takes longer counts
 # as unreachable.
 TIMEOUT_S: Final = 0.6
+SUCCESS: Final = range(200, 300)
 # The listing of a full store takes several hundred kB.
 LIST_STORE_TIMEOUT_S: Final = 2.0
 
@@ -97,7 +98,7 @@
         }).encode()
         response = await call(self.pool, effect.address, 'POST', '/kv-free',
                               TIMEOUT_S, body)
-        if isinstance(response, NoResponse) or response.status != 200:
+        if isinstance(response, NoResponse) or response.status not in SUCCESS:
             self.post(ev.FreeFailed(effect.store, failure_reason(response)))
             return
         self.post(ev.PartsFreed(effect.store, effect.epoch, effect.parts))
