Cancel background tasks until they end

Cause: a process that stops cancelled each of its tasks once and waited for all. wait_for of Python 3.11 drops a cancellation that meets its result, and a task that dropped it kept the process from stopping. Evidence: test_dropped_cancellation_does_not_hold_up_the_stop failed before (still waiting after 60 s on the paused clock). Change: tasks that have not ended after 2 s are cancelled again. Found while looking for the cause of three hangs of the test suite under load, one of them in the stop of test_disconnects_a_caller_that_does_not_read. It is not shown that this is their cause.

--- a/src/plantainridge/loop/tasks.py
+++ b/src/plantainridge/loop/tasks.py
@@ -2,7 +2,11 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Final
+
+# Time after which a task that has not ended is cancelled again: libraries may
+# drop a cancellation that arrives together with a result.
+CANCEL_RETRY_S: Final = 2.0
 
 
 class Tasks:
@@ -32,6 +36,7 @@
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait for their end."""
-        for task in list(self.running):
-            task.cancel()
-        await asyncio.gather(*self.running, return_exceptions=True)
+        while self.running:
+            for task in list(self.running):
+                task.cancel()
+            await asyncio.wait(self.running, timeout=CANCEL_RETRY_S)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,12 +1,14 @@
 """Tests of pausing the runtime."""
 
 import asyncio
+import contextlib
 import unittest
 
 from plantainridge import effects as fx
 from plantainridge import virtual_time
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event
+from plantainridge.loop.tasks import Tasks
 from plantainridge.standins.world import LOOKUP, World
 
 
@@ -52,3 +54,24 @@
             self.assertEqual(len(watched), 1)
 
         virtual_time.run(scenario())
+
+
+class TasksTest(unittest.TestCase):
+    """Background tasks of a process that stops."""
+
+    def test_dropped_cancellation_does_not_hold_up_the_stop(self) -> None:
+
+        async def drop_one_cancellation() -> None:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(3_600)
+            await asyncio.sleep(3_600)
+
+        async def scenario() -> None:
+            tasks = Tasks(lambda error: None)
+            tasks.spawn(drop_one_cancellation())
+            await asyncio.sleep(0)
+            async with asyncio.timeout(60):
+                await tasks.cancel()
+            self.assertFalse(tasks.running)
+
+        virtual_time.run(scenario())
