Add failing tests of what a stopping VM owes its callers

Four tests show this cause and its kin, and fail on this code: a request that may outlast the exit is taken; the exit answers none of the requests that wait, are sent or stream; the process ends with an answer unwritten; a request whose body is incomplete gets no answer.

--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -13,7 +13,7 @@
 from plantainridge.gateway.peer_messages import (Hint, RelayedView,
                                                  WeightsLoaded, decode)
 from plantainridge.gateway.settings import Bounds, InvalidSetting
-from plantainridge.ids import EndpointId, Incarnation, VmId
+from plantainridge.ids import EndpointId, Incarnation, RequestId, VmId
 from plantainridge.loop import effects as base
 from tests.gateway_scene import (LEDGER, LOCAL_DC, MODEL, GatewayScene,
                                  endpoint, head, settings)
@@ -323,6 +323,47 @@
         self.assertIsNotNone(refused.retry_after_s)
         self.assertEqual(scene.all(fx.Send), [])
 
+    def test_request_that_may_outlast_the_exit_is_refused(self) -> None:
+        # A stream taken 3.042 s after a stop request was cut by the exit.
+        cases = {
+            'may outlast the exit': (3.042, 12.0, fx.Refuse),
+            'ends before the exit': (3.042, 0.8, fx.Send),
+            'arrives while callers may not know yet': (2.5, 12.0, fx.Send),
+        }
+        for name, (after_s, timeout_s, expected) in cases.items():
+            with self.subTest(name):
+                scene = GatewayScene(endpoint('a'))
+                scene.post(ev.StopRequested())
+                scene.now += after_s
+                effect = scene.post_request('/tag/x',
+                                            caller_timeout_s=timeout_s)
+                self.assertIsInstance(effect, expected)
+
+    def test_exit_ends_every_open_request(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER), endpoint('b'))
+        scene.state.settings = attrs.evolve(scene.state.settings,
+                                            bounds=Bounds(grace_s=4.0))
+        scene.post_request('/submit/x', 'sent')
+        scene.post_request('/tag/x', 'silent')
+        stream = scene.post_request('/tag/y', 'stream')
+        scene.post(ev.StreamStarted(stream.attempt, head()))
+        scene.state.endpoints[EndpointId('a')].cooldown_until = scene.now + 3.9
+        scene.post_request('/view/x', 'waiting')
+        scene.post(ev.StopRequested())
+        scene.advance(4.0)
+        refused = {each.request: each for each in scene.all(fx.Refuse)}
+        self.assertEqual({
+            name: each.status for name, each in refused.items()
+        }, {
+            'sent': 502,
+            'silent': 502,
+            'waiting': 503
+        })
+        self.assertIsNotNone(refused[RequestId('waiting')].retry_after_s)
+        self.assertEqual([each.request for each in scene.all(fx.AbortReply)],
+                         ['stream'])
+        self.assertIsInstance(scene.done[-1], base.Exit)
+
     def test_exits_before_it_is_killed(self) -> None:
         scene = GatewayScene(endpoint('a', LEDGER))
         scene.post_request('/submit/x', caller_timeout_s=60.0)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,7 +6,11 @@
 import socket
 import unittest
 from typing import Any
+from unittest import mock
 
+from starlette.responses import Response as AppResponse
+
+from plantainridge.gateway.events import StopRequested
 from plantainridge.gateway.http_calls import NoResponse, Response, call
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.log_writer import LogWriter
@@ -254,3 +258,48 @@
         await asyncio.sleep(1.3)
         self.assertEqual(await self._get_body('/submit/x', 'three'),
                          b'done by a1')
+
+    async def _connect(
+            self,
+            body: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection and send a request whose body has 4 bytes."""
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'POST /submit/x HTTP/1.1\r\nHost: h\r\n'
+                     b'X-Attempt-Id: one\r\nAuthorization: Bearer key\r\n'
+                     b'Content-Length: 4\r\n\r\n' + body)
+        await asyncio.sleep(0.3)
+        return reader, writer
+
+    def _stop(self) -> asyncio.Task[None]:
+        """Request a stop, as if 3.3 s ago; return the task of the process."""
+        serve = mock.patch.object(self.gateway, 'serve')
+        serve.start()
+        self.addCleanup(serve.stop)
+        process = asyncio.create_task(self.gateway.run())
+        self.gateway.post(StopRequested())
+        self.gateway.state.stopping_since = self.gateway.loop.time() - 3.3
+        return process
+
+    async def test_stopped_process_writes_its_last_answers(self) -> None:
+        body = b'x' * (15 << 20)
+        answer = AppResponse(body, headers={'X-Response-Seal': 's'})
+        with mock.patch.object(self.app, 'run', return_value=answer):
+            reader, writer = await self._connect(b'body')
+        process = self._stop()
+        await asyncio.sleep(0.5)
+        # The caller has read little so far.
+        self.assertFalse(process.done())
+        await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 2.0)
+        await asyncio.wait_for(reader.readexactly(len(body)), 5.0)
+        await asyncio.wait_for(process, 1.0)
+        writer.close()
+
+    async def test_stopped_process_refuses_incomplete_requests(self) -> None:
+        reader, writer = await self._connect(b'bo')
+        process = self._stop()
+        answer = await asyncio.wait_for(reader.read(65_536), 2.0)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503 '), answer)
+        self.assertIn(b'retry-after', answer.lower())
+        await asyncio.wait_for(process, 2.0)
+        writer.close()
