Take no request that may outlast a stop; answer what is open at the exit

Cause: the VM refused new requests only from 3.5 s on, whatever time they had, but exits at 7.3 s. The exit ended no request: it closed the connections under those that waited, were sent or streamed, and under answers that the system had not taken yet and requests that were being read.

Change: from 2.9 s after the stop request a request is taken only if its deadline comes before the exit; others are refused with 503, truly not run. Incomplete requests get 503. The process then waits until the answers are written, up to 0.2 s before the kill.

Why it works: a taken request now either has until 7.3 s after a stop request that the load balancer has acted on, or ends by its own deadline before.

--- a/src/plantainridge/gateway/caller_connection.py
+++ b/src/plantainridge/gateway/caller_connection.py
@@ -274,14 +274,25 @@
         if idle and self.transport is not None:
             self.transport.close()
 
-    def _reject(self, status: int, reason: str) -> None:
+    def refuse_incomplete(self, reason: str, retry_after_s: float) -> None:
+        """Refuse a request that is being read, or close an idle connection."""
+        self.close_if_idle()
+        if self.request is not None or self.discarding:
+            return
+        if self.transport is not None and not self.transport.is_closing():
+            self._reject(503, reason, retry_after_s)
+
+    def _reject(self,
+                status: int,
+                reason: str,
+                retry_after_s: float | None = None) -> None:
         """Refuse an invalid request and close the connection."""
         self.close_after_answer = True
         self.discarding = True
         self.head = None
         self.http = self._new_http()
         self.buffer.clear()
-        self.refuse(status, reason, None)
+        self.refuse(status, reason, retry_after_s)
         self._set_timeout(DISCARD_TIMEOUT_S)
 
     def _connection_header(self) -> Headers:
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -279,6 +279,18 @@
     """Accept no further connections and close idle ones."""
 
 
+@attrs.frozen
+class CloseCallers(Effect):
+    """Refuse requests that are incomplete with 503; close idle connections.
+
+    Attributes:
+        retry_after_s: Time after which their callers may retry, in s.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
 @attrs.frozen
 class CloseAfterAnswers(Effect):
     """Close each caller's connection after its next answer."""
--- a/src/plantainridge/gateway/http_server.py
+++ b/src/plantainridge/gateway/http_server.py
@@ -17,6 +17,8 @@
 # Unread bytes of all complete answers at which the callers with most of them
 # are disconnected.
 MAX_TOTAL_UNREAD_BYTES: Final = 32 * 1_024 * 1_024
+# Interval at which a stop checks whether all connections are closed, in s.
+CLOSE_POLL_INTERVAL_S: Final = 0.02
 PAGE_HEADERS: Final[Headers] = ((b'content-type',
                                  b'text/plain; charset=utf-8'),)
 
@@ -84,6 +86,21 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def close_callers(self, effect: fx.CloseCallers) -> None:
+        """Refuse requests that are incomplete and close idle connections."""
+        for connection in list(self.connections):
+            connection.refuse_incomplete(effect.reason, effect.retry_after_s)
+
+    async def wait_closed(self, until: float) -> None:
+        """Wait until all connections are closed, and their answers written.
+
+        Args:
+            until: Loop time at which the wait ends in any case, in s.
+        """
+        loop = asyncio.get_running_loop()
+        while self.connections and loop.time() < until:
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+
     def reply(self, effect: fx.Reply) -> None:
         """Write a complete answer."""
         connection = self.by_request.pop(effect.request, None)
--- a/src/plantainridge/gateway/intake.py
+++ b/src/plantainridge/gateway/intake.py
@@ -7,7 +7,7 @@
                                    suspects)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import Route, Team
-from plantainridge.gateway.events import RequestArrived, View
+from plantainridge.gateway.events import Request, RequestArrived, View
 from plantainridge.gateway.requests import Call
 from plantainridge.ids import RequestId, ServiceId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
@@ -37,16 +37,12 @@
     route = state.config.route(request.host, request.target)
     assert route is not None
     team = state.config.teams_by_key.get(request.key or '')
-    # A request without a deadline may take as long as its route allows.
-    caller_timeout_s = request.caller_timeout_s
-    timeout_s = route.timeout_s if caller_timeout_s is None else min(
-        caller_timeout_s, route.timeout_s)
     call = Call(request=request,
                 route=route,
                 service=_pick_service(state, route),
                 team=team,
                 arrived_at=now,
-                expires_at=now + timeout_s,
+                expires_at=now + _timeout_s(route, request),
                 urgency=_urgency(route, team),
                 last_event_id=request.last_event_id,
                 waiting_since=now,
@@ -65,9 +61,6 @@
                 now: float) -> fx.Refuse | None:
     """Return the refusal of a request that cannot be dispatched, or None."""
     request = event.request
-    if drain.refuses_new(state, now):
-        return fx.Refuse(request.id, endings.STATUS_UNAVAILABLE,
-                         'the VM is stopping', dispatch.MIN_RETRY_AFTER_S)
     if state.config.version < 0:
         return fx.Refuse(request.id, endings.STATUS_UNAVAILABLE,
                          'the configuration is not known yet',
@@ -75,6 +68,10 @@
     route = state.config.route(request.host, request.target)
     if route is None:
         return _deny(state, request.id, 404, 'there is no such route', now)
+    ends_by = now + _timeout_s(route, request) + ANSWER_GRACE_S
+    if drain.refuses(state, ends_by, now):
+        return fx.Refuse(request.id, endings.STATUS_UNAVAILABLE, drain.REASON,
+                         dispatch.MIN_RETRY_AFTER_S)
     if route.public or not state.config.has_teams:
         return None
     if request.key is None or request.key not in state.config.teams_by_key:
@@ -82,6 +79,16 @@
     return None
 
 
+def _timeout_s(route: Route, request: Request) -> float:
+    """Return the time until a request's deadline, in s.
+
+    A request without a deadline may take as long as its route allows.
+    """
+    if request.caller_timeout_s is None:
+        return route.timeout_s
+    return min(request.caller_timeout_s, route.timeout_s)
+
+
 def _deny(state: 'GatewayState', request: RequestId, status: int, reason: str,
           now: float) -> fx.Refuse:
     """Return a denial; 503 where a newer configuration may allow the request.
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import peer_messages, reducer
+from plantainridge.gateway import drain, peer_messages, reducer
 from plantainridge.gateway.events import (RequestArrived, SettingsRead,
                                           StopRequested, View, ViewRelayed)
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
@@ -101,6 +101,7 @@
             fx.Refuse: self.callers.refuse,
             fx.CloseAfterAnswers: self._close_after_answers,
             fx.StopListening: self.callers.stop_listening,
+            fx.CloseCallers: self.callers.close_callers,
             fx.Send: sender.send,
             fx.CancelSend: sender.cancel,
             fx.DropConnections: sender.close_idle,
@@ -153,8 +154,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.serve()
         await self.exited.wait()
-        # Lets the transports write the last answers.
-        await asyncio.sleep(0.05)
+        await self.callers.wait_closed(drain.closing_until(self.state))
         self.log_writer.flush()
 
     def _on_peer_message(self, event: Event) -> None:
