Let stand-in endpoints fall silent and continue

Tests had no way to show what the gateway does while a sound endpoint does nothing for a second and then continues by itself.

StandinEndpoint.fall_silent(seconds) holds back heads, stream events, reports and orders for that time. With accepts=False the listening socket also drops every packet, so that a connection cannot be opened meanwhile and times out as it does at a VM that has stopped.

--- a/src/plantainridge/standins/platform_site.py
+++ b/src/plantainridge/standins/platform_site.py
@@ -6,7 +6,11 @@
 
 import asyncio
 import base64
+import contextlib
+import ctypes
 import json
+import socket
+import struct
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any, Final
 
@@ -24,6 +28,12 @@
 EVENT_INTERVAL_S: Final = 0.01
 METHODS: Final = ['GET', 'POST', 'PUT', 'DELETE']
 
+SO_ATTACH_FILTER: Final = 26
+SO_DETACH_FILTER: Final = 27
+# BPF program that returns 0: the socket drops every packet.
+_DROP_CODE: Final = ctypes.create_string_buffer(struct.pack('HBBI', 6, 0, 0, 0))
+DROP_ALL: Final = struct.pack('HP', 1, ctypes.addressof(_DROP_CODE))
+
 Handler = Callable[[Request], Coroutine[Any, Any, Response]]
 
 
@@ -143,6 +153,7 @@
             complete them.
         event_count: Number of events of a complete stream.
         orders: Orders that it accepted.
+        silent_until: Loop time until which it does nothing, in s.
     """
 
     def __init__(self, name: str, service: str, version: int = 0) -> None:
@@ -157,6 +168,7 @@
         self.cut_after_events = 0
         self.event_count = 5
         self.orders: list[dict[str, Any]] = []
+        self.silent_until = 0.0
         self.server = AppServer(
             Starlette(routes=[
                 Route('/report', self._report),
@@ -176,8 +188,29 @@
             'models': models if self.version else []
         }
 
+    def fall_silent(self, seconds: float, accepts: bool = True) -> None:
+        """Do nothing for some time, then continue where it stopped.
+
+        Args:
+            seconds: How long, in s.
+            accepts: Whether connections can be opened meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        self.silent_until = loop.time() + seconds
+        if not accepts:
+            sock = self.server.socket
+            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, DROP_ALL)
+            loop.call_later(seconds, _detach_filter, sock)
+
+    async def wait_while_silent(self) -> None:
+        """Return once it is not silent."""
+        loop = asyncio.get_running_loop()
+        while (remaining_s := self.silent_until - loop.time()) > 0.0:
+            await asyncio.sleep(remaining_s)
+
     async def _report(self, request: Request) -> Response:
         del request
+        await self.wait_while_silent()
         return JSONResponse({
             'models': self.entry()['models'],
             'busy': False,
@@ -186,6 +219,7 @@
 
     async def _order(self, request: Request) -> Response:
         order = await request.json()
+        await self.wait_while_silent()
         if order['expect'] != len(self.orders):
             return Response(status_code=409)
         self.orders.append(order)
@@ -199,6 +233,7 @@
     async def _serve(self, request: Request) -> Response:
         fields = dict(request.headers.items())
         await request.body()
+        await self.wait_while_silent()
         attempt = fields[names.ATTEMPT_ID.decode()]
         response_headers = {names.ATTEMPT_ID.decode(): attempt}
         if self.leaving:
@@ -241,6 +276,7 @@
             if self.cut_after_events and number > self.cut_after_events:
                 yield b'id: %d\nda' % number
                 raise ConnectionResetError('stream cut on demand')
+            await self.wait_while_silent()
             yield self.event(number, target)
             await asyncio.sleep(EVENT_INTERVAL_S)
 
@@ -248,3 +284,8 @@
         """Return one event of a stream."""
         del target
         return b'id: %d\ndata: t%d\n\n' % (number, number)
+
+
+def _detach_filter(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
