--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -64,9 +64,9 @@
     """Return a configuration with the default routes and teams."""
     return config.build(version=version,
                         routes=overrides.get('routes', ROUTES),
-                        services=SERVICES,
+                        services=overrides.get('services', SERVICES),
                         teams=overrides.get('teams', (TEAM, ISOLATED)),
-                        limits=config.CallerLimits())
+                        limits=overrides.get('limits', config.CallerLimits()))
 
 
 def endpoint(name: str,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -71,7 +71,7 @@
 }
 
 
-class PlatformPathTest(unittest.IsolatedAsyncioTestCase):
+class PlatformPathCase(unittest.IsolatedAsyncioTestCase):
     """One VM with two engines and an endpoint of a service without models."""
 
     async def asyncSetUp(self) -> None:
@@ -143,6 +143,10 @@
             **overrides
         })
 
+
+class PlatformPathTest(PlatformPathCase):
+    """Tests of a VM between callers, the metadata store and endpoints."""
+
     async def test_requests_are_served_with_system_headers(self) -> None:
         self._configure(version=2)
         await asyncio.sleep(0.2)
