Give up a running send only for one that takes over

What callers saw: a stream was cut, with neither the rest of its answer nor a refusal, although its engine was sound and merely silent for a second.

Cause: a send was given up before it was certain that another endpoint could take over. on_send_silence and the withdrawal before the bound of replaced weights cancelled the send and only then looked for an endpoint. With none available the request waited until 40 % of its time had passed, and after that for an eighth of its target; then its caller's connection was closed. Many streams of one silent engine were all cancelled before any of them was counted as a retry, and those beyond the budget were cut as soon as an endpoint was available. A change of the configuration makes it more frequent: a service that has lost its route gets no requests, and its retry budget shrinks to its fixed share while its streams are still in flight.

Change: takeover.plan chooses the replacement first, with all limits, and the cancel and the next send are one step. Without a replacement the send stays and is checked again after 0.1 s, unless a final limit (attempts, time) rules a retry out. takeover.decide is the pure part. A stream that has begun and whose send has ended waits as long as its caller does (the largest of 2 s, four targets and eight gaps after its latest event), also for the retry budget, if an endpoint that stays may still take it; an endpoint that could not be reached may be chosen again after its cool-down. The order of the limits changed in one point: the quarantine is asked last, so that a request that cannot be sent does not reserve its probe.

Why it works: nothing is lost by a send that stays, since its endpoint may continue at any time, and no request is sent more often than before; each send beyond the first is counted before the next one is decided.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from plantainridge.gateway import (cache, dispatch, endings, health, placement,
-                                   suspects)
+                                   suspects, takeover)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
@@ -12,6 +12,7 @@
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.requests import (CALL_LIFECYCLE, Attempt, Call,
                                             FallbackAnswer)
+from plantainridge.gateway.takeover import Stay
 from plantainridge.ids import AttemptId
 from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
 from plantainridge.loop.events import TimerFired
@@ -133,7 +134,8 @@
             call.first_event_s = now - call.arrived_at
             yield Observe('first_piece_s', call.team.name if call.team else '',
                           call.route.name, now - call.arrived_at)
-    attempt.progress_at = now
+    attempt.progress_at = call.progress_at = now
+    attempt.is_silent = False
     health.record_activity(state, attempt, now)
     if event.last_id:
         call.last_event_id = event.last_id
@@ -168,15 +170,14 @@
                    event: SendFailed, now: float) -> Iterator[Effect]:
     """Record a failed send, then retry or end its request."""
     failure = event.failure
-    health.record_failure(state, attempt, failure, now)
-    yield LogLine('send_failed',
-                  (('request', call.request.attempt_id),
-                   ('endpoint', attempt.endpoint), ('failure', failure.value),
-                   ('detail', event.detail),
-                   ('after_s', round(now - attempt.sent_at, 4))))
+    yield from _record_failure(state, call, attempt, event, now)
     if failure is Failure.NOT_CONNECTED:
         call.executions -= 1
         call.deliveries -= 1
+        if call.executions:
+            # An earlier send was given up for this one: the endpoint may still
+            # take the request after its cool-down.
+            call.tried.discard(attempt.endpoint)
         yield from dispatch.dispatch(state, call, now)
         return
     if failure is Failure.BROKEN:
@@ -193,6 +194,17 @@
                            endings.STATUS_BAD_GATEWAY, now)
 
 
+def _record_failure(state: 'GatewayState', call: Call, attempt: Attempt,
+                    event: SendFailed, now: float) -> Iterator[Effect]:
+    """Record and log a failed send."""
+    health.record_failure(state, attempt, event.failure, now)
+    yield LogLine('send_failed',
+                  (('request', call.request.attempt_id),
+                   ('endpoint', attempt.endpoint),
+                   ('failure', event.failure.value), ('detail', event.detail),
+                   ('after_s', round(now - attempt.sent_at, 4))))
+
+
 def _retry(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
     """Dispatch a request again if its limits allow it, else end it."""
     if dispatch.may_retry(state, call, now):
@@ -206,7 +218,8 @@
                     now: float) -> Iterator[Effect]:
     """Abandon a send whose endpoint is silent, if it may be sent again.
 
-    An endpoint that was active meanwhile gets more time.
+    An endpoint that was active meanwhile gets more time. The send stays while
+    no other endpoint can take over.
     """
     attempt_id = AttemptId(event.key.subject)
     call = state.calls.of_attempt(attempt_id)
@@ -217,7 +230,19 @@
     if now < send_timeout_at:
         yield SetTimer(event.key, send_timeout_at)
         return
-    if not dispatch.may_retry(state, call, now):
+    choice = takeover.plan(state, call, now)
+    if isinstance(choice, Placement):
+        yield fx.CancelSend(attempt_id)
+        yield from endings.close_attempt(state, attempt_id)
+        yield from _record_failure(state, call, attempt,
+                                   SendFailed(attempt_id, Failure.SILENT), now)
+        yield from dispatch.send(state, call, choice, now)
         return
-    yield fx.CancelSend(attempt_id)
-    yield from on_failed(state, SendFailed(attempt_id, Failure.SILENT), now)
+    if not attempt.is_silent:
+        attempt.is_silent = True
+        yield LogLine('send_stays',
+                      (('request', call.request.attempt_id),
+                       ('endpoint', attempt.endpoint), ('how', choice.value),
+                       ('after_s', round(now - attempt.sent_at, 4))))
+    if choice is Stay.FOR_NOW:
+        yield SetTimer(event.key, now + takeover.RECHECK_INTERVAL_S)
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -21,7 +21,8 @@
                                            PAUSE_SPREAD_RATIO)
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.requests import (CALL_LIFECYCLE, Attempt, Call,
-                                            CallPhase, PlacementFailure)
+                                            CallPhase, PlacementFailure,
+                                            SendLimit)
 from plantainridge.ids import AttemptId, ServiceId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
 from plantainridge.loop.events import TimerFired
@@ -49,6 +50,11 @@
 # Time that must be left to send a request again, relative to its route's
 # target.
 MIN_REMAINING_RATIO: Final = 0.1
+# Gap after which callers abandon a stream: the largest of a time in s and of
+# multiples of its route's target and longest gap.
+MIN_CALLER_GAP_S: Final = 2.0
+CALLER_TARGET_RATIO: Final = 4.0
+CALLER_GAP_RATIO: Final = 8.0
 # Bounds of the delay after which a refused caller may retry.
 MIN_RETRY_AFTER_S: Final = 0.2
 MAX_RETRY_AFTER_S: Final = 2.0
@@ -61,15 +67,18 @@
             state, call, 'it, or a part of it, crashes endpoints',
             suspects.RETRY_AFTER_S, now)
         return
-    choice = _choose(state, call, now)
+    choice = choose(state, call, now)
     if isinstance(choice, Placement) and may_send(state, call, now):
         yield from send(state, call, choice, now)
         return
     if isinstance(choice, Placement):
-        yield from endings.fail_request(state, call,
-                                        'no more sends are allowed',
-                                        MIN_RETRY_AFTER_S, now)
-        return
+        if (not call.reply_started or
+                send_limit(state, call, now) is not SendLimit.BUDGET):
+            yield from endings.fail_request(state, call,
+                                            PlacementFailure.NO_RETRY.value,
+                                            MIN_RETRY_AFTER_S, now)
+            return
+        choice = PlacementFailure.NO_RETRY
     if choice in UNSERVABLE and not call.executions and not call.reply_started:
         yield from endings.fail_request(
             state, call, choice.value, _retry_after_s(state, call, choice, now),
@@ -94,8 +103,8 @@
                                     retry_after_s, now)
 
 
-def _choose(state: 'GatewayState', call: Call,
-            now: float) -> Placement | PlacementFailure:
+def choose(state: 'GatewayState', call: Call,
+           now: float) -> Placement | PlacementFailure:
     """Choose an endpoint; a retry may go where the request does not fit."""
     choice = placement.choose(state, call, now)
     if choice is PlacementFailure.NO_CAPACITY and call.sends:
@@ -109,16 +118,33 @@
     A request waits for an endpoint whose cool-down ends soon, as long as an
     answer can still arrive in time; otherwise its caller should retry. The same
     holds once the wait for an engine's memory has become so long that the
-    answer would start too late for the caller.
+    answer would start too late for the caller. A stream that has begun waits as
+    long as its caller, unless only an endpoint that is added could serve it.
     """
     if call.wait_reason is PlacementFailure.NO_CAPACITY:
         return call.arrived_at + CAPACITY_WAIT_RATIO * call.route.target_s
     available_at = _available_at(state, call.service)
     latest_at = call.arrived_at + RECOVERY_WAIT_RATIO * (call.expires_at -
                                                          call.arrived_at)
-    if available_at < latest_at:
-        return latest_at
-    return call.waiting_since + WAIT_RATIO * call.route.target_s
+    wait_until = (latest_at if available_at < latest_at else
+                  call.waiting_since + WAIT_RATIO * call.route.target_s)
+    if call.reply_started and _has_untried(state, call):
+        return max(wait_until, _abandoned_at(call))
+    return wait_until
+
+
+def _has_untried(state: 'GatewayState', call: Call) -> bool:
+    """Return whether an endpoint that stays may still serve a request."""
+    return any(view.entry.service == call.service and not view.is_leaving and
+               view.entry.id not in call.tried
+               for view in state.endpoints.values())
+
+
+def _abandoned_at(call: Call) -> float:
+    """Return the loop time at which a stream's caller abandons it, in s."""
+    gap_s = max(MIN_CALLER_GAP_S, CALLER_TARGET_RATIO * call.route.target_s,
+                CALLER_GAP_RATIO * call.route.gap_s)
+    return min(call.progress_at + gap_s, call.expires_at)
 
 
 def may_send(state: 'GatewayState', call: Call, now: float) -> bool:
@@ -128,13 +154,24 @@
 
 def may_retry(state: 'GatewayState', call: Call, now: float) -> bool:
     """Return whether all limits allow a request to be sent again."""
+    return (send_limit(state, call, now) is None and
+            suspects.admits(state, call, now))
+
+
+def send_limit(state: 'GatewayState', call: Call,
+               now: float) -> SendLimit | None:
+    """Return the limit that prevents a request from being sent again, or None.
+
+    The quarantine is not considered: asking it may reserve the probe.
+    """
     if (call.sends >= retries.MAX_SENDS or
-            call.executions >= call.route.attempts or
-            not suspects.admits(state, call, now)):
-        return False
+            call.executions >= call.route.attempts):
+        return SendLimit.ATTEMPTS
     if call.expires_at - now < MIN_REMAINING_RATIO * call.route.target_s:
-        return False
-    return not call.deliveries or state.retries.allows(call.service, now)
+        return SendLimit.TIME
+    if call.deliveries and not state.retries.allows(call.service, now):
+        return SendLimit.BUDGET
+    return None
 
 
 def send(state: 'GatewayState', call: Call, choice: Placement,
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -32,12 +32,22 @@
 
 
 class PlacementFailure(enum.Enum):
-    """Reason why no endpoint can be chosen for a request now."""
+    """Reason why a request waits: there is no endpoint for it, or no retry."""
 
     NO_ENDPOINT = 'no endpoint takes it'
     NO_CAPACITY = 'no engine has memory for it'
     ALL_PAUSED = 'every endpoint asked for a pause'
     ALL_LEAVING = 'every endpoint is leaving'
+    NO_RETRY = 'no more sends are allowed'
+
+
+class SendLimit(enum.Enum):
+    """Limit that prevents a request from being sent again."""
+
+    ATTEMPTS = 'no more attempts are allowed'
+    TIME = 'too little time is left'
+    BUDGET = 'the retry budget is used up'
+    QUARANTINE = 'it, or a part of it, crashes endpoints'
 
 
 @attrs.define
@@ -61,6 +71,8 @@
         fallback: An endpoint's error to answer with if all sends fail.
         first_event_s: Time from arrival to the first stream event, in s, or
             None.
+        progress_at: Loop time of its latest stream event, or of its arrival,
+            in s.
     """
 
     request: Request
@@ -83,6 +95,8 @@
     fingerprint: str = ''
     fallback: 'FallbackAnswer | None' = None
     first_event_s: float | None = None
+    progress_at: float = attrs.field(
+        default=attrs.Factory(lambda self: self.arrived_at, takes_self=True))
 
 
 @attrs.frozen
@@ -103,6 +117,7 @@
         progress_at: Loop time of its latest stream event, or of the send, in s.
         version: Weight version that it is bound to, or None.
         events_received: Whether any stream event arrived.
+        is_silent: Whether it stays although its endpoint is silent.
     """
 
     id: AttemptId
@@ -112,6 +127,7 @@
     progress_at: float
     version: int | None
     events_received: bool = False
+    is_silent: bool = False
 
 
 @attrs.define
--- /dev/null
+++ b/src/plantainridge/gateway/takeover.py
@@ -0,0 +1,57 @@
+"""Takeover of running sends by other endpoints.
+
+A running send is given up only for another one that begins in the same step.
+Otherwise it stays: an endpoint that is merely silent may continue by itself,
+and an answer that was given up for nothing is lost.
+"""
+
+import enum
+from typing import TYPE_CHECKING, Final
+
+from plantainridge.gateway import dispatch, suspects
+from plantainridge.gateway.placement import Placement
+from plantainridge.gateway.requests import Call, SendLimit
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# Time after which a send that stayed is checked again, in s.
+RECHECK_INTERVAL_S: Final = 0.1
+# Limits that a request does not get back below.
+FINAL_LIMITS: Final = frozenset({SendLimit.ATTEMPTS, SendLimit.TIME})
+
+
+class Stay(enum.Enum):
+    """Why a running send stays: nothing can take over yet, or ever."""
+
+    FOR_NOW = 'for now'
+    FOR_GOOD = 'for good'
+
+
+def decide(limit: SendLimit | None,
+           choice: Placement | None) -> (Placement | Stay):
+    """Return the endpoint that takes over a running send, or why it stays.
+
+    Made for sound endpoints that are silent for a second while the others cool
+    down, or with more streams than the retry budget lets run elsewhere.
+
+    Args:
+        limit: Limit that prevents the request from being sent again, or None.
+        choice: An endpoint that is available for it, or None.
+    """
+    if limit in FINAL_LIMITS:
+        return Stay.FOR_GOOD
+    return choice if limit is None and choice is not None else Stay.FOR_NOW
+
+
+def plan(state: 'GatewayState', call: Call, now: float) -> Placement | Stay:
+    """Return the endpoint that takes over a request's send, or why it stays."""
+    limit = dispatch.send_limit(state, call, now)
+    if limit is not None:
+        return decide(limit, None)
+    choice = dispatch.choose(state, call, now)
+    if not isinstance(choice, Placement):
+        return decide(None, None)
+    if not suspects.admits(state, call, now):
+        return decide(SendLimit.QUARANTINE, choice)
+    return decide(None, choice)
--- a/src/plantainridge/gateway/withdrawals.py
+++ b/src/plantainridge/gateway/withdrawals.py
@@ -2,16 +2,18 @@
 
 A request that was sent in time may wait longer in its engine's queue than
 expected. One that has shown no event shortly before the bound is sent anew,
-under the limits of any other retry. One that may not be repeated stays.
+under the limits of any other retry. One that may not be repeated, or that no
+other engine can take over, stays.
 """
 
 import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import dispatch, endings
+from plantainridge.gateway import dispatch, endings, takeover
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind
+from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.requests import Attempt, Call
 from plantainridge.loop.effects import Effect, LogLine
 
@@ -51,8 +53,10 @@
                 may_begin_late(attempt.events_received,
                                _replaced_for_s(state, call, attempt, now),
                                state.settings.bounds.version_s) and
-                call.route.repeatable and dispatch.may_retry(state, call, now)):
-            yield from _withdraw(state, call, attempt, now)
+                call.route.repeatable):
+            choice = takeover.plan(state, call, now)
+            if isinstance(choice, Placement):
+                yield from _withdraw(state, call, attempt, choice, now)
 
 
 def _replaced_for_s(state: 'GatewayState', call: Call, attempt: Attempt,
@@ -64,7 +68,7 @@
 
 
 def _withdraw(state: 'GatewayState', call: Call, attempt: Attempt,
-              now: float) -> Iterator[Effect]:
+              choice: Placement, now: float) -> Iterator[Effect]:
     yield fx.CancelSend(attempt.id)
     yield from endings.close_attempt(state, attempt.id)
     yield LogLine('send_withdrawn',
@@ -72,4 +76,4 @@
                    ('endpoint', attempt.endpoint),
                    ('version', attempt.version or 0),
                    ('after_s', round(now - attempt.sent_at, 4))))
-    yield from dispatch.dispatch(state, call, now)
+    yield from dispatch.send(state, call, choice, now)
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -11,14 +11,18 @@
 
 import attrs
 
-from plantainridge.gateway import config
+from plantainridge.gateway import config, takeover
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.config import RequestKind
+from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import Failure, View
 from plantainridge.gateway.http_calls import NoResponse, Response
 from plantainridge.gateway.peer_messages import OwnLoad
+from plantainridge.gateway.placement import Placement
+from plantainridge.gateway.requests import SendLimit
 from plantainridge.gateway.settings import Bounds
+from plantainridge.gateway.takeover import Stay
 from plantainridge.ids import EndpointId, ServiceId, VmId
 from plantainridge.platform import names
 from tests import test_platform_path
@@ -197,6 +201,24 @@
 }
 
 
+class TakeoverDecisionTest(unittest.TestCase):
+    """Decision whether another endpoint takes over a running send."""
+
+    def test_send_is_given_up_only_for_another_one(self) -> None:
+        choice = Placement(EndpointView(endpoint(OTHER)), None, 0, 0, 0.0)
+        limits = {
+            None: choice,
+            SendLimit.ATTEMPTS: Stay.FOR_GOOD,
+            SendLimit.TIME: Stay.FOR_GOOD,
+            SendLimit.BUDGET: Stay.FOR_NOW,
+            SendLimit.QUARANTINE: Stay.FOR_NOW,
+        }
+        for limit, expected in limits.items():
+            with self.subTest(limit):
+                self.assertIs(takeover.decide(limit, choice), expected)
+        self.assertIs(takeover.decide(None, None), Stay.FOR_NOW)
+
+
 class NoReplacementTest(unittest.TestCase):
     """No other endpoint can take over from a silent one."""
 
