--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -113,6 +113,7 @@
         done: All effects so far, except timers, metrics and log lines.
         lines: All log lines so far.
         timers: Loop times of the timers that are set, in s.
+        tolerates_errors: Whether an event may fail.
     """
 
     def __init__(self, *entries: EndpointEntry, vm: str = 'vm1') -> None:
@@ -122,6 +123,7 @@
         self.done: list[base.Effect] = []
         self.lines: list[base.LogLine] = []
         self.timers: dict[TimerKey, float] = {}
+        self.tolerates_errors = False
         self._record(reducer.start(self.state, self.now))
         self.read(View.OPERATOR, configuration(), is_snapshot=True)
         self.read(View.REGISTRY, *entries, is_snapshot=True)
@@ -178,6 +180,8 @@
                 self.timers.pop(effect.key, None)
             elif isinstance(effect, base.LogLine):
                 self.lines.append(effect)
+                if effect.event == 'event_failed' and not self.tolerates_errors:
+                    raise AssertionError(dict(effect.fields)['trace'])
             elif not isinstance(effect, base.Observe):
                 recorded.append(effect)
         self.done.extend(recorded)
