Contain errors that are raised while an event is handled

What callers saw: beside a configuration, requests that waited for an endpoint got neither an answer nor a refusal until their time was over; a VM that was asked to stop did not exit before its kill.

Cause: the process dropped all effects of an event whose handler raised, also those that belong to other requests and the timer of the next tick. A request that failed on arrival stayed in the table, so that every tick failed on it, and the tick was never set again. A route with target-latency-ms 0 before model engines is enough (division by it in the expected cost).

Change: the reducer contains errors. Effects that were yielded before the error are kept, since the state has changed with them. The request that the event is about ends as a failed one does: 503 if no send of it may have run, else 502 or an aborted stream; if that fails too, it is removed and its caller's connection closed. Each module's periodic work and each request that waits is contained on its own. An error in the check of a silent send leaves the send. The process has no handling of its own any more.

Not changed: such a route still refuses every request with 503 and logs event_failed with the trace.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -11,8 +11,8 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import (cache, endings, health, placement, retries,
-                                   stored_parts, suspects)
+from plantainridge.gateway import (cache, containment, endings, health,
+                                   placement, retries, stored_parts, suspects)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
 from plantainridge.gateway.endpoints import InFlightSend
@@ -25,7 +25,6 @@
                                             SendLimit)
 from plantainridge.ids import AttemptId, ServiceId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
-from plantainridge.loop.events import TimerFired
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -270,24 +269,30 @@
     return service is not None and service.engine is not None
 
 
-def on_tick(state: 'GatewayState', event: TimerFired,
-            now: float) -> Iterator[Effect]:
+def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Dispatch the requests that wait."""
-    del event
     # Size of the last request per service that did not fit, in tokens.
     unplaced_tokens: dict[ServiceId, int] = {}
     for call in state.calls.waiting(now):
-        memory_tokens = placement.memory_tokens(call.request)
-        if (memory_tokens >= unplaced_tokens.get(call.service,
-                                                 memory_tokens + 1) and
-                suspects.admits(state, call, now)):
-            # A request that is no larger did not fit just before.
-            yield from _refuse_overdue(state, call, now)
-            continue
-        yield from dispatch(state, call, now)
-        if (call.phase is CallPhase.WAITING and
-                call.wait_reason is PlacementFailure.NO_CAPACITY):
-            unplaced_tokens[call.service] = memory_tokens
+        yield from containment.contain_request(
+            state, _dispatch_waiting(state, call, unplaced_tokens, now),
+            'dispatch', call.request.id, now)
+
+
+def _dispatch_waiting(state: 'GatewayState', call: Call,
+                      unplaced_tokens: dict[ServiceId, int],
+                      now: float) -> Iterator[Effect]:
+    """Dispatch a request that waits, unless a smaller one did not fit."""
+    memory_tokens = placement.memory_tokens(call.request)
+    if (memory_tokens >= unplaced_tokens.get(call.service, memory_tokens + 1)
+            and suspects.admits(state, call, now)):
+        # A request that is no larger did not fit just before.
+        yield from _refuse_overdue(state, call, now)
+        return
+    yield from dispatch(state, call, now)
+    if (call.phase is CallPhase.WAITING and
+            call.wait_reason is PlacementFailure.NO_CAPACITY):
+        unplaced_tokens[call.service] = memory_tokens
 
 
 def _set_stall_timer(call: Call, attempt: AttemptId,
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -11,8 +11,8 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import drain, peer_messages, reducer
-from plantainridge.gateway.events import (RequestArrived, SettingsRead,
-                                          StopRequested, View, ViewRelayed)
+from plantainridge.gateway.events import (SettingsRead, StopRequested, View,
+                                          ViewRelayed)
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
                                          LoadTotalsReceived)
 from plantainridge.gateway.http_client import Pool
@@ -121,11 +121,7 @@
         return reducer.start(self.state, now)
 
     def reduce(self, event: Event, now: float) -> list[base.Effect]:
-        try:
-            effects = reducer.reduce(self.state, event, now)
-        except Exception as error:  # pylint: disable=broad-exception-caught
-            # An event that cannot be handled must not prevent later ones.
-            return _failure_effects(event, error)
+        effects = reducer.reduce(self.state, event, now)
         self.callers.limits = self.state.config.limits
         return effects
 
@@ -226,22 +222,6 @@
         return 200, '\n'.join([*self.metrics.prometheus(), ''])
 
 
-def _failure_effects(event: Event, error: Exception) -> list[base.Effect]:
-    """Return the effects of an event that could not be handled.
-
-    None of its own effects were carried out, so a request is refused with 503.
-    """
-    trace = ''.join(traceback.format_exception(error))
-    effects: list[base.Effect] = [
-        base.LogLine('event_failed',
-                     (('kind', type(event).__name__), ('trace', trace)))
-    ]
-    if isinstance(event, RequestArrived):
-        effects.append(
-            fx.Refuse(event.request.id, 503, 'the request cannot be handled'))
-    return effects
-
-
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -3,13 +3,14 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge.gateway import (answers, dispatch, drain, endings, eras,
-                                   events, hints, intake, lease, membership,
-                                   notices, relays, reload, rollout,
+from plantainridge.gateway import (answers, containment, dispatch, drain,
+                                   endings, eras, events, hints, intake, lease,
+                                   membership, notices, relays, reload, rollout,
                                    stored_parts, stores, suspects, views,
                                    withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
+from plantainridge.ids import AttemptId, RequestId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
 from plantainridge.loop.events import Event, TimerFired, TimerKey
 
@@ -25,21 +26,24 @@
 
 def _on_tick(state: GatewayState, event: TimerFired,
              now: float) -> Iterator[Effect]:
-    """Run the periodic work and set the timer of the next tick."""
-    stored_parts.observe(state, now)
-    yield from suspects.on_tick(state, now)
-    yield from withdrawals.on_tick(state, now)
-    yield from dispatch.on_tick(state, event, now)
+    """Run the periodic work and set the timer of the next tick.
+
+    A part that fails does not prevent the others.
+    """
+    del event
+    for module in TICK_ORDER:
+        yield from containment.contain(state, module.on_tick(state, now),
+                                       module.__name__, now)
     waiting = bool(state.calls.waiting(now))
     yield SetTimer(
         _TICK_KEY,
         now + (WAITING_TICK_INTERVAL_S if waiting else TICK_INTERVAL_S))
-    yield from rollout.on_tick(state, now)
-    yield from hints.on_tick(state, now)
-    yield from relays.on_tick(state, now)
-    yield from drain.on_tick(state, now)
 
 
+# Modules with periodic work, in its order.
+TICK_ORDER: Final = (stored_parts, suspects, withdrawals, dispatch, rollout,
+                     hints, relays, drain)
+
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
     TimerKind.VIEW: views.on_timer,
@@ -106,10 +110,36 @@
 def reduce(state: GatewayState, event: Event, now: float) -> list[Effect]:
     """Apply one event and return its effects, in order.
 
+    An error ends the request that the event is about; it is logged as
+    `event_failed`.
+
     Args:
         state: The VM's state; changed in place.
         event: What happened.
         now: Loop time in s.
     """
     state.suspension.record_event(now)
-    return list(EVENT_HANDLERS[type(event)](state, event, now))
+    request = _request_of(state, event)
+    # A check of a send that fails is no reason to end its answer.
+    is_check = (isinstance(event, TimerFired) and
+                event.key.kind is TimerKind.SEND_SILENCE)
+    return list(
+        containment.contain_request(
+            state, EVENT_HANDLERS[type(event)](state, event, now),
+            type(event).__name__, request, now, is_check))
+
+
+def _request_of(state: GatewayState, event: Event) -> RequestId | None:
+    """Return the request that an event is about, or None."""
+    attempt = getattr(event, 'attempt', None)
+    if isinstance(event, events.RequestArrived):
+        return event.request.id
+    if isinstance(event, events.CallerLeft):
+        return event.request
+    if isinstance(event, TimerFired):
+        if event.key.kind is TimerKind.DEADLINE:
+            return RequestId(event.key.subject)
+        if event.key.kind is TimerKind.SEND_SILENCE:
+            attempt = AttemptId(event.key.subject)
+    send = state.calls.attempts.get(attempt) if attempt is not None else None
+    return send.request if send is not None else None
--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -125,6 +125,12 @@
                   (('store', event.store), ('reason', event.reason)))
 
 
+def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Record which versions are the newest."""
+    observe(state, now)
+    yield from ()
+
+
 def observe(state: 'GatewayState', now: float) -> None:
     """Record which versions are the newest, and since when."""
     cursor = state.views.cursors[View.OPERATOR]
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -9,8 +9,10 @@
 from typing import Any
 from unittest import mock
 
-from plantainridge.gateway import (answers, dispatch, effects as fx, events as
-                                   ev, placement, rollout, suspects)
+from plantainridge.gateway import (dispatch, endings, placement, rollout,
+                                   suspects)
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.http_calls import Response
 from plantainridge.loop.events import TimerKey
@@ -76,7 +78,7 @@
         self.assertIn(TICK, scene.timers)
 
     def test_failing_periodic_work_does_not_stop_the_rest(self) -> None:
-        self._fail(rollout, 'on_tick')
+        self._fail(rollout, '_lagging')
         self.scene.post(ev.StopRequested())
         self.scene.advance(3.1)
         self.assertEqual(len(self.scene.all(fx.StopListening)), 1)
@@ -91,7 +93,7 @@
 
     def test_request_whose_end_fails_too_is_aborted(self) -> None:
         send = self.scene.post_request('/submit/x')
-        self._fail(answers.endings, 'close_attempt')
+        self._fail(endings, 'close_attempt')
         self.scene.post(ev.AnswerArrived(send.attempt, head(), b'done'))
         self.assertEqual(len(self.scene.all(fx.AbortReply)), 1)
         self.assertEqual(self.scene.state.calls.calls, {})
