Add failing tests of ends of streams and of a stop

Run on the code as it is:

- a stream whose resumption an engine answers with 500 is cut although a third attempt is allowed and another engine is available;
- an engine that rejects a resumption with 400 has its answer written as a second head into the stream that has begun; the framing does not allow it, the connection is closed, and the log says 'answered';
- if the end of one request fails at a stop, the process has been marked as exiting but does not exit, and the requests after it have no end.

--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -15,6 +15,7 @@
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.http_calls import Response
+from plantainridge.loop.effects import Exit
 from plantainridge.loop.events import TimerKey
 from tests import test_platform_path
 from tests.gateway_scene import LEDGER, GatewayScene, endpoint, head
@@ -84,6 +85,16 @@
         self.assertEqual(len(self.scene.all(fx.StopListening)), 1)
         self.assertIn(TICK, self.scene.timers)
 
+    def test_stop_ends_although_the_end_of_a_request_fails(self) -> None:
+        self.scene.post_request('/submit/x', 'one')
+        self.scene.post_request('/submit/x', 'two')
+        self.scene.post(ev.StopRequested())
+        self._fail(endings, 'close_attempt')
+        self.scene.advance(8.0)
+        self.assertEqual(len(self.scene.all(Exit)), 1)
+        self.assertEqual(len(self.scene.all(fx.AbortReply)), 2)
+        self.assertEqual(self.scene.state.calls.calls, {})
+
     def test_request_that_has_run_is_not_refused_as_not_run(self) -> None:
         send = self.scene.post_request('/submit/x')
         self._fail(suspects, 'record_answer')
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -4,9 +4,10 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
+from plantainridge.gateway.config import RequestKind
 from plantainridge.gateway.events import Failure, View
-from tests.gateway_scene import (LEDGER, REMOTE_DC, GatewayScene, configuration,
-                                 endpoint, head)
+from tests.gateway_scene import (ENGINES, LEDGER, REMOTE_DC, GatewayScene,
+                                 configuration, endpoint, head, route)
 
 A = endpoint('a', LEDGER)
 B = endpoint('b', LEDGER)
@@ -197,6 +198,45 @@
         self.assertEqual(len(scene.all(fx.StartReply)), 1)
         self.assertEqual(len(scene.all(fx.EndReply)), 1)
 
+    def _resume(self, attempts: int) -> tuple[GatewayScene, fx.Send]:
+        """Return a scene whose stream is resumed at a second endpoint."""
+        scene = GatewayScene(*(endpoint(name) for name in 'abc'))
+        resumable = route('/report/',
+                          RequestKind.STREAM,
+                          ENGINES,
+                          resumable=True,
+                          attempts=attempts)
+        scene.read(View.OPERATOR, configuration(2, routes=(resumable,)))
+        send = scene.post_request('/report/x')
+        scene.post(ev.StreamStarted(send.attempt, head()))
+        scene.post(ev.StreamEventsReceived(send.attempt, b'one', '1', '1'))
+        scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+        return scene, scene.last(fx.Send)
+
+    def test_is_resumed_elsewhere_after_an_error(self) -> None:
+        scene, second = self._resume(attempts=3)
+        scene.post(ev.AnswerArrived(second.attempt, head(500), b'bad'))
+        third = scene.last(fx.Send)
+        self.assertEqual(len(scene.all(fx.Send)), 3)
+        self.assertEqual(third.last_event_id, '1')
+        self.assertEqual(scene.all(fx.AbortReply), [])
+
+    def test_is_aborted_if_it_cannot_be_resumed(self) -> None:
+        answers = {
+            'error': head(500),
+            'invalid': head(400, not_run=True, signed=False),
+            'not a stream': head(200),
+        }
+        ends = {}
+        for name, answer in answers.items():
+            scene, second = self._resume(attempts=2)
+            scene.post(ev.AnswerArrived(second.attempt, answer, b''))
+            ends[name] = [
+                len(scene.all(kind))
+                for kind in (fx.Send, fx.Reply, fx.AbortReply)
+            ]
+        self.assertEqual(ends, dict.fromkeys(answers, [2, 0, 1]))
+
     def test_is_aborted_if_it_may_not_be_resumed(self) -> None:
         scene, send = self._start_stream('/tag/x')
         scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
