Resume a stream elsewhere after an engine's error

What callers saw: a stream that its first engine broke off was cut, although attempts were left, because the second engine answered the resumption with an error; and one whose resumption was rejected with 400 was cut by an error of framing and logged as answered.

Cause: on_answer aborted every stream that had begun, whatever the status; _after_not_run answered a 400 as if nothing had been sent to the caller.

Change: an error (5xx) to a resumption is retried like a failed send, within attempts, time and budget; any other answer aborts the stream, with its status in the log.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -43,8 +43,7 @@
         yield from _retry_or_forward_failure(state, call, now)
         return
     if call.reply_started:
-        yield from endings.abort_stream(state, call, 'the stream was refused',
-                                        now)
+        yield from _after_refused_resumption(state, call, head, now)
         return
     if head.status < 500:
         yield from suspects.record_answer(state, call, now)
@@ -66,6 +65,9 @@
                    ('instance', head.instance)))
     if head.status == 421:
         health.record_misdirected(state, call, attempt, head, now)
+    elif head.status == 400 and call.reply_started:
+        yield from _after_refused_resumption(state, call, head, now)
+        return
     elif head.status == 400:
         yield fx.Reply(call.request.id, head.status, head.headers, b'')
         yield from endings.end(state, call, 'answered', head.status, now)
@@ -95,6 +97,17 @@
     yield from endings.end(state, call, 'answered', fallback.status, now)
 
 
+def _after_refused_resumption(state: 'GatewayState', call: Call,
+                              head: AnswerHead, now: float) -> Iterator[Effect]:
+    """Resume a stream elsewhere after an endpoint's error, else abort it."""
+    yield LogLine('endpoint_failed', (('request', call.request.attempt_id),
+                                      ('status', head.status)))
+    if head.status >= 500 and call.route.repeatable:
+        yield from _retry(state, call, now)
+        return
+    yield from endings.abort_stream(state, call, 'the stream was refused', now)
+
+
 def on_stream_started(state: 'GatewayState', event: StreamStarted,
                       now: float) -> Iterator[Effect]:
     """Start to forward a stream, or abandon one that is not signed."""
