Close connections that a stopping server accepts too late

What was seen: a stop that never ends. A client that connects in the loop iteration in which the server stops, and then sends nothing, holds the process for ever.

Cause: uvicorn asks its connections to shut down once, and then waits for all of them. The loop makes a connection two iterations after it accepted it, so that one may join after the request. Nothing closes it: the keep-alive timeout runs only after a response, and the timeout for request heads is stopped with the server.

Change: until the server has ended, its stop closes connections that await a request head.

Test: a client connects 0 to 5 iterations before the stop.

--- a/src/plantainridge/serve.py
+++ b/src/plantainridge/serve.py
@@ -19,6 +19,7 @@
 # connection that fails two checks in a row is aborted, so the effective timeout
 # is one to two intervals.
 HEADER_TIMEOUT_S: Final = 20.0
+STOP_POLL_INTERVAL_S: Final = 0.02
 KILL_POLL_INTERVAL_S: Final = 0.005
 
 
@@ -95,8 +96,23 @@
     async def stop(self) -> None:
         """Complete requests in flight, then close the server."""
         self.server.should_exit = True
+        while self.task is not None and not self.task.done():
+            # The library closes idle connections once, and then waits for all:
+            # also for one that it accepted before, but hears of only now.
+            if self.server.started and not self._is_listening():
+                self._close_idle()
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
         await self._wait_stopped()
 
+    def _is_listening(self) -> bool:
+        return any(server.is_serving() for server in self.server.servers)
+
+    def _close_idle(self) -> None:
+        """Close the connections that await a request header."""
+        for connection in list(self.server.server_state.connections):
+            if _awaits_header(connection) and connection.transport is not None:
+                connection.transport.close()
+
     async def _wait_stopped(self) -> None:
         if self.header_timeout_task is not None:
             self.header_timeout_task.cancel()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,6 +10,7 @@
 import unittest
 from collections.abc import AsyncIterator
 from typing import Any
+from unittest import mock
 
 import aiosonic
 import attrs
@@ -20,6 +21,7 @@
 from plantainridge.entry import Entry
 from plantainridge.http_ports import new_client
 from plantainridge.ids import DcId, RequestId, VmId
+from plantainridge.serve import AppServer
 from plantainridge.standins import site, world
 from plantainridge.standins.engine import token_at
 
@@ -305,6 +307,36 @@
         self.assertNotIn('long report', stream.getvalue())
 
 
+class ServerStopTest(unittest.IsolatedAsyncioTestCase):
+    """A server stops, whatever its clients do."""
+
+    async def test_stops_with_a_connection_that_is_accepted_meanwhile(
+            self) -> None:
+        # The system accepts it; the loop hears of it some iterations later.
+        for iterations in range(6):
+            with self.subTest(iterations=iterations):
+                await self._stop_while_connecting(iterations)
+
+    async def _stop_while_connecting(self, iterations: int) -> None:
+        """Stop a server just after a client that sends nothing connected."""
+        server = AppServer(None, '127.0.0.1', 0)
+        await server.start()
+        shut_down = server.server.shutdown
+        client = socket.socket()
+        self.addCleanup(client.close)
+
+        async def connect_and_shut_down(sockets: Any = None) -> None:
+            client.connect(server.socket.getsockname())
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            await shut_down(sockets)
+
+        with mock.patch.object(server.server, 'shutdown',
+                               connect_and_shut_down):
+            async with asyncio.timeout(5):
+                await server.stop()
+
+
 class MailboxTest(unittest.TestCase):
     """A mailbox's backlog is bounded."""
 
