Add failing tests of what the review of takeovers found

A review of the fix showed with trials: a send without a head outlasts the bound of replaced weights; a request whose takeover finds no connection never returns to the endpoint that was silent; such sends use the retry budget; streams of a silent engine take all of that budget, so that a broken one is cut; a stream is cut just before its caller gives up.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -312,6 +312,55 @@
         self.assertLessEqual(retries,
                              scene.state.settings.bounds.retry_slack / 8)
 
+    def test_streams_of_a_silent_engine_leave_budget_to_broken_ones(
+            self) -> None:
+        scene = GatewayScene(endpoint('a'), endpoint(OTHER))
+        for number in range(self.STREAMS):
+            send = scene.post_request('/report/x',
+                                      f'r{number}',
+                                      caller_timeout_s=60.0)
+            scene.post(ev.StreamStarted(send.attempt, head()))
+            scene.post(ev.StreamEventsReceived(send.attempt, b'.', '1', '1'))
+        scene.advance(4.0)
+        moved = [each.request.id for each in scene.all(fx.Send)[self.STREAMS:]]
+        self.assertGreater(len(moved), 0)
+        broken = next(
+            each for each in scene.all(fx.Send) if each.request.id not in moved)
+        scene.post(ev.SendFailed(broken.attempt, Failure.BROKEN))
+        self.assertEqual(scene.all(fx.AbortReply), [])
+
+    def test_send_without_a_connection_uses_no_budget(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER), endpoint(OTHER, LEDGER))
+        first = scene.post_request('/view/x')
+        scene.post(ev.AnswerArrived(first.attempt, head(500), b'failed'))
+        second = scene.last(fx.Send)
+        scene.post(ev.SendFailed(second.attempt, Failure.NOT_CONNECTED))
+        counts = scene.state.retries.retry_counts[LEDGER]
+        self.assertEqual(counts.total(scene.now), 0)
+        # The endpoint is not tried again for a request that has not begun.
+        scene.advance(2.0)
+        self.assertEqual(len(scene.all(fx.Send)), 2)
+
+
+class FailedTakeoverTest(unittest.TestCase):
+    """The endpoint that takes over from a silent one cannot be reached."""
+
+    def test_request_returns_to_the_endpoint_that_was_silent(self) -> None:
+        endpoints = {}
+        for phase, (target, events) in PHASES.items():
+            scene = SilentScene(target, events)
+            while len(scene.all(fx.Send)) < 2:
+                scene.advance(0.1)
+            scene.advance(0.35)
+            scene.post(
+                ev.SendFailed(
+                    scene.last(fx.Send).attempt, Failure.NOT_CONNECTED))
+            scene.advance(0.3)
+            endpoints[phase] = [each.endpoint for each in scene.all(fx.Send)]
+        self.assertEqual(endpoints,
+                         dict.fromkeys(PHASES,
+                                       ['a', OTHER, EndpointId('a')]))
+
 
 class BrokenStreamTest(unittest.TestCase):
     """A stream has begun, and its engine breaks while no other is available."""
@@ -334,8 +383,11 @@
 
     def test_stream_ends_once_its_caller_has_given_up(self) -> None:
         scene = self._break()
-        # Callers abandon a stream after a gap of four times the target.
+        # Callers abandon a stream after a gap of four times the target, which
+        # begins when they receive its latest event.
         scene.be_silent(4.2, _cool_down)
+        self.assertEqual(scene.all(fx.AbortReply), [])
+        scene.be_silent(0.5, _cool_down)
         self.assertEqual(len(scene.all(fx.AbortReply)), 1)
         self.assertEqual(len(scene.all(fx.Send)), 1)
 
@@ -353,9 +405,9 @@
     The other engine has new weights.
     """
 
-    def _wait_until_bound(self) -> SilentScene:
+    def _wait_until_bound(self, events: int = 0) -> SilentScene:
         """Return a scene in which no other engine is available until then."""
-        scene = SilentScene(events=0)
+        scene = SilentScene(events=events)
         scene.state.settings = attrs.evolve(scene.state.settings,
                                             bounds=Bounds(version_s=5.0))
         scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
@@ -371,6 +423,13 @@
     def test_send_is_not_withdrawn_without_a_replacement(self) -> None:
         self.assertEqual(self._wait_until_bound().complete(), [])
 
+    def test_send_that_has_no_head_does_not_outlast_the_bound(self) -> None:
+        scene = self._wait_until_bound(events=-1)
+        self.assertEqual(len(scene.all(fx.CancelSend)), 1)
+        scene.advance(0.4)
+        self.assertEqual([each.endpoint for each in scene.all(fx.Send)],
+                         ['a', OTHER])
+
     def test_send_is_withdrawn_once_there_is_a_replacement(self) -> None:
         scene = self._wait_until_bound()
         scene.be_silent(0.5)
