Let a request return to an endpoint that was silent

What callers saw: a stream was cut, or a request failed, although its first endpoint was sound: the endpoint that took over could not be reached, and the first one was not chosen again. Cause: both counted as tried for good, and sends that found no connection used the retry budget, which reached no endpoint. Change: a silent endpoint may be chosen again after its cool-down; one that could not be reached only for a stream that has begun; a send without a connection is taken off the budget. Attempts and the number of sends bound it as before.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -187,9 +187,10 @@
     if failure is Failure.NOT_CONNECTED:
         call.executions -= 1
         call.deliveries -= 1
-        if call.executions:
-            # An earlier send was given up for this one: the endpoint may still
-            # take the request after its cool-down.
+        if call.deliveries:
+            state.retries.cancel_retry(call.service, now)
+        if call.reply_started:
+            # A stream that has begun may wait for the end of the cool-down.
             call.tried.discard(attempt.endpoint)
         yield from dispatch.dispatch(state, call, now)
         return
@@ -249,6 +250,8 @@
         yield from endings.close_attempt(state, attempt_id)
         yield from _record_failure(state, call, attempt,
                                    SendFailed(attempt_id, Failure.SILENT), now)
+        # It may continue while the other endpoint proves unreachable.
+        call.tried.discard(attempt.endpoint)
         yield from dispatch.send(state, call, choice, now)
         return
     if not attempt.is_silent:
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -46,6 +46,10 @@
         """Count a send beyond the first one of a request."""
         self._count(self.retry_counts, service).add(now)
 
+    def cancel_retry(self, service: ServiceId, now: float) -> None:
+        """Take back a retry that found no connection."""
+        self._count(self.retry_counts, service).add(now, -1)
+
     def allows(self, service: ServiceId, now: float) -> bool:
         """Return whether the budget allows another retry now."""
         requests = self._count(self.requests, service).total(now)
