Do not cut a stream before its caller gives up

What callers saw: a stream that waited for an engine was cut shortly before its caller would have left. Cause: the wait counted from when this VM received the latest event, the caller counts from its own receipt. Change: 0.5 s of margin; a caller that leaves ends the wait in any case.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -54,6 +54,8 @@
 MIN_CALLER_GAP_S: Final = 2.0
 CALLER_TARGET_RATIO: Final = 4.0
 CALLER_GAP_RATIO: Final = 8.0
+# Time by which a caller receives an event later than this VM, at most, in s.
+CALLER_DELAY_S: Final = 0.5
 # Bounds of the delay after which a refused caller may retry.
 MIN_RETRY_AFTER_S: Final = 0.2
 MAX_RETRY_AFTER_S: Final = 2.0
@@ -143,7 +145,7 @@
     """Return the loop time at which a stream's caller abandons it, in s."""
     gap_s = max(MIN_CALLER_GAP_S, CALLER_TARGET_RATIO * call.route.target_s,
                 CALLER_GAP_RATIO * call.route.gap_s)
-    return min(call.progress_at + gap_s, call.expires_at)
+    return min(call.progress_at + gap_s + CALLER_DELAY_S, call.expires_at)
 
 
 def may_send(state: 'GatewayState', call: Call, now: float) -> bool:
