--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -54,6 +54,8 @@
 MIN_CALLER_GAP_S: Final = 2.0
 CALLER_TARGET_RATIO: Final = 4.0
 CALLER_GAP_RATIO: Final = 8.0
+# Time by which a caller receives an event later than this VM, at most, in s.
+CALLER_DELAY_S: Final = 0.5
 # Bounds of the delay after which a refused caller may retry.
 MIN_RETRY_AFTER_S: Final = 0.2
 MAX_RETRY_AFTER_S: Final = 2.0
@@ -143,7 +145,7 @@
     """Return the loop time at which a stream's caller abandons it, in s."""
     gap_s = max(MIN_CALLER_GAP_S, CALLER_TARGET_RATIO * call.route.target_s,
                 CALLER_GAP_RATIO * call.route.gap_s)
-    return min(call.progress_at + gap_s, call.expires_at)
+    return min(call.progress_at + gap_s + CALLER_DELAY_S, call.expires_at)
 
 
 def may_send(state: 'GatewayState', call: Call, now: float) -> bool:
@@ -157,18 +159,27 @@
             suspects.admits(state, call, now))
 
 
-def send_limit(state: 'GatewayState', call: Call,
-               now: float) -> SendLimit | None:
+def send_limit(state: 'GatewayState',
+               call: Call,
+               now: float,
+               budget_ratio: float = 1.0) -> SendLimit | None:
     """Return the limit that prevents a request from being sent again, or None.
 
     The quarantine is not considered: asking it may reserve the probe.
+
+    Args:
+        state: The VM's state.
+        call: The request.
+        now: Loop time in s.
+        budget_ratio: Share of the retry budget that the send may use.
     """
     if (call.sends >= retries.MAX_SENDS or
             call.executions >= call.route.attempts):
         return SendLimit.ATTEMPTS
     if call.expires_at - now < MIN_REMAINING_RATIO * call.route.target_s:
         return SendLimit.TIME
-    if call.deliveries and not state.retries.allows(call.service, now):
+    if call.deliveries and not state.retries.allows(call.service, now,
+                                                    budget_ratio):
         return SendLimit.BUDGET
     return None
 
