End a stop even if the end of one request fails

What callers saw: none has been seen; shown by a test. If the end of a request raised an error at the exit of a VM that stops, the requests after it had no end, and the process did not exit before its kill, since it had been marked as exiting before.

Change: each request's end is contained on its own, so that the others are answered and the exit follows.

--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import dispatch, endings
+from plantainridge.gateway import containment, dispatch, endings
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import StopRequested
 from plantainridge.loop.effects import Effect, Exit, LogLine
@@ -84,7 +84,9 @@
     state.exiting = True
     yield LogLine('stopped', (('requests', len(state.calls.calls)),))
     for call in list(state.calls.calls.values()):
-        yield from endings.fail_request(state, call, REASON,
-                                        dispatch.MIN_RETRY_AFTER_S, now)
+        ended = endings.fail_request(state, call, REASON,
+                                     dispatch.MIN_RETRY_AFTER_S, now)
+        yield from containment.contain_request(state, ended, 'stop',
+                                               call.request.id, now)
     yield fx.CloseCallers(REASON, dispatch.MIN_RETRY_AFTER_S)
     yield Exit()
