Add failing tests of takeovers that do not come about

An engine is silent and another one takes over, but cannot be reached: the first engine has been given up for nothing. Run on the code as it is: on the reducer the stream waits for the other engine only; over sockets, with one engine silent for 1.2 s and the other dark for 2.8 s, the connection is closed without the rest of the answer.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -254,6 +254,36 @@
         self.assertEqual(sends, dict.fromkeys(PHASES, [1, 2, 1]))
 
 
+class FailedTakeoverTest(unittest.TestCase):
+    """The endpoint that takes over does not run the request after all."""
+
+    def _take_over(self) -> tuple[SilentScene, fx.Send]:
+        """Return a scene whose stream was taken over by the other endpoint."""
+        scene = SilentScene(events=LATE_EVENTS)
+        scene.be_silent(1.0)
+        send = scene.last(fx.Send)
+        self.assertEqual(send.endpoint, OTHER)
+        return scene, send
+
+    def test_silent_endpoint_may_take_its_request_again(self) -> None:
+        scene, send = self._take_over()
+        scene.post(ev.SendFailed(send.attempt, Failure.NOT_CONNECTED))
+        scene.be_silent(1.0, _cool_down)
+        resumed = scene.last(fx.Send)
+        self.assertEqual((resumed.endpoint, resumed.last_event_id),
+                         ('a', str(LATE_EVENTS)))
+        scene.post(ev.StreamStarted(resumed.attempt, head()))
+        scene.post(ev.StreamEnded(resumed.attempt))
+        self.assertEqual(len(scene.all(fx.EndReply)), 1)
+
+    def test_attempts_are_not_exceeded(self) -> None:
+        scene, send = self._take_over()
+        scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+        scene.be_silent(1.0, _cool_down)
+        self.assertEqual(len(scene.all(fx.Send)), 2)
+        self.assertEqual(len(scene.all(fx.AbortReply)), 1)
+
+
 class RetryBudgetTest(unittest.TestCase):
     """One engine with more streams than the budget lets run elsewhere."""
 
@@ -440,6 +470,14 @@
     async def test_stream_is_not_cut_while_no_engine_accepts(self) -> None:
         await self._fall_silent_in_the_middle(accepts=False)
 
+    async def test_stream_is_not_cut_if_the_other_engine_is_gone(self) -> None:
+        stream = asyncio.create_task(self._send('/report/x', 'middle'))
+        await asyncio.sleep(0.15)
+        for engine in self.engines:
+            serves = bool(engine.attempt_ids)
+            engine.fall_silent(1.2 if serves else 2.8, accepts=serves)
+        self._check_stream(await stream)
+
     async def test_stream_is_not_cut_beside_configurations(self) -> None:
         stream = asyncio.create_task(self._send('/report/x', 'configured'))
         await asyncio.sleep(0.15)
