Let a silent endpoint take its request again

What callers saw: a stream was cut although its engine, silent for a second, was sound: another engine had taken over that turned out not to be reachable.

Cause: an endpoint that a request was sent to is not chosen again for it, also if it was given up for silence alone and ran what it had been sent.

Change: endpoints that were given up for silence are remembered apart and become candidates again, after their cool-down, once no other endpoint is available. Attempts, sends and the budget bound this as any other retry, and one that broke is still not chosen again.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -247,6 +247,7 @@
     if isinstance(choice, Placement):
         yield fx.CancelSend(attempt_id)
         yield from endings.close_attempt(state, attempt_id)
+        call.given_up.add(attempt.endpoint)
         yield from _record_failure(state, call, attempt,
                                    SendFailed(attempt_id, Failure.SILENT), now)
         yield from dispatch.send(state, call, choice, now)
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -104,10 +104,17 @@
 
 def choose(state: 'GatewayState', call: Call,
            now: float) -> Placement | PlacementFailure:
-    """Choose an endpoint; a retry may go where the request does not fit."""
+    """Choose an endpoint; a retry may go where the request does not fit.
+
+    An endpoint that was given up may be chosen again if no other is available.
+    """
     choice = placement.choose(state, call, now)
     if choice is PlacementFailure.NO_CAPACITY and call.sends:
-        return placement.choose(state, call, now, ignore_capacity=True)
+        choice = placement.choose(state, call, now, ignore_capacity=True)
+    if call.given_up and not isinstance(choice, Placement):
+        call.tried -= call.given_up
+        call.given_up.clear()
+        return choose(state, call, now)
     return choice
 
 
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -63,6 +63,7 @@
         executions: Sends that an endpoint may have run.
         deliveries: Sends that may have reached an endpoint.
         tried: Endpoints that it was sent to.
+        given_up: Those of them that were given up although they may be sound.
         reply_started: Whether the answer's head was sent to the caller.
         last_event_id: Id of the last stream event that the caller has, or ''.
         waiting_since: Loop time since which it waits for an endpoint, in s.
@@ -88,6 +89,7 @@
     executions: int = 0
     deliveries: int = 0
     tried: set[EndpointId] = attrs.field(factory=set)
+    given_up: set[EndpointId] = attrs.field(factory=set)
     reply_started: bool = False
     last_event_id: str = ''
     waiting_since: float = 0.0
