--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -248,10 +248,9 @@
     if isinstance(choice, Placement):
         yield fx.CancelSend(attempt_id)
         yield from endings.close_attempt(state, attempt_id)
+        call.given_up.add(attempt.endpoint)
         yield from _record_failure(state, call, attempt,
                                    SendFailed(attempt_id, Failure.SILENT), now)
-        # It may continue while the other endpoint proves unreachable.
-        call.tried.discard(attempt.endpoint)
         yield from dispatch.send(state, call, choice, now)
         return
     if not attempt.is_silent:
