Read engines' streams through the gateway's HTTP client

What callers saw: an engine whose stream has neither length nor chunks and ends with its connection served no one; each attempt counted as broken.

Cause: aiosonic takes such an answer for an empty one.

Change: HttpEnginePort sends each attempt over a connection of its own and reads the answer with the client that calls to plain services use. A stream is complete once its total has come; one that ends before, within an event, or by a reset is broken. A part of the answer may take 120 s, as before; a body that is not a stream, an event and a head are bounded. Cancelling closes the connection. Connections were not reused after a stream before either, so that the retry on a stale one has nothing left to do.

Three tests replaced aiosonic's request by a mock, which the port does not call any more: they now replace the opening of the connection, with the same checks. The cancellation that meets the answer also has to drop what comes after it. New: a cancelled attempt closes its connection, a reset stream is broken, only silence times out. tests.test_service_port, test_services, test_endless_answers, test_callers, test_processes and test_limits pass.

--- a/src/plantainridge/entry.py
+++ b/src/plantainridge/entry.py
@@ -99,8 +99,7 @@
         self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
         http_transfers = HttpTransferPort(self.client, self.tasks)
         ports = Ports(callers=self.mailboxes,
-                      engines=HttpEnginePort(self.client, self.tasks,
-                                             self.monitor),
+                      engines=HttpEnginePort(self.tasks, self.monitor),
                       services=HttpServicePort(self.tasks, self.monitor),
                       log=HttpLogPort(self.client, self.tasks,
                                       settings.log_address),
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import base64
-import contextlib
+import json
 import types
-from collections.abc import AsyncIterator
 from typing import Any, Final
 
 import aiosonic
@@ -16,22 +15,22 @@
 from plantainridge import effects as fx
 from plantainridge import events as ev
 from plantainridge import json_values
-from plantainridge.gateway.http_calls import NoResponse, call_on
-from plantainridge.gateway.http_client import Connection as ServiceConnection
-from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.events import Failure, Headers
+from plantainridge.gateway.http_calls import (JSON_HEADERS, MAX_RESPONSE_BYTES,
+                                              NoResponse, call_on)
+from plantainridge.gateway.http_client import AnswerHandler, Connection, Pool
 from plantainridge.gateway.streams import EventSplitter
+from plantainridge.gateway.wire import RawRequest
 from plantainridge.ids import AttemptId, RequestId, WeightVersion
 from plantainridge.loop.monitor import LoopMonitor
 from plantainridge.loop.ports import Post
 from plantainridge.loop.tasks import Tasks
 from plantainridge.ports import EnginePort, LogPort, ServicePort
-from plantainridge.response_limits import (BoundedConnection, ResponseTooLong,
-                                           read_json)
+from plantainridge.response_limits import BoundedConnection, read_json
 
 POOL_SIZE: Final = 4_096
 # Less than the time for which servers keep an idle connection open.
 MAX_IDLE_CONNECTION_MS: Final = 2_000
-MAX_STALE_CONNECTIONS: Final = 3
 CONNECT_TIMEOUT_S: Final = 2.0
 READ_TIMEOUT_S: Final = 120.0
 LOG_POLL_TIMEOUT_S: Final = 5.0
@@ -75,13 +74,16 @@
 
 
 class HttpEnginePort(EnginePort):
-    """Streams completions from engines."""
+    """Streams completions from engines, each over a new connection.
 
-    def __init__(self, client: aiosonic.HTTPClient, tasks: Tasks,
-                 monitor: LoopMonitor) -> None:
-        self.client = client
+    A stream may end with its connection, which the library of the log's port
+    takes for an empty response.
+    """
+
+    def __init__(self, tasks: Tasks, monitor: LoopMonitor) -> None:
         self.tasks = tasks
         self.monitor = monitor
+        self.pool = Pool()
         self.attempts: dict[AttemptId, asyncio.Task[None]] = {}
 
     def start(self, effect: fx.StartAttempt, post: Post) -> None:
@@ -96,95 +98,150 @@
             task.cancel()
 
     async def _run(self, effect: fx.StartAttempt, post: Post) -> None:
-        failure = ev.Failure.BROKEN
-        version = WeightVersion('')
         try:
-            response = await self._send_with_retry(effect)
-            if response.status_code == STATUS_VERSION_MISMATCH:
-                failure = ev.Failure.OTHER_VERSION
-                version = WeightVersion((await read_json(response))['version'])
-            elif response.status_code != STATUS_OK:
-                failure = ev.Failure.REJECTED
-            elif await self._read_stream(effect, response, post):
-                return
-        except (ConnectionRefusedError, http_errors.ConnectTimeout):
-            failure = ev.Failure.CONNECT_REFUSED
-        except (http_errors.BaseTimeout, TimeoutError):
-            failure = ev.Failure.TIMED_OUT
-        except RESPONSE_ERRORS:
-            failure = ev.Failure.BROKEN
-        post(ev.AttemptFailed(effect.attempt, failure, version))
-
-    async def _send_with_retry(self, effect: fx.StartAttempt) -> Any:
-        """Send an attempt, again if the server had closed a pooled connection.
-
-        Only model requests are retried like this, as they are repeatable.
-        """
-        stale_connections = 0
-        while True:
-            started_at = asyncio.get_running_loop().time()
-            try:
-                return await self._send(effect)
-            except http_errors.ConnectionDisconnected as error:
-                stale_connections += 1
-                if (not error.reused_connection or
-                        stale_connections > MAX_STALE_CONNECTIONS):
-                    raise
-            except http_errors.ConnectTimeout:
-                if not self.monitor.was_held_up(started_at):
-                    raise
-
-    async def _send(self, effect: fx.StartAttempt) -> Any:
-        response = await self.client.request(
-            f'http://{effect.address}/v1/completions',
-            method='POST',
-            json=_engine_body(effect),
-            stream=True)
-        task = asyncio.current_task()
-        if task is not None and task.cancelling():
-            # In Python 3.11, `wait_for` drops a cancellation that arrives
-            # together with its result.
-            await response.aclose()
-            raise asyncio.CancelledError
-        return response
-
-    async def _read_stream(self, effect: fx.StartAttempt, response: Any,
-                           post: Post) -> bool:
+            connection = await _connect(self.pool, effect.address, self.monitor)
+        except OSError:
+            post(ev.AttemptFailed(effect.attempt, ev.Failure.CONNECT_REFUSED))
+            return
         try:
-            async for line in _read_event_lines(response):
-                if not line.startswith('data: ') or line == 'data: [DONE]':
-                    continue
-                chunk = json_values.decode(line[len('data: '):])
-                echoed = RequestId(chunk['id'])
-                if 'total' in chunk:
-                    post(ev.AttemptEnded(effect.attempt, echoed,
-                                         chunk['total']))
-                    return True
-                post(
-                    ev.TokensReceived(effect.attempt, echoed,
-                                      WeightVersion(chunk['version']),
-                                      chunk['first'], tuple(chunk['tokens']),
-                                      chunk['cached_tokens']))
+            outcome = await _read_engine(connection, effect, post)
         finally:
-            await response.aclose()
-        return False
+            connection.abort()
+        post(outcome)
 
 
-async def _read_event_lines(response: Any) -> AsyncIterator[str]:
-    """Yield the lines of a stream's complete events.
+async def _connect(pool: Pool, address: str,
+                   monitor: LoopMonitor) -> Connection:
+    """Open a connection, again if this VM's loop was held up.
 
     Raises:
-        ResponseTooLong: An event exceeds its limit.
+        OSError: It could not be opened; nothing was sent.
+    """
+    while True:
+        started_at = asyncio.get_running_loop().time()
+        try:
+            return await pool.connect(address, CONNECT_TIMEOUT_S)
+        except TimeoutError:
+            if not monitor.was_held_up(started_at):
+                raise
+
+
+async def _read_engine(connection: Connection, effect: fx.StartAttempt,
+                       post: Post) -> ev.AttemptEnded | ev.AttemptFailed:
+    """Send an attempt; post its tokens and return how it ended."""
+    if not connection.usable:
+        return ev.AttemptFailed(effect.attempt, ev.Failure.CONNECT_REFUSED)
+    raw = RawRequest(b'POST', b'/v1/completions',
+                     ((b'host', effect.address.encode()),
+                      (b'connection', b'close'), *JSON_HEADERS),
+                     json.dumps(_engine_body(effect)).encode())
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S) as timeout:
+            answer = _EngineAnswer(effect, post, timeout)
+            connection.send(raw, answer)
+            return await answer.outcome
+    except TimeoutError:
+        return ev.AttemptFailed(effect.attempt, ev.Failure.TIMED_OUT)
+
+
+class _EngineAnswer(AnswerHandler):
+    """Reader of an engine's answer; posts the tokens of its stream.
+
+    Attributes:
+        timeout: Time limit of the next part of the answer.
+        outcome: How the attempt ended.
+        status: Status of the answer; 0 before its head.
+        body: Body of an answer that is not a stream.
     """
-    splitter = EventSplitter()
-    async with contextlib.aclosing(response.iter_bytes()) as parts:
-        async for part in parts:
-            events = splitter.feed(part)
-            if events is not None:
-                for line in events.data.decode(errors='replace').split('\n'):
-                    yield line.removesuffix('\r')
-            if splitter.is_too_long:
-                raise ResponseTooLong('an event of a stream is too long')
+
+    def __init__(self, effect: fx.StartAttempt, post: Post,
+                 timeout: asyncio.Timeout) -> None:
+        self.effect = effect
+        self.post = post
+        self.timeout = timeout
+        self.loop = asyncio.get_running_loop()
+        self.outcome: asyncio.Future[ev.AttemptEnded | ev.AttemptFailed] = (
+            self.loop.create_future())
+        self.status = 0
+        self.body = bytearray()
+        self.splitter = EventSplitter()
+
+    def on_head(self, status: int, headers: Headers) -> Failure | None:
+        del headers
+        self._extend_timeout()
+        self.status = status
+        if status in (STATUS_OK, STATUS_VERSION_MISMATCH):
+            return None
+        self._fail(ev.Failure.REJECTED)
+        return Failure.BROKEN
+
+    def on_data(self, data: bytes) -> Failure | None:
+        self._extend_timeout()
+        if self.status != STATUS_OK:
+            self.body += data
+            self.held_bytes = len(self.body)
+            return (Failure.TOO_LONG
+                    if self.held_bytes > MAX_RESPONSE_BYTES else None)
+        events = self.splitter.feed(data)
+        self.held_bytes = len(self.splitter.incomplete)
+        if events is not None:
+            try:
+                self._read_events(events.data)
+            except (ValueError, KeyError, TypeError):
+                return Failure.MALFORMED
+        return Failure.TOO_LONG if self.splitter.is_too_long else None
+
+    def on_end(self) -> None:
+        if self.status != STATUS_VERSION_MISMATCH:
+            # The last event of a complete stream has the total.
+            self._fail(ev.Failure.BROKEN)
+            return
+        try:
+            version = WeightVersion(json_values.decode(self.body)['version'])
+        except (ValueError, KeyError, TypeError):
+            self._fail(ev.Failure.BROKEN)
+            return
+        self._fail(ev.Failure.OTHER_VERSION, version)
+
+    def on_failure(self, failure: Failure) -> None:
+        del failure
+        self._fail(ev.Failure.BROKEN)
+
+    def _read_events(self, data: bytes) -> None:
+        """Post the tokens of complete events, up to the total.
+
+        Raises:
+            ValueError, KeyError, TypeError: An event has another form.
+        """
+        for line in data.decode(errors='replace').split('\n'):
+            line = line.removesuffix('\r')
+            if not line.startswith('data: ') or line == 'data: [DONE]':
+                continue
+            if self.outcome.done():
+                return
+            chunk = json_values.decode(line[len('data: '):])
+            echoed = RequestId(chunk['id'])
+            if 'total' in chunk:
+                self.outcome.set_result(
+                    ev.AttemptEnded(self.effect.attempt, echoed,
+                                    chunk['total']))
+                return
+            self.post(
+                ev.TokensReceived(self.effect.attempt, echoed,
+                                  WeightVersion(chunk['version']),
+                                  chunk['first'], tuple(chunk['tokens']),
+                                  chunk['cached_tokens']))
+
+    def _extend_timeout(self) -> None:
+        if not self.outcome.done():
+            self.timeout.reschedule(self.loop.time() + READ_TIMEOUT_S)
+
+    def _fail(
+        self, failure: ev.Failure,
+        version: WeightVersion = WeightVersion('')) -> None:
+        if not self.outcome.done():
+            self.outcome.set_result(
+                ev.AttemptFailed(self.effect.attempt, failure, version))
 
 
 def _engine_body(effect: fx.StartAttempt) -> dict[str, Any]:
@@ -222,7 +279,7 @@
 
     async def _call(self, effect: fx.CallService, post: Post) -> None:
         try:
-            connection = await self._connect(effect.address)
+            connection = await _connect(self.pool, effect.address, self.monitor)
         except OSError:
             post(ev.AttemptFailed(effect.attempt, ev.Failure.CONNECT_REFUSED))
             return
@@ -240,20 +297,6 @@
             ev.ServiceAnswered(effect.attempt, RequestId(echoed),
                                response.status, response.body))
 
-    async def _connect(self, address: str) -> ServiceConnection:
-        """Open a connection, again if this VM's loop was held up.
-
-        Raises:
-            OSError: It could not be opened; nothing was sent.
-        """
-        while True:
-            started_at = asyncio.get_running_loop().time()
-            try:
-                return await self.pool.connect(address, CONNECT_TIMEOUT_S)
-            except TimeoutError:
-                if not self.monitor.was_held_up(started_at):
-                    raise
-
 
 def _service_failure(response: NoResponse) -> ev.Failure:
     if not response.sent:
--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -5,7 +5,7 @@
 import socket
 import time
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 from unittest import mock
 
@@ -14,8 +14,9 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge import members_http
+from plantainridge import http_ports, members_http
 from plantainridge.gateway.caller_connection import LINGER_RESET
+from plantainridge.gateway.http_client import AnswerHandler
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
                                       HttpServicePort, new_client)
 from plantainridge.ids import (AttemptId, EndpointId, ModelId, RequestId,
@@ -155,6 +156,7 @@
 MAX_SENT_BYTES = 48 << 20
 # Time within which a response without end must have failed, in s.
 FAIL_TIMEOUT_S = 3.0
+PIECE_INTERVAL_S = 0.1
 
 
 class UnclearEndTest(unittest.IsolatedAsyncioTestCase):
@@ -163,8 +165,12 @@
     async def serve(self,
                     start: bytes,
                     block: bytes = b'',
-                    reset: bool = False) -> str:
-        """Start an endpoint that sends `start` and then `block` without end."""
+                    reset: bool = False,
+                    pieces: Sequence[bytes] = ()) -> str:
+        """Start an endpoint that sends `start` and then `block` without end.
+
+        The pieces between come at an interval of `PIECE_INTERVAL_S`.
+        """
 
         async def on_connection(reader: asyncio.StreamReader,
                                 writer: asyncio.StreamWriter) -> None:
@@ -172,6 +178,9 @@
             with contextlib.suppress(ConnectionError):
                 writer.write(start)
                 await asyncio.sleep(0.05)
+                for piece in pieces:
+                    writer.write(piece)
+                    await asyncio.sleep(PIECE_INTERVAL_S)
                 for _ in range(MAX_SENT_BYTES // len(block) if block else 0):
                     writer.write(block)
                     await writer.drain()
@@ -214,10 +223,9 @@
             if not isinstance(event, ev.TokensReceived):
                 posted.put_nowait(event)
 
-        async with new_client() as client:
-            HttpEnginePort(client, tasks, LoopMonitor()).start(
-                attrs.evolve(start_attempt('r1.1'), address=address), post)
-            return await self._first(posted, tasks)
+        HttpEnginePort(tasks, LoopMonitor()).start(
+            attrs.evolve(start_attempt('r1.1'), address=address), post)
+        return await self._first(posted, tasks)
 
     async def _first(self, posted: asyncio.Queue[Event],
                      tasks: Tasks) -> Event | None:
@@ -279,6 +287,26 @@
         self.assertEqual(event,
                          ev.AttemptFailed(AttemptId('r1.1'), ev.Failure.BROKEN))
 
+    async def test_engine_stream_that_is_reset_is_broken(self) -> None:
+        tokens = ENGINE_EVENTS[:ENGINE_EVENTS.index(b'\n\n') + 2]
+        event = await self.run_attempt(OK_HEAD + b'\r\n' + tokens, reset=True)
+        self.assertEqual(event,
+                         ev.AttemptFailed(AttemptId('r1.1'), ev.Failure.BROKEN))
+
+    async def test_engine_times_out_by_its_silence_alone(self) -> None:
+        tokens, total = ENGINE_EVENTS.split(b'\n\n')[:2]
+        silent = b'\r\n' + tokens + b'\n\n'
+        with mock.patch.object(http_ports, 'READ_TIMEOUT_S', 0.3):
+            events = [
+                await self.run_attempt(OK_HEAD + silent, pieces=pieces)
+                for pieces in ([b''] * 6,
+                               [tokens + b'\n\n'] * 5 + [total + b'\n\n'])
+            ]
+        self.assertEqual(events, [
+            ev.AttemptFailed(AttemptId('r1.1'), ev.Failure.TIMED_OUT),
+            ev.AttemptEnded(AttemptId('r1.1'), RequestId('r1'), 1)
+        ])
+
     async def test_engine_events_of_another_form_are_broken(self) -> None:
         events = []
         for data in (b'{}', b'1', b'"x"', b'{"id":[]}', b'{"id":"r1"}'):
@@ -375,28 +403,51 @@
 
     async def test_cancellation_that_meets_the_response_is_not_lost(
             self) -> None:
-        response = mock.AsyncMock(status_code=200)
-        head: asyncio.Future[mock.AsyncMock] = asyncio.Future()
-        client = mock.Mock()
-        # The library waits for the response with `wait_for`.
-        client.request = lambda *_, **__: asyncio.wait_for(head, TIMEOUT_S)
+        connection = mock.Mock(usable=True)
         tasks = Tasks(log_fault)
-        port = HttpEnginePort(client, tasks, LoopMonitor())
-        attempt = AttemptId('r1.1')
+        port = HttpEnginePort(tasks, LoopMonitor())
         posted: list[Event] = []
-        port.start(
-            fx.StartAttempt(attempt, RequestId('r1'),
-                            EndpointId('e'), '127.0.0.1:1', TeamId('bureau'),
-                            ModelId('m'), WeightVersion('1'), '',
-                            ev.Prompt('q', 1, ()), 5, 0), posted.append)
-        await asyncio.sleep(0)
-        head.set_result(response)
-        port.cancel(effect=fx.CancelAttempt(attempt))
+        with mock.patch.object(port.pool, 'connect', return_value=connection):
+            port.start(start_attempt('r1.1'), posted.append)
+            await asyncio.sleep(0)
+        connection.send.assert_called_once()
+        answer: AnswerHandler = connection.send.call_args.args[1]
+        answer.on_head(200, ())
+        tokens, total = ENGINE_EVENTS.split(b'\n\n')[:2]
+        answer.on_data(total + b'\n\n')
+        port.cancel(effect=fx.CancelAttempt(AttemptId('r1.1')))
+        answer.on_data(tokens + b'\n\n')
         await asyncio.gather(*tasks.running, return_exceptions=True)
-        response.aclose.assert_awaited_once()
-        response.iter_lines.assert_not_called()
+        connection.abort.assert_called_once()
         self.assertEqual(posted, [])
 
+    async def test_engine_notices_a_cancelled_attempt(self) -> None:
+        closed = asyncio.Event()
+        waits = asyncio.Event()
+
+        async def on_connection(reader: asyncio.StreamReader,
+                                writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(OK_HEAD + b'\r\n' + ENGINE_EVENTS[:10])
+            waits.set()
+            while await reader.read(65_536):
+                pass
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(on_connection, '127.0.0.1', 0)
+        address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        tasks = Tasks(log_fault)
+        port = HttpEnginePort(tasks, LoopMonitor())
+        posted: list[Event] = []
+        async with server:
+            port.start(attrs.evolve(start_attempt('r1.1'), address=address),
+                       posted.append)
+            await asyncio.wait_for(waits.wait(), TIMEOUT_S)
+            port.cancel(fx.CancelAttempt(AttemptId('r1.1')))
+            await asyncio.wait_for(closed.wait(), 1.0)
+        self.assertEqual((posted, port.attempts, port.pool.idle), ([], {}, {}))
+
 
 class ConnectTimeoutTest(unittest.IsolatedAsyncioTestCase):
     """A connect times out, with this VM's own loop held up or not."""
@@ -409,18 +460,20 @@
         tasks.spawn(monitor.run())
         await asyncio.sleep(0)
 
-        async def request(*_: object, **__: object) -> mock.AsyncMock:
+        async def connect(*_: object) -> mock.Mock:
             nonlocal connects
             connects += 1
             if connects == 1:
                 time.sleep(held_up_s)
-                raise http_errors.ConnectTimeout
-            return mock.AsyncMock(status_code=503)
+                raise TimeoutError
+            return mock.Mock(usable=True,
+                             send=lambda raw, answer: answer.on_head(503, ()))
 
         posted: asyncio.Queue[Event] = asyncio.Queue()
-        port = HttpEnginePort(mock.Mock(request=request), tasks, monitor)
-        port.start(start_attempt('r1.1'), posted.put_nowait)
-        ended = await asyncio.wait_for(posted.get(), TIMEOUT_S)
+        port = HttpEnginePort(tasks, monitor)
+        with mock.patch.object(port.pool, 'connect', connect):
+            port.start(start_attempt('r1.1'), posted.put_nowait)
+            ended = await asyncio.wait_for(posted.get(), TIMEOUT_S)
         await tasks.cancel()
         return connects, ended
 
