Fail a run whose test hangs, with what each task waits for

A hang of the suite was seen three times and shows nothing: a hung run does not end, and the stack of its thread is that of the idle loop.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(PY) -m plantainridge demo
 
 test: setup
-	$(PY) -m nose2 --plugin tests.known_red -s tests -t .
+	$(PY) -m nose2 --plugin tests.known_red --plugin tests.hang_dump -s tests -t .
 
 format: setup
 	$(VENV)/bin/yapf --in-place --recursive --parallel src tests tools
