Soak: silent endpoints, and answers to whatever was read

Cause: no endpoint of the soak was silent without a fault to excuse what followed, so that a gateway that cut an answer for its engine's silence was never noticed.

Change: all endpoints of a service fall silent for 0.8 to 1.8 s, before their heads or in the middle of an answer, and continue by themselves, while three configurations with other timeouts are written. This is no fault and excuses nothing. read_requests_are_answered: a request that was read ends with an answer or a refusal, except where its gateway had a fault other than a planned stop, its endpoint had one after the answer had begun, or an answer that had begun lasted until its deadline. Streams have 40 events instead of 12, so that many are in progress at any time. A run is reported with the time at which the endpoint received the request.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
+from tests.soak.callers import CALLER_TIMEOUT_S
 from tests.soak.endpoint import expected_body, expected_event
 from tests.soak.history import FaultSpan, History, Outcome
 
@@ -21,7 +22,7 @@
 # Ratio of the last requests, after all faults, that must be served.
 MIN_RECOVERED_RATIO: Final = 0.9
 RECOVERY_S: Final = 4.0
-STREAM_EVENT_COUNT: Final = 12
+STREAM_EVENT_COUNT: Final = 40
 
 
 def ran_once(history: History) -> Iterator[str]:
@@ -162,7 +163,7 @@
     ran = {run.attempt for run in history.runs}
     stops = [span for span in history.fault_spans if span.fault_name == 'term']
     for each in history.outcomes:
-        if each.whole or each.status not in (0, 200):
+        if (each.whole or each.status not in (0, 200) or _is_out_of_time(each)):
             continue
         read = each.attempt in ran or each.ended_at - each.sent_at > MIN_READ_S
         stop = next((span for span in stops if span.subject == each.gateway and
@@ -185,6 +186,43 @@
                    for span in history.fault_spans)
 
 
+def read_requests_are_answered(history: History) -> Iterator[str]:
+    """Check that gateways without faults end what they have read properly.
+
+    Neither a planned stop nor a change of the configuration, a fault of the
+    metadata store or a silent endpoint is a reason to end a connection.
+    """
+    endpoints: dict[str, set[str]] = defaultdict(set)
+    for run in history.runs:
+        endpoints[run.attempt].add(run.endpoint)
+    for each in history.outcomes:
+        duration_s = each.ended_at - each.sent_at
+        read = each.attempt in endpoints or duration_s > MIN_READ_S
+        if each.whole or not read or _is_out_of_time(each):
+            continue
+        if not any(
+                _can_cut(span, each, endpoints[each.attempt])
+                for span in history.fault_spans):
+            yield (f'{each.attempt} ended with status {each.status} and no '
+                   f'whole answer after {duration_s:.2f} s')
+
+
+def _is_out_of_time(outcome: Outcome) -> bool:
+    """Return whether an answer that had begun lasted until its deadline."""
+    return (outcome.status == 200 and
+            outcome.ended_at - outcome.sent_at >= CALLER_TIMEOUT_S)
+
+
+def _can_cut(span: FaultSpan, outcome: Outcome, endpoints: set[str]) -> bool:
+    """Return whether a fault can have ended a request without an answer."""
+    if span.start > outcome.ended_at:
+        return False
+    if span.subject == outcome.gateway and span.fault_name != 'term':
+        return span.end >= outcome.sent_at - STABLE_S
+    return (outcome.status == 200 and span.subject in endpoints and
+            span.end >= outcome.sent_at)
+
+
 def service_recovers(history: History) -> Iterator[str]:
     """Check that requests are served again soon after the last fault."""
     since = history.faults_ended_at + RECOVERY_S
@@ -213,7 +251,8 @@
                              versions_stay_apart, orders_are_fenced,
                              configuration_is_in_force,
                              leaving_endpoints_get_no_work,
-                             planned_stops_cut_nothing, service_recovers)
+                             planned_stops_cut_nothing,
+                             read_requests_are_answered, service_recovers)
 
 
 def violations(history: History) -> list[str]:
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -50,13 +50,18 @@
     previous = ('', '')
     rng = random.Random(1)
 
+    async def _serve(self, request: Request) -> Response:
+        # A silent endpoint runs a request later than it receives it.
+        request.state.received_at = time.time()
+        return await super()._serve(request)
+
     def report_run(self, attempt: str, request: Request) -> None:
         """Report a run that begins."""
         fields = request.headers
         _write_line({
             'attempt': attempt,
             'endpoint': self.name,
-            'at': time.time(),
+            'at': request.state.received_at,
             'target': request.url.path,
             'team': fields.get(names.TEAM.decode(), ''),
             'salt': fields.get(names.CACHE_SALT.decode(), ''),
@@ -69,6 +74,7 @@
         target = request.url.path
         if not self.version:
             await asyncio.sleep(SERVICE_TIME_S)
+            await self.wait_while_silent()
             answered_request = (attempt, target)
             if self.previous[0] and self.rng.random() < CROSSED_ANSWER_RATIO:
                 answered_request = self.previous
@@ -92,12 +98,21 @@
         return expected_event(target, number)
 
 
+async def _read_commands(endpoint: StandinEndpoint) -> None:
+    """Fall silent for the time, in s, in each line on standard input."""
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        endpoint.fall_silent(float(line))
+
+
 async def _main(name: str, service: str, version: int, events: int) -> None:
     endpoint = ReportingEndpoint(name, service, version)
     endpoint.event_count = events
     await endpoint.server.start()
     _write_line({'address': endpoint.server.address})
-    await asyncio.Event().wait()
+    await _read_commands(endpoint)
 
 
 if __name__ == '__main__':
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,12 @@
 # Time between the starts of two faults.
 START_INTERVAL_RANGE_S: Final = (0.1, 1.0)
 FAULT_DURATION_RANGE_S: Final = (0.3, 3.0)
+# Silence of a sound endpoint, which is no fault.
+SILENCE_RANGE_S: Final = (0.8, 1.8)
+BETWEEN_SILENCES_S: Final = 0.5
+CHANGES_IN_SILENCE: Final = 3
+# Timeout of all routes, never below that of callers.
+TIMEOUT_RANGE_MS: Final = (3_000, 4_000)
 # Time from the drain of an endpoint to its exit.
 EXIT_DELAY_S: Final = 5.0
 PROXY_FAULTS: Final = [fault for fault in Fault if fault is not Fault.NONE]
@@ -32,12 +38,14 @@
     def __init__(self, site: SoakSite, rng: random.Random) -> None:
         self.site = site
         self.rng = rng
+        self.silence_ends_at = 0.0
         planned: list[WeightedFault] = [(2, self._stop_gateway),
                                         (1, self._reload_gateway),
                                         (3, self._replace_endpoint),
                                         (2, self._change_route),
                                         (1, self._revoke_key),
-                                        (1, self._name_version)]
+                                        (1, self._name_version),
+                                        (4, self._silence_endpoints)]
         self.planned_work = planned
         self.all_faults: list[WeightedFault] = planned + [
             (3, self._disturb_caller_path), (3, self._disturb_store_path),
@@ -225,6 +233,21 @@
         await self._record_span(endpoint.name, 'exit',
                                 self.site.remove(endpoint))
 
+    async def _silence_endpoints(self) -> None:
+        """Silence endpoints of one service while the configuration changes."""
+        if self.silence_ends_at > time.monotonic() - BETWEEN_SILENCES_S:
+            return
+        service = self.rng.choice((ENGINES, LEDGER))
+        seconds = self.rng.uniform(*SILENCE_RANGE_S)
+        self.silence_ends_at = time.monotonic() + seconds
+        for endpoint in self.site.endpoints.values():
+            if endpoint.service == service:
+                endpoint.fall_silent(seconds)
+        for _ in range(CHANGES_IN_SILENCE):
+            self.site.timeout_ms = self.rng.randrange(*TIMEOUT_RANGE_MS)
+            self.site.configure()
+            await asyncio.sleep(seconds / CHANGES_IN_SILENCE)
+
     def _staying_endpoints(self, service: str) -> list[str]:
         return [
             name for name, each in self.site.endpoints.items() if
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -6,13 +6,16 @@
 
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 from plantainridge.gateway import (cache, config, dispatch, drain, endings,
-                                   lease, views)
+                                   lease, reducer, views)
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.events import AnswerHead
+from plantainridge.gateway.events import AnswerHead, TimerKind
+from plantainridge.ids import AttemptId
+from plantainridge.loop.effects import Effect
+from plantainridge.loop.events import TimerFired
 from plantainridge.platform import adapter, requests
 
 
@@ -75,6 +78,17 @@
     setattr(lease.Lease, 'fence', lambda self, now: 1)
 
 
+def _end_silent_answers() -> None:
+    """End a request as soon as its endpoint counts as silent."""
+
+    def fail(state: Any, event: TimerFired, now: float) -> Iterator[Effect]:
+        call = state.calls.of_attempt(AttemptId(event.key.subject))
+        if call is not None:
+            yield from endings.fail_request(state, call, 'silent', None, now)
+
+    reducer.TIMER_HANDLERS[TimerKind.SEND_SILENCE] = fail
+
+
 # Each with a seed at which the soak detects it.
 MUTANTS: Final[dict[str, tuple[Callable[[], None], int]]] = {
     'repeat_all': (_repeat_all, 3),
@@ -85,6 +99,7 @@
     'exit_at_once': (_exit_at_once, 4),
     'order_without_lease': (_order_without_lease, 3),
     'cross_answers': (_cross_answers, 3),
+    'end_silent_answers': (_end_silent_answers, 28025),
 }
 
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -41,6 +41,11 @@
     state: str = names.STATE_READY
     version: int = 0
 
+    def fall_silent(self, seconds: float) -> None:
+        """Let it do nothing for some time, in s, and then continue."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(f'{seconds}\n'.encode())
+
 
 @attrs.define
 class GatewayVm:
@@ -63,6 +68,7 @@
 
     Attributes:
         operator_version: Version of the newest configuration.
+        timeout_ms: Timeout of all routes, in ms.
         routes: Kind and service of each route in force, by prefix.
         keys: Team of each key in force.
     """
@@ -78,6 +84,7 @@
         self.gateways: list[GatewayVm] = []
         self.endpoints: dict[str, Endpoint] = {}
         self.operator_version = 0
+        self.timeout_ms = 3_000
         self.routes: dict[str, tuple[str, str]] = {
             '/report/': ('streaming', ENGINES),
             '/tag/': ('streaming', ENGINES),
@@ -178,7 +185,7 @@
             'service': service,
             'attempts': 1 if kind == 'unsafe' else 2,
             'resumable': prefix == '/report/',
-            'timeout-ms': 3_000,
+            'timeout-ms': self.timeout_ms,
             'target-latency-ms': 500,
             'target-gap-ms': 300,
         }
@@ -207,6 +214,7 @@
                 str(version),
                 str(STREAM_EVENT_COUNT),
                 cwd=ROOT,
+                stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log)
         assert process.stdout is not None
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -92,6 +92,13 @@
     checks.planned_stops_cut_nothing:
         history([outcome(status=0, whole=False)], [run()],
                 fault_spans=[FaultSpan('vm0', 'term', AT - 0.2, AT + 1.0)]),
+    checks.read_requests_are_answered:
+        history([outcome(kind='stream', whole=False, body=STREAM[:300])],
+                [run()],
+                fault_spans=[
+                    FaultSpan('i-2', 'crash', AT, AT + 1.0),
+                    FaultSpan('store', 'down', AT, AT + 1.0)
+                ]),
     checks.service_recovers:
         history([outcome(status=503)] * 9 + [outcome()], []),
 }
@@ -120,3 +127,14 @@
                        drained_at={'i-1': AT - 5.0},
                        fault_spans=[cut_off])
         self.assertEqual(checks.violations(late), [])
+
+    def test_only_answers_that_had_begun_are_excused_by_the_deadline(
+            self) -> None:
+        stop = FaultSpan('vm0', 'term', AT + 2.0, AT + 4.0)
+        for status, excused in ((200, True), (0, False)):
+            late = outcome(status=status, whole=False, ended_at=AT + 3.1)
+            cut = history([late], [run()], fault_spans=[stop])
+            for check in (checks.planned_stops_cut_nothing,
+                          checks.read_requests_are_answered):
+                with self.subTest(check.__name__, status=status):
+                    self.assertEqual(not list(check(cut)), excused)
