Test that an untried endpoint comes before a silent one

An endpoint that was given up as silent is a candidate again only if no other one is available. With it taken off the tried ones at once, the test fails: the stream returns to the engine that caches its prompt (['b', 'a', 'b']). As the code is, it goes to the third (['b', 'a', 'c']) and the test passes.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -276,6 +276,29 @@
         scene.post(ev.StreamEnded(resumed.attempt))
         self.assertEqual(len(scene.all(fx.EndReply)), 1)
 
+    def test_untried_endpoint_comes_before_a_silent_one(self) -> None:
+        scene = SilentScene()
+        scene.read(View.OPERATOR, configuration(2,
+                                                **_changed_report(attempts=3)))
+        # The prompt is cached where it was first sent.
+        prompt = (ev.Part('shared', 40_000), ev.Part('own', 100))
+        first = scene.post_request('/report/x',
+                                   'long',
+                                   parts=prompt,
+                                   prompt_tokens=40_100)
+        scene.post(ev.StreamStarted(first.attempt, head()))
+        scene.post(ev.StreamEventsReceived(first.attempt, b'1', '1', '1'))
+        scene.be_silent(2.0)
+        second = scene.last(fx.Send)
+        scene.read(View.REGISTRY, endpoint('c'))
+        scene.advance(1.0)
+        scene.post(ev.SendFailed(second.attempt, Failure.BROKEN))
+        self.assertEqual([
+            each.endpoint
+            for each in scene.all(fx.Send)
+            if each.request.id == 'long'
+        ], [first.endpoint, second.endpoint, 'c'])
+
     def test_request_returns_to_the_endpoint_that_was_silent(self) -> None:
         endpoints = {}
         for phase, (target, events) in PHASES.items():
