State builds and resumptions in the gateway's log lines

Log lines could not tell why a stream holds events from engines of two software versions: request_sent named neither the version nor whether the send resumes a stream, and endpoint_known did not name the version either.

No decision reads them yet. An entry whose version is not a string is invalid, as with every other field.

--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -18,6 +18,7 @@
         started_ms: Unix time of its start, in ms; 0 if unknown.
         orders: Number of orders that it has accepted since its start.
         versions: Weight version of each model that it runs.
+        build: Version of its software; '' if not stated.
     """
 
     id: EndpointId
@@ -29,6 +30,7 @@
     started_ms: int = 0
     orders: int = 0
     versions: Mapping[ModelId, int] = attrs.field(factory=dict)
+    build: str = ''
 
     def is_heartbeat_after(self, previous: 'EndpointEntry') -> bool:
         """Return whether the entry differs at most in the number of orders."""
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -57,6 +57,8 @@
         parts: The parts of the prompt, in order.
         last_event_id: Id of the last stream event that the caller received,
             or ''.
+        resumes: Id of the caller's attempt that brought the first event of the
+            stream that this one resumes, or ''.
     """
 
     id: RequestId
@@ -74,6 +76,7 @@
     expected_tokens: int = 0
     parts: tuple[Part, ...] = ()
     last_event_id: str = ''
+    resumes: str = ''
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -429,7 +429,7 @@
         state.endpoints[entry.id] = view
         yield LogLine('endpoint_known',
                       (('endpoint', entry.id), ('service', entry.service),
-                       ('dc', entry.dc)))
+                       ('dc', entry.dc), ('build', entry.build)))
     if entry.draining:
         if not view.is_leaving:
             yield LogLine('endpoint_leaving',
--- a/src/plantainridge/platform/names.py
+++ b/src/plantainridge/platform/names.py
@@ -14,6 +14,8 @@
 # Parts of the prompt: ID:TOKENS, separated by commas.
 PROMPT_PREFIX: Final = b'x-prompt-prefix'
 LAST_EVENT_ID: Final = b'last-event-id'
+# Id of the attempt that brought the first event of a stream that is resumed.
+RESUMES: Final = b'resumes'
 # The caller's estimate of the output length, in tokens.
 LENGTH_HINT: Final = b'x-length-hint'
 AUTHORIZATION: Final = b'authorization'
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -131,7 +131,8 @@
                          draining=state == names.STATE_DRAINING,
                          started_ms=get_or(data, 'born', 0),
                          orders=get_or(data, 'sequence', 0),
-                         versions=decode_models(data))
+                         versions=decode_models(data),
+                         build=get_or(data, 'version', ''))
 
 
 def decode_models(data: Any) -> dict[ModelId, int]:
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -48,7 +48,8 @@
             output_tokens=output_tokens,
             expected_tokens=_parse_int(fields.get(names.LENGTH_HINT)) or 0,
             parts=_parse_parts(fields.get(names.PROMPT_PREFIX, '')),
-            last_event_id=fields.get(names.LAST_EVENT_ID, ''))
+            last_event_id=fields.get(names.LAST_EVENT_ID, ''),
+            resumes=fields.get(names.RESUMES, ''))
 
     def write_request(self, send: Send, elapsed_s: float) -> RawRequest:
         headers = list(send.request.headers)
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -74,6 +74,15 @@
                       'request_refused'):
             self.assertIn(event, logged)
 
+    def test_send_states_what_it_resumes_and_the_build(self) -> None:
+        scene = GatewayScene(endpoint('a', build='v1'))
+        scene.post_request('/report/x', last_event_id='3', resumes='first')
+        fields = {line.event: dict(line.fields) for line in scene.lines}
+        self.assertEqual(fields['endpoint_known']['build'], 'v1')
+        sent = fields['request_sent']
+        self.assertEqual((sent['build'], sent['after_event'], sent['resumes']),
+                         ('v1', '3', 'first'))
+
     def test_line_of_a_wait_has_the_inputs_of_the_decision(self) -> None:
         scene = GatewayScene()
         scene.post_request('/submit/x')
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -64,6 +64,7 @@
     'zone': 'z',
     'slots': 64,
     'state': 'ready',
+    'version': 'v1.2',
     'models': [{
         'name': 'm',
         'version': 3
@@ -113,7 +114,7 @@
         self.assertEqual(named, NamedVersion('m', 2))  # type: ignore[arg-type]
         entry = records.decode_update(View.REGISTRY, record('i-1', ENTRY))
         assert isinstance(entry, EndpointEntry)
-        self.assertEqual(entry.versions, {'m': 3})
+        self.assertEqual((entry.versions, entry.build), ({'m': 3}, 'v1.2'))
         removed = records.decode_update(View.REGISTRY, RawRecord('i-1', None))
         self.assertIsInstance(removed, EndpointRemoved)
 
@@ -125,6 +126,7 @@
             'service': None,
             'zone': 4,
             'models': 'none',
+            'version': 7,
         }
         for field, value in wrong_values.items():
             with self.subTest(field):
