Test that a stream goes on only at the build that began it

Engines of several software versions may serve side by side, and what two of them write does not fit together. The gateway resends the rest of a stream to any engine, within one answer and for a caller's new try.

The stand-in engine states a build in its entry and in its events, so that a mix shows. BuildFleet runs the reducers of several VMs on one clock, with streams, VMs that are killed or cut off from their peers, and lost messages.

--- a/src/plantainridge/standins/platform_site.py
+++ b/src/plantainridge/standins/platform_site.py
@@ -144,6 +144,8 @@
 
     Attributes:
         version: Weight version that it runs; 0 without models.
+        build: Version of its software, which its events bear; '' if it states
+            none.
         attempt_ids: Attempt ids of the requests that it ran, in order.
         run_headers: Headers of these requests.
         refuses: Whether it refuses requests without running them.
@@ -156,10 +158,15 @@
         silent_until: Loop time until which it does nothing, in s.
     """
 
-    def __init__(self, name: str, service: str, version: int = 0) -> None:
+    def __init__(self,
+                 name: str,
+                 service: str,
+                 version: int = 0,
+                 build: str = '') -> None:
         self.name = name
         self.service = service
         self.version = version
+        self.build = build
         self.attempt_ids: list[str] = []
         self.run_headers: list[dict[str, str]] = []
         self.refuses = False
@@ -185,6 +192,7 @@
             'zone': 'z',
             'slots': 6,
             'state': state,
+            'version': self.build,
             'models': models if self.version else []
         }
 
@@ -283,7 +291,8 @@
     def event(self, number: int, target: str) -> bytes:
         """Return one event of a stream."""
         del target
-        return b'id: %d\ndata: t%d\n\n' % (number, number)
+        text = f't{number} {self.build}' if self.build else f't{number}'
+        return f'id: {number}\ndata: {text}\n\n'.encode()
 
 
 def _detach_filter(sock: socket.socket) -> None:
--- /dev/null
+++ b/tests/build_fleet.py
@@ -0,0 +1,100 @@
+"""Fixture: gateways whose engines run several builds, and streams."""
+
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.events import Part
+from plantainridge.ids import EndpointId, RequestId, VmId
+from tests.gateway_scene import LOCAL_DC, GatewayScene, head
+from tests.registry_fleet import RegistryFleet, entry
+
+
+def _prompt(stream: str) -> tuple[Part, ...]:
+    """Return a prompt whose preferred engine depends on the stream."""
+    return Part(f'{stream}-shared', 900), Part(f'{stream}-own', 100)
+
+
+def begin_stream(scene: GatewayScene,
+                 name: str = 'r1',
+                 event_id: str = '1') -> fx.Send:
+    """Post a request of a caller and the first event of its answer."""
+    scene.post_request('/report/x',
+                       name,
+                       body=name.encode(),
+                       parts=_prompt(name))
+    send = scene.last(fx.Send)
+    scene.post(ev.StreamStarted(send.attempt, head()))
+    if event_id:
+        scene.post(
+            ev.StreamEventsReceived(send.attempt, b'one', event_id, event_id))
+    return send
+
+
+def resume_stream(scene: GatewayScene,
+                  name: str = 'r2',
+                  first: str = 'r1',
+                  resumes: str | None = None) -> None:
+    """Post a caller's new try of a stream.
+
+    Args:
+        scene: The VM.
+        name: Name of the new try.
+        first: Name of the try that brought the first event.
+        resumes: The attempt that the caller names instead of that one.
+    """
+    scene.post_request(
+        '/report/x',
+        name,
+        body=first.encode(),
+        parts=_prompt(first),
+        last_event_id='1',
+        resumes=f'caller-{first}' if resumes is None else resumes)
+
+
+class BuildFleet(RegistryFleet):
+    """VMs of one data centre whose engines run several builds."""
+
+    def __init__(self, size: int, *builds: str) -> None:
+        """Start VMs and, in another data centre, two engines of each build."""
+        super().__init__(size)
+        self.builds: dict[EndpointId, str] = {}
+        for build in builds:
+            self.add_engines(build, dc='far')
+        self.run(1.5)
+
+    def add_engines(self, build: str, dc: str = LOCAL_DC) -> None:
+        """Register two engines of a build."""
+        for name in (f'{build}-a', f'{build}-b'):
+            self.builds[EndpointId(name)] = build
+            self.store.append(entry(name, build=build, dc=dc))
+
+    def kill(self, vm: VmId) -> None:
+        """Kill a VM's process, whose requests and memory are lost."""
+        self.paused.add(vm)
+
+    def restart(self, vm: VmId) -> None:
+        """Start a VM's process with nothing in memory."""
+        self.paused.discard(vm)
+        self.start(vm)
+
+    def begin(self, vm: VmId, name: str) -> str:
+        """Begin a stream, whose caller then disconnects; return its build."""
+        scene = self.vms[vm]
+        scene.now = self.now
+        send = begin_stream(scene, name)
+        scene.post(ev.CallerLeft(RequestId(name)))
+        self._execute(vm)
+        return self.builds[send.endpoint]
+
+    def resume(self, vm: VmId, name: str, first: str) -> str | fx.Refuse:
+        """Resume a stream; return the build at which it goes on."""
+        scene = self.vms[vm]
+        scene.now = self.now
+        resume_stream(scene, name, first)
+        self._execute(vm)
+        self.run(1.0)
+        for _, effect in self.outputs:
+            if isinstance(effect, fx.Send) and effect.request.id == name:
+                return self.builds[effect.endpoint]
+            if isinstance(effect, fx.Refuse) and effect.request == name:
+                return effect
+        raise AssertionError(f'{name} was neither sent nor refused')
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -33,12 +33,15 @@
 def entry(name: str,
           draining: bool = False,
           sequence: int = 0,
-          born: int = 1) -> RawRecord:
+          born: int = 1,
+          build: str = '',
+          dc: str = LOCAL_DC) -> RawRecord:
     """Return an engine's registry record."""
     value = {
         'service': 'engines',
         'address': f'{name}:1',
-        'zone': LOCAL_DC,
+        'zone': dc,
+        'version': build,
         'state': 'draining' if draining else 'ready',
         'slots': 64,
         'sequence': sequence,
@@ -130,6 +133,8 @@
         deliver: Decides how a message between VMs is delivered.
         paused: VMs whose processes are stopped.
         rejected: VMs that the store does not answer.
+        unreachable: VMs whose messages to and from peers are lost.
+        outputs: Effects for callers and endpoints, with the VM of each.
         reads: Number of reads of each VM.
         loads: Number of loads of each view, by all VMs.
     """
@@ -139,6 +144,8 @@
         self.deliver: Callable[[], Delivery] = Delivery
         self.paused: set[VmId] = set()
         self.rejected: set[VmId] = set()
+        self.unreachable: set[VmId] = set()
+        self.outputs: list[tuple[VmId, base.Effect]] = []
         self.reads: dict[VmId, int] = {}
         self.loads: Counter[View] = Counter()
         self.now = 100.0
@@ -226,7 +233,8 @@
         effects, scene.done[:] = list(scene.done), []
         for effect in effects:
             if isinstance(effect, base.SendPeer):
-                self._send(effect)
+                if not self.unreachable & {name, effect.vm}:
+                    self._send(effect)
             elif isinstance(effect, fx.LoadView):
                 self.loads[effect.view] += 1
                 self._answer(name, effect.view,
@@ -234,6 +242,8 @@
             elif isinstance(effect, fx.ReadView):
                 self.reads[name] = self.reads.get(name, 0) + 1
                 self._answer(name, effect.view, self._read(effect))
+            else:
+                self.outputs.append((name, effect))
 
     def _answer(self, vm: VmId, view: View, event: Event) -> None:
         if self.store.up and vm not in self.rejected:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -122,15 +122,21 @@
         os.close(self.log)
         logging.disable(logging.NOTSET)
 
-    async def _send(self,
-                    target: str,
-                    attempt: str,
-                    key: str = 'key') -> Response | NoResponse:
+    async def _send(
+        self,
+        target: str,
+        attempt: str,
+        key: str = 'key',
+        resumes: tuple[str, str] = ('', '')
+    ) -> Response | NoResponse:
         headers = [(b'host', b'h'), (names.ATTEMPT_ID, attempt.encode()),
                    (names.DEADLINE, b'3000'),
                    (names.AUTHORIZATION, f'Bearer {key}'.encode())]
         if target.startswith('/report'):
             headers += [(names.MODEL, b'm'), (names.TOKEN_USAGE, b'10,5')]
+        if resumes[0]:
+            headers += [(names.RESUMES, resumes[0].encode()),
+                        (names.LAST_EVENT_ID, resumes[1].encode())]
         connection = (self.pool.take(self.address) or
                       await self.pool.connect(self.address, CONNECT_TIMEOUT_S))
         return await call_on(connection, self.address, 'POST', target, 3.0,
@@ -191,6 +197,39 @@
             [f'data: t{at}\n'.encode() in complete for at in range(1, 7)],
             [True] * 6)
 
+    async def _start_builds(self, *builds: str) -> None:
+        for engine, build in zip(self.engines, builds):
+            engine.build = build
+            self.store.put(names.REGISTRY_TOPIC, engine.name, engine.entry())
+        self._configure(version=2)
+        await asyncio.sleep(1.2)
+
+    async def test_cut_stream_is_not_resumed_on_another_build(self) -> None:
+        await self._start_builds('v1', 'v2')
+        for engine in self.engines:
+            engine.cut_after_events = 2
+        stream = await self._send('/report/x', 'one')
+        self.assertIsInstance(stream, NoResponse)
+        attempt_ids = [
+            attempt for each in self.engines for attempt in each.attempt_ids
+        ]
+        self.assertEqual(attempt_ids, ['one'])
+
+    async def test_callers_new_try_is_sent_to_the_same_build(self) -> None:
+        await self._start_builds('v1', 'v2')
+        for engine in self.engines:
+            engine.cut_after_events = 2
+        await self._send('/report/x', 'one')
+        began = next(each for each in self.engines if each.attempt_ids)
+        for engine in self.engines:
+            engine.cut_after_events = 0
+        for number in range(6):
+            response = await self._send('/report/x',
+                                        f'again{number}',
+                                        resumes=('one', '2'))
+            assert isinstance(response, Response), response
+            self.assertIn(f'data: t3 {began.build}\n'.encode(), response.body)
+
     async def test_new_version_is_ordered_from_every_engine(self) -> None:
         self.store.put(names.OPERATOR_TOPIC, 'version/m', {
             'model': 'm',
--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,326 @@
+"""Tests of streams whose service has engines of several builds."""
+
+import random
+import unittest
+from collections.abc import Callable
+
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.config import RequestKind, Share
+from plantainridge.gateway.events import Failure, View
+from plantainridge.gateway.wire import RawRequest
+from plantainridge.ids import RequestId, ServiceId, VmId
+from plantainridge.platform import names
+from plantainridge.platform.requests import PlatformWire
+from tests.build_fleet import BuildFleet, begin_stream, resume_stream
+from tests.gateway_scene import (ENGINES, REMOTE_DC, GatewayScene,
+                                 configuration, endpoint, head, route)
+from tests.registry_fleet import unreliable
+
+OLD = endpoint('old', build='v1', started_ms=1)
+# Costs more than an engine of this data centre.
+OLD_FAR = endpoint('old-far', dc=REMOTE_DC, build='v1', started_ms=1)
+NEW = endpoint('new', build='v2', started_ms=1)
+NEW_FAR = endpoint('new-far', dc=REMOTE_DC, build='v2', started_ms=1)
+OTHER = ServiceId('other')
+VM0, VM1 = VmId('vm0'), VmId('vm1')
+
+
+def stall(scene: GatewayScene, send: fx.Send) -> None:
+    """Advance the clock until an engine counts as silent."""
+    del send
+    scene.advance(3.0)
+
+
+def break_off(scene: GatewayScene, send: fx.Send) -> None:
+    """Break the connection to an engine."""
+    scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+
+
+def leave(scene: GatewayScene, send: fx.Send) -> None:
+    """Let an engine state that it leaves, and break the connection."""
+    scene.post(ev.EndpointNotified(send.endpoint, head(leaving=True)))
+    break_off(scene, send)
+
+
+def start_again(scene: GatewayScene, send: fx.Send) -> None:
+    """Start an engine anew under its id, with another build."""
+    scene.read(View.REGISTRY, endpoint('old', build='v2', started_ms=2))
+    break_off(scene, send)
+
+
+def change_build(scene: GatewayScene, send: fx.Send) -> None:
+    """Change the build in an engine's entry, without a stated start."""
+    scene.read(View.REGISTRY, endpoint('old', build='v2', started_ms=1))
+    break_off(scene, send)
+
+
+def remove(scene: GatewayScene, send: fx.Send) -> None:
+    """Remove an engine's entry, and break the connection."""
+    for _ in range(4):
+        scene.read(View.REGISTRY, ev.EndpointRemoved(OLD.id))
+        scene.now += 0.05
+    break_off(scene, send)
+
+
+LOSSES: dict[str, Callable[[GatewayScene, fx.Send], None]] = {
+    'a break': break_off,
+    'a silent engine': stall,
+    'a leaving engine': leave,
+    'a new start of the engine with another build': start_again,
+    'another build in the entry': change_build,
+    'a removed entry': remove,
+}
+
+
+class ResumedWithinAnswerTest(unittest.TestCase):
+    """Tests of streams that this VM resumes within one answer."""
+
+    def test_goes_on_at_another_engine_of_its_build(self) -> None:
+        resumed = {}
+        for name, lose in LOSSES.items():
+            scene = GatewayScene(OLD)
+            first = begin_stream(scene)
+            scene.read(View.REGISTRY, NEW, OLD_FAR)
+            lose(scene, first)
+            second = scene.last(fx.Send)
+            resumed[name] = second.endpoint, second.last_event_id
+        self.assertEqual(resumed, dict.fromkeys(LOSSES, ('old-far', '1')))
+
+    def test_ends_where_no_engine_of_its_build_is_listed(self) -> None:
+        ends = {}
+        for name, lose in LOSSES.items():
+            scene = GatewayScene(OLD)
+            first = begin_stream(scene)
+            scene.read(View.REGISTRY, NEW)
+            lose(scene, first)
+            scene.advance(1.0)
+            ends[name] = len(scene.all(fx.Send)), len(scene.all(fx.AbortReply))
+        self.assertEqual(ends, dict.fromkeys(LOSSES, (1, 1)))
+
+    def test_stays_at_its_build_after_a_rejection(self) -> None:
+        scene = GatewayScene(OLD)
+        first = begin_stream(scene)
+        scene.read(View.REGISTRY, NEW, OLD_FAR)
+        break_off(scene, first)
+        scene.post(
+            ev.AnswerArrived(
+                scene.last(fx.Send).attempt,
+                head(503, not_run=True, signed=False), b''))
+        scene.advance(1.0)
+        self.assertNotIn('new', [each.endpoint for each in scene.all(fx.Send)])
+
+    def test_before_its_first_event_it_goes_to_any_build(self) -> None:
+        scene = GatewayScene(OLD)
+        first = begin_stream(scene, event_id='')
+        scene.read(View.REGISTRY, NEW)
+        break_off(scene, first)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'new')
+
+
+class NewTryTest(unittest.TestCase):
+    """Tests of streams that callers take up again at the same VM."""
+
+    def _begin(self, *later: ev.ViewUpdate) -> GatewayScene:
+        scene = GatewayScene(OLD)
+        begin_stream(scene)
+        scene.post(ev.CallerLeft(RequestId('r1')))
+        scene.read(View.REGISTRY, *later)
+        return scene
+
+    def _assert_refused(self, scene: GatewayScene, sends: int) -> None:
+        self.assertEqual(len(scene.all(fx.Send)), sends)
+        refused = scene.last(fx.Refuse)
+        self.assertEqual(refused.status, 503)
+        self.assertIsNotNone(refused.retry_after_s)
+
+    def test_goes_on_at_its_build(self) -> None:
+        scene = self._begin(
+            NEW, OLD_FAR,
+            endpoint('old', draining=True, build='v1', started_ms=1))
+        resume_stream(scene)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
+
+    def test_a_second_try_names_the_first_attempt(self) -> None:
+        scene = self._begin(
+            NEW, OLD_FAR,
+            endpoint('old', draining=True, build='v1', started_ms=1))
+        for name in ('r2', 'r3'):
+            resume_stream(scene, name)
+            send = scene.last(fx.Send)
+            self.assertEqual((send.request.id, send.endpoint),
+                             (name, 'old-far'))
+            scene.post(ev.StreamStarted(send.attempt, head()))
+            scene.post(ev.StreamEventsReceived(send.attempt, b'two', '2', '2'))
+            scene.post(ev.CallerLeft(RequestId(name)))
+
+    def test_the_build_is_that_of_the_run(self) -> None:
+        for started_ms in (1, 2):
+            scene = self._begin(
+                endpoint('old', build='v2', started_ms=started_ms), OLD_FAR)
+            resume_stream(scene)
+            self.assertEqual(
+                scene.last(fx.Send).endpoint, 'old-far', started_ms)
+
+    def test_is_refused_where_all_engines_of_its_build_leave(self) -> None:
+        scene = self._begin(
+            NEW, endpoint('old', draining=True, build='v1', started_ms=1))
+        resume_stream(scene)
+        scene.advance(1.0)
+        self._assert_refused(scene, 1)
+
+    def test_is_refused_where_no_engine_has_its_build(self) -> None:
+        scene = self._begin(NEW, endpoint('old', build='v2', started_ms=2))
+        resume_stream(scene)
+        scene.advance(1.0)
+        self._assert_refused(scene, 1)
+
+    def test_is_refused_where_its_beginning_is_not_known(self) -> None:
+        for resumes in ('caller-unknown', ''):
+            scene = self._begin(NEW, OLD_FAR)
+            resume_stream(scene, resumes=resumes)
+            scene.advance(1.0)
+            self._assert_refused(scene, 1)
+
+    def test_goes_on_where_its_service_has_had_one_build_only(self) -> None:
+        scene = GatewayScene(OLD, OLD_FAR)
+        scene.advance(120.0)
+        scene.read(View.REGISTRY, OLD, OLD_FAR)
+        resume_stream(scene, resumes='caller-unknown')
+        scene.advance(1.0)
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+
+    def test_without_events_it_is_like_a_new_one(self) -> None:
+        scene = GatewayScene(OLD)
+        begin_stream(scene, event_id='')
+        scene.post(ev.CallerLeft(RequestId('r1')))
+        scene.read(View.REGISTRY, NEW,
+                   endpoint('old', draining=True, build='v1', started_ms=1))
+        scene.post_request('/report/x', 'r2', body=b'r1')
+        self.assertEqual(scene.last(fx.Send).endpoint, 'new')
+
+
+class SplitRouteTest(unittest.TestCase):
+    """Tests of a route whose traffic is split over two services."""
+
+    def test_goes_on_at_its_service(self) -> None:
+        split = route('/report/', RequestKind.STREAM, ENGINES, resumable=True)
+        routes = (type(split)(split.name,
+                              split.host,
+                              split.prefix,
+                              split.kind,
+                              (Share(ENGINES, 1.0), Share(OTHER, 9.0)),
+                              1.0,
+                              10.0,
+                              0.3,
+                              2,
+                              resumable=True),)
+        scene = GatewayScene(OLD)
+        begin_stream(scene)
+        scene.post(ev.CallerLeft(RequestId('r1')))
+        scene.read(View.OPERATOR, configuration(2, routes=routes))
+        scene.read(
+            View.REGISTRY,
+            *(endpoint(name, OTHER, build='v1', versions=OLD.versions)
+              for name in ('x', 'y')))
+        for number in range(8):
+            resume_stream(scene, f't{number}')
+            scene.advance(0.3)
+        self.assertEqual({each.endpoint for each in scene.all(fx.Send)},
+                         {'old'})
+
+
+class SeveralVmsTest(unittest.TestCase):
+    """Tests of streams that callers take up again at other VMs."""
+
+    def _resume_all(self, fleet: BuildFleet, vm: VmId, begun: dict[str,
+                                                                   str]) -> int:
+        """Resume streams; return how many go on, none at another build."""
+        went_on = 0
+        for name, build in begun.items():
+            found = fleet.resume(vm, f'{name}-again', name)
+            if isinstance(found, str):
+                self.assertEqual(found, build, name)
+                went_on += 1
+            else:
+                self.assertEqual(found.status, 503)
+                self.assertIsNotNone(found.retry_after_s)
+        return went_on
+
+    def _fleet(self, *builds: str) -> tuple[BuildFleet, dict[str, str]]:
+        """Begin streams at one VM; engines of a further build then start."""
+        fleet = BuildFleet(3, *builds)
+        begun = {f's{at}': fleet.begin(VM0, f's{at}') for at in range(8)}
+        self.assertEqual(set(begun.values()), set(builds))
+        fleet.add_engines('v9')
+        fleet.run(1.5)
+        return fleet, begun
+
+    def test_go_on_at_another_vm(self) -> None:
+        for builds in (('v1',), ('v1', 'v2')):
+            fleet, begun = self._fleet(*builds)
+            self.assertEqual(self._resume_all(fleet, VM1, begun), 8, builds)
+
+    def test_go_on_after_their_vm_was_killed(self) -> None:
+        for builds in (('v1',), ('v1', 'v2')):
+            fleet, begun = self._fleet(*builds)
+            fleet.kill(VM0)
+            fleet.run(0.5)
+            self.assertEqual(self._resume_all(fleet, VM1, begun), 8, builds)
+
+    def test_go_on_at_a_vm_that_has_just_started(self) -> None:
+        # The VM that began them, another one, and one after the other.
+        for killed in ((VM0,), (VM1,), (VM1, VM0)):
+            fleet, begun = self._fleet('v1', 'v2')
+            for vm in killed:
+                fleet.kill(vm)
+                fleet.run(2.0)
+                fleet.restart(vm)
+                fleet.run(2.0)
+            self.assertEqual(self._resume_all(fleet, killed[0], begun), 8,
+                             killed)
+
+    def test_are_refused_where_all_vms_were_killed(self) -> None:
+        fleet, begun = self._fleet('v1', 'v2')
+        for vm in fleet.vms:
+            fleet.kill(vm)
+        fleet.run(0.5)
+        for vm in fleet.vms:
+            fleet.restart(vm)
+        fleet.run(2.0)
+        self.assertEqual(self._resume_all(fleet, VM1, begun), 0)
+
+    def test_never_mix_at_a_vm_without_its_peers(self) -> None:
+        fleet = BuildFleet(3, 'v1', 'v2')
+        fleet.unreachable.add(VM1)
+        fleet.run(2.0)
+        begun = {f's{at}': fleet.begin(VM0, f's{at}') for at in range(8)}
+        fleet.add_engines('v9')
+        fleet.run(1.5)
+        self.assertEqual(self._resume_all(fleet, VM1, begun), 0)
+
+    def test_most_go_on_while_messages_are_lost(self) -> None:
+        fleet = BuildFleet(3, 'v1', 'v2')
+        fleet.deliver = unreliable(random.Random(5))
+        begun = {f's{at}': fleet.begin(VM0, f's{at}') for at in range(12)}
+        fleet.add_engines('v9')
+        fleet.run(3.0)
+        self.assertGreaterEqual(self._resume_all(fleet, VM1, begun), 6)
+
+
+class ResumesHeaderTest(unittest.TestCase):
+    """Tests of the header that names the attempt with the first event."""
+
+    def test_is_read_and_forwarded(self) -> None:
+        raw = RawRequest(b'POST', b'/report/x',
+                         ((b'host', b'host'), (names.ATTEMPT_ID, b'two'),
+                          (names.LAST_EVENT_ID, b'4'), (names.RESUMES, b'one')),
+                         b'')
+        read = PlatformWire().read_request(RequestId('r'), raw)
+        assert isinstance(read, ev.Request)
+        self.assertEqual((read.last_event_id, read.resumes), ('4', 'one'))
+        self.assertIn((names.RESUMES, b'one'), read.headers)
+
+
+if __name__ == '__main__':
+    unittest.main()
