Resume a stream within its answer only at the build that began it

What callers saw: one answer with events of two software versions of a service, which do not fit together.

Cause: placement offered all endpoints of the service for the rest of a stream. The build of an endpoint was not part of what the gateway decided by.

Change: a send knows the build of its endpoint; the first stream event that is forwarded binds the request to it, and from then on only endpoints of that build are offered, also after a rejection and by a takeover. Where none is listed that stays, the answer is ended at once, since nothing could serve it; otherwise it waits as any stream that has begun. Before its first event a stream is free to begin anywhere. An entry with another build is a new run of the endpoint, as one with another start.

Waiting requests of one service are kept apart by build: one that finds no memory at engines of its build does not hold back another.

Run: tests.test_software_versions, three tests of streams resumed within an answer, and one of tests.test_platform_path failed before and pass; a new one, on the end at once, fails before and passes.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -143,6 +143,8 @@
             state.cache.record_prefill(attempt.endpoint, salt,
                                        call.request.parts)
         health.record_first_event(state, attempt, now)
+        if call.build is None:
+            call.build = attempt.build
         if call.first_event_s is None:
             call.first_event_s = now - call.arrived_at
             yield Observe('first_piece_s', call.team.name if call.team else '',
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -44,8 +44,10 @@
 CAPACITY_RETRY_AFTER_S: Final = (0.8, 1.6)
 # Reasons for which a request that has not run is refused at once: it can be
 # served only once an endpoint returns or is added.
-UNSERVABLE: Final = frozenset(
-    {PlacementFailure.ALL_PAUSED, PlacementFailure.ALL_LEAVING})
+UNSERVABLE: Final = frozenset({
+    PlacementFailure.ALL_PAUSED, PlacementFailure.ALL_LEAVING,
+    PlacementFailure.NO_BUILD
+})
 # Time that must be left to send a request again, relative to its route's
 # target.
 MIN_REMAINING_RATIO: Final = 0.1
@@ -80,7 +82,9 @@
                                             MIN_RETRY_AFTER_S, now)
             return
         choice = PlacementFailure.NO_RETRY
-    if choice in UNSERVABLE and not call.executions and not call.reply_started:
+    may_wait = call.executions or call.reply_started
+    if choice is PlacementFailure.NO_BUILD or (choice in UNSERVABLE and
+                                               not may_wait):
         yield from endings.fail_request(
             state, call, choice.value, _retry_after_s(state, call, choice, now),
             now)
@@ -131,7 +135,7 @@
     """
     if call.wait_reason is PlacementFailure.NO_CAPACITY:
         return call.arrived_at + CAPACITY_WAIT_RATIO * call.route.target_s
-    available_at = _available_at(state, call.service)
+    available_at = _available_at(state, call)
     latest_at = call.arrived_at + RECOVERY_WAIT_RATIO * (call.expires_at -
                                                          call.arrived_at)
     wait_until = (latest_at if available_at < latest_at else
@@ -143,9 +147,10 @@
 
 def _has_untried(state: 'GatewayState', call: Call) -> bool:
     """Return whether an endpoint that stays may still serve a request."""
-    return any(view.entry.service == call.service and not view.is_leaving and
-               view.entry.id not in call.tried
-               for view in state.endpoints.values())
+    return any(
+        view.entry.service == call.service and not view.is_leaving and
+        view.entry.id not in call.tried and placement.has_build(call, view)
+        for view in state.endpoints.values())
 
 
 def _abandoned_at(call: Call) -> float:
@@ -205,7 +210,8 @@
     call.attempt = attempt
     call.tried.add(view.entry.id)
     state.calls.attempts[attempt] = Attempt(attempt, request.id, view.entry.id,
-                                            now, now, choice.version)
+                                            now, now, choice.version,
+                                            view.entry.build)
     view.add_send(
         attempt,
         InFlightSend(choice.prefill_tokens, placement.memory_tokens(request)))
@@ -292,8 +298,9 @@
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Dispatch the requests that wait."""
-    # Size of the last request per service that did not fit, in tokens.
-    unplaced_tokens: dict[ServiceId, int] = {}
+    # Size of the last request per service and build that did not fit, in
+    # tokens.
+    unplaced_tokens: dict[tuple[ServiceId, str | None], int] = {}
     for call in state.calls.waiting(now):
         yield from containment.contain_request(
             state, _dispatch_waiting(state, call, unplaced_tokens, now),
@@ -301,19 +308,20 @@
 
 
 def _dispatch_waiting(state: 'GatewayState', call: Call,
-                      unplaced_tokens: dict[ServiceId, int],
+                      unplaced_tokens: dict[tuple[ServiceId, str | None], int],
                       now: float) -> Iterator[Effect]:
     """Dispatch a request that waits, unless a smaller one did not fit."""
     memory_tokens = placement.memory_tokens(call.request)
-    if (memory_tokens >= unplaced_tokens.get(call.service, memory_tokens + 1)
-            and suspects.admits(state, call, now)):
+    group = call.service, call.build
+    if (memory_tokens >= unplaced_tokens.get(group, memory_tokens + 1) and
+            suspects.admits(state, call, now)):
         # A request that is no larger did not fit just before.
         yield from _refuse_overdue(state, call, now)
         return
     yield from dispatch(state, call, now)
     if (call.phase is CallPhase.WAITING and
             call.wait_reason is PlacementFailure.NO_CAPACITY):
-        unplaced_tokens[call.service] = memory_tokens
+        unplaced_tokens[group] = memory_tokens
 
 
 def _set_stall_timer(call: Call, attempt: AttemptId,
@@ -332,7 +340,7 @@
     """
     if reason is PlacementFailure.NO_CAPACITY:
         return state.rng.uniform(*CAPACITY_RETRY_AFTER_S)
-    available_in_s = _available_at(state, call.service) - now
+    available_in_s = _available_at(state, call) - now
     if reason is PlacementFailure.ALL_PAUSED:
         spread_s = min(MAX_PAUSE_SPREAD_S, PAUSE_SPREAD_RATIO * available_in_s)
         return max(MIN_RETRY_AFTER_S,
@@ -340,9 +348,10 @@
     return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, available_in_s))
 
 
-def _available_at(state: 'GatewayState', service: ServiceId) -> float:
+def _available_at(state: 'GatewayState', call: Call) -> float:
     """Return the loop time at which an endpoint becomes available, in s."""
     return min((max(view.cooldown_until, view.paused_until)
                 for view in state.endpoints.values()
-                if view.entry.service == service and not view.is_leaving),
+                if view.entry.service == call.service and
+                not view.is_leaving and placement.has_build(call, view)),
                default=math.inf)
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -25,7 +25,7 @@
 from plantainridge.gateway.events import Request
 from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoad
 from plantainridge.gateway.requests import Call, PlacementFailure
-from plantainridge.ids import DcId, EndpointId, ServiceId
+from plantainridge.ids import DcId, EndpointId
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -226,7 +226,8 @@
     cooling_down = hints.cooling_down(state, now)
     candidates = [
         view for view in endpoints.available(state.endpoints, call.service, now)
-        if view.entry.id not in call.tried and cooling_down.get(
+        if has_build(call, view) and
+        view.entry.id not in call.tried and cooling_down.get(
             view.entry.id, view.weights_loaded_at) <= view.weights_loaded_at
     ]
     service = state.config.services.get(call.service)
@@ -242,7 +243,7 @@
     else:
         placements = [_place_on_instance(inputs, view) for view in candidates]
     if not placements:
-        return _unavailability(state, call.service, now)
+        return _unavailability(state, call, now)
     if not ignore_capacity:
         placements = [each for each in placements if each.has_capacity]
     return min(placements,
@@ -250,14 +251,25 @@
                default=PlacementFailure.NO_CAPACITY)
 
 
-def _unavailability(state: 'GatewayState', service: ServiceId,
+def has_build(call: Call, view: EndpointView) -> bool:
+    """Return whether an endpoint may serve a request, as to its build.
+
+    What endpoints of two builds write does not fit together: a stream goes on
+    only at the build that began it.
+    """
+    return call.build is None or view.entry.build == call.build
+
+
+def _unavailability(state: 'GatewayState', call: Call,
                     now: float) -> PlacementFailure:
-    """Return why a service has no available endpoint."""
+    """Return why a request has no available endpoint."""
     known = [
         view for view in state.endpoints.values()
-        if view.entry.service == service
+        if view.entry.service == call.service and has_build(call, view)
     ]
     staying = [view for view in known if not view.is_leaving]
+    if call.build is not None and not staying:
+        return PlacementFailure.NO_BUILD
     if known and not staying:
         return PlacementFailure.ALL_LEAVING
     if staying and all(now < view.paused_until for view in staying):
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -38,6 +38,7 @@
     NO_CAPACITY = 'no engine has memory for it'
     ALL_PAUSED = 'every endpoint asked for a pause'
     ALL_LEAVING = 'every endpoint is leaving'
+    NO_BUILD = 'no endpoint that stays has its build'
     NO_RETRY = 'no more sends are allowed'
 
 
@@ -70,6 +71,8 @@
         wait_reason: Why it waits, or None.
         fingerprint: Hash of its team, target and content.
         fallback: An endpoint's error to answer with if all sends fail.
+        build: Build to whose endpoints it is bound, or None: that of the first
+            stream event that its caller got.
         first_event_s: Time from arrival to the first stream event, in s, or
             None.
         progress_at: Loop time of its latest stream event, or of its arrival,
@@ -96,6 +99,7 @@
     wait_reason: PlacementFailure | None = None
     fingerprint: str = ''
     fallback: 'FallbackAnswer | None' = None
+    build: str | None = None
     first_event_s: float | None = None
     progress_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived_at, takes_self=True))
@@ -118,6 +122,7 @@
         sent_at: Loop time at which it was sent, in s.
         progress_at: Loop time of its latest stream event, or of the send, in s.
         version: Weight version that it is bound to, or None.
+        build: Build of the endpoint, by its entry at the send.
         events_received: Whether any stream event arrived.
         is_silent: Whether it stays although its endpoint is silent.
     """
@@ -128,6 +133,7 @@
     sent_at: float
     progress_at: float
     version: int | None
+    build: str = ''
     events_received: bool = False
     is_silent: bool = False
 
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -416,7 +416,8 @@
     if view is not None and view.entry.started_ms > entry.started_ms:
         # An older run of the endpoint, from an older copy of the store.
         return
-    if view is not None and view.entry.started_ms != entry.started_ms:
+    if view is not None and (view.entry.started_ms != entry.started_ms or
+                             view.entry.build != entry.build):
         # The endpoint restarted under the same id: discard its state.
         state.cache.forget(entry.id)
         view = None
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -58,7 +58,9 @@
 def remove(scene: GatewayScene, send: fx.Send) -> None:
     """Remove an engine's entry, and break the connection."""
     # Entries may reappear for a while after the first read.
-    scene.now += 3.0
+    for _ in range(3):
+        scene.now += 1.0
+        scene.read(View.REGISTRY)
     scene.read(View.REGISTRY, ev.EndpointRemoved(OLD.id))
     break_off(scene, send)
 
@@ -94,12 +96,18 @@
             first = begin_stream(scene)
             scene.read(View.REGISTRY, NEW)
             lose(scene, first)
-            scene.advance(1.0)
+            # Longer than the request may take.
+            scene.advance(11.0)
             ends[name] = len(scene.all(fx.Send)), len(scene.all(fx.AbortReply))
-        expected = dict.fromkeys(LOSSES, (1, 1))
-        # The engine may continue by itself.
-        expected['a silent engine'] = (1, 0)
-        self.assertEqual(ends, expected)
+        self.assertEqual(ends, dict.fromkeys(LOSSES, (1, 1)))
+
+    def test_ends_at_once_where_no_engine_of_its_build_stays(self) -> None:
+        for lose in (leave, start_again, remove):
+            scene = GatewayScene(OLD)
+            first = begin_stream(scene)
+            scene.read(View.REGISTRY, NEW)
+            lose(scene, first)
+            self.assertIsInstance(scene.done[-1], fx.AbortReply, lose)
 
     def test_stays_at_its_build_after_a_rejection(self) -> None:
         scene = GatewayScene(OLD)
