Let a caller's new try go on only at the build that began its stream

What callers saw: after a break a new try of a stream brought events of another software version than the first one.

Cause: a request with Last-Event-Id was placed like a new one. The VM that got it, often another one, neither read Resumes nor knew which build began the stream.

A VM that does not know a stream asks, for at most 0.4 s. A known stream goes on at its service and build alone; one that nobody knows only where its route led to a single service and build for 60 s, of which this VM missed nothing; any other is refused with 503 and a time to come back. While that single one is certain nobody is told, so that calm costs nothing; streams begun then are told of once another build is seen. Records are kept for 60 s, 65,536 at most. A resumed stream is not held back for memory: it had a place. builds.py is the pure part.

LoadFleet does not deliver the two new messages, and does not draw a random number for them: its replays are those of before, draw for draw, and no check changed.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from plantainridge.gateway import (cache, dispatch, endings, health, placement,
-                                   suspects, takeover)
+                                   resumptions, suspects, takeover)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
@@ -143,8 +143,9 @@
             state.cache.record_prefill(attempt.endpoint, salt,
                                        call.request.parts)
         health.record_first_event(state, attempt, now)
-        if call.build is None:
-            call.build = attempt.build
+        yield from resumptions.record_first_event(state, call,
+                                                  _build_of(state, attempt),
+                                                  now)
         if call.first_event_s is None:
             call.first_event_s = now - call.arrived_at
             yield Observe('first_piece_s', call.team.name if call.team else '',
@@ -157,6 +158,16 @@
     yield fx.ForwardStreamEvents(call.request.id, event.data)
 
 
+def _build_of(state: 'GatewayState', attempt: Attempt) -> str:
+    """Return the build that answers a send.
+
+    An entry that was read since the send is that of the run that answers: the
+    connections of an earlier run have ended.
+    """
+    view = state.endpoints.get(attempt.endpoint)
+    return attempt.build if view is None else view.entry.build
+
+
 def on_stream_ended(state: 'GatewayState', event: StreamEnded,
                     now: float) -> Iterator[Effect]:
     """End the answer of a stream that is complete."""
--- /dev/null
+++ b/src/plantainridge/gateway/builds.py
@@ -0,0 +1,191 @@
+"""Builds at which streams began, and what a resumed stream may go on at.
+
+The load pattern: engines of several builds serve a service side by side for a
+minute, which operators do not order. Streams are many and are rarely resumed,
+then often hundreds at once, since VMs are killed or all connections break. What
+engines of two builds write does not fit together, so that a stream may go on
+only at the build that began it.
+
+All functions here are pure: values in, a decision out.
+"""
+
+import enum
+import hashlib
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+from typing import Final
+
+import attrs
+
+from plantainridge.gateway.config import Configuration, RequestKind, Route
+from plantainridge.gateway.endpoints import EndpointEntry
+from plantainridge.ids import ServiceId
+
+# Time for which the origin of a stream is kept; callers take a stream up within
+# their own deadline.
+ORIGIN_RETENTION_S: Final = 60.0
+# Origins that are kept; the oldest are forgotten first.
+MAX_ORIGINS: Final = 65_536
+# Time since the last read of the registry beyond which a build may be missing.
+MAX_REGISTRY_AGE_S: Final = 3.0
+
+RouteKey = tuple[str, str]
+
+
+@attrs.frozen
+class Origin:
+    """The service and the build at which a stream began."""
+
+    service: ServiceId
+    build: str
+
+
+class Unresolved(enum.Enum):
+    """Why it is not known where a stream may go on."""
+
+    ASK_PEERS = 'peers may know where it began'
+    UNKNOWN = 'it is not known where the stream began'
+    OTHER_SERVICE = 'the stream began at another service'
+
+
+@attrs.define
+class KnownOrigin:
+    """Origin of one stream, with the loop time of its record in s."""
+
+    origin: Origin
+    at: float
+
+
+def attempt_key(attempt_id: str) -> int:
+    """Return a 64-bit hash of a caller's attempt id."""
+    digest = hashlib.blake2b(attempt_id.encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def route_key(route: Route) -> RouteKey:
+    """Return what names a route over several configurations."""
+    return route.host, route.prefix
+
+
+@attrs.define
+class BuildTable:
+    """Origins of streams, and the builds that routes lead to.
+
+    Attributes:
+        origins: Origin of each stream by its attempt's key, oldest first.
+        unshared: Origins of streams of this VM that peers were not told of.
+        seen: Possible origins of the streams of each route, with the loop time
+            at which each was last listed, in s.
+        watched_since: Loop time since which no listed build was missed, in s.
+        listed_at: Loop time of the last full update of `seen`, in s.
+        asked_at: Loop time of the last question to peers, in s.
+    """
+
+    origins: OrderedDict[int, KnownOrigin] = attrs.field(factory=OrderedDict)
+    unshared: dict[int, Origin] = attrs.field(factory=dict)
+    seen: dict[RouteKey, dict[Origin, float]] = attrs.field(factory=dict)
+    watched_since: float = math.inf
+    listed_at: float = -math.inf
+    asked_at: float = -math.inf
+
+    def record(self, key: int, origin: Origin, now: float) -> None:
+        """Record where a stream began, and forget what is too old."""
+        self.origins[key] = KnownOrigin(origin, now)
+        self.origins.move_to_end(key)
+        while self.origins:
+            oldest = next(iter(self.origins))
+            is_old = now - self.origins[oldest].at > ORIGIN_RETENTION_S
+            if not is_old and len(self.origins) <= MAX_ORIGINS:
+                break
+            del self.origins[oldest]
+            self.unshared.pop(oldest, None)
+
+    def find(self, key: int, now: float) -> Origin | None:
+        """Return where a stream began, or None if it is not known."""
+        known = self.origins.get(key)
+        if known is None or now - known.at > ORIGIN_RETENTION_S:
+            return None
+        return known.origin
+
+    def record_listed(self, config: Configuration,
+                      entries: Iterable[EndpointEntry], now: float) -> None:
+        """Record the builds of endpoints that are listed now."""
+        listed: dict[ServiceId, set[str]] = {}
+        for entry in entries:
+            listed.setdefault(entry.service, set()).add(entry.build)
+        for route in resumable_routes(config):
+            for share in route.shares:
+                for build in listed.get(share.service, ()):
+                    seen = self.seen.setdefault(route_key(route), {})
+                    seen[Origin(share.service, build)] = now
+
+    def forget_unlisted(self, now: float) -> None:
+        """Forget the builds that were not listed for the retention."""
+        for key, seen in list(self.seen.items()):
+            for origin, at in list(seen.items()):
+                if now - at > ORIGIN_RETENTION_S:
+                    del seen[origin]
+            if not seen:
+                del self.seen[key]
+
+    def only_origin(self, route: Route, registry_age_s: float,
+                    now: float) -> Origin | None:
+        """Return the only origin that a route's streams can have, if certain.
+
+        Args:
+            route: The route.
+            registry_age_s: Time since the registry was last read, in s.
+            now: Loop time in s.
+        """
+        seen = self.seen.get(route_key(route), {})
+        if (len(seen) != 1 or registry_age_s > MAX_REGISTRY_AGE_S or
+                now - self.watched_since < ORIGIN_RETENTION_S):
+            return None
+        return next(iter(seen))
+
+    def take_unshared(
+            self, services: Collection[ServiceId]) -> dict[Origin, list[int]]:
+        """Remove and return the unshared streams of some services."""
+        taken: dict[Origin, list[int]] = {}
+        for key, origin in list(self.unshared.items()):
+            if origin.service in services:
+                del self.unshared[key]
+                taken.setdefault(origin, []).append(key)
+        return taken
+
+
+def is_resumable(route: Route) -> bool:
+    """Return whether a route's requests are streams that may be resumed."""
+    return route.kind is RequestKind.STREAM and route.resumable
+
+
+def resumable_routes(config: Configuration) -> list[Route]:
+    """Return the routes whose streams may be resumed."""
+    return [
+        route for routes in config.routes_by_host.values() for route in routes
+        if is_resumable(route)
+    ]
+
+
+def resolve(known: Origin | None, only: Origin | None,
+            services: Collection[ServiceId],
+            may_ask: bool) -> Origin | Unresolved:
+    """Return where a caller's new try of a stream may go on.
+
+    Made for VMs that are killed while streams run: mostly a peer knows what the
+    VM that is gone had begun. Where nobody does, the try goes on only if its
+    route has led to one service and one build alone; it is refused otherwise,
+    since another build would corrupt the stream.
+
+    Args:
+        known: Where the stream began, or None.
+        only: The only origin that the route's streams can have, or None.
+        services: Services that the route leads to.
+        may_ask: Whether peers may still answer.
+    """
+    if known is not None:
+        return known if known.service in services else Unresolved.OTHER_SERVICE
+    if may_ask:
+        return Unresolved.ASK_PEERS
+    return only if only is not None else Unresolved.UNKNOWN
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -115,7 +115,8 @@
     An endpoint that was given up may be chosen again if no other is available.
     """
     choice = placement.choose(state, call, now)
-    if choice is PlacementFailure.NO_CAPACITY and call.sends:
+    is_resumed = call.sends or call.build is not None
+    if choice is PlacementFailure.NO_CAPACITY and is_resumed:
         choice = placement.choose(state, call, now, ignore_capacity=True)
     if call.given_up and not isinstance(choice, Placement):
         call.tried -= call.given_up
@@ -302,6 +303,8 @@
     # tokens.
     unplaced_tokens: dict[tuple[ServiceId, str | None], int] = {}
     for call in state.calls.waiting(now):
+        if call.origin_due_at is not None:
+            continue
         yield from containment.contain_request(
             state, _dispatch_waiting(state, call, unplaced_tokens, now),
             'dispatch', call.request.id, now)
--- a/src/plantainridge/gateway/intake.py
+++ b/src/plantainridge/gateway/intake.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import (dispatch, drain, endings, hints, placement,
-                                   suspects)
+                                   resumptions, suspects)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import Route, Team
 from plantainridge.gateway.events import Request, RequestArrived, View
@@ -54,7 +54,7 @@
         hints.record_arrival(state, call.service,
                              placement.memory_tokens(request), now)
     yield SetTimer(endings.deadline_key(call), call.expires_at + ANSWER_GRACE_S)
-    yield from dispatch.dispatch(state, call, now)
+    yield from resumptions.admit(state, call, now)
 
 
 def _refusal_of(state: 'GatewayState', event: RequestArrived,
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -238,6 +238,32 @@
     store: ServiceId
 
 
+@attrs.frozen
+class StreamOrigins:
+    """Streams that began at endpoints of one service and one build.
+
+    Attributes:
+        build: Version of the endpoints' software.
+        attempts: 64-bit hashes of the attempts that brought the first events.
+    """
+
+    service: ServiceId
+    build: str
+    attempts: tuple[int, ...]
+
+
+@attrs.frozen
+class OriginQuestion:
+    """A request of a VM for the origins of streams.
+
+    Attributes:
+        attempts: 64-bit hashes of the attempts that brought the first events.
+    """
+
+    vm: VmId
+    attempts: tuple[int, ...]
+
+
 @attrs.frozen
 class InvalidMessage:
     """Reason why a payload is not a valid message."""
@@ -246,7 +272,8 @@
 
 
 PeerMessage = (Hint | DcLoad | LoadTotals | RelayedView | RelayedStore |
-               StoreBatch | StoreSnapshotRequest)
+               StoreBatch | StoreSnapshotRequest | StreamOrigins |
+               OriginQuestion)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -269,6 +296,13 @@
         rows = root.init('relays', len(message.relays))
         for row, relay in zip(rows, message.relays):
             _write_store(row, relay)
+    elif isinstance(message, StreamOrigins):
+        row = root.init('origins')
+        row.service, row.build = message.service, message.build
+        row.attempts = list(message.attempts)
+    elif isinstance(message, OriginQuestion):
+        row = root.init('wantOrigins')
+        row.vm, row.attempts = message.vm, list(message.attempts)
     else:
         request = root.init('wantStore')
         request.vm, request.store = message.vm, message.store
@@ -384,6 +418,14 @@
             return _read_store(row) if row.isStore else _read_view(row)
         if kind == 'relays':
             return StoreBatch(tuple(_read_store(row) for row in root.relays))
+        if kind == 'origins':
+            row = root.origins
+            return StreamOrigins(ServiceId(row.service), str(row.build),
+                                 tuple(int(each) for each in row.attempts))
+        if kind == 'wantOrigins':
+            row = root.wantOrigins
+            return OriginQuestion(VmId(row.vm),
+                                  tuple(int(each) for each in row.attempts))
         request = root.wantStore
         return StoreSnapshotRequest(VmId(request.vm), ServiceId(request.store))
     except (capnp.KjException, ValueError) as error:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -9,9 +9,26 @@
     relays @3 :List(Relay);
     dcLoad @4 :LoadReport;
     totals @5 :LoadReport;
+    origins @6 :StreamOrigins;
+    wantOrigins @7 :OriginQuestion;
   }
 }
 
+# Streams that began at engines of one build.
+struct StreamOrigins {
+  service @0 :Text;
+  # Version of the engines' software.
+  build @1 :Text;
+  # Hashes of the attempts that brought the streams' first events.
+  attempts @2 :List(UInt64);
+}
+
+# A request to tell where streams began.
+struct OriginQuestion {
+  vm @0 :Text;
+  attempts @1 :List(UInt64);
+}
+
 # Load that the VMs of one or several data centres have in flight.
 struct LoadReport {
   vm @0 :Text;
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -19,9 +19,11 @@
 from plantainridge.gateway.http_server import HttpServer, PageServer
 from plantainridge.gateway.log_writer import LogWriter
 from plantainridge.gateway.peer_messages import (DcLoad, Hint, LoadTotals,
-                                                 RelayedStore, RelayedView,
-                                                 StoreBatch,
-                                                 StoreSnapshotRequest)
+                                                 OriginQuestion, RelayedStore,
+                                                 RelayedView, StoreBatch,
+                                                 StoreSnapshotRequest,
+                                                 StreamOrigins)
+from plantainridge.gateway.resumptions import OriginsAsked, OriginsReceived
 from plantainridge.gateway.ports import Adapter
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.settings import GatewaySettings
@@ -180,6 +182,10 @@
                 self.post(StoreRelayed(relay))
         elif isinstance(message, StoreSnapshotRequest):
             self.post(StoreSnapshotRequested(message))
+        elif isinstance(message, StreamOrigins):
+            self.post(OriginsReceived(message))
+        elif isinstance(message, OriginQuestion):
+            self.post(OriginsAsked(message))
         else:
             self.log_writer.write(
                 base.LogLine('message_unreadable',
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -5,9 +5,9 @@
 
 from plantainridge.gateway import (answers, containment, dispatch, drain,
                                    endings, eras, events, hints, intake, lease,
-                                   membership, notices, relays, reload, rollout,
-                                   stored_parts, stores, suspects, views,
-                                   withdrawals)
+                                   membership, notices, relays, reload,
+                                   resumptions, rollout, stored_parts, stores,
+                                   suspects, views, withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import AttemptId, RequestId
@@ -41,8 +41,8 @@
 
 
 # Modules with periodic work, in its order.
-TICK_ORDER: Final = (stored_parts, suspects, withdrawals, dispatch, rollout,
-                     hints, relays, drain)
+TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, dispatch,
+                     rollout, hints, relays, drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
@@ -83,6 +83,8 @@
     hints.LoadTotalsReceived: hints.on_totals,
     stores.StoreRelayed: stores.on_relayed,
     stores.StoreSnapshotRequested: stores.on_snapshot_requested,
+    resumptions.OriginsReceived: resumptions.on_origins,
+    resumptions.OriginsAsked: resumptions.on_question,
     events.EraSeen: eras.on_era_seen,
     events.ViewRelayed: views.on_relayed,
     events.ViewRead: views.on_read,
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -1,6 +1,7 @@
 """Requests and their sends in flight on this VM."""
 
 import enum
+import math
 from typing import Final
 
 import attrs
@@ -73,6 +74,9 @@
         fallback: An endpoint's error to answer with if all sends fail.
         build: Build to whose endpoints it is bound, or None: that of the first
             stream event that its caller got.
+        origin_due_at: Loop time until which peers may tell at which build its
+            stream began, in s; None if it does not wait for that.
+        asked_at: Loop time at which peers were last asked for it, in s.
         first_event_s: Time from arrival to the first stream event, in s, or
             None.
         progress_at: Loop time of its latest stream event, or of its arrival,
@@ -100,6 +104,8 @@
     fingerprint: str = ''
     fallback: 'FallbackAnswer | None' = None
     build: str | None = None
+    origin_due_at: float | None = None
+    asked_at: float = -math.inf
     first_event_s: float | None = None
     progress_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived_at, takes_self=True))
--- /dev/null
+++ b/src/plantainridge/gateway/resumptions.py
@@ -0,0 +1,236 @@
+"""Streams that callers resume: at which build they go on.
+
+The VM that forwards the first event of a stream records its service and build,
+and first tells some peers, which survive it: in a small deployment all of them,
+else a few of its data centre. While the stream's route can have led to one
+service and one build only, it tells nobody. A VM that does not know a stream
+asks its peers, and the request waits for their answer.
+"""
+
+from collections.abc import Collection, Iterator
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from plantainridge.gateway import (builds, containment, dispatch, endings,
+                                   hints, peer_messages, relays)
+from plantainridge.gateway.builds import Origin, Unresolved
+from plantainridge.gateway.config import Route
+from plantainridge.gateway.events import View, VmEntry
+from plantainridge.gateway.peer_messages import OriginQuestion, StreamOrigins
+from plantainridge.gateway.requests import Call
+from plantainridge.ids import ServiceId
+from plantainridge.loop.effects import Effect, LogLine, SendPeer
+from plantainridge.loop.events import Event
+
+if TYPE_CHECKING:
+    from plantainridge.gateway.state import GatewayState
+
+# Longest wait for a peer that knows where a stream began.
+ANSWER_WAIT_S: Final = 0.4
+# Time after which peers are asked again: messages may be lost.
+ASK_INTERVAL_S: Final = 0.1
+# Minimum time between two questions: callers return in bursts, and streams that
+# are asked for together take one message.
+MIN_ASK_INTERVAL_S: Final = 0.05
+# VMs of a large deployment that are told of each stream.
+HOLDERS: Final = 3
+# Interval at which the listed builds are recorded.
+LISTING_INTERVAL_S: Final = 1.0
+# Streams in one message, which then fits into a datagram.
+MAX_STREAMS_PER_MESSAGE: Final = 100
+# Delay after which the caller of a stream that cannot go on may try again.
+RETRY_AFTER_S: Final = 1.0
+
+
+@attrs.frozen
+class OriginsReceived(Event):
+    """A peer told where streams began."""
+
+    origins: StreamOrigins
+
+
+@attrs.frozen
+class OriginsAsked(Event):
+    """A peer asks where streams began."""
+
+    question: OriginQuestion
+
+
+def admit(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
+    """Dispatch a request; one that resumes a stream once its build is known."""
+    if not call.request.last_event_id or not builds.is_resumable(call.route):
+        yield from dispatch.dispatch(state, call, now)
+        return
+    call.origin_due_at = now + ANSWER_WAIT_S
+    if not _peers_to_ask(state):
+        call.origin_due_at = now
+    yield from _resolve(state, call, now)
+    if (call.origin_due_at is not None and
+            now - state.builds.asked_at >= MIN_ASK_INTERVAL_S):
+        yield from _ask(state, [call], now)
+
+
+def _resolve(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
+    """Dispatch a request whose build is found, or refuse it, or let it wait."""
+    resumes, due_at = call.request.resumes, call.origin_due_at
+    assert due_at is not None
+    known = state.builds.find(builds.attempt_key(resumes),
+                              now) if resumes else None
+    found = builds.resolve(known, _only_origin(state, call.route, now),
+                           [share.service for share in call.route.shares],
+                           bool(resumes) and now < due_at)
+    if found is Unresolved.ASK_PEERS:
+        return
+    call.origin_due_at = None
+    yield LogLine('stream_resumed',
+                  (('request', call.request.attempt_id), ('resumes', resumes),
+                   ('known', int(known is not None)),
+                   ('build', found.build if isinstance(found, Origin) else ''),
+                   ('reason', '' if isinstance(found, Origin) else found.value),
+                   ('waited_s', round(now - call.arrived_at, 4))))
+    if not isinstance(found, Origin):
+        yield from endings.fail_request(state, call, found.value, RETRY_AFTER_S,
+                                        now)
+        return
+    if resumes:
+        # Its caller may take it up once more, and names the same attempt.
+        state.builds.record(builds.attempt_key(resumes), found, now)
+    call.service, call.build = found.service, found.build
+    call.waiting_since = now
+    yield from dispatch.dispatch(state, call, now)
+
+
+def record_first_event(state: 'GatewayState', call: Call, build: str,
+                       now: float) -> Iterator[Effect]:
+    """Bind a stream to the build of its first event, and tell peers of it."""
+    if call.build is not None:
+        return
+    call.build = build
+    if not builds.is_resumable(call.route):
+        return
+    key = builds.attempt_key(call.request.attempt_id)
+    origin = Origin(call.service, build)
+    state.builds.record(key, origin, now)
+    if _only_origin(state, call.route, now) == origin:
+        state.builds.unshared[key] = origin
+        return
+    yield from _tell(_peers_to_tell(state, key, now), origin, [key])
+
+
+def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Ask again for streams that are not known, and tell peers of others."""
+    table = state.builds
+    if now - table.listed_at >= LISTING_INTERVAL_S:
+        table.listed_at = now
+        table.record_listed(state.config,
+                            [view.entry for view in state.endpoints.values()],
+                            now)
+        table.forget_unlisted(now)
+    if table.unshared:
+        yield from _tell_unshared(state, now)
+    asking = []
+    for call in state.calls.waiting(now):
+        if call.origin_due_at is None:
+            continue
+        yield from containment.contain_request(state,
+                                               _resolve(state, call, now),
+                                               'resume', call.request.id, now)
+        if call.origin_due_at is not None:
+            asking.append(call)
+    yield from _ask(state, asking, now)
+
+
+def on_origins(state: 'GatewayState', event: OriginsReceived,
+               now: float) -> Iterator[Effect]:
+    """Record where streams began, and dispatch requests that waited for it."""
+    origin = Origin(event.origins.service, event.origins.build)
+    for key in event.origins.attempts:
+        state.builds.record(key, origin, now)
+    for call in state.calls.waiting(now):
+        if call.origin_due_at is not None:
+            yield from containment.contain_request(state,
+                                                   _resolve(state, call,
+                                                            now), 'resume',
+                                                   call.request.id, now)
+
+
+def on_question(state: 'GatewayState', event: OriginsAsked,
+                now: float) -> Iterator[Effect]:
+    """Tell a peer where the streams that it asks for began, if known."""
+    entry = state.peers.get(event.question.vm)
+    if entry is None:
+        return
+    found: dict[Origin, list[int]] = {}
+    for key in event.question.attempts:
+        origin = state.builds.find(key, now)
+        if origin is not None:
+            found.setdefault(origin, []).append(key)
+    for origin, keys in found.items():
+        yield from _tell([entry], origin, keys)
+
+
+def _only_origin(state: 'GatewayState', route: Route,
+                 now: float) -> Origin | None:
+    age_s = state.views.age_s(View.REGISTRY, now)
+    return state.builds.only_origin(route, age_s, now)
+
+
+def _tell_unshared(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Tell peers of streams that may no longer have had one build only."""
+    services: set[ServiceId] = set()
+    for route in builds.resumable_routes(state.config):
+        if _only_origin(state, route, now) is None:
+            services.update(share.service for share in route.shares)
+    for origin, keys in state.builds.take_unshared(services).items():
+        yield from _tell(_peers_to_tell(state, keys[0], now), origin, keys)
+
+
+def _ask(state: 'GatewayState', calls: Collection[Call],
+         now: float) -> Iterator[Effect]:
+    """Ask peers where the streams of requests began."""
+    due = [call for call in calls if now - call.asked_at >= ASK_INTERVAL_S]
+    keys = []
+    for call in due:
+        call.asked_at = state.builds.asked_at = now
+        keys.append(builds.attempt_key(call.request.resumes))
+    for start in range(0, len(keys), MAX_STREAMS_PER_MESSAGE):
+        payload = peer_messages.encode(
+            OriginQuestion(state.settings.vm,
+                           tuple(keys[start:start + MAX_STREAMS_PER_MESSAGE])))
+        for entry in _peers_to_ask(state):
+            yield SendPeer(entry.vm, entry.address, payload)
+
+
+def _tell(peers: Collection[VmEntry], origin: Origin,
+          keys: list[int]) -> Iterator[Effect]:
+    """Tell peers where streams began."""
+    for start in range(0, len(keys), MAX_STREAMS_PER_MESSAGE):
+        payload = peer_messages.encode(
+            StreamOrigins(origin.service, origin.build,
+                          tuple(keys[start:start + MAX_STREAMS_PER_MESSAGE])))
+        for entry in peers:
+            yield SendPeer(entry.vm, entry.address, payload)
+
+
+def _peers_to_ask(state: 'GatewayState') -> list[VmEntry]:
+    """Return the VMs that may know a stream of a caller of this VM."""
+    settings = state.settings
+    is_direct = hints.shares_load_directly(state)
+    return [
+        entry for vm, entry in state.peers.items()
+        if vm != settings.vm and (is_direct or entry.dc == settings.dc)
+    ]
+
+
+def _peers_to_tell(state: 'GatewayState', key: int,
+                   now: float) -> list[VmEntry]:
+    """Return the VMs that are told of a stream that began at this VM."""
+    if hints.shares_load_directly(state):
+        return _peers_to_ask(state)
+    live = sorted(relays.live_peers(state, now), key=lambda each: each.vm)
+    # Keys are hashes, so that all VMs hold about as many streams.
+    return [
+        live[(key + offset) % len(live)]
+        for offset in range(min(HOLDERS, len(live)))
+    ]
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from plantainridge.gateway.builds import BuildTable
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
 from plantainridge.gateway.endpoints import EndpointView
@@ -37,6 +38,7 @@
         peers: Entries of all VMs of the deployment, including this one.
         leaving: Endpoints that were leaving.
         versions: Weight versions that operators set as targets.
+        builds: Builds at which streams began.
         views: Read positions in the metadata store's views.
         calls: Requests and sends in flight.
         retries: Budget of repeated sends.
@@ -62,6 +64,7 @@
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
     versions: VersionTable = attrs.field(factory=VersionTable)
+    builds: BuildTable = attrs.field(factory=BuildTable)
     views: ViewTable = attrs.field(factory=ViewTable)
     calls: CallTable = attrs.field(factory=CallTable)
     retries: RetryBudget = attrs.field(factory=RetryBudget)
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -363,6 +363,8 @@
     if isinstance(update, Configuration):
         if update.version > state.config.version:
             state.config = update
+            state.builds.record_listed(
+                update, [view.entry for view in state.endpoints.values()], now)
             yield LogLine('configuration_taken', (('version', update.version),))
             yield from stores.on_configuration(state, now)
     elif isinstance(update, NamedVersion):
@@ -428,6 +430,7 @@
                             leaving=state.leaving.has_left(
                                 entry.id, entry.started_ms))
         state.endpoints[entry.id] = view
+        state.builds.record_listed(state.config, [entry], now)
         yield LogLine('endpoint_known',
                       (('endpoint', entry.id), ('service', entry.service),
                        ('dc', entry.dc), ('build', entry.build)))
@@ -449,7 +452,11 @@
 
 def _mark_unlisted(state: 'GatewayState', updates: tuple[ViewUpdate, ...],
                    now: float) -> Iterator[Effect]:
-    """Mark endpoints that a snapshot no longer lists."""
+    """Mark endpoints that a snapshot no longer lists.
+
+    Builds that came and went since the last read are not in a snapshot.
+    """
+    state.builds.watched_since = now
     listed = {each.id for each in updates if isinstance(each, EndpointEntry)}
     for name, view in state.endpoints.items():
         if name not in listed and view.missing_since is None:
--- a/tests/load_fleet.py
+++ b/tests/load_fleet.py
@@ -15,7 +15,8 @@
 from plantainridge.gateway.events import Part, View
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
                                          LoadTotalsReceived)
-from plantainridge.gateway.peer_messages import DcLoad, Hint, LoadTotals
+from plantainridge.gateway.peer_messages import (DcLoad, Hint, LoadTotals,
+                                                 OriginQuestion, StreamOrigins)
 from plantainridge.ids import DcId, EndpointId, VmId
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event
@@ -240,10 +241,13 @@
         is_remote = self.dcs[sender] != self.dcs[effect.vm]
         if is_remote:
             self.sent_remote_bytes += len(effect.payload)
+        message = peer_messages.decode(effect.payload)
+        if isinstance(message, (StreamOrigins, OriginQuestion)):
+            # Nothing is resumed here; a draw would change the replays.
+            return
         if (self._is_cut(sender, effect.vm) or
                 self._rng.random() < self.loss_ratio):
             return
-        message = peer_messages.decode(effect.payload)
         if self.reports_lost and isinstance(message, (DcLoad, LoadTotals)):
             return
         delay_s = self.remote_delay_s if is_remote else LOCAL_DELAY_S
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -15,7 +15,9 @@
 from plantainridge.gateway import peer_messages, relays
 from plantainridge.gateway.events import RawRecord, View, ViewRelayed
 from plantainridge.gateway.hints import HintReceived
-from plantainridge.gateway.peer_messages import Hint, RelayedView
+from plantainridge.gateway.peer_messages import (Hint, OriginQuestion,
+                                                 RelayedView, StreamOrigins)
+from plantainridge.gateway.resumptions import OriginsAsked, OriginsReceived
 from plantainridge.gateway.views import ViewCursor
 from plantainridge.ids import EndpointId, VmId
 from plantainridge.loop import effects as base
@@ -296,6 +298,10 @@
             tuple(records.decode_update(view, raw) for raw in message.records),
             message.era, message.is_snapshot, message.receiver_time,
             message.receiver_incarnation)
+    if isinstance(message, StreamOrigins):
+        return OriginsReceived(message)
+    if isinstance(message, OriginQuestion):
+        return OriginsAsked(message)
     return None
 
 
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -8,11 +8,12 @@
 
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import explain
+from plantainridge.gateway.builds import Origin, attempt_key
 from plantainridge.gateway.events import Failure, View
 from plantainridge.gateway.log_writer import (MAX_BUFFERED_BYTES,
                                               MAX_LINES_PER_S, LogWriter)
 from plantainridge.loop.effects import LogLine
-from tests.gateway_scene import LEDGER, GatewayScene, endpoint, head
+from tests.gateway_scene import ENGINES, LEDGER, GatewayScene, endpoint, head
 
 
 class LogWriterTest(unittest.TestCase):
@@ -76,6 +77,8 @@
 
     def test_send_states_what_it_resumes_and_the_build(self) -> None:
         scene = GatewayScene(endpoint('a', build='v1'))
+        scene.state.builds.record(attempt_key('first'), Origin(ENGINES, 'v1'),
+                                  scene.now)
         scene.post_request('/report/x', last_event_id='3', resumes='first')
         fields = {line.event: dict(line.fields) for line in scene.lines}
         self.assertEqual(fields['endpoint_known']['build'], 'v1')
