--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -1,6 +1,7 @@
 """Requests and their sends in flight on this VM."""
 
 import enum
+import math
 from typing import Final
 
 import attrs
@@ -38,6 +39,7 @@
     NO_CAPACITY = 'no engine has memory for it'
     ALL_PAUSED = 'every endpoint asked for a pause'
     ALL_LEAVING = 'every endpoint is leaving'
+    NO_BUILD = 'no endpoint that stays has its build'
     NO_RETRY = 'no more sends are allowed'
 
 
@@ -70,6 +72,11 @@
         wait_reason: Why it waits, or None.
         fingerprint: Hash of its team, target and content.
         fallback: An endpoint's error to answer with if all sends fail.
+        build: Build to whose endpoints it is bound, or None: that of the first
+            stream event that its caller got.
+        origin_due_at: Loop time until which peers may tell at which build its
+            stream began, in s; None if it does not wait for that.
+        asked_at: Loop time at which peers were last asked for it, in s.
         first_event_s: Time from arrival to the first stream event, in s, or
             None.
         progress_at: Loop time of its latest stream event, or of its arrival,
@@ -96,6 +103,9 @@
     wait_reason: PlacementFailure | None = None
     fingerprint: str = ''
     fallback: 'FallbackAnswer | None' = None
+    build: str | None = None
+    origin_due_at: float | None = None
+    asked_at: float = -math.inf
     first_event_s: float | None = None
     progress_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived_at, takes_self=True))
@@ -118,6 +128,7 @@
         sent_at: Loop time at which it was sent, in s.
         progress_at: Loop time of its latest stream event, or of the send, in s.
         version: Weight version that it is bound to, or None.
+        build: Build of the endpoint, by its entry at the send.
         events_received: Whether any stream event arrived.
         is_silent: Whether it stays although its endpoint is silent.
     """
@@ -128,6 +139,7 @@
     sent_at: float
     progress_at: float
     version: int | None
+    build: str = ''
     events_received: bool = False
     is_silent: bool = False
 
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -15,7 +15,9 @@
 from plantainridge.gateway import peer_messages, relays
 from plantainridge.gateway.events import RawRecord, View, ViewRelayed
 from plantainridge.gateway.hints import HintReceived
-from plantainridge.gateway.peer_messages import Hint, RelayedView
+from plantainridge.gateway.peer_messages import (Hint, OriginQuestion,
+                                                 RelayedView, StreamOrigins)
+from plantainridge.gateway.resumptions import OriginsAsked, OriginsReceived
 from plantainridge.gateway.views import ViewCursor
 from plantainridge.ids import EndpointId, VmId
 from plantainridge.loop import effects as base
@@ -33,12 +35,15 @@
 def entry(name: str,
           draining: bool = False,
           sequence: int = 0,
-          born: int = 1) -> RawRecord:
+          born: int = 1,
+          build: str = '',
+          dc: str = LOCAL_DC) -> RawRecord:
     """Return an engine's registry record."""
     value = {
         'service': 'engines',
         'address': f'{name}:1',
-        'zone': LOCAL_DC,
+        'zone': dc,
+        'version': build,
         'state': 'draining' if draining else 'ready',
         'slots': 64,
         'sequence': sequence,
@@ -130,6 +135,8 @@
         deliver: Decides how a message between VMs is delivered.
         paused: VMs whose processes are stopped.
         rejected: VMs that the store does not answer.
+        unreachable: VMs whose messages to and from peers are lost.
+        outputs: Effects for callers and endpoints, with the VM of each.
         reads: Number of reads of each VM.
         loads: Number of loads of each view, by all VMs.
     """
@@ -139,6 +146,8 @@
         self.deliver: Callable[[], Delivery] = Delivery
         self.paused: set[VmId] = set()
         self.rejected: set[VmId] = set()
+        self.unreachable: set[VmId] = set()
+        self.outputs: list[tuple[VmId, base.Effect]] = []
         self.reads: dict[VmId, int] = {}
         self.loads: Counter[View] = Counter()
         self.now = 100.0
@@ -226,7 +235,8 @@
         effects, scene.done[:] = list(scene.done), []
         for effect in effects:
             if isinstance(effect, base.SendPeer):
-                self._send(effect)
+                if not self.unreachable & {name, effect.vm}:
+                    self._send(effect)
             elif isinstance(effect, fx.LoadView):
                 self.loads[effect.view] += 1
                 self._answer(name, effect.view,
@@ -234,6 +244,8 @@
             elif isinstance(effect, fx.ReadView):
                 self.reads[name] = self.reads.get(name, 0) + 1
                 self._answer(name, effect.view, self._read(effect))
+            else:
+                self.outputs.append((name, effect))
 
     def _answer(self, vm: VmId, view: View, event: Event) -> None:
         if self.store.up and vm not in self.rejected:
@@ -286,6 +298,10 @@
             tuple(records.decode_update(view, raw) for raw in message.records),
             message.era, message.is_snapshot, message.receiver_time,
             message.receiver_incarnation)
+    if isinstance(message, StreamOrigins):
+        return OriginsReceived(message)
+    if isinstance(message, OriginQuestion):
+        return OriginsAsked(message)
     return None
 
 
