--- a/src/plantainridge/gateway/builds.py
+++ b/src/plantainridge/gateway/builds.py
@@ -74,7 +74,7 @@
 
     Attributes:
         origins: Origin of each stream by its attempt's key, oldest first.
-        unshared: Origins of streams of this VM that peers were not told of.
+        unshared: Origins of streams of this VM that were not sent to peers.
         seen: Possible origins of the streams of each route, with the loop time
             at which each was last listed, in s.
         watched_since: Loop time since which no listed build was missed, in s.
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -23,7 +23,7 @@
   attempts @2 :List(UInt64);
 }
 
-# A request to tell where streams began.
+# A question of where streams began.
 struct OriginQuestion {
   vm @0 :Text;
   attempts @1 :List(UInt64);
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -1,10 +1,10 @@
-"""Streams that callers resume: at which build they go on.
+"""Resumption of streams by their callers, at the build that began them.
 
-The VM that forwards the first event of a stream records its service and build,
-and first tells some peers, which survive it: in a small deployment all of them,
-else a few of its data centre. While the stream's route can have led to one
-service and one build only, it tells nobody. A VM that does not know a stream
-asks its peers, and the request waits for their answer.
+The VM that forwards the first event of a stream records its service and build.
+Before that it sends the record to peers, which survive it: in a small deployment
+to all of them, else to a few of its data centre. While the stream's route has
+led to one service and one build only, it sends none. A VM that has no record of
+a stream asks its peers, and the request waits for their answer.
 """
 
 from collections.abc import Collection, Iterator
@@ -33,7 +33,7 @@
 # Minimum time between two questions: callers return in bursts, and streams that
 # are asked for together take one message.
 MIN_ASK_INTERVAL_S: Final = 0.05
-# VMs of a large deployment that are told of each stream.
+# VMs of a large deployment that get the record of each stream.
 HOLDERS: Final = 3
 # Interval at which the listed builds are recorded.
 LISTING_INTERVAL_S: Final = 1.0
@@ -45,7 +45,7 @@
 
 @attrs.frozen
 class OriginsReceived(Event):
-    """A peer told where streams began."""
+    """A peer sent records of where streams began."""
 
     origins: StreamOrigins
 
@@ -103,7 +103,7 @@
 
 def record_first_event(state: 'GatewayState', call: Call, build: str,
                        now: float) -> Iterator[Effect]:
-    """Bind a stream to the build of its first event, and tell peers of it."""
+    """Bind a stream to the build of its first event; send peers its record."""
     if call.build is not None:
         return
     call.build = build
@@ -116,11 +116,11 @@
             _only_origin(state, call.route, now) == origin):
         state.builds.unshared[key] = origin
         return
-    yield from _tell(_peers_to_tell(state, key, now), origin, [key])
+    yield from _send_origins(_recipients(state, key, now), origin, [key])
 
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
-    """Ask again for streams that are not known, and tell peers of others."""
+    """Ask again for streams that are not known, and send unshared records."""
     table = state.builds
     if now - table.listed_at >= LISTING_INTERVAL_S:
         table.listed_at = now
@@ -129,7 +129,7 @@
                             now)
         table.forget_unlisted(now)
     if table.unshared:
-        yield from _tell_unshared(state, now)
+        yield from _send_unshared(state, now)
     asking = []
     for call in state.calls.waiting(now):
         if call.origin_due_at is None:
@@ -158,7 +158,7 @@
 
 def on_question(state: 'GatewayState', event: OriginsAsked,
                 now: float) -> Iterator[Effect]:
-    """Tell a peer where the streams that it asks for began, if known."""
+    """Answer a peer's question with the records that this VM has."""
     entry = state.peers.get(event.question.vm)
     if entry is None:
         return
@@ -168,7 +168,7 @@
         if origin is not None:
             found.setdefault(origin, []).append(key)
     for origin, keys in found.items():
-        yield from _tell([entry], origin, keys)
+        yield from _send_origins([entry], origin, keys)
 
 
 def _only_origin(state: 'GatewayState', route: Route,
@@ -186,14 +186,14 @@
             _only_origin(state, route, now) is not None)
 
 
-def _tell_unshared(state: 'GatewayState', now: float) -> Iterator[Effect]:
-    """Tell peers of streams that may no longer have had one build only."""
+def _send_unshared(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Send the records of streams whose service shows a second build."""
     services: set[ServiceId] = set()
     for route in builds.resumable_routes(state.config):
         if not _is_steady(state, route, now):
             services.update(share.service for share in route.shares)
     for origin, keys in state.builds.take_unshared(services).items():
-        yield from _tell(_peers_to_tell(state, keys[0], now), origin, keys)
+        yield from _send_origins(_recipients(state, keys[0], now), origin, keys)
 
 
 def _ask(state: 'GatewayState', calls: Collection[Call],
@@ -212,9 +212,9 @@
             yield SendPeer(entry.vm, entry.address, payload)
 
 
-def _tell(peers: Collection[VmEntry], origin: Origin,
-          keys: list[int]) -> Iterator[Effect]:
-    """Tell peers where streams began."""
+def _send_origins(peers: Collection[VmEntry], origin: Origin,
+                  keys: list[int]) -> Iterator[Effect]:
+    """Send records of where streams began."""
     for start in range(0, len(keys), MAX_STREAMS_PER_MESSAGE):
         payload = peer_messages.encode(
             StreamOrigins(origin.service, origin.build,
@@ -233,9 +233,8 @@
     ]
 
 
-def _peers_to_tell(state: 'GatewayState', key: int,
-                   now: float) -> list[VmEntry]:
-    """Return the VMs that are told of a stream that began at this VM."""
+def _recipients(state: 'GatewayState', key: int, now: float) -> list[VmEntry]:
+    """Return the VMs that get the record of a stream of this VM."""
     if hints.shares_load_directly(state):
         return _peers_to_ask(state)
     live = sorted(relays.live_peers(state, now), key=lambda each: each.vm)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -362,9 +362,9 @@
 
 
 class MessageTest(unittest.TestCase):
-    """Tests of what VMs tell one another of streams."""
+    """Tests of the records of streams that VMs send one another."""
 
-    def _tell(self, size: int, watched_s: float) -> list[SendPeer]:
+    def _send_records(self, size: int, watched_s: float) -> list[SendPeer]:
         """Return the messages of a VM that begins a stream."""
         scene = GatewayScene(OLD)
         scene.read(
@@ -378,22 +378,22 @@
         scene.done.clear()
         begin_stream(scene)
         kinds = [type(each) for each in scene.done]
-        told = scene.all(SendPeer)
-        if told:
+        sent = scene.all(SendPeer)
+        if sent:
             self.assertLess(kinds.index(SendPeer),
                             kinds.index(fx.ForwardStreamEvents))
-        return told
+        return sent
 
-    def test_who_is_told_before_the_first_event_is_forwarded(self) -> None:
-        told = {
-            size: len({each.vm for each in self._tell(size, 0.0)})
+    def test_records_precede_the_first_event(self) -> None:
+        recipients = {
+            size: len({each.vm for each in self._send_records(size, 0.0)})
             for size in (3, 6, 20)
         }
         # Up to 12 VMs all others, of more only some of the data centre.
-        self.assertEqual(told, {3: 5, 6: 11, 20: resumptions.HOLDERS})
+        self.assertEqual(recipients, {3: 5, 6: 11, 20: resumptions.HOLDERS})
 
-    def test_nobody_is_told_while_one_build_was_seen(self) -> None:
-        self.assertEqual(self._tell(3, builds.ORIGIN_RETENTION_S), [])
+    def test_no_record_is_sent_while_one_build_was_seen(self) -> None:
+        self.assertEqual(self._send_records(3, builds.ORIGIN_RETENTION_S), [])
 
     def test_messages_survive_encoding_and_fit_into_a_datagram(self) -> None:
         keys = tuple(
