Judge by the service, not the route, whether one software version was seen

What callers saw: nobody saw it yet; found by reading. A stream without a record was refused for 60 s after its route had been moved to another service or split, even if each service had one version, since the route then had two origins. Change: the builds of the request's own service decide, as for any new try. Test: SplitRouteTest. test_goes_on_without_a_record_after_its_route_was_moved failed before and passes with the module's others. Comments of this part are reworded.

--- a/src/plantainridge/gateway/builds.py
+++ b/src/plantainridge/gateway/builds.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from plantainridge.gateway.config import Configuration, RequestKind, Route
+from plantainridge.gateway.config import RequestKind, Route
 from plantainridge.gateway.endpoints import EndpointEntry
 from plantainridge.ids import ServiceId
 
@@ -30,8 +30,6 @@
 # Time since the last read of the registry beyond which a build may be missing.
 MAX_REGISTRY_AGE_S: Final = 3.0
 
-RouteKey = tuple[str, str]
-
 
 @attrs.frozen
 class Origin:
@@ -63,20 +61,15 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
-def route_key(route: Route) -> RouteKey:
-    """Return what names a route over several configurations."""
-    return route.host, route.prefix
-
-
 @attrs.define
 class BuildTable:
-    """Origins of streams, and the builds that routes lead to.
+    """Origins of streams, and the builds that services have.
 
     Attributes:
         origins: Origin of each stream by its attempt's key, oldest first.
         unshared: Origins of streams of this VM that were not sent to peers.
-        seen: Possible origins of the streams of each route, with the loop time
-            at which each was last listed, in s.
+        seen: Builds of each service, with the loop time at which each was last
+            listed, in s.
         watched_since: Loop time since which no listed build was missed, in s.
         listed_at: Loop time of the last full update of `seen`, in s.
         asked_at: Loop time of the last question to peers, in s.
@@ -84,7 +77,7 @@
 
     origins: OrderedDict[int, KnownOrigin] = attrs.field(factory=OrderedDict)
     unshared: dict[int, Origin] = attrs.field(factory=dict)
-    seen: dict[RouteKey, dict[Origin, float]] = attrs.field(factory=dict)
+    seen: dict[ServiceId, dict[str, float]] = attrs.field(factory=dict)
     watched_since: float = math.inf
     listed_at: float = -math.inf
     asked_at: float = -math.inf
@@ -108,38 +101,33 @@
             return None
         return known.origin
 
-    def record_listed(self, config: Configuration,
-                      entries: Iterable[EndpointEntry], now: float) -> None:
+    def record_listed(self, entries: Iterable[EndpointEntry],
+                      now: float) -> None:
         """Record the builds of endpoints that are listed now."""
-        listed: dict[ServiceId, set[str]] = {}
         for entry in entries:
-            listed.setdefault(entry.service, set()).add(entry.build)
-        for route in resumable_routes(config):
-            for share in route.shares:
-                for build in listed.get(share.service, ()):
-                    seen = self.seen.setdefault(route_key(route), {})
-                    seen[Origin(share.service, build)] = now
+            self.seen.setdefault(entry.service, {})[entry.build] = now
 
     def forget_unlisted(self, now: float) -> None:
         """Forget the builds that were not listed for the retention."""
-        for key, seen in list(self.seen.items()):
-            for origin, at in list(seen.items()):
+        for service, seen in list(self.seen.items()):
+            for build, at in list(seen.items()):
                 if now - at > ORIGIN_RETENTION_S:
-                    del seen[origin]
+                    del seen[build]
             if not seen:
-                del self.seen[key]
+                del self.seen[service]
 
-    def only_origin(self, route: Route, registry_age_s: float) -> Origin | None:
-        """Return the only origin that was seen for a route's streams, if any.
+    def only_origin(self, service: ServiceId,
+                    registry_age_s: float) -> Origin | None:
+        """Return the only origin that was seen for a service's streams, if any.
 
         Args:
-            route: The route.
+            service: The service.
             registry_age_s: Time since the registry was last read, in s.
         """
-        seen = self.seen.get(route_key(route), {})
+        seen = self.seen.get(service, {})
         if len(seen) != 1 or registry_age_s > MAX_REGISTRY_AGE_S:
             return None
-        return next(iter(seen))
+        return Origin(service, next(iter(seen)))
 
     def has_watched(self, now: float) -> bool:
         """Return whether no build was missed for as long as origins count."""
@@ -161,28 +149,20 @@
     return route.kind is RequestKind.STREAM and route.resumable
 
 
-def resumable_routes(config: Configuration) -> list[Route]:
-    """Return the routes whose streams may be resumed."""
-    return [
-        route for routes in config.routes_by_host.values() for route in routes
-        if is_resumable(route)
-    ]
-
-
 def resolve(known: Origin | None, only: Origin | None,
             services: Collection[ServiceId],
             may_ask: bool) -> Origin | Unresolved:
     """Return where a caller's new try of a stream may go on.
 
-    Made for VMs that are killed while streams run: mostly a peer knows what the
-    VM that is gone had begun. Where nobody does, or the caller names no attempt,
-    the try goes on only if this VM has seen the route lead to one service and
-    one build alone; it is refused otherwise, since another build would corrupt
-    the stream.
+    Made for VMs that are killed while streams run: mostly a peer has the record
+    of what the VM that is gone had begun. Without a record, or if the caller
+    names no attempt, the stream continues only if this VM has seen one build
+    alone at its service. It is refused otherwise, since another build would
+    corrupt it.
 
     Args:
         known: Where the stream began, or None.
-        only: The only origin that was seen for the route's streams, or None.
+        only: The only origin that was seen for the service's streams, or None.
         services: Services that the route leads to.
         may_ask: Whether peers may still answer.
     """
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -254,7 +254,7 @@
 def has_build(call: Call, view: EndpointView) -> bool:
     """Return whether an endpoint may serve a request, as to its build.
 
-    What endpoints of two builds write does not fit together: a stream goes on
+    What endpoints of two builds write does not fit together: a stream continues
     only at the build that began it.
     """
     return call.build is None or view.entry.build == call.build
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -74,7 +74,7 @@
         fallback: An endpoint's error to answer with if all sends fail.
         build: Build to whose endpoints it is bound, or None: that of the first
             stream event that its caller got.
-        origin_due_at: Loop time until which peers may tell at which build its
+        origin_due_at: Loop time until which peers may answer at which build its
             stream began, in s; None if it does not wait for that.
         asked_at: Loop time at which peers were last asked for it, in s.
         first_event_s: Time from arrival to the first stream event, in s, or
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -1,10 +1,10 @@
 """Resumption of streams by their callers, at the build that began them.
 
 The VM that forwards the first event of a stream records its service and build.
-Before that it sends the record to peers, which survive it: in a small deployment
-to all of them, else to a few of its data centre. While the stream's route has
-led to one service and one build only, it sends none. A VM that has no record of
-a stream asks its peers, and the request waits for their answer.
+Before that it sends the record to peers, which survive it: in a small
+deployment to all of them, else to a few of its data centre. While the service
+has had one build only, it sends none. A VM that has no record of a stream asks
+its peers, and the request waits for their answer.
 """
 
 from collections.abc import Collection, Iterator
@@ -15,7 +15,6 @@
 from plantainridge.gateway import (builds, containment, dispatch, endings,
                                    hints, peer_messages, relays)
 from plantainridge.gateway.builds import Origin, Unresolved
-from plantainridge.gateway.config import Route
 from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.peer_messages import OriginQuestion, StreamOrigins
 from plantainridge.gateway.requests import Call
@@ -77,7 +76,7 @@
     assert due_at is not None
     known = state.builds.find(builds.attempt_key(resumes),
                               now) if resumes else None
-    found = builds.resolve(known, _only_origin(state, call.route, now),
+    found = builds.resolve(known, _only_origin(state, call.service, now),
                            [share.service for share in call.route.shares],
                            bool(resumes) and now < due_at)
     if found is Unresolved.ASK_PEERS:
@@ -112,8 +111,8 @@
     key = builds.attempt_key(call.request.attempt_id)
     origin = Origin(call.service, build)
     state.builds.record(key, origin, now)
-    if (_is_steady(state, call.route, now) and
-            _only_origin(state, call.route, now) == origin):
+    if (_is_steady(state, call.service, now) and
+            _only_origin(state, call.service, now) == origin):
         state.builds.unshared[key] = origin
         return
     yield from _send_origins(_recipients(state, key, now), origin, [key])
@@ -124,8 +123,7 @@
     table = state.builds
     if now - table.listed_at >= LISTING_INTERVAL_S:
         table.listed_at = now
-        table.record_listed(state.config,
-                            [view.entry for view in state.endpoints.values()],
+        table.record_listed([view.entry for view in state.endpoints.values()],
                             now)
         table.forget_unlisted(now)
     if table.unshared:
@@ -171,27 +169,28 @@
         yield from _send_origins([entry], origin, keys)
 
 
-def _only_origin(state: 'GatewayState', route: Route,
+def _only_origin(state: 'GatewayState', service: ServiceId,
                  now: float) -> Origin | None:
     age_s = state.views.age_s(View.REGISTRY, now)
-    return state.builds.only_origin(route, age_s)
+    return state.builds.only_origin(service, age_s)
 
 
-def _is_steady(state: 'GatewayState', route: Route, now: float) -> bool:
-    """Return whether a route's streams surely have one origin for some time.
+def _is_steady(state: 'GatewayState', service: ServiceId, now: float) -> bool:
+    """Return whether a service surely has had one build for some time.
 
-    Peers then need no records of them.
+    Peers then need no records of its streams.
     """
     return (state.builds.has_watched(now) and
-            _only_origin(state, route, now) is not None)
+            _only_origin(state, service, now) is not None)
 
 
 def _send_unshared(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Send the records of streams whose service shows a second build."""
-    services: set[ServiceId] = set()
-    for route in builds.resumable_routes(state.config):
-        if not _is_steady(state, route, now):
-            services.update(share.service for share in route.shares)
+    services = {
+        origin.service
+        for origin in set(state.builds.unshared.values())
+        if not _is_steady(state, origin.service, now)
+    }
     for origin, keys in state.builds.take_unshared(services).items():
         yield from _send_origins(_recipients(state, keys[0], now), origin, keys)
 
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -363,8 +363,6 @@
     if isinstance(update, Configuration):
         if update.version > state.config.version:
             state.config = update
-            state.builds.record_listed(
-                update, [view.entry for view in state.endpoints.values()], now)
             yield LogLine('configuration_taken', (('version', update.version),))
             yield from stores.on_configuration(state, now)
     elif isinstance(update, NamedVersion):
@@ -430,7 +428,7 @@
                             leaving=state.leaving.has_left(
                                 entry.id, entry.started_ms))
         state.endpoints[entry.id] = view
-        state.builds.record_listed(state.config, [entry], now)
+        state.builds.record_listed([entry], now)
         yield LogLine('endpoint_known',
                       (('endpoint', entry.id), ('service', entry.service),
                        ('dc', entry.dc), ('build', entry.build)))
--- a/src/plantainridge/serve.py
+++ b/src/plantainridge/serve.py
@@ -98,7 +98,7 @@
         self.server.should_exit = True
         while self.task is not None and not self.task.done():
             # The library closes idle connections once, and then waits for all:
-            # also for one that it accepted before, but hears of only now.
+            # also for one that it accepted before, but learns of only now.
             if self.server.started and not self._is_listening():
                 self._close_idle()
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
--- a/tests/build_fleet.py
+++ b/tests/build_fleet.py
@@ -87,7 +87,7 @@
         return self.builds[send.endpoint]
 
     def resume(self, vm: VmId, name: str, first: str) -> str | fx.Refuse:
-        """Resume a stream; return the build at which it goes on."""
+        """Resume a stream; return the build at which it continues."""
         scene = self.vms[vm]
         scene.now = self.now
         resume_stream(scene, name, first)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -312,7 +312,7 @@
 
     async def test_stops_with_a_connection_that_is_accepted_meanwhile(
             self) -> None:
-        # The system accepts it; the loop hears of it some iterations later.
+        # The system accepts it; the loop learns of it some iterations later.
         for iterations in range(6):
             with self.subTest(iterations=iterations):
                 await self._stop_while_connecting(iterations)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -282,6 +282,15 @@
         self.assertEqual({each.endpoint for each in scene.all(fx.Send)},
                          {'old'})
 
+    def test_goes_on_without_a_record_after_its_route_was_moved(self) -> None:
+        moved = route('/report/', RequestKind.STREAM, OTHER, resumable=True)
+        scene = GatewayScene(OLD)
+        scene.read(View.REGISTRY,
+                   endpoint('x', OTHER, build='v7', versions=OLD.versions))
+        scene.read(View.OPERATOR, configuration(2, routes=(moved,)))
+        resume_stream(scene, resumes='')
+        self.assertEqual(scene.last(fx.Send).endpoint, 'x')
+
 
 class SeveralVmsTest(unittest.TestCase):
     """Tests of streams that callers take up again at other VMs."""
