--- a/src/plantainridge/gateway/builds.py
+++ b/src/plantainridge/gateway/builds.py
@@ -1,12 +1,12 @@
-"""Builds at which streams began, and what a resumed stream may go on at.
+"""Builds at which streams began, and where a resumed stream may continue.
 
 The load pattern: engines of several builds serve a service side by side for a
 minute, which operators do not order. Streams are many and are rarely resumed,
 then often hundreds at once, since VMs are killed or all connections break. What
-engines of two builds write does not fit together, so that a stream may go on
+engines of two builds write does not fit together, so that a stream may continue
 only at the build that began it.
 
-All functions here are pure: values in, a decision out.
+Nothing here does input or output; `resolve` decides from values alone.
 """
 
 import enum
@@ -40,7 +40,7 @@
 
 
 class Unresolved(enum.Enum):
-    """Why it is not known where a stream may go on."""
+    """Why it is not known where a stream may continue."""
 
     ASK_PEERS = 'peers may know where it began'
     UNKNOWN = 'it is not known where the stream began'
@@ -152,7 +152,7 @@
 def resolve(known: Origin | None, only: Origin | None,
             services: Collection[ServiceId],
             may_ask: bool) -> Origin | Unresolved:
-    """Return where a caller's new try of a stream may go on.
+    """Return where a caller's new try of a stream may continue.
 
     Made for VMs that are killed while streams run: mostly a peer has the record
     of what the VM that is gone had begun. Without a record, or if the caller
