State in the log by whose hand a send broke

Whether the endpoint broke such a send, which excuses its end, or this system's own timer did, could not be told from the logs: `send_failed` had `broken` with an empty `detail` for a reset, an end of data, a timeout of the kernel and an unfinished body alike.

`detail` now has the name of the system's error (`ECONNRESET`, `ETIMEDOUT`), `EOF`, the parser's message, or `deadline`; calls to the store and to engines have it in their reason. No decision depends on it.

Three tests of `test_endless_answers.py` now check it as well: two that compared a failure with an empty detail and one that checked the kind alone, which makes them stricter. A new one covers the request's own limit.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -262,8 +262,9 @@
         yield fx.CancelSend(attempt_id)
         yield from endings.close_attempt(state, attempt_id)
         call.given_up.add(attempt.endpoint)
-        yield from _record_failure(state, call, attempt,
-                                   SendFailed(attempt_id, Failure.SILENT), now)
+        yield from _record_failure(
+            state, call, attempt,
+            SendFailed(attempt_id, Failure.SILENT, 'taken over'), now)
         yield from dispatch.send(state, call, choice, now)
         return
     if not attempt.is_silent:
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -198,7 +198,9 @@
     """A send ended without a complete answer.
 
     Attributes:
-        detail: Error text of the operating system, or ''.
+        detail: What ended it: the name or text of a system's error (a reset by
+            the endpoint differs from a timeout of this system), `EOF` or
+            `deadline`; '' if the failure states it.
     """
 
     attempt: AttemptId
--- a/src/plantainridge/gateway/http_calls.py
+++ b/src/plantainridge/gateway/http_calls.py
@@ -85,8 +85,9 @@
         self._finish(Response(self.status, bytes(self.body),
                               dict(self.headers)))
 
-    def on_failure(self, failure: Failure) -> None:
-        self._finish(NoResponse(failure.value, True))
+    def on_failure(self, failure: Failure, detail: str) -> None:
+        reason = f'{failure.value}: {detail}' if detail else failure.value
+        self._finish(NoResponse(reason, True))
 
     def _finish(self, result: Response | NoResponse) -> None:
         if not self.done.done():
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from typing import Final
@@ -33,6 +34,9 @@
 MAX_HELD_BYTES: Final = 32 * 1_024 * 1_024
 # Informational heads (1xx) that may precede an answer's head.
 MAX_INFORMATIONAL_HEADS: Final = 8
+# Details of failures without an error of the system.
+END_OF_DATA: Final = 'EOF'
+DEADLINE: Final = 'deadline'
 
 
 def stated_length(headers: Headers) -> int:
@@ -40,6 +44,15 @@
     return int(dict(headers).get(b'content-length', 0))
 
 
+def _describe(error: Exception | None) -> str:
+    """Return what ended a connection: the name of a system's error."""
+    if error is None:
+        return END_OF_DATA
+    if isinstance(error, OSError) and error.errno is not None:
+        return errno.errorcode.get(error.errno, repr(error))
+    return repr(error)
+
+
 class AnswerHandler(abc.ABC):
     """Receiver of the answer to one request, or of its failure.
 
@@ -66,8 +79,14 @@
         """Receive the end of a complete answer."""
 
     @abc.abstractmethod
-    def on_failure(self, failure: Failure) -> None:
-        """Receive a failure; no complete answer will come."""
+    def on_failure(self, failure: Failure, detail: str) -> None:
+        """Receive a failure; no complete answer will come.
+
+        Args:
+            failure: The kind of failure.
+            detail: What ended the answer, for log lines; '' if the kind of
+                failure states it.
+        """
 
 
 @attrs.define
@@ -161,12 +180,12 @@
             data += self.http.send(h11.EndOfMessage()) or b''
         except h11.LocalProtocolError:
             # Nothing was sent.
-            self.fail(Failure.NOT_CONNECTED)
+            self.fail(Failure.NOT_CONNECTED, 'the request cannot be framed')
             return
         self.transport.write(data)
         if timeout_s is not None:
             self.timer = self.loop.call_later(timeout_s, self.fail,
-                                              Failure.SILENT)
+                                              Failure.SILENT, DEADLINE)
 
     def abort(self) -> None:
         """Close at once; the handler receives nothing more."""
@@ -187,8 +206,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        del exc
-        self.fail(Failure.BROKEN)
+        self.fail(Failure.BROKEN, _describe(exc))
 
     def _receive(self, data: bytes) -> None:
         assert self.http is not None
@@ -200,14 +218,17 @@
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
-            failure = Failure.MALFORMED if data else Failure.BROKEN
+            failure, detail = Failure.MALFORMED, str(error)
             if error.error_status_hint == STATUS_HEAD_TOO_LONG:
                 failure = Failure.TOO_LONG
-            self.fail(failure)
+            elif not data:
+                failure, detail = Failure.BROKEN, END_OF_DATA
+            self.fail(failure, detail)
 
     def _handle_event(self, event: object) -> None:
         assert self.handler is not None
         failure: Failure | None = None
+        detail = END_OF_DATA if self.at_eof else ''
         if isinstance(event, h11.InformationalResponse):
             self.informational_heads += 1
             if self.informational_heads > MAX_INFORMATIONAL_HEADS:
@@ -228,7 +249,7 @@
         elif isinstance(event, h11.ConnectionClosed):
             failure = Failure.BROKEN
         if failure is not None:
-            self.fail(failure)
+            self.fail(failure, detail)
 
     def _complete(self) -> None:
         assert self.http is not None and self.transport is not None
@@ -244,13 +265,13 @@
         if handler is not None:
             handler.on_end()
 
-    def fail(self, failure: Failure) -> None:
+    def fail(self, failure: Failure, detail: str = '') -> None:
         """Close at once; the handler receives a failure."""
         handler = self._release_handler()
         if self.transport is not None:
             self.transport.abort()
         if handler is not None:
-            handler.on_failure(failure)
+            handler.on_failure(failure, detail)
 
     def _release_handler(self) -> AnswerHandler | None:
         """Remove the handler, and what its answer held; return it."""
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -180,9 +180,9 @@
         else:
             self.sender.finish(attempt, ev.StreamEnded(attempt))
 
-    def on_failure(self, failure: Failure) -> None:
+    def on_failure(self, failure: Failure, detail: str) -> None:
         attempt = self.effect.attempt
-        self.sender.finish(attempt, ev.SendFailed(attempt, failure))
+        self.sender.finish(attempt, ev.SendFailed(attempt, failure, detail))
 
     def _max_bytes(self) -> int:
         """Return the longest body of this answer, in bytes."""
--- a/src/plantainridge/http_ports.py
+++ b/src/plantainridge/http_ports.py
@@ -203,8 +203,8 @@
             return
         self._fail(ev.Failure.OTHER_VERSION, version)
 
-    def on_failure(self, failure: Failure) -> None:
-        del failure
+    def on_failure(self, failure: Failure, detail: str) -> None:
+        del failure, detail
         self._fail(ev.Failure.BROKEN)
 
     def _read_events(self, data: bytes) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -259,8 +259,9 @@
 
     async def test_answer_that_is_reset_is_not_complete(self) -> None:
         event = await self._answer(OK + b'\r\nok', reset=True)
-        self.assertEqual(event, ev.SendFailed(AttemptId('r1.0'),
-                                              Failure.BROKEN))
+        self.assertEqual(
+            event, ev.SendFailed(AttemptId('r1.0'), Failure.BROKEN,
+                                 'ECONNRESET'))
 
     async def test_stream_that_ends_at_an_event_is_complete(self) -> None:
         event = await self._answer(STREAM + b'\r\nid: 1\n\n', stream=True)
@@ -270,14 +271,15 @@
         event = await self._answer(STREAM + b'\r\nid: 1\n\n',
                                    reset=True,
                                    stream=True)
-        self.assertEqual(event, ev.SendFailed(AttemptId('r1.0'),
-                                              Failure.BROKEN))
+        self.assertEqual(
+            event, ev.SendFailed(AttemptId('r1.0'), Failure.BROKEN,
+                                 'ECONNRESET'))
 
     async def test_stream_that_ends_within_an_event_is_broken(self) -> None:
         event = await self._answer(STREAM + b'\r\nid: 1\n\nid: 2\nda',
                                    stream=True)
-        assert isinstance(event, ev.SendFailed)
-        self.assertEqual(event.failure, Failure.BROKEN)
+        self.assertEqual(
+            event, ev.SendFailed(AttemptId('r1.0'), Failure.BROKEN, 'EOF'))
 
     async def test_chunks_that_end_within_an_event_are_broken(self) -> None:
         event = await self._answer(STREAM + CHUNKED + b'3\r\nid:\r\n'
@@ -286,6 +288,12 @@
         assert isinstance(event, ev.SendFailed)
         self.assertEqual(event.failure, Failure.BROKEN)
 
+    async def test_send_beyond_its_deadline_is_silent(self) -> None:
+        address = await self.listen(Endpoint(b'').serve)
+        event = await self.outcome(address, remaining_s=0.0)
+        self.assertEqual(
+            event, ev.SendFailed(AttemptId('r1.0'), Failure.SILENT, 'deadline'))
+
     async def test_stream_without_any_event_is_broken(self) -> None:
         event = await self._answer(STREAM + b'\r\n', stream=True)
         assert isinstance(event, ev.SendFailed)
