Discard a given-up request that its endpoint has not received

A request whose caller left, or that another endpoint took over, was delivered after that: closing a connection leaves the system to retransmit what is not acknowledged.

The connection of a send that is given up before anything was received for it is now reset, which drops the bytes held by the system. Once part of an answer has come the request was received, and the connection is closed as before, since the end of data is retransmitted until an endpoint that is silent has it.

Evidence: tests.test_dark_endpoints.DarkEndpointTest. test_cancelled_request_is_not_delivered_later failed (two requests received in place of one) and passes.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 import attrs
 import h11
 
+from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure, Headers
 from plantainridge.gateway.wire import RawRequest
 
@@ -119,6 +121,7 @@
         held_answers: Sizes of the answers of all connections.
         http: Parser and framer of the current request, or None.
         handler: Receives the current answer; None if none is awaited.
+        has_received: Whether anything was received since the latest request.
         informational_heads: Informational heads received for it.
         timer: Timer after which the answer counts as silent, or None.
         idle_since: Loop time at which the latest answer ended, in s.
@@ -133,6 +136,7 @@
         self.transport: asyncio.Transport | None = None
         self.http: h11.Connection | None = None
         self.handler: AnswerHandler | None = None
+        self.has_received = False
         self.informational_heads = 0
         self.timer: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
@@ -164,6 +168,7 @@
         """
         assert self.transport is not None and self.usable
         self.handler = handler
+        self.has_received = False
         self.informational_heads = 0
         self.http = h11.Connection(h11.CLIENT,
                                    max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -189,14 +194,14 @@
 
     def abort(self) -> None:
         """Close at once; the handler receives nothing more."""
-        self._release_handler()
-        if self.transport is not None:
-            self.transport.abort()
+        handler = self._release_handler()
+        self._close(handler is not None)
 
     def data_received(self, data: bytes) -> None:
         if self.handler is None or self.http is None:
             self.abort()
             return
+        self.has_received = True
         self._receive(data)
 
     def eof_received(self) -> bool:
@@ -268,11 +273,28 @@
     def fail(self, failure: Failure, detail: str = '') -> None:
         """Close at once; the handler receives a failure."""
         handler = self._release_handler()
-        if self.transport is not None:
-            self.transport.abort()
+        self._close(handler is not None)
         if handler is not None:
             handler.on_failure(failure, detail)
 
+    def _close(self, was_awaited: bool) -> None:
+        """Close at once; discard a request that may not have been received.
+
+        Otherwise the system would go on to retransmit it, and its endpoint
+        might run it after it was given up.
+
+        Args:
+            was_awaited: Whether an answer was awaited until now.
+        """
+        if self.transport is None:
+            return
+        if was_awaited and not self.has_received:
+            sock: socket.socket = self.transport.get_extra_info('socket')
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                LINGER_RESET)
+        self.transport.abort()
+
     def _release_handler(self) -> AnswerHandler | None:
         """Remove the handler, and what its answer held; return it."""
         handler, self.handler = self.handler, None
