--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -6,6 +6,8 @@
 
 import abc
 import asyncio
+import contextlib
+import errno
 import socket
 from collections.abc import Callable
 from typing import Final
@@ -13,6 +15,7 @@
 import attrs
 import h11
 
+from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure, Headers
 from plantainridge.gateway.wire import RawRequest
 
@@ -33,6 +36,9 @@
 MAX_HELD_BYTES: Final = 32 * 1_024 * 1_024
 # Informational heads (1xx) that may precede an answer's head.
 MAX_INFORMATIONAL_HEADS: Final = 8
+# Details of failures without an error of the system.
+END_OF_DATA: Final = 'EOF'
+DEADLINE: Final = 'deadline'
 
 
 def stated_length(headers: Headers) -> int:
@@ -40,6 +46,15 @@
     return int(dict(headers).get(b'content-length', 0))
 
 
+def _describe(error: Exception | None) -> str:
+    """Return what ended a connection: the name of a system's error."""
+    if error is None:
+        return END_OF_DATA
+    if isinstance(error, OSError) and error.errno is not None:
+        return errno.errorcode.get(error.errno, repr(error))
+    return repr(error)
+
+
 class AnswerHandler(abc.ABC):
     """Receiver of the answer to one request, or of its failure.
 
@@ -66,8 +81,14 @@
         """Receive the end of a complete answer."""
 
     @abc.abstractmethod
-    def on_failure(self, failure: Failure) -> None:
-        """Receive a failure; no complete answer will come."""
+    def on_failure(self, failure: Failure, detail: str) -> None:
+        """Receive a failure; no complete answer will come.
+
+        Args:
+            failure: The kind of failure.
+            detail: What ended the answer, for log lines; '' if the kind of
+                failure states it.
+        """
 
 
 @attrs.define
@@ -100,6 +121,7 @@
         held_answers: Sizes of the answers of all connections.
         http: Parser and framer of the current request, or None.
         handler: Receives the current answer; None if none is awaited.
+        has_received: Whether anything was received since the latest request.
         informational_heads: Informational heads received for it.
         timer: Timer after which the answer counts as silent, or None.
         idle_since: Loop time at which the latest answer ended, in s.
@@ -114,6 +136,7 @@
         self.transport: asyncio.Transport | None = None
         self.http: h11.Connection | None = None
         self.handler: AnswerHandler | None = None
+        self.has_received = False
         self.informational_heads = 0
         self.timer: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
@@ -145,6 +168,7 @@
         """
         assert self.transport is not None and self.usable
         self.handler = handler
+        self.has_received = False
         self.informational_heads = 0
         self.http = h11.Connection(h11.CLIENT,
                                    max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -161,23 +185,23 @@
             data += self.http.send(h11.EndOfMessage()) or b''
         except h11.LocalProtocolError:
             # Nothing was sent.
-            self.fail(Failure.NOT_CONNECTED)
+            self.fail(Failure.NOT_CONNECTED, 'the request cannot be framed')
             return
         self.transport.write(data)
         if timeout_s is not None:
             self.timer = self.loop.call_later(timeout_s, self.fail,
-                                              Failure.SILENT)
+                                              Failure.SILENT, DEADLINE)
 
     def abort(self) -> None:
         """Close at once; the handler receives nothing more."""
-        self._release_handler()
-        if self.transport is not None:
-            self.transport.abort()
+        handler = self._release_handler()
+        self._close(handler is not None)
 
     def data_received(self, data: bytes) -> None:
         if self.handler is None or self.http is None:
             self.abort()
             return
+        self.has_received = True
         self._receive(data)
 
     def eof_received(self) -> bool:
@@ -187,8 +211,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        del exc
-        self.fail(Failure.BROKEN)
+        self.fail(Failure.BROKEN, _describe(exc))
 
     def _receive(self, data: bytes) -> None:
         assert self.http is not None
@@ -200,14 +223,17 @@
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
-            failure = Failure.MALFORMED if data else Failure.BROKEN
+            failure, detail = Failure.MALFORMED, str(error)
             if error.error_status_hint == STATUS_HEAD_TOO_LONG:
                 failure = Failure.TOO_LONG
-            self.fail(failure)
+            elif not data:
+                failure, detail = Failure.BROKEN, END_OF_DATA
+            self.fail(failure, detail)
 
     def _handle_event(self, event: object) -> None:
         assert self.handler is not None
         failure: Failure | None = None
+        detail = END_OF_DATA if self.at_eof else ''
         if isinstance(event, h11.InformationalResponse):
             self.informational_heads += 1
             if self.informational_heads > MAX_INFORMATIONAL_HEADS:
@@ -228,7 +254,7 @@
         elif isinstance(event, h11.ConnectionClosed):
             failure = Failure.BROKEN
         if failure is not None:
-            self.fail(failure)
+            self.fail(failure, detail)
 
     def _complete(self) -> None:
         assert self.http is not None and self.transport is not None
@@ -244,13 +270,30 @@
         if handler is not None:
             handler.on_end()
 
-    def fail(self, failure: Failure) -> None:
+    def fail(self, failure: Failure, detail: str = '') -> None:
         """Close at once; the handler receives a failure."""
         handler = self._release_handler()
-        if self.transport is not None:
-            self.transport.abort()
+        self._close(handler is not None)
         if handler is not None:
-            handler.on_failure(failure)
+            handler.on_failure(failure, detail)
+
+    def _close(self, was_awaited: bool) -> None:
+        """Close at once; discard a request that may not have been received.
+
+        Otherwise the system would go on to retransmit it, and its endpoint
+        might run it after it was given up.
+
+        Args:
+            was_awaited: Whether an answer was awaited until now.
+        """
+        if self.transport is None:
+            return
+        if was_awaited and not self.has_received:
+            sock: socket.socket = self.transport.get_extra_info('socket')
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                LINGER_RESET)
+        self.transport.abort()
 
     def _release_handler(self) -> AnswerHandler | None:
         """Remove the handler, and what its answer held; return it."""
