--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -58,6 +58,15 @@
         self.assertEqual(find(crashes_of(*both)), [])
         self.assertEqual(find(crashes_of(*both, ('t:o,x',))), ['part/x'])
 
+    def test_part_is_no_culprit_while_a_crash_is_reported_in_part(self) -> None:
+        both = [(f'r{at}:o,x', f's{at}:p,c') for at in range(3)]
+        crashes = crashes_of(*both, ('t:p,c',))
+        self.assertEqual(find(crashes, now=crashes[-1].at), [])
+        self.assertEqual(
+            find(crashes,
+                 now=crashes[-1].at + crash_attribution.REPORT_DELAY_S),
+            ['part/c'])
+
     def test_crash_with_a_known_culprit_incriminates_nothing_else(self) -> None:
         crashes = crashes_of(('r:o,x', 's:p,c'), ('t:o,x', 'u:p,c'),
                              ('v:o,x', 'w:p,c'), ('y:p,c',))
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -6,7 +6,7 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway import suspects
+from plantainridge.gateway import crash_attribution, suspects
 from plantainridge.gateway.events import Failure, Part, View
 from plantainridge.ids import DcId
 from tests.crash_fleet import CrashFleet
@@ -115,6 +115,39 @@
         self.assertIsInstance(again, fx.Send)
         self.assertEqual(len(scene.all(fx.Send)), 5)
 
+    def test_part_is_not_refused_at_the_first_broken_send_of_a_crash(
+            self) -> None:
+        # The crashing part is in flight at the same VM, and breaks next.
+        scene = GatewayScene(endpoint('a'))
+        opening = Part('o', 100)
+        for number, engine in enumerate('bcde'):
+            for part in ('c', 'bad'):
+                scene.post_request('/tag/x',
+                                   f'{part}{number}',
+                                   body=f'{part}{number}'.encode(),
+                                   parts=(opening, Part(part,
+                                                        500), Part('own', 9)))
+            for send in scene.all(fx.Send)[-2:]:
+                scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+            scene.read(View.REGISTRY, endpoint(engine))
+            for other in range(crash_attribution.MIN_ANSWERS):
+                self._answer(scene, f'other{number}-{other}')
+            scene.advance(suspects.CRASH_SPAN_S)
+        quarantined = [
+            line for line in scene.lines if line.event == 'suspect_quarantined'
+        ]
+        self.assertEqual(quarantined, [])
+
+    def _answer(self, scene: GatewayScene, name: str) -> None:
+        send = scene.post_request('/tag/x',
+                                  name,
+                                  body=name.encode(),
+                                  parts=(Part(name, 100), Part('own', 9)))
+        scene.post(ev.StreamStarted(send.attempt, head()))
+        scene.post(ev.StreamEventsReceived(send.attempt, b'id: 1\n\n', '1',
+                                           '1'))
+        scene.post(ev.StreamEnded(send.attempt))
+
 
 class QuarantineTest(unittest.TestCase):
     """Tests of the end of a quarantine."""
