Let only fully reported crashes rule out rivals of a part

Callers whose long prompts shared no part with the crashing ones were refused, and engines crashed on: at the fourth crash of two parts that had been in flight at each one before, the sound part was quarantined, and the other one only after the eighth.

Cause: culprits are looked for as soon as the first broken send of a crash is recorded. The other sends of that crash, of the same VM and of its peers, are recorded milliseconds later; until then the crash seems to show that all other parts were elsewhere, which ends a tie in favour of whichever send broke first. A part in four crashes needs no time to settle, so the wrong one was quarantined at once. The crashes explained by it then counted no more against the part that had caused them.

Rivals are now ruled out only by crashes noticed at least REPORT_DELAY_S ago, the time after which requests are judged, too.

--- a/src/plantainridge/gateway/crash_attribution.py
+++ b/src/plantainridge/gateway/crash_attribution.py
@@ -209,9 +209,14 @@
                      answers: int, now: float) -> bool:
     """Return whether neither a rival nor chance explains a part's crashes."""
     crashes = culprit.crashes
-    if len(crashes) < MIN_PART_CRASHES:
+    reported = attrs.evolve(
+        culprit,
+        crashes=tuple(
+            crash for crash in crashes if now - crash.at >= REPORT_DELAY_S))
+    if len(reported.crashes) < MIN_PART_CRASHES:
         return False
-    rivals = _rivals(culprit)
+    # A crash that is reported in part would rule out rivals that broke too.
+    rivals = _rivals(reported)
     if not known.isdisjoint(rivals):
         return False
     is_tied = any(not _is_before(each, culprit) for each in rivals)
