Do not end sends by a limit on unacknowledged bytes

Connections to endpoints had a TCP_USER_TIMEOUT of 2 s. Retransmissions follow at doubling intervals, after about 0.2, 0.6, 1.4 and 3 s, so an endpoint that received nothing from before the third one until shortly before the limit had no chance to acknowledge: this VM broke the send although the endpoint continued. The limit also ends a connection to an endpoint that acknowledges but does not read, and it decides when probes give up.

The limit is gone. Each use of a connection has a time limit of its own, which knows what it ends: 1 s after the request's deadline, the silence of a stream, which is given up only for another endpoint that begins, the time-out of a call. A limit of the system that is longer would still end something sooner than these for requests that have more time left.

Cost: a send that may not be repeated ends at its deadline if its endpoint has gone for good, where it ended as broken after 2 s. New connections to such an endpoint fail after 0.35 s, and repeatable sends move on by their silence.

Evidence: two tests of tests.test_dark_endpoints.DarkEndpointTest failed (ETIMEDOUT after 1.9 s of silence, and with a long request that was read after 2.8 s) and pass.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -22,8 +22,6 @@
 # Longer than a round trip between data centres, but too short to wait out the
 # retransmission of a lost packet.
 CONNECT_TIMEOUT_S: Final = 0.35
-# Longest time that sent bytes may stay unacknowledged, in ms.
-TCP_USER_TIMEOUT_MS: Final = 2_000
 # Longest idle time after which a connection is reused, in s: servers close idle
 # ones at will, and a request sent at that moment may have run.
 MAX_IDLE_S: Final = 0.9
@@ -116,6 +114,10 @@
 class Connection(asyncio.Protocol):
     """One connection; carries one request at a time.
 
+    Only the server or the limits of a request end its answer. No time limit of
+    the system is set: retransmissions follow at doubling intervals, so a limit
+    would also end sends to a server that was silent for half as long.
+
     Attributes:
         on_idle: Called with the connection when it may be reused.
         held_answers: Sizes of the answers of all connections.
@@ -145,9 +147,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        sock: socket.socket = transport.get_extra_info('socket')
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
-                        TCP_USER_TIMEOUT_MS)
 
     @property
     def usable(self) -> bool:
