Do not take a timeout of this system for a break by the endpoint

A connection that the system gives up, as nothing is acknowledged or no route is left, was reported as `broken`, as if its endpoint had reset it: it counted as a crash, with the request and the parts of its prompt as suspects that peers learn of, two of them started a cool-down that peers honour, and a resumable stream ended if its endpoint was the only one.

Such a failure is now `timed_out`. At most once holds as before: a request that runs once ends with 502.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -210,6 +210,8 @@
     if failure is Failure.BROKEN:
         yield from suspects.record_break(state, call, attempt, now)
     if call.route.repeatable:
+        if failure is Failure.TIMED_OUT:
+            call.given_up.add(attempt.endpoint)
         yield from _retry(state, call, now)
         return
     if call.reply_started:
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -104,6 +104,9 @@
     # The connection was closed or reset, or the answer ended within a stream
     # event: the request may have run.
     BROKEN = 'broken'
+    # This system gave up the connection; the endpoint did not end it: the
+    # request may have run.
+    TIMED_OUT = 'timed_out'
     # The answer is not HTTP, or belongs to another request: the request may
     # have run.
     MALFORMED = 'malformed'
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -115,7 +115,9 @@
                    now: float) -> None:
     """Record a send that ended without an answer."""
     view = state.endpoints.get(attempt.endpoint)
-    if view is None:
+    if view is None or failure is Failure.TIMED_OUT:
+        # A timeout concerns one connection; new ones show whether the endpoint
+        # is reached.
         return
     view.failures += 1
     unreachable = failure in (Failure.NOT_CONNECTED, Failure.SILENT)
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -34,6 +34,10 @@
 MAX_HELD_BYTES: Final = 32 * 1_024 * 1_024
 # Informational heads (1xx) that may precede an answer's head.
 MAX_INFORMATIONAL_HEADS: Final = 8
+# Errors with which this system gives up a connection whose other side does not
+# acknowledge or cannot be reached; the other side did not end it.
+LOCAL_ERRORS: Final = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 # Details of failures without an error of the system.
 END_OF_DATA: Final = 'EOF'
 DEADLINE: Final = 'deadline'
@@ -210,7 +214,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.fail(Failure.BROKEN, _describe(exc))
+        is_local = isinstance(exc, OSError) and exc.errno in LOCAL_ERRORS
+        self.fail(Failure.TIMED_OUT if is_local else Failure.BROKEN,
+                  _describe(exc))
 
     def _receive(self, data: bytes) -> None:
         assert self.http is not None
--- a/tests/test_dark_endpoints.py
+++ b/tests/test_dark_endpoints.py
@@ -88,7 +88,8 @@
                         await reader.readexactly(int(line[15:]))
                 self.requests += 1
                 writer.write(ANSWER)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError,
+                asyncio.CancelledError):
             pass
         finally:
             self.sockets.remove(sock)
