Let a broken stream wait for the retry budget as long as its caller

A stream that has begun and whose send fails was cut at once if the retry budget had nothing left at that moment, although its caller waits for the next event for seconds and the budget, which counts the last 10 s, allows a retry soon.

On a site of 60 VMs this is the rule, not the exception: the fixed part of the budget is shared by the VMs, 0.85 x 54 / 60 is less than one retry, so a VM with fewer than two requests for a service in 10 s may not retry at all, and one with ten may retry twice. Seen there as `no more sends are allowed`.

Such a stream is now dispatched like one that was taken over: it waits until its caller would abandon it, and the budget itself is unchanged. Requests that have not begun are refused as before.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -11,7 +11,7 @@
                                           StreamEventsReceived, StreamStarted)
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.requests import (CALL_LIFECYCLE, Attempt, Call,
-                                            FallbackAnswer)
+                                            FallbackAnswer, SendLimit)
 from plantainridge.gateway.takeover import Stay
 from plantainridge.ids import AttemptId
 from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
@@ -235,8 +235,13 @@
 
 
 def _retry(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
-    """Dispatch a request again if its limits allow it, else end it."""
-    if dispatch.may_retry(state, call, now):
+    """Dispatch a request again if its limits allow it, else end it.
+
+    A stream that has begun waits for the retry budget as long as its caller.
+    """
+    limit = dispatch.send_limit(state, call, now)
+    may_wait = limit is SendLimit.BUDGET and call.reply_started
+    if may_wait or dispatch.may_retry(state, call, now):
         yield from dispatch.dispatch(state, call, now)
         return
     yield from endings.fail_request(state, call, 'no more sends are allowed',
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -398,6 +398,44 @@
         scene.post(ev.SendFailed(broken.attempt, Failure.BROKEN))
         self.assertEqual(scene.all(fx.AbortReply), [])
 
+    def test_broken_stream_waits_for_the_budget_of_60_vms(self) -> None:
+        # The fixed part of the budget is less than one retry on each VM.
+        for failure in (Failure.BROKEN, Failure.MALFORMED, Failure.TOO_LONG):
+            scene = SilentScene()
+            scene.state.retries.vm_count = 60
+            scene.post(ev.SendFailed(scene.send.attempt, failure))
+            self.assertEqual(scene.cuts, [], failure)
+            self.assertEqual(len(scene.all(fx.Send)), 1)
+            for number in range(5):
+                scene.post_request('/report/y', f'more{number}')
+            scene.advance(0.3)
+            resumed = [
+                each for each in scene.all(fx.Send)
+                if each.request.id == scene.send.request.id
+            ][-1]
+            self.assertEqual((resumed.endpoint, resumed.last_event_id),
+                             (OTHER, '1'))
+
+    def test_broken_stream_ends_with_its_callers_patience_on_60_vms(
+            self) -> None:
+        scene = SilentScene()
+        scene.state.retries.vm_count = 60
+        scene.post(ev.SendFailed(scene.send.attempt, Failure.BROKEN))
+        scene.be_silent(4.2)
+        self.assertEqual(scene.cuts, [])
+        scene.be_silent(0.5)
+        self.assertEqual(scene.cuts, ['AbortReply'])
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+
+    def test_streams_of_silent_engines_are_not_cut_on_60_vms(self) -> None:
+        wrong = {}
+        for phase, (target, events) in PHASES.items():
+            scene = SilentScene(target, events)
+            scene.state.retries.vm_count = 60
+            scene.be_silent()
+            wrong[phase] = scene.complete()
+        self.assertEqual(wrong, dict.fromkeys(PHASES, []))
+
     def test_send_without_a_connection_uses_no_budget(self) -> None:
         scene = GatewayScene(endpoint('a', LEDGER), endpoint(OTHER, LEDGER))
         first = scene.post_request('/view/x')
