Send takeovers and retries on new connections

A stream was cut although both endpoints that it was sent to continued or could have been passed over: after its engine had been silent for three gaps it was sent to another one on an idle connection. That one was silent as well, which an idle connection does not show; the send waited without a way back, its attempts were used up, and a reset ended the request as `no more sends are allowed`.

A send beyond the first that may have reached an endpoint now goes on a new connection.

Cost: one round trip for each retry. Requests that were not sent before still reuse connections.

Evidence: tests.test_silent_endpoints.FailedTakeoverTest. test_takeover_does_not_rely_on_an_idle_connection failed and passes.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -204,6 +204,9 @@
     service = state.config.services.get(call.service)
     if call.deliveries:
         state.retries.record_retry(call.service, now)
+    # A further send must not wait on an idle connection to an endpoint that is
+    # silent as well: it would use up an attempt.
+    new_connection = not call.route.repeatable or call.deliveries > 0
     call.sends += 1
     call.executions += 1
     call.deliveries += 1
@@ -225,7 +228,7 @@
                   endpoint=view.entry.id,
                   address=view.entry.address,
                   stream=call.route.kind is RequestKind.STREAM,
-                  new_connection=not call.route.repeatable,
+                  new_connection=new_connection,
                   remaining_s=call.expires_at - now,
                   team=call.team.name if call.team else None,
                   version=choice.version,
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -276,6 +276,18 @@
         scene.post(ev.StreamEnded(resumed.attempt))
         self.assertEqual(len(scene.all(fx.EndReply)), 1)
 
+    def test_takeover_does_not_rely_on_an_idle_connection(self) -> None:
+        # The endpoint may be silent as well; a new connection shows it without
+        # using up an attempt.
+        takeovers = {}
+        for phase, (target, events) in PHASES.items():
+            scene = SilentScene(target, events)
+            while len(scene.all(fx.Send)) < 2:
+                scene.advance(0.1)
+            takeovers[phase] = scene.last(fx.Send).new_connection
+        self.assertEqual(takeovers, dict.fromkeys(PHASES, True))
+        self.assertFalse(scene.send.new_connection)
+
     def test_untried_endpoint_comes_before_a_silent_one(self) -> None:
         scene = SilentScene()
         scene.read(View.OPERATOR, configuration(2,
