--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -22,8 +22,6 @@
 # Longer than a round trip between data centres, but too short to wait out the
 # retransmission of a lost packet.
 CONNECT_TIMEOUT_S: Final = 0.35
-# Longest time that sent bytes may stay unacknowledged, in ms.
-TCP_USER_TIMEOUT_MS: Final = 2_000
 # Longest idle time after which a connection is reused, in s: servers close idle
 # ones at will, and a request sent at that moment may have run.
 MAX_IDLE_S: Final = 0.9
@@ -36,6 +34,10 @@
 MAX_HELD_BYTES: Final = 32 * 1_024 * 1_024
 # Informational heads (1xx) that may precede an answer's head.
 MAX_INFORMATIONAL_HEADS: Final = 8
+# Errors with which this system gives up a connection whose other side does not
+# acknowledge or cannot be reached; the other side did not end it.
+LOCAL_ERRORS: Final = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 # Details of failures without an error of the system.
 END_OF_DATA: Final = 'EOF'
 DEADLINE: Final = 'deadline'
@@ -116,6 +118,10 @@
 class Connection(asyncio.Protocol):
     """One connection; carries one request at a time.
 
+    Only the server or the limits of a request end its answer. No time limit of
+    the system is set: retransmissions follow at doubling intervals, so a limit
+    would also end sends to a server that was silent for half as long.
+
     Attributes:
         on_idle: Called with the connection when it may be reused.
         held_answers: Sizes of the answers of all connections.
@@ -145,9 +151,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        sock: socket.socket = transport.get_extra_info('socket')
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
-                        TCP_USER_TIMEOUT_MS)
 
     @property
     def usable(self) -> bool:
@@ -211,7 +214,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.fail(Failure.BROKEN, _describe(exc))
+        is_local = isinstance(exc, OSError) and exc.errno in LOCAL_ERRORS
+        self.fail(Failure.TIMED_OUT if is_local else Failure.BROKEN,
+                  _describe(exc))
 
     def _receive(self, data: bytes) -> None:
         assert self.http is not None
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -276,6 +276,18 @@
         scene.post(ev.StreamEnded(resumed.attempt))
         self.assertEqual(len(scene.all(fx.EndReply)), 1)
 
+    def test_takeover_does_not_rely_on_an_idle_connection(self) -> None:
+        # The endpoint may be silent as well; a new connection shows it without
+        # using up an attempt.
+        takeovers = {}
+        for phase, (target, events) in PHASES.items():
+            scene = SilentScene(target, events)
+            while len(scene.all(fx.Send)) < 2:
+                scene.advance(0.1)
+            takeovers[phase] = scene.last(fx.Send).new_connection
+        self.assertEqual(takeovers, dict.fromkeys(PHASES, True))
+        self.assertFalse(scene.send.new_connection)
+
     def test_untried_endpoint_comes_before_a_silent_one(self) -> None:
         scene = SilentScene()
         scene.read(View.OPERATOR, configuration(2,
@@ -398,6 +410,44 @@
         scene.post(ev.SendFailed(broken.attempt, Failure.BROKEN))
         self.assertEqual(scene.all(fx.AbortReply), [])
 
+    def test_broken_stream_waits_for_the_budget_of_60_vms(self) -> None:
+        # The fixed part of the budget is less than one retry on each VM.
+        for failure in (Failure.BROKEN, Failure.MALFORMED, Failure.TOO_LONG):
+            scene = SilentScene()
+            scene.state.retries.vm_count = 60
+            scene.post(ev.SendFailed(scene.send.attempt, failure))
+            self.assertEqual(scene.cuts, [], failure)
+            self.assertEqual(len(scene.all(fx.Send)), 1)
+            for number in range(5):
+                scene.post_request('/report/y', f'more{number}')
+            scene.advance(0.3)
+            resumed = [
+                each for each in scene.all(fx.Send)
+                if each.request.id == scene.send.request.id
+            ][-1]
+            self.assertEqual((resumed.endpoint, resumed.last_event_id),
+                             (OTHER, '1'))
+
+    def test_broken_stream_ends_with_its_callers_patience_on_60_vms(
+            self) -> None:
+        scene = SilentScene()
+        scene.state.retries.vm_count = 60
+        scene.post(ev.SendFailed(scene.send.attempt, Failure.BROKEN))
+        scene.be_silent(4.2)
+        self.assertEqual(scene.cuts, [])
+        scene.be_silent(0.5)
+        self.assertEqual(scene.cuts, ['AbortReply'])
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+
+    def test_streams_of_silent_engines_are_not_cut_on_60_vms(self) -> None:
+        wrong = {}
+        for phase, (target, events) in PHASES.items():
+            scene = SilentScene(target, events)
+            scene.state.retries.vm_count = 60
+            scene.be_silent()
+            wrong[phase] = scene.complete()
+        self.assertEqual(wrong, dict.fromkeys(PHASES, []))
+
     def test_send_without_a_connection_uses_no_budget(self) -> None:
         scene = GatewayScene(endpoint('a', LEDGER), endpoint(OTHER, LEDGER))
         first = scene.post_request('/view/x')
