Count sends that fail together as one failure of their endpoint

Callers with long prompts were refused for seconds ("no engine has memory for it") while a sound engine stood idle after its restart.

Cause: each failed send counted as one failure in a row, and each doubled the cool-down. Several sends that one moment of silence or one crash ends thus gave the longest cool-down, 4 s, and peers followed it. An engine that returns with an empty cache gets more prompts at once than it can begin in time, is then left alone for 4 s, and gets the same again.

A send from before the latest cool-down now counts no more: what it shows led to that cool-down. Failures of later sends double it as before. Two sends that break together still begin one, of 1 s.

--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -82,6 +82,8 @@
         versions: Weight version of each model, by the latest report of any
             kind; a model is missing while its version is not known.
         cooldown_until: Loop time until which it gets no requests, in s.
+        cooled_down_at: Loop time at which a cool-down after a failure last
+            began, in s.
         failures: Consecutive failures since its last successful answer.
         last_received_at: Loop time at which data last arrived from it, in s.
         missing_since: Loop time since which its entry is missing, or None.
@@ -104,6 +106,7 @@
     load: EndpointLoad | None = None
     versions: dict[ModelId, int] = attrs.field(factory=dict)
     cooldown_until: float = 0.0
+    cooled_down_at: float = -math.inf
     failures: int = 0
     last_received_at: float = 0.0
     missing_since: float | None = None
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -113,9 +113,13 @@
 
 def record_failure(state: 'GatewayState', attempt: Attempt, failure: Failure,
                    now: float) -> None:
-    """Record a send that ended without an answer."""
+    """Record a send that ended without an answer.
+
+    Sends from before the latest cool-down show nothing new: one moment in which
+    an endpoint fails all its sends counts once.
+    """
     view = state.endpoints.get(attempt.endpoint)
-    if view is None:
+    if view is None or attempt.sent_at < view.cooled_down_at:
         return
     view.failures += 1
     unreachable = failure in (Failure.NOT_CONNECTED, Failure.SILENT)
@@ -124,6 +128,7 @@
 
 
 def _start_cooldown(view: EndpointView, now: float) -> None:
+    view.cooled_down_at = now
     cooldown_s = COOLDOWN_S * 2.0**min(view.failures - 1, 8)
     view.cooldown_until = max(view.cooldown_until,
                               now + min(cooldown_s, MAX_COOLDOWN_S))
