Do not count unreached endpoints against a stream that has begun

On a site of 60 VMs and 56 engines a stream that had begun was cut as `no more sends are allowed` although no endpoint had ended it: its engine was silent, it was taken over, and the next engines were silent as well, so connections to them failed after 0.35 s each. These sends use neither an attempt nor the budget, but they counted towards the limit of six sends, which was reached in about 2 s. A site with five engines does not show it: there the stream runs out of engines first, and waits.

For a stream that has begun only sends that may have reached an endpoint count now. A request that has not begun keeps the limit, since it gets an answer. Cool-downs, which grow to 4 s, bound how often an endpoint is tried; the caller and the deadline bound the time.

Evidence: tests.test_silent_endpoints.FailedTakeoverTest. test_stream_is_not_cut_by_many_endpoints_that_are_silent_as_well failed and passes; test_request_that_has_not_begun_keeps_the_limit_of_all_sends passed before as well.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -186,8 +186,9 @@
         now: Loop time in s.
         budget_ratio: Share of the retry budget that the send may use.
     """
-    if (call.sends >= retries.MAX_SENDS or
-            call.executions >= call.route.attempts):
+    # A stream that has begun would be cut by endpoints that are only silent.
+    sends = call.deliveries if call.reply_started else call.sends
+    if (sends >= retries.MAX_SENDS or call.executions >= call.route.attempts):
         return SendLimit.ATTEMPTS
     if call.expires_at - now < MIN_REMAINING_RATIO * call.route.target_s:
         return SendLimit.TIME
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -19,7 +19,8 @@
 BUDGET_USE_RATIO: Final = 0.85
 # VMs that are assumed to share the fixed number while their count is unknown.
 DEFAULT_VM_COUNT: Final = 8
-# Limit of all sends of one request, including those that were not run.
+# Limit of all sends of one request, including those that were not run. Once its
+# stream has begun, sends that found no connection do not count.
 MAX_SENDS: Final = 6
 
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -276,6 +276,37 @@
         scene.post(ev.StreamEnded(resumed.attempt))
         self.assertEqual(len(scene.all(fx.EndReply)), 1)
 
+    def test_stream_is_not_cut_by_many_endpoints_that_are_silent_as_well(
+            self) -> None:
+        scene = SilentScene(events=LATE_EVENTS)
+        for number in range(20):
+            scene.read(View.REGISTRY, endpoint(f'more{number}'))
+        silent_until = scene.now + 3.4
+        while scene.now < silent_until:
+            sends = len(scene.all(fx.Send))
+            scene.advance(0.35)
+            last = scene.last(fx.Send)
+            if sends > 1 and last.attempt in scene.state.calls.attempts:
+                scene.post(ev.SendFailed(last.attempt, Failure.NOT_CONNECTED))
+        self.assertEqual(scene.all(fx.AbortReply), [])
+        scene.advance(0.5)
+        resumed = scene.last(fx.Send)
+        self.assertEqual(resumed.last_event_id, str(LATE_EVENTS))
+        scene.post(ev.StreamStarted(resumed.attempt, head()))
+        scene.post(ev.StreamEnded(resumed.attempt))
+        self.assertEqual(len(scene.all(fx.EndReply)), 1)
+
+    def test_request_that_has_not_begun_keeps_the_limit_of_all_sends(
+            self) -> None:
+        scene = GatewayScene(*(endpoint(f'e{number}') for number in range(20)))
+        scene.post_request('/report/x')
+        while not scene.all(fx.Refuse):
+            scene.post(
+                ev.SendFailed(
+                    scene.last(fx.Send).attempt, Failure.NOT_CONNECTED))
+        self.assertEqual(len(scene.all(fx.Send)), 6)
+        self.assertEqual(scene.last(fx.Refuse).status, 503)
+
     def test_takeover_does_not_rely_on_an_idle_connection(self) -> None:
         # The endpoint may be silent as well; a new connection shows it without
         # using up an attempt.
