Test that a stream tries unreachable endpoints once in a cool-down

The test has five endpoints that refuse at once: in 3 s none is tried more often than its cool-downs of 0.5, 1 and 2 s allow.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
@@ -296,6 +297,22 @@
         scene.post(ev.StreamEnded(resumed.attempt))
         self.assertEqual(len(scene.all(fx.EndReply)), 1)
 
+    def test_unreachable_endpoints_are_tried_once_in_a_cooldown(self) -> None:
+        scene, send = self._take_over()
+        for number in range(4):
+            scene.read(View.REGISTRY, endpoint(f'more{number}'))
+        until = scene.now + 3.0
+        while scene.now < until:
+            while send.attempt in scene.state.calls.attempts:
+                scene.post(ev.SendFailed(send.attempt, Failure.NOT_CONNECTED))
+                send = scene.last(fx.Send)
+            scene.advance(0.05)
+            send = scene.last(fx.Send)
+        counts = Counter(each.endpoint for each in scene.all(fx.Send))
+        # Cool-downs of 0.5, 1 and 2 s follow.
+        self.assertLessEqual(max(counts.values()), 4)
+        self.assertEqual(scene.all(fx.AbortReply), [])
+
     def test_request_that_has_not_begun_keeps_the_limit_of_all_sends(
             self) -> None:
         scene = GatewayScene(*(endpoint(f'e{number}') for number in range(20)))
