Let own evidence outweigh peers that did not reach an endpoint

Callers of VMs whose own links were sound got 503 "no endpoint takes it" beside VMs that were cut off from all endpoints, without one failed send of their own.

Cause: one cool-down stood both for what an endpoint states itself (it loads weights, it is full) and for a failure to reach it, which may lie with the VM's own links. Peers excluded an endpoint for either, whatever their own connections showed, so that a few VMs without links took all endpoints from all others.

Now a VM keeps the two apart and reports which one it is, in a spare bit of the message. An endpoint that only peers did not reach is used again as soon as data arrives from it here, and as a last resort if no other endpoint can take the request: at worst one connection fails. A cool-down that an endpoint caused itself counts as before; data of a running stream does not outweigh it, since engines that load weights finish their runs first.

PeersReportTest has the rule as a table. The VMs that are cut off themselves are served no better by this.

The test of the length of cool-downs reads the time at which the endpoint gets requests again, which both kinds of cool-down set, and is as strict.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -356,7 +356,7 @@
 
 def _available_at(state: 'GatewayState', call: Call) -> float:
     """Return the loop time at which an endpoint becomes available, in s."""
-    return min((max(view.cooldown_until, view.paused_until)
+    return min((view.available_at
                 for view in state.endpoints.values()
                 if view.entry.service == call.service and
                 not view.is_leaving and placement.has_build(call, view)),
--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -81,9 +81,11 @@
         load: Its latest load report, or None.
         versions: Weight version of each model, by the latest report of any
             kind; a model is missing while its version is not known.
-        cooldown_until: Loop time until which it gets no requests, in s.
-        cooled_down_at: Loop time at which a cool-down after a failure last
-            began, in s.
+        cooldown_until: Loop time until which it gets no requests since it
+            rejected one, loads weights or is another instance, in s.
+        unreached_until: Loop time until which it gets no requests since it
+            could not be reached or broke answers, in s.
+        cooled_down_at: Loop time at which this cool-down last began, in s.
         failures: Consecutive failures since its last successful answer.
         last_received_at: Loop time at which data last arrived from it, in s.
         missing_since: Loop time since which its entry is missing, or None.
@@ -106,6 +108,7 @@
     load: EndpointLoad | None = None
     versions: dict[ModelId, int] = attrs.field(factory=dict)
     cooldown_until: float = 0.0
+    unreached_until: float = 0.0
     cooled_down_at: float = -math.inf
     failures: int = 0
     last_received_at: float = 0.0
@@ -134,6 +137,7 @@
             return
         self.versions[model] = version
         self.weights_loaded_at = self.cooldown_until = now
+        self.unreached_until = now
 
     def add_send(self, attempt: AttemptId, send: InFlightSend) -> None:
         """Add a send of this VM."""
@@ -161,8 +165,13 @@
 
     def is_available(self, now: float) -> bool:
         """Return whether it may get a request now."""
-        return (not self.is_leaving and now >= self.cooldown_until and
-                now >= self.paused_until and self.probe is None)
+        return (not self.is_leaving and now >= self.available_at and
+                self.probe is None)
+
+    @property
+    def available_at(self) -> float:
+        """Loop time at which its cool-downs and its pause end, in s."""
+        return max(self.cooldown_until, self.unreached_until, self.paused_until)
 
     @property
     def request_count(self) -> int:
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -134,8 +134,8 @@
 def _start_cooldown(view: EndpointView, now: float) -> None:
     view.cooled_down_at = now
     cooldown_s = COOLDOWN_S * 2.0**min(view.failures - 1, 8)
-    view.cooldown_until = max(view.cooldown_until,
-                              now + min(cooldown_s, MAX_COOLDOWN_S))
+    view.unreached_until = max(view.unreached_until,
+                               now + min(cooldown_s, MAX_COOLDOWN_S))
 
 
 def send_timeout_at(state: 'GatewayState', call: Call,
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -153,9 +153,8 @@
 
 def _own_loads(state: 'GatewayState', now: float) -> dict[EndpointId, OwnLoad]:
     return {
-        name: own_load(view, now)
-        for name, view in state.endpoints.items()
-        if view.in_flight or view.cooldown_until > now
+        name: own_load(view, now) for name, view in state.endpoints.items() if
+        view.in_flight or max(view.cooldown_until, view.unreached_until) > now
     }
 
 
@@ -412,6 +411,18 @@
     return found
 
 
+def unreached(state: 'GatewayState', now: float) -> Mapping[EndpointId, float]:
+    """Return endpoints that peers report as not reached.
+
+    Each is mapped to the loop time at which the latest such report was
+    received, in s.
+    """
+    found = state.hints.reports.unreached(now)
+    for name, at in state.hints.loads.unreached(now).items():
+        found[name] = max(at, found.get(name, at))
+    return found
+
+
 def _is_loaded(state: 'GatewayState', name: EndpointId, load: OwnLoad,
                peer_load: PeerLoad) -> bool:
     """Return whether an engine's load is to be known in all data centres."""
@@ -426,10 +437,12 @@
 
 def own_load(view: EndpointView, now: float) -> OwnLoad:
     """Return the load that this VM has in flight on an endpoint."""
+    is_unreached = view.cooldown_until <= now < view.unreached_until
+    until = view.unreached_until if is_unreached else view.cooldown_until
     # Rounded up to steps of 0.2 s, so that elapsed time alone causes few hints.
-    cooldown_s = math.ceil(max(0.0, view.cooldown_until - now) * 5) / 5
+    cooldown_s = math.ceil(max(0.0, until - now) * 5) / 5
     return OwnLoad(view.pending_tokens, view.memory_tokens, len(view.in_flight),
-                   cooldown_s)
+                   cooldown_s, is_unreached)
 
 
 def on_dc_load(state: 'GatewayState', event: DcLoadReceived,
--- a/src/plantainridge/gateway/load_reports.py
+++ b/src/plantainridge/gateway/load_reports.py
@@ -36,6 +36,14 @@
     at: float
 
 
+@attrs.frozen
+class _Cooldown:
+    """A cool-down with the loop time of its end in s."""
+
+    until: float
+    is_unreached: bool
+
+
 @attrs.define
 class LoadReportTable:
     """Loads of other data centres, and the deployment's totals.
@@ -47,8 +55,7 @@
         totals: Load of other VMs, by endpoint.
         totals_at: Loop time at which the totals were received, in s.
         has_local: Whether the totals include this VM's data centre.
-        cooldowns: Loop time until which each endpoint is in a cool-down
-            according to the totals, in s.
+        cooldowns: Cool-downs according to the totals.
         work: Work that arrives in each data centre for each service, in tokens
             per s.
     """
@@ -58,7 +65,7 @@
     dc_loads: dict[DcId, _ReceivedLoad] = attrs.field(factory=dict)
     totals: dict[EndpointId, PeerLoad] = attrs.field(factory=dict)
     totals_at: float = -math.inf
-    cooldowns: dict[EndpointId, float] = attrs.field(factory=dict)
+    cooldowns: dict[EndpointId, _Cooldown] = attrs.field(factory=dict)
     has_local: bool = False
     work: Mapping[DcId, Mapping[ServiceId, float]] = attrs.field(factory=dict)
 
@@ -92,7 +99,7 @@
         if not totals.has_local:
             own_loads = {}
         self.cooldowns = {
-            name: now + load.cooldown_s
+            name: _Cooldown(now + load.cooldown_s, load.is_unreached)
             for name, load in totals.loads.items()
             if load.cooldown_s
         }
@@ -104,15 +111,29 @@
     def cooling_down(self, now: float) -> dict[EndpointId, float]:
         """Return endpoints in a cool-down according to the totals.
 
-        Each is mapped to the earliest loop time of its observation, in s.
+        Each is mapped to the earliest loop time of its observation, in s. Those
+        that a VM did not reach are not included.
         """
         if not self.is_fresh(now):
             return {}
         observed_at = self.totals_at - MAX_DELAY_S
         return {
             name: observed_at
-            for name, until in self.cooldowns.items()
-            if now < until
+            for name, each in self.cooldowns.items()
+            if now < each.until and not each.is_unreached
+        }
+
+    def unreached(self, now: float) -> dict[EndpointId, float]:
+        """Return endpoints that a VM did not reach according to the totals.
+
+        Each is mapped to the loop time at which the totals were received, in s.
+        """
+        if not self.is_fresh(now):
+            return {}
+        return {
+            name: self.totals_at
+            for name, each in self.cooldowns.items()
+            if now < each.until and each.is_unreached
         }
 
     def recipients(self, dc: DcId, ranked: list[VmId],
@@ -156,7 +177,11 @@
 def add_loads(
         loads: Iterable[Mapping[EndpointId,
                                 OwnLoad]]) -> dict[EndpointId, OwnLoad]:
-    """Return the sums of loads by endpoint, with the longest cool-down."""
+    """Return the sums of loads by endpoint.
+
+    Of their cool-downs the longest counts; one that an endpoint caused itself
+    counts before those of VMs that did not reach it.
+    """
     sums: dict[EndpointId, OwnLoad] = {}
     for each in loads:
         for name, load in each.items():
@@ -164,8 +189,13 @@
             if total is None:
                 sums[name] = load
                 continue
+            longest = max(
+                total,
+                load,
+                key=lambda one:
+                (one.cooldown_s > 0.0 and not one.is_unreached, one.cooldown_s))
             sums[name] = OwnLoad(total.pending_tokens + load.pending_tokens,
                                  total.memory_tokens + load.memory_tokens,
                                  total.requests + load.requests,
-                                 max(total.cooldown_s, load.cooldown_s))
+                                 longest.cooldown_s, longest.is_unreached)
     return sums
--- a/src/plantainridge/gateway/peer_loads.py
+++ b/src/plantainridge/gateway/peer_loads.py
@@ -86,14 +86,27 @@
     def cooling_down(self, now: float) -> dict[EndpointId, float]:
         """Return endpoints in a cool-down that peers report.
 
+        Each is mapped to the loop time of the latest such report, in s. Those
+        that a peer did not reach are not included.
+        """
+        return self._cooldowns(now, is_unreached=False)
+
+    def unreached(self, now: float) -> dict[EndpointId, float]:
+        """Return endpoints that peers did not reach.
+
         Each is mapped to the loop time of the latest such report, in s.
         """
+        return self._cooldowns(now, is_unreached=True)
+
+    def _cooldowns(self, now: float,
+                   is_unreached: bool) -> dict[EndpointId, float]:
         found: dict[EndpointId, float] = {}
         for report in reversed(self.reports.values()):
             if now - report.at > COOLDOWN_TIMEOUT_S:
                 break
             for name, load in report.loads.items():
-                if load.cooldown_s and now < report.at + load.cooldown_s:
+                if (load.cooldown_s and load.is_unreached is is_unreached and
+                        now < report.at + load.cooldown_s):
                     found[name] = max(report.at, found.get(name, report.at))
         return found
 
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -49,12 +49,15 @@
         requests: Requests in flight.
         cooldown_s: Remaining time for which the VM sends the endpoint no work,
             in s.
+        is_unreached: Whether that is since the VM could not reach it, which may
+            be due to the VM's own links.
     """
 
     pending_tokens: int
     memory_tokens: int
     requests: int
     cooldown_s: float
+    is_unreached: bool = False
 
 
 @attrs.frozen
@@ -357,6 +360,7 @@
         each.requests = min(MAX_REQUESTS, load.requests)
         each.awayMs = min(MAX_DURATION_MS,
                           max(0, round(load.cooldown_s * MS_PER_S)))
+        each.isUnreached = load.is_unreached
 
 
 def _write_work(row: Any, work: Mapping[DcId, Mapping[ServiceId,
@@ -436,7 +440,8 @@
     return {
         EndpointId(each.endpoint):
             OwnLoad(each.pendingTokens, each.memoryTokens, each.requests,
-                    each.awayMs / MS_PER_S) for each in row.loads
+                    each.awayMs / MS_PER_S, each.isUnreached)
+        for each in row.loads
     }
 
 
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -155,6 +155,8 @@
   awayMs @3 :UInt16;
   # KV cache memory of the requests at their full length, in tokens.
   memoryTokens @4 :UInt32;
+  # Whether that time is since the sender could not reach the endpoint.
+  isUnreached @5 :Bool;
 }
 
 # A request during which an endpoint broke the connection.
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -14,7 +14,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -230,6 +230,36 @@
         view.entry.id not in call.tried and cooling_down.get(
             view.entry.id, view.weights_loaded_at) <= view.weights_loaded_at
     ]
+    unreached = hints.unreached(state, now)
+    reachable = [
+        view for view in candidates if not _is_unreached(view, unreached)
+    ]
+    choice = _choose_among(state, call, reachable, ignore_capacity, now)
+    if isinstance(choice, Placement) or len(reachable) == len(candidates):
+        return choice
+    return _choose_among(state, call, candidates, ignore_capacity, now)
+
+
+def _is_unreached(view: EndpointView, reports: Mapping[EndpointId,
+                                                       float]) -> bool:
+    """Return whether peers did not reach an endpoint, and this VM did not.
+
+    Made for peers that lost their links and take all endpoints for failed: data
+    that arrived here since such a report outweighs it.
+
+    Args:
+        view: The endpoint.
+        reports: Endpoints that peers did not reach, with the loop time of the
+            latest report in s.
+    """
+    reported_at = reports.get(view.entry.id)
+    return reported_at is not None and view.last_received_at <= reported_at
+
+
+def _choose_among(state: 'GatewayState', call: Call,
+                  candidates: list[EndpointView], ignore_capacity: bool,
+                  now: float) -> Placement | PlacementFailure:
+    """Return the cheapest of some endpoints for a request."""
     service = state.config.services.get(call.service)
     inputs = _CostInputs(state, call, now, service.engine if service else None,
                          hints.peer_load_lookup(state, now),
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -50,8 +50,9 @@
 
 def _ignore_leaving() -> None:
     """Go on sending requests to endpoints that leave."""
-    setattr(EndpointView, 'is_available',
-            lambda view, now: now >= view.cooldown_until)
+    setattr(
+        EndpointView, 'is_available',
+        lambda view, now: now >= max(view.cooldown_until, view.unreached_until))
 
 
 def _keep_first_configuration() -> None:
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -29,7 +29,7 @@
         for send in scene.all(fx.Send)[sent:]:
             scene.post(ev.SendFailed(send.attempt, failure))
         view = scene.state.endpoints[EndpointId('a')]
-        return view.cooldown_until - scene.now
+        return view.available_at - scene.now
 
     def test_sends_that_fail_together_do_not_lengthen_it(self) -> None:
         for failure, count, expected_s in self.TOGETHER:
--- a/tests/test_partitioned_vms.py
+++ b/tests/test_partitioned_vms.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 from plantainridge.gateway import effects as fx
-from plantainridge.ids import VmId
+from plantainridge.gateway import events as ev
+from plantainridge.gateway import load_reports, peer_messages
+from plantainridge.gateway.hints import HintReceived
+from plantainridge.gateway.peer_messages import Hint, OwnLoad
+from plantainridge.ids import Incarnation, VmId
+from tests.gateway_scene import GatewayScene, endpoint, head
 from tests.partition_fleet import Cut, PartitionFleet
 
 THREE: Final = frozenset({VmId('near-0'), VmId('near-1'), VmId('far-3')})
@@ -12,6 +17,10 @@
 SETTLE_S: Final = 3.0
 # Least share of the others' that VMs that are cut off have to serve.
 MIN_RATIO: Final = 2 / 3
+A: Final = endpoint('a')
+B: Final = endpoint('b')
+UNREACHED: Final = OwnLoad(0, 0, 0, 1.0, is_unreached=True)
+LOADS_WEIGHTS: Final = OwnLoad(0, 0, 0, 0.6)
 
 
 class PartitionedVmsTest(unittest.TestCase):
@@ -49,3 +58,58 @@
             sum(fleet.counts[each.__name__]
                 for each in (fx.ProbePath, fx.OpenTunnel, fx.RefuseTunnel)), 0)
         self.assertFalse([send for _, _, send in fleet.sends if send.via])
+
+
+class PeersReportTest(unittest.TestCase):
+    """What a peer's own lost paths mean for other VMs."""
+
+    def _sent_to(self,
+                 load: OwnLoad,
+                 *names: str,
+                 bytes_after: bool = False) -> set[str]:
+        """Return the engines that get requests after a peer's report."""
+        scene = GatewayScene(A, B)
+        send = scene.post_request('/report/x', 'running')
+        while send.endpoint != A.id:
+            send = scene.post_request('/report/x', f'one-of-{scene.now}')
+            scene.now += 0.001
+        scene.post(ev.StreamStarted(send.attempt, head()))
+        scene.now += 0.1
+        scene.post(
+            HintReceived(
+                Hint(VmId('vm2'), Incarnation('life'), 1,
+                     {endpoint(name).id: load for name in names})))
+        scene.now += 0.1
+        if bytes_after:
+            scene.post(ev.StreamEventsReceived(send.attempt, b'.', '1', '1'))
+        first = len(scene.all(fx.Send))
+        for number in range(20):
+            scene.post_request('/report/x', f'r{number}')
+        return {str(each.endpoint) for each in scene.all(fx.Send)[first:]}
+
+    def test_unreached_endpoints_are_a_last_resort_without_own_evidence(
+            self) -> None:
+        cases = {
+            'one is left': (UNREACHED, ('a',), False, {'b'}),
+            'none is left': (UNREACHED, ('a', 'b'), False, {'a', 'b'}),
+            'own evidence': (UNREACHED, ('a',), True, {'a', 'b'}),
+            'weights': (LOADS_WEIGHTS, ('a',), True, {'b'}),
+            'weights at all': (LOADS_WEIGHTS, ('a', 'b'), True, set()),
+        }
+        for name, (load, names, bytes_after, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(
+                    self._sent_to(load, *names, bytes_after=bytes_after),
+                    expected)
+
+    def test_sum_of_reports_keeps_the_kind_of_its_cooldown(self) -> None:
+        short = OwnLoad(0, 0, 0, 0.2)
+        cases = (((UNREACHED, short), short), ((short, UNREACHED), short),
+                 ((UNREACHED, OwnLoad(0, 0, 0, 0.0)), UNREACHED))
+        for loads, expected in cases:
+            total = load_reports.add_loads({A.id: each} for each in loads)[A.id]
+            self.assertEqual(total, expected)
+
+    def test_message_keeps_the_kind_of_a_cooldown(self) -> None:
+        sent = Hint(VmId('vm2'), Incarnation('life'), 1, {A.id: UNREACHED})
+        self.assertEqual(peer_messages.decode(peer_messages.encode(sent)), sent)
