Send through a peer while the path to a service is lost

Each request tried endpoints one after the other, 0.35 s each, until all were in a cool-down.

Cause: a VM reaches endpoints over its own links only, and takes the loss of these for the failure of every endpoint.

Now two endpoints of a service that were not reached within 2 s, or its only one, make the path to it suspect. The VM probes others at once, and those of other services, and then one every 0.5 s; the first new connection ends the suspicion. Until then the VM's own failures to connect are no cool-downs and are not reported, and its requests go to their endpoints through a tunnel that a peer opens. The VM keeps all state of the request: attempts, budgets, the deadline, a caller that left. A peer opens tunnels for registered VMs to registered endpoints over its own direct paths only, so that nothing takes a second hop; it refuses while its own path is suspect or it stops, and waits for open tunnels before it exits. A peer that opens no tunnel costs neither a delivery nor a retry; a tunnel that breaks counts as a run, but not as a crash of the endpoint. Once no peer is left, a request waits for as long again as the outage has lasted, at least 2 s, and is refused at once from the fourth second of it on, with 503 and a time.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -1,10 +1,10 @@
 """Handling of endpoints' answers, streams and failed sends."""
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import (cache, dispatch, endings, health, placement,
-                                   resumptions, suspects, takeover)
+from plantainridge.gateway import (cache, dispatch, endings, health, paths,
+                                   placement, resumptions, suspects, takeover)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
@@ -20,6 +20,9 @@
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
 
+# Failures of sends that certainly did not run.
+NOT_RUN: Final = frozenset({Failure.NOT_CONNECTED, Failure.RELAY_FAILED})
+
 
 def on_answer(state: 'GatewayState', event: AnswerArrived,
               now: float) -> Iterator[Effect]:
@@ -29,6 +32,7 @@
         return
     attempt = yield from endings.close_attempt(state, event.attempt)
     health.record_answer(state, attempt, event.head, now)
+    yield from paths.on_connected(state, attempt, now)
     head = event.head
     if head.not_run:
         call.executions -= 1
@@ -116,6 +120,7 @@
         return
     attempt = state.calls.attempts[event.attempt]
     health.record_head(state, attempt, event.head, now)
+    yield from paths.on_connected(state, attempt, now)
     if not event.head.signed:
         yield fx.CancelSend(event.attempt)
         yield from on_failed(state, SendFailed(event.attempt,
@@ -197,17 +202,18 @@
     """Record a failed send, then retry or end its request."""
     failure = event.failure
     yield from _record_failure(state, call, attempt, event, now)
-    if failure is Failure.NOT_CONNECTED:
+    if failure in NOT_RUN:
         call.executions -= 1
         call.deliveries -= 1
         if call.deliveries:
             state.retries.cancel_retry(call.service, now)
-        if call.reply_started:
+        call.unreached.add(attempt.endpoint)
+        if call.reply_started or failure is Failure.RELAY_FAILED:
             # A stream that has begun may wait for the end of the cool-down.
             call.tried.discard(attempt.endpoint)
         yield from dispatch.dispatch(state, call, now)
         return
-    if failure is Failure.BROKEN:
+    if failure is Failure.BROKEN and attempt.peer is None:
         yield from suspects.record_break(state, call, attempt, now)
     if call.route.repeatable:
         if failure is Failure.TIMED_OUT:
@@ -227,6 +233,7 @@
                     event: SendFailed, now: float) -> Iterator[Effect]:
     """Record and log a failed send."""
     health.record_failure(state, attempt, event.failure, now)
+    yield from paths.on_send_failed(state, call, attempt, event.failure, now)
     yield LogLine('send_failed',
                   (('request', call.request.attempt_id),
                    ('endpoint', attempt.endpoint),
@@ -264,7 +271,9 @@
     if now < send_timeout_at:
         yield SetTimer(event.key, send_timeout_at)
         return
-    choice = takeover.plan(state, call, now)
+    if not attempt.is_silent and attempt.peer is None:
+        yield from paths.on_unreached(state, attempt.endpoint, now)
+    choice = takeover.plan(state, call, now, attempt)
     if isinstance(choice, Placement):
         yield fx.CancelSend(attempt_id)
         yield from endings.close_attempt(state, attempt_id)
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -11,8 +11,9 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import (cache, containment, endings, health,
-                                   placement, retries, stored_parts, suspects)
+from plantainridge.gateway import (cache, containment, endings, health, paths,
+                                   placement, retries, stored_parts, suspects,
+                                   tunnel_peers)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
 from plantainridge.gateway.endpoints import InFlightSend
@@ -113,7 +114,11 @@
     """Choose an endpoint; a retry may go where the request does not fit.
 
     An endpoint that was given up may be chosen again if no other is available.
+    So may those that were not reached on a path that is lost.
     """
+    if state.paths.is_lost(call.service):
+        call.tried -= call.unreached
+        call.unreached.clear()
     choice = placement.choose(state, call, now)
     is_resumed = call.sends or call.build is not None
     if choice is PlacementFailure.NO_CAPACITY and is_resumed:
@@ -139,8 +144,14 @@
     available_at = _available_at(state, call)
     latest_at = call.arrived_at + RECOVERY_WAIT_RATIO * (call.expires_at -
                                                          call.arrived_at)
-    wait_until = (latest_at if available_at < latest_at else
-                  call.waiting_since + WAIT_RATIO * call.route.target_s)
+    if call.wait_reason is PlacementFailure.NO_PATH:
+        is_short = available_at < call.waiting_since + paths.MAX_OUTAGE_S
+        wait_until = (min(available_at, latest_at) if is_short else
+                      call.arrived_at + WAIT_RATIO * call.route.target_s)
+    elif available_at < latest_at:
+        wait_until = latest_at
+    else:
+        wait_until = call.waiting_since + WAIT_RATIO * call.route.target_s
     if call.reply_started and _has_untried(state, call):
         return max(wait_until, _abandoned_at(call))
     return wait_until
@@ -186,7 +197,7 @@
         now: Loop time in s.
         budget_ratio: Share of the retry budget that the send may use.
     """
-    if (call.sends >= retries.MAX_SENDS or
+    if (call.sends - len(call.failed_peers) >= retries.MAX_SENDS or
             call.executions >= call.route.attempts):
         return SendLimit.ATTEMPTS
     if call.expires_at - now < MIN_REMAINING_RATIO * call.route.target_s:
@@ -213,9 +224,16 @@
     attempt = AttemptId(f'{request.id}.{call.sends}')
     call.attempt = attempt
     call.tried.add(view.entry.id)
-    state.calls.attempts[attempt] = Attempt(attempt, request.id, view.entry.id,
-                                            now, now, choice.version,
-                                            view.entry.build)
+    peer = choice.peer
+    state.calls.attempts[attempt] = Attempt(attempt,
+                                            request.id,
+                                            view.entry.id,
+                                            now,
+                                            now,
+                                            choice.version,
+                                            view.entry.build,
+                                            new_connection=new_connection,
+                                            peer=peer.vm if peer else None)
     view.add_send(
         attempt,
         InFlightSend(choice.prefill_tokens, placement.memory_tokens(request)))
@@ -234,7 +252,8 @@
                   version=choice.version,
                   urgency=call.urgency if _is_engine(service) else None,
                   last_event_id=call.last_event_id,
-                  cache=plan)
+                  cache=plan,
+                  via=tunnel_peers.tunnel_address(state, peer) if peer else '')
 
 
 def _send_log_line(state: 'GatewayState', call: Call, choice: Placement,
@@ -253,6 +272,7 @@
         ('context', cache.context_id(request.parts)),
         ('version', choice.version or 0),
         ('build', view.entry.build),
+        ('via', choice.peer.vm if choice.peer else ''),
         ('after_event', call.last_event_id),
         ('resumes', request.resumes),
         ('own', len(view.in_flight)),
@@ -356,6 +376,8 @@
 
 def _available_at(state: 'GatewayState', call: Call) -> float:
     """Return the loop time at which an endpoint becomes available, in s."""
+    if call.wait_reason is PlacementFailure.NO_PATH:
+        return state.paths.expected_at(call.service, call.waiting_since)
     return min((view.available_at
                 for view in state.endpoints.values()
                 if view.entry.service == call.service and
--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -69,7 +69,8 @@
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Stop listening, then end the open requests and exit.
 
-    The exit comes once every request is answered, but in time before the kill.
+    The exit comes once every request is answered and peers have closed their
+    tunnels, but in time before the kill.
     """
     if state.stopping_since is None or state.exiting:
         return
@@ -78,7 +79,7 @@
         state.listening = False
         yield fx.StopListening()
     is_drained = (elapsed_s >= UNREADY_S + LATE_ARRIVAL_S and
-                  not state.calls.calls)
+                  not state.calls.calls and not state.tunnels.endpoints)
     if not is_drained and now < _exit_at(state, EXIT_MARGIN_S):
         return
     state.exiting = True
--- a/src/plantainridge/gateway/explain.py
+++ b/src/plantainridge/gateway/explain.py
@@ -17,7 +17,8 @@
     'configuration_taken', 'version_named', 'version_age_stated',
     'version_ordered', 'version_reached', 'endpoint_leaving', 'endpoint_gone',
     'view_lost', 'view_back', 'store_lost', 'endpoint_pauses', 'lease_taken',
-    'stopping', 'stopped', 'started', 'lines_left_out'
+    'path_suspected', 'path_restored', 'stopping', 'stopped', 'started',
+    'lines_left_out'
 })
 
 
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -28,6 +28,9 @@
 ACTIVE_TIMEOUT_RATIO: Final = 6.0
 # Pause after which a stream is stalled, relative to the route's longest gap.
 STALL_TIMEOUT_RATIO: Final = 3.0
+# Failures that a lost path causes.
+PATH_FAILURES: Final = frozenset(
+    {Failure.NOT_CONNECTED, Failure.SILENT, Failure.BROKEN})
 STATUS_MISDIRECTED: Final = 421
 
 
@@ -123,7 +126,8 @@
         # A timeout concerns one connection; new ones show whether the endpoint
         # is reached.
         return
-    if attempt.sent_at < view.cooled_down_at:
+    if (attempt.sent_at < view.cooled_down_at or
+            _is_failure_of_path(state, attempt, failure, view)):
         return
     view.failures += 1
     unreachable = failure in (Failure.NOT_CONNECTED, Failure.SILENT)
@@ -131,6 +135,15 @@
         _start_cooldown(view, now)
 
 
+def _is_failure_of_path(state: 'GatewayState', attempt: Attempt,
+                        failure: Failure, view: EndpointView) -> bool:
+    """Return whether a failure is due to the path, not to the endpoint."""
+    if attempt.peer is not None:
+        return failure in (Failure.RELAY_FAILED, Failure.BROKEN)
+    return (failure in PATH_FAILURES and
+            state.paths.is_lost(view.entry.service))
+
+
 def _start_cooldown(view: EndpointView, now: float) -> None:
     view.cooled_down_at = now
     cooldown_s = COOLDOWN_S * 2.0**min(view.failures - 1, 8)
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -153,8 +153,10 @@
 
 def _own_loads(state: 'GatewayState', now: float) -> dict[EndpointId, OwnLoad]:
     return {
-        name: own_load(view, now) for name, view in state.endpoints.items() if
-        view.in_flight or max(view.cooldown_until, view.unreached_until) > now
+        name: own_load(view, now, state.paths.is_lost(view.entry.service))
+        for name, view in state.endpoints.items()
+        if view.in_flight or view.cooldown_until > now or
+        view.unreached_until > now
     }
 
 
@@ -435,9 +437,19 @@
     return memory_tokens >= LOADED_MEMORY_RATIO * service.engine.cache_tokens
 
 
-def own_load(view: EndpointView, now: float) -> OwnLoad:
-    """Return the load that this VM has in flight on an endpoint."""
-    is_unreached = view.cooldown_until <= now < view.unreached_until
+def own_load(view: EndpointView,
+             now: float,
+             is_path_lost: bool = False) -> OwnLoad:
+    """Return the load that this VM has in flight on an endpoint.
+
+    Args:
+        view: The endpoint.
+        now: Loop time in s.
+        is_path_lost: Whether the path to its service is suspected lost; then
+            the endpoint is not reported as unreached.
+    """
+    is_unreached = (view.cooldown_until <= now < view.unreached_until and
+                    not is_path_lost)
     until = view.unreached_until if is_unreached else view.cooldown_until
     # Rounded up to steps of 0.2 s, so that elapsed time alone causes few hints.
     cooldown_s = math.ceil(max(0.0, until - now) * 5) / 5
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -13,16 +13,18 @@
 outlasts its cause. A large request is therefore placed only where it fits.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
-from plantainridge.gateway import (cache, endpoints, hints, spill, stored_parts)
+from plantainridge.gateway import (cache, endpoints, hints, spill, stored_parts,
+                                   tunnel_peers)
 from plantainridge.gateway.config import EngineSpec
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.events import Request
+from plantainridge.gateway.events import Request, VmEntry
 from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoad
 from plantainridge.gateway.requests import Call, PlacementFailure
 from plantainridge.ids import DcId, EndpointId
@@ -102,6 +104,7 @@
         cost: Expected cost, relative to the value of the request.
         fetch_plan: Stores from which parts of the prompt can be fetched.
         has_capacity: Whether the run fits into the engine's memory.
+        peer: The peer through which the request is sent, or None.
     """
 
     view: EndpointView
@@ -111,6 +114,7 @@
     cost: float
     fetch_plan: stored_parts.FetchPlan = stored_parts.NO_FETCH
     has_capacity: bool = True
+    peer: VmEntry | None = None
 
 
 @attrs.define
@@ -223,21 +227,29 @@
         The placement; `NO_CAPACITY` if the request fits on none of the
         available endpoints; another reason if none is available.
     """
+    peer = None
+    if state.paths.is_lost(call.service):
+        peer = tunnel_peers.choose(state, call, now)
+        if peer is None:
+            reason = _unavailability(state, call, now)
+            return (PlacementFailure.NO_PATH
+                    if reason is PlacementFailure.NO_ENDPOINT else reason)
     cooling_down = hints.cooling_down(state, now)
     candidates = [
         view for view in endpoints.available(state.endpoints, call.service, now)
-        if has_build(call, view) and
-        view.entry.id not in call.tried and cooling_down.get(
-            view.entry.id, view.weights_loaded_at) <= view.weights_loaded_at
+        if has_build(call, view) and view.entry.id not in call.tried and
+        cooling_down.get(view.entry.id, -math.inf) <= view.weights_loaded_at
     ]
     unreached = hints.unreached(state, now)
     reachable = [
         view for view in candidates if not _is_unreached(view, unreached)
     ]
     choice = _choose_among(state, call, reachable, ignore_capacity, now)
-    if isinstance(choice, Placement) or len(reachable) == len(candidates):
-        return choice
-    return _choose_among(state, call, candidates, ignore_capacity, now)
+    if (not isinstance(choice, Placement) and len(reachable) < len(candidates)):
+        choice = _choose_among(state, call, candidates, ignore_capacity, now)
+    if isinstance(choice, Placement):
+        choice.peer = peer
+    return choice
 
 
 def _is_unreached(view: EndpointView, reports: Mapping[EndpointId,
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -5,9 +5,10 @@
 
 from plantainridge.gateway import (answers, containment, dispatch, drain,
                                    endings, eras, events, hints, intake, lease,
-                                   membership, notices, relays, reload,
+                                   membership, notices, paths, relays, reload,
                                    resumptions, rollout, stored_parts, stores,
-                                   suspects, views, withdrawals)
+                                   suspects, tunnel_admission, views,
+                                   withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import AttemptId, RequestId
@@ -41,8 +42,8 @@
 
 
 # Modules with periodic work, in its order.
-TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, dispatch,
-                     rollout, hints, relays, drain)
+TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, paths,
+                     dispatch, rollout, hints, relays, drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
@@ -70,6 +71,9 @@
     events.StreamEventsReceived: answers.on_stream_events,
     events.StreamEnded: answers.on_stream_ended,
     events.SendFailed: answers.on_failed,
+    events.PathProbed: paths.on_probed,
+    events.TunnelRequested: tunnel_admission.on_requested,
+    events.TunnelEnded: tunnel_admission.on_ended,
     events.EndpointReported: rollout.on_reported,
     events.ReportFailed: rollout.on_report_failed,
     events.OrderAnswered: rollout.on_ordered,
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -8,7 +8,8 @@
 
 from plantainridge.gateway.config import Route, Team
 from plantainridge.gateway.events import Headers, Request
-from plantainridge.ids import AttemptId, EndpointId, RequestId, ServiceId
+from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
+                               VmId)
 from plantainridge.loop.lifecycle import LifeCycle
 
 
@@ -40,6 +41,7 @@
     ALL_PAUSED = 'every endpoint asked for a pause'
     ALL_LEAVING = 'every endpoint is leaving'
     NO_BUILD = 'no endpoint that stays has its build'
+    NO_PATH = 'neither this VM nor a peer reaches its endpoints'
     NO_RETRY = 'no more sends are allowed'
 
 
@@ -66,6 +68,8 @@
         deliveries: Sends that may have reached an endpoint.
         tried: Endpoints that it was sent to.
         given_up: Those of them that were given up although they may be sound.
+        unreached: Those of them that were not reached.
+        failed_peers: Peers through which a send failed.
         reply_started: Whether the answer's head was sent to the caller.
         last_event_id: Id of the last stream event that the caller has, or ''.
         waiting_since: Loop time since which it waits for an endpoint, in s.
@@ -97,6 +101,8 @@
     deliveries: int = 0
     tried: set[EndpointId] = attrs.field(factory=set)
     given_up: set[EndpointId] = attrs.field(factory=set)
+    unreached: set[EndpointId] = attrs.field(factory=set)
+    failed_peers: set[VmId] = attrs.field(factory=set)
     reply_started: bool = False
     last_event_id: str = ''
     waiting_since: float = 0.0
@@ -131,6 +137,8 @@
         build: Build of the endpoint, by its entry at the send.
         events_received: Whether any stream event arrived.
         is_silent: Whether it stays although its endpoint is silent.
+        new_connection: Whether it required a new connection.
+        peer: The peer through which it was sent, or None.
     """
 
     id: AttemptId
@@ -142,6 +150,8 @@
     build: str = ''
     events_received: bool = False
     is_silent: bool = False
+    new_connection: bool = False
+    peer: VmId | None = None
 
 
 @attrs.define
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -13,6 +13,7 @@
 from plantainridge.gateway.lease import Lease
 from plantainridge.gateway.notices import LeavingTable
 from plantainridge.gateway.part_lifetimes import PartLifetimes
+from plantainridge.gateway.paths import PathTable
 from plantainridge.gateway.relays import RelayBuffer
 from plantainridge.gateway.requests import CallTable
 from plantainridge.gateway.retries import RetryBudget
@@ -21,6 +22,8 @@
 from plantainridge.gateway.stores import StoreTable
 from plantainridge.gateway.suspects import SuspectTable
 from plantainridge.gateway.suspension import Suspension
+from plantainridge.gateway.tunnel_admission import TunnelTable
+from plantainridge.gateway.tunnel_peers import TunnelPeerTable
 from plantainridge.gateway.versions import VersionTable
 from plantainridge.gateway.views import ViewTable
 from plantainridge.ids import EndpointId, Incarnation, VmId
@@ -41,6 +44,9 @@
         builds: Builds at which streams began.
         views: Read positions in the metadata store's views.
         calls: Requests and sends in flight.
+        paths: Direct paths to the endpoints of each service.
+        tunnel_peers: Peers that opened no tunnel for this VM.
+        tunnels: Tunnels that this VM opened for peers.
         retries: Budget of repeated sends.
         suspects: Requests that may crash endpoints.
         hints: Load that peers have in flight.
@@ -67,6 +73,9 @@
     builds: BuildTable = attrs.field(factory=BuildTable)
     views: ViewTable = attrs.field(factory=ViewTable)
     calls: CallTable = attrs.field(factory=CallTable)
+    paths: PathTable = attrs.field(factory=PathTable)
+    tunnel_peers: TunnelPeerTable = attrs.field(factory=TunnelPeerTable)
+    tunnels: TunnelTable = attrs.field(factory=TunnelTable)
     retries: RetryBudget = attrs.field(factory=RetryBudget)
     suspects: SuspectTable = attrs.field(factory=SuspectTable)
     hints: HintTable = attrs.field(factory=HintTable)
--- a/src/plantainridge/gateway/takeover.py
+++ b/src/plantainridge/gateway/takeover.py
@@ -10,7 +10,7 @@
 
 from plantainridge.gateway import dispatch, suspects
 from plantainridge.gateway.placement import Placement
-from plantainridge.gateway.requests import Call, SendLimit
+from plantainridge.gateway.requests import Attempt, Call, SendLimit
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -47,12 +47,27 @@
     return choice if limit is None and choice is not None else Stay.FOR_NOW
 
 
-def plan(state: 'GatewayState', call: Call, now: float) -> Placement | Stay:
-    """Return the endpoint that takes over a request's send, or why it stays."""
+def plan(state: 'GatewayState',
+         call: Call,
+         now: float,
+         silent: Attempt | None = None) -> Placement | Stay:
+    """Return the endpoint that takes over a request's send, or why it stays.
+
+    Args:
+        state: The VM's state.
+        call: The request.
+        now: Loop time in s.
+        silent: Its send if that is silent. If the path of this send is lost and
+            no other endpoint is available, its own takes over through a peer.
+    """
     limit = dispatch.send_limit(state, call, now, TAKEOVER_BUDGET_RATIO)
     if limit is not None:
         return decide(limit, None)
     choice = dispatch.choose(state, call, now)
+    if (not isinstance(choice, Placement) and silent is not None and
+            silent.peer is None and state.paths.is_lost(call.service)):
+        call.unreached.add(silent.endpoint)
+        choice = dispatch.choose(state, call, now)
     if not isinstance(choice, Placement):
         return decide(None, None)
     if not suspects.admits(state, call, now):
--- a/tests/load_fleet.py
+++ b/tests/load_fleet.py
@@ -217,6 +217,11 @@
                 self._send_peer(name, effect)
             elif isinstance(effect, fx.Send):
                 self._start(name, effect)
+            elif isinstance(effect, fx.ProbePath):
+                is_reached = self._reaches(name, effect.endpoint)
+                self._post_at(
+                    self.now + (LOCAL_DELAY_S if is_reached else 0.35), name,
+                    ev.PathProbed(effect.endpoint, is_reached))
             elif isinstance(effect, fx.StartReply):
                 pass
             elif isinstance(effect, fx.ForwardStreamEvents):
@@ -266,7 +271,8 @@
 
     def _start(self, vm: VmId, send: fx.Send) -> None:
         engine = self.engines[send.endpoint]
-        if not engine.up or self._is_cut(vm, send.endpoint):
+        # A tunnel is a connection of the peer that opens it.
+        if not self._reaches(send.via.rpartition(':')[0] or vm, send.endpoint):
             self._post_at(self.now + 0.35, vm,
                           ev.SendFailed(send.attempt, ev.Failure.NOT_CONNECTED))
             return
@@ -275,6 +281,9 @@
             send.request.parts)
         self._at(engine.free_at, lambda: self._generate(engine, job))
 
+    def _reaches(self, vm: str, name: EndpointId) -> bool:
+        return self.engines[name].up and not self._is_cut(vm, name)
+
     def _generate(self, engine: Engine, job: Job) -> None:
         engine.running += 1
         step_s = STEP_OF_A_RUN_S + STEP_PER_RUN_S * engine.running
--- a/tests/partition_fleet.py
+++ b/tests/partition_fleet.py
@@ -49,11 +49,22 @@
 
 @attrs.define
 class Outcome:
-    """First tries at one VM, with the time of their arrival in s."""
+    """A request at one VM.
+
+    Attributes:
+        at: Time of its arrival, in s.
+        ended_at: Time of its end, in s.
+        runs: Sends that an endpoint began to run.
+        refusal: The gateway's own answer, or None.
+    """
 
     vm: VmId
+    target: str
     at: float
     is_served: bool | None = None
+    ended_at: float = 0.0
+    runs: int = 0
+    refusal: fx.Refuse | None = None
 
 
 @attrs.define
@@ -77,7 +88,6 @@
     outcomes: dict[str, Outcome] = attrs.field(factory=dict)
     counts: Counter[str] = attrs.field(factory=Counter)
     sends: list[tuple[float, VmId, fx.Send]] = attrs.field(factory=list)
-    refusals: list[fx.Refuse] = attrs.field(factory=list)
     vms: dict[VmId, GatewayScene] = attrs.field(factory=dict, init=False)
     now: float = attrs.field(default=100.0, init=False)
     # The carriers of sends in flight: the VM that sent, and that connected.
@@ -148,7 +158,7 @@
     def post_request(self, vm: VmId, target: str) -> str:
         """Post a request to a VM and return its id."""
         name = f'r{next(self._sequence)}'
-        self.outcomes[name] = Outcome(vm, self.now)
+        self.outcomes[name] = Outcome(vm, target, self.now)
         self._post(vm,
                    ev.RequestArrived(request(target, name, body=name.encode())))
         return name
@@ -197,12 +207,13 @@
             elif isinstance(effect, fx.RefuseTunnel):
                 self._fail(effect.tunnel, ev.Failure.RELAY_FAILED)
                 self._post(name, ev.TunnelEnded(effect.tunnel, 'refused'))
-            elif isinstance(effect, (fx.Reply, fx.EndReply)):
-                self.outcomes[effect.request].is_served = True
-            elif isinstance(effect, (fx.Refuse, fx.AbortReply)):
-                self.outcomes[effect.request].is_served = False
+            elif isinstance(effect,
+                            (fx.Reply, fx.EndReply, fx.Refuse, fx.AbortReply)):
+                outcome = self.outcomes[effect.request]
+                outcome.is_served = isinstance(effect, (fx.Reply, fx.EndReply))
+                outcome.ended_at = self.now
                 if isinstance(effect, fx.Refuse):
-                    self.refusals.append(effect)
+                    outcome.refusal = effect
 
     def _send(self, vm: VmId, send: fx.Send) -> None:
         if send.via:
@@ -266,6 +277,7 @@
     def _carry(self, sender: VmId, connector: VmId, send: fx.Send) -> None:
         """Answer a send, unless its connection hangs or has ended by then."""
         self._carriers[send.attempt] = sender, connector
+        self.outcomes[send.request.id].runs += 1
         if not send.stream:
             self._step(send, [ev.AnswerArrived(send.attempt, head(), b'')])
             return
--- a/tests/test_partitioned_vms.py
+++ b/tests/test_partitioned_vms.py
@@ -1,15 +1,20 @@
 """VMs that are cut off from endpoints while callers and peers reach them."""
 
 import unittest
+from collections.abc import Callable
 from typing import Final
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway import load_reports, peer_messages
+from plantainridge.gateway import (load_reports, paths, peer_messages,
+                                   tunnel_admission, tunnel_peers)
+from plantainridge.gateway.events import View
 from plantainridge.gateway.hints import HintReceived
 from plantainridge.gateway.peer_messages import Hint, OwnLoad
-from plantainridge.ids import Incarnation, VmId
-from tests.gateway_scene import GatewayScene, endpoint, head
+from plantainridge.ids import EndpointId, Incarnation, TunnelId, VmId
+from plantainridge.loop import effects as base
+from tests.gateway_scene import (LEDGER, LOCAL_DC, REMOTE_DC, GatewayScene,
+                                 endpoint, head)
 from tests.partition_fleet import Cut, PartitionFleet
 
 THREE: Final = frozenset({VmId('near-0'), VmId('near-1'), VmId('far-3')})
@@ -19,6 +24,15 @@
 MIN_RATIO: Final = 2 / 3
 A: Final = endpoint('a')
 B: Final = endpoint('b')
+# The second one is local, but sends no hints.
+PEERS: Final = (ev.VmEntry(VmId('vm1'), LOCAL_DC,
+                           'vm1:3'), ev.VmEntry(VmId('vm4'), LOCAL_DC, 'vm4:3'),
+                ev.VmEntry(VmId('vm2'), REMOTE_DC,
+                           'vm2:3'), ev.VmEntry(VmId('vm3'), REMOTE_DC,
+                                                'vm3:3'))
+# Tunnel ports of those peers, in the order in which this VM prefers them.
+FIRST: Final = 'vm3:5'
+SECOND: Final = 'vm2:5'
 UNREACHED: Final = OwnLoad(0, 0, 0, 1.0, is_unreached=True)
 LOADS_WEIGHTS: Final = OwnLoad(0, 0, 0, 0.6)
 
@@ -51,6 +65,88 @@
             self.assertGreaterEqual(fleet.served_ratio(others, 103.0), expected,
                                     how)
 
+    def test_path_is_suspected_within_a_second(self) -> None:
+        for how in Cut:
+            fleet = PartitionFleet(how)
+            fleet.run(3.0)
+            fleet.cut_off(*THREE)
+            cut_at = fleet.now
+            fleet.run(5.0)
+            for vm in THREE:
+                first_at = min(at for at, name, _ in fleet.sends
+                               if name == vm and at > cut_at)
+                lost = fleet.vms[vm].state.paths.services
+                self.assertEqual(len(lost), 2)
+                with self.subTest(f'{how} {vm}'):
+                    self.assertLess(
+                        min(each.lost_since or 0.0 for each in lost.values()),
+                        first_at + 1.0)
+
+    def test_every_vm_cut_off_refuses_at_once_and_returns_at_once(self) -> None:
+        for how in Cut:
+            with self.subTest(how):
+                fleet = PartitionFleet(how)
+                fleet.run(3.0)
+                fleet.cut_off(*fleet.vms)
+                fleet.run(6.0)
+                since = fleet.now
+                fleet.run(6.0)
+                refused = [
+                    each for each in fleet.outcomes.values()
+                    if since <= each.at < fleet.now - 1.0
+                ]
+                for each in refused:
+                    assert each.refusal is not None
+                    self.assertEqual(each.refusal.status, 503)
+                    self.assertIsNotNone(each.refusal.retry_after_s)
+                    self.assertLess(each.ended_at - each.at, 0.3)
+                fleet.cut.clear()
+                fleet.run(1.0)
+                since = fleet.now
+                fleet.run(6.0)
+                self.assertEqual(fleet.served_ratio(set(fleet.vms), since), 1.0)
+                self.assertFalse([
+                    send for at, _, send in fleet.sends
+                    if at > since and send.via
+                ])
+
+    def test_short_outage_of_all_endpoints_loses_no_request(self) -> None:
+        for how in Cut:
+            fleet = PartitionFleet(how)
+            fleet.run(3.0)
+            since = fleet.now
+            fleet.cut_off(*fleet.vms)
+            fleet.run(1.9)
+            fleet.cut.clear()
+            fleet.run(6.0)
+            self.assertEqual(fleet.served_ratio(set(fleet.vms), since), 1.0,
+                             how)
+
+    def test_peer_that_ends_or_is_cut_off_is_replaced_and_nothing_runs_twice(
+            self) -> None:
+        for how in Cut:
+            for peer_ends in (True, False):
+                with self.subTest(f'{how}, peer ends: {peer_ends}'):
+                    fleet = PartitionFleet(how)
+                    fleet.run(3.0)
+                    fleet.cut_off(*THREE)
+                    fleet.run(3.0)
+                    peers = {VmId('near-2'), VmId('far-4')}
+                    if peer_ends:
+                        fleet.kill(VmId('near-2'))
+                        fleet.kill(VmId('far-4'))
+                    else:
+                        fleet.cut_off(*peers)
+                    since = fleet.now + SETTLE_S
+                    fleet.run(9.0)
+                    others = set(fleet.vms) - THREE - peers
+                    self.assertGreaterEqual(
+                        fleet.served_ratio(set(THREE), since),
+                        MIN_RATIO * fleet.served_ratio(others, since))
+                    for each in fleet.outcomes.values():
+                        self.assertLessEqual(
+                            each.runs, 1 if each.target == '/submit/x' else 2)
+
     def test_nothing_cut_needs_no_tunnel_and_no_probe(self) -> None:
         fleet = PartitionFleet()
         fleet.run(10.0)
@@ -113,3 +209,177 @@
     def test_message_keeps_the_kind_of_a_cooldown(self) -> None:
         sent = Hint(VmId('vm2'), Incarnation('life'), 1, {A.id: UNREACHED})
         self.assertEqual(peer_messages.decode(peer_messages.encode(sent)), sent)
+
+
+class LostPathTest(unittest.TestCase):
+    """Decisions of one VM whose path to a service may be lost."""
+
+    def _scene(self, *names: str) -> GatewayScene:
+        scene = GatewayScene(*(endpoint(name, LEDGER) for name in names))
+        scene.read(View.VMS, *PEERS)
+        return scene
+
+    def _fail(self, scene: GatewayScene, failure: ev.Failure) -> fx.Send:
+        scene.post(ev.SendFailed(scene.last(fx.Send).attempt, failure))
+        return scene.last(fx.Send)
+
+    def _lose_path(self, scene: GatewayScene, target: str) -> fx.Send:
+        """Fail two direct sends; return the one through a peer."""
+        scene.post_request(target)
+        self._fail(scene, ev.Failure.NOT_CONNECTED)
+        return self._fail(scene, ev.Failure.NOT_CONNECTED)
+
+    def test_one_failed_endpoint_of_several_is_no_lost_path(self) -> None:
+        scene = self._scene('p', 'q', 'r')
+        scene.post_request('/submit/x')
+        self.assertEqual(self._fail(scene, ev.Failure.NOT_CONNECTED).via, '')
+        scene.advance(paths.FAILURE_WINDOW_S + 0.1)
+        send = self._fail(scene, ev.Failure.NOT_CONNECTED)
+        self.assertEqual((send.via, scene.all(fx.ProbePath)), ('', []))
+
+    def test_probe_that_connects_ends_a_wrong_suspicion(self) -> None:
+        scene = self._scene('p', 'q', 'r')
+        first = self._lose_path(scene, '/submit/x')
+        self.assertEqual(first.via, FIRST)
+        probed = scene.all(fx.ProbePath)[0].endpoint
+        failed = {each.endpoint for each in scene.all(fx.Send)[:2]}
+        self.assertNotIn(probed, failed)
+        scene.post(ev.PathProbed(probed, True))
+        send = scene.post_request('/submit/x', 'r2')
+        self.assertEqual((send.via, send.endpoint), ('', probed))
+
+    def test_later_probes_come_every_half_second(self) -> None:
+        scene = self._scene('p', 'q', 'r')
+        self._lose_path(scene, '/submit/x')
+        for each in scene.all(fx.ProbePath):
+            scene.post(ev.PathProbed(each.endpoint, False))
+        first = len(scene.all(fx.ProbePath))
+        scene.advance(3.0)
+        self.assertIn(len(scene.all(fx.ProbePath)) - first, (5, 6))
+
+    def test_peer_that_opens_no_tunnel_is_replaced_at_no_cost(self) -> None:
+        scene = self._scene('p', 'q')
+        self._lose_path(scene, '/submit/x')
+        send = self._fail(scene, ev.Failure.RELAY_FAILED)
+        self.assertEqual(send.via, SECOND)
+        call = next(iter(scene.state.calls.calls.values()))
+        self.assertEqual((call.executions, call.deliveries), (1, 1))
+        self.assertEqual(scene.state.endpoints[send.endpoint].failures, 1)
+
+    def test_broken_tunnel_is_no_crash_of_its_endpoint(self) -> None:
+        scene = self._scene('p', 'q')
+        send = self._lose_path(scene, '/view/x')
+        failures = scene.state.endpoints[send.endpoint].failures
+        self.assertEqual(self._fail(scene, ev.Failure.BROKEN).via, SECOND)
+        self.assertFalse(scene.state.suspects.crashes)
+        self.assertEqual(scene.state.endpoints[send.endpoint].failures,
+                         failures)
+
+    def test_broken_tunnel_does_not_repeat_what_may_run_once(self) -> None:
+        scene = self._scene('p', 'q')
+        self._lose_path(scene, '/submit/x')
+        sends = len(scene.all(fx.Send))
+        self._fail(scene, ev.Failure.BROKEN)
+        self.assertEqual(scene.last(fx.Refuse).status, 502)
+        self.assertEqual(len(scene.all(fx.Send)), sends)
+
+    def test_silent_send_moves_through_a_peer_to_its_only_endpoint(
+            self) -> None:
+        scene = self._scene('p')
+        direct = scene.post_request('/view/x')
+        scene.advance(1.0)
+        send = scene.last(fx.Send)
+        self.assertEqual(scene.last(fx.CancelSend).attempt, direct.attempt)
+        self.assertEqual((send.endpoint, send.via), ('p', FIRST))
+
+    def test_lost_path_is_not_reported_as_failed_endpoints(self) -> None:
+        scene = self._scene('p', 'q')
+        self._lose_path(scene, '/submit/x')
+        scene.done.clear()
+        scene.advance(0.5)
+        hint = peer_messages.decode(scene.last(base.SendPeer).payload)
+        assert isinstance(hint, Hint)
+        self.assertEqual({each.cooldown_s for each in hint.loads.values()},
+                         {0.0})
+
+    def test_vms_cut_off_together_prefer_different_peers(self) -> None:
+        entries = [
+            ev.VmEntry(VmId(f'vm{at}'), 'z', f'vm{at}:1') for at in range(20)
+        ]
+        preferred = {
+            tunnel_peers.rank(own, entries, ())[0].vm for own in entries
+        }
+        self.assertGreater(len(preferred), 8)
+
+
+class TunnelAdmissionTest(unittest.TestCase):
+    """Tunnels that peers request."""
+
+    def _scene(self) -> GatewayScene:
+        scene = GatewayScene(A, endpoint('p', LEDGER), endpoint('q', LEDGER))
+        scene.read(View.VMS, *PEERS)
+        return scene
+
+    def _request(self,
+                 scene: GatewayScene,
+                 origin: str = 'vm2',
+                 address: str = 'p:1',
+                 name: str = 't') -> base.Effect:
+        scene.post(ev.TunnelRequested(TunnelId(name), origin, address))
+        return scene.done[-1]
+
+    def test_refuses_what_is_not_registered_or_leads_on(self) -> None:
+        scene = self._scene()
+        for origin, address, status in (('vm9', 'p:1', 403), ('vm2', 'vm3:5',
+                                                              403),
+                                        ('vm2', '10.9.9.9:1', 403)):
+            refusal = self._request(scene, origin, address)
+            assert isinstance(refusal, fx.RefuseTunnel)
+            self.assertEqual(refusal.status, status)
+
+    def test_refuses_while_it_cannot_or_must_not_send_itself(self) -> None:
+        cases: dict[str, Callable[[GatewayScene], object]] = {
+            'stops':
+                lambda scene: scene.post(ev.StopRequested()),
+            'leaves':
+                lambda scene: setattr(scene.state.endpoints[EndpointId('p')],
+                                      'leaving', True),
+            'pauses':
+                lambda scene: setattr(scene.state.endpoints[EndpointId('p')],
+                                      'paused_until', 1e9),
+            'too many':
+                lambda scene: scene.state.tunnels.endpoints.update({
+                    TunnelId(str(at)): A.id
+                    for at in range(tunnel_admission.MAX_TUNNELS)
+                }),
+        }
+        for name, prepare in cases.items():
+            with self.subTest(name):
+                scene = self._scene()
+                self.assertIsInstance(self._request(scene, name='first'),
+                                      fx.OpenTunnel)
+                prepare(scene)
+                refusal = self._request(scene)
+                assert isinstance(refusal, fx.RefuseTunnel)
+                self.assertEqual(refusal.status, 503)
+
+    def test_tunnels_that_find_no_endpoint_show_the_own_lost_path(self) -> None:
+        scene = self._scene()
+        for at, address in enumerate(('p:1', 'q:1')):
+            self._request(scene, address=address, name=f't{at}')
+            scene.post(
+                ev.TunnelEnded(TunnelId(f't{at}'), 'timeout', is_reached=False))
+        self.assertIsInstance(self._request(scene), fx.RefuseTunnel)
+        self.assertIsInstance(self._request(scene, address='a:1', name='u'),
+                              fx.OpenTunnel)
+
+    def test_open_tunnel_delays_the_exit_up_to_its_margin(self) -> None:
+        scene = self._scene()
+        self._request(scene, name='first')
+        self._request(scene, name='second')
+        scene.post(ev.TunnelEnded(TunnelId('first'), 'closed'))
+        scene.post(ev.StopRequested())
+        scene.advance(5.0)
+        self.assertFalse(scene.state.exiting)
+        scene.advance(3.0)
+        self.assertTrue(scene.state.exiting)
