Let the lease go while no engine can be reached

A holder of the lease that is cut off from the engines, but not from the metadata store, went on renewing it: for as long as the cut lasted no engine got a new weight version, and no other VM could take over.

Same cause as with requests: the VM took the loss of its own paths for engines that do not answer. Now reports that fail count as endpoints that were not reached, and a VM wants no lease while the paths to all engines that lag are suspected lost. Orders do not go through peers: with the orders of two VMs on their way the lease would no longer keep them apart.

Evidence: test_holder_cut_off_from_the_engines_leaves_the_lease_to_others failed before (the lease was renewed) and passes.

--- a/src/plantainridge/gateway/rollout.py
+++ b/src/plantainridge/gateway/rollout.py
@@ -13,7 +13,7 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import lease, relays
+from plantainridge.gateway import lease, paths, relays
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import (EndpointReported, OrderAnswered,
                                           OrderResult, ReportFailed)
@@ -79,7 +79,11 @@
     """While engines run replaced weights, claim the lease and update them."""
     yield from _request_unknown(state, now)
     lagging = dict(_lagging(state))
-    state.lease.wanted = bool(lagging) and _may_claim_lease(state, lagging, now)
+    # A holder that cannot reach the engines lets another VM take over: orders
+    # do not go through peers, since both VMs' orders could arrive.
+    is_reachable = any(not state.paths.is_lost(view.entry.service)
+                       for view, _ in lagging.values())
+    state.lease.wanted = is_reachable and _may_claim_lease(state, lagging, now)
     yield from lease.on_tick(state, now)
     if state.lease.fence(now) == lease.NO_TERM:
         state.rollout.weight_updates.clear()
@@ -190,6 +194,7 @@
 def on_report_failed(state: 'GatewayState', event: ReportFailed,
                      now: float) -> Iterator[Effect]:
     """Delay the update of an engine that does not answer; others go first."""
+    yield from paths.on_unreached(state, event.endpoint, now)
     update = state.rollout.weight_updates.get(event.endpoint)
     if update is not None:
         (update.awaiting_answer, update.responsive,
--- a/tests/test_partitioned_vms.py
+++ b/tests/test_partitioned_vms.py
@@ -6,15 +6,15 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway import (load_reports, paths, peer_messages,
+from plantainridge.gateway import (lease, load_reports, paths, peer_messages,
                                    tunnel_admission, tunnel_peers)
 from plantainridge.gateway.events import View
 from plantainridge.gateway.hints import HintReceived
 from plantainridge.gateway.peer_messages import Hint, OwnLoad
 from plantainridge.ids import EndpointId, Incarnation, TunnelId, VmId
 from plantainridge.loop import effects as base
-from tests.gateway_scene import (LEDGER, LOCAL_DC, REMOTE_DC, GatewayScene,
-                                 endpoint, head)
+from tests.gateway_scene import (LEDGER, LOCAL_DC, MODEL, REMOTE_DC,
+                                 GatewayScene, endpoint, head)
 from tests.partition_fleet import Cut, PartitionFleet
 
 THREE: Final = frozenset({VmId('near-0'), VmId('near-1'), VmId('far-3')})
@@ -383,3 +383,47 @@
         self.assertFalse(scene.state.exiting)
         scene.advance(3.0)
         self.assertTrue(scene.state.exiting)
+
+
+class LeaseTest(unittest.TestCase):
+    """A holder of the lease that is cut off from the engines."""
+
+    def _holder(self) -> GatewayScene:
+        scene = GatewayScene(A, B, endpoint('c'))
+        scene.read(View.VMS, *PEERS)
+        scene.advance(5.0)
+        scene.read(View.OPERATOR)
+        scene.read(View.OPERATOR, ev.NamedVersion(MODEL, 2))
+        scene.advance(1.0)
+        scene.post(ev.LeaseRead(None, 7))
+        self._renew(scene)
+        scene.tick()
+        return scene
+
+    def _renew(self, scene: GatewayScene) -> None:
+        record = scene.last(fx.WriteLease).record
+        scene.post(ev.LeaseWritten(record, ev.AppendResult.DONE))
+
+    def test_holder_cut_off_from_the_engines_leaves_the_lease_to_others(
+            self) -> None:
+        scene = self._holder()
+        for each in scene.all(fx.RequestReport):
+            scene.post(ev.ReportFailed(each.endpoint, 'timeout'))
+        scene.tick()
+        scene.post(
+            ev.ReportFailed(scene.last(fx.RequestReport).endpoint, 'timeout'))
+        scene.done.clear()
+        scene.advance(lease.TERM_S + 0.1)
+        self.assertEqual(scene.all(fx.WriteLease), [])
+        self.assertEqual(scene.state.lease.fence(scene.now), lease.NO_TERM)
+        self.assertEqual(scene.state.rollout.weight_updates, {})
+
+    def test_holder_that_reaches_another_engine_renews_the_lease(self) -> None:
+        scene = self._holder()
+        scene.post(ev.ReportFailed(A.id, 'timeout'))
+        scene.post(ev.ReportFailed(B.id, 'timeout'))
+        scene.post(ev.PathProbed(endpoint('c').id, True))
+        scene.done.clear()
+        scene.advance(lease.RENEW_INTERVAL_S + 0.2)
+        self._renew(scene)
+        self.assertNotEqual(scene.state.lease.fence(scene.now), lease.NO_TERM)
