Add effects and events of tunnels through peers

A VM that is cut off from the endpoints of a service while peers still reach them can serve nothing today. This adds the types with which it sends through a tunnel that a peer opens: Send.via, the probe of a direct path, the admission of a tunnel at the peer, a failure for a peer that opened none, and the port. No decision uses them yet.

The tunnel port lies between the ports of peers and of metrics. A range of two ports has none left, and then there are no tunnels.

--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -5,7 +5,7 @@
 from plantainridge.gateway.events import (Headers, LeaseRecord, Request,
                                           StoredPart, View)
 from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, RequestId,
-                               ServiceId, TeamId)
+                               ServiceId, TeamId, TunnelId)
 from plantainridge.loop.effects import Effect
 
 # --- To callers -------------------------------------------------------------
@@ -102,6 +102,8 @@
         urgency: Priority within the engine, 0 first; None for a plain service.
         last_event_id: Id of the last stream event that the caller received,
             or ''.
+        via: Address of the peer that opens a tunnel to the endpoint, or '' for
+            a direct connection.
     """
 
     attempt: AttemptId
@@ -116,6 +118,7 @@
     urgency: int | None = None
     last_event_id: str = ''
     cache: CachePlan | None = None
+    via: str = ''
 
 
 @attrs.frozen
@@ -132,6 +135,17 @@
     address: str
 
 
+@attrs.frozen
+class ProbePath(Effect):
+    """Open a direct connection to an endpoint and close it.
+
+    Answered by `PathProbed`.
+    """
+
+    endpoint: EndpointId
+    address: str
+
+
 @attrs.frozen
 class RequestReport(Effect):
     """Request an engine's state.
@@ -206,6 +220,29 @@
     until_ms: int
 
 
+# --- To peers ---------------------------------------------------------------
+
+
+@attrs.frozen
+class OpenTunnel(Effect):
+    """Connect a tunnel that a peer requested to an endpoint.
+
+    Answered by `TunnelEnded`, also if the endpoint cannot be reached.
+    """
+
+    tunnel: TunnelId
+    address: str
+
+
+@attrs.frozen
+class RefuseTunnel(Effect):
+    """Refuse a tunnel; answered by `TunnelEnded`."""
+
+    tunnel: TunnelId
+    status: int
+    reason: str
+
+
 # --- To the metadata store --------------------------------------------------
 
 
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -11,7 +11,7 @@
 from plantainridge.gateway.settings import (DEFAULT_LINK_MBPS, GatewaySettings,
                                             InvalidSetting)
 from plantainridge.ids import (AttemptId, EndpointId, Incarnation, ModelId,
-                               RequestId, ServiceId, VmId)
+                               RequestId, ServiceId, TunnelId, VmId)
 from plantainridge.loop.events import Event
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -101,6 +101,9 @@
 
     # No connection was established: the request did not run.
     NOT_CONNECTED = 'not_connected'
+    # The peer opened no tunnel: the request did not run, and the endpoint was
+    # not tried.
+    RELAY_FAILED = 'relay_failed'
     # The connection was closed or reset, or the answer ended within a stream
     # event: the request may have run.
     BROKEN = 'broken'
@@ -211,6 +214,20 @@
     detail: str = ''
 
 
+@attrs.frozen
+class PathProbed(Event):
+    """A probe of the direct path to an endpoint ended.
+
+    Attributes:
+        reached: Whether a connection was established.
+        detail: Error text of the operating system, or ''.
+    """
+
+    endpoint: EndpointId
+    reached: bool
+    detail: str = ''
+
+
 @attrs.frozen
 class EndpointReported(Event):
     """An engine reported its state, which lags by some 100 ms.
@@ -333,6 +350,31 @@
     busy: bool = False
 
 
+# --- From peers -------------------------------------------------------------
+
+
+@attrs.frozen
+class TunnelRequested(Event):
+    """A peer requests a tunnel to an endpoint.
+
+    Attributes:
+        origin: IP number from which the peer connected.
+        address: IP number and port of the endpoint.
+    """
+
+    tunnel: TunnelId
+    origin: str
+    address: str
+
+
+@attrs.frozen
+class TunnelEnded(Event):
+    """A tunnel was closed, or was not opened; posted once for each."""
+
+    tunnel: TunnelId
+    reason: str
+
+
 # --- From the metadata store ------------------------------------------------
 
 
--- a/src/plantainridge/gateway/reload.py
+++ b/src/plantainridge/gateway/reload.py
@@ -15,7 +15,7 @@
 # Settings that take effect only in a new process: it listens on these addresses
 # or is identified by these names.
 FIXED_SETTINGS = ('vm', 'dc', 'host', 'callers_address', 'readiness_address',
-                  'peer_port', 'metrics_port', 'store_address')
+                  'peer_port', 'metrics_port', 'tunnel_port', 'store_address')
 
 
 def on_settings(state: 'GatewayState', event: SettingsRead,
--- a/src/plantainridge/gateway/settings.py
+++ b/src/plantainridge/gateway/settings.py
@@ -68,6 +68,8 @@
         store_address: IP number and port of the metadata store.
         bounds: Limits that operators set; they can change at run time.
         link_mbps: Rate of the VM's own link, in Mbit/s.
+        tunnel_port: Port on which peers request tunnels, the same on all VMs;
+            0 for none.
     """
 
     vm: VmId
@@ -80,3 +82,4 @@
     store_address: str
     bounds: Bounds = Bounds()
     link_mbps: float = DEFAULT_LINK_MBPS
+    tunnel_port: int = 0
--- a/src/plantainridge/ids.py
+++ b/src/plantainridge/ids.py
@@ -27,3 +27,5 @@
 StoreId = NewType('StoreId', str)
 # One transfer of blocks between an endpoint and a store.
 TransferId = NewType('TransferId', str)
+# A tunnel that this VM opens to an endpoint for a peer.
+TunnelId = NewType('TunnelId', str)
--- a/src/plantainridge/platform/settings.py
+++ b/src/plantainridge/platform/settings.py
@@ -45,7 +45,13 @@
         store_address=_get_address(get(data, 'platform', dict), 'address'),
         bounds=_decode_bounds(get_or(data, 'bounds', {})),
         link_mbps=get_or(get_or(data, 'limits', {}), 'link-mbps',
-                         DEFAULT_LINK_MBPS))
+                         DEFAULT_LINK_MBPS),
+        tunnel_port=_tunnel_port(*ports))
+
+
+def _tunnel_port(first: int, last: int) -> int:
+    """Return the port between that of peers and that of metrics, or 0."""
+    return first + 1 if first + 1 < last else 0
 
 
 def _decode_bounds(data: Mapping[str, Any]) -> Bounds:
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -101,8 +101,15 @@
 
 def settings(vm: str = 'vm1') -> GatewaySettings:
     """Return the settings of a VM in the local data centre."""
-    return GatewaySettings(VmId(vm), LOCAL_DC, '10.0.0.1', '10.0.0.1:1',
-                           '10.0.0.1:2', 3, 4, '10.9.9.9:1')
+    return GatewaySettings(VmId(vm),
+                           LOCAL_DC,
+                           '10.0.0.1',
+                           '10.0.0.1:1',
+                           '10.0.0.1:2',
+                           3,
+                           4,
+                           '10.9.9.9:1',
+                           tunnel_port=5)
 
 
 class GatewayScene:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -340,7 +340,7 @@
 node-name = "{name}"
 ip-address = "{host}"
 zone = "dc-1"
-internal-port-range = [7002, 7003]
+internal-port-range = [7002, 7004]
 [listen-addresses]
 frontend = "{host}:7000"
 readiness = "{host}:7001"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -212,9 +212,17 @@
         decoded = self._read_settings(SETTINGS)
         assert isinstance(decoded, GatewaySettings)
         self.assertEqual(decoded.callers_address, '10.0.0.1:80')
+        self.assertEqual(decoded.tunnel_port, 7581)
         self.assertEqual(decoded.bounds.drain_s, 3.0)
         self.assertEqual(decoded.bounds.grace_s, 8.0)
 
+    def test_range_of_two_ports_has_none_for_tunnels(self) -> None:
+        decoded = self._read_settings(SETTINGS.replace('7595', '7581'))
+        assert isinstance(decoded, GatewaySettings)
+        self.assertEqual(
+            (decoded.peer_port, decoded.tunnel_port, decoded.metrics_port),
+            (7580, 0, 7581))
+
     def test_invalid_file_names_the_field_and_allowed_values(self) -> None:
         cases = {
             'ip-address': ('"10.0.0.1"\n', '7\n'),
