State in TunnelEnded whether the endpoint was reached

A peer that cannot connect a tunnel learns of its own paths from it. Without this field it would learn only from requests of its own, and VMs that are cut off would go on asking one that is cut off as well.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -369,10 +369,15 @@
 
 @attrs.frozen
 class TunnelEnded(Event):
-    """A tunnel was closed, or was not opened; posted once for each."""
+    """A tunnel was closed, or was not opened; posted once for each.
+
+    Attributes:
+        is_reached: False if the endpoint could not be connected to.
+    """
 
     tunnel: TunnelId
     reason: str
+    is_reached: bool = True
 
 
 # --- From the metadata store ------------------------------------------------
