Listen for tunnels of peers, and probe direct paths

A VM listens on its tunnel port, if it has one, for peers that are cut off from an endpoint, and carries out what the reducer decides on their requests. It opens a direct connection to an endpoint and closes it where the reducer wants to know whether the path works.

The listener closes together with that of callers: the tunnels that are open go on, peers have been refused new ones since the stop request, and a connection that is refused counts for them as a tunnel that is refused.

--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -29,6 +29,7 @@
 from plantainridge.gateway.settings import GatewaySettings
 from plantainridge.gateway.state import GatewayState
 from plantainridge.gateway.stores import StoreRelayed, StoreSnapshotRequested
+from plantainridge.gateway.tunnels import TunnelServer
 from plantainridge.ids import Incarnation
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event, PeerMessageReceived
@@ -78,13 +79,14 @@
                                   random.Random(incarnation))
         self.state.retries.bounds = settings.bounds
         self.adapter = adapter
-        self.pool = Pool()
+        self.pool = Pool(settings.host)
         self.metrics = Metrics()
         self.log_writer = log_writer or LogWriter(settings.vm)
         self.tasks = Tasks(self._log_task_failure)
         self.exited = asyncio.Event()
         self.peers = NetPeers(settings.host, settings.peer_port, self.tasks)
         self.callers = HttpServer(adapter.wire, self.post)
+        self.tunnels = TunnelServer(self.tasks, self.post)
         self.readiness_server = PageServer(adapter.wire, self._readiness_page)
         self.metrics_server = PageServer(adapter.wire, self._metrics_page)
         sender = EndpointSender(adapter.wire, self.pool, self.tasks, self.post)
@@ -102,11 +104,14 @@
             fx.AbortReply: self.callers.abort_reply,
             fx.Refuse: self.callers.refuse,
             fx.CloseAfterAnswers: self._close_after_answers,
-            fx.StopListening: self.callers.stop_listening,
+            fx.StopListening: self._stop_listening,
             fx.CloseCallers: self.callers.close_callers,
             fx.Send: sender.send,
             fx.CancelSend: sender.cancel,
             fx.DropConnections: sender.close_idle,
+            fx.ProbePath: sender.probe,
+            fx.OpenTunnel: self.tunnels.open_tunnel,
+            fx.RefuseTunnel: self.tunnels.refuse_tunnel,
             fx.LoadView: store.load_view,
             fx.ReadView: store.read_view,
             fx.WriteVmEntry: store.write_vm_entry,
@@ -137,6 +142,8 @@
             *_split_address(settings.readiness_address))
         await self.metrics_server.start(settings.host, settings.metrics_port)
         await self.peers.start(self._on_peer_message)
+        if settings.tunnel_port:
+            await self.tunnels.start(settings.host, settings.tunnel_port)
         await self.callers.start(*_split_address(settings.callers_address))
         self.start()
         # Modules and objects loaded so far exist as long as the process.
@@ -217,6 +224,11 @@
         del effect
         self.callers.closing = True
 
+    def _stop_listening(self, effect: fx.StopListening) -> None:
+        # Peers take a refused connection as they take a refused tunnel.
+        self.tunnels.stop_listening()
+        self.callers.stop_listening(effect)
+
     def _readiness_page(self, path: str) -> tuple[int, str] | None:
         if path != READINESS_PATH:
             return None
