--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -96,22 +96,33 @@
         self.store.put(names.OPERATOR_TOPIC, 'config', CONFIG)
         for each in self.endpoints:
             self.store.put(names.REGISTRY_TOPIC, each.name, each.entry())
-        ports = [free_port() for _ in range(4)]
-        settings = GatewaySettings(VmId('vm'), DcId('z'), HOST,
-                                   f'{HOST}:{ports[0]}', f'{HOST}:{ports[1]}',
-                                   ports[2],
-                                   ports[3], self.store.server.address,
-                                   Bounds(lease_s=0.2))
         self.log = os.open(os.devnull, os.O_WRONLY)
-        self.gateway = Gateway(settings, PlatformAdapter(os.devnull),
-                               LogWriter('vm', self.log))
         self.pool = Pool()
-        self.address = settings.callers_address
-        await self.gateway.serve()
+        self.ports = [free_port() for _ in range(5)]
+        self.gateway = await self._start_gateway('vm', HOST)
+        self.address = self.gateway.state.settings.callers_address
+
+    async def _start_gateway(self, vm: str, host: str) -> Gateway:
+        """Start a VM; return it once it is ready."""
+        ports = self.ports
+        settings = GatewaySettings(VmId(vm),
+                                   DcId('z'),
+                                   host,
+                                   f'{host}:{ports[0]}',
+                                   f'{host}:{ports[1]}',
+                                   ports[2],
+                                   ports[3],
+                                   self.store.server.address,
+                                   Bounds(lease_s=0.2),
+                                   tunnel_port=ports[4])
+        gateway = Gateway(settings, PlatformAdapter(os.devnull),
+                          LogWriter(vm, self.log))
+        await gateway.serve()
         for _ in range(100):
-            if self.gateway.state.ready:
+            if gateway.state.ready:
                 break
             await asyncio.sleep(0.02)
+        return gateway
 
     async def asyncTearDown(self) -> None:
         self.gateway.halt()
