Give the loop variable of a tunnel test a method of its own

The lambda that waits for the next of a hundred requests captured the variable of its loop, which pylint reports and mypy cannot type with a default value. The check stays the same.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -178,6 +178,9 @@
                         wait_for(lambda: attempt not in self.sender.in_flight))
         return self.events[-1]
 
+    async def _wait_served(self, count: int) -> None:
+        self.assertTrue(await wait_for(lambda: len(self.served) == count))
+
 
 class TunnelTest(TunnelCase):
     """Tests of requests, answers and streams through a tunnel."""
@@ -240,11 +243,9 @@
 
     async def test_many_tunnels_carry_their_own_answers(self) -> None:
         self.request_end = b'none'
-        while len(self.served) < 100:
-            opened = len(self.served)
+        for number in range(100):
             self._start()
-            self.assertTrue(
-                await wait_for(lambda opened=opened: len(self.served) > opened))
+            await self._wait_served(number + 1)
         self.assertEqual(len(self.peer.tunnels), 100)
         for writer in self.writers:
             port = b'%d' % writer.get_extra_info('peername')[1]
