Test endpoints that receive nothing for a while through tunnels too

With a peer in between, a limit of the peer's connections, or bytes that it still holds, could break either.

The three tests of sends to such endpoints now also run through a tunnel, and pass: a tunnel sets no limit on unacknowledged bytes at its endpoint's end, and a reset by the VM that gives up discards what the peer holds.

--- a/tests/test_dark_endpoints.py
+++ b/tests/test_dark_endpoints.py
@@ -19,6 +19,7 @@
 from plantainridge.gateway.events import Failure
 from plantainridge.gateway.http_client import Connection, Pool
 from plantainridge.gateway.sender import EndpointSender
+from plantainridge.gateway.tunnels import TunnelServer
 from plantainridge.ids import AttemptId, EndpointId
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
@@ -107,7 +108,13 @@
 
 
 class _DarkCase(unittest.IsolatedAsyncioTestCase):
-    """Base of tests that send over real sockets."""
+    """Base of tests that send over real sockets.
+
+    Attributes:
+        via: Address of a peer that opens tunnels, or '' for direct sends.
+    """
+
+    via = ''
 
     async def asyncSetUp(self) -> None:
         self.events: list[Event] = []
@@ -128,9 +135,15 @@
     def send(self, dark: DarkEndpoint, name: str, **overrides: Any) -> None:
         """Send a request, on an idle connection if there is one."""
         self.sender.send(
-            fx.Send(AttemptId(name), request('/submit/x', **overrides),
-                    EndpointId('e'), dark.address, False, False, REMAINING_S,
-                    None))
+            fx.Send(AttemptId(name),
+                    request('/submit/x', **overrides),
+                    EndpointId('e'),
+                    dark.address,
+                    False,
+                    False,
+                    REMAINING_S,
+                    None,
+                    via=self.via))
 
     async def open_connection(self, dark: DarkEndpoint) -> None:
         """Have one request answered; its connection stays in the pool."""
@@ -190,6 +203,21 @@
         self.assertEqual(dark.requests, 1)
 
 
+class TunnelledDarkEndpointTest(DarkEndpointTest):
+    """The same requests are sent through a tunnel of a peer."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+
+        def open_tunnel(event: Event) -> None:
+            if isinstance(event, ev.TunnelRequested):
+                peer.open_tunnel(fx.OpenTunnel(event.tunnel, event.address))
+
+        peer = TunnelServer(Tasks(log_fault), open_tunnel)
+        self.via = await peer.start(HOST, 0)
+        self.addCleanup(peer.stop_listening)
+
+
 class SystemTimeoutTest(_DarkCase):
     """This system gives up a connection; its endpoint did not end it."""
 
