Bound the tunnels of a VM by the memory of a small one

A tunnel whose reader stalls holds some 0.35 MB at the peer (measured over loopback). 512 of them would take 180 MB, more than the 150 MB of a small VM, and end it; 256 take 90 MB.

--- a/src/plantainridge/gateway/tunnel_admission.py
+++ b/src/plantainridge/gateway/tunnel_admission.py
@@ -21,9 +21,9 @@
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
 
-# Open tunnels: each takes two descriptors, and most of the some 4,000 that a
-# process has are for its own callers and endpoints.
-MAX_TUNNELS: Final = 512
+# Open tunnels: each takes two descriptors, and up to 0.35 MB while its reader
+# stalls, of the 150 MB that a small VM has.
+MAX_TUNNELS: Final = 256
 STATUS_FORBIDDEN: Final = 403
 STATUS_UNAVAILABLE: Final = 503
 
