Give each VM of the soak its own paths to endpoints

Callers of VMs that had lost their paths to all endpoints were served far worse than others. The soak could not show it: all VMs shared one proxy per endpoint, so a path could only fail for all of them at once, and connecting to a silent proxy still succeeded.

Each VM now reaches each endpoint through a proxy of its own, on the port of the endpoint. Endpoints are registered at a host on which nothing listens, and tests/soak/launch.py, which runs deploy/gateway.py, redirects connections to it. Three faults are added that partition one VM: packets are dropped at the sockets by a filter, as the stand-in endpoint does, so that connecting hangs and nothing is acknowledged; connections are reset and new ones refused; only new ones are refused. No run injects them yet, and the faults that are drawn today are the same.

VMs and endpoints are divided among two data centres, and callers get a VM as the platform's page says: unready ones of a data centre as well while fewer than half of it is ready.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,11 +14,10 @@
 from tests.soak.checks import RECOVERY_S, violations
 from tests.soak.faults import FaultInjector
 from tests.soak.history import History
-from tests.soak.site import ROOT, SoakSite
+from tests.soak.site import SoakSite
 
 GATEWAY_COMMAND: Final = [
-    sys.executable,
-    str(ROOT / 'deploy' / 'gateway.py'), '--metrics-port', '7004'
+    sys.executable, '-m', 'tests.soak.launch', '--metrics-port', '7004'
 ]
 # Time after the last fault for which callers still send requests.
 FINAL_CALM_S: Final = RECOVERY_S + 3.0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 
 from tests.soak.checks import STABLE_S
 from tests.soak.history import FaultSpan
-from tests.soak.proxy import Fault, FaultProxy
+from tests.soak.proxy import PARTITIONS, Fault, FaultProxy
 from tests.soak.site import ENGINES, LEDGER, GatewayVm, SoakSite
 
 WeightedFault = tuple[int, Callable[[], Awaitable[None]]]
@@ -28,7 +28,9 @@
 TIMEOUT_RANGE_MS: Final = (3_000, 4_000)
 # Time from the drain of an endpoint to its exit.
 EXIT_DELAY_S: Final = 5.0
-PROXY_FAULTS: Final = [fault for fault in Fault if fault is not Fault.NONE]
+PROXY_FAULTS: Final = [
+    fault for fault in Fault if fault not in (Fault.NONE, *PARTITIONS)
+]
 STORE_STATUSES: Final = (503, 429)
 
 
@@ -73,7 +75,7 @@
             await asyncio.sleep(self.rng.uniform(*START_INTERVAL_RANGE_S))
         await asyncio.gather(*running)
         for proxy in self.site.proxies():
-            proxy.set_fault(Fault.NONE)
+            await proxy.set_fault(Fault.NONE)
         self.site.history.faults_ended_at = time.time()
 
     async def _inject(self, fault: Callable[[], Awaitable[None]]) -> None:
@@ -99,25 +101,29 @@
 
     # --- connections ---
 
-    async def _disturb_proxy(self, proxy: FaultProxy) -> None:
-        proxy.set_fault(self.rng.choice(PROXY_FAULTS))
+    async def _disturb_proxies(self, *proxies: FaultProxy) -> None:
+        fault = self.rng.choice(PROXY_FAULTS)
+        for proxy in proxies:
+            await proxy.set_fault(fault)
         await asyncio.sleep(self._duration_s())
-        proxy.set_fault(Fault.NONE)
+        for proxy in proxies:
+            await proxy.set_fault(Fault.NONE)
 
     async def _disturb_caller_path(self) -> None:
         vm = self._pick_gateway()
         await self._record_span(vm.name, 'callers',
-                                self._disturb_proxy(vm.caller_proxy))
+                                self._disturb_proxies(vm.caller_proxy))
 
     async def _disturb_store_path(self) -> None:
         vm = self._pick_gateway()
         await self._record_span(f'store-{vm.name}', 'path',
-                                self._disturb_proxy(vm.store_proxy))
+                                self._disturb_proxies(vm.store_proxy))
 
     async def _disturb_endpoint_path(self) -> None:
         endpoint = self.rng.choice(list(self.site.endpoints.values()))
-        await self._record_span(endpoint.name, 'path',
-                                self._disturb_proxy(endpoint.proxy))
+        await self._record_span(
+            endpoint.name, 'path',
+            self._disturb_proxies(*endpoint.proxies.values()))
 
     # --- the store ---
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -16,7 +16,8 @@
 from plantainridge.ids import AttemptId
 from plantainridge.loop.effects import Effect
 from plantainridge.loop.events import TimerFired
-from plantainridge.platform import adapter, requests
+from plantainridge.platform import requests
+from tests.soak.launch import run_gateway
 
 
 def _repeat_all() -> None:
@@ -108,7 +109,7 @@
     """Run a gateway with one guarantee broken."""
     MUTANTS[name][0]()
     sys.argv[1:] = ['--metrics-port', '7004']
-    adapter.main()  # pylint: disable=no-value-for-parameter
+    run_gateway()
 
 
 def _play_all() -> None:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -19,11 +19,13 @@
 from plantainridge.standins.platform_site import StandinStore
 from tests.soak.checks import APPLY_S, DRAIN_S, STREAM_EVENT_COUNT
 from tests.soak.history import History, Order, Run
-from tests.soak.proxy import FaultProxy
+from tests.soak.launch import ENDPOINT_HOST, PROXY_HOST_VARIABLE
+from tests.soak.proxy import Fault, FaultProxy
 
 ROOT: Final = pathlib.Path(__file__).parents[2]
 ENGINES: Final = 'engines'
 LEDGER: Final = 'ledger'
+DCS: Final = ('dc-1', 'dc-2')
 GRACE_S: Final = 6.0
 READINESS_INTERVAL_S: Final = 0.25
 # Readiness checks that a gateway must fail in a row to leave the rotation.
@@ -32,12 +34,14 @@
 
 @attrs.define
 class Endpoint:
-    """An endpoint's process; gateways reach it through a proxy."""
+    """An endpoint's process, with a proxy for each gateway VM by its name."""
 
     name: str
     service: str
+    dc: str
     process: asyncio.subprocess.Process
-    proxy: FaultProxy
+    address: str
+    proxies: dict[str, FaultProxy]
     state: str = names.STATE_READY
     version: int = 0
 
@@ -49,10 +53,17 @@
 
 @attrs.define
 class GatewayVm:
-    """A gateway VM: its addresses, its proxies and its current process."""
+    """A gateway VM: its addresses, its proxies and its current process.
+
+    Attributes:
+        host: Its IP number.
+        proxy_host: IP number of its proxies of endpoints.
+        path_fault: Fault of its paths to all endpoints.
+    """
 
     name: str
     host: str
+    proxy_host: str
     dc: str
     caller_proxy: FaultProxy
     store_proxy: FaultProxy
@@ -61,6 +72,7 @@
     process: asyncio.subprocess.Process | None = None
     missed_checks: int = MISSED_CHECKS_LIMIT
     stopping: bool = False
+    path_fault: Fault = Fault.NONE
 
 
 class SoakSite:
@@ -102,12 +114,13 @@
         """Start every process and wait until all gateways are ready."""
         await self.store.server.start()
         self.configure()
+        for number in range(self.gateway_count):
+            await self._add_gateway(number)
         for service, count in ((ENGINES, 3), (LEDGER, 2)):
             for _ in range(count):
                 await self.add_endpoint(service)
-        subnet = os.getpid() % 200 + 10
-        for number in range(self.gateway_count):
-            await self._add_gateway(number, f'127.{subnet}.0.{number + 1}')
+        for vm in self.gateways:
+            await self.start_gateway(vm)
         self._spawn(self._check_readiness())
         async with asyncio.timeout(20.0):
             while any(vm.missed_checks for vm in self.gateways):
@@ -138,11 +151,20 @@
 
     def proxies(self) -> list[FaultProxy]:
         """Return every proxy."""
-        found = [each.proxy for each in self.endpoints.values()]
+        found = [
+            proxy for each in self.endpoints.values()
+            for proxy in each.proxies.values()
+        ]
         for vm in self.gateways:
             found += [vm.caller_proxy, vm.store_proxy]
         return found
 
+    async def set_path_fault(self, vm: GatewayVm, fault: Fault) -> None:
+        """Set the fault of a VM's paths to all endpoints, later ones too."""
+        vm.path_fault = fault
+        for endpoint in list(self.endpoints.values()):
+            await endpoint.proxies[vm.name].set_fault(fault)
+
     # --- the operator ---
 
     def configure(self) -> None:
@@ -219,9 +241,20 @@
                 stderr=log)
         assert process.stdout is not None
         address = json.loads(await process.stdout.readline())['address']
-        proxy = FaultProxy(address, self.rng)
-        await proxy.start()
-        endpoint = Endpoint(name, service, process, proxy, version=version)
+        port = int(address.rpartition(':')[2])
+        proxies = {}
+        for vm in self.gateways:
+            proxies[vm.name] = FaultProxy(address, self.rng, vm.proxy_host,
+                                          port)
+            await proxies[vm.name].start()
+            await proxies[vm.name].set_fault(vm.path_fault)
+        endpoint = Endpoint(name,
+                            service,
+                            self.rng.choice(DCS),
+                            process,
+                            f'{ENDPOINT_HOST}:{port}',
+                            proxies,
+                            version=version)
         self.endpoints[name] = endpoint
         self._spawn(self._read_reports(endpoint))
         self.register(endpoint)
@@ -233,8 +266,8 @@
         self.store.put(
             names.REGISTRY_TOPIC, endpoint.name, {
                 'service': endpoint.service,
-                'address': endpoint.proxy.address,
-                'zone': 'dc-1',
+                'address': endpoint.address,
+                'zone': endpoint.dc,
                 'slots': 16,
                 'state': endpoint.state,
                 'models': models if endpoint.version else []
@@ -253,7 +286,8 @@
             endpoint.process.kill()
         await endpoint.process.wait()
         self.store.put(names.REGISTRY_TOPIC, endpoint.name, None)
-        await endpoint.proxy.stop()
+        for proxy in endpoint.proxies.values():
+            await proxy.stop()
 
     async def _read_reports(self, endpoint: Endpoint) -> None:
         assert endpoint.process.stdout is not None
@@ -269,18 +303,19 @@
 
     # --- gateways ---
 
-    async def _add_gateway(self, number: int, host: str) -> None:
-        name = f'vm{number}'
+    async def _add_gateway(self, number: int) -> None:
+        subnet = f'127.{os.getpid() % 200 + 10}'
+        name, host = f'vm{number}', f'{subnet}.0.{number + 1}'
+        dc = DCS[number % len(DCS)]
         store_proxy = FaultProxy(self.store.server.address, self.rng)
         await store_proxy.start()
         caller_proxy = FaultProxy(f'{host}:7000', self.rng)
         await caller_proxy.start()
         settings = self.folder / f'{name}.toml'
-        settings.write_text(_settings(name, host, store_proxy.address))
-        vm = GatewayVm(name, host, 'dc-1', caller_proxy, store_proxy, settings,
-                       self.folder / f'{name}.log')
-        self.gateways.append(vm)
-        await self.start_gateway(vm)
+        settings.write_text(_settings(name, host, dc, store_proxy.address))
+        self.gateways.append(
+            GatewayVm(name, host, f'{subnet}.1.{number + 1}', dc, caller_proxy,
+                      store_proxy, settings, self.folder / f'{name}.log'))
 
     async def start_gateway(self, vm: GatewayVm) -> None:
         """Start a gateway's process."""
@@ -293,6 +328,8 @@
                 env={
                     **os.environ, 'PLANTAINRIDGE_CONFIG':
                         str(vm.settings),
+                    PROXY_HOST_VARIABLE:
+                        vm.proxy_host,
                     'PYTHONPATH':
                         os.pathsep.join([str(ROOT / 'src'),
                                          str(ROOT)])
@@ -315,11 +352,24 @@
             await process.wait()
 
     def pick_gateway(self) -> tuple[str, str]:
-        """Return a gateway that takes new connections, and its address."""
+        """Return a gateway that takes new connections, and its address.
+
+        Unready ones of a data centre are only avoided while at least half of
+        it is ready, or while none is but others are ready elsewhere.
+        """
+        dc = self.rng.choice(self.gateways).dc
+        local = [vm for vm in self.gateways if vm.dc == dc]
         ready = [
             vm for vm in self.gateways if vm.missed_checks < MISSED_CHECKS_LIMIT
         ]
-        vm = self.rng.choice(ready or self.gateways)
+        ready_local = [vm for vm in local if vm in ready]
+        if not ready_local:
+            candidates = ready or self.gateways
+        elif 2 * len(ready_local) < len(local):
+            candidates = local
+        else:
+            candidates = ready_local
+        vm = self.rng.choice(candidates)
         return vm.name, vm.caller_proxy.address
 
     async def _check_readiness(self) -> None:
@@ -335,11 +385,11 @@
         self._tasks.append(asyncio.create_task(work))
 
 
-def _settings(name: str, host: str, store: str) -> str:
+def _settings(name: str, host: str, dc: str, store: str) -> str:
     return f"""
 node-name = "{name}"
 ip-address = "{host}"
-zone = "dc-1"
+zone = "{dc}"
 internal-port-range = [7002, 7004]
 [listen-addresses]
 frontend = "{host}:7000"
