Check in the soak that VMs without paths to endpoints serve callers

The thirteenth check compares the attempts at VMs whose paths to all endpoints are cut with those at the others, from 3 s (STABLE_S) after the cut began: they must be served at least two thirds as often, unless no more than 10 and 1 in 50 of all attempts fail there. Attempts whose connection failed count as failed; VMs with another fault meanwhile, and changes that deny a request, are left out.

The other checks treat the cut as what it is, a fault of the paths: it excuses a stream that had begun and broke off, as a fault of its endpoint does, and a run that is late within STABLE_S of it. It excuses no request that ends with no answer, and neither a configuration that is not in force nor a double run.

tests.test_soak_checks has histories on both sides of each bound. No run injects the cut yet, so the check has nothing to judge there.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -41,7 +41,7 @@
         tasks = [
             asyncio.create_task(
                 Caller(f'c{number}', rng, pick_key_and_prefix,
-                       site.pick_gateway, site.history.outcomes).run())
+                       site.pick_gateway, site.history).run())
             for number in range(callers)
         ]
         await FaultInjector(site, rng).run(seconds)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,7 +13,7 @@
 import h11
 
 from plantainridge.platform import names
-from tests.soak.history import Outcome
+from tests.soak.history import History, Outcome, Unsent
 
 CALLER_TIMEOUT_S: Final = 3.0
 PAUSE_RANGE_S: Final = (0.0, 0.12)
@@ -58,8 +58,9 @@
 
     def __init__(self, name: str, rng: random.Random,
                  pick_key_and_prefix: Callable[[], tuple[str, str]],
-                 pick_gateway: Callable[[], tuple[str, str]],
-                 outcomes: list[Outcome]) -> None:
+                 pick_gateway: Callable[[],
+                                        tuple[str,
+                                              str]], history: History) -> None:
         """Initialize the caller.
 
         Args:
@@ -67,13 +68,13 @@
             rng: Source of randomness.
             pick_key_and_prefix: Returns a key and the prefix of a route.
             pick_gateway: Returns a gateway in rotation and its address.
-            outcomes: Receives the outcome of each attempt.
+            history: Receives the outcome of each attempt.
         """
         self.name = name
         self.rng = rng
         self.pick_key_and_prefix = pick_key_and_prefix
         self.pick_gateway = pick_gateway
-        self.outcomes = outcomes
+        self.history = history
         self._numbers = itertools.count(1)
         self._connection: _Connection | None = None
 
@@ -95,8 +96,12 @@
         if self._connection is None:
             gateway, address = self.pick_gateway()
             host, _, port = address.rpartition(':')
-            async with asyncio.timeout(1.0):
-                streams = await asyncio.open_connection(host, int(port))
+            try:
+                async with asyncio.timeout(1.0):
+                    streams = await asyncio.open_connection(host, int(port))
+            except OSError:
+                self.history.unsent.append(Unsent(gateway, time.time()))
+                raise
             self._connection = _Connection(gateway, *streams)
         connection = self._connection
         answer = ReceivedAnswer()
@@ -111,7 +116,7 @@
             self._connection = None
         kind = 'stream' if prefix in STREAM_PREFIXES else 'safe'
         kind = 'once' if prefix == ONCE_PREFIX else kind
-        self.outcomes.append(
+        self.history.outcomes.append(
             Outcome(attempt, kind, connection.gateway, key, target, sent_at,
                     time.time(), answer.status, answer.complete, answer.signed,
                     bytes(answer.body)))
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -23,6 +23,18 @@
 MIN_RECOVERED_RATIO: Final = 0.9
 RECOVERY_S: Final = 4.0
 STREAM_EVENT_COUNT: Final = 40
+# Prefix of the subject of faults of a gateway's paths to all endpoints.
+PATHS_PREFIX: Final = 'endpoints-'
+# Ratio of the share served by other gateways that partitioned ones must serve,
+# unless no more attempts than the slack fail there.
+MIN_PARTITIONED_RATIO: Final = 2 / 3
+FAILED_SLACK: Final = 10
+FAILED_SLACK_RATIO: Final = 1 / 50
+
+
+def paths_to_endpoints(gateway: str) -> str:
+    """Return the subject of faults of a gateway's paths to all endpoints."""
+    return f'{PATHS_PREFIX}{gateway}'
 
 
 def ran_once(history: History) -> Iterator[str]:
@@ -153,7 +165,8 @@
             continue
         subjects = _configuration_path(gateway) | {run.endpoint}
         if run.at > left_at + DRAIN_S + CLOCK_SLACK_S and history.is_fault_free(
-                subjects, left_at - STABLE_S, run.at):
+                subjects, left_at - STABLE_S, run.at) and history.is_fault_free(
+                    {paths_to_endpoints(gateway)}, run.at - STABLE_S, run.at):
             yield (f'{run.attempt} ran on {run.endpoint} '
                    f'{run.at - left_at:.2f} s after it left')
 
@@ -176,14 +189,16 @@
 def _is_only_fault(history: History, stop: FaultSpan, outcome: Outcome) -> bool:
     """Return whether no fault but the stop can have cut a request.
 
-    A fault of an endpoint excuses a stream that was cut, but not an answer that
-    is missing altogether.
+    A fault of an endpoint, or of the path to it, excuses a stream that was cut,
+    but not an answer that is missing altogether.
     """
-    return not any(span is not stop and span.start <= outcome.ended_at and
-                   span.end >= outcome.sent_at - STABLE_S and
-                   (span.subject == outcome.gateway or
-                    outcome.kind == 'stream' and span.subject.startswith('i-'))
-                   for span in history.fault_spans)
+    paths = paths_to_endpoints(outcome.gateway)
+    return not any(
+        span is not stop and span.start <= outcome.ended_at and
+        span.end >= outcome.sent_at - STABLE_S and
+        (span.subject == outcome.gateway or outcome.kind == 'stream' and
+         (span.subject.startswith('i-') or span.subject == paths))
+        for span in history.fault_spans)
 
 
 def read_requests_are_answered(history: History) -> Iterator[str]:
@@ -219,10 +234,56 @@
         return False
     if span.subject == outcome.gateway and span.fault_name != 'term':
         return span.end >= outcome.sent_at - STABLE_S
-    return (outcome.status == 200 and span.subject in endpoints and
+    subjects = endpoints | {paths_to_endpoints(outcome.gateway)}
+    return (outcome.status == 200 and span.subject in subjects and
             span.end >= outcome.sent_at)
 
 
+def partitioned_gateways_serve(history: History) -> Iterator[str]:
+    """Check that gateways without paths to endpoints serve by other ways.
+
+    Compares them with the others, from `STABLE_S` after the start of the run's
+    partition. Gateways with a fault of their own are left out.
+    """
+    partitions = {
+        span.subject: span
+        for span in history.fault_spans
+        if span.subject.startswith(PATHS_PREFIX)
+    }
+    if not partitions:
+        return
+    start = max(span.start for span in partitions.values())
+    end = min(span.end for span in partitions.values())
+    partitioned: list[bool] = []
+    others: list[bool] = []
+    for gateway, at, served in _first_tries(history):
+        if start + STABLE_S <= at <= end and history.is_fault_free(
+                _configuration_path(gateway), start, end):
+            is_partitioned = paths_to_endpoints(gateway) in partitions
+            (partitioned if is_partitioned else others).append(served)
+    if not partitioned or not others:
+        return
+    slack = FAILED_SLACK + FAILED_SLACK_RATIO * len(partitioned + others)
+    ratio = sum(partitioned) / len(partitioned)
+    other_ratio = sum(others) / len(others)
+    if (partitioned.count(False) > slack and
+            ratio < MIN_PARTITIONED_RATIO * other_ratio):
+        faults = {span.fault_name for span in partitions.values()}
+        yield (
+            f'gateways with the fault {"".join(faults)} of their paths served '
+            f'{sum(partitioned)} of {len(partitioned)}, others '
+            f'{sum(others)} of {len(others)}')
+
+
+def _first_tries(history: History) -> Iterator[tuple[str, float, bool]]:
+    """Return the gateway, time and success of each attempt that is allowed."""
+    for each in history.outcomes:
+        if not _is_denied(history, each):
+            yield each.gateway, each.sent_at, each.status == 200 and each.whole
+    for unsent in history.unsent:
+        yield unsent.gateway, unsent.at, False
+
+
 def service_recovers(history: History) -> Iterator[str]:
     """Check that requests are served again soon after the last fault."""
     since = history.faults_ended_at + RECOVERY_S
@@ -252,7 +313,8 @@
                              configuration_is_in_force,
                              leaving_endpoints_get_no_work,
                              planned_stops_cut_nothing,
-                             read_requests_are_answered, service_recovers)
+                             read_requests_are_answered,
+                             partitioned_gateways_serve, service_recovers)
 
 
 def violations(history: History) -> list[str]:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -52,13 +52,22 @@
     body: bytes = attrs.field(repr=False)
 
 
+@attrs.frozen
+class Unsent:
+    """An attempt whose connection to a gateway failed; `at` as above."""
+
+    gateway: str
+    at: float
+
+
 @attrs.frozen
 class FaultSpan:
     """A fault of one subject.
 
     Attributes:
         subject: Name of a gateway or an endpoint; 'store' for the metadata
-            store, 'store-VM' for a gateway's connection to it.
+            store, 'store-VM' for a gateway's connection to it, 'endpoints-VM'
+            for its paths to all endpoints.
         fault_name: Kind of the fault, such as 'term' or 'pause'.
         start: Unix time at which it began, in s.
         end: Unix time at which it ended, in s; infinite while it lasts.
@@ -77,6 +86,7 @@
     Attributes:
         runs: Runs as the endpoints reported them.
         outcomes: Outcomes in the order of their ends.
+        unsent: Attempts whose connections failed.
         orders: Accepted orders, for each endpoint in the order of acceptance.
         fault_spans: Faults, planned stops among them.
         team_by_key: Team of each key that was ever valid.
@@ -92,6 +102,7 @@
 
     runs: list[Run] = attrs.field(factory=list)
     outcomes: list[Outcome] = attrs.field(factory=list)
+    unsent: list[Unsent] = attrs.field(factory=list)
     orders: list[Order] = attrs.field(factory=list)
     fault_spans: list[FaultSpan] = attrs.field(factory=list)
     team_by_key: dict[str, str] = attrs.field(factory=dict)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,7 +7,7 @@
 
 from tests.soak import checks
 from tests.soak.endpoint import expected_body, expected_event
-from tests.soak.history import FaultSpan, History, Order, Outcome, Run
+from tests.soak.history import (FaultSpan, History, Order, Outcome, Run, Unsent)
 
 AT = 1_000.0
 TARGET = '/submit/x'
@@ -99,6 +99,14 @@
                     FaultSpan('i-2', 'crash', AT, AT + 1.0),
                     FaultSpan('store', 'down', AT, AT + 1.0)
                 ]),
+    checks.partitioned_gateways_serve:
+        history([
+            *[outcome(gateway='vm0', status=503)] * 20,
+            *[outcome(gateway='vm1')] * 20
+        ], [],
+                fault_spans=[
+                    FaultSpan('endpoints-vm0', 'lost', AT - 3.5, AT + 4.0)
+                ]),
     checks.service_recovers:
         history([outcome(status=503)] * 9 + [outcome()], []),
 }
@@ -128,6 +136,54 @@
                        fault_spans=[cut_off])
         self.assertEqual(checks.violations(late), [])
 
+    def test_partitioned_gateways_may_fail_within_the_bounds(self) -> None:
+        cut = FaultSpan('endpoints-vm0', 'lost', AT - 3.5, AT + 4.0)
+        early = attrs.evolve(cut, start=AT - 2.5)
+        for served, failed, unsent, span, violates in (
+                # Two thirds of the share of the others, which serve 18 of 20.
+            (18, 12, 0, cut, False),
+            (17, 13, 0, cut, True),
+                # 10 and 1 in 50 of all attempts fail.
+            (0, 10, 0, cut, False),
+            (0, 11, 0, cut, True),
+            (0, 8, 3, cut, True),
+                # Before the bound of the cut has passed.
+            (0, 20, 0, early, False)):
+            outcomes = [outcome(gateway='vm0')] * served
+            outcomes += [outcome(gateway='vm0', status=503)] * failed
+            outcomes += [outcome(gateway='vm1')] * 18
+            outcomes += [outcome(gateway='vm1', status=503)] * 2
+            played = history(outcomes, [],
+                             fault_spans=[span],
+                             unsent=[Unsent('vm0', AT)] * unsent)
+            with self.subTest(served=served, failed=failed, unsent=unsent):
+                found = list(checks.partitioned_gateways_serve(played))
+                self.assertEqual(bool(found), violates)
+
+    def test_gateways_with_faults_of_their_own_are_not_compared(self) -> None:
+        cut = FaultSpan('endpoints-vm0', 'lost', AT - 3.5, AT + 4.0)
+        for subject in ('vm0', 'store-vm0', 'store'):
+            played = attrs.evolve(
+                VIOLATIONS[checks.partitioned_gateways_serve],
+                fault_spans=[cut,
+                             FaultSpan(subject, 'pause', AT, AT + 1.0)])
+            with self.subTest(subject):
+                self.assertFalse(list(
+                    checks.partitioned_gateways_serve(played)))
+
+    def test_lost_paths_excuse_only_streams_that_had_begun(self) -> None:
+        cut = FaultSpan('endpoints-vm0', 'lost', AT, AT + 4.0)
+        for status, excused in ((200, True), (0, False)):
+            broken = outcome(kind='stream',
+                             status=status,
+                             whole=False,
+                             body=b'')
+            played = history([broken], [run()], fault_spans=[cut])
+            with self.subTest(status=status):
+                self.assertEqual(
+                    not list(checks.read_requests_are_answered(played)),
+                    excused)
+
     def test_only_answers_that_had_begun_are_excused_by_the_deadline(
             self) -> None:
         stop = FaultSpan('vm0', 'term', AT + 2.0, AT + 4.0)
