Resend requests that were not run on idle connections

Callers saw requests end or use up attempts where an endpoint that was full had answered that it ran nothing: the resend opened a new connection, and endpoints at their limit of connections reset those, which counts as a break.

Cause: a resend used a new connection after any earlier delivery. It is needed only if an earlier send may have run or was lost.

Evidence: test_resend_of_what_was_not_run_uses_an_idle_connection failed before (new_connection was True after a 503 that nothing was run). The new test of retries of lost sends passed before too: nothing covered that half.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -218,9 +218,11 @@
     service = state.config.services.get(call.service)
     if call.deliveries:
         state.retries.record_retry(call.service, now)
-    # A further send must not wait on an idle connection to an endpoint that is
-    # silent as well: it would use up an attempt.
-    new_connection = not call.route.repeatable or call.deliveries > 0
+    # A send that follows one that was lost must not wait on an idle connection
+    # to an endpoint that is silent as well: it would use up an attempt. After
+    # an answer that nothing was run, idle connections are preferred: endpoints
+    # at their limit of connections reset new ones.
+    new_connection = not call.route.repeatable or call.executions > 0
     call.sends += 1
     call.executions += 1
     call.deliveries += 1
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -82,6 +82,26 @@
             GatewayScene(A).post_request('/submit/x').new_connection)
         self.assertFalse(GatewayScene(A).post_request('/view/x').new_connection)
 
+    def test_resend_of_what_was_not_run_uses_an_idle_connection(self) -> None:
+        # Endpoints at their limit of connections reset new ones.
+        for not_run in (True, False):
+            scene = GatewayScene(A, endpoint('b', LEDGER))
+            first = scene.post_request('/view/x')
+            answer = head(503, not_run=not_run)
+            scene.post(ev.AnswerArrived(first.attempt, answer, b''))
+            self.assertEqual(len(scene.all(fx.Send)), 2)
+            self.assertEqual(
+                scene.last(fx.Send).new_connection, not not_run, not_run)
+
+    def test_retry_of_a_lost_send_uses_a_new_connection(self) -> None:
+        # The endpoint may be silent as well; an idle connection hides it.
+        for failure in (Failure.TIMED_OUT, Failure.BROKEN, Failure.SILENT):
+            scene = GatewayScene(A, endpoint('b', LEDGER))
+            first = scene.post_request('/view/x')
+            scene.post(ev.SendFailed(first.attempt, failure))
+            self.assertEqual(len(scene.all(fx.Send)), 2)
+            self.assertTrue(scene.last(fx.Send).new_connection, failure)
+
     def test_runs_on_after_its_caller_disconnects(self) -> None:
         scene = GatewayScene(A)
         scene.post_request('/submit/x')
