Reset a cancelled send only while the endpoint lacks bytes of it

Callers saw requests run at two endpoints: a request that its endpoint had acknowledged long ago was reset when it was taken over in a silence. A reset that is lost is not retransmitted, so the endpoint worked on.

Cause: a reset was sent whenever nothing had been received from the endpoint. It is needed only to discard bytes that the system would retransmit. Now it is sent while the socket has unacknowledged bytes (SIOCOUTQ); otherwise, and where the system does not state them, the connection is closed, which is repeated. Through a tunnel the peer acknowledges first: the send is reset there as before, and the peer decides by its own socket at the endpoint.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -18,6 +18,7 @@
 
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure, Headers
+from plantainridge.gateway.sockets import unacknowledged_bytes
 from plantainridge.gateway.tunnel_client import open_tunnel
 from plantainridge.gateway.wire import RawRequest
 
@@ -138,6 +139,8 @@
         idle_since: Loop time at which the latest answer ended, in s.
         at_eof: Whether the server sends nothing more.
         usable_until: Loop time until which it is reused, in s.
+        is_tunnelled: Whether it leads through a peer, which acknowledges what
+            the server may not have received.
     """
 
     def __init__(self, on_idle: Callable[['Connection'], None],
@@ -154,6 +157,7 @@
         self.idle_since = 0.0
         self.at_eof = False
         self.usable_until = math.inf
+        self.is_tunnelled = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -290,17 +294,19 @@
             handler.on_failure(failure, detail)
 
     def _close(self, was_awaited: bool) -> None:
-        """Close at once; discard a request that may not have been received.
+        """Close at once; discard a request that was not received completely.
 
         Otherwise the system would go on to retransmit it, and its endpoint
-        might run it after it was given up.
+        might run it after it was given up. One that was received is closed
+        without a reset, since a reset that is lost is not retransmitted.
 
         Args:
             was_awaited: Whether an answer was awaited until now.
         """
         if self.transport is None:
             return
-        if was_awaited and not self.has_received:
+        if was_awaited and not self.has_received and (
+                self.is_tunnelled or unacknowledged_bytes(self.transport)):
             sock: socket.socket = self.transport.get_extra_info('socket')
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
@@ -366,6 +372,7 @@
 
         if via:
             connection = new_connection()
+            connection.is_tunnelled = True
             await open_tunnel(via, address, self.source_host, connection)
             connection.usable_until = self.loop.time() + MAX_TUNNEL_AGE_S
             return connection
--- /dev/null
+++ b/src/plantainridge/gateway/sockets.py
@@ -0,0 +1,33 @@
+"""State of the sockets below transports."""
+
+import asyncio
+import fcntl
+import socket
+import struct
+import termios
+from typing import Final
+
+# Request for the bytes that a TCP socket has not had acknowledged, under the
+# name that it has for terminals.
+SIOCOUTQ: Final = termios.TIOCOUTQ
+INT: Final = struct.Struct('i')
+
+
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the bytes passed to the system that its peer may not have.
+
+    Args:
+        transport: Transport of a TCP connection.
+
+    Returns:
+        The number of bytes; 0 if the system does not state it.
+    """
+    sock: socket.socket | None = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        state = fcntl.ioctl(sock.fileno(), SIOCOUTQ, bytes(INT.size))
+    except OSError:
+        return 0
+    count: int = INT.unpack(state)[0]
+    return count
--- a/src/plantainridge/gateway/tunnels.py
+++ b/src/plantainridge/gateway/tunnels.py
@@ -20,6 +20,7 @@
                                                      TCP_USER_TIMEOUT_MS)
 from plantainridge.gateway.events import TunnelEnded, TunnelRequested
 from plantainridge.gateway.http_client import CONNECT_TIMEOUT_S
+from plantainridge.gateway.sockets import unacknowledged_bytes
 from plantainridge.gateway.tunnel_client import (STATUS_NOT_REACHED,
                                                  TUNNEL_TIMEOUT_S)
 from plantainridge.ids import TunnelId
@@ -141,6 +142,16 @@
         self.peer.limit_half_open()
         return super().eof_received()
 
+    def abort(self) -> None:
+        """Close at once; reset only what the endpoint did not receive.
+
+        A reset that is lost is not retransmitted.
+        """
+        if self.transport is not None and not unacknowledged_bytes(
+                self.transport):
+            self.set_linger(LINGER_OFF)
+        super().abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self.peer.end_tunnel(f'end at the endpoint closed: {exc!r}')
--- a/tests/test_dark_endpoints.py
+++ b/tests/test_dark_endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import ctypes
 import errno
 import socket
@@ -65,6 +66,8 @@
         requests: Requests received completely.
         sockets: Connections accepted.
         reads: Set while the process reads from its connections.
+        works: Whether requests are at work until their connection ends.
+        ended: Requests whose connection ended while they were at work.
     """
 
     address: str = ''
@@ -72,6 +75,8 @@
     requests: int = 0
     sockets: list[socket.socket] = attrs.field(factory=list)
     reads: asyncio.Event = attrs.field(factory=asyncio.Event)
+    works: bool = False
+    ended: int = 0
 
     async def serve(self, reader: asyncio.StreamReader,
                     writer: asyncio.StreamWriter) -> None:
@@ -88,6 +93,9 @@
                     if line.startswith(b'content-length:'):
                         await reader.readexactly(int(line[15:]))
                 self.requests += 1
+                if self.works:
+                    await self._work(reader)
+                    return
                 writer.write(ANSWER)
         except (asyncio.IncompleteReadError, ConnectionError,
                 asyncio.CancelledError):
@@ -97,6 +105,12 @@
             sock.detach()
             writer.close()
 
+    async def _work(self, reader: asyncio.StreamReader) -> None:
+        """Work on a request until its connection ends."""
+        with contextlib.suppress(ConnectionError):
+            await reader.read(1)
+        self.ended += 1
+
     async def be_dark(self, seconds: float) -> None:
         """Receive nothing on the open connections for a time in s."""
         sockets = tuple(self.sockets)
@@ -202,6 +216,21 @@
         await asyncio.sleep(0.6)
         self.assertEqual(dark.requests, 1)
 
+    async def test_request_at_work_ends_if_it_is_cancelled_in_the_dark(
+            self) -> None:
+        # A lost reset would leave it at work beside the one that took over.
+        dark = await self.listen()
+        dark.works = True
+        self.send(dark, 'at work')
+        await asyncio.sleep(0.1)
+        darkness = asyncio.create_task(dark.be_dark(0.5))
+        await asyncio.sleep(0.2)
+        self.sender.cancel(fx.CancelSend(AttemptId('at work')))
+        await darkness
+        self.assertEqual(dark.ended, 0)
+        await asyncio.sleep(1.0)
+        self.assertEqual((dark.requests, dark.ended), (1, 1))
+
 
 class TunnelledDarkEndpointTest(DarkEndpointTest):
     """The same requests are sent through a tunnel of a peer."""
