Test the halves of the change to dark endpoints that no test covered

The tests read the options of idle connections (direct and through a tunnel), fail a send in the dark, cancel one whose answer has begun, and lose sends by each error of the system. The test of crashes uses one error for each of its three requests; its assertions are the same.

--- a/tests/test_dark_endpoints.py
+++ b/tests/test_dark_endpoints.py
@@ -216,6 +216,31 @@
         await asyncio.sleep(0.6)
         self.assertEqual(dark.requests, 1)
 
+    async def test_failed_request_is_not_delivered_later(self) -> None:
+        dark = await self.listen()
+        await self.open_connection(dark)
+        darkness = asyncio.create_task(dark.be_dark(0.5))
+        await asyncio.sleep(0.01)
+        self.send(dark, 'failed')
+        await asyncio.sleep(0.3)
+        connection = self.sender.in_flight[AttemptId('failed')]
+        assert isinstance(connection, Connection)
+        connection.fail(Failure.SILENT)
+        await darkness
+        await asyncio.sleep(0.6)
+        self.assertEqual(dark.requests, 1)
+
+    async def test_idle_connections_have_no_limit_of_the_system(self) -> None:
+        dark = await self.listen()
+        await self.open_connection(dark)
+        connection = self.pool.take(dark.address, self.via)
+        assert connection is not None and connection.transport is not None
+        self.addCleanup(connection.abort)
+        sock: socket.socket = connection.transport.get_extra_info('socket')
+        self.assertEqual(
+            (sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+             sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)), (0, 0))
+
     async def test_request_at_work_ends_if_it_is_cancelled_in_the_dark(
             self) -> None:
         # A lost reset would leave it at work beside the one that took over.
@@ -247,10 +272,42 @@
         self.addCleanup(peer.stop_listening)
 
 
+class AnsweringEndpointTest(_DarkCase):
+    """An endpoint answers before it has received a request completely."""
+
+    async def test_cancel_does_not_reset_its_connection(self) -> None:
+        ends: list[type[Exception]] = []
+        reads = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+            writer.write(ANSWER[:-2])
+            await reads.wait()
+            try:
+                await reader.readexactly(2 * len(LONG_BODY))
+            except (asyncio.IncompleteReadError, ConnectionError) as error:
+                ends.append(type(error))
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.send(DarkEndpoint(f'{HOST}:{port}'), 'long', body=LONG_BODY)
+        await asyncio.sleep(0.1)
+        self.sender.cancel(fx.CancelSend(AttemptId('long')))
+        reads.set()
+        await asyncio.sleep(0.5)
+        self.assertEqual(ends, [asyncio.IncompleteReadError])
+
+
 class SystemTimeoutTest(_DarkCase):
     """This system gives up a connection; its endpoint did not end it."""
 
-    async def _lose(self, scene: GatewayScene, send: fx.Send) -> None:
+    async def _lose(self,
+                    scene: GatewayScene,
+                    send: fx.Send,
+                    error: int = errno.ETIMEDOUT) -> None:
         """Post what the sender reports when the system gives up a send."""
         dark = await self.listen()
         dark.reads.clear()
@@ -258,13 +315,14 @@
         await asyncio.sleep(0.05)
         connection = self.sender.in_flight[send.attempt]
         assert isinstance(connection, Connection)
-        connection.connection_lost(OSError(errno.ETIMEDOUT, 'timed out'))
+        connection.connection_lost(OSError(error, 'lost'))
         scene.post(self.events.pop())
 
     async def test_no_crash_is_attributed(self) -> None:
         scene = GatewayScene(endpoint('a'))
-        for name in ('r1', 'r2', 'r3'):
-            await self._lose(scene, scene.post_request('/report/x', name))
+        for error in (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH):
+            send = scene.post_request('/report/x', errno.errorcode[error])
+            await self._lose(scene, send, error)
         self.assertEqual(scene.state.suspects.crashes, [])
         self.assertEqual(scene.state.suspects.broken, [])
 
