Test that streams taken over together survive failed connects

Callers saw streams cut while every endpoint was sound: several streams of a silent engine were taken over together, their connects to the other engine failed together, and both engines were then in cool-downs of some 4 s.

Cause: each of these sends counted as one more failure in a row.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -19,6 +19,7 @@
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import Failure, View
 from plantainridge.gateway.http_calls import NoResponse, Response
+from plantainridge.gateway.http_client import CONNECT_TIMEOUT_S
 from plantainridge.gateway.peer_messages import OwnLoad
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.requests import SendLimit
@@ -336,6 +337,46 @@
         self.assertEqual(takeovers, dict.fromkeys(PHASES, True))
         self.assertFalse(scene.send.new_connection)
 
+    def test_streams_taken_over_together_are_not_cut_if_connects_fail(
+            self) -> None:
+        cuts = {}
+        for count in (1, 4, 8):
+            scene = GatewayScene(endpoint('a'))
+            for number in range(count):
+                send = scene.post_request('/report/x',
+                                          f'r{number}',
+                                          caller_timeout_s=30.0)
+                scene.post(ev.StreamStarted(send.attempt, head()))
+                scene.post(ev.StreamEventsReceived(send.attempt, b'1', '1',
+                                                   '1'))
+            scene.read(View.REGISTRY, endpoint(OTHER))
+            self._connect_late(scene, count, sound_at=scene.now + 1.6)
+            self.assertGreater(len(scene.all(fx.Send)), count)
+            cuts[count] = len(scene.all(fx.AbortReply))
+        self.assertEqual(cuts, {1: 0, 4: 0, 8: 0})
+
+    def _connect_late(self, scene: GatewayScene, first: int,
+                      sound_at: float) -> None:
+        """Fail sends after the first ones until all endpoints are sound."""
+        connects: dict[fx.Send, float] = {}
+        for _ in range(120):
+            scene.advance(0.05)
+            for send in scene.all(fx.Send)[first + len(connects):]:
+                connects[send] = scene.now
+            for send, begun_at in connects.items():
+                if send.attempt not in scene.state.calls.attempts:
+                    continue
+                if begun_at >= sound_at:
+                    scene.post(ev.StreamStarted(send.attempt, head()))
+                    scene.post(ev.StreamEnded(send.attempt))
+                elif scene.now >= begun_at + CONNECT_TIMEOUT_S:
+                    scene.post(
+                        ev.SendFailed(send.attempt, Failure.NOT_CONNECTED))
+            if scene.now >= sound_at:
+                for send in scene.all(fx.Send)[:first]:
+                    if send.attempt in scene.state.calls.attempts:
+                        scene.post(ev.StreamEnded(send.attempt))
+
     def test_untried_endpoint_comes_before_a_silent_one(self) -> None:
         scene = SilentScene()
         scene.read(View.OPERATOR, configuration(2,
