Partition VMs from all endpoints in the soak

Callers of VMs that had lost their paths to all endpoints were served far worse than those of the other VMs. Each run of the soak now ends with such a partition: all VMs of a data centre, or half of the VMs or more, lose their paths to all endpoints for 6 to 8 s, silently, by resets and refusals, or by refusals of new connections only, while routes and endpoints change.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from tests.soak.checks import STABLE_S
+from tests.soak.checks import STABLE_S, paths_to_endpoints
 from tests.soak.history import FaultSpan
 from tests.soak.proxy import PARTITIONS, Fault, FaultProxy
 from tests.soak.site import ENGINES, LEDGER, GatewayVm, SoakSite
@@ -24,6 +24,9 @@
 SILENCE_RANGE_S: Final = (0.8, 1.8)
 BETWEEN_SILENCES_S: Final = 0.5
 CHANGES_IN_SILENCE: Final = 3
+# Time for which paths to all endpoints are cut: longer than `STABLE_S`, after
+# which gateways must serve again.
+PARTITION_RANGE_S: Final = (6.0, 8.0)
 # Timeout of all routes, never below that of callers.
 TIMEOUT_RANGE_MS: Final = (3_000, 4_000)
 # Time from the drain of an endpoint to its exit.
@@ -49,6 +52,10 @@
                                         (1, self._name_version),
                                         (4, self._silence_endpoints)]
         self.planned_work = planned
+        self.partition_work: list[WeightedFault] = [(2, self._change_route),
+                                                    (1, self._replace_endpoint),
+                                                    (1, self._silence_endpoints)
+                                                   ]
         self.all_faults: list[WeightedFault] = planned + [
             (3, self._disturb_caller_path), (3, self._disturb_store_path),
             (3, self._disturb_endpoint_path), (2, self._take_store_down),
@@ -58,11 +65,13 @@
         ]
 
     async def run(self, seconds: float) -> None:
-        """Inject all kinds of faults; after a pause, planned work only."""
+        """Inject faults, then planned work only, then a partition."""
         await self._inject_for((1 - PLANNED_WORK_RATIO) * seconds,
                                self.all_faults)
         await asyncio.sleep(STABLE_S)
         await self._inject_for(PLANNED_WORK_RATIO * seconds, self.planned_work)
+        await asyncio.sleep(STABLE_S)
+        await self._partition_gateways()
 
     async def _inject_for(self, seconds: float,
                           faults: list[WeightedFault]) -> None:
@@ -125,6 +134,36 @@
             endpoint.name, 'path',
             self._disturb_proxies(*endpoint.proxies.values()))
 
+    async def _partition_gateways(self) -> None:
+        """Cut the paths of some gateways to all endpoints, beside changes."""
+        vms = self._pick_partitioned()
+        fault = self.rng.choice(PARTITIONS)
+        seconds = self.rng.uniform(*PARTITION_RANGE_S)
+
+        async def partition(vm: GatewayVm) -> None:
+            await self.site.set_path_fault(vm, fault)
+            await asyncio.sleep(seconds)
+            await self.site.set_path_fault(vm, Fault.NONE)
+
+        await asyncio.gather(
+            self._inject_for(seconds, self.partition_work),
+            *(self._record_span(paths_to_endpoints(vm.name), fault.value,
+                                partition(vm)) for vm in vms))
+        self.site.history.faults_ended_at = time.time()
+
+    def _pick_partitioned(self) -> list[GatewayVm]:
+        """Return all gateways of one data centre, or half or more of any.
+
+        Fewer do not receive enough attempts for the check to judge.
+        """
+        gateways = self.site.gateways
+        if self.rng.random() < 0.5:
+            dc = self._pick_gateway().dc
+            return [vm for vm in gateways if vm.dc == dc]
+        return self.rng.sample(
+            gateways, self.rng.randint(len(gateways) // 2,
+                                       len(gateways) - 1))
+
     # --- the store ---
 
     async def _take_store_down(self) -> None:
