--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -197,8 +197,8 @@
         now: Loop time in s.
         budget_ratio: Share of the retry budget that the send may use.
     """
-    # A stream that has begun would be cut by endpoints that are only silent, and
-    # a request by peers that open no tunnel.
+    # Sends that reached no endpoint do not count for a stream that has begun,
+    # nor those at peers that opened no tunnel for any request.
     sends = (call.deliveries if call.reply_started else call.sends -
              len(call.failed_peers))
     if sends >= retries.MAX_SENDS or call.executions >= call.route.attempts:
