Decode evacuations, cold and brittle endpoints, and slowdowns

A load report with a fourth number was dropped whole, and nothing read op/evacuate/DC, cold-per-s, cold-remaining-ms, X-Cold-Milliseconds or Server-Brittle. They are decoded into typed values now; the schema of the messages between VMs gets the structures of the parts that use them. Nothing acts on them yet. A test of the load report failed before.

--- a/src/plantainridge/gateway/config.py
+++ b/src/plantainridge/gateway/config.py
@@ -102,11 +102,20 @@
 
 @attrs.frozen
 class Service:
-    """A service: model engines, plain instances, or one KV cache store."""
+    """A service: model engines, plain instances, or one KV cache store.
+
+    Attributes:
+        cold_start_s: Time for which an endpoint stays cold after its start, in
+            s; 0 if it does not.
+        cold_requests_per_s: Requests per s that a cold endpoint tolerates, from
+            all VMs together; 0 for no limit.
+    """
 
     name: ServiceId
     engine: EngineSpec | None = None
     store: StoreSpec | None = None
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -19,6 +19,8 @@
         orders: Number of orders that it has accepted since its start.
         versions: Weight version of each model that it runs.
         build: Version of its software; '' if not stated.
+        cold_remaining_s: Time for which it stayed cold when it wrote the entry,
+            in s; 0 if it was not cold.
     """
 
     id: EndpointId
@@ -31,6 +33,7 @@
     orders: int = 0
     versions: Mapping[ModelId, int] = attrs.field(factory=dict)
     build: str = ''
+    cold_remaining_s: float = 0.0
 
     def is_heartbeat_after(self, previous: 'EndpointEntry') -> bool:
         """Return whether the entry differs at most in the number of orders."""
@@ -48,12 +51,15 @@
         waiting: Requests in its queue.
         slots: Requests that it runs at once.
         reported_at: Loop time at which the report arrived, in s.
+        slowdown: Time that work takes there at the moment, relative to the
+            usual time; None if not stated.
     """
 
     running: int
     waiting: int
     slots: int
     reported_at: float
+    slowdown: float | None = None
 
 
 @attrs.define
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -10,8 +10,8 @@
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.settings import (DEFAULT_LINK_MBPS, GatewaySettings,
                                             InvalidSetting)
-from plantainridge.ids import (AttemptId, EndpointId, Incarnation, ModelId,
-                               RequestId, ServiceId, TunnelId, VmId)
+from plantainridge.ids import (AttemptId, DcId, EndpointId, Incarnation,
+                               ModelId, RequestId, ServiceId, TunnelId, VmId)
 from plantainridge.loop.events import Event
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -134,6 +134,10 @@
         pause_s: Time for which it wants no requests from this VM, in s, or
             None.
         invalid_pause: Such a time as stated, if it cannot be read, or ''.
+        cold_remaining_s: Time for which it stays cold, in s; None if not
+            stated.
+        max_rejections_per_s: Rejections for want of room in one second that it
+            survives, while it is brittle; None if it does not state that it is.
     """
 
     status: int
@@ -146,6 +150,8 @@
     leaving: bool = False
     pause_s: float | None = None
     invalid_pause: str = ''
+    cold_remaining_s: float | None = None
+    max_rejections_per_s: int | None = None
 
 
 @attrs.frozen
@@ -411,6 +417,18 @@
     version: int
 
 
+@attrs.frozen
+class EvacuationChanged:
+    """An operator's request to evacuate a data centre, or its withdrawal.
+
+    Attributes:
+        requested: Whether nothing more may be sent to its endpoints.
+    """
+
+    dc: DcId
+    requested: bool
+
+
 @attrs.frozen
 class EndpointRemoved:
     """An endpoint's entry was removed."""
@@ -441,8 +459,8 @@
     reason: str
 
 
-ViewUpdate = (Configuration | NamedVersion | EndpointEntry | EndpointRemoved |
-              VmEntry | InvalidRecord)
+ViewUpdate = (Configuration | NamedVersion | EvacuationChanged | EndpointEntry |
+              EndpointRemoved | VmEntry | InvalidRecord)
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -11,9 +11,95 @@
     totals @5 :LoadReport;
     origins @6 :StreamOrigins;
     wantOrigins @7 :OriginQuestion;
+    wantPlacement @8 :PlacementRequest;
+    placement @9 :PlacementAnswer;
+    run @10 :RunReport;
   }
 }
 
+# A request of a VM for an engine that has memory for a large prompt.
+struct PlacementRequest {
+  vm @0 :Text;
+  # Incarnation of the sender's process.
+  life @1 :Text;
+  # Unique within the incarnation; repeated if the request is sent again.
+  number @2 :UInt64;
+  service @3 :Text;
+  model @4 :Text;
+  # Empty for a public request.
+  team @5 :Text;
+  parts @6 :List(PromptPart);
+  promptTokens @7 :UInt32;
+  # Memory of the run when it ends, in tokens.
+  memoryTokens @8 :UInt32;
+  urgency @9 :UInt8;
+  # Latency up to which the answer earns full credit, in ms.
+  targetMs @10 :UInt32;
+  # Time since the request arrived, in ms.
+  waitedMs @11 :UInt32;
+  # Time that is left until its deadline, in ms.
+  remainingMs @12 :UInt32;
+  # Version of the engines' software that it is bound to; empty if none.
+  build @13 :Text;
+  # Engines that the sender cannot use for it.
+  excluded @14 :List(Text);
+  # Whether the sender no longer needs an engine.
+  isWithdrawn @15 :Bool;
+}
+
+# A part of a prompt.
+struct PromptPart {
+  id @0 :Text;
+  tokens @1 :UInt32;
+}
+
+# The coordinator's answer to a placement request.
+struct PlacementAnswer {
+  # The coordinator.
+  vm @0 :Text;
+  # Incarnation and number of the request.
+  life @1 :Text;
+  number @2 :UInt64;
+  # The engine that is granted; empty if there is none yet.
+  endpoint @3 :Text;
+  # Set if the request is to be refused: time until a retry is worthwhile.
+  retryAfterMs @4 :UInt32;
+  isRefused @5 :Bool;
+}
+
+# Progress of a run whose engine was granted.
+struct RunReport {
+  vm @0 :Text;
+  life @1 :Text;
+  number @2 :UInt64;
+  # Whether it has ended; else its prompt has been computed.
+  hasEnded @3 :Bool;
+}
+
+# How fast one endpoint was, as the sender observed it itself.
+struct SpeedDigest {
+  endpoint @0 :Text;
+  # One entry for each range of the endpoint's fill, lowest first.
+  ranges @1 :List(SpeedSum);
+  # Slowdown in its latest load report, in percent; 0 if unknown.
+  reportedPercent @2 :UInt16;
+  # Age of that report, in ms.
+  reportedAgeMs @3 :UInt16;
+}
+
+# Weighted sums of observations.
+struct SpeedSum {
+  weight @0 :Float32;
+  # Sum of weight times the observed latency relative to the expected one.
+  ratios @1 :Float32;
+}
+
+# The VM that coordinates placements in a data centre.
+struct Coordinator {
+  dc @0 :Text;
+  vm @1 :Text;
+}
+
 # Streams that began at engines of one build.
 struct StreamOrigins {
   service @0 :Text;
@@ -41,6 +127,9 @@
   loads @4 :List(Load);
   # Whether the loads include those of the sender's data centre.
   hasLocal @5 :Bool;
+  speeds @6 :List(SpeedDigest);
+  # In totals: coordinators that the sender knows.
+  coordinators @7 :List(Coordinator);
 }
 
 # Work that arrives in one data centre for one service.
@@ -126,6 +215,7 @@
   quarantined @14 :List(Quarantined);
   # Loop time at which the sender sent this hint, in s; 0 if not stated.
   sentAtS @15 :Float64;
+  speeds @16 :List(SpeedDigest);
 }
 
 # Target version of a model.
@@ -157,6 +247,10 @@
   memoryTokens @4 :UInt32;
   # Whether that time is since the sender could not reach the endpoint.
   isUnreached @5 :Bool;
+  # Share of the above in runs whose engine a coordinator granted.
+  grantedPendingTokens @6 :UInt32;
+  grantedRequests @7 :UInt16;
+  grantedMemoryTokens @8 :UInt32;
 }
 
 # A request during which an endpoint broke the connection.
--- a/src/plantainridge/gateway/settings.py
+++ b/src/plantainridge/gateway/settings.py
@@ -43,6 +43,13 @@
         retry_ratio: Retries allowed per request.
         retry_slack: Further retries allowed, over all VMs.
         retry_window_s: Window over which retries are counted, in s.
+        cold_overrun: Multiple of a cold endpoint's rate that may reach it in
+            one second, from all VMs together.
+        cold_slack: Requests beyond that multiple.
+        evacuation_s: Longest time until nothing more is sent to a data centre
+            that is to be evacuated, in s.
+        stable_s: Time after a disruption from which the limits hold again, in
+            s.
     """
 
     drain_s: float = 2.0
@@ -53,6 +60,10 @@
     retry_ratio: float = 0.2
     retry_slack: float = 54.0
     retry_window_s: float = 10.0
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
+    evacuation_s: float = 5.0
+    stable_s: float = 3.0
 
 
 @attrs.frozen
@@ -70,6 +81,9 @@
         link_mbps: Rate of the VM's own link, in Mbit/s.
         tunnel_port: Port on which peers request tunnels, the same on all VMs;
             0 for none.
+        memory_mb: Memory of the process, in MB; 0 if no limit is stated.
+        has_memory_pressure: Whether memory is contended in this deployment:
+            that of engines between callers, and that of VMs by slow readers.
     """
 
     vm: VmId
@@ -83,3 +97,5 @@
     bounds: Bounds = Bounds()
     link_mbps: float = DEFAULT_LINK_MBPS
     tunnel_port: int = 0
+    memory_mb: float = 0.0
+    has_memory_pressure: bool = False
--- a/src/plantainridge/platform/configuration.py
+++ b/src/plantainridge/platform/configuration.py
@@ -67,7 +67,9 @@
     return config.Service(
         name=ServiceId(get(data, 'name', str)),
         engine=_decode_engine(engine) if engine is not None else None,
-        store=_decode_store(data, address) if address else None)
+        store=_decode_store(data, address) if address else None,
+        cold_start_s=get_or(data, 'cold-start-s', 0.0),
+        cold_requests_per_s=get_or(data, 'cold-per-s', 0.0))
 
 
 def _decode_engine(data: Any) -> config.EngineSpec:
--- a/src/plantainridge/platform/names.py
+++ b/src/plantainridge/platform/names.py
@@ -25,7 +25,8 @@
 EXPECTED_INSTANCE: Final = b'x-expected-instance'
 EXPECTED_VERSION: Final = b'x-expected-version'
 INSTANCE: Final = b'x-instance-id'
-# Load of an endpoint: RUNNING,WAITING,SLOTS.
+# Load of an endpoint: RUNNING,WAITING,SLOTS, and of some services a fourth
+# number: how long work takes at the moment, where 100 is usual.
 LOAD: Final = b'x-server-load'
 NOT_RUN: Final = b'x-not-executed'
 # In answers a single weight version, despite the plural.
@@ -44,6 +45,10 @@
 RETRY_AFTER: Final = b'retry-after'
 # '1' in all answers of an endpoint that is leaving.
 LEAVING: Final = b'server-leaving'
+# Time for which an endpoint remains cold, in ms.
+COLD_REMAINING: Final = b'x-cold-milliseconds'
+# Rejections for want of room in one second that an endpoint survives.
+BRITTLE: Final = b'server-brittle'
 
 # Set by the gateway alone; those of callers are dropped.
 SYSTEM_HEADERS: Final = frozenset({
@@ -60,7 +65,7 @@
 })
 # Headers of endpoints' answers that callers don't get.
 INTERNAL_ANSWER_HEADERS: Final = frozenset(
-    {LOAD, INSTANCE, NOT_RUN, b'content-length'})
+    {LOAD, INSTANCE, NOT_RUN, COLD_REMAINING, BRITTLE, b'content-length'})
 
 # --- The metadata store ---
 
@@ -78,6 +83,8 @@
 LEASE_KEY: Final = 'orders'
 CONFIGURATION_KEY: Final = 'config'
 VERSION_KEY_PREFIX: Final = 'version/'
+# Followed by the name of a data centre.
+EVACUATION_KEY_PREFIX: Final = 'evacuate/'
 
 # --- Values of fields ---
 
@@ -86,3 +93,5 @@
 KIND_STREAM: Final = 'streaming'
 STATE_READY: Final = 'ready'
 STATE_DRAINING: Final = 'draining'
+# In the settings' list of contracts: memory of engines and VMs is contended.
+CONTRACT_PRESSURE: Final = 'pressure'
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -9,15 +9,17 @@
 
 from plantainridge import json_values
 from plantainridge.gateway.endpoints import EndpointEntry
-from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
-                                          LeaseRecord, NamedVersion, RawRecord,
-                                          View, ViewUpdate, VmEntry)
+from plantainridge.gateway.events import (EndpointRemoved, EvacuationChanged,
+                                          InvalidRecord, LeaseRecord,
+                                          NamedVersion, RawRecord, View,
+                                          ViewUpdate, VmEntry)
 from plantainridge.gateway.settings import DEFAULT_LINK_MBPS
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, VmId)
 from plantainridge.platform import configuration, names
 from plantainridge.platform.fields import InvalidField, get, get_list, get_or
 
+MS_PER_S = 1_000.0
 RECORD_LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 
@@ -104,6 +106,10 @@
 
 
 def _decode_operator_record(record: RawRecord) -> ViewUpdate:
+    if record.key.startswith(names.EVACUATION_KEY_PREFIX):
+        # The value holds nothing; a deleted key withdraws the request.
+        dc = DcId(record.key.removeprefix(names.EVACUATION_KEY_PREFIX))
+        return EvacuationChanged(dc, record.value is not None)
     if record.value is None:
         return InvalidRecord(record.key, 'the key was deleted')
     data = json_values.decode(record.value)
@@ -123,16 +129,19 @@
     host, _, port = address.rpartition(':')
     if not host or not port.isdecimal():
         raise InvalidField('address', 'IP:PORT')
-    return EndpointEntry(id=EndpointId(key),
-                         service=ServiceId(get(data, 'service', str)),
-                         address=address,
-                         dc=DcId(get(data, 'zone', str)),
-                         slots=get(data, 'slots', int),
-                         draining=state == names.STATE_DRAINING,
-                         started_ms=get_or(data, 'born', 0),
-                         orders=get_or(data, 'sequence', 0),
-                         versions=decode_models(data),
-                         build=get_or(data, 'version', ''))
+    return EndpointEntry(
+        id=EndpointId(key),
+        service=ServiceId(get(data, 'service', str)),
+        address=address,
+        dc=DcId(get(data, 'zone', str)),
+        slots=get(data, 'slots', int),
+        draining=state == names.STATE_DRAINING,
+        started_ms=get_or(data, 'born', 0),
+        orders=get_or(data, 'sequence', 0),
+        versions=decode_models(data),
+        build=get_or(data, 'version', ''),
+        cold_remaining_s=max(0.0, get_or(data, 'cold-remaining-ms', 0.0)) /
+        MS_PER_S)
 
 
 def decode_models(data: Any) -> dict[ModelId, int]:
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -18,6 +18,10 @@
 # Longest text of a whole number in a header: any 64-bit number fits.
 MAX_NUMBER_LENGTH: Final = 20
 BEARER_PREFIX = 'bearer '
+# Numbers that each load report has.
+LOAD_FIELDS: Final = 3
+# Its fourth number while work takes as long as usual.
+USUAL_PERCENT: Final = 100
 
 
 class PlatformWire(RequestWire):
@@ -78,19 +82,22 @@
                       send.request.attempt_id) != (send.request.attempt_id):
             return None
         pause_s, invalid_pause = _parse_pause(status, headers)
-        return AnswerHead(status=status,
-                          headers=tuple(
-                              (key, value)
-                              for key, value in _end_to_end_headers(headers)
-                              if key not in names.INTERNAL_ANSWER_HEADERS),
-                          signed=names.SIGNATURE in fields,
-                          not_run=names.NOT_RUN in fields or status == 421,
-                          instance=fields.get(names.INSTANCE, ''),
-                          load=_parse_load(fields.get(names.LOAD, ''), now),
-                          version=_parse_int(fields.get(names.WEIGHT_VERSION)),
-                          leaving=fields.get(names.LEAVING) == '1',
-                          pause_s=pause_s,
-                          invalid_pause=invalid_pause)
+        cold_ms = _parse_int(fields.get(names.COLD_REMAINING))
+        return AnswerHead(
+            status=status,
+            headers=tuple((key, value)
+                          for key, value in _end_to_end_headers(headers)
+                          if key not in names.INTERNAL_ANSWER_HEADERS),
+            signed=names.SIGNATURE in fields,
+            not_run=names.NOT_RUN in fields or status == 421,
+            instance=fields.get(names.INSTANCE, ''),
+            load=parse_load(fields.get(names.LOAD, ''), now),
+            version=_parse_int(fields.get(names.WEIGHT_VERSION)),
+            leaving=fields.get(names.LEAVING) == '1',
+            pause_s=pause_s,
+            invalid_pause=invalid_pause,
+            cold_remaining_s=(None if cold_ms is None else cold_ms / MS_PER_S),
+            max_rejections_per_s=_parse_int(fields.get(names.BRITTLE)))
 
     def refusal_headers(self, retry_after_s: float | None) -> Headers:
         if retry_after_s is None:
@@ -165,12 +172,20 @@
     return None, (', '.join(texts) or 'empty') if texts else ''
 
 
-def _parse_load(text: str, now: float) -> EndpointLoad | None:
-    numbers = [_parse_int(each) for each in text.split(',')]
-    if len(numbers) != 3 or None in numbers:
+def parse_load(text: str, now: float) -> EndpointLoad | None:
+    """Return a load report, or None if the text is none.
+
+    A fourth number is read on its own: one that cannot be read leaves the
+    other three valid.
+    """
+    fields = text.split(',')
+    numbers = [_parse_int(each) for each in fields[:LOAD_FIELDS]]
+    if len(fields) not in (LOAD_FIELDS, LOAD_FIELDS + 1) or None in numbers:
         return None
     running, waiting, slots = (each or 0 for each in numbers)
-    return EndpointLoad(running, waiting, slots, now)
+    percent = _parse_int(fields[-1]) if len(fields) > LOAD_FIELDS else None
+    slowdown = percent / USUAL_PERCENT if percent else None
+    return EndpointLoad(running, waiting, slots, now, slowdown)
 
 
 def _cache_headers(plan: CachePlan) -> Headers:
--- a/src/plantainridge/platform/settings.py
+++ b/src/plantainridge/platform/settings.py
@@ -9,6 +9,7 @@
 from plantainridge.gateway.settings import (DEFAULT_LINK_MBPS, Bounds,
                                             GatewaySettings, InvalidSetting)
 from plantainridge.ids import DcId, VmId
+from plantainridge.platform import names
 from plantainridge.platform.fields import InvalidField, get, get_or
 
 SETTINGS_PATH_VARIABLE = 'PLANTAINRIDGE_CONFIG'
@@ -46,7 +47,10 @@
         bounds=_decode_bounds(get_or(data, 'bounds', {})),
         link_mbps=get_or(get_or(data, 'limits', {}), 'link-mbps',
                          DEFAULT_LINK_MBPS),
-        tunnel_port=_tunnel_port(*ports))
+        tunnel_port=_tunnel_port(*ports),
+        memory_mb=get_or(get_or(data, 'limits', {}), 'memory-mb', 0.0),
+        has_memory_pressure=(names.CONTRACT_PRESSURE
+                             in get_or(data, 'contracts', [])))
 
 
 def _tunnel_port(first: int, last: int) -> int:
@@ -74,6 +78,16 @@
             get_or(data, 'retry-budget-slack', default.retry_slack),
         'retry_window_s':
             get_or(data, 'budget-window-s', default.retry_window_s),
+        'cold_overrun':
+            get_or(data, 'cold-overrun', default.cold_overrun),
+        'cold_slack':
+            get_or(data, 'cold-slack', default.cold_slack),
+        'evacuation_s':
+            get_or(data, 'evacuation-ms', default.evacuation_s * MS_PER_S) /
+            MS_PER_S,
+        'stable_s':
+            get_or(data, 'stable-window-ms', default.stable_s * MS_PER_S) /
+            MS_PER_S,
     }
     return attrs.evolve(default, **values)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,12 +9,13 @@
 from plantainridge.gateway import http_calls
 from plantainridge.gateway.config import Configuration, RequestKind
 from plantainridge.gateway.endpoints import EndpointEntry
-from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
-                                          LeaseRecord, NamedVersion, RawRecord,
-                                          StoredPart, View)
+from plantainridge.gateway.events import (EndpointRemoved, EvacuationChanged,
+                                          InvalidRecord, LeaseRecord,
+                                          NamedVersion, RawRecord, StoredPart,
+                                          View)
 from plantainridge.gateway.settings import GatewaySettings, InvalidSetting
-from plantainridge.ids import Incarnation, ServiceId, VmId
-from plantainridge.platform import kv_records, records, settings
+from plantainridge.ids import DcId, Incarnation, ServiceId, VmId
+from plantainridge.platform import kv_records, records, requests, settings
 from plantainridge.platform.fields import InvalidField
 
 ROUTE = {
@@ -118,6 +119,22 @@
         removed = records.decode_update(View.REGISTRY, RawRecord('i-1', None))
         self.assertIsInstance(removed, EndpointRemoved)
 
+    def test_evacuations(self) -> None:
+        self.assertEqual(
+            records.decode_update(View.OPERATOR, record('evacuate/z', {})),
+            EvacuationChanged(DcId('z'), True))
+        self.assertEqual(
+            records.decode_update(View.OPERATOR, RawRecord('evacuate/z', None)),
+            EvacuationChanged(DcId('z'), False))
+
+    def test_cold_endpoint(self) -> None:
+        entry = records.decode_update(
+            View.REGISTRY, record('i-1', {
+                **ENTRY, 'cold-remaining-ms': 1_500
+            }))
+        assert isinstance(entry, EndpointEntry)
+        self.assertEqual(entry.cold_remaining_s, 1.5)
+
     def test_malformed_records_are_invalid(self) -> None:
         wrong_values: dict[str, Any] = {
             'state': 'sleeping',
@@ -236,3 +253,18 @@
                 self.assertEqual(invalid.field, field)
                 self.assertIn('allowed:', str(invalid))
         self.assertIsInstance(self._read_settings('='), InvalidSetting)
+
+
+class LoadReportTest(unittest.TestCase):
+    """Load reports in endpoints' answers."""
+
+    def test_fourth_number_does_not_drop_the_report(self) -> None:
+        for text, slowdown in (('3,0,8', None), ('3,0,8,250', 2.5),
+                               ('3,0,8,', None), ('3,0,8,x', None)):
+            with self.subTest(text):
+                load = requests.parse_load(text, 7.0)
+                assert load is not None
+                self.assertEqual((load.running, load.slots, load.slowdown),
+                                 (3, 8, slowdown))
+        for text in ('', '3,0', '3,x,8', '3,0,8,100,1'):
+            self.assertIsNone(requests.parse_load(text, 7.0), text)
