--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -234,12 +234,7 @@
             reason = _unavailability(state, call, now)
             return (PlacementFailure.NO_PATH
                     if reason is PlacementFailure.NO_ENDPOINT else reason)
-    cooling_down = hints.cooling_down(state, now)
-    candidates = [
-        view for view in endpoints.available(state.endpoints, call.service, now)
-        if has_build(call, view) and view.entry.id not in call.tried and
-        cooling_down.get(view.entry.id, -math.inf) <= view.weights_loaded_at
-    ]
+    candidates = usable_endpoints(state, call, now)
     unreached = hints.unreached(state, now)
     reachable = [
         view for view in candidates if not _is_unreached(view, unreached)
@@ -252,6 +247,17 @@
     return choice
 
 
+def usable_endpoints(state: 'GatewayState', call: Call,
+                     now: float) -> list[EndpointView]:
+    """Return the endpoints that may get a request now, whatever their load."""
+    cooling_down = hints.cooling_down(state, now)
+    return [
+        view for view in endpoints.available(state.endpoints, call.service, now)
+        if has_build(call, view) and view.entry.id not in call.tried and
+        cooling_down.get(view.entry.id, -math.inf) <= view.weights_loaded_at
+    ]
+
+
 def _is_unreached(view: EndpointView, reports: Mapping[EndpointId,
                                                        float]) -> bool:
     """Return whether peers did not reach an endpoint, and this VM did not.
@@ -463,10 +469,9 @@
     reused = max(cached_tokens, fetch_plan.tokens)
     prefill = max(1, request.prompt_tokens - reused)
     peers = inputs.peer_load(view)
-    queued = view.pending_tokens + peers.pending_tokens
-    latency_s = (queued + prefill) / PREFILL_TOKENS_PER_S + fetch_plan.seconds
-    latency_s += (DELAY_PER_REQUEST_S * inputs.request_count(view, peers) +
-                  inputs.waited_s)
+    latency_s = inputs.waited_s + expected_latency_s(
+        view.pending_tokens + peers.pending_tokens, prefill,
+        inputs.request_count(view, peers), fetch_plan.seconds)
     cost = LATENCY_PENALTY * (latency_s / call.route.target_s)**2
     used_memory = view.memory_tokens + peers.memory_tokens
     cost += _memory_cost(inputs, used_memory) + _fixed_cost(state, view)
@@ -474,6 +479,21 @@
                      _has_capacity(inputs, view, used_memory))
 
 
+def expected_latency_s(queued_tokens: int, prefill_tokens: int, requests: int,
+                       fetch_s: float) -> float:
+    """Return the expected time from a send to its first event, in s.
+
+    Args:
+        queued_tokens: Prompt tokens of earlier requests that the engine has yet
+            to compute.
+        prefill_tokens: Prompt tokens of the request itself to compute.
+        requests: Requests on the engine.
+        fetch_s: Time to fetch stored parts of the prompt, in s.
+    """
+    prefill_s = (queued_tokens + prefill_tokens) / PREFILL_TOKENS_PER_S
+    return prefill_s + fetch_s + DELAY_PER_REQUEST_S * requests
+
+
 def _memory_cost(inputs: _CostInputs, used_memory: int) -> float:
     """Return the cost of exceeding the engine's memory with this run."""
     if inputs.engine is None:
