Answer requests for missed store events from any kept change

Cause: a peer that had itself applied several relays at once kept them as one change, and did not answer a request for events from its middle. An answer that was no newer put off the next request by 1.8 s.

Change: the answer may begin with earlier events, which are applied again in their order, and the next check follows the age of what is known.

--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -233,14 +233,18 @@
             self.set_part(part, tokens)
         self.next = end
 
-    def changes_since(self, number: int) -> Changes | None:
-        """Return the changes from an event on, or None if they are not kept."""
+    def changes_since(self, number: int) -> RecentChanges | None:
+        """Return the changes from an event on, or None if they are not kept.
+
+        They may begin with earlier ones, which were applied together.
+        """
         if number == self.next:
-            return ()
-        kept = [each for each in self.recent if each.start >= number]
-        if not kept or kept[0].start != number:
+            return RecentChanges(number, number, ())
+        kept = [each for each in self.recent if each.end > number]
+        if not kept or kept[0].start > number:
             return None
-        return tuple(change for each in kept for change in each.parts)
+        parts = tuple(change for each in kept for change in each.parts)
+        return RecentChanges(kept[0].start, self.next, parts)
 
     def replace_parts(self, complete: Mapping[StoredPart, int]) -> None:
         """Replace all complete parts."""
@@ -433,7 +437,8 @@
         view.record_answer(relay.vm, answered_at)
         view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
         yield from _schedule_check(state, view, now)
-    elif relay.epoch == view.epoch and relay.start == view.next:
+    elif relay.epoch == view.epoch and relay.start <= view.next:
+        # Changes that were applied before are applied again in their order.
         view.apply(relay.parts, relay.end)
         view.record_answer(relay.vm, answered_at)
         yield from _schedule_check(state, view, now)
@@ -481,9 +486,15 @@
 def _schedule_check(state: 'GatewayState', view: StoreView,
                     now: float) -> Iterator[Effect]:
     """Schedule the next poll if this VM is the reader, else a later check."""
-    delay_s = (_poll_interval_s(state)
-               if _is_reader(state, view, now) else READER_CHECK_DELAY_S)
-    yield SetTimer(_timer(view), now + delay_s)
+    if _is_reader(state, view, now):
+        yield SetTimer(_timer(view), now + _poll_interval_s(state))
+        return
+    check_at = now + READER_CHECK_DELAY_S
+    if _requests_relays(state):
+        # The relay may repeat what this VM knows, and be as old.
+        request_at = view.reported_at + RELAY_REQUEST_DELAY_S
+        check_at = min(check_at, max(request_at, now + READER_CHECK_INTERVAL_S))
+    yield SetTimer(_timer(view), check_at)
 
 
 def _poll_interval_s(state: 'GatewayState') -> float:
@@ -506,12 +517,12 @@
     if request.since == peer_messages.ALL_CONTENTS:
         yield from relays.send_to(state, request.vm, _snapshot(state, view))
         return
-    parts = view.changes_since(request.since)
-    if request.epoch == view.epoch and parts is not None and not view.behind:
+    missed = view.changes_since(request.since)
+    if request.epoch == view.epoch and missed is not None and not view.behind:
         yield from relays.send_to(
             state, request.vm,
-            RelayedStore(state.settings.vm, view.name, view.epoch,
-                         request.since, view.next, False, False, parts,
+            RelayedStore(state.settings.vm, view.name, view.epoch, missed.start,
+                         missed.end, False, False, missed.parts,
                          state.stores.clock_ms(view.confirmed_at)))
 
 
