Read the metadata store once per VM when many start together

Cause: a VM that has heard no hint takes itself for the reader of all views. Besides, a VM whose position lay within a relay discarded it and read the registry by itself, which with entries written all the time happened again at the next relay. Also with all hints heard, most reads were such ones.

Change: with more than 12 VMs listed, those not heard yet count as live for 2 s after the first read of the VMs, for the choice of readers and of the load's reporter. A hint of a VM that is not listed makes the VMs' reader read them soon. A relay of the registry or the VMs that begins before this VM's position is applied, its older updates again in their order.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -21,6 +21,7 @@
 from plantainridge.gateway import (eras, load_reports, notices, peer_messages,
                                    relays, suspects, versions)
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.events import TimerKind, View
 from plantainridge.gateway.load_reports import LoadReportTable
 from plantainridge.gateway.peer_loads import (NO_LOAD, PeerLoad, PeerLoadTable)
 from plantainridge.gateway.peer_messages import (BrokenSendReport, DcLoad, Hint,
@@ -29,8 +30,8 @@
 from plantainridge.gateway.rates import WindowCount
 from plantainridge.gateway.suspects import BrokenSend
 from plantainridge.ids import DcId, EndpointId, ServiceId, VmId
-from plantainridge.loop.effects import Effect, LogLine, SendPeer
-from plantainridge.loop.events import Event
+from plantainridge.loop.effects import Effect, LogLine, SendPeer, SetTimer
+from plantainridge.loop.events import Event, TimerKey
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -67,6 +68,11 @@
 # Hints that ask in any case if the metadata store returned from an older copy:
 # it may show an older version than peers know.
 START_ASKS: Final = 3
+# Time from a VM's first read of the VMs within which it elects readers among
+# all of them, whether heard or not. By then each VM has sent a hint.
+START_GRACE_S: Final = 2.0
+# Shortest time between two reads of the VMs meanwhile, in s.
+MIN_VM_READ_INTERVAL_S: Final = 0.3
 # Subject of the hash by which a VM chooses whom to ask.
 AGES_SUBJECT: Final = 'ages'
 
@@ -121,6 +127,8 @@
         start_asks: Number of such hints, up to `START_ASKS`.
         reports: Loads that data centres report to one another.
         arrivals: Prompt tokens that arrived at this VM, by service.
+        grace_until: Loop time until which VMs that have not sent a hint count
+            as live, in s.
     """
 
     received: dict[VmId, ReceivedHint] = attrs.field(factory=dict)
@@ -137,6 +145,7 @@
     start_asks: int = 0
     reports: LoadReportTable = attrs.field(factory=LoadReportTable)
     arrivals: dict[ServiceId, WindowCount] = attrs.field(factory=dict)
+    grace_until: float = -math.inf
 
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
@@ -371,6 +380,17 @@
         for name, load in loads.items())
 
 
+def on_vms_listed(state: 'GatewayState', now: float) -> None:
+    """Count all listed VMs as live at first, and send them a hint soon.
+
+    Hints have not arrived yet, and a VM that knew no other would read all views
+    for its data centre. In a small deployment this costs few calls.
+    """
+    if not shares_load_directly(state):
+        state.hints.grace_until = now + START_GRACE_S
+        state.hints.sent_at = -math.inf
+
+
 def shares_load_directly(state: 'GatewayState') -> bool:
     """Return whether each VM sends its load to all others."""
     return len(state.peers) <= MAX_DIRECT_SHARING_VMS
@@ -483,6 +503,11 @@
         return
     yield from eras.enter(state, hint.era, now)
     state.hints.received[hint.vm] = ReceivedHint(hint, now)
+    if hint.vm not in state.peers and now < state.hints.grace_until:
+        # The peer's entry was written after this VM read them.
+        issued_at = state.views.cursors[View.VMS].issued_at
+        yield SetTimer(TimerKey(TimerKind.VIEW, View.VMS.value),
+                       max(now, issued_at + MIN_VM_READ_INTERVAL_S))
     state.hints.loads.replace(hint.vm, hint.loads, now)
     yield from _apply_suspects(state, hint, now)
     for each in hint.weights_loaded:
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -11,6 +11,7 @@
 
 import functools
 import hashlib
+import itertools
 import math
 from collections.abc import Collection, Iterator
 from typing import TYPE_CHECKING, Final
@@ -78,7 +79,8 @@
     own = weighted_rank(settings.vm, subject, settings.link_mbps)
     return not any(
         weighted_rank(entry.vm, subject, entry.link_mbps) < own
-        for entry in _live_readers(state, now)
+        for entry in itertools.chain(_live_readers(state, now),
+                                     _unheard_peers(state, now))
         if entry.vm not in excluded)
 
 
@@ -87,7 +89,8 @@
     settings = state.settings
     ranks = {
         entry.vm: weighted_rank(entry.vm, LOAD_SUBJECT, entry.link_mbps)
-        for entry in live_peers(state, now)
+        for entry in itertools.chain(live_peers(state, now),
+                                     _unheard_peers(state, now))
     }
     ranks[settings.vm] = weighted_rank(settings.vm, LOAD_SUBJECT,
                                        settings.link_mbps)
@@ -123,6 +126,20 @@
             yield entry
 
 
+def _unheard_peers(state: 'GatewayState', now: float) -> Iterator[VmEntry]:
+    """Yield VMs here that count as live since this VM started just now.
+
+    They have not sent a hint yet, and may elect this VM as a reader or be
+    elected themselves.
+    """
+    if now >= state.hints.grace_until:
+        return
+    for vm, entry in state.peers.items():
+        if (entry.dc == state.settings.dc and vm != state.settings.vm and
+                vm not in state.hints.received):
+            yield entry
+
+
 def _live_readers(state: 'GatewayState', now: float) -> Iterator[VmEntry]:
     for entry in live_peers(state, now):
         if not state.hints.received[entry.vm].hint.cannot_read:
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -8,7 +8,7 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import eras, relays, stores, versions
+from plantainridge.gateway import eras, hints, relays, stores, versions
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
 from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
@@ -31,6 +31,12 @@
 READ_INTERVAL_S: Final[dict[View, float]] = {View.REGISTRY: 0.8, View.VMS: 5.0}
 # Pause before the second read of the VMs.
 SECOND_VM_READ_DELAY_S: Final = 1.0
+# Entries, per entry of a view, that lie before the snapshot that a reader read
+# and that it reads and relays in addition: other VMs that started with it have
+# older snapshots. Endpoints write an entry about once a second.
+OVERLAP_PER_ENTRY: Final = 2
+# Views whose updates may be applied again, in their order.
+REPEATABLE_VIEWS: Final = frozenset({View.REGISTRY, View.VMS})
 # Time without a relayed read after which a VM reads the view itself. Together
 # with the reader's interval it is shorter than the time after which a draining
 # endpoint must get no more requests.
@@ -84,6 +90,8 @@
         restored_at: Loop time at which the position was lost because the store
             returned from an older copy, in s; -inf once it was loaded anew.
         reload_at: Loop time at which the view is loaded once more, in s.
+        is_first_read: Whether nothing was read since the first snapshot.
+        issued_at: Loop time at which this VM issued its last read, in s.
     """
 
     offset: int | None = None
@@ -99,6 +107,8 @@
     logged: dict[EndpointId, EndpointEntry] = attrs.field(factory=dict)
     restored_at: float = float('-inf')
     reload_at: float = float('inf')
+    is_first_read: bool = True
+    issued_at: float = float('-inf')
 
     def drop_position(self, now: float) -> None:
         """Forget the position, which belongs to an older era of the store."""
@@ -201,16 +211,28 @@
     if expects_relay and not relays.is_reader(state, view.value, now):
         yield SetTimer(event.key, min(timeout_at, cursor.reload_at))
         return
+    cursor.issued_at = now
     if now >= cursor.reload_at:
         cursor.offset, cursor.reload_at = None, float('inf')
     if cursor.offset is None:
         yield fx.LoadView(view, now)
     else:
+        if cursor.is_first_read:
+            cursor.is_first_read = False
+            cursor.offset = max(0, cursor.offset - _overlap(state, view))
         yield fx.ReadView(view, cursor.offset,
                           LONG_POLL_TIMEOUT_S.get(view,
                                                   0.0), state.views.era, now)
 
 
+def _overlap(state: 'GatewayState', view: View) -> int:
+    """Return the number of entries to read again before the first snapshot."""
+    if view not in REPEATABLE_VIEWS or hints.shares_load_directly(state):
+        return 0
+    entries = state.peers if view is View.VMS else state.endpoints
+    return OVERLAP_PER_ENTRY * len(entries)
+
+
 def on_failed(state: 'GatewayState', event: ViewFailed,
               now: float) -> Iterator[Effect]:
     """Retain the known state and schedule another read."""
@@ -242,6 +264,7 @@
         cursor.failing_since = None
     start = cursor.offset
     cursor.behind = False
+    is_first = event.is_snapshot and not cursor.loaded
     if event.is_snapshot:
         cursor.load(event.next, now)
     cursor.offset = event.next
@@ -269,6 +292,8 @@
             state,
             RelayedView(state.settings.vm, event.view.value, start, event.next,
                         records, event.era), event.issued_at)
+    if is_first and event.view is View.VMS:
+        hints.on_vms_listed(state, now)
     if event.is_snapshot and event.view is View.REGISTRY:
         yield from _mark_unlisted(state, event.updates, now)
     yield from _remove_missing(state, now)
@@ -292,15 +317,18 @@
         return
     if cursor.offset is None or event.end < cursor.offset:
         return
-    if event.start != cursor.offset < event.end:
-        # Updates in between were not relayed, or some were applied before:
-        # continue from the metadata store.
+    applies = (event.start == cursor.offset or
+               (event.start < cursor.offset < event.end and
+                event.view in REPEATABLE_VIEWS))
+    if not applies and cursor.offset < event.end:
+        # Updates in between were not relayed, or some were applied before that
+        # must not be applied again: continue from the metadata store.
         cursor.behind = True
         yield SetTimer(_timer(event.view), now)
         return
     cursor.record_read(now, _is_outdated_read(state, now))
     _record_complete(state, event)
-    if event.start == cursor.offset:
+    if applies:
         for update in event.updates:
             cursor.record_logged(update)
             yield from _apply(state, update, now)
