Space polls of large data centres by how a store answered last

Cause: a long pause between polls lets most events fall into it, so that the next poll is answered at once, which counts as a probe.

Change: where 0.05 s per VM exceeds 1.0 s (more than 20 VMs), the pause is 0.5 s after an answer that took at least 0.2 s, else 1.7 s.

--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -30,11 +30,18 @@
 
 # Time for which a poll waits for events; the most that a store allows.
 POLL_TIMEOUT_S: Final = 1.0
-# Shortest and longest pause between two polls, and the pause per VM of the data
-# centre: every answer is relayed to all of them.
+# Shortest pause between two polls, and the pause per VM of the data centre:
+# every answer is relayed to all of them.
 MIN_POLL_INTERVAL_S: Final = 0.25
-MAX_POLL_INTERVAL_S: Final = 1.7
 POLL_INTERVAL_PER_VM_S: Final = 0.05
+# Longest pause that grows so. Beyond it, the pause depends on whether the store
+# had events at once: a poll that is answered within `QUICK_ANSWER_S` counts as a
+# probe. While events are rare, a long pause makes more answers quick, since most
+# events fall into it; while they are frequent, each answer is quick.
+MAX_SCALED_POLL_INTERVAL_S: Final = 1.0
+RARE_EVENTS_POLL_INTERVAL_S: Final = 0.5
+FREQUENT_EVENTS_POLL_INTERVAL_S: Final = 1.7
+QUICK_ANSWER_S: Final = 0.2
 # Longest time between two answers of a store to its reader. With the delays of
 # a relay (its batch, a tick, the network) the store's state stays valid.
 MAX_ANSWER_INTERVAL_S: Final = 2.0
@@ -145,6 +152,8 @@
         relay_requested_at: Loop time of the last request to a peer for missed
             events, in s.
         recent: Changes that were applied last, oldest first.
+        polled_at: Loop time of this VM's last poll, in s.
+        had_quick_answer: Whether it was answered within `QUICK_ANSWER_S`.
     """
 
     name: ServiceId
@@ -166,6 +175,8 @@
     snapshot_requested_at: float = -math.inf
     relay_requested_at: float = -math.inf
     recent: list[RecentChanges] = attrs.field(factory=list)
+    polled_at: float = -math.inf
+    had_quick_answer: bool = False
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the store has answered recently."""
@@ -372,11 +383,12 @@
     view = state.stores.views.get(event.store)
     if view is None:
         return
+    view.had_quick_answer = now - view.polled_at < QUICK_ANSWER_S
     state.stores.record_clock(event.clock_ms, now, MAX_ANSWER_DELAY_S)
     answered_at = state.stores.answered_at(event.clock_ms, now)
     if event.epoch in view.past_epochs:
         # An answer from before the restart that was processed late.
-        yield SetTimer(_timer(view), now + _poll_interval_s(state))
+        yield SetTimer(_timer(view), now + _poll_interval_s(state, view))
         return
     if event.epoch != view.epoch or event.has_gap:
         if event.epoch != view.epoch:
@@ -389,7 +401,7 @@
         return
     if event.next < view.next:
         # A later poll's answer or a relayed message arrived first.
-        yield SetTimer(_timer(view), now + _poll_interval_s(state))
+        yield SetTimer(_timer(view), now + _poll_interval_s(state, view))
         return
     start, was_behind = view.next, view.behind
     view.apply(event.parts, event.next)
@@ -400,7 +412,7 @@
             RelayedStore(state.settings.vm, view.name, event.epoch, start,
                          event.next, False, False, event.parts, event.clock_ms),
             now)
-    yield SetTimer(_timer(view), now + _poll_interval_s(state))
+    yield SetTimer(_timer(view), now + _poll_interval_s(state, view))
 
 
 def _snapshot(state: 'GatewayState', view: StoreView) -> RelayedStore:
@@ -487,7 +499,7 @@
                     now: float) -> Iterator[Effect]:
     """Schedule the next poll if this VM is the reader, else a later check."""
     if _is_reader(state, view, now):
-        yield SetTimer(_timer(view), now + _poll_interval_s(state))
+        yield SetTimer(_timer(view), now + _poll_interval_s(state, view))
         return
     check_at = now + READER_CHECK_DELAY_S
     if _requests_relays(state):
@@ -497,14 +509,18 @@
     yield SetTimer(_timer(view), check_at)
 
 
-def _poll_interval_s(state: 'GatewayState') -> float:
+def _poll_interval_s(state: 'GatewayState', view: StoreView) -> float:
     interval_s = POLL_INTERVAL_PER_VM_S * relays.local_vm_count(state)
-    return min(MAX_POLL_INTERVAL_S, max(MIN_POLL_INTERVAL_S, interval_s))
+    if interval_s > MAX_SCALED_POLL_INTERVAL_S:
+        return (FREQUENT_EVENTS_POLL_INTERVAL_S
+                if view.had_quick_answer else RARE_EVENTS_POLL_INTERVAL_S)
+    return max(MIN_POLL_INTERVAL_S, interval_s)
 
 
-def _poll_wait_s(state: 'GatewayState') -> float:
+def _poll_wait_s(state: 'GatewayState', view: StoreView) -> float:
     """Return the time for which a poll waits for events, in s."""
-    return min(POLL_TIMEOUT_S, MAX_ANSWER_INTERVAL_S - _poll_interval_s(state))
+    return min(POLL_TIMEOUT_S,
+               MAX_ANSWER_INTERVAL_S - _poll_interval_s(state, view))
 
 
 def on_snapshot_requested(state: 'GatewayState', event: StoreSnapshotRequested,
@@ -595,7 +611,8 @@
     if view.epoch is None or now >= view.list_at:
         yield fx.ListStore(view.name, address)
         return
-    yield fx.PollStore(view.name, address, view.next, _poll_wait_s(state))
+    view.polled_at = now
+    yield fx.PollStore(view.name, address, view.next, _poll_wait_s(state, view))
 
 
 def _timer(view: StoreView) -> TimerKey:
