Keep idle connections for as long as servers state

Change: a connection is kept for the stated time less 0.5 s, for 0.9 s without a statement, and one per address beyond 0.9 s. Beyond 0.9 s only requests use it that may be sent again with another attempt, and GET calls of the gateway itself, which are repeated at once. A run-once call always uses a new connection, as before. A reset within 0.1 s of such a request is the new failure `stale`: an attempt is used up, but it is no evidence of a crash and starts no cool-down.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -223,6 +223,8 @@
     # an answer that nothing was run, idle connections are preferred: endpoints
     # at their limit of connections reset new ones.
     new_connection = not call.route.repeatable or call.executions > 0
+    # Such a send may fail as `STALE`, which uses up an attempt.
+    allows_stale = not new_connection and call.route.attempts > 1
     call.sends += 1
     call.executions += 1
     call.deliveries += 1
@@ -257,6 +259,7 @@
                   version=choice.version,
                   urgency=call.urgency if _is_engine(service) else None,
                   last_event_id=call.last_event_id,
+                  allows_stale=allows_stale,
                   cache=plan,
                   via=tunnel_peers.tunnel_address(state, peer) if peer else '')
 
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -96,6 +96,8 @@
     Attributes:
         stream: Whether the answer may be a stream.
         new_connection: Whether a new connection is required.
+        allows_stale: Whether a connection may be used that has been idle for
+            so long that its server may have dropped it.
         remaining_s: Time that the endpoint may take, in s.
         team: Team of the request; None for a public one.
         version: Weight version that must answer, or None.
@@ -117,6 +119,7 @@
     version: int | None = None
     urgency: int | None = None
     last_event_id: str = ''
+    allows_stale: bool = False
     cache: CachePlan | None = None
     via: str = ''
 
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -107,6 +107,9 @@
     # The connection was closed or reset, or the answer ended within a stream
     # event: the request may have run.
     BROKEN = 'broken'
+    # The connection had been idle for long and was reset as soon as the request
+    # was sent: its server had probably dropped it. The request may have run.
+    STALE = 'stale'
     # This system gave up the connection; the endpoint did not end it: the
     # request may have run.
     TIMED_OUT = 'timed_out'
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -122,9 +122,9 @@
     an endpoint fails all its sends counts once.
     """
     view = state.endpoints.get(attempt.endpoint)
-    if view is None or failure is Failure.TIMED_OUT:
-        # A timeout concerns one connection; new ones show whether the endpoint
-        # is reached.
+    if view is None or failure in (Failure.TIMED_OUT, Failure.STALE):
+        # Such a failure concerns one connection; new ones show whether the
+        # endpoint is reached.
         return
     if (attempt.sent_at < view.cooled_down_at or
             _is_failure_of_path(state, attempt, failure, view)):
--- a/src/plantainridge/gateway/http_calls.py
+++ b/src/plantainridge/gateway/http_calls.py
@@ -1,6 +1,7 @@
 """Calls of the gateway itself to other servers, such as the metadata store."""
 
 import asyncio
+import math
 from collections.abc import Mapping
 from typing import Any, Final
 
@@ -8,8 +9,8 @@
 
 from plantainridge import json_values
 from plantainridge.gateway.events import Failure, Headers
-from plantainridge.gateway.http_client import (AnswerHandler, Connection, Pool,
-                                               stated_length)
+from plantainridge.gateway.http_client import (MAX_IDLE_S, AnswerHandler,
+                                               Connection, Pool, stated_length)
 from plantainridge.gateway.wire import RawRequest
 
 # Longest response to a call, in bytes: several times the longest page of the
@@ -46,11 +47,13 @@
         reason: The cause, for log lines.
         sent: Whether the request may have reached the server.
         timed_out: Whether the time for the response ended.
+        stale: Whether the server had probably dropped the connection before.
     """
 
     reason: str
     sent: bool
     timed_out: bool = False
+    stale: bool = False
 
 
 def failure_reason(response: Response | NoResponse) -> str:
@@ -87,7 +90,7 @@
 
     def on_failure(self, failure: Failure, detail: str) -> None:
         reason = f'{failure.value}: {detail}' if detail else failure.value
-        self._finish(NoResponse(reason, True))
+        self._finish(NoResponse(reason, True, stale=failure is Failure.STALE))
 
     def _finish(self, result: Response | NoResponse) -> None:
         if not self.done.done():
@@ -101,7 +104,10 @@
                timeout_s: float,
                body: bytes = b'',
                headers: Headers = JSON_HEADERS) -> Response | NoResponse:
-    """Send a request, once, and wait for its complete response.
+    """Send a request and wait for its complete response.
+
+    It is sent once, but for a GET on a connection that its server had dropped:
+    this is repeated on a new one. Other methods use no such connection.
 
     Args:
         pool: Pool from which a connection is taken or opened.
@@ -112,12 +118,20 @@
         body: Body of the request.
         headers: Headers beside the host and the content length.
     """
-    connection = pool.take(address)
-    if connection is None:
-        try:
-            connection = await pool.connect(address)
-        except OSError as error:
-            return NoResponse(f'no connection: {error!r}', False)
+    connection = pool.take(
+        address, max_idle_s=math.inf if method == 'GET' else MAX_IDLE_S)
+    if connection is not None:
+        response = await call_on(connection, address, method, target, timeout_s,
+                                 body, headers)
+        if isinstance(response, Response) or not response.stale:
+            return response
+        pool.close_idle(address)
+        if method != 'GET':
+            return response
+    try:
+        connection = await pool.connect(address)
+    except OSError as error:
+        return NoResponse(f'no connection: {error!r}', False)
     return await call_on(connection, address, method, target, timeout_s, body,
                          headers)
 
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -25,9 +25,21 @@
 # Longer than a round trip between data centres, but too short to wait out the
 # retransmission of a lost packet.
 CONNECT_TIMEOUT_S: Final = 0.35
-# Longest idle time after which a connection is reused, in s: servers close idle
-# ones at will, and a request sent at that moment may have run.
+# Longest idle time after which a connection is reused, in s, unless its server
+# states a longer one: servers close idle ones at will, and a request sent at
+# that moment may have run.
 MAX_IDLE_S: Final = 0.9
+# Time by which a connection is given up before the idle time that its server
+# states, in s: the server counts from an earlier moment, and may round down.
+KEEP_ALIVE_MARGIN_S: Final = 0.5
+# Longest idle time that is used, whatever a server states, in s.
+MAX_KEPT_S: Final = 60.0
+# Connections to an address that are kept beyond `MAX_IDLE_S`. Servers bound the
+# connections of all VMs together.
+MAX_KEPT_CONNECTIONS: Final = 1
+# Time in which a server resets a connection that it had dropped while it was
+# idle, in s: a round trip between data centres, and an event loop's delay.
+MAX_RESET_DELAY_S: Final = 0.1
 # Age at which a connection through a peer gets no further requests, in s: a
 # peer that stops opens no new tunnels, and its exit cuts those that are open.
 MAX_TUNNEL_AGE_S: Final = 1.0
@@ -44,6 +56,8 @@
 # acknowledge or cannot be reached; the other side did not end it.
 LOCAL_ERRORS: Final = frozenset(
     {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
+# Longest number of seconds in a `Keep-Alive` header that is read.
+MAX_TIMEOUT_DIGITS: Final = 6
 # Details of failures without an error of the system.
 END_OF_DATA: Final = 'EOF'
 DEADLINE: Final = 'deadline'
@@ -54,6 +68,21 @@
     return int(dict(headers).get(b'content-length', 0))
 
 
+def stated_idle_s(headers: Headers) -> float:
+    """Return how long a connection may be idle before it is reused, in s."""
+    fields = dict(headers).get(b'keep-alive', b'').decode('latin-1').split(',')
+    for field in fields:
+        name, _, value = field.partition('=')
+        text = value.strip().strip('"')
+        if (name.strip().lower() == 'timeout' and text.isdecimal() and
+                len(text) <= MAX_TIMEOUT_DIGITS):
+            stated_s = float(text)
+            return min(
+                MAX_KEPT_S,
+                max(min(stated_s, MAX_IDLE_S), stated_s - KEEP_ALIVE_MARGIN_S))
+    return MAX_IDLE_S
+
+
 def _describe(error: Exception | None) -> str:
     """Return what ended a connection: the name of a system's error."""
     if error is None:
@@ -136,7 +165,11 @@
         has_received: Whether anything was received since the latest request.
         informational_heads: Informational heads received for it.
         timer: Timer after which the answer counts as silent, or None.
-        idle_since: Loop time at which the latest answer ended, in s.
+        idle_since: Loop time at which the latest answer ended, in s; `inf`
+            before the first one.
+        max_idle_s: Longest idle time after which it is reused, in s.
+        kept_until: Loop time until which a failure of the current request may
+            be due to a connection that the server had dropped while idle, in s.
         at_eof: Whether the server sends nothing more.
         usable_until: Loop time until which it is reused, in s.
         is_tunnelled: Whether it leads through a peer, which acknowledges what
@@ -154,7 +187,9 @@
         self.has_received = False
         self.informational_heads = 0
         self.timer: asyncio.TimerHandle | None = None
-        self.idle_since = 0.0
+        self.idle_since = math.inf
+        self.max_idle_s = MAX_IDLE_S
+        self.kept_until = -math.inf
         self.at_eof = False
         self.usable_until = math.inf
         self.is_tunnelled = False
@@ -169,6 +204,10 @@
         return (self.transport is not None and self.handler is None and
                 not self.transport.is_closing())
 
+    def idle_s(self) -> float:
+        """Return how long it has been idle, in s; -inf before any answer."""
+        return self.loop.time() - self.idle_since
+
     def send(self,
              raw: RawRequest,
              handler: AnswerHandler,
@@ -184,6 +223,9 @@
         self.handler = handler
         self.has_received = False
         self.informational_heads = 0
+        self.kept_until = -math.inf
+        if self.idle_s() >= MAX_IDLE_S:
+            self.kept_until = self.loop.time() + MAX_RESET_DELAY_S
         self.http = h11.Connection(h11.CLIENT,
                                    max_incomplete_event_size=MAX_HEAD_BYTES)
         headers = list(raw.headers)
@@ -255,8 +297,9 @@
             if self.informational_heads > MAX_INFORMATIONAL_HEADS:
                 failure = Failure.TOO_LONG
         elif isinstance(event, h11.Response):
-            failure = self.handler.on_head(event.status_code,
-                                           tuple(event.headers))
+            headers = tuple(event.headers)
+            self.max_idle_s = stated_idle_s(headers)
+            failure = self.handler.on_head(event.status_code, headers)
         elif isinstance(event, h11.Data):
             handler = self.handler
             failure = handler.on_data(bytes(event.data))
@@ -288,6 +331,9 @@
 
     def fail(self, failure: Failure, detail: str = '') -> None:
         """Close at once; the handler receives a failure."""
+        if (failure is Failure.BROKEN and not self.has_received and
+                self.loop.time() < self.kept_until):
+            failure = Failure.STALE
         handler = self._release_handler()
         self._close(handler is not None)
         if handler is not None:
@@ -338,12 +384,26 @@
         self.idle: dict[tuple[str, str], list[Connection]] = {}
         self.held_answers = HeldAnswers()
 
-    def take(self, address: str, via: str = '') -> Connection | None:
-        """Remove and return an idle connection, or None; see `connect`."""
+    def take(self,
+             address: str,
+             via: str = '',
+             max_idle_s: float = MAX_IDLE_S) -> Connection | None:
+        """Remove and return an idle connection, or None; see `connect`.
+
+        Args:
+            address: IP number and port of the server.
+            via: IP number and port of a peer, or ''.
+            max_idle_s: Longest time for which it was idle, in s; beyond
+                `MAX_IDLE_S` a request may fail as `STALE`.
+        """
         connections = self.idle.get((via, address), [])
         while connections:
-            connection = connections.pop()
-            if connection.usable and not self._is_expired(connection):
+            connection = connections[-1]
+            is_valid = connection.usable and not self._is_expired(connection)
+            if is_valid and connection.idle_s() >= max_idle_s:
+                return None
+            connections.pop()
+            if is_valid:
                 return connection
             connection.abort()
         return None
@@ -395,13 +455,16 @@
                 if not connection.usable or self._is_expired(connection):
                     connections.remove(connection)
                     connection.abort()
+            kept = [each for each in connections if each.idle_s() >= MAX_IDLE_S]
+            for connection in kept[:-MAX_KEPT_CONNECTIONS]:
+                connections.remove(connection)
+                connection.abort()
             if not connections:
                 del self.idle[key]
 
     def _is_expired(self, connection: Connection) -> bool:
-        now = self.loop.time()
-        return (now - connection.idle_since >= MAX_IDLE_S or
-                now >= connection.usable_until)
+        return (connection.idle_s() >= connection.max_idle_s or
+                self.loop.time() >= connection.usable_until)
 
     def _add_idle(self, key: tuple[str, str], connection: Connection) -> None:
         self.idle.setdefault(key, []).append(connection)
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -1,13 +1,14 @@
 """Sender of requests to endpoints."""
 
 import asyncio
+import math
 from typing import Final
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Failure, Headers
-from plantainridge.gateway.http_client import (AnswerHandler, Connection, Pool,
-                                               stated_length)
+from plantainridge.gateway.http_client import (MAX_IDLE_S, AnswerHandler,
+                                               Connection, Pool, stated_length)
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.tunnel_client import RelayError
 from plantainridge.gateway.wire import RequestWire
@@ -49,8 +50,9 @@
 
     def send(self, effect: fx.Send) -> None:
         """Send a request; post its answer, or `SendFailed`."""
+        max_idle_s = math.inf if effect.allows_stale else MAX_IDLE_S
         connection = None if effect.new_connection else self.pool.take(
-            effect.address, effect.via)
+            effect.address, effect.via, max_idle_s)
         if connection is not None:
             self._send_on(connection, effect)
             return
@@ -196,6 +198,8 @@
 
     def on_failure(self, failure: Failure, detail: str) -> None:
         attempt = self.effect.attempt
+        if failure is Failure.STALE:
+            self.sender.pool.close_idle(self.effect.address)
         self.sender.finish(attempt, ev.SendFailed(attempt, failure, detail))
 
     def _max_bytes(self) -> int:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -72,6 +72,7 @@
         pollers: Polls by VM and store.
         quick_polls: Polls that were answered in less than `PROBE_S`.
         connections: Calls to stores that began on a new connection.
+        max_idle_s: Idle time up to which a connection is kept, in s.
         deliver: Decides whether a message arrives at a VM.
     """
 
@@ -104,6 +105,7 @@
         self.pollers: Counter[tuple[VmId, ServiceId]] = Counter()
         self.quick_polls = 0
         self.connections = 0
+        self.max_idle_s = MAX_IDLE_S
         self.deliver: Callable[[VmId], bool] = lambda vm: True
         self._waits = waits
         self._waiting: list[tuple[float, VmId, fx.PollStore]] = []
@@ -180,7 +182,7 @@
     def _connect(self, vm: VmId, store: ServiceId) -> None:
         """Count a new connection unless an idle one is kept."""
         used_at = self._used_at.get((vm, store), -math.inf)
-        if self.now - used_at > MAX_IDLE_S:
+        if self.now - used_at > self.max_idle_s:
             self.connections += 1
         self._used_at[vm, store] = self.now
 
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -11,6 +11,7 @@
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.config import CallerLimits
 from plantainridge.gateway.events import Failure
+from plantainridge.gateway.http_calls import Response, call, call_on
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.http_server import HttpServer
 from plantainridge.gateway.sender import EndpointSender
@@ -20,7 +21,7 @@
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.reports import log_fault
-from tests.gateway_scene import request
+from tests.gateway_scene import LEDGER, GatewayScene, endpoint, request
 
 HOST = '127.0.0.1'
 HEAD = b'POST /submit/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: 7\r\n'
@@ -398,6 +399,151 @@
         self.assertIn('ConnectionRefusedError', events[0].detail)
 
 
+class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that are kept as long as a server states.
+
+    Attributes:
+        served: Requests that the server received.
+        connections: Connections that it accepted.
+        dropped: Connections up to this one, from 1, are reset at a request.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.served = self.connections = self.dropped = 0
+        self.keep_alive = b'Keep-Alive: timeout=5, max=100\r\n'
+        self.events: list[Event] = []
+        self.pool = Pool()
+        self.sender = EndpointSender(PlatformWire(), self.pool,
+                                     Tasks(log_fault), self.events.append)
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        self.addCleanup(server.close)
+        self.address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+
+    async def asyncTearDown(self) -> None:
+        self.pool.close_idle(self.address)
+        await asyncio.sleep(0.02)
+
+    async def _serve(self, reader: asyncio.StreamReader,
+                     writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        while await reader.read(65_536):
+            if number <= self.dropped:
+                sock = writer.get_extra_info('socket')
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                LINGER_RESET)
+                writer.transport.abort()
+                return
+            self.served += 1
+            writer.write(b'HTTP/1.1 200 OK\r\n' + SIGNED + self.keep_alive +
+                         b'Content-Length: 2\r\n\r\nok')
+
+    async def _send(self, idle_s: float, **overrides: Any) -> Event:
+        """Send a request on a connection idle for a time, if any is kept."""
+        for connections in self.pool.idle.values():
+            for each in connections:
+                each.idle_since -= idle_s
+        self.pool.close_expired()
+        fields: dict[str, Any] = {'allows_stale': True, 'new_connection': False}
+        fields.update(overrides)
+        count = len(self.events)
+        self.sender.send(
+            fx.Send(AttemptId(f'r1.{count}'),
+                    request('/submit/x'),
+                    EndpointId('e'),
+                    self.address,
+                    stream=False,
+                    remaining_s=5.0,
+                    team=TeamId('team'),
+                    **fields))
+        for _ in range(100):
+            await asyncio.sleep(0.005)
+            if len(self.events) > count:
+                break
+        return self.events[-1]
+
+    async def test_is_kept_as_long_as_stated(self) -> None:
+        for keep_alive, idle_s, connections in (
+            (b'Keep-Alive: timeout=5\r\n', 4.3, 1),
+            (b'Keep-Alive: timeout=5\r\n', 4.6, 2),
+            (b'Keep-Alive: timeout=0\r\n', 0.1, 2),
+            (b'Keep-Alive: timeout=soon\r\n', 1.0, 2),
+            (b'', 0.7, 1),
+            (b'', 1.0, 2),
+        ):
+            with self.subTest(keep_alive=keep_alive, idle_s=idle_s):
+                self.pool.close_idle(self.address)
+                self.connections, self.keep_alive = 0, keep_alive
+                await self._send(0.0)
+                await self._send(idle_s)
+                self.assertEqual(self.connections, connections)
+
+    async def test_no_other_request_uses_one_that_may_be_stale(self) -> None:
+        # A run-once call on a connection that its server drops is in doubt.
+        await self._send(0.0)
+        self.dropped = 1
+        event = await self._send(2.0, allows_stale=False)
+        self.assertIsInstance(event, ev.AnswerArrived)
+        self.dropped = 2
+        event = await self._send(0.1, new_connection=True)
+        self.assertIsInstance(event, ev.AnswerArrived)
+        self.assertEqual((self.connections, self.served), (3, 3))
+
+    async def test_reset_of_a_kept_one_is_reported_as_stale(self) -> None:
+        await self._send(0.0)
+        self.dropped = 2
+        for idle_s, failure in ((2.0, Failure.STALE), (0.0, Failure.BROKEN)):
+            event = await self._send(idle_s)
+            assert isinstance(event, ev.SendFailed)
+            self.assertIs(event.failure, failure)
+        self.assertFalse(self.pool.idle.get(('', self.address)))
+
+    async def test_get_is_repeated_on_a_new_connection(self) -> None:
+        for method, served in (('GET', 2), ('POST', 3)):
+            await call(self.pool, self.address, method, '/', 1.0)
+            kept, = self.pool.idle['', self.address]
+            kept.idle_since -= 2.0
+            self.dropped = self.connections
+            response = await call(self.pool, self.address, method, '/', 1.0)
+            self.assertIsInstance(response, Response)
+            self.assertGreaterEqual(self.served, served)
+        # Only the GET was sent on a connection that the server had dropped.
+        self.assertEqual((self.connections, self.served), (3, 4))
+
+    async def test_few_are_kept(self) -> None:
+        # A server's `connection-limit` holds for all VMs together.
+        held = [await self.pool.connect(self.address) for _ in range(4)]
+        for connection in held:
+            await call_on(connection, self.address, 'GET', '/', 1.0)
+            connection.idle_since -= 2.0
+        self.pool.close_expired()
+        self.assertEqual(len(self.pool.idle['', self.address]), 1)
+
+
+class StaleSendTest(unittest.TestCase):
+    """Sends that failed since their connection had been dropped."""
+
+    def test_is_no_crash_and_is_sent_again_on_a_new_connection(self) -> None:
+        scene = GatewayScene(endpoint('a'), endpoint('b'))
+        first = scene.post_request('/report/x')
+        self.assertTrue(first.allows_stale)
+        scene.now += 0.01
+        scene.post(ev.SendFailed(first.attempt, Failure.STALE))
+        second = scene.last(fx.Send)
+        self.assertNotEqual(second.attempt, first.attempt)
+        self.assertTrue(second.new_connection)
+        self.assertEqual(len(scene.state.suspects.broken), 0)
+        for view in scene.state.endpoints.values():
+            self.assertEqual((view.failures, view.cooldown_until > scene.now),
+                             (0, False))
+
+    def test_calls_with_one_attempt_use_no_such_connection(self) -> None:
+        scene = GatewayScene(endpoint('a'), endpoint('l', service=LEDGER))
+        for target in ('/tag/x', '/submit/x'):
+            effect = scene.post_request(target, name=target)
+            self.assertFalse(effect.allows_stale)
+
+
 class SplitterTest(unittest.TestCase):
     """Tests of splitting a stream into events, wherever its bytes are cut."""
 
