--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -69,9 +69,10 @@
         sent_bytes: Bytes of messages, by sending VM.
         sends: Requests sent to engines, with the time in s.
         frees: Calls that free parts, with the time in s.
-        pollers: Polls by VM.
+        pollers: Polls by VM and store.
         quick_polls: Polls that were answered in less than `PROBE_S`.
         connections: Calls to stores that began on a new connection.
+        max_idle_s: Idle time up to which a connection is kept, in s.
         deliver: Decides whether a message arrives at a VM.
     """
 
@@ -101,9 +102,10 @@
             for scene in self.vms.values():
                 scene.read(View.OPERATOR, new)
         self.stores = {name: FakeStore() for name in first.state.stores.views}
-        self.pollers: Counter[VmId] = Counter()
+        self.pollers: Counter[tuple[VmId, ServiceId]] = Counter()
         self.quick_polls = 0
         self.connections = 0
+        self.max_idle_s = MAX_IDLE_S
         self.deliver: Callable[[VmId], bool] = lambda vm: True
         self._waits = waits
         self._waiting: list[tuple[float, VmId, fx.PollStore]] = []
@@ -161,7 +163,7 @@
                 self._answer(name, effect.store, self._list(effect))
             elif isinstance(effect, fx.PollStore):
                 self.calls['poll'] += 1
-                self.pollers[name] += 1
+                self.pollers[name, effect.store] += 1
                 self._connect(name, effect.store)
                 if self._waits and self.stores[effect.store].up:
                     self._waiting.append((self.now, name, effect))
@@ -180,7 +182,7 @@
     def _connect(self, vm: VmId, store: ServiceId) -> None:
         """Count a new connection unless an idle one is kept."""
         used_at = self._used_at.get((vm, store), -math.inf)
-        if self.now - used_at > MAX_IDLE_S:
+        if self.now - used_at > self.max_idle_s:
             self.connections += 1
         self._used_at[vm, store] = self.now
 
