Limit what cold and brittle endpoints get from all VMs together

Cause: an endpoint that is cold looks idle, so that every VM sends to it at once; one that is brittle fails once VMs cause more rejections in a second than it survives. Nothing held either back.

Change: endpoint_limits decides which few VMs send to a cold endpoint and how fast, from the registered VMs alone, and how many slots of a brittle one a VM may use. placement.usable_endpoints filters by it, dispatch.send counts, and requests that find all endpoints limited wait up to an eighth of their target or are refused with a short Retry-After.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -77,7 +77,7 @@
         yield from endings.end(state, call, 'answered', head.status, now)
         return
     else:
-        health.record_rejection(state, attempt, now)
+        yield from health.record_rejection(state, attempt, now)
         call.tried.discard(attempt.endpoint)
     yield from dispatch.dispatch(state, call, now)
 
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -11,9 +11,9 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import (cache, containment, endings, health, paths,
-                                   placement, retries, stored_parts, suspects,
-                                   tunnel_peers)
+from plantainridge.gateway import (cache, containment, endings, endpoint_limits,
+                                   health, paths, placement, retries,
+                                   stored_parts, suspects, tunnel_peers)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
 from plantainridge.gateway.endpoints import InFlightSend
@@ -43,6 +43,9 @@
 # Range of the retry delay of callers refused after a wait for memory: runs end
 # after about 3 s, and callers refused together should not return together.
 CAPACITY_RETRY_AFTER_S: Final = (0.8, 1.6)
+# Range of the retry delay of callers refused because of endpoints' limits:
+# another VM may admit them at once, and this one soon.
+LIMITED_RETRY_AFTER_S: Final = (0.2, 0.5)
 # Reasons for which a request that has not run is refused at once: it can be
 # served only once an endpoint returns or is added.
 UNSERVABLE: Final = frozenset({
@@ -71,7 +74,9 @@
             state, call, 'it, or a part of it, crashes endpoints',
             suspects.RETRY_AFTER_S, now)
         return
-    choice = choose(state, call, now)
+    choice: Placement | PlacementFailure = PlacementFailure.ALL_LIMITED
+    if not endpoint_limits.has_urgent_before(state, call, now):
+        choice = choose(state, call, now)
     if isinstance(choice, Placement) and may_send(state, call, now):
         yield from send(state, call, choice, now)
         return
@@ -102,7 +107,7 @@
 def _refuse_overdue(state: 'GatewayState', call: Call,
                     now: float) -> Iterator[Effect]:
     """Refuse a request whose time to wait is over."""
-    if call.wait_reason is None or now < _wait_until(state, call):
+    if call.wait_reason is None or now < _wait_until(state, call, now):
         return
     retry_after_s = _retry_after_s(state, call, call.wait_reason, now)
     yield from endings.fail_request(state, call, call.wait_reason.value,
@@ -130,14 +135,16 @@
     return choice
 
 
-def _wait_until(state: 'GatewayState', call: Call) -> float:
+def _wait_until(state: 'GatewayState', call: Call, now: float) -> float:
     """Return the loop time until which a request waits for an endpoint, in s.
 
     A request waits for an endpoint whose cool-down ends soon, as long as an
     answer can still arrive in time; otherwise its caller should retry. The same
     holds once the wait for an engine's memory has become so long that the
-    answer would start too late for the caller. A stream that has begun waits as
-    long as its caller, unless only an endpoint that is added could serve it.
+    answer would start too late for the caller. Where limits allow nothing soon,
+    it does not wait at all: another VM may admit it. A stream that has begun
+    waits as long as its caller, unless only an endpoint that is added could
+    serve it.
     """
     if call.wait_reason is PlacementFailure.NO_CAPACITY:
         return call.arrived_at + CAPACITY_WAIT_RATIO * call.route.target_s
@@ -148,6 +155,12 @@
         is_short = available_at < call.waiting_since + paths.MAX_OUTAGE_S
         wait_until = (min(available_at, latest_at) if is_short else
                       call.arrived_at + WAIT_RATIO * call.route.target_s)
+    elif call.wait_reason is PlacementFailure.ALL_LIMITED:
+        wait_until = call.waiting_since + WAIT_RATIO * call.route.target_s
+        if call.executions:
+            wait_until = latest_at
+        if endpoint_limits.opens_at(state, call, now) > wait_until:
+            wait_until = now
     elif available_at < latest_at:
         wait_until = latest_at
     else:
@@ -244,6 +257,7 @@
     view.add_send(
         attempt,
         InFlightSend(choice.prefill_tokens, placement.memory_tokens(request)))
+    yield from endpoint_limits.record_send(state, view, call, now)
     CALL_LIFECYCLE.fire(call, 'send')
     plan = _cache_plan(state, call, choice, now) if request.model else None
     yield _send_log_line(state, call, choice, now)
@@ -374,6 +388,10 @@
     """
     if reason is PlacementFailure.NO_CAPACITY:
         return state.rng.uniform(*CAPACITY_RETRY_AFTER_S)
+    if reason is PlacementFailure.ALL_LIMITED:
+        opens_in_s = endpoint_limits.opens_at(state, call, now) - now
+        return min(state.rng.uniform(*LIMITED_RETRY_AFTER_S),
+                   max(MIN_RETRY_AFTER_S, opens_in_s))
     available_in_s = _available_at(state, call) - now
     if reason is PlacementFailure.ALL_PAUSED:
         spread_s = min(MAX_PAUSE_SPREAD_S, PAUSE_SPREAD_RATIO * available_in_s)
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -1,10 +1,13 @@
 """Endpoint health, derived from answers, latency and silence."""
 
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
+from plantainridge.gateway import endpoint_limits
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import AnswerHead, Failure
 from plantainridge.gateway.requests import Attempt, Call
+from plantainridge.loop.effects import Effect
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -51,6 +54,7 @@
     view.last_received_at = now
     if head.load is not None:
         view.load = head.load
+    endpoint_limits.record_head(state, view, head, now)
     if head.pause_s is None and attempt.sent_at >= view.paused_until:
         view.probing = False
 
@@ -81,14 +85,17 @@
 
 
 def record_rejection(state: 'GatewayState', attempt: Attempt,
-                     now: float) -> None:
+                     now: float) -> Iterator[Effect]:
     """Start a cool-down of an endpoint that rejected a request.
 
     One that asked for a pause is not in need of it, and is not reported to
     peers as if it were.
     """
     view = state.endpoints.get(attempt.endpoint)
-    if view is not None and now >= view.paused_until:
+    if view is None:
+        return
+    yield from endpoint_limits.record_rejection(state, view, now)
+    if now >= view.paused_until:
         cooldown_s = (REJECTION_COOLDOWN_S
                       if attempt.version is None else WEIGHT_LOAD_COOLDOWN_S)
         view.cooldown_until = max(view.cooldown_until, now + cooldown_s)
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -20,8 +20,8 @@
 
 import attrs
 
-from plantainridge.gateway import (cache, endpoints, hints, spill, stored_parts,
-                                   tunnel_peers)
+from plantainridge.gateway import (cache, endpoint_limits, endpoints, hints,
+                                   spill, stored_parts, tunnel_peers)
 from plantainridge.gateway.config import EngineSpec
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import Request, VmEntry
@@ -233,7 +233,8 @@
         if peer is None:
             reason = _unavailability(state, call, now)
             return (PlacementFailure.NO_PATH
-                    if reason is PlacementFailure.NO_ENDPOINT else reason)
+                    if reason in (PlacementFailure.NO_ENDPOINT,
+                                  PlacementFailure.ALL_LIMITED) else reason)
     candidates = usable_endpoints(state, call, now)
     unreached = hints.unreached(state, now)
     reachable = [
@@ -250,6 +251,12 @@
 def usable_endpoints(state: 'GatewayState', call: Call,
                      now: float) -> list[EndpointView]:
     """Return the endpoints that may get a request now, whatever their load."""
+    return endpoint_limits.admitted(state, _available(state, call, now), now)
+
+
+def _available(state: 'GatewayState', call: Call,
+               now: float) -> list[EndpointView]:
+    """Return the endpoints that may get a request if limits allow it."""
     cooling_down = hints.cooling_down(state, now)
     return [
         view for view in endpoints.available(state.endpoints, call.service, now)
@@ -322,6 +329,9 @@
         return PlacementFailure.ALL_LEAVING
     if staying and all(now < view.paused_until for view in staying):
         return PlacementFailure.ALL_PAUSED
+    if (not state.endpoint_limits.is_empty and _available(state, call, now) and
+            not usable_endpoints(state, call, now)):
+        return PlacementFailure.ALL_LIMITED
     return PlacementFailure.NO_ENDPOINT
 
 
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -4,11 +4,11 @@
 from typing import Any, Final
 
 from plantainridge.gateway import (answers, containment, dispatch, drain,
-                                   endings, eras, events, hints, intake, lease,
-                                   membership, notices, paths, relays, reload,
-                                   resumptions, rollout, stored_parts, stores,
-                                   suspects, tunnel_admission, views,
-                                   withdrawals)
+                                   endings, endpoint_limits, eras, events,
+                                   hints, intake, lease, membership, notices,
+                                   paths, relays, reload, resumptions, rollout,
+                                   stored_parts, stores, suspects,
+                                   tunnel_admission, views, withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import AttemptId, RequestId
@@ -43,7 +43,7 @@
 
 # Modules with periodic work, in its order.
 TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, paths,
-                     dispatch, rollout, hints, relays, drain)
+                     endpoint_limits, dispatch, rollout, hints, relays, drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -39,6 +39,7 @@
     NO_ENDPOINT = 'no endpoint takes it'
     NO_CAPACITY = 'no engine has memory for it'
     ALL_PAUSED = 'every endpoint asked for a pause'
+    ALL_LIMITED = 'every endpoint is cold or brittle and takes no more'
     ALL_LEAVING = 'every endpoint is leaving'
     NO_BUILD = 'no endpoint that stays has its build'
     NO_PATH = 'neither this VM nor a peer reaches its endpoints'
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -7,6 +7,7 @@
 from plantainridge.gateway.builds import BuildTable
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
+from plantainridge.gateway.endpoint_limits import EndpointLimits
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.hints import HintTable
@@ -38,6 +39,7 @@
         rng: The only source of randomness.
         config: The newest configuration that was read.
         endpoints: State of each registered endpoint.
+        endpoint_limits: Endpoints that get few requests: cold and brittle ones.
         peers: Entries of all VMs of the deployment, including this one.
         leaving: Endpoints that were leaving.
         versions: Weight versions that operators set as targets.
@@ -67,6 +69,7 @@
     rng: random.Random
     config: Configuration = NO_CONFIGURATION
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
+    endpoint_limits: EndpointLimits = attrs.field(factory=EndpointLimits)
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
     versions: VersionTable = attrs.field(factory=VersionTable)
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -75,6 +75,7 @@
         offset: Offset of the next read; None before the view was loaded, or
             was loaded anew in the store's present era.
         read_at: Loop time of the last successful read, in s.
+        first_read_at: Loop time of the first one, in s.
         complete_at: Loop time of a moment up to which this VM has everything
             that was written to the view, in s.
         unread_since: Loop time of the latest successful read before that is
@@ -96,6 +97,7 @@
 
     offset: int | None = None
     read_at: float = float('-inf')
+    first_read_at: float = float('inf')
     complete_at: float = float('-inf')
     unread_since: float = float('-inf')
     outdated: bool = False
@@ -151,6 +153,7 @@
             self.unread_since = self.read_at
         self.failed = self.failing_since is not None
         self.read_at, self.outdated = now, outdated
+        self.first_read_at = min(self.first_read_at, now)
 
 
 @attrs.define
@@ -402,6 +405,9 @@
         if view is not None and view.missing_since is None:
             view.missing_since = now
     elif isinstance(update, VmEntry):
+        known = state.peers.get(update.vm)
+        if known is None or known.dc != update.dc:
+            state.endpoint_limits.vms.record_changed(now)
         state.peers[update.vm] = update
         state.retries.vm_count = max(1, len(state.peers))
     elif isinstance(update, InvalidRecord):
@@ -474,6 +480,7 @@
         view.entry = attrs.evolve(entry, draining=True)
     view.missing_since = None
     view.versions.update(entry.versions)
+    state.endpoint_limits.record_entry(entry.id, entry.cold_remaining_s, now)
 
 
 def _mark_unlisted(state: 'GatewayState', updates: tuple[ViewUpdate, ...],
