Let the soak play cold endpoints, and check their bound

Cause: the soak had no cold endpoints, so that nothing checked the bound on real processes.

Change: new plain instances are cold for 3 s; a check counts the requests that they get in any second, and the mutant ignore_limits sends to them as to others.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -23,6 +23,12 @@
 MIN_RECOVERED_RATIO: Final = 0.9
 RECOVERY_S: Final = 4.0
 STREAM_EVENT_COUNT: Final = 40
+# Time for which a new plain instance is cold, the requests per s that it
+# tolerates then, and the bounds on them.
+COLD_S: Final = 3.0
+COLD_PER_S: Final = 4.0
+COLD_OVERRUN: Final = 1.0
+COLD_SLACK: Final = 1.0
 # Prefix of the subject of faults of a gateway's paths to all endpoints.
 PATHS_PREFIX: Final = 'endpoints-'
 # Ratio of the share served by other gateways that partitioned ones must serve,
@@ -171,6 +177,27 @@
                    f'{run.at - left_at:.2f} s after it left')
 
 
+def cold_endpoints_get_few_requests(history: History) -> Iterator[str]:
+    """Check that no second brings a cold endpoint more than its limit.
+
+    Faults that hold requests back and deliver them together are excused.
+    """
+    paths = {paths_to_endpoints(each.gateway) for each in history.outcomes}
+    for endpoint, cold_at in history.cold_at.items():
+        until = cold_at + COLD_S
+        if not history.is_fault_free(paths | {endpoint}, cold_at, until):
+            continue
+        times = sorted(run.at
+                       for run in history.runs
+                       if run.endpoint == endpoint and run.at < until)
+        limit = int(COLD_PER_S * COLD_OVERRUN + COLD_SLACK)
+        for first, last in zip(times, times[limit:]):
+            if last - first < 1.0:
+                yield (f'{endpoint} got more than {limit} requests in '
+                       f'{last - first:.2f} s while it was cold')
+                break
+
+
 def planned_stops_cut_nothing(history: History) -> Iterator[str]:
     """Check that a gateway answers what it has read before a stop request."""
     ran = {run.attempt for run in history.runs}
@@ -312,6 +339,7 @@
                              versions_stay_apart, orders_are_fenced,
                              configuration_is_in_force,
                              leaving_endpoints_get_no_work,
+                             cold_endpoints_get_few_requests,
                              planned_stops_cut_nothing,
                              read_requests_are_answered,
                              partitioned_gateways_serve, service_recovers)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -94,6 +94,7 @@
         route_removed_at: Unix time of removal of a route, by prefix, in s.
         route_added_at: Unix time of addition of a route, by prefix, in s.
         key_revoked_at: Unix time of revocation, by key, in s.
+        cold_at: Unix time from which a new endpoint is cold, by name, in s.
         drained_at: Unix time from which an endpoint leaves, by name, in s.
         faults_ended_at: Unix time at which the last fault ended, in s.
         engine_versions: Weight version of each live engine at the end.
@@ -110,6 +111,7 @@
     route_removed_at: dict[str, float] = attrs.field(factory=dict)
     route_added_at: dict[str, float] = attrs.field(factory=dict)
     key_revoked_at: dict[str, float] = attrs.field(factory=dict)
+    cold_at: dict[str, float] = attrs.field(factory=dict)
     drained_at: dict[str, float] = attrs.field(factory=dict)
     faults_ended_at: float = 0.0
     engine_versions: dict[str, int] = attrs.field(factory=dict)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -10,7 +10,7 @@
 from typing import Any, Final
 
 from plantainridge.gateway import (cache, config, dispatch, drain, endings,
-                                   lease, reducer, views)
+                                   endpoint_limits, lease, reducer, views)
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import AnswerHead, TimerKind
 from plantainridge.ids import AttemptId
@@ -56,6 +56,11 @@
         lambda view, now: now >= max(view.cooldown_until, view.unreached_until))
 
 
+def _ignore_limits() -> None:
+    """Send to cold endpoints as to all others."""
+    setattr(endpoint_limits, 'admitted', lambda state, views, now: views)
+
+
 def _keep_first_configuration() -> None:
     """Never apply a newer configuration."""
     apply = getattr(views, '_apply')
@@ -97,6 +102,7 @@
     'refuse_falsely': (_refuse_falsely, 3),
     'share_salts': (_share_salts, 4),
     'ignore_leaving': (_ignore_leaving, 4),
+    'ignore_limits': (_ignore_limits, 4),
     'keep_first_configuration': (_keep_first_configuration, 3),
     'exit_at_once': (_exit_at_once, 4),
     'order_without_lease': (_order_without_lease, 3),
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -17,7 +17,8 @@
 from plantainridge.gateway.http_client import Pool
 from plantainridge.platform import names
 from plantainridge.standins.platform_site import StandinStore
-from tests.soak.checks import APPLY_S, DRAIN_S, STREAM_EVENT_COUNT
+from tests.soak.checks import (APPLY_S, COLD_OVERRUN, COLD_PER_S, COLD_S,
+                               COLD_SLACK, DRAIN_S, STREAM_EVENT_COUNT)
 from tests.soak.history import History, Order, Run
 from tests.soak.launch import ENDPOINT_HOST, PROXY_HOST_VARIABLE
 from tests.soak.proxy import Fault, FaultProxy
@@ -187,7 +188,9 @@
                         'models': models
                     }
                 }, {
-                    'name': LEDGER
+                    'name': LEDGER,
+                    'cold-start-s': COLD_S,
+                    'cold-per-s': COLD_PER_S
                 }],
                 'tenants': [{
                     'name': team,
@@ -257,12 +260,15 @@
                             version=version)
         self.endpoints[name] = endpoint
         self._spawn(self._read_reports(endpoint))
+        if service == LEDGER:
+            self.history.cold_at[name] = time.time()
         self.register(endpoint)
         return endpoint
 
     def register(self, endpoint: Endpoint) -> None:
         """Write an endpoint's entry."""
         models = [{'name': 'm', 'version': endpoint.version}]
+        cold_until = self.history.cold_at.get(endpoint.name, 0.0) + COLD_S
         self.store.put(
             names.REGISTRY_TOPIC, endpoint.name, {
                 'service': endpoint.service,
@@ -270,6 +276,7 @@
                 'zone': endpoint.dc,
                 'slots': 16,
                 'state': endpoint.state,
+                'cold-remaining-ms': max(0.0, cold_until - time.time()) * 1_000,
                 'models': models if endpoint.version else []
             })
 
@@ -402,6 +409,8 @@
 grace-period-s = {GRACE_S}
 version-ms = 10000
 lease-ms = 600
+cold-overrun = {COLD_OVERRUN}
+cold-slack = {COLD_SLACK}
 retry-budget-ratio = 0.2
 retry-budget-slack = 54
 budget-window-s = 10
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -89,6 +89,9 @@
         history([outcome()], [], route_removed_at={'/submit/': AT - 5.0}),
     checks.leaving_endpoints_get_no_work:
         history([outcome()], [run()], drained_at={'i-1': AT - 5.0}),
+    checks.cold_endpoints_get_few_requests:
+        history([], [run(at=AT + 0.1 * at) for at in range(7)],
+                cold_at={'i-1': AT}),
     checks.planned_stops_cut_nothing:
         history([outcome(status=0, whole=False)], [run()],
                 fault_spans=[FaultSpan('vm0', 'term', AT - 0.2, AT + 1.0)]),
