Follow the operators' evacuations of data centres

Records `evacuate/DC` were decoded and dropped. A VM that missed a relay while it cannot read takes evacuations from later relays before it can apply the rest.

--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -8,6 +8,7 @@
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.evacuations import EvacuationTable
 from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.hints import HintTable
 from plantainridge.gateway.lease import Lease
@@ -40,6 +41,7 @@
         endpoints: State of each registered endpoint.
         peers: Entries of all VMs of the deployment, including this one.
         leaving: Endpoints that were leaving.
+        evacuations: Data centres that operators evacuate.
         versions: Weight versions that operators set as targets.
         builds: Builds at which streams began.
         views: Read positions in the metadata store's views.
@@ -69,6 +71,7 @@
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
+    evacuations: EvacuationTable = attrs.field(factory=EvacuationTable)
     versions: VersionTable = attrs.field(factory=VersionTable)
     builds: BuildTable = attrs.field(factory=BuildTable)
     views: ViewTable = attrs.field(factory=ViewTable)
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -8,16 +8,17 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import eras, hints, relays, stores, versions
+from plantainridge.gateway import (eras, evacuations, hints, relays, stores,
+                                   versions)
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
-from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
-                                          NamedVersion, TimerKind, View,
-                                          ViewFailed, ViewRead, ViewRelayed,
-                                          ViewUpdate, VmEntry)
+from plantainridge.gateway.events import (EndpointRemoved, EvacuationChanged,
+                                          InvalidRecord, NamedVersion,
+                                          TimerKind, View, ViewFailed, ViewRead,
+                                          ViewRelayed, ViewUpdate, VmEntry)
 from plantainridge.gateway.part_lifetimes import RESTORE_SETTLE_S
 from plantainridge.gateway.peer_messages import RelayedView
-from plantainridge.ids import EndpointId
+from plantainridge.ids import DcId, EndpointId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
 from plantainridge.loop.events import TimerFired, TimerKey
 
@@ -60,7 +61,7 @@
 MIN_OUTAGE_S: Final = 2.0
 # Range of the delay after which a view that a restored copy filled is loaded
 # once more; longer than entries take to expire.
-RELOAD_DELAY_S: Final = (4.5, 5.5)
+RELOAD_DELAY_S: Final = (evacuations.REWRITE_TIMEOUT_S, 5.5)
 # Removed endpoints that are remembered; the oldest are forgotten first.
 MAX_REMOVED: Final = 4_096
 # Time for which entries that expired during an outage may reappear after it.
@@ -279,6 +280,10 @@
         ]
         for update in event.updates:
             yield from _apply(state, update, now)
+        if event.is_snapshot and event.view is View.OPERATOR:
+            yield from evacuations.reconcile(state.evacuations,
+                                             _evacuated(event.updates), False,
+                                             event.issued_at, now)
     if was_restored and relays.is_reader(state, event.view.value, now):
         # Other VMs need not load the view from the store as well.
         yield from relays.broadcast_read(
@@ -325,6 +330,7 @@
         # must not be applied again: continue from the metadata store.
         cursor.behind = True
         yield SetTimer(_timer(event.view), now)
+        yield from _apply_early(state, event.updates, now)
         return
     cursor.record_read(now, _is_outdated_read(state, now))
     _record_complete(state, event)
@@ -336,6 +342,18 @@
     yield from _remove_missing(state, now)
 
 
+def _apply_early(state: 'GatewayState', updates: tuple[ViewUpdate, ...],
+                 now: float) -> Iterator[Effect]:
+    """Apply the evacuations among updates that follow ones not received.
+
+    A VM that lost a relay while it cannot read has no other news of them. Once
+    it reads what it lacks, the log's order decides.
+    """
+    for update in updates:
+        if isinstance(update, EvacuationChanged):
+            yield from _apply(state, update, now)
+
+
 def _record_complete(state: 'GatewayState', event: ViewRelayed) -> None:
     """Record when a peer issued a read, by this VM's clock.
 
@@ -377,6 +395,22 @@
             cursor.reload_at = min(cursor.reload_at, now + delay_s)
         else:
             yield from _apply(state, update, now)
+    if view is not View.OPERATOR:
+        return
+    table = state.evacuations
+    yield from evacuations.reconcile(table, _evacuated(updates), True, now, now)
+    if table.unlisted_at:
+        # A record that is not written again within this time was withdrawn.
+        cursor.reload_at = now + state.rng.uniform(*RELOAD_DELAY_S)
+
+
+def _evacuated(updates: tuple[ViewUpdate, ...]) -> set[DcId]:
+    """Return the data centres that the operators' records evacuate."""
+    return {
+        update.dc
+        for update in updates
+        if isinstance(update, EvacuationChanged) and update.requested
+    }
 
 
 def _is_outdated(state: 'GatewayState', update: ViewUpdate) -> bool:
@@ -395,6 +429,8 @@
             yield from stores.on_configuration(state, now)
     elif isinstance(update, NamedVersion):
         yield from _apply_version(state, update, now)
+    elif isinstance(update, EvacuationChanged):
+        yield from evacuations.apply(state.evacuations, update, now)
     elif isinstance(update, EndpointEntry):
         yield from _apply_entry(state, update, now)
     elif isinstance(update, EndpointRemoved):
