Send no request to an evacuated data centre

`usable_endpoints` leaves its endpoints out, so that no request is placed there, whether new, waiting, resumed, repeated, taken over or tunnelled. Waits, path probes and tunnels for peers leave them out as well. Requests that only evacuated data centres could serve end at once. In large deployments their work is shared by headroom as before, or by engines if their own data centre is closed and no load is known. After the withdrawal contexts return in hash order over the service's `cold-start-s`.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -24,7 +24,7 @@
 from plantainridge.gateway.requests import (CALL_LIFECYCLE, Attempt, Call,
                                             CallPhase, PlacementFailure,
                                             SendLimit)
-from plantainridge.ids import AttemptId, ServiceId
+from plantainridge.ids import AttemptId, DcId, ServiceId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
 
 if TYPE_CHECKING:
@@ -47,8 +47,12 @@
 # served only once an endpoint returns or is added.
 UNSERVABLE: Final = frozenset({
     PlacementFailure.ALL_PAUSED, PlacementFailure.ALL_LEAVING,
-    PlacementFailure.NO_BUILD
+    PlacementFailure.NO_BUILD, PlacementFailure.ALL_EVACUATED
 })
+# Those that no wait within a request's time is likely to end: streams that have
+# begun end as well.
+LASTING: Final = frozenset(
+    {PlacementFailure.NO_BUILD, PlacementFailure.ALL_EVACUATED})
 # Time that must be left to send a request again, relative to its route's
 # target.
 MIN_REMAINING_RATIO: Final = 0.1
@@ -62,6 +66,11 @@
 # Bounds of the delay after which a refused caller may retry.
 MIN_RETRY_AFTER_S: Final = 0.2
 MAX_RETRY_AFTER_S: Final = 2.0
+# Share of the expected rest of an evacuation by which retry delays differ.
+EVACUATION_SPREAD_RATIO: Final = 0.25
+
+# Service, build, and data centres that a request does not return to yet.
+_Group = tuple[ServiceId, str | None, frozenset[DcId]]
 
 
 def dispatch(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
@@ -84,8 +93,7 @@
             return
         choice = PlacementFailure.NO_RETRY
     may_wait = call.executions or call.reply_started
-    if choice is PlacementFailure.NO_BUILD or (choice in UNSERVABLE and
-                                               not may_wait):
+    if choice in LASTING or (choice in UNSERVABLE and not may_wait):
         yield from endings.fail_request(
             state, call, choice.value, _retry_after_s(state, call, choice, now),
             now)
@@ -159,10 +167,9 @@
 
 def _has_untried(state: 'GatewayState', call: Call) -> bool:
     """Return whether an endpoint that stays may still serve a request."""
-    return any(
-        view.entry.service == call.service and not view.is_leaving and
-        view.entry.id not in call.tried and placement.has_build(call, view)
-        for view in state.endpoints.values())
+    return any(view.entry.id not in call.tried and
+               placement.may_serve(state, call, view)
+               for view in state.endpoints.values())
 
 
 def _abandoned_at(call: Call) -> float:
@@ -330,9 +337,9 @@
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Dispatch the requests that wait."""
-    # Size of the last request per service and build that did not fit, in
-    # tokens.
-    unplaced_tokens: dict[tuple[ServiceId, str | None], int] = {}
+    # Size of the last request that did not fit, in tokens, among those that may
+    # go to the same endpoints.
+    unplaced_tokens: dict[_Group, int] = {}
     for call in state.calls.waiting(now):
         if call.origin_due_at is not None:
             continue
@@ -342,11 +349,12 @@
 
 
 def _dispatch_waiting(state: 'GatewayState', call: Call,
-                      unplaced_tokens: dict[tuple[ServiceId, str | None], int],
+                      unplaced_tokens: dict[_Group, int],
                       now: float) -> Iterator[Effect]:
     """Dispatch a request that waits, unless a smaller one did not fit."""
     memory_tokens = placement.memory_tokens(call.request)
-    group = call.service, call.build
+    group = (call.service, call.build,
+             placement.held_back_dcs(state, call, now))
     if (memory_tokens >= unplaced_tokens.get(group, memory_tokens + 1) and
             suspects.admits(state, call, now)):
         # A request that is no larger did not fit just before.
@@ -370,10 +378,20 @@
                    now: float) -> float:
     """Return the time until an endpoint is likely to be available, in s.
 
-    Callers that are refused while all endpoints pause do not return together.
+    Callers that are refused while all endpoints pause, or all data centres are
+    evacuated, do not return together.
     """
     if reason is PlacementFailure.NO_CAPACITY:
         return state.rng.uniform(*CAPACITY_RETRY_AFTER_S)
+    if reason is PlacementFailure.ALL_EVACUATED:
+        dcs = {
+            view.entry.dc
+            for view in state.endpoints.values()
+            if placement.could_serve(call, view)
+        }
+        remaining_s = state.evacuations.remaining_s(dcs, now)
+        return remaining_s * (1.0 +
+                              state.rng.uniform(0.0, EVACUATION_SPREAD_RATIO))
     available_in_s = _available_at(state, call) - now
     if reason is PlacementFailure.ALL_PAUSED:
         spread_s = min(MAX_PAUSE_SPREAD_S, PAUSE_SPREAD_RATIO * available_in_s)
@@ -388,6 +406,5 @@
         return state.paths.expected_at(call.service, call.waiting_since)
     return min((view.available_at
                 for view in state.endpoints.values()
-                if view.entry.service == call.service and
-                not view.is_leaving and placement.has_build(call, view)),
+                if placement.may_serve(state, call, view)),
                default=math.inf)
--- a/src/plantainridge/gateway/paths.py
+++ b/src/plantainridge/gateway/paths.py
@@ -183,7 +183,7 @@
     probed: Counter[ServiceId] = Counter()
     for name, view in state.endpoints.items():
         service = view.entry.service
-        if (service != suspected and not view.is_leaving and
+        if (service != suspected and _is_staying(state, view) and
                 not state.paths.is_lost(service) and
                 probed[service] < MIN_FAILED):
             probed[service] += 1
@@ -266,5 +266,14 @@
     return {
         name: view
         for name, view in state.endpoints.items()
-        if view.entry.service == service and not view.is_leaving
+        if view.entry.service == service and _is_staying(state, view)
     }
+
+
+def _is_staying(state: 'GatewayState', view: EndpointView) -> bool:
+    """Return whether a path to an endpoint is of use.
+
+    A path to an evacuated data centre does not show that others are reached.
+    """
+    return (not view.is_leaving and
+            not state.evacuations.is_evacuated(view.entry.dc))
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -251,11 +251,32 @@
                      now: float) -> list[EndpointView]:
     """Return the endpoints that may get a request now, whatever their load."""
     cooling_down = hints.cooling_down(state, now)
-    return [
+    usable = [
         view for view in endpoints.available(state.endpoints, call.service, now)
         if has_build(call, view) and view.entry.id not in call.tried and
+        not state.evacuations.is_evacuated(view.entry.dc) and
         cooling_down.get(view.entry.id, -math.inf) <= view.weights_loaded_at
     ]
+    held_back = held_back_dcs(state, call, now)
+    if not held_back:
+        return usable
+    # A context does not wait for its return where nothing else serves it.
+    return [view for view in usable if view.entry.dc not in held_back] or usable
+
+
+def held_back_dcs(state: 'GatewayState', call: Call,
+                  now: float) -> frozenset[DcId]:
+    """Return data centres to which a request does not return yet.
+
+    Their evacuation was withdrawn a short while ago.
+    """
+    if not state.evacuations.ended_at:
+        return frozenset()
+    service = state.config.services.get(call.service)
+    context = cache.context_id(call.request.parts) or call.request.attempt_id
+    return state.evacuations.held_back(context,
+                                       service.cold_start_s if service else 0.0,
+                                       now)
 
 
 def _is_unreached(view: EndpointView, reports: Mapping[EndpointId,
@@ -308,6 +329,18 @@
     return call.build is None or view.entry.build == call.build
 
 
+def could_serve(call: Call, view: EndpointView) -> bool:
+    """Return whether an endpoint may serve a request unless it is evacuated."""
+    return (view.entry.service == call.service and not view.is_leaving and
+            has_build(call, view))
+
+
+def may_serve(state: 'GatewayState', call: Call, view: EndpointView) -> bool:
+    """Return whether an endpoint may serve a request, now or after a wait."""
+    return (could_serve(call, view) and
+            not state.evacuations.is_evacuated(view.entry.dc))
+
+
 def _unavailability(state: 'GatewayState', call: Call,
                     now: float) -> PlacementFailure:
     """Return why a request has no available endpoint."""
@@ -320,7 +353,13 @@
         return PlacementFailure.NO_BUILD
     if known and not staying:
         return PlacementFailure.ALL_LEAVING
-    if staying and all(now < view.paused_until for view in staying):
+    remaining = [
+        view for view in staying
+        if not state.evacuations.is_evacuated(view.entry.dc)
+    ]
+    if staying and not remaining:
+        return PlacementFailure.ALL_EVACUATED
+    if remaining and all(now < view.paused_until for view in remaining):
         return PlacementFailure.ALL_PAUSED
     return PlacementFailure.NO_ENDPOINT
 
@@ -338,7 +377,10 @@
     parts = inputs.call.request.parts
     work = hints.work_by_dc(state, inputs.call.service, now)
     engines = Counter(view.entry.dc for view in candidates)
-    shares = spill.compute_shares(state.settings.dc, work, engines)
+    own = state.settings.dc
+    shares = spill.compute_shares(own, work, engines)
+    if own in shares and _is_closed(state, inputs.call, own, now):
+        shares = spill.shares_by_engines(own, engines)
     inputs.home = spill.assign(cache.context_id(parts), shares)
     inputs.known_dcs = work
     inputs.assumed_remote_load = _mean_local_load(inputs, candidates)
@@ -351,6 +393,12 @@
     return place_on_engines(inputs, at_home or candidates)
 
 
+def _is_closed(state: 'GatewayState', call: Call, dc: DcId, now: float) -> bool:
+    """Return whether an evacuation keeps a request from a data centre."""
+    return (state.evacuations.is_evacuated(dc) or
+            dc in held_back_dcs(state, call, now))
+
+
 def _mean_local_load(inputs: _CostInputs,
                      candidates: list[EndpointView]) -> PeerLoad:
     """Return the mean load of the engines in this VM's data centre.
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -40,6 +40,7 @@
     NO_CAPACITY = 'no engine has memory for it'
     ALL_PAUSED = 'every endpoint asked for a pause'
     ALL_LEAVING = 'every endpoint is leaving'
+    ALL_EVACUATED = 'every data centre that has it is evacuated'
     NO_BUILD = 'no endpoint that stays has its build'
     NO_PATH = 'neither this VM nor a peer reaches its endpoints'
     NO_RETRY = 'no more sends are allowed'
--- a/src/plantainridge/gateway/spill.py
+++ b/src/plantainridge/gateway/spill.py
@@ -68,6 +68,26 @@
     return shares
 
 
+def shares_by_engines(own: DcId, engines: Mapping[DcId,
+                                                  int]) -> dict[DcId, float]:
+    """Return the share of a data centre's work for each data centre.
+
+    Made for a data centre without available engines whose work, or the headroom
+    of the others, is not known.
+
+    Args:
+        own: The data centre whose work is shared out.
+        engines: Number of available engines in each data centre.
+
+    Returns:
+        Shares that add up to 1, in proportion to the engines.
+    """
+    total = sum(engines.values())
+    if not total:
+        return {own: 1.0}
+    return {dc: count / total for dc, count in engines.items() if count}
+
+
 def assign(context: str, shares: Mapping[DcId, float]) -> DcId:
     """Return the data centre for a context, by weighted rendezvous hashing.
 
--- a/src/plantainridge/gateway/tunnel_admission.py
+++ b/src/plantainridge/gateway/tunnel_admission.py
@@ -48,7 +48,7 @@
 
 
 def decide(origin: VmEntry | None, view: EndpointView | None, open_tunnels: int,
-           is_stopping: bool, is_path_lost: bool,
+           is_stopping: bool, is_path_lost: bool, is_evacuated: bool,
            now: float) -> TunnelRefusal | None:
     """Return why a tunnel is refused, or None if it is opened.
 
@@ -58,6 +58,7 @@
         open_tunnels: Number of open tunnels.
         is_stopping: Whether this VM is stopping.
         is_path_lost: Whether its own path to the service is suspected lost.
+        is_evacuated: Whether the endpoint's data centre is evacuated.
         now: Loop time in s.
     """
     if origin is None:
@@ -68,6 +69,7 @@
         'the VM is stopping': is_stopping,
         'the path is lost': is_path_lost,
         'too many tunnels': open_tunnels >= MAX_TUNNELS,
+        'the data centre is evacuated': is_evacuated,
         'the endpoint is leaving': view.is_leaving,
         'the endpoint asked for a pause': now < view.paused_until,
     }
@@ -87,7 +89,8 @@
                  if each.entry.address == event.address), None)
     refusal = decide(
         origin, view, len(table.endpoints), state.stopping_since is not None,
-        view is not None and state.paths.is_lost(view.entry.service), now)
+        view is not None and state.paths.is_lost(view.entry.service),
+        view is not None and state.evacuations.is_evacuated(view.entry.dc), now)
     if refusal is not None or view is None:
         assert refusal is not None
         yield LogLine('tunnel_refused',
