--- a/src/plantainridge/gateway/explain.py
+++ b/src/plantainridge/gateway/explain.py
@@ -15,8 +15,9 @@
 # Events that change what a VM knows; shown if they fall within a request.
 CONTEXT_EVENTS: Final = frozenset({
     'configuration_taken', 'version_named', 'version_age_stated',
-    'version_ordered', 'version_reached', 'endpoint_leaving', 'endpoint_gone',
-    'view_lost', 'view_back', 'store_lost', 'endpoint_pauses', 'lease_taken',
+    'version_ordered', 'version_reached', 'evacuation_started',
+    'evacuation_ended', 'endpoint_leaving', 'endpoint_gone', 'view_lost',
+    'view_back', 'store_lost', 'endpoint_pauses', 'lease_taken',
     'path_suspected', 'path_restored', 'stopping', 'stopped', 'started',
     'lines_left_out'
 })
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -237,7 +237,12 @@
     def _metrics_page(self, path: str) -> tuple[int, str] | None:
         if path != METRICS_PATH:
             return None
-        return 200, '\n'.join([*self.metrics.prometheus(), ''])
+        evacuated = len(self.state.evacuations.started_at)
+        return 200, '\n'.join([
+            '# TYPE plantainridge_evacuated_data_centres gauge',
+            f'plantainridge_evacuated_data_centres {evacuated}',
+            *self.metrics.prometheus(), ''
+        ])
 
 
 def _split_address(address: str) -> tuple[str, int]:
