Evacuate a data centre in the soak, and judge it

Nothing played an evacuation. Each run evacuates a data centre during the planned work, kills a gateway meanwhile and withdraws the evacuation; `evacuated_dcs_get_no_work` finds requests that reached it late.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,7 @@
 # Bounds in the settings of the gateways.
 APPLY_S: Final = 2.0
 DRAIN_S: Final = 2.0
+EVACUATION_S: Final = 4.0
 # Time without a fault after which a gateway must keep its bounds.
 STABLE_S: Final = 3.0
 # Times are taken on both sides of a connection.
@@ -171,6 +172,32 @@
                    f'{run.at - left_at:.2f} s after it left')
 
 
+def evacuated_dcs_get_no_work(history: History) -> Iterator[str]:
+    """Check that gateways without faults send nothing to evacuated endpoints.
+
+    A fault of the endpoint, or of the path to it, may delay what was sent
+    before the evacuation.
+    """
+    gateway_by_attempt = {
+        each.attempt: each.gateway for each in history.outcomes
+    }
+    for run in history.runs:
+        gateway = gateway_by_attempt.get(run.attempt)
+        for each in history.evacuations:
+            due = each.start + EVACUATION_S + CLOCK_SLACK_S
+            if (gateway is not None and due < run.at < each.end and
+                    each.dc == history.endpoint_dcs.get(run.endpoint) and
+                    history.is_fault_free(_configuration_path(gateway),
+                                          run.at - STABLE_S, run.at) and
+                    history.is_fault_free(
+                        {run.endpoint,
+                         paths_to_endpoints(gateway)}, each.start - STABLE_S,
+                        run.at)):
+                yield (f'{run.attempt} ran on {run.endpoint} '
+                       f'{run.at - each.start:.2f} s after the evacuation of '
+                       f'{each.dc}')
+
+
 def planned_stops_cut_nothing(history: History) -> Iterator[str]:
     """Check that a gateway answers what it has read before a stop request."""
     ran = {run.attempt for run in history.runs}
@@ -312,6 +339,7 @@
                              versions_stay_apart, orders_are_fenced,
                              configuration_is_in_force,
                              leaving_endpoints_get_no_work,
+                             evacuated_dcs_get_no_work,
                              planned_stops_cut_nothing,
                              read_requests_are_answered,
                              partitioned_gateways_serve, service_recovers)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from tests.soak.checks import STABLE_S, paths_to_endpoints
-from tests.soak.history import FaultSpan
+from tests.soak.checks import EVACUATION_S, STABLE_S, paths_to_endpoints
+from tests.soak.history import Evacuation, FaultSpan
 from tests.soak.proxy import PARTITIONS, Fault, FaultProxy
 from tests.soak.site import ENGINES, LEDGER, GatewayVm, SoakSite
 
@@ -27,6 +27,9 @@
 # Time for which paths to all endpoints are cut: longer than `STABLE_S`, after
 # which gateways must serve again.
 PARTITION_RANGE_S: Final = (6.0, 8.0)
+# Time for which a data centre is evacuated: a gateway that restarts meanwhile
+# must know of it for some seconds.
+EVACUATION_RANGE_S: Final = (EVACUATION_S + 5.0, EVACUATION_S + 6.0)
 # Timeout of all routes, never below that of callers.
 TIMEOUT_RANGE_MS: Final = (3_000, 4_000)
 # Time from the drain of an endpoint to its exit.
@@ -65,11 +68,17 @@
         ]
 
     async def run(self, seconds: float) -> None:
-        """Inject faults, then planned work only, then a partition."""
+        """Inject faults, then planned work only, then a partition.
+
+        A data centre is evacuated during the planned work.
+        """
         await self._inject_for((1 - PLANNED_WORK_RATIO) * seconds,
                                self.all_faults)
         await asyncio.sleep(STABLE_S)
-        await self._inject_for(PLANNED_WORK_RATIO * seconds, self.planned_work)
+        await asyncio.gather(
+            self._inject_for(PLANNED_WORK_RATIO * seconds, self.planned_work),
+            self._evacuate_dc())
+        self.site.history.faults_ended_at = time.time()
         await asyncio.sleep(STABLE_S)
         await self._partition_gateways()
 
@@ -151,6 +160,22 @@
                                 partition(vm)) for vm in vms))
         self.site.history.faults_ended_at = time.time()
 
+    async def _evacuate_dc(self) -> None:
+        """Evacuate a data centre that has engines; kill a gateway meanwhile.
+
+        Draws are the site's own, so that those of the faults stay the same.
+        """
+        site = self.site
+        dc = site.endpoints[site.rng.choice(
+            self._staying_endpoints(ENGINES))].dc
+        start = time.time()
+        site.evacuate(dc, True)
+        await asyncio.gather(
+            self._kill_gateway(),
+            asyncio.sleep(site.rng.uniform(*EVACUATION_RANGE_S)))
+        site.history.evacuations.append(Evacuation(dc, start, time.time()))
+        site.evacuate(dc, False)
+
     def _pick_partitioned(self) -> list[GatewayVm]:
         """Return all gateways of one data centre, or half or more of any.
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -79,6 +79,20 @@
     end: float
 
 
+@attrs.frozen
+class Evacuation:
+    """An evacuation of a data centre.
+
+    Attributes:
+        start: Unix time at which its record was written, in s.
+        end: Unix time at which it was withdrawn, in s.
+    """
+
+    dc: str
+    start: float
+    end: float
+
+
 @attrs.define
 class History:
     """History of one run.
@@ -95,6 +109,8 @@
         route_added_at: Unix time of addition of a route, by prefix, in s.
         key_revoked_at: Unix time of revocation, by key, in s.
         drained_at: Unix time from which an endpoint leaves, by name, in s.
+        evacuations: Evacuations that were withdrawn again.
+        endpoint_dcs: Data centre of each endpoint that was ever started.
         faults_ended_at: Unix time at which the last fault ended, in s.
         engine_versions: Weight version of each live engine at the end.
         newest_version: The newest weight version that was named.
@@ -111,6 +127,8 @@
     route_added_at: dict[str, float] = attrs.field(factory=dict)
     key_revoked_at: dict[str, float] = attrs.field(factory=dict)
     drained_at: dict[str, float] = attrs.field(factory=dict)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
+    endpoint_dcs: dict[str, str] = attrs.field(factory=dict)
     faults_ended_at: float = 0.0
     engine_versions: dict[str, int] = attrs.field(factory=dict)
     newest_version: int = 1
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -9,10 +9,13 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
+import attrs
+
 from plantainridge.gateway import (cache, config, dispatch, drain, endings,
                                    lease, reducer, views)
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.events import AnswerHead, TimerKind
+from plantainridge.gateway.events import (AnswerHead, EvacuationChanged,
+                                          TimerKind, ViewRead)
 from plantainridge.ids import AttemptId
 from plantainridge.loop.effects import Effect
 from plantainridge.loop.events import TimerFired
@@ -91,6 +94,21 @@
     reducer.TIMER_HANDLERS[TimerKind.SEND_SILENCE] = fail
 
 
+def _forget_evacuations() -> None:
+    """Forget evacuations at a restart: take none from a snapshot."""
+    read = views.on_read
+
+    def read_others(state: Any, event: ViewRead,
+                    now: float) -> Iterator[Effect]:
+        if event.is_snapshot:
+            others = tuple(each for each in event.updates
+                           if not isinstance(each, EvacuationChanged))
+            event = attrs.evolve(event, updates=others)
+        return read(state, event, now)
+
+    reducer.EVENT_HANDLERS[ViewRead] = read_others
+
+
 # Each with a seed at which the soak detects it.
 MUTANTS: Final[dict[str, tuple[Callable[[], None], int]]] = {
     'repeat_all': (_repeat_all, 3),
@@ -102,6 +120,7 @@
     'order_without_lease': (_order_without_lease, 3),
     'cross_answers': (_cross_answers, 3),
     'end_silent_answers': (_end_silent_answers, 28025),
+    'forget_evacuations': (_forget_evacuations, 3),
 }
 
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -220,6 +220,11 @@
             'version': self.history.newest_version
         })
 
+    def evacuate(self, dc: str, requested: bool) -> None:
+        """Write the record that evacuates a data centre, or delete it."""
+        self.store.put(names.OPERATOR_TOPIC, names.EVACUATION_KEY_PREFIX + dc,
+                       {} if requested else None)
+
     # --- endpoints ---
 
     async def add_endpoint(self, service: str) -> Endpoint:
@@ -256,6 +261,7 @@
                             proxies,
                             version=version)
         self.endpoints[name] = endpoint
+        self.history.endpoint_dcs[name] = endpoint.dc
         self._spawn(self._read_reports(endpoint))
         self.register(endpoint)
         return endpoint
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,7 +7,8 @@
 
 from tests.soak import checks
 from tests.soak.endpoint import expected_body, expected_event
-from tests.soak.history import (FaultSpan, History, Order, Outcome, Run, Unsent)
+from tests.soak.history import (Evacuation, FaultSpan, History, Order, Outcome,
+                                Run, Unsent)
 
 AT = 1_000.0
 TARGET = '/submit/x'
@@ -89,6 +90,10 @@
         history([outcome()], [], route_removed_at={'/submit/': AT - 5.0}),
     checks.leaving_endpoints_get_no_work:
         history([outcome()], [run()], drained_at={'i-1': AT - 5.0}),
+    checks.evacuated_dcs_get_no_work:
+        history([outcome()], [run()],
+                evacuations=[Evacuation('dc-1', AT - 5.0, AT + 5.0)],
+                endpoint_dcs={'i-1': 'dc-1'}),
     checks.planned_stops_cut_nothing:
         history([outcome(status=0, whole=False)], [run()],
                 fault_spans=[FaultSpan('vm0', 'term', AT - 0.2, AT + 1.0)]),
@@ -136,6 +141,24 @@
                        fault_spans=[cut_off])
         self.assertEqual(checks.violations(late), [])
 
+    def test_runs_that_an_evacuation_allows_are_no_violation(self) -> None:
+        played = VIOLATIONS[checks.evacuated_dcs_get_no_work]
+        restart = FaultSpan('vm0', 'kill', AT - 4.0, AT - 1.0)
+        for excused in ({
+                'evacuations': [Evacuation('dc-1', AT - 3.0, AT + 5.0)]
+        }, {
+                'evacuations': [Evacuation('dc-1', AT - 9.0, AT)]
+        }, {
+                'endpoint_dcs': {
+                    'i-1': 'dc-2'
+                }
+        }, {
+                'fault_spans': [restart]
+        }):
+            with self.subTest(list(excused)):
+                late = attrs.evolve(played, **excused)
+                self.assertFalse(list(checks.evacuated_dcs_get_no_work(late)))
+
     def test_partitioned_gateways_may_fail_within_the_bounds(self) -> None:
         cut = FaultSpan('endpoints-vm0', 'lost', AT - 3.5, AT + 4.0)
         early = attrs.evolve(cut, start=AT - 2.5)
