--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -9,6 +9,7 @@
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
 from plantainridge.gateway.endpoint_limits import EndpointLimits
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.evacuations import EvacuationTable
 from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.hints import HintTable
 from plantainridge.gateway.lease import Lease
@@ -42,6 +43,7 @@
         endpoint_limits: Endpoints that get few requests: cold and brittle ones.
         peers: Entries of all VMs of the deployment, including this one.
         leaving: Endpoints that were leaving.
+        evacuations: Data centres that operators evacuate.
         versions: Weight versions that operators set as targets.
         builds: Builds at which streams began.
         views: Read positions in the metadata store's views.
@@ -72,6 +74,7 @@
     endpoint_limits: EndpointLimits = attrs.field(factory=EndpointLimits)
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
+    evacuations: EvacuationTable = attrs.field(factory=EvacuationTable)
     versions: VersionTable = attrs.field(factory=VersionTable)
     builds: BuildTable = attrs.field(factory=BuildTable)
     views: ViewTable = attrs.field(factory=ViewTable)
