Reserve the ports of the gateway fixtures until they are bound

Cause: the fixture of tests/test_platform_path.py asked the system for a free port, released it and let the gateway bind it later. Meanwhile a connection of any process may take the port: test_stream_is_not_cut_in_the_middle ended with EADDRINUSE in metrics_server.start beside other test runs.

Change: tests/reserved_ports.py keeps a bound socket for each port until the test ends. Servers share it by SO_REUSEADDR; other reservations and connections do not get it. The ports lie below the range that the system assigns, since a UDP port cannot be kept in this way.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import os
-import socket
 import unittest
 from typing import Any
 from unittest import mock
@@ -21,19 +20,12 @@
 from plantainridge.platform.adapter import PlatformAdapter
 from plantainridge.standins.platform_site import (HOST, StandinEndpoint,
                                                   StandinStore)
+from tests.reserved_ports import reserve_port
 
 # Time that callers allow a new connection to be established, in s.
 CONNECT_TIMEOUT_S = 1.0
 
 
-def free_port() -> int:
-    """Return a port that is free at the moment."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def route(prefix: str, kind: str, service: str, **overrides: Any) -> Any:
     """Return a route as operators write it."""
     return {
@@ -98,10 +90,17 @@
             self.store.put(names.REGISTRY_TOPIC, each.name, each.entry())
         self.log = os.open(os.devnull, os.O_WRONLY)
         self.pool = Pool()
-        self.ports = [free_port() for _ in range(5)]
+        self.ports = [self._reserve_port() for _ in range(5)]
         self.gateway = await self._start_gateway('vm', HOST)
         self.address = self.gateway.state.settings.callers_address
 
+    def _reserve_port(self) -> int:
+        """Return a port that no other process gets before the test ends."""
+        sock = reserve_port()
+        self.addCleanup(sock.close)
+        port: int = sock.getsockname()[1]
+        return port
+
     async def _start_gateway(self, vm: str, host: str) -> Gateway:
         """Start a VM; return it once it is ready."""
         ports = self.ports
