Wait for the events of endless answers and stop their servers

Cause: EndlessAnswerTest waited 3 s for answers of 90 MB and compared the events then; test_all_answers_together_are_bounded found none on a busy machine. The tasks of the test servers were still running at the end of the loop, and asyncio printed a traceback for each that was cancelled.

Change: the tests wait until an event is posted or a connection is closed, and fail if that takes 60 s. They check the kind of failure, so that an answer that fails by its deadline instead of its limit is noticed, and that exactly two of six answers stay in flight. Sends connect without the limit of 0.35 s, which a hold-up of the loop exceeds. tests/stream_server.py ends a server's tasks.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,7 @@
 import socket
 import time
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -14,7 +14,7 @@
 from plantainridge.gateway import http_calls
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure
-from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.http_client import Connection, Pool
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.wire import RawRequest
@@ -24,8 +24,8 @@
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.reports import log_fault
 from tests.gateway_scene import GatewayScene, endpoint, head, request
+from tests.stream_server import Serve, StreamServer
 
-HOST: Final = '127.0.0.1'
 STATUS_LINE: Final = b'HTTP/1.1 200 OK\r\n'
 OK: Final = STATUS_LINE + b'X-Response-Seal: s\r\n'
 STREAM: Final = OK + b'Content-Type: text/event-stream\r\n'
@@ -34,11 +34,12 @@
 CHUNK: Final = b'10000\r\n' + BLOCK + b'\r\n'
 # An endpoint without end sends at most this much, then keeps silent.
 MAX_SENT_BYTES: Final = 40 << 20
-# Time within which an answer without end must have failed, in s.
-FAIL_TIMEOUT_S: Final = 3.0
-REMAINING_S: Final = 20.0
-
-Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+# Time after which a test counts as hanging, in s: it judges no speed.
+HANG_TIMEOUT_S: Final = 60.0
+POLL_S: Final = 0.01
+# Longer than any test, so that no answer fails by its deadline instead of its
+# limit, in s.
+REMAINING_S: Final = 600.0
 
 
 @attrs.define
@@ -48,6 +49,7 @@
     Attributes:
         sent_bytes: Bytes sent on all connections.
         closed: Connections that the caller closed.
+        is_closed: Set once the caller closed one.
     """
 
     start: bytes
@@ -55,6 +57,16 @@
     pause_s: float = 0.0
     sent_bytes: int = 0
     closed: int = 0
+    is_closed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def wait_closed(self) -> None:
+        """Wait until the caller has closed a connection.
+
+        Raises:
+            TimeoutError: It does not.
+        """
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            await self.is_closed.wait()
 
     async def serve(self, reader: asyncio.StreamReader,
                     writer: asyncio.StreamWriter) -> None:
@@ -73,6 +85,7 @@
         except ConnectionError:
             pass
         self.closed += 1
+        self.is_closed.set()
         writer.close()
 
 
@@ -92,26 +105,48 @@
     return serve
 
 
+class _PatientPool(Pool):
+    """A pool that connects however long the loop is held up meanwhile."""
+
+    async def connect(self,
+                      address: str,
+                      timeout_s: float = HANG_TIMEOUT_S,
+                      via: str = '') -> Connection:
+        return await super().connect(address, timeout_s, via)
+
+
 class _SenderCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that send requests over real sockets."""
 
     async def asyncSetUp(self) -> None:
         self.events: list[Event] = []
         self.posted = asyncio.Event()
-        self.pool = Pool()
-        self.sender = EndpointSender(PlatformWire(), self.pool,
-                                     Tasks(log_fault), self._post)
+        self.pool = _PatientPool()
+        self.tasks = Tasks(log_fault)
+        self.sender = EndpointSender(PlatformWire(), self.pool, self.tasks,
+                                     self._post)
+        self.addresses: list[str] = []
+        self.addAsyncCleanup(self._stop_sending)
+
+    async def _stop_sending(self) -> None:
+        """Close all connections to the endpoints."""
+        for attempt in list(self.sender.in_flight):
+            self.sender.cancel(fx.CancelSend(attempt))
+        await self.tasks.cancel()
+        for address in self.addresses:
+            self.pool.close_idle(address)
 
     def _post(self, event: Event) -> None:
         self.events.append(event)
         self.posted.set()
 
     async def listen(self, serve: Serve) -> str:
-        """Start an endpoint; return its address."""
-        server = await asyncio.start_server(serve, HOST, 0)
-        self.addAsyncCleanup(server.wait_closed)
-        self.addCleanup(server.close)
-        return f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        """Start an endpoint, which stops with the test; return its address."""
+        server = StreamServer(serve)
+        # Cleanups run in reverse order: the connections are closed first.
+        self.addAsyncCleanup(server.stop)
+        self.addresses.append(await server.start())
+        return self.addresses[-1]
 
     def send(self,
              address: str,
@@ -125,20 +160,27 @@
         self.sender.send(effect)
         return effect.attempt
 
-    async def outcome(self, address: str, **overrides: Any) -> Event | None:
-        """Send a request; return its last event, or None if late."""
+    async def outcome(self, address: str, **overrides: Any) -> Event:
+        """Send a request; return its last event.
+
+        Raises:
+            TimeoutError: The send does not end.
+        """
         attempt = self.send(address, **overrides)
-        await self._wait_for(
-            lambda: bool(self.events) and attempt not in self.sender.in_flight,
-            FAIL_TIMEOUT_S)
-        in_flight = attempt in self.sender.in_flight
-        return None if in_flight or not self.events else self.events[-1]
+        await self.wait_for(
+            lambda: bool(self.events) and attempt not in self.sender.in_flight)
+        return self.events[-1]
+
+    async def wait_for(self, condition: Callable[[], bool]) -> None:
+        """Wait until an event has made a condition true.
 
-    async def _wait_for(self, condition: Callable[[], bool],
-                        timeout_s: float) -> None:
-        until = time.monotonic() + timeout_s
-        while not condition() and time.monotonic() < until:
-            await asyncio.sleep(0.01)
+        Raises:
+            TimeoutError: It does not become true.
+        """
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while not condition():
+                self.posted.clear()
+                await self.posted.wait()
 
 
 class EndlessAnswerTest(_SenderCase):
@@ -152,8 +194,9 @@
         server = Endpoint(start, block)
         address = await self.listen(server.serve)
         event = await self.outcome(address, stream=stream)
-        self.assertIsInstance(event, ev.SendFailed)
-        await self._wait_for(lambda: server.closed > 0, 1.0)
+        assert isinstance(event, ev.SendFailed), event
+        self.assertIn(event.failure, (Failure.TOO_LONG, Failure.MALFORMED))
+        await server.wait_closed()
         self.assertEqual(server.closed, 1)
         self.assertLess(server.sent_bytes, max_bytes)
 
@@ -197,7 +240,7 @@
         server = Endpoint(OK + b'\r\n', b'x', pause_s=0.02)
         address = await self.listen(server.serve)
         self.send(address, remaining_s=0.1)
-        await self._wait_for(lambda: server.closed > 0, FAIL_TIMEOUT_S)
+        await server.wait_closed()
         self.assertEqual(server.closed, 1)
         self.assertEqual(self.sender.in_flight, {})
 
@@ -209,17 +252,24 @@
         address = await self.listen(server.serve)
         for number in range(6):
             self.send(address, number)
-        await self._wait_for(lambda: len(self.events) >= 4, FAIL_TIMEOUT_S)
-        self.assertEqual([type(each) for each in self.events],
-                         [ev.SendFailed] * 4)
+        held = self.pool.held_answers
+        await self.wait_for(lambda: len(self.events) >= 4)
+        # The other two are complete but for their last byte.
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while held.total < 2 * len(block):
+                await asyncio.sleep(POLL_S)
+        self.assertEqual([
+            (type(each), getattr(each, 'failure', None)) for each in self.events
+        ], [(ev.SendFailed, Failure.TOO_LONG)] * 4)
+        self.assertEqual(len(self.sender.in_flight), 2)
 
     async def test_endless_answer_to_a_control_call(self) -> None:
         server = Endpoint(STATUS_LINE + b'\r\n', BLOCK)
         address = await self.listen(server.serve)
         response = await http_calls.call(self.pool, address, 'GET', '/report',
-                                         FAIL_TIMEOUT_S)
+                                         HANG_TIMEOUT_S)
         assert isinstance(response, http_calls.NoResponse)
-        self.assertNotEqual(response.reason, 'no answer in time')
+        self.assertEqual(response.reason, Failure.TOO_LONG.value)
         self.assertLess(server.sent_bytes, 24 << 20)
 
     async def test_control_calls_together_are_bounded(self) -> None:
@@ -228,16 +278,25 @@
         server = Endpoint(STATUS_LINE + length + block)
         address = await self.listen(server.serve)
         calls = [
-            http_calls.call(self.pool, address, 'GET', '/report',
-                            FAIL_TIMEOUT_S) for _ in range(6)
+            asyncio.create_task(
+                http_calls.call(self.pool, address, 'GET', '/report',
+                                HANG_TIMEOUT_S)) for _ in range(6)
         ]
-        responses = await asyncio.gather(*calls)
-        late = [
-            each for each in responses
-            if isinstance(each, http_calls.NoResponse) and
-            each.reason == 'no answer in time'
+        held = self.pool.held_answers
+        # The others are complete but for their last byte, and wait for it.
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while (sum(each.done() for each in calls) < 2 or
+                   held.total < 4 * len(block)):
+                await asyncio.sleep(POLL_S)
+        reasons = [
+            getattr(each.result(), 'reason', '')
+            for each in calls
+            if each.done()
         ]
-        self.assertEqual(len(late), 4)
+        self.assertEqual(reasons, [Failure.TOO_LONG.value] * 2)
+        for each in calls:
+            each.cancel()
+        await asyncio.wait(calls)
 
 
 class UnframedAnswerTest(_SenderCase):
@@ -246,7 +305,7 @@
     async def _answer(self,
                       data: bytes,
                       reset: bool = False,
-                      **overrides: Any) -> Event | None:
+                      **overrides: Any) -> Event:
         address = await self.listen(ending(data, reset))
         event = await self.outcome(address, new_connection=False, **overrides)
         self.assertEqual(self.pool.idle, {})
