Change the weight version in every run of the soak

Cause: mutant order_without_lease shows only if orders are given, that is if a weight version changes. A change is one of 14 weights of the planned work and one of 35 of all faults, of which a run draws 13 to 26: by these weights about every third run has none. The draws are shared with the callers and differ from run to run. (By reading: the runs in which the mutant was missed were not kept.)

Change: a version is named at the start of the faults and at that of the planned work. No check is changed and nothing else is drawn. All VMs of the mutant give orders at each change, so two of them use the same token.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -65,10 +65,16 @@
         ]
 
     async def run(self, seconds: float) -> None:
-        """Inject faults, then planned work only, then a partition."""
+        """Inject faults, then planned work only, then a partition.
+
+        The weight version changes at the start of both, whatever is drawn:
+        without a change, no order is given that a check could judge.
+        """
+        self.site.name_version()
         await self._inject_for((1 - PLANNED_WORK_RATIO) * seconds,
                                self.all_faults)
         await asyncio.sleep(STABLE_S)
+        self.site.name_version()
         await self._inject_for(PLANNED_WORK_RATIO * seconds, self.planned_work)
         await asyncio.sleep(STABLE_S)
         await self._partition_gateways()
