Bound what an engine that returns gets before it serves again

Cause: an engine that returns while the others are full looks empty to every VM. All hold requests that fit nowhere else, each judges by its own sends, and it learns of those of others only with their next reports.

Change: gateway/returning.py limits a VM to its share of the engine's memory while an engine has failed or restarted and served no answer since. One request is always allowed. Nothing changes for other engines. An engine that is listed under a new name is not covered.

--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -93,6 +93,7 @@
             could not be reached or broke answers, in s.
         cooled_down_at: Loop time at which this cool-down last began, in s.
         failures: Consecutive failures since its last successful answer.
+        restarted: Whether it restarted and has served no answer since.
         last_received_at: Loop time at which data last arrived from it, in s.
         missing_since: Loop time since which its entry is missing, or None.
         versions_changed_at: Loop time at which the versions in its entry last
@@ -117,6 +118,7 @@
     unreached_until: float = 0.0
     cooled_down_at: float = -math.inf
     failures: int = 0
+    restarted: bool = False
     last_received_at: float = 0.0
     missing_since: float | None = None
     versions_changed_at: float = 0.0
@@ -132,6 +134,11 @@
         """Whether it must get no new requests until it has restarted."""
         return self.leaving or self.entry.draining
 
+    @property
+    def is_returning(self) -> bool:
+        """Whether it failed or restarted and has served no answer since."""
+        return self.restarted or self.failures > 0
+
     def is_version_unknown(self, model: ModelId) -> bool:
         """Return whether it has a model in a version that is not known."""
         return model in self.entry.versions and model not in self.versions
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -78,6 +78,7 @@
     if view is not None:
         view.last_received_at = now
         view.failures = 0
+        view.restarted = False
 
 
 def record_rejection(state: 'GatewayState', attempt: Attempt,
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -20,8 +20,8 @@
 
 import attrs
 
-from plantainridge.gateway import (cache, endpoints, hints, spill, stored_parts,
-                                   tunnel_peers)
+from plantainridge.gateway import (cache, endpoints, hints, returning, spill,
+                                   stored_parts, tunnel_peers)
 from plantainridge.gateway.config import EngineSpec
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import Request, VmEntry
@@ -508,11 +508,16 @@
                   used_memory: int) -> bool:
     """Return whether the run fits beside those that the engine already has.
 
-    An engine without known runs accepts a request of any size.
+    An engine without known runs accepts a request of any size. One that returns
+    accepts this VM's share only.
     """
     if inputs.engine is None or not used_memory:
         return True
     memory = inputs.engine.cache_tokens
+    if view.is_returning and not returning.may_send(
+            view.memory_tokens, inputs.memory_tokens,
+            MAX_LARGE_FILL_RATIO * memory, inputs.state.retries.vm_count):
+        return False
     if inputs.memory_tokens < LARGE_REQUEST_RATIO * memory:
         return True
     load = view.load
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -441,6 +441,7 @@
 def _apply_entry(state: 'GatewayState', entry: EndpointEntry,
                  now: float) -> Iterator[Effect]:
     view = state.endpoints.get(entry.id)
+    restarted = False
     if view is not None and view.entry.started_ms > entry.started_ms:
         # An older run of the endpoint, from an older copy of the store.
         return
@@ -448,9 +449,10 @@
                              view.entry.build != entry.build):
         # The endpoint restarted under the same id: discard its state.
         state.cache.forget(entry.id)
-        view = None
+        view, restarted = None, True
     if view is None:
         view = EndpointView(entry,
+                            restarted=restarted,
                             versions=dict(entry.versions),
                             versions_changed_at=now,
                             leaving=state.leaving.has_left(
--- a/tests/load_fleet.py
+++ b/tests/load_fleet.py
@@ -140,6 +140,10 @@
         for dc in self.rates:
             self._schedule_arrival(dc)
 
+    def reseed(self, seed: int) -> None:
+        """Draw the load from now on by another seed."""
+        self._rng.seed(seed)
+
     def run(self, seconds: float) -> None:
         """Advance the clock by a time in s."""
         end = self.now + seconds
