Let one VM of a data centre grant engines to large prompts

Cause: VMs see one another's load 0.25 to 0.5 s late, as long as an engine's queue of prefills lasts, so that many VMs choose the same engine.

Change: where memory is contended or engines report a slowdown, above MAX_DIRECT_SHARING_VMS VMs, a large prompt waits for the data centre's load reporter, which counts what it granted until the run's reports and grants the engine with the lowest expected cost. Requests that fit nowhere are queued at the coordinator. Totals name the VMs that coordinate, so that those of an earlier release are not asked.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -4,7 +4,8 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import (cache, dispatch, endings, health, paths,
-                                   placement, resumptions, suspects, takeover)
+                                   placement, placement_requests, resumptions,
+                                   suspects, takeover)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
@@ -148,6 +149,8 @@
             state.cache.record_prefill(attempt.endpoint, salt,
                                        call.request.parts)
         health.record_first_event(state, attempt, now)
+        if attempt.grant is not None:
+            yield from placement_requests.report_prefill(state, attempt.grant)
         yield from resumptions.record_first_event(state, call,
                                                   _build_of(state, attempt),
                                                   now)
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -12,8 +12,9 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import (cache, containment, endings, endpoint_limits,
-                                   health, paths, placement, retries,
-                                   stored_parts, suspects, tunnel_peers)
+                                   health, paths, placement, placement_requests,
+                                   retries, stored_parts, suspects,
+                                   tunnel_peers)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
 from plantainridge.gateway.endpoints import InFlightSend
@@ -85,6 +86,8 @@
         return
     choice: Placement | PlacementFailure = PlacementFailure.ALL_LIMITED
     if not endpoint_limits.has_urgent_before(state, call, now):
+        if (yield from placement_requests.ask(state, call, now)):
+            return
         choice = choose(state, call, now)
     if isinstance(choice, Placement) and may_send(state, call, now):
         yield from send(state, call, choice, now)
@@ -260,10 +263,12 @@
                                             choice.version,
                                             view.entry.build,
                                             new_connection=new_connection,
-                                            peer=peer.vm if peer else None)
+                                            peer=peer.vm if peer else None,
+                                            grant=choice.grant)
     view.add_send(
         attempt,
-        InFlightSend(choice.prefill_tokens, placement.memory_tokens(request)))
+        InFlightSend(choice.prefill_tokens, placement.memory_tokens(request),
+                     choice.grant))
     yield from endpoint_limits.record_send(state, view, call, now)
     CALL_LIFECYCLE.fire(call, 'send')
     plan = _cache_plan(state, call, choice, now) if request.model else None
@@ -302,6 +307,7 @@
         ('version', choice.version or 0),
         ('build', view.entry.build),
         ('via', choice.peer.vm if choice.peer else ''),
+        ('coordinator', choice.grant.coordinator if choice.grant else ''),
         ('after_event', call.last_event_id),
         ('resumes', request.resumes),
         ('own', len(view.in_flight)),
@@ -355,7 +361,7 @@
     # go to the same endpoints.
     unplaced_tokens: dict[_Group, int] = {}
     for call in state.calls.waiting(now):
-        if call.origin_due_at is not None:
+        if call.origin_due_at is not None or call.ask is not None:
             continue
         yield from containment.contain_request(
             state, _dispatch_waiting(state, call, unplaced_tokens, now),
--- a/src/plantainridge/gateway/endings.py
+++ b/src/plantainridge/gateway/endings.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import effects as fx
+from plantainridge.gateway import placement_requests
 from plantainridge.gateway.config import RequestKind
 from plantainridge.gateway.events import CallerLeft, TimerKind
 from plantainridge.gateway.requests import CALL_LIFECYCLE, Attempt, Call
@@ -96,6 +97,8 @@
     CALL_LIFECYCLE.fire(call, 'end')
     del state.calls.calls[call.request.id]
     yield CancelTimer(deadline_key(call))
+    if call.ask is not None:
+        yield from placement_requests.withdraw(state, call)
     team = call.team.name if call.team else ''
     yield Observe('request_s', team, f'{call.route.name} {status}',
                   now - call.arrived_at)
@@ -115,6 +118,8 @@
     if view is not None:
         view.remove_send(attempt_id)
     yield CancelTimer(send_silence_key(attempt_id))
+    if attempt.grant is not None:
+        yield from placement_requests.report_end(state, attempt.grant)
     return attempt
 
 
--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, ServiceId)
+from plantainridge.ids import (AttemptId, DcId, EndpointId, Incarnation,
+                               ModelId, ServiceId, VmId)
 
 
 @attrs.frozen
@@ -62,6 +63,24 @@
     slowdown: float | None = None
 
 
+@attrs.define
+class Grant:
+    """A coordinator's grant of an engine for one run of this VM.
+
+    Attributes:
+        coordinator: The VM that granted it.
+        incarnation: Incarnation of that VM's process.
+        number: Number of the placement request.
+        is_counted: Whether that process still coordinates, so that it counts
+            the run itself.
+    """
+
+    coordinator: VmId
+    incarnation: Incarnation
+    number: int
+    is_counted: bool = True
+
+
 @attrs.define
 class InFlightSend:
     """One send of this VM that is in flight.
@@ -69,10 +88,12 @@
     Attributes:
         pending_tokens: Prompt tokens that the engine has yet to compute.
         memory_tokens: Memory that the run takes when it ends, in tokens.
+        grant: The grant of its engine, or None.
     """
 
     pending_tokens: int = 0
     memory_tokens: int = 0
+    grant: Grant | None = None
 
 
 @attrs.define
@@ -84,6 +105,7 @@
         in_flight: Sends of this VM in flight.
         pending_tokens: Prompt tokens of these sends that are not computed yet.
         memory_tokens: Memory that these sends take when they end, in tokens.
+        granted_sends: Number of these sends whose engine was granted.
         load: Its latest load report, or None.
         versions: Weight version of each model, by the latest report of any
             kind; a model is missing while its version is not known.
@@ -112,6 +134,7 @@
     in_flight: dict[AttemptId, InFlightSend] = attrs.field(factory=dict)
     pending_tokens: int = 0
     memory_tokens: int = 0
+    granted_sends: int = 0
     load: EndpointLoad | None = None
     versions: dict[ModelId, int] = attrs.field(factory=dict)
     cooldown_until: float = 0.0
@@ -159,6 +182,7 @@
             self.probe = attempt
         self.pending_tokens += send.pending_tokens
         self.memory_tokens += send.memory_tokens
+        self.granted_sends += send.grant is not None
 
     def finish_prefill(self, attempt: AttemptId) -> None:
         """Record that the prompt of a send has been computed."""
@@ -175,6 +199,16 @@
         if send is not None:
             self.pending_tokens -= send.pending_tokens
             self.memory_tokens -= send.memory_tokens
+            self.granted_sends -= send.grant is not None
+
+    def counted_grants(self) -> list[InFlightSend]:
+        """Return the sends that their coordinator counts itself."""
+        if not self.granted_sends:
+            return []
+        return [
+            send for send in self.in_flight.values()
+            if send.grant is not None and send.grant.is_counted
+        ]
 
     def is_available(self, now: float) -> bool:
         """Return whether it may get a request now."""
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -26,6 +26,8 @@
     VIEW = 'view'
     STORE = 'store'
     VM_ENTRY = 'announce'
+    PLACEMENT = 'placement'
+    OWN_MESSAGES = 'own_messages'
 
 
 # --- From callers -----------------------------------------------------------
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -307,7 +307,8 @@
         settings.vm, state.incarnation, reports.number, settings.dc,
         load_reports.add_loads((loads, *_local_loads(state, now))),
         load_reports.add_work((_arriving_work(state,
-                                              now), *_local_work(state, now))))
+                                              now), *_local_work(state, now))),
+        state.coordination.is_enabled)
     payload = peer_messages.encode(own)
     for dc, ranked in relays.load_reporters_by_rank(state).items():
         for vm in reports.recipients(DcId(dc), ranked, now):
@@ -320,7 +321,8 @@
         settings.vm, state.incarnation, reports.number,
         load_reports.add_loads(
             each.loads for each in known if has_local or each is not own),
-        has_local, {each.dc: each.work for each in known})
+        has_local, {each.dc: each.work for each in known},
+        {each.dc: each.vm for each in known if each.coordinates})
     payload = peer_messages.encode(totals)
     for vm, entry in state.peers.items():
         if vm != settings.vm and entry.dc == settings.dc:
@@ -473,8 +475,11 @@
     until = view.unreached_until if is_unreached else view.cooldown_until
     # Rounded up to steps of 0.2 s, so that elapsed time alone causes few hints.
     cooldown_s = math.ceil(max(0.0, until - now) * 5) / 5
+    granted = view.counted_grants()
     return OwnLoad(view.pending_tokens, view.memory_tokens, len(view.in_flight),
-                   cooldown_s, is_unreached)
+                   cooldown_s, is_unreached,
+                   sum(each.pending_tokens for each in granted),
+                   sum(each.memory_tokens for each in granted), len(granted))
 
 
 def on_dc_load(state: 'GatewayState', event: DcLoadReceived,
--- a/src/plantainridge/gateway/load_reports.py
+++ b/src/plantainridge/gateway/load_reports.py
@@ -58,6 +58,7 @@
         cooldowns: Cool-downs according to the totals.
         work: Work that arrives in each data centre for each service, in tokens
             per s.
+        coordinators: VMs that answer placement requests, by data centre.
     """
 
     number: int = 0
@@ -68,6 +69,7 @@
     cooldowns: dict[EndpointId, _Cooldown] = attrs.field(factory=dict)
     has_local: bool = False
     work: Mapping[DcId, Mapping[ServiceId, float]] = attrs.field(factory=dict)
+    coordinators: Mapping[DcId, VmId] = attrs.field(factory=dict)
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the totals have not expired."""
@@ -96,6 +98,7 @@
         """Replace the totals, less this VM's own load as last reported."""
         self.totals_at = now
         self.has_local, self.work = totals.has_local, totals.work
+        self.coordinators = totals.coordinators
         if not totals.has_local:
             own_loads = {}
         self.cooldowns = {
@@ -194,8 +197,12 @@
                 load,
                 key=lambda one:
                 (one.cooldown_s > 0.0 and not one.is_unreached, one.cooldown_s))
-            sums[name] = OwnLoad(total.pending_tokens + load.pending_tokens,
-                                 total.memory_tokens + load.memory_tokens,
-                                 total.requests + load.requests,
-                                 longest.cooldown_s, longest.is_unreached)
+            sums[name] = OwnLoad(
+                total.pending_tokens + load.pending_tokens,
+                total.memory_tokens + load.memory_tokens,
+                total.requests + load.requests, longest.cooldown_s,
+                longest.is_unreached,
+                total.granted_pending_tokens + load.granted_pending_tokens,
+                total.granted_memory_tokens + load.granted_memory_tokens,
+                total.granted_requests + load.granted_requests)
     return sums
--- a/src/plantainridge/gateway/peer_loads.py
+++ b/src/plantainridge/gateway/peer_loads.py
@@ -24,17 +24,28 @@
         memory_tokens: KV cache memory of the requests at their full length,
             in tokens.
         requests: Requests in flight.
+        granted_pending_tokens: Share of `pending_tokens` in runs whose engine
+            the current coordinator granted.
+        granted_memory_tokens: The same share of `memory_tokens`.
+        granted_requests: The same share of `requests`.
     """
 
     pending_tokens: int = 0
     memory_tokens: int = 0
     requests: int = 0
+    granted_pending_tokens: int = 0
+    granted_memory_tokens: int = 0
+    granted_requests: int = 0
 
     def add(self, load: OwnLoad, sign: int = 1) -> None:
         """Add one peer's load, or remove it if `sign` is -1."""
         self.pending_tokens += sign * load.pending_tokens
         self.memory_tokens += sign * load.memory_tokens
         self.requests += sign * load.requests
+        if load.granted_requests:
+            self.granted_pending_tokens += sign * load.granted_pending_tokens
+            self.granted_memory_tokens += sign * load.granted_memory_tokens
+            self.granted_requests += sign * load.granted_requests
 
     def plus(self, other: 'PeerLoad') -> 'PeerLoad':
         """Return the sum of two loads."""
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -8,10 +8,10 @@
 import capnp
 
 from plantainridge.gateway.crash_attribution import Suspect
-from plantainridge.gateway.events import RawRecord, StoredPart
+from plantainridge.gateway.events import Part, RawRecord, StoredPart
 from plantainridge.gateway.versions import VersionAge
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
-                               ServiceId, VmId)
+                               ServiceId, TeamId, VmId)
 
 MS_PER_S: Final = 1_000.0
 # Largest duration that a message's 16-bit field holds, in ms.
@@ -51,6 +51,10 @@
             in s.
         is_unreached: Whether that is since the VM could not reach it, which may
             be due to the VM's own links.
+        granted_pending_tokens: Share of `pending_tokens` in runs whose engine
+            the current coordinator granted.
+        granted_memory_tokens: The same share of `memory_tokens`.
+        granted_requests: The same share of `requests`.
     """
 
     pending_tokens: int
@@ -58,6 +62,9 @@
     requests: int
     cooldown_s: float
     is_unreached: bool = False
+    granted_pending_tokens: int = 0
+    granted_memory_tokens: int = 0
+    granted_requests: int = 0
 
 
 @attrs.frozen
@@ -141,6 +148,7 @@
         number: Sequence number within one incarnation of that VM.
         loads: Load by endpoint, of endpoints in any data centre.
         work: Work that arrives there for each service, in tokens per s.
+        coordinates: Whether the VM answers placement requests.
     """
 
     vm: VmId
@@ -149,6 +157,7 @@
     dc: DcId
     loads: Mapping[EndpointId, OwnLoad]
     work: Mapping[ServiceId, float] = attrs.field(factory=dict)
+    coordinates: bool = False
 
 
 @attrs.frozen
@@ -162,6 +171,8 @@
         has_local: Whether the loads include those of the VM's data centre.
         work: Work that arrives in each data centre for each service, in tokens
             per s; always with the VM's own data centre.
+        coordinators: The VM of each data centre that answers placement
+            requests, as far as known.
     """
 
     vm: VmId
@@ -170,6 +181,7 @@
     loads: Mapping[EndpointId, OwnLoad]
     has_local: bool
     work: Mapping[DcId, Mapping[ServiceId, float]]
+    coordinators: Mapping[DcId, VmId] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -279,6 +291,89 @@
     attempts: tuple[int, ...]
 
 
+@attrs.frozen
+class PlacementRequest:
+    """A request of a VM to a coordinator for an engine for a large prompt.
+
+    Attributes:
+        vm: The VM that sends it.
+        incarnation: Incarnation of that VM's process.
+        number: Unique within the incarnation; the same when it is repeated.
+        team: The team's name; '' for a public request.
+        is_isolated: Whether the team shares no cached parts with others.
+        memory_tokens: Memory of the run when it ends, in tokens.
+        urgency: Rank; 0 is the most urgent.
+        target_s: Latency up to which the answer earns full credit, in s.
+        waited_s: Time since the request arrived, in s.
+        remaining_s: Time that is left until its deadline, in s.
+        excluded: Engines that the VM cannot use for it.
+        is_withdrawn: Whether the VM no longer needs an engine.
+    """
+
+    vm: VmId
+    incarnation: Incarnation
+    number: int
+    service: ServiceId
+    model: ModelId
+    team: TeamId
+    is_isolated: bool
+    parts: tuple[Part, ...]
+    prompt_tokens: int
+    memory_tokens: int
+    urgency: int
+    target_s: float
+    waited_s: float
+    remaining_s: float
+    excluded: tuple[EndpointId, ...] = ()
+    is_withdrawn: bool = False
+
+
+@attrs.frozen
+class PlacementAnswer:
+    """A coordinator's answer to a placement request.
+
+    Without an engine, a refusal or a decline, the request is queued.
+
+    Attributes:
+        vm: The coordinator.
+        coordinator_incarnation: Incarnation of the coordinator's process.
+        incarnation: Incarnation in the request.
+        number: Number of the request.
+        endpoint: The granted engine, or None.
+        cached_parts: Leading parts of the prompt that this engine is expected
+            to have cached.
+        retry_after_s: Time until a retry is worthwhile if the request is to be
+            refused, in s; else None.
+        is_declined: Whether the requesting VM has to decide by itself.
+    """
+
+    vm: VmId
+    coordinator_incarnation: Incarnation
+    incarnation: Incarnation
+    number: int
+    endpoint: EndpointId | None = None
+    cached_parts: int = 0
+    retry_after_s: float | None = None
+    is_declined: bool = False
+
+
+@attrs.frozen
+class RunReport:
+    """Progress of a run whose engine a coordinator granted.
+
+    Attributes:
+        vm: The VM that sent the run to the engine.
+        incarnation: Incarnation of that VM's process.
+        number: Number of its placement request.
+        has_ended: Whether the run has ended; else its prompt was computed.
+    """
+
+    vm: VmId
+    incarnation: Incarnation
+    number: int
+    has_ended: bool
+
+
 @attrs.frozen
 class InvalidMessage:
     """Reason why a payload is not a valid message."""
@@ -288,7 +383,7 @@
 
 PeerMessage = (Hint | DcLoad | LoadTotals | RelayedView | RelayedStore |
                StoreBatch | StoreSnapshotRequest | StreamOrigins |
-               OriginQuestion)
+               OriginQuestion | PlacementRequest | PlacementAnswer | RunReport)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -297,12 +392,13 @@
     if isinstance(message, Hint):
         _write_hint(root.init('hint'), message)
     elif isinstance(message, DcLoad):
-        _write_load_report(root.init('dcLoad'), message,
-                           {message.dc: message.work})
+        _write_load_report(
+            root.init('dcLoad'), message, {message.dc: message.work},
+            {message.dc: message.vm} if message.coordinates else {})
     elif isinstance(message, LoadTotals):
         row = root.init('totals')
         row.hasLocal = message.has_local
-        _write_load_report(row, message, message.work)
+        _write_load_report(row, message, message.work, message.coordinators)
     elif isinstance(message, RelayedView):
         _write_view(root.init('relay'), message)
     elif isinstance(message, RelayedStore):
@@ -318,6 +414,14 @@
     elif isinstance(message, OriginQuestion):
         row = root.init('wantOrigins')
         row.vm, row.attempts = message.vm, list(message.attempts)
+    elif isinstance(message, PlacementRequest):
+        _write_placement_request(root.init('wantPlacement'), message)
+    elif isinstance(message, PlacementAnswer):
+        _write_placement_answer(root.init('placement'), message)
+    elif isinstance(message, RunReport):
+        row = root.init('run')
+        row.vm, row.life = message.vm, message.incarnation
+        row.number, row.hasEnded = message.number, message.has_ended
     else:
         request = root.init('wantStore')
         request.vm, request.store = message.vm, message.store
@@ -374,6 +478,9 @@
         each.awayMs = min(MAX_DURATION_MS,
                           max(0, round(load.cooldown_s * MS_PER_S)))
         each.isUnreached = load.is_unreached
+        each.grantedPendingTokens = load.granted_pending_tokens
+        each.grantedMemoryTokens = load.granted_memory_tokens
+        each.grantedRequests = min(MAX_REQUESTS, load.granted_requests)
 
 
 def _write_work(row: Any, work: Mapping[DcId, Mapping[ServiceId,
@@ -389,10 +496,41 @@
 
 
 def _write_load_report(row: Any, report: DcLoad | LoadTotals,
-                       work: Mapping[DcId, Mapping[ServiceId, float]]) -> None:
+                       work: Mapping[DcId, Mapping[ServiceId, float]],
+                       coordinators: Mapping[DcId, VmId]) -> None:
     row.vm, row.life, row.number = report.vm, report.incarnation, report.number
     _write_loads(row, report.loads)
     _write_work(row, work)
+    rows = row.init('coordinators', len(coordinators))
+    for each, (dc, vm) in zip(rows, coordinators.items()):
+        each.dc, each.vm = dc, vm
+
+
+def _write_placement_request(row: Any, request: PlacementRequest) -> None:
+    row.vm, row.life, row.number = (request.vm, request.incarnation,
+                                    request.number)
+    row.isWithdrawn = request.is_withdrawn
+    row.service, row.model, row.team = (request.service, request.model,
+                                        request.team)
+    row.isIsolated, row.urgency = request.is_isolated, request.urgency
+    row.promptTokens = request.prompt_tokens
+    row.memoryTokens = request.memory_tokens
+    row.targetMs = _to_ms(request.target_s)
+    row.waitedMs = _to_ms(request.waited_s)
+    row.remainingMs = _to_ms(request.remaining_s)
+    for each, part in zip(row.init('parts', len(request.parts)), request.parts):
+        each.id, each.tokens = part.id, part.tokens
+    row.excluded = list(request.excluded)
+
+
+def _write_placement_answer(row: Any, answer: PlacementAnswer) -> None:
+    row.vm, row.coordinatorLife = answer.vm, answer.coordinator_incarnation
+    row.life, row.number = answer.incarnation, answer.number
+    row.endpoint = answer.endpoint or ''
+    row.cachedParts = min(MAX_REQUESTS, answer.cached_parts)
+    row.isRefused = answer.retry_after_s is not None
+    row.retryAfterMs = _to_ms(answer.retry_after_s or 0.0)
+    row.isDeclined = answer.is_declined
 
 
 def _write_view(row: Any, relay: RelayedView) -> None:
@@ -443,6 +581,14 @@
             row = root.wantOrigins
             return OriginQuestion(VmId(row.vm),
                                   tuple(int(each) for each in row.attempts))
+        if kind == 'wantPlacement':
+            return _read_placement_request(root.wantPlacement)
+        if kind == 'placement':
+            return _read_placement_answer(root.placement)
+        if kind == 'run':
+            row = root.run
+            return RunReport(VmId(row.vm), Incarnation(row.life), row.number,
+                             row.hasEnded)
         request = root.wantStore
         return StoreSnapshotRequest(VmId(request.vm), ServiceId(request.store),
                                     request.epoch, request.since)
@@ -454,8 +600,9 @@
     return {
         EndpointId(each.endpoint):
             OwnLoad(each.pendingTokens, each.memoryTokens, each.requests,
-                    each.awayMs / MS_PER_S, each.isUnreached)
-        for each in row.loads
+                    each.awayMs / MS_PER_S, each.isUnreached,
+                    each.grantedPendingTokens, each.grantedMemoryTokens,
+                    each.grantedRequests) for each in row.loads
     }
 
 
@@ -474,12 +621,34 @@
         return InvalidMessage(f'load of {len(work)} data centres, not of 1')
     dc = next(iter(work))
     return DcLoad(VmId(row.vm), Incarnation(row.life), row.number, dc,
-                  _read_loads(row), work[dc])
+                  _read_loads(row), work[dc],
+                  len(row.coordinators) > 0)
 
 
 def _read_totals(row: Any) -> LoadTotals:
-    return LoadTotals(VmId(row.vm), Incarnation(row.life), row.number,
-                      _read_loads(row), row.hasLocal, _read_work(row))
+    return LoadTotals(
+        VmId(row.vm), Incarnation(row.life), row.number, _read_loads(row),
+        row.hasLocal, _read_work(row),
+        {DcId(each.dc): VmId(each.vm) for each in row.coordinators})
+
+
+def _read_placement_request(row: Any) -> PlacementRequest:
+    return PlacementRequest(
+        VmId(row.vm), Incarnation(row.life), row.number, ServiceId(row.service),
+        ModelId(row.model), TeamId(row.team), row.isIsolated,
+        tuple(Part(str(each.id), each.tokens) for each in row.parts),
+        row.promptTokens, row.memoryTokens, row.urgency,
+        row.targetMs / MS_PER_S, row.waitedMs / MS_PER_S,
+        row.remainingMs / MS_PER_S,
+        tuple(EndpointId(each) for each in row.excluded), row.isWithdrawn)
+
+
+def _read_placement_answer(row: Any) -> PlacementAnswer:
+    return PlacementAnswer(
+        VmId(row.vm), Incarnation(row.coordinatorLife), Incarnation(row.life),
+        row.number,
+        EndpointId(row.endpoint) if row.endpoint else None, row.cachedParts,
+        row.retryAfterMs / MS_PER_S if row.isRefused else None, row.isDeclined)
 
 
 def _read_hint(row: Any) -> Hint:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -39,8 +39,8 @@
   waitedMs @11 :UInt32;
   # Time that is left until its deadline, in ms.
   remainingMs @12 :UInt32;
-  # Version of the engines' software that it is bound to; empty if none.
-  build @13 :Text;
+  # Whether the team shares no cached parts with others.
+  isIsolated @13 :Bool;
   # Engines that the sender cannot use for it.
   excluded @14 :List(Text);
   # Whether the sender no longer needs an engine.
@@ -65,6 +65,12 @@
   # Set if the request is to be refused: time until a retry is worthwhile.
   retryAfterMs @4 :UInt32;
   isRefused @5 :Bool;
+  # Whether the sender does not decide: the receiver has to decide by itself.
+  isDeclined @6 :Bool;
+  # Incarnation of the coordinator's process.
+  coordinatorLife @7 :Text;
+  # Leading parts of the prompt that the granted engine is expected to have.
+  cachedParts @8 :UInt16;
 }
 
 # Progress of a run whose engine was granted.
@@ -128,7 +134,8 @@
   # Whether the loads include those of the sender's data centre.
   hasLocal @5 :Bool;
   speeds @6 :List(SpeedDigest);
-  # In totals: coordinators that the sender knows.
+  # In totals: the coordinators that the sender knows. In a data centre's load:
+  # the sender, if it answers placement requests.
   coordinators @7 :List(Coordinator);
 }
 
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -23,7 +23,7 @@
 from plantainridge.gateway import (cache, endpoint_limits, endpoints, hints,
                                    returning, spill, stored_parts, tunnel_peers)
 from plantainridge.gateway.config import EngineSpec
-from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.endpoints import EndpointView, Grant
 from plantainridge.gateway.events import Request, VmEntry
 from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoad
 from plantainridge.gateway.requests import Call, PlacementFailure
@@ -105,6 +105,7 @@
         fetch_plan: Stores from which parts of the prompt can be fetched.
         has_capacity: Whether the run fits into the engine's memory.
         peer: The peer through which the request is sent, or None.
+        grant: The coordinator's grant of the endpoint, or None.
     """
 
     view: EndpointView
@@ -115,6 +116,7 @@
     fetch_plan: stored_parts.FetchPlan = stored_parts.NO_FETCH
     has_capacity: bool = True
     peer: VmEntry | None = None
+    grant: Grant | None = None
 
 
 @attrs.define
@@ -148,6 +150,8 @@
         assumed_remote_load: Lower bound of what endpoints of data centres whose
             load is not known are assumed to have in flight.
         known_dcs: Data centres whose load is known.
+        assumed_cached_ratio: Share of the shared tokens that the preferred
+            engine is assumed to cache beyond those known.
         prompts: The prompt by weight version.
     """
 
@@ -161,6 +165,7 @@
     home: DcId
     assumed_remote_load: PeerLoad = NO_LOAD
     known_dcs: Collection[DcId] = ()
+    assumed_cached_ratio: float = ASSUMED_CACHED_RATIO
     prompts: dict[int | None, _VersionedPrompt] = attrs.field(factory=dict)
 
     def request_count(self, view: EndpointView, peers: PeerLoad) -> int:
@@ -306,11 +311,7 @@
                   candidates: list[EndpointView], ignore_capacity: bool,
                   now: float) -> Placement | PlacementFailure:
     """Return the cheapest of some endpoints for a request."""
-    service = state.config.services.get(call.service)
-    inputs = _CostInputs(state, call, now, service.engine if service else None,
-                         hints.peer_load_lookup(state, now),
-                         memory_tokens(call.request), now - call.arrived_at,
-                         state.settings.dc)
+    inputs = _inputs(state, call, hints.peer_load_lookup(state, now), now)
     if call.request.model:
         if hints.shares_load_directly(state):
             placements = place_on_engines(inputs, candidates)
@@ -386,12 +387,7 @@
     state, now = inputs.state, inputs.now
     parts = inputs.call.request.parts
     work = hints.work_by_dc(state, inputs.call.service, now)
-    engines = Counter(view.entry.dc for view in candidates)
-    own = state.settings.dc
-    shares = spill.compute_shares(own, work, engines)
-    if own in shares and _is_closed(state, inputs.call, own, now):
-        shares = spill.shares_by_engines(own, engines)
-    inputs.home = spill.assign(cache.context_id(parts), shares)
+    inputs.home = home_dc(state, inputs.call, candidates, work, now)
     inputs.known_dcs = work
     inputs.assumed_remote_load = _mean_local_load(inputs, candidates)
     at_home = [view for view in candidates if view.entry.dc == inputs.home]
@@ -409,6 +405,73 @@
             dc in held_back_dcs(state, call, now))
 
 
+def home_dc(state: 'GatewayState', call: Call,
+            candidates: Sequence[EndpointView], work: Mapping[DcId, float],
+            now: float) -> DcId:
+    """Return the data centre to whose engines a prompt's context is assigned.
+
+    Args:
+        state: The VM's state.
+        call: The request.
+        candidates: The endpoints that may get it.
+        work: Work that arrives in each data centre, in tokens per s.
+        now: Loop time in s.
+    """
+    engines = Counter(view.entry.dc for view in candidates)
+    own = state.settings.dc
+    shares = spill.compute_shares(own, work, engines)
+    if own in shares and _is_closed(state, call, own, now):
+        shares = spill.shares_by_engines(own, engines)
+    return spill.assign(cache.context_id(call.request.parts), shares)
+
+
+def place_in_dc(state: 'GatewayState', call: Call, peers: Callable[[EndpointId],
+                                                                   PeerLoad],
+                now: float) -> list[Placement]:
+    """Place a prompt of another VM on the engines of this data centre.
+
+    Args:
+        state: The coordinator's state.
+        call: The request, as described by the other VM.
+        peers: Load of each engine beyond this VM's own.
+        now: Loop time in s.
+    """
+    dc, unreached = state.settings.dc, hints.unreached(state, now)
+    candidates = [
+        view for view in usable_endpoints(state, call, now)
+        if view.entry.dc == dc and not _is_unreached(view, unreached)
+    ]
+    inputs = _inputs(state, call, peers, now)
+    inputs.assumed_cached_ratio = 0.0
+    return place_on_engines(inputs, candidates)
+
+
+def place_granted(state: 'GatewayState', call: Call, endpoint: EndpointId,
+                  now: float) -> Placement | None:
+    """Place a prompt on the engine that a coordinator granted.
+
+    Returns:
+        The placement; None if this VM may not use the engine now.
+    """
+    candidates = [
+        view for view in usable_endpoints(state, call, now)
+        if view.entry.id == endpoint
+    ]
+    inputs = _inputs(state, call, hints.peer_load_lookup(state, now), now)
+    placements = place_on_engines(inputs, candidates)
+    return placements[0] if placements else None
+
+
+def _inputs(state: 'GatewayState', call: Call,
+            peers: Callable[[EndpointId], PeerLoad], now: float) -> _CostInputs:
+    """Return what the costs of a request's candidates share."""
+    service = state.config.services.get(call.service)
+    return _CostInputs(state, call, now,
+                       service.engine if service else None, peers,
+                       memory_tokens(call.request), now - call.arrived_at,
+                       state.settings.dc)
+
+
 def _mean_local_load(inputs: _CostInputs,
                      candidates: list[EndpointView]) -> PeerLoad:
     """Return the mean load of the engines in this VM's data centre.
@@ -512,7 +575,7 @@
     unknown_kilotokens = max(0, shared - preferred.reused_tokens) / 1_000
     preferred.cost -= (
         PREFERRED_ENGINE_BONUS +
-        RECOMPUTE_PENALTY * ASSUMED_CACHED_RATIO * unknown_kilotokens)
+        RECOMPUTE_PENALTY * inputs.assumed_cached_ratio * unknown_kilotokens)
 
 
 def _place_on_engine(inputs: _CostInputs, view: EndpointView,
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -15,14 +15,15 @@
                                           ViewRelayed)
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
                                          LoadTotalsReceived)
+from plantainridge.gateway.coordination import (PlacementAnswered,
+                                                PlacementRequested, RunReported)
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.http_server import HttpServer, PageServer
 from plantainridge.gateway.log_writer import LogWriter
-from plantainridge.gateway.peer_messages import (DcLoad, Hint, LoadTotals,
-                                                 OriginQuestion, RelayedStore,
-                                                 RelayedView, StoreBatch,
-                                                 StoreSnapshotRequest,
-                                                 StreamOrigins)
+from plantainridge.gateway.peer_messages import (
+    DcLoad, Hint, LoadTotals, OriginQuestion, PlacementAnswer, PlacementRequest,
+    RelayedStore, RelayedView, RunReport, StoreBatch, StoreSnapshotRequest,
+    StreamOrigins)
 from plantainridge.gateway.resumptions import OriginsAsked, OriginsReceived
 from plantainridge.gateway.ports import Adapter
 from plantainridge.gateway.sender import EndpointSender
@@ -193,6 +194,12 @@
             self.post(OriginsReceived(message))
         elif isinstance(message, OriginQuestion):
             self.post(OriginsAsked(message))
+        elif isinstance(message, PlacementRequest):
+            self.post(PlacementRequested(message))
+        elif isinstance(message, PlacementAnswer):
+            self.post(PlacementAnswered(message))
+        elif isinstance(message, RunReport):
+            self.post(RunReported(message))
         else:
             self.log_writer.write(
                 base.LogLine('message_unreadable',
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge.gateway import (answers, containment, dispatch, drain,
-                                   endings, endpoint_limits, eras, events,
-                                   hints, intake, lease, membership, notices,
-                                   paths, relays, reload, resumptions, rollout,
-                                   stored_parts, stores, suspects,
+from plantainridge.gateway import (answers, containment, coordination, dispatch,
+                                   drain, endings, endpoint_limits, eras,
+                                   events, hints, intake, lease, membership,
+                                   notices, paths, relays, reload, resumptions,
+                                   rollout, stored_parts, stores, suspects,
                                    tunnel_admission, views, withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
@@ -43,7 +43,8 @@
 
 # Modules with periodic work, in its order.
 TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, paths,
-                     endpoint_limits, dispatch, rollout, hints, relays, drain)
+                     endpoint_limits, coordination, dispatch, rollout, hints,
+                     relays, drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
@@ -52,6 +53,8 @@
     TimerKind.DEADLINE: endings.on_deadline,
     TimerKind.SEND_SILENCE: answers.on_send_silence,
     TimerKind.VM_ENTRY: membership.on_timer,
+    TimerKind.PLACEMENT: coordination.on_ask_due,
+    TimerKind.OWN_MESSAGES: coordination.on_own_messages,
 }
 
 
@@ -85,6 +88,9 @@
     hints.HintReceived: hints.on_hint,
     hints.DcLoadReceived: hints.on_dc_load,
     hints.LoadTotalsReceived: hints.on_totals,
+    coordination.PlacementRequested: coordination.on_request,
+    coordination.PlacementAnswered: coordination.on_answer,
+    coordination.RunReported: coordination.on_run_report,
     stores.StoreRelayed: stores.on_relayed,
     stores.StoreSnapshotRequested: stores.on_snapshot_requested,
     resumptions.OriginsReceived: resumptions.on_origins,
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -7,6 +7,7 @@
 import attrs
 
 from plantainridge.gateway.config import Route, Team
+from plantainridge.gateway.endpoints import Grant
 from plantainridge.gateway.events import Headers, Request
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
                                VmId)
@@ -87,6 +88,9 @@
             None.
         progress_at: Loop time of its latest stream event, or of its arrival,
             in s.
+        ask: Number of its placement request while it waits for the answer of a
+            coordinator, or None.
+        was_asked: Whether a coordinator was asked for its engine.
     """
 
     request: Request
@@ -117,6 +121,8 @@
     first_event_s: float | None = None
     progress_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived_at, takes_self=True))
+    ask: int | None = None
+    was_asked: bool = False
 
 
 @attrs.frozen
@@ -141,6 +147,7 @@
         is_silent: Whether it stays although its endpoint is silent.
         new_connection: Whether it required a new connection.
         peer: The peer through which it was sent, or None.
+        grant: The grant of its engine, or None.
     """
 
     id: AttemptId
@@ -154,6 +161,7 @@
     is_silent: bool = False
     new_connection: bool = False
     peer: VmId | None = None
+    grant: Grant | None = None
 
 
 @attrs.define
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -14,6 +14,7 @@
 from plantainridge.gateway.hints import HintTable
 from plantainridge.gateway.lease import Lease
 from plantainridge.gateway.notices import LeavingTable
+from plantainridge.gateway.placement_requests import CoordinationState
 from plantainridge.gateway.part_lifetimes import PartLifetimes
 from plantainridge.gateway.paths import PathTable
 from plantainridge.gateway.relays import RelayBuffer
@@ -58,6 +59,7 @@
         stores: Contents of KV cache stores.
         part_lifetimes: Periods in which stored parts are fetched and freed.
         cache: Prompt parts that engines are expected to have cached.
+        coordination: Placement requests and grants.
         lease: Lease whose holder orders engines to change versions.
         rollout: Progress of the rollout of weight versions.
         suspension: The last time at which this VM did not run.
@@ -89,6 +91,7 @@
     stores: StoreTable = attrs.field(factory=StoreTable)
     part_lifetimes: PartLifetimes = attrs.field(factory=PartLifetimes)
     cache: CacheState = attrs.field(factory=CacheState)
+    coordination: CoordinationState = attrs.field(factory=CoordinationState)
     lease: Lease = attrs.field(factory=Lease)
     rollout: RolloutState = attrs.field(factory=RolloutState)
     suspension: Suspension = attrs.field(factory=Suspension)
--- a/tests/load_fleet.py
+++ b/tests/load_fleet.py
@@ -12,11 +12,16 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import hints, load_reports, peer_messages
+from plantainridge.gateway.coordination import (PlacementAnswered,
+                                                PlacementRequested, RunReported)
 from plantainridge.gateway.events import Part, View
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
                                          LoadTotalsReceived)
 from plantainridge.gateway.peer_messages import (DcLoad, Hint, LoadTotals,
-                                                 OriginQuestion, StreamOrigins)
+                                                 OriginQuestion,
+                                                 PlacementAnswer,
+                                                 PlacementRequest, RunReport,
+                                                 StreamOrigins)
 from plantainridge.ids import DcId, EndpointId, VmId
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event
@@ -91,6 +96,14 @@
         cut_off: Data centres that are cut off from the others.
         sees_all: Whether each VM knows the load of all others at once.
         hot_ratio: Share of the requests that use one context.
+        large_ratio: Share of the requests with a large prompt.
+        contexts: Number of contexts.
+        step_s: Step of the clock, in s.
+        has_memory_pressure: Whether large prompts are coordinated.
+        stopped: VMs that do not run, with the events that they have not
+            handled; they handle them if they are resumed.
+        first_event_s: Time from each request's arrival to its first event,
+            in s.
         sent_remote_bytes: Bytes of messages between data centres.
     """
 
@@ -103,6 +116,12 @@
     cut_off: set[DcId] = attrs.field(factory=set)
     sees_all: bool = False
     hot_ratio: float = 0.0
+    large_ratio: float = 0.21
+    contexts: int = 200
+    step_s: float = STEP_S
+    has_memory_pressure: bool = False
+    stopped: dict[VmId, list[Event]] = attrs.field(factory=dict, init=False)
+    first_event_s: list[float] = attrs.field(factory=list, init=False)
     sent_remote_bytes: int = 0
     vms: dict[VmId, GatewayScene] = attrs.field(factory=dict, init=False)
     engines: dict[EndpointId, Engine] = attrs.field(factory=dict, init=False)
@@ -132,8 +151,10 @@
                 vm_entries.append(ev.VmEntry(name, dc, f'{name}:1'))
         for each in vm_entries:
             scene = GatewayScene(*entries, vm=each.vm)
-            scene.state.settings = attrs.evolve(scene.state.settings,
-                                                dc=DcId(each.dc))
+            scene.state.settings = attrs.evolve(
+                scene.state.settings,
+                dc=DcId(each.dc),
+                has_memory_pressure=self.has_memory_pressure)
             scene.state.rng.seed(each.vm)
             scene.read(View.VMS, *vm_entries)
             self.vms[each.vm] = scene
@@ -148,13 +169,24 @@
         """Advance the clock by a time in s."""
         end = self.now + seconds
         while self.now < end:
-            self.now += STEP_S
+            self.now += self.step_s
             while self._queue and self._queue[0][0] <= self.now:
                 heapq.heappop(self._queue)[2]()
             for name, scene in self.vms.items():
+                if name in self.stopped:
+                    continue
                 scene.advance(max(0.0, self.now - scene.now))
                 self._execute(name, scene)
 
+    def stop(self, vm: VmId) -> None:
+        """Stop a VM; callers no longer reach it."""
+        self.stopped[vm] = []
+
+    def resume(self, vm: VmId) -> None:
+        """Let a stopped VM run again; it handles what arrived meanwhile."""
+        for event in self.stopped.pop(vm):
+            self._post_at(self.now, vm, event)
+
     def worth(self, *dcs: DcId) -> float:
         """Return the share of the credit earned, in some or all places."""
         earned = [
@@ -178,12 +210,14 @@
 
     def _send_request(self, dc: DcId) -> None:
         vm = VmId(f'{dc}-vm{self._rng.randrange(self.vms_per_dc)}')
+        if vm in self.stopped:
+            return
         number = next(self._sequence)
-        is_report = self._rng.random() < 0.21
+        is_report = self._rng.random() < self.large_ratio
         shared, own, output = (8_600, 2_870, 64) if is_report else (1_520, 507,
                                                                     4)
         size = self._rng.lognormvariate(0.0, 0.5)
-        context = self._rng.randrange(200)
+        context = self._rng.randrange(self.contexts)
         if self._rng.random() < self.hot_ratio:
             context = 0
         parts = (Part('opening', 400), Part(f'c{context}-{shared}', shared),
@@ -239,6 +273,7 @@
             return
         credit = 0.0
         if served:
+            self.first_event_s.append(self.now - arrived_at)
             credit = (1.0 if self.now - arrived_at <= TARGET_S else LATE_CREDIT)
         self.credits[self.dcs[vm]].append(credit)
 
@@ -266,6 +301,9 @@
     def _post_at(self, time_s: float, vm: VmId, event: Event) -> None:
 
         def post() -> None:
+            if vm in self.stopped:
+                self.stopped[vm].append(event)
+                return
             scene = self.vms[vm]
             scene.now = max(scene.now, self.now)
             scene.post(event)
@@ -311,3 +349,9 @@
         yield DcLoadReceived(message)
     elif isinstance(message, LoadTotals):
         yield LoadTotalsReceived(message)
+    elif isinstance(message, PlacementRequest):
+        yield PlacementRequested(message)
+    elif isinstance(message, PlacementAnswer):
+        yield PlacementAnswered(message)
+    elif isinstance(message, RunReport):
+        yield RunReported(message)
