Share work between the tries of one pass over the queue

Change: candidates and loads are found once a pass; a request no smaller than one that did not fit is not tried until memory is freed. Grants of a coordinator whose hints show a new incarnation count as ordinary load.

Tests of a frozen coordinator, a restarted one and freed memory pass.

--- a/src/plantainridge/gateway/capacity_queue.py
+++ b/src/plantainridge/gateway/capacity_queue.py
@@ -146,6 +146,8 @@
     Attributes:
         entries: The requests, by the key of their messages.
         freed: Memory that ended runs freed, in tokens.
+        unplaced_tokens: Size of the smallest request that fitted nowhere when
+            memory was last granted, in tokens; inf if all did.
         shares: What each team asked for and got, in tokens.
         urgency_shares: Requests of each urgency.
         size_shares: Requests of each urgency and size.
@@ -155,6 +157,7 @@
     entries: dict[GrantKey, QueuedRequest] = attrs.field(factory=dict)
     freed: DecayingSum = attrs.field(
         factory=lambda: DecayingSum(FREED_WINDOW_S))
+    unplaced_tokens: float = math.inf
     shares: dict[TeamId, _Share] = attrs.field(factory=dict)
     urgency_shares: dict[int, _Share] = attrs.field(factory=dict)
     size_shares: dict[tuple[int, int], _Share] = attrs.field(factory=dict)
@@ -235,19 +238,19 @@
             now: Loop time in s.
         """
         reserved: set[EndpointId] = set()
-        smallest = math.inf
+        self.unplaced_tokens = math.inf
         failed = 0
         for each in self.ordered(now):
             if failed >= MAX_FAILED_TRIES:
                 return
-            if each.message.memory_tokens >= smallest:
+            if each.message.memory_tokens >= self.unplaced_tokens:
                 continue
             found = offer(each, reserved)
             if found is not None and found.has_capacity:
                 yield each, found.endpoint
                 continue
             failed += 1
-            smallest = each.message.memory_tokens
+            self.unplaced_tokens = each.message.memory_tokens
             if found is not None:
                 reserved.add(found.endpoint)
 
--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -25,7 +25,8 @@
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.placement_requests import Ask
 from plantainridge.gateway.requests import Call, PlacementFailure
-from plantainridge.ids import DcId, EndpointId, RequestId, ServiceId, VmId
+from plantainridge.ids import (DcId, EndpointId, Incarnation, RequestId,
+                               ServiceId, VmId)
 from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
 from plantainridge.loop.events import Event, TimerFired
 
@@ -214,10 +215,16 @@
             state, message.vm, _answer(state, message, is_declined=True))
         return
     else:
-        coordination.queue.add(
+        queue = coordination.queue
+        queue.add(
             QueuedRequest(message, cache.context_id(message.parts),
                           now - message.waited_s, now, now), now)
-        yield from _serve_queue(state, now)
+        if (len(queue.entries) == 1 or
+                message.memory_tokens < queue.unplaced_tokens):
+            yield from _serve_queue(state, now)
+        else:
+            # A request that is no larger did not fit just before.
+            yield from _refuse_unservable(state, now)
     if key in coordination.queue.entries:
         yield from placement_requests.post(state, message.vm,
                                            _answer(state, message))
@@ -285,9 +292,16 @@
         return
     current = set(reports.coordinators.values())
     for grant in coordination.grants.values():
-        grant.is_counted = (grant.coordinator in current and
-                            coordination.incarnations.get(
-                                grant.coordinator) == grant.incarnation)
+        grant.is_counted = (grant.coordinator in current and _incarnation(
+            state, grant.coordinator) == grant.incarnation)
+
+
+def _incarnation(state: 'GatewayState', vm: VmId) -> Incarnation | None:
+    """Return the latest known incarnation of a coordinator, or None."""
+    received = state.hints.received.get(vm)
+    if received is not None:
+        return received.hint.incarnation
+    return state.coordination.incarnations.get(vm)
 
 
 def _can_decide(state: 'GatewayState', message: PlacementRequest,
@@ -329,13 +343,19 @@
     """Grant free memory in order; refuse what cannot get any in time."""
     queue = state.coordination.queue
     placements: dict[GrantKey, Placement] = {}
+    candidates: dict[ServiceId, list[EndpointView]] = {}
+    lookup = _load_lookup(state, now)
 
     def offer(request: QueuedRequest,
               reserved: set[EndpointId]) -> Offer | None:
-        found = [
-            each for each in _place(state, request, now)
-            if each.view.entry.id not in reserved
-        ]
+        call = _call_of(request, now)
+        if call.service not in candidates:
+            candidates[call.service] = placement.usable_in_dc(state, call, now)
+        excluded = {*reserved, *request.message.excluded}
+        found = placement.place_for_peer(state, call, [
+            view for view in candidates[call.service]
+            if view.entry.id not in excluded
+        ], lookup, now)
         fitting = [each for each in found if each.has_capacity]
         if fitting:
             best = min(fitting, key=lambda each: each.cost)
@@ -343,7 +363,6 @@
             return Offer(best.view.entry.id, True)
         if not found:
             return None
-        lookup = _load_lookup(state, now)
         emptiest = min(found,
                        key=lambda each: each.view.memory_tokens + lookup(
                            each.view.entry.id).memory_tokens)
@@ -352,6 +371,12 @@
     for request, _ in queue.choose(offer, now):
         yield from _grant(state, request,
                           placements[grants.key_of(request.message)], now)
+    yield from _refuse_unservable(state, now)
+
+
+def _refuse_unservable(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Refuse the requests that memory will not be freed for in time."""
+    queue = state.coordination.queue
     for refusal in queue.refusals(now):
         message = refusal.request.message
         del queue.entries[grants.key_of(message)]
@@ -394,13 +419,12 @@
     yield from placement_requests.post(state, message.vm, answer)
 
 
-def _place(state: 'GatewayState', request: QueuedRequest,
-           now: float) -> list[Placement]:
-    """Return the expected cost of a request on each engine of this VM's DC."""
+def _call_of(request: QueuedRequest, now: float) -> Call:
+    """Return a request of another VM as placement takes it."""
     message = request.message
     route = Route('', '', '', RequestKind.STREAM, (), message.target_s,
                   message.remaining_s)
-    call = Call(Request(RequestId(''),
+    described = Request(RequestId(''),
                         '',
                         '',
                         '',
@@ -410,15 +434,9 @@
                         prompt_tokens=message.prompt_tokens,
                         output_tokens=message.memory_tokens -
                         message.prompt_tokens,
-                        parts=message.parts),
-                route,
-                message.service,
-                _team(message),
-                request.arrived_at,
-                now + message.remaining_s,
-                message.urgency,
-                tried=set(message.excluded))
-    return placement.place_in_dc(state, call, _load_lookup(state, now), now)
+                        parts=message.parts)
+    return Call(described, route, message.service, _team(message),
+                request.arrived_at, now + message.remaining_s, message.urgency)
 
 
 def _team(message: PlacementRequest) -> Team | None:
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -425,22 +425,29 @@
     return spill.assign(cache.context_id(call.request.parts), shares)
 
 
-def place_in_dc(state: 'GatewayState', call: Call, peers: Callable[[EndpointId],
-                                                                   PeerLoad],
-                now: float) -> list[Placement]:
-    """Place a prompt of another VM on the engines of this data centre.
+def usable_in_dc(state: 'GatewayState', call: Call,
+                 now: float) -> list[EndpointView]:
+    """Return this data centre's endpoints that may get a request now."""
+    dc, unreached = state.settings.dc, hints.unreached(state, now)
+    return [
+        view for view in usable_endpoints(state, call, now)
+        if view.entry.dc == dc and not _is_unreached(view, unreached)
+    ]
+
+
+def place_for_peer(state: 'GatewayState', call: Call,
+                   candidates: Sequence[EndpointView],
+                   peers: Callable[[EndpointId],
+                                   PeerLoad], now: float) -> list[Placement]:
+    """Place a prompt of another VM on engines of this data centre.
 
     Args:
         state: The coordinator's state.
         call: The request, as described by the other VM.
+        candidates: The engines.
         peers: Load of each engine beyond this VM's own.
         now: Loop time in s.
     """
-    dc, unreached = state.settings.dc, hints.unreached(state, now)
-    candidates = [
-        view for view in usable_endpoints(state, call, now)
-        if view.entry.dc == dc and not _is_unreached(view, unreached)
-    ]
     inputs = _inputs(state, call, peers, now)
     # The coordinator knows which engine got which context.
     inputs.assumed_cached_ratio = 0.0
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -361,6 +361,43 @@
         self.scene.tick()
         self.assertTrue(self._grant(1).is_declined)
 
+    def test_freed_memory_goes_to_the_one_that_waits(self) -> None:
+        queued = None
+        for number in range(1, 30):
+            queued = self._grant(number, parts=self._own(number))
+            if queued.endpoint is None:
+                break
+        assert queued is not None
+        self.assertIsNone(queued.endpoint)
+        self.assertIsNone(queued.retry_after_s)
+        self.scene.post(RunReported(RunReport(VmId('vm3'), LIFE, 1, True)))
+        granted = self._answers()[-1]
+        self.assertEqual(granted.number, queued.number)
+        self.assertIsNotNone(granted.endpoint)
+        # One that is withdrawn leaves nothing behind that holds up the next.
+        last = queued.number + 1
+        self.assertIsNone(self._grant(last).endpoint)
+        self.scene.post(placement_request(last, is_withdrawn=True))
+        for number in range(2, 7):
+            self.scene.post(
+                RunReported(RunReport(VmId('vm3'), LIFE, number, True)))
+        self.assertIsNotNone(self._grant(last + 1).endpoint)
+
+    def test_restarted_coordinator_counts_runs_of_its_predecessor(self) -> None:
+        # Their VMs no longer state them as granted, but as ordinary load.
+        asker = scene()
+        post_large(asker)
+        asker.post(answer())
+        view = asker.state.endpoints[EndpointId('e2')]
+        asker.tick()
+        self.assertFalse(view.counted_grants())
+        asker.post(HintReceived(Hint(OTHER, Incarnation('c1'), 1, {})))
+        asker.tick()
+        self.assertEqual(len(view.counted_grants()), 1)
+        asker.post(HintReceived(Hint(OTHER, Incarnation('c2'), 1, {})))
+        asker.tick()
+        self.assertFalse(view.counted_grants())
+
     def test_unknown_service_is_declined(self) -> None:
         self.assertTrue(self._grant(1, service=ServiceId('gone')).is_declined)
 
@@ -508,6 +545,17 @@
         self.assertEqual(len(current), 1)
         self.assertNotIn(killed, current)
 
+    def test_coordinator_frozen_for_longer_than_it_stays_elected(self) -> None:
+        # Meanwhile another one is elected; both act for a while.
+        fleet = self._fleet()
+        frozen = relays.load_reporter(fleet.vms[VmId('a-vm0')].state, fleet.now)
+        fleet.stop(frozen)
+        fleet.run(2.5)
+        fleet.resume(frozen)
+        fleet.run(4.0)
+        self.assertGreater(fleet.worth(), 0.95)
+        self.assertFalse([each for each in fleet.ended if each.took_s > 3.0])
+
     def test_data_centre_of_a_coordinator_cut_off(self) -> None:
         fleet = self._fleet()
         fleet.run(1.0)
