--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -82,8 +82,9 @@
     if answer.endpoint is not None:
         yield from _send_granted(state, call, answer, now)
     elif answer.is_declined:
-        yield placement_requests.log_fallback(call, 'declined', answer.vm,
-                                              now - call.arrived_at)
+        yield from placement_requests.record_fallback(call, 'declined',
+                                                      answer.vm,
+                                                      now - call.arrived_at)
         yield from placement_requests.close(state, call)
         yield from dispatch.dispatch(state, call, now)
     elif answer.retry_after_s is not None:
@@ -119,15 +120,16 @@
     choice = placement.place_granted(state, call, answer.endpoint, now)
     if (choice is None or state.paths.is_lost(call.service) or
             not suspects.admits(state, call, now)):
-        yield placement_requests.log_fallback(call, 'engine unavailable',
-                                              answer.vm, now - call.arrived_at)
+        yield from placement_requests.record_fallback(call,
+                                                      'engine unavailable',
+                                                      answer.vm,
+                                                      now - call.arrived_at)
         yield from placement_requests.report_end(state, grant)
         yield from dispatch.dispatch(state, call, now)
         return
     choice.grant = grant
     state.coordination.grants[grant.number] = grant
-    yield Observe('placement_s', call.team.name if call.team else '',
-                  call.route.name, now - call.arrived_at)
+    yield Observe('placement_s', '', call.route.name, now - call.arrived_at)
     yield from dispatch.send(state, call, choice, now)
 
 
@@ -182,9 +184,9 @@
     if now - waiting.due_at <= placement_requests.MAX_TIMER_DELAY_S:
         state.coordination.silent_until[waiting.coordinator] = (
             now + placement_requests.SILENCE_S)
-    yield placement_requests.log_fallback(call, 'no answer',
-                                          waiting.coordinator,
-                                          now - call.arrived_at)
+    yield from placement_requests.record_fallback(call, 'no answer',
+                                                  waiting.coordinator,
+                                                  now - call.arrived_at)
     yield from placement_requests.withdraw(state, call)
     yield from dispatch.dispatch(state, call, now)
 
@@ -224,7 +226,7 @@
             yield from _serve_queue(state, now)
         else:
             # A request that is no larger did not fit just before.
-            yield from _refuse_unservable(state, now)
+            yield from _refuse_overdue(state, now)
     if key in coordination.queue.entries:
         yield from placement_requests.post(state, message.vm,
                                            _answer(state, message))
@@ -345,17 +347,21 @@
     placements: dict[GrantKey, Placement] = {}
     candidates: dict[ServiceId, list[EndpointView]] = {}
     lookup = _load_lookup(state, now)
+    unservable: list[QueuedRequest] = []
 
     def offer(request: QueuedRequest,
               reserved: set[EndpointId]) -> Offer | None:
         call = _call_of(request, now)
         if call.service not in candidates:
             candidates[call.service] = placement.usable_in_dc(state, call, now)
-        excluded = {*reserved, *request.message.excluded}
-        found = placement.place_for_peer(state, call, [
+        allowed = [
             view for view in candidates[call.service]
-            if view.entry.id not in excluded
-        ], lookup, now)
+            if view.entry.id not in request.message.excluded
+        ]
+        found = placement.place_for_peer(state, call, allowed, lookup, now)
+        if not found:
+            unservable.append(request)
+        found = [each for each in found if each.view.entry.id not in reserved]
         fitting = [each for each in found if each.has_capacity]
         if fitting:
             best = min(fitting, key=lambda each: each.cost)
@@ -371,10 +377,15 @@
     for request, _ in queue.choose(offer, now):
         yield from _grant(state, request,
                           placements[grants.key_of(request.message)], now)
-    yield from _refuse_unservable(state, now)
+    for request in unservable:
+        del queue.entries[grants.key_of(request.message)]
+        yield from placement_requests.post(
+            state, request.message.vm,
+            _answer(state, request.message, is_declined=True))
+    yield from _refuse_overdue(state, now)
 
 
-def _refuse_unservable(state: 'GatewayState', now: float) -> Iterator[Effect]:
+def _refuse_overdue(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Refuse the requests that memory will not be freed for in time."""
     queue = state.coordination.queue
     for refusal in queue.refusals(now):
@@ -385,7 +396,7 @@
                        ('waited_s', round(now - refusal.request.arrived_at, 4)),
                        ('retry_after_s', round(refusal.retry_after_s, 3)),
                        ('queued', len(queue.entries))))
-        yield Observe('placement_retry_after_s', message.team, message.service,
+        yield Observe('placement_retry_after_s', '', message.service,
                       refusal.retry_after_s)
         yield from placement_requests.post(
             state, message.vm,
@@ -415,7 +426,7 @@
                    ('read_tokens', choice.prefill_tokens),
                    ('queued_s', round(queued_s, 4)),
                    ('queued', len(coordination.queue.entries))))
-    yield Observe('placement_queue_s', message.team, message.service, queued_s)
+    yield Observe('placement_queue_s', '', message.service, queued_s)
     yield from placement_requests.post(state, message.vm, answer)
 
 
--- a/src/plantainridge/gateway/placement_requests.py
+++ b/src/plantainridge/gateway/placement_requests.py
@@ -23,8 +23,8 @@
 from plantainridge.gateway.requests import Call
 from plantainridge.ids import (EndpointId, Incarnation, RequestId, ServiceId,
                                TeamId, VmId)
-from plantainridge.loop.effects import (CancelTimer, Effect, LogLine, SendPeer,
-                                        SetTimer)
+from plantainridge.loop.effects import (CancelTimer, Effect, LogLine, Observe,
+                                        SendPeer, SetTimer)
 from plantainridge.loop.events import TimerKey
 
 if TYPE_CHECKING:
@@ -153,7 +153,9 @@
     coordinator = reports.coordinators.get(home)
     if coordinator != state.settings.vm and coordinator not in state.peers:
         return None, ()
-    names = {view.entry.id for view in usable}
+    names = {view.entry.id for view in usable if view.entry.dc == home}
+    if not names:
+        return None, ()
     return coordinator, tuple(
         name for name, view in state.endpoints.items()
         if view.entry.dc == home and view.entry.service == call.service and
@@ -255,10 +257,11 @@
         yield SendPeer(vm, peer.address, peer_messages.encode(message))
 
 
-def log_fallback(call: Call, reason: str, coordinator: VmId,
-                 waited_s: float) -> LogLine:
-    """Return the log line of a request on which this VM decides by itself."""
-    return LogLine('placement_fallback',
-                   (('request', call.request.attempt_id),
-                    ('coordinator', coordinator), ('reason', reason),
-                    ('waited_s', round(waited_s, 4))))
+def record_fallback(call: Call, reason: str, coordinator: VmId,
+                    waited_s: float) -> Iterator[Effect]:
+    """Record that this VM decides on a request by itself."""
+    yield Observe('placement_fallback_s', '', reason, waited_s)
+    yield LogLine('placement_fallback',
+                  (('request', call.request.attempt_id),
+                   ('coordinator', coordinator), ('reason', reason),
+                   ('waited_s', round(waited_s, 4))))
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -235,6 +235,12 @@
         show_coordinator(made, None)
         self.assertFalse(self._asks(made))
 
+    def test_coordinator_of_a_data_centre_without_usable_engines(self) -> None:
+        made = scene()
+        for view in made.state.endpoints.values():
+            view.cooldown_until = 200.0
+        self.assertFalse(self._asks(made))
+
     def test_small_prompts_and_resumed_streams_are_not_asked_for(self) -> None:
         made = scene()
         made.post_request('/report/x', 'small', prompt_tokens=2_000)
@@ -355,6 +361,13 @@
         granted = self._grant(1, excluded=(EndpointId('e1'), EndpointId('e2')))
         self.assertEqual(granted.endpoint, 'e3')
 
+    def test_coordinator_without_a_usable_engine_declines(self) -> None:
+        # Engines elsewhere may serve the prompt, as its VM knows.
+        for view in self.scene.state.endpoints.values():
+            view.cooldown_until = 200.0
+        self.assertTrue(self._grant(1).is_declined)
+        self.assertFalse(self.scene.state.coordination.queue.entries)
+
     def test_suspended_coordinator_declines(self) -> None:
         # What it knows is old, and requests that piled up have been decided.
         self.scene.now += 1.0
@@ -446,8 +459,8 @@
         Kind(target, share, 8_600, 2_870, 800, key)
         for target in ('/report/x', '/tag/x')
         for key, share in (('key', 0.45), ('small', 0.05)))
-    # Large prompts of 13,000 tokens may fill 0.83 of 84,000. Of the runs of 2.7 s,
-    # 1.9 a second fit then; this is 1.3 times as many.
+    # Large prompts of 13,000 tokens may fill 0.83 of 84,000. Of the runs of
+    # 2.7 s, 1.9 a second fit then; this is 1.3 times as many.
     RATE: Final = 2.5
     CONFIGURATION: Final = configuration(
         2,
