End a request whose placement request fails

Cause: an error in the handler of its timer left it without a timer until its deadline.

Change: the timer belongs to its request, as that of the deadline does.

Result: test_error_while_asking_ends_the_request failed before, passes after. Tests of the process's events and of a VM that is late itself.

--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -74,11 +74,11 @@
         return
     coordination.incarnations[answer.vm] = answer.coordinator_incarnation
     waiting = coordination.asks.get(answer.number)
-    if waiting is None or waiting.coordinator != answer.vm:
+    call = state.calls.calls.get(waiting.call) if waiting else None
+    if waiting is None or call is None or waiting.coordinator != answer.vm:
         yield from _return_unused(state, answer)
         return
     coordination.silent_until.pop(answer.vm, None)
-    call = state.calls.calls[waiting.call]
     if answer.endpoint is not None:
         yield from _send_granted(state, call, answer, now)
     elif answer.is_declined:
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -149,7 +149,7 @@
     if isinstance(event, events.CallerLeft):
         return event.request
     if isinstance(event, TimerFired):
-        if event.key.kind is TimerKind.DEADLINE:
+        if event.key.kind in (TimerKind.DEADLINE, TimerKind.PLACEMENT):
             return RequestId(event.key.subject)
         if event.key.kind is TimerKind.SEND_SILENCE:
             attempt = AttemptId(event.key.subject)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -4,12 +4,13 @@
 import unittest
 from collections.abc import Sequence
 from typing import Any, Final
+from unittest import mock
 
 import attrs
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import (coordination, peer_messages,
-                                   placement_requests, relays)
+                                   placement_requests, reducer, relays)
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.config import RequestKind, Team
 from plantainridge.gateway.coordination import (PlacementAnswered,
@@ -20,9 +21,11 @@
 from plantainridge.gateway.peer_messages import (Hint, LoadTotals, OwnLoad,
                                                  PeerMessage, PlacementAnswer,
                                                  PlacementRequest, RunReport)
-from plantainridge.ids import (DcId, EndpointId, Incarnation, ServiceId, TeamId,
-                               VmId)
+from plantainridge.gateway.process import Gateway
+from plantainridge.ids import (DcId, EndpointId, Incarnation, RequestId,
+                               ServiceId, TeamId, VmId)
 from plantainridge.loop import effects as base
+from plantainridge.loop.events import PeerMessageReceived, TimerFired
 from tests.gateway_scene import (ENGINES, LOCAL_DC, MODEL, GatewayScene,
                                  configuration, endpoint, head, route)
 from tests.load_fleet import REPORT, Kind, LoadFleet, Outcome
@@ -141,6 +144,26 @@
             post_large(self.scene, name)
         self.assertEqual(len(self.scene.all(fx.Send)), 3)
 
+    def test_own_lateness_is_not_put_down_to_the_coordinator(self) -> None:
+        # Its answer may be among the messages that are not handled yet.
+        post_large(self.scene)
+        key = placement_requests.ask_key(RequestId('r1'))
+        self.scene.now += 0.4
+        self.scene.post(TimerFired(key))
+        self.assertEqual(len(self.scene.all(fx.Send)), 1)
+        self.assertFalse(self.scene.state.coordination.silent_until)
+
+    def test_error_while_asking_ends_the_request(self) -> None:
+        # Else it would stay without a timer until its deadline.
+        self.scene.tolerates_errors = True
+        post_large(self.scene)
+        with mock.patch.object(placement_requests,
+                               'repeat',
+                               side_effect=ValueError):
+            self.scene.advance(0.06)
+        self.assertTrue(self.scene.all(fx.Refuse))
+        self.assertFalse(self.scene.state.coordination.asks)
+
     def test_late_answer_returns_the_grant(self) -> None:
         # Else the coordinator counts a run that does not exist.
         post_large(self.scene)
@@ -510,6 +533,22 @@
         self.assertLess(statistics.median(waits), 1.6)
 
 
+class ProcessTest(unittest.TestCase):
+    """The process posts each message as an event that the reducer handles."""
+
+    def test_messages_become_events(self) -> None:
+        posted: list[Any] = []
+        process = mock.Mock(post=posted.append)
+        for message in (placement_request().message, answer().message,
+                        RunReport(OTHER, LIFE, 7, True)):
+            # pylint: disable-next=protected-access
+            Gateway._on_peer_message(
+                process,
+                PeerMessageReceived(VmId(''), peer_messages.encode(message)))
+            self.assertEqual(posted[-1].message, message)
+            self.assertIn(type(posted[-1]), reducer.EVENT_HANDLERS)
+
+
 class ReplayTest(unittest.TestCase):
     """Large prompts at 0.75 of the engines' prefill throughput."""
 
