Test that a grant in an evacuated data centre is returned

Cause: a coordinator may grant an engine just before its data centre is evacuated; the prompt must not reach it.

--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -197,6 +197,15 @@
         self.assertNotEqual(self.scene.last(fx.Send).endpoint, 'e2')
         self.assertTrue(messages(self.scene, RunReport)[0].has_ended)
 
+    def test_grant_in_a_data_centre_evacuated_meanwhile_is_returned(
+            self) -> None:
+        post_large(self.scene)
+        self.scene.read(View.OPERATOR, ev.EvacuationChanged(LOCAL_DC, True))
+        self.scene.post(answer())
+        self.assertFalse(self.scene.all(fx.Send))
+        self.assertTrue(self.scene.all(fx.Refuse))
+        self.assertTrue(messages(self.scene, RunReport)[0].has_ended)
+
     def test_declined_request_is_decided_at_once(self) -> None:
         post_large(self.scene)
         self.scene.post(answer(endpoint=None, is_declined=True))
