Hold late large prompts back while they would make timely ones late

Cause: in a burst beyond the engines' prefill throughput the coordinator sent each prompt as it arrived; the backlog then made nearly all of them late.

Change: a prompt that is late at its best engine is granted only where a like one could still follow it in time. The queue is also served when a granted run reports its first event, since the backlog has shrunk.

--- a/src/plantainridge/gateway/capacity_queue.py
+++ b/src/plantainridge/gateway/capacity_queue.py
@@ -27,6 +27,8 @@
 MAX_WAIT_RATIO: Final = 2.0
 # Requests that may fail to fit before the others are not tried.
 MAX_FAILED_TRIES: Final = 3
+# The same for late requests that are held back: timely ones may be behind them.
+MAX_HELD_BACK: Final = 8
 # Time constant of the rate at which memory is freed, in s: runs take about 3 s.
 FREED_WINDOW_S: Final = 3.0
 # Time constant of the share of each team that was served, in s.
@@ -110,10 +112,36 @@
 
 @attrs.frozen
 class Offer:
-    """The best engine for a request, whether or not it has memory for it."""
+    """The best engine for a request, whether or not it has memory for it.
+
+    Attributes:
+        first_event_s: Expected time from the send to the first event, in s.
+        backlog_s: Share of it in which the engine computes earlier prompts, in
+            s.
+    """
 
     endpoint: EndpointId
     has_capacity: bool
+    first_event_s: float = 0.0
+    backlog_s: float = 0.0
+
+
+def makes_others_late(offer: Offer, waited_s: float, target_s: float) -> bool:
+    """Return whether a request that is late anyway would delay timely ones.
+
+    Made for a burst of more prompts than the engines can compute in time: if
+    all were sent as they arrive, the backlog would make each of them late. A
+    late request is sent only where a like one could still follow it in time.
+
+    Args:
+        offer: The best engine for the request.
+        waited_s: Time since the request arrived, in s.
+        target_s: Latency up to which it earns full credit, in s.
+    """
+    if waited_s + offer.first_event_s <= target_s:
+        return False
+    next_first_event_s = 2 * offer.first_event_s - offer.backlog_s
+    return offer.backlog_s > 0.0 and next_first_event_s > target_s
 
 
 @attrs.frozen
@@ -239,15 +267,19 @@
         """
         reserved: set[EndpointId] = set()
         self.unplaced_tokens = math.inf
-        failed = 0
+        failed = held_back = 0
         for each in self.ordered(now):
-            if failed >= MAX_FAILED_TRIES:
+            if failed >= MAX_FAILED_TRIES or held_back >= MAX_HELD_BACK:
                 return
             if each.message.memory_tokens >= self.unplaced_tokens:
                 continue
             found = offer(each, reserved)
             if found is not None and found.has_capacity:
-                yield each, found.endpoint
+                if makes_others_late(found, now - each.arrived_at,
+                                     each.message.target_s):
+                    held_back += 1
+                else:
+                    yield each, found.endpoint
                 continue
             failed += 1
             self.unplaced_tokens = each.message.memory_tokens
--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -240,6 +240,8 @@
         yield from _end_run(state, key, now)
     else:
         state.coordination.ledger.finish_prefill(key)
+        if state.coordination.queue.entries:
+            yield from _serve_queue(state, now)
 
 
 def on_own_messages(state: 'GatewayState', event: TimerFired,
@@ -366,7 +368,8 @@
         if fitting:
             best = min(fitting, key=lambda each: each.cost)
             placements[grants.key_of(request.message)] = best
-            return Offer(best.view.entry.id, True)
+            return Offer(best.view.entry.id, True, best.first_event_s,
+                         best.backlog_s)
         if not found:
             return None
         emptiest = min(found,
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -106,6 +106,10 @@
         has_capacity: Whether the run fits into the engine's memory.
         peer: The peer through which the request is sent, or None.
         grant: The coordinator's grant of the endpoint, or None.
+        first_event_s: Expected time from the send to the first event, in s; 0
+            for a plain service.
+        backlog_s: Share of it in which the engine computes earlier prompts, in
+            s.
     """
 
     view: EndpointView
@@ -117,6 +121,8 @@
     has_capacity: bool = True
     peer: VmEntry | None = None
     grant: Grant | None = None
+    first_event_s: float = 0.0
+    backlog_s: float = 0.0
 
 
 @attrs.define
@@ -598,14 +604,23 @@
     reused = max(cached_tokens, fetch_plan.tokens)
     prefill = max(1, request.prompt_tokens - reused)
     peers = inputs.peer_load(view)
-    latency_s = inputs.waited_s + expected_latency_s(
-        view.pending_tokens + peers.pending_tokens, prefill,
-        inputs.request_count(view, peers), fetch_plan.seconds)
+    queued = view.pending_tokens + peers.pending_tokens
+    first_event_s = expected_latency_s(queued, prefill,
+                                       inputs.request_count(view, peers),
+                                       fetch_plan.seconds)
+    latency_s = inputs.waited_s + first_event_s
     cost = LATENCY_PENALTY * (latency_s / call.route.target_s)**2
     used_memory = view.memory_tokens + peers.memory_tokens
     cost += _memory_cost(inputs, used_memory) + _fixed_cost(state, view)
-    return Placement(view, prompt.version, prefill, reused, cost, fetch_plan,
-                     _has_capacity(inputs, view, used_memory))
+    return Placement(view,
+                     prompt.version,
+                     prefill,
+                     reused,
+                     cost,
+                     fetch_plan,
+                     _has_capacity(inputs, view, used_memory),
+                     first_event_s=first_event_s,
+                     backlog_s=expected_latency_s(queued, 0, 0, 0.0))
 
 
 def expected_latency_s(queued_tokens: int, prefill_tokens: int, requests: int,
--- a/tests/test_capacity_queue.py
+++ b/tests/test_capacity_queue.py
@@ -1,6 +1,7 @@
 """Tests of the order in which waiting prompts get an engine's memory."""
 
 import heapq
+import itertools
 import random
 import unittest
 from collections.abc import Iterator
@@ -268,5 +269,70 @@
             self.assertGreater(level(of_team), overall / 4)
 
 
+class BacklogTest(unittest.TestCase):
+    """A burst beyond the engines' throughput does not make all prompts late."""
+
+    PREFILL_S: Final = 0.2
+    TARGET_S: Final = 0.8
+
+    def play(self, holds_back: bool) -> tuple[float, float]:
+        """Return the shares that are timely and that are served.
+
+        Prompts arrive at 1.3 times the throughput of one engine for 6 s, then
+        at half of it for 10 s.
+        """
+        made, busy_until, now, number = CapacityQueue(), 0.0, 0.0, 0
+        timely = served = 0
+        rng = random.Random(5)
+        next_arrival = 0.0
+        while now < 16.0:
+            now += 0.01
+            if now >= next_arrival:
+                number += 1
+                made.add(queued(number, 0.0, now=now, target_s=self.TARGET_S),
+                         now)
+                load = 1.3 if now < 6.0 else 0.5
+                next_arrival = now + rng.expovariate(load / self.PREFILL_S)
+            backlog_s = max(0.0, busy_until - now)
+            offered = Offer(ENGINES[0], True, backlog_s + self.PREFILL_S,
+                            backlog_s if holds_back else 0.0)
+            # One at a time, as the backlog changes with each.
+            for request, _ in itertools.islice(
+                    made.choose(lambda *_: offered, now), 1):
+                busy_until = now + offered.first_event_s
+                made.record_grant(request, now)
+                served += 1
+                timely += busy_until - request.arrived_at <= self.TARGET_S
+            for refusal in made.refusals(now):
+                del made.entries[key_of(refusal.request.message)]
+        return timely / number, served / number
+
+    def test_timely_ones_are_not_delayed_by_late_ones(self) -> None:
+        timely_without, _ = self.play(holds_back=False)
+        timely, served = self.play(holds_back=True)
+        self.assertGreater(timely, 0.7)
+        self.assertGreater(timely, timely_without + 0.2)
+        self.assertGreater(served, 0.8)
+
+    def test_only_late_ones_are_held_back(self) -> None:
+        for first_event_s, backlog_s, waited_s, held_back in ((0.7, 0.5, 0.0,
+                                                               False),
+                                                              (0.9, 0.7, 0.0,
+                                                               True),
+                                                              (0.7, 0.5, 0.3,
+                                                               True), (0.2, 0.0,
+                                                                       2.0,
+                                                                       False),
+                                                              (0.3, 0.1, 2.0,
+                                                               False),
+                                                              (1.5, 0.0, 0.0,
+                                                               False)):
+            with self.subTest(first_event_s=first_event_s, waited_s=waited_s):
+                offer = Offer(ENGINES[0], True, first_event_s, backlog_s)
+                self.assertIs(
+                    capacity_queue.makes_others_late(offer, waited_s, 0.8),
+                    held_back)
+
+
 if __name__ == '__main__':
     unittest.main()
