Keep the orders of VMs by which readers are elected

Cause: each tick and each answer of a KV cache store computed hashes or ranks of all VMs anew (relays.is_reader, load_reporter, rank), counted the VMs of the data centre several times, and sorted all VMs for each report.

Change: peer_ranks.PeerRanks keeps these orders until a VM's entry or this VM's settings change. An election looks at the VMs ranked before this one only until it finds a live one.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -19,7 +19,7 @@
 import attrs
 
 from plantainridge.gateway import (eras, load_reports, notices, peer_messages,
-                                   relays, suspects, versions)
+                                   peer_ranks, relays, suspects, versions)
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import TimerKind, View
 from plantainridge.gateway.load_reports import LoadReportTable
@@ -205,7 +205,7 @@
     local = [each for each in others if each.dc == settings.dc]
     remote = [each for each in others if each.dc != settings.dc]
     # VMs that start together ask different ones, and then others.
-    turn = hints.asks + relays.rendezvous_hash(settings.vm, AGES_SUBJECT)
+    turn = hints.asks + peer_ranks.rendezvous_hash(settings.vm, AGES_SUBJECT)
     asked = [
         candidates[turn % len(candidates)]
         for candidates in (local, remote if needed or not local else [])
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -9,10 +9,6 @@
 or the subject is not eligible.
 """
 
-import functools
-import hashlib
-import itertools
-import math
 from collections.abc import Collection, Iterator
 from typing import TYPE_CHECKING, Final
 
@@ -22,6 +18,7 @@
 from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.peer_messages import (PeerMessage, RelayedStore,
                                                  RelayedView, StoreBatch)
+from plantainridge.gateway.peer_ranks import LOAD_SUBJECT
 from plantainridge.ids import VmId
 from plantainridge.loop.effects import Effect, SendPeer
 
@@ -37,15 +34,11 @@
 # that it grows to: the traffic that one VM sends and receives grows slowly.
 MIN_HINT_INTERVAL_PER_VM_S: Final = 0.04
 MAX_MIN_HINT_INTERVAL_S: Final = 1.0
-# Subject of the rank by which a data centre's load reporter is elected.
-LOAD_SUBJECT: Final = 'load'
 # Time for which updates of KV cache stores are collected into one batch, in s.
 BATCH_DELAY_S: Final = 0.2
 # Rows that fit into a datagram, and those that a relay takes besides its parts.
 MAX_DATAGRAM_ROWS: Final = 28
 RELAY_OVERHEAD_ROWS: Final = 4
-# Cached ranks; a fleet has fewer pairs of VM and subject.
-MAX_CACHED_RANKS: Final = 16_384
 
 
 @attrs.define
@@ -76,37 +69,23 @@
     settings = state.settings
     if settings.vm in excluded:
         return False
-    own = weighted_rank(settings.vm, subject, settings.link_mbps)
+    ahead = state.peer_ranks.ranked_ahead(state.peers, settings, subject)
     return not any(
-        weighted_rank(entry.vm, subject, entry.link_mbps) < own
-        for entry in itertools.chain(_live_readers(state, now),
-                                     _unheard_peers(state, now))
-        if entry.vm not in excluded)
+        entry.vm not in excluded and _is_live_reader(state, entry.vm, now)
+        for entry in ahead)
 
 
 def load_reporter(state: 'GatewayState', now: float) -> VmId:
     """Return the VM that reports load for this VM's data centre."""
-    settings = state.settings
-    ranks = {
-        entry.vm: weighted_rank(entry.vm, LOAD_SUBJECT, entry.link_mbps)
-        for entry in itertools.chain(live_peers(state, now),
-                                     _unheard_peers(state, now))
-    }
-    ranks[settings.vm] = weighted_rank(settings.vm, LOAD_SUBJECT,
-                                       settings.link_mbps)
-    return min(ranks, key=lambda vm: ranks[vm])
+    ahead = state.peer_ranks.ranked_ahead(state.peers, state.settings,
+                                          LOAD_SUBJECT)
+    return next((entry.vm for entry in ahead if _is_live(state, entry.vm, now)),
+                state.settings.vm)
 
 
 def load_reporters_by_rank(state: 'GatewayState') -> dict[str, list[VmId]]:
     """Return the VMs of each other data centre, likely reporters first."""
-    ranked = sorted(state.peers.values(),
-                    key=lambda entry: weighted_rank(entry.vm, LOAD_SUBJECT,
-                                                    entry.link_mbps))
-    found: dict[str, list[VmId]] = {}
-    for entry in ranked:
-        if entry.dc != state.settings.dc:
-            found.setdefault(entry.dc, []).append(entry.vm)
-    return found
+    return state.peer_ranks.reporters_by_rank(state.peers, state.settings)
 
 
 def min_hint_interval_s(state: 'GatewayState') -> float:
@@ -117,8 +96,7 @@
 
 def live_peers(state: 'GatewayState', now: float) -> Iterator[VmEntry]:
     """Yield the entries of this data centre's VMs that sent a hint lately."""
-    spaced = min_hint_interval_s(state) > LIVENESS_TIMEOUT_S / 2
-    timeout_s = SPACED_LIVENESS_TIMEOUT_S if spaced else LIVENESS_TIMEOUT_S
+    timeout_s = _liveness_timeout_s(state)
     for vm, received in state.hints.received.items():
         entry = state.peers.get(vm)
         if (entry is not None and entry.dc == state.settings.dc and
@@ -126,18 +104,27 @@
             yield entry
 
 
-def _unheard_peers(state: 'GatewayState', now: float) -> Iterator[VmEntry]:
-    """Yield VMs here that count as live since this VM started just now.
+def _liveness_timeout_s(state: 'GatewayState') -> float:
+    is_spaced = min_hint_interval_s(state) > LIVENESS_TIMEOUT_S / 2
+    return SPACED_LIVENESS_TIMEOUT_S if is_spaced else LIVENESS_TIMEOUT_S
+
+
+def _is_live(state: 'GatewayState', vm: VmId, now: float) -> bool:
+    """Return whether a VM of this data centre counts as live in elections.
 
-    They have not sent a hint yet, and may elect this VM as a reader or be
-    elected themselves.
+    Shortly after this VM's start, those that have not sent a hint yet do too:
+    they may elect this VM as a reader or be elected themselves.
     """
-    if now >= state.hints.grace_until:
-        return
-    for vm, entry in state.peers.items():
-        if (entry.dc == state.settings.dc and vm != state.settings.vm and
-                vm not in state.hints.received):
-            yield entry
+    received = state.hints.received.get(vm)
+    if received is None:
+        return now < state.hints.grace_until
+    return now - received.at <= _liveness_timeout_s(state)
+
+
+def _is_live_reader(state: 'GatewayState', vm: VmId, now: float) -> bool:
+    received = state.hints.received.get(vm)
+    return (_is_live(state, vm, now) and
+            (received is None or not received.hint.cannot_read))
 
 
 def _live_readers(state: 'GatewayState', now: float) -> Iterator[VmEntry]:
@@ -146,34 +133,21 @@
             yield entry
 
 
-@functools.lru_cache(MAX_CACHED_RANKS)
-def weighted_rank(vm: VmId, subject: str, weight: float) -> float:
-    """Return a VM's rank for a subject; the VM with the lowest is chosen.
-
-    Over many subjects, a VM is chosen in proportion to its weight.
-    """
-    return -math.log(
-        (rendezvous_hash(vm, subject) + 1) / 2**64) / max(1.0, weight)
-
-
 def local_vm_count(state: 'GatewayState') -> int:
     """Return the number of VMs in this VM's data centre."""
-    return sum(entry.dc == state.settings.dc for entry in state.peers.values())
+    state.peer_ranks.refresh(state.peers, state.settings)
+    return state.peer_ranks.local_count
 
 
 def rank(state: 'GatewayState', subject: str) -> int:
     """Return this VM's rank for a subject among all VMs, from 0."""
-    own = rendezvous_hash(state.settings.vm, subject)
-    return sum(
-        rendezvous_hash(vm, subject) < own
-        for vm in state.peers
-        if vm != state.settings.vm)
+    return state.peer_ranks.position(state.peers, state.settings, subject)
 
 
-def rendezvous_hash(name: str, subject: str) -> int:
-    """Return a 64-bit hash of a name and a subject, equal on every VM."""
-    digest = hashlib.blake2b(f'{name}/{subject}'.encode(), digest_size=8)
-    return int.from_bytes(digest.digest(), 'big')
+def local_peers(state: 'GatewayState') -> tuple[VmEntry, ...]:
+    """Return the entries of the other VMs of this data centre."""
+    state.peer_ranks.refresh(state.peers, state.settings)
+    return state.peer_ranks.local
 
 
 def broadcast(
@@ -181,9 +155,8 @@
         message: RelayedView | RelayedStore | StoreBatch) -> Iterator[Effect]:
     """Send a relay to all peers in the data centre."""
     payload = peer_messages.encode(message)
-    for vm, entry in state.peers.items():
-        if vm != state.settings.vm and entry.dc == state.settings.dc:
-            yield SendPeer(vm, entry.address, payload)
+    for entry in local_peers(state):
+        yield SendPeer(entry.vm, entry.address, payload)
 
 
 def broadcast_read(state: 'GatewayState', message: RelayedView,
@@ -201,17 +174,15 @@
     if message.view != View.OPERATOR.value:
         yield from broadcast(state, message)
         return
-    for vm, entry in state.peers.items():
-        if vm == state.settings.vm or entry.dc != state.settings.dc:
-            continue
-        received = state.hints.received.get(vm)
+    for entry in local_peers(state):
+        received = state.hints.received.get(entry.vm)
         relay = message
         if received is not None and received.hint.sent_at:
             since_s = max(0.0, received.at - issued_at)
             relay = attrs.evolve(message,
                                  receiver_time=received.hint.sent_at - since_s,
                                  receiver_incarnation=received.hint.incarnation)
-        yield SendPeer(vm, entry.address, peer_messages.encode(relay))
+        yield SendPeer(entry.vm, entry.address, peer_messages.encode(relay))
 
 
 def enqueue(state: 'GatewayState', message: RelayedStore, now: float) -> None:
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -17,6 +17,7 @@
 from plantainridge.gateway.placement_requests import CoordinationState
 from plantainridge.gateway.part_lifetimes import PartLifetimes
 from plantainridge.gateway.paths import PathTable
+from plantainridge.gateway.peer_ranks import PeerRanks
 from plantainridge.gateway.relays import RelayBuffer
 from plantainridge.gateway.requests import CallTable
 from plantainridge.gateway.retries import RetryBudget
@@ -43,6 +44,7 @@
         endpoints: State of each registered endpoint.
         endpoint_limits: Endpoints that get few requests: cold and brittle ones.
         peers: Entries of all VMs of the deployment, including this one.
+        peer_ranks: Orders of these VMs, by which they elect readers.
         leaving: Endpoints that were leaving.
         evacuations: Data centres that operators evacuate.
         versions: Weight versions that operators set as targets.
@@ -77,6 +79,7 @@
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
     evacuations: EvacuationTable = attrs.field(factory=EvacuationTable)
+    peer_ranks: PeerRanks = attrs.field(factory=PeerRanks)
     versions: VersionTable = attrs.field(factory=VersionTable)
     builds: BuildTable = attrs.field(factory=BuildTable)
     views: ViewTable = attrs.field(factory=ViewTable)
--- a/src/plantainridge/gateway/stored_parts.py
+++ b/src/plantainridge/gateway/stored_parts.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from plantainridge.gateway import cache, relays
+from plantainridge.gateway import cache, peer_ranks, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (FreeFailed, Part, PartsFreed,
                                           StoredPart, View)
@@ -306,7 +306,8 @@
 
 def _store_rank(view: 'StoreView', part: StoredPart) -> float:
     """Return a rendezvous hash weighted by capacity, the same on every VM."""
-    fraction = (relays.rendezvous_hash(view.name, part.id) + 1) / (2**64 + 1)
+    fraction = (peer_ranks.rendezvous_hash(view.name, part.id) + 1) / (2**64 +
+                                                                       1)
     return -view.spec.capacity_tokens / math.log(fraction)
 
 
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -14,8 +14,8 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import (part_lifetimes, peer_messages, relays,
-                                   stored_parts)
+from plantainridge.gateway import (part_lifetimes, peer_messages, peer_ranks,
+                                   relays, stored_parts)
 from plantainridge.gateway.config import StoreSpec
 from plantainridge.gateway.events import (StoreChanged, StoredPart, StoreListed,
                                           StoreRequestFailed, TimerKind)
@@ -570,7 +570,8 @@
 
 def _stagger_s(state: 'GatewayState', view: StoreView) -> float:
     """Return this VM's delay, up to MAX_STAGGER_S, to avoid polls at once."""
-    step = relays.rendezvous_hash(state.settings.vm, view.name) % STAGGER_STEPS
+    step = peer_ranks.rendezvous_hash(state.settings.vm,
+                                      view.name) % STAGGER_STEPS
     return MAX_STAGGER_S * step / STAGGER_STEPS
 
 
--- a/src/plantainridge/gateway/tunnel_peers.py
+++ b/src/plantainridge/gateway/tunnel_peers.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from plantainridge.gateway import relays
+from plantainridge.gateway import peer_ranks, relays
 from plantainridge.gateway.events import Failure, VmEntry
 from plantainridge.gateway.requests import Call
 from plantainridge.ids import VmId
@@ -74,11 +74,11 @@
         each for each in entries
         if each.vm != own.vm and each.vm not in excluded
     ]
-    return sorted(
-        eligible,
-        key=lambda each:
-        (each.dc != own.dc,
-         relays.weighted_rank(each.vm, f'{SUBJECT}/{own.vm}', each.link_mbps)))
+    return sorted(eligible,
+                  key=lambda each:
+                  (each.dc != own.dc,
+                   peer_ranks.weighted_rank(each.vm, f'{SUBJECT}/{own.vm}', each
+                                            .link_mbps)))
 
 
 def exist(state: 'GatewayState') -> bool:
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -444,6 +444,8 @@
         known = state.peers.get(update.vm)
         if known is None or known.dc != update.dc:
             state.endpoint_limits.vms.record_changed(now)
+        if known != update:
+            state.peer_ranks.clear()
         state.peers[update.vm] = update
         state.retries.vm_count = max(1, len(state.peers))
     elif isinstance(update, InvalidRecord):
