--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -35,9 +35,9 @@
 MIN_POLL_INTERVAL_S: Final = 0.25
 POLL_INTERVAL_PER_VM_S: Final = 0.05
 # Longest pause that grows so. Beyond it, the pause depends on whether the store
-# had events at once: a poll that is answered within `QUICK_ANSWER_S` counts as a
-# probe. While events are rare, a long pause makes more answers quick, since most
-# events fall into it; while they are frequent, each answer is quick.
+# had events at once: a poll that is answered within `QUICK_ANSWER_S` counts as
+# a probe. While events are rare, a long pause makes more answers quick, since
+# most events fall into it; while they are frequent, each answer is quick.
 MAX_SCALED_POLL_INTERVAL_S: Final = 1.0
 RARE_EVENTS_POLL_INTERVAL_S: Final = 0.5
 FREQUENT_EVENTS_POLL_INTERVAL_S: Final = 1.7
