Search only peers' cool-downs when a request is placed

Cause: each placement scanned all loads of all peers twice for cool-downs (VMs x engines), and each tick built the newest versions anew for each engine.

Change: a peer's report keeps its cool-downs apart; the versions are built once a tick.

--- a/src/plantainridge/gateway/peer_loads.py
+++ b/src/plantainridge/gateway/peer_loads.py
@@ -59,10 +59,16 @@
 
 @attrs.frozen
 class Report:
-    """One peer's loads, with the loop time of their receipt in s."""
+    """One peer's loads, with the loop time of their receipt in s.
+
+    Attributes:
+        cooldowns: Those of the loads with a cool-down, few at most times: they
+            are searched for each request that is placed.
+    """
 
     at: float
     loads: Mapping[EndpointId, OwnLoad]
+    cooldowns: tuple[tuple[EndpointId, OwnLoad], ...] = ()
 
 
 @attrs.define
@@ -81,7 +87,8 @@
                 now: float) -> None:
         """Replace a peer's report."""
         self._drop(vm)
-        self.reports[vm] = Report(now, loads)
+        cooldowns = tuple(each for each in loads.items() if each[1].cooldown_s)
+        self.reports[vm] = Report(now, loads, cooldowns)
         for name, load in loads.items():
             self.sums.setdefault(name, PeerLoad()).add(load)
 
@@ -115,8 +122,8 @@
         for report in reversed(self.reports.values()):
             if now - report.at > COOLDOWN_TIMEOUT_S:
                 break
-            for name, load in report.loads.items():
-                if (load.cooldown_s and load.is_unreached is is_unreached and
+            for name, load in report.cooldowns:
+                if (load.is_unreached is is_unreached and
                         now < report.at + load.cooldown_s):
                     found[name] = max(report.at, found.get(name, report.at))
         return found
--- a/src/plantainridge/gateway/rollout.py
+++ b/src/plantainridge/gateway/rollout.py
@@ -129,10 +129,11 @@
 def _lagging(
     state: 'GatewayState'
 ) -> Iterator[tuple[EndpointId, tuple[EndpointView, ModelId]]]:
+    latest = state.versions.latest
     for name, view in state.endpoints.items():
         if view.is_leaving:
             continue
-        for model, target in state.versions.latest.items():
+        for model, target in latest.items():
             if view.versions.get(model, target.version) < target.version:
                 yield name, (view, model)
                 break
