--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -613,6 +613,11 @@
         yield fx.ListStore(view.name, address)
         return
     view.polled_at = now
+    if not _is_reader(state, view, now):
+        yield LogLine('store_polled_instead',
+                      (('store', view.name),
+                       ('cause', 'gap' if view.behind else 'timeout'),
+                       ('age_s', round(now - view.reported_at, 3))))
     yield fx.PollStore(view.name, address, view.next, _poll_wait_s(state, view))
 
 
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -216,6 +216,11 @@
         yield SetTimer(event.key, min(timeout_at, cursor.reload_at))
         return
     cursor.issued_at = now
+    if not relays.is_reader(state, view.value, now):
+        yield LogLine('view_read_instead',
+                      (('view', view.value),
+                       ('cause', 'gap' if cursor.behind else 'timeout'),
+                       ('age_s', versions.loggable(now - cursor.read_at))))
     if now >= cursor.reload_at:
         cursor.offset, cursor.reload_at = None, float('inf')
     if cursor.offset is None:
--- a/tests/test_start_calls.py
+++ b/tests/test_start_calls.py
@@ -42,6 +42,18 @@
         fleet.run(2.0)
         self.assertLess(fleet.store_calls.total() / 2.0, 10.0)
 
+    def test_reads_in_place_of_a_reader_state_their_cause(self) -> None:
+        fleet = StartFleet(40, 0.5, ENDPOINTS)
+        fleet.deliver = registry_fleet.unreliable(random.Random(3))
+        fleet.run(3.0)
+        causes = {
+            dict(line.fields)['cause']
+            for scene in fleet.vms.values()
+            for line in scene.lines
+            if line.event == 'view_read_instead'
+        }
+        self.assertEqual(causes, {'gap', 'timeout'})
+
     def test_lost_relays_delay_no_vm_for_long(self) -> None:
         fleet = StartFleet(40, 0.5, ENDPOINTS)
         fleet.deliver = registry_fleet.unreliable(random.Random(3))
