--- a/src/plantainridge/gateway/endpoint_limits.py
+++ b/src/plantainridge/gateway/endpoint_limits.py
@@ -20,7 +20,7 @@
 
 import attrs
 
-from plantainridge.gateway import hints, relays
+from plantainridge.gateway import hints, peer_ranks
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import AnswerHead, View, VmEntry
 from plantainridge.gateway.peer_loads import PeerLoad
@@ -304,9 +304,10 @@
 
     Those of its data centre come first.
     """
-    ranked = sorted(entries,
-                    key=lambda each:
-                    (each.dc != dc, relays.rendezvous_hash(each.vm, endpoint)))
+    ranked = sorted(
+        entries,
+        key=lambda each:
+        (each.dc != dc, peer_ranks.rendezvous_hash(each.vm, endpoint)))
     return [each.vm for each in ranked]
 
 
