--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -216,6 +216,11 @@
         yield SetTimer(event.key, min(timeout_at, cursor.reload_at))
         return
     cursor.issued_at = now
+    if not relays.is_reader(state, view.value, now):
+        yield LogLine('view_read_instead',
+                      (('view', view.value),
+                       ('cause', 'gap' if cursor.behind else 'timeout'),
+                       ('age_s', versions.loggable(now - cursor.read_at))))
     if now >= cursor.reload_at:
         cursor.offset, cursor.reload_at = None, float('inf')
     if cursor.offset is None:
@@ -444,6 +449,8 @@
         known = state.peers.get(update.vm)
         if known is None or known.dc != update.dc:
             state.endpoint_limits.vms.record_changed(now)
+        if known != update:
+            state.peer_ranks.clear()
         state.peers[update.vm] = update
         state.retries.vm_count = max(1, len(state.peers))
     elif isinstance(update, InvalidRecord):
