--- a/src/plantainridge/gateway/builds.py
+++ b/src/plantainridge/gateway/builds.py
@@ -13,7 +13,7 @@
 import hashlib
 import math
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -42,7 +42,7 @@
 class Unresolved(enum.Enum):
     """Why it is not known where a stream may continue."""
 
-    ASK_PEERS = 'peers may know where it began'
+    ASK = 'peers or the metadata store may know where it began'
     UNKNOWN = 'it is not known where the stream began'
     OTHER_SERVICE = 'the stream began at another service'
 
@@ -107,6 +107,16 @@
         for entry in entries:
             self.seen.setdefault(entry.service, {})[entry.build] = now
 
+    def add_seen(self, listed: Mapping[ServiceId, Mapping[str, float]]) -> None:
+        """Add builds with the loop times at which they were last listed, in s.
+
+        Of two times of a build the later one counts.
+        """
+        for service, times in listed.items():
+            seen = self.seen.setdefault(service, {})
+            for build, at in times.items():
+                seen[build] = max(at, seen.get(build, at))
+
     def forget_unlisted(self, now: float) -> None:
         """Forget the builds that were not listed for the retention."""
         for service, seen in list(self.seen.items()):
@@ -156,18 +166,18 @@
 
     Made for VMs that are killed while streams run: mostly a peer has the record
     of what the VM that is gone had begun. Without a record, or if the caller
-    names no attempt, the stream continues only if this VM has seen one build
-    alone at its service. It is refused otherwise, since another build would
+    names no attempt, the stream continues only if one build alone is known to
+    have served lately. It is refused otherwise, since another build would
     corrupt it.
 
     Args:
         known: Where the stream began, or None.
         only: The only origin that was seen for the service's streams, or None.
         services: Services that the route leads to.
-        may_ask: Whether peers may still answer.
+        may_ask: Whether peers, or the record of builds, may still show it.
     """
     if known is not None:
         return known if known.service in services else Unresolved.OTHER_SERVICE
     if may_ask:
-        return Unresolved.ASK_PEERS
+        return Unresolved.ASK
     return only if only is not None else Unresolved.UNKNOWN
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from plantainridge.gateway.events import (Headers, LeaseRecord, Request,
-                                          StoredPart, View)
+from plantainridge.gateway.events import (BuildRecord, Headers, LeaseRecord,
+                                          Request, StoredPart, View)
 from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, RequestId,
                                ServiceId, TeamId, TunnelId)
 from plantainridge.loop.effects import Effect
@@ -308,6 +308,26 @@
     era: int = 0
 
 
+@attrs.frozen
+class ReadBuilds(Effect):
+    """Read the record of builds; answered by `BuildsRead` or `BuildsFailed`."""
+
+
+@attrs.frozen
+class WriteBuilds(Effect):
+    """Append the record of builds if its log still ends at `end`.
+
+    Answered by `BuildsWritten`.
+
+    Attributes:
+        era: The metadata store's era to which `end` belongs.
+    """
+
+    record: BuildRecord
+    end: int
+    era: int = 0
+
+
 # --- To the process ---------------------------------------------------------
 
 
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -569,6 +569,42 @@
     term: int
 
 
+@attrs.frozen
+class BuildRecord:
+    """Builds that services had lately.
+
+    Attributes:
+        services: For each service and build, the time since the build was last
+            listed when the record was written, in s.
+        era: The metadata store's era in which it was written.
+    """
+
+    services: Mapping[ServiceId, Mapping[str, float]]
+    era: int = 0
+
+
+@attrs.frozen
+class BuildsRead(Event):
+    """The record of builds was read.
+
+    Attributes:
+        record: The newest record, or None.
+        end: Offset at which its log ends.
+        era: The metadata store's era.
+    """
+
+    record: BuildRecord | None
+    end: int
+    era: int = 0
+
+
+@attrs.frozen
+class BuildsFailed(Event):
+    """The record of builds could not be read."""
+
+    reason: str
+
+
 @attrs.frozen
 class LeaseRead(Event):
     """The lease was read.
@@ -605,6 +641,19 @@
     era: int = 0
 
 
+@attrs.frozen
+class BuildsWritten(Event):
+    """A conditional append of the record of builds ended.
+
+    Attributes:
+        era: The metadata store's era for which the append was meant.
+    """
+
+    record: BuildRecord
+    result: AppendResult
+    era: int = 0
+
+
 @attrs.frozen
 class LeaseFailed(Event):
     """The lease could not be read."""
--- a/src/plantainridge/gateway/ports.py
+++ b/src/plantainridge/gateway/ports.py
@@ -34,6 +34,14 @@
     def write_lease(self, effect: fx.WriteLease) -> None:
         """Append to the lease; post `LeaseWritten`."""
 
+    @abc.abstractmethod
+    def read_builds(self, effect: fx.ReadBuilds) -> None:
+        """Read the record of builds; post `BuildsRead` or `BuildsFailed`."""
+
+    @abc.abstractmethod
+    def write_builds(self, effect: fx.WriteBuilds) -> None:
+        """Append to the record of builds; post `BuildsWritten`."""
+
 
 class EnginePort(abc.ABC):
     """Control calls to engines and KV cache stores."""
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -117,6 +117,8 @@
             fx.WriteVmEntry: store.write_vm_entry,
             fx.ReadLease: store.read_lease,
             fx.WriteLease: store.write_lease,
+            fx.ReadBuilds: store.read_builds,
+            fx.WriteBuilds: store.write_builds,
             fx.RequestReport: engines.request_report,
             fx.OrderVersion: engines.order_version,
             fx.ListStore: engines.list_store,
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge.gateway import (answers, containment, dispatch, drain,
-                                   endings, eras, events, hints, intake, lease,
-                                   membership, notices, paths, relays, reload,
-                                   resumptions, rollout, stored_parts, stores,
-                                   suspects, tunnel_admission, views,
-                                   withdrawals)
+from plantainridge.gateway import (answers, build_records, containment,
+                                   dispatch, drain, endings, eras, events,
+                                   hints, intake, lease, membership, notices,
+                                   paths, relays, reload, resumptions, rollout,
+                                   stored_parts, stores, suspects,
+                                   tunnel_admission, views, withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import AttemptId, RequestId
@@ -42,8 +42,9 @@
 
 
 # Modules with periodic work, in its order.
-TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, paths,
-                     dispatch, rollout, hints, relays, drain)
+TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions,
+                     build_records, paths, dispatch, rollout, hints, relays,
+                     drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
@@ -97,6 +98,9 @@
     events.LeaseRead: lease.on_read,
     events.LeaseFailed: lease.on_failed,
     events.LeaseWritten: lease.on_written,
+    events.BuildsRead: build_records.on_read,
+    events.BuildsFailed: build_records.on_failed,
+    events.BuildsWritten: build_records.on_written,
     events.StopRequested: drain.on_stop_requested,
     events.SettingsRead: reload.on_settings,
 }
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-from plantainridge.gateway import (builds, containment, dispatch, endings,
-                                   hints, peer_messages, relays)
+from plantainridge.gateway import (build_records, builds, containment, dispatch,
+                                   endings, hints, peer_messages, relays)
 from plantainridge.gateway.builds import Origin, Unresolved
 from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.peer_messages import OriginQuestion, StreamOrigins
@@ -25,7 +25,8 @@
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
 
-# Longest wait for a peer that knows where a stream began.
+# Longest wait for a peer that knows where a stream began, or for the record of
+# builds.
 ANSWER_WAIT_S: Final = 0.4
 # Time after which peers are asked again: messages may be lost.
 ASK_INTERVAL_S: Final = 0.1
@@ -62,10 +63,8 @@
         yield from dispatch.dispatch(state, call, now)
         return
     call.origin_due_at = now + ANSWER_WAIT_S
-    if not _peers_to_ask(state):
-        call.origin_due_at = now
     yield from _resolve(state, call, now)
-    if (call.origin_due_at is not None and
+    if (call.origin_due_at is not None and call.request.resumes and
             now - state.builds.asked_at >= MIN_ASK_INTERVAL_S):
         yield from _ask(state, [call], now)
 
@@ -78,8 +77,8 @@
                               now) if resumes else None
     found = builds.resolve(known, _only_origin(state, call.service, now),
                            [share.service for share in call.route.shares],
-                           bool(resumes) and now < due_at)
-    if found is Unresolved.ASK_PEERS:
+                           now < due_at and _may_learn(state, resumes, now))
+    if found is Unresolved.ASK:
         return
     call.origin_due_at = None
     yield LogLine('stream_resumed',
@@ -135,7 +134,7 @@
         yield from containment.contain_request(state,
                                                _resolve(state, call, now),
                                                'resume', call.request.id, now)
-        if call.origin_due_at is not None:
+        if call.origin_due_at is not None and call.request.resumes:
             asking.append(call)
     yield from _ask(state, asking, now)
 
@@ -169,8 +168,16 @@
         yield from _send_origins([entry], origin, keys)
 
 
+def _may_learn(state: 'GatewayState', resumes: str, now: float) -> bool:
+    """Return whether it may become known where a stream began."""
+    return (bool(resumes) and bool(_peers_to_ask(state)) or
+            not build_records.is_known(state, now))
+
+
 def _only_origin(state: 'GatewayState', service: ServiceId,
                  now: float) -> Origin | None:
+    if not build_records.is_known(state, now):
+        return None
     age_s = state.views.age_s(View.REGISTRY, now)
     return state.builds.only_origin(service, age_s)
 
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from plantainridge.gateway.build_history import BuildHistory
 from plantainridge.gateway.builds import BuildTable
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
@@ -42,6 +43,7 @@
         leaving: Endpoints that were leaving.
         versions: Weight versions that operators set as targets.
         builds: Builds at which streams began.
+        build_history: The record of builds in the metadata store.
         views: Read positions in the metadata store's views.
         calls: Requests and sends in flight.
         paths: Direct paths to the endpoints of each service.
@@ -71,6 +73,7 @@
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
     versions: VersionTable = attrs.field(factory=VersionTable)
     builds: BuildTable = attrs.field(factory=BuildTable)
+    build_history: BuildHistory = attrs.field(factory=BuildHistory)
     views: ViewTable = attrs.field(factory=ViewTable)
     calls: CallTable = attrs.field(factory=CallTable)
     paths: PathTable = attrs.field(factory=PathTable)
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -9,6 +9,7 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import eras, relays, stores, versions
+from plantainridge.gateway.builds import MAX_REGISTRY_AGE_S
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
 from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
@@ -229,6 +230,7 @@
     """Apply the updates of a view, and relay them if this VM is the reader."""
     cursor = state.views.cursors[event.view]
     was_restored = cursor.restored_at > float('-inf')
+    previous_read_at = cursor.read_at
     if event.era < state.views.era or (was_restored and not event.is_snapshot):
         # Offsets of an older era do not name the same records.
         yield SetTimer(_timer(event.view), now)
@@ -271,6 +273,10 @@
                         records, event.era), event.issued_at)
     if event.is_snapshot and event.view is View.REGISTRY:
         yield from _mark_unlisted(state, event.updates, now)
+        if not was_restored and now - previous_read_at > MAX_REGISTRY_AGE_S:
+            # Builds may have come and gone meanwhile: read their record again.
+            # After a restore the VMs know more than the record, and write it.
+            state.build_history.known = False
     yield from _remove_missing(state, now)
     delay_s = READ_INTERVAL_S.get(event.view, 0.0)
     if event.is_snapshot and event.view is View.VMS:
--- a/src/plantainridge/platform/names.py
+++ b/src/plantainridge/platform/names.py
@@ -80,6 +80,8 @@
 # Topics that the gateway writes.
 VMS_TOPIC: Final = 'keyed.vms'
 LEASE_TOPIC: Final = 'keyed.lease'
+BUILDS_TOPIC: Final = 'keyed.builds'
+BUILDS_KEY: Final = 'builds'
 LEASE_KEY: Final = 'orders'
 CONFIGURATION_KEY: Final = 'config'
 VERSION_KEY_PREFIX: Final = 'version/'
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -8,11 +8,12 @@
 import attrs
 
 from plantainridge import json_values
+from plantainridge.gateway.build_history import UNREADABLE_ERA
 from plantainridge.gateway.endpoints import EndpointEntry
-from plantainridge.gateway.events import (EndpointRemoved, EvacuationChanged,
-                                          InvalidRecord, LeaseRecord,
-                                          NamedVersion, RawRecord, View,
-                                          ViewUpdate, VmEntry)
+from plantainridge.gateway.events import (BuildRecord, EndpointRemoved,
+                                          EvacuationChanged, InvalidRecord,
+                                          LeaseRecord, NamedVersion, RawRecord,
+                                          View, ViewUpdate, VmEntry)
 from plantainridge.gateway.settings import DEFAULT_LINK_MBPS
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, VmId)
@@ -194,3 +195,25 @@
         'life': record.incarnation,
         'term': record.term
     }).encode()
+
+
+def decode_builds(record: RawRecord) -> BuildRecord:
+    """Decode the record of builds; return one that is never valid if it is not.
+
+    No VM would replace a record that it takes for a failure of the store.
+    """
+    try:
+        data = json_values.decode(record.value or b'')
+        services = {
+            ServiceId(service): {
+                build: get(ages, build, float) for build in ages
+            } for service, ages in get(data, 'services', dict).items()
+        }
+        return BuildRecord(services, get(data, 'era', int))
+    except (ValueError, InvalidField, TypeError):
+        return BuildRecord({}, UNREADABLE_ERA)
+
+
+def encode_builds(record: BuildRecord) -> bytes:
+    """Encode the record of builds, as it is appended."""
+    return json.dumps({'era': record.era, 'services': record.services}).encode()
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
+import attrs
+
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.http_calls import (NoResponse, Response, call,
@@ -32,6 +34,21 @@
 }
 
 
+@attrs.frozen
+class _KeyRead:
+    """The newest record of one key of a topic.
+
+    Attributes:
+        record: The record, or None if there is none.
+        end: Offset at which the topic's log ends.
+        era: The metadata store's era.
+    """
+
+    record: ev.RawRecord | None
+    end: int
+    era: int
+
+
 class PlatformStore(MetadataStorePort):
     """The platform's log, used as the metadata store."""
 
@@ -63,6 +80,13 @@
     def write_lease(self, effect: fx.WriteLease) -> None:
         self.tasks.spawn(self._write_lease(effect))
 
+    def read_builds(self, effect: fx.ReadBuilds) -> None:
+        del effect
+        self.tasks.spawn(self._read_builds())
+
+    def write_builds(self, effect: fx.WriteBuilds) -> None:
+        self.tasks.spawn(self._write_builds(effect))
+
     async def _load_view(self, effect: fx.LoadView) -> None:
         view = effect.view
         offsets: dict[ev.RawRecord, int] = {}
@@ -157,50 +181,76 @@
             ev.VmEntryWritten(None if written else failure_reason(response)))
 
     async def _read_lease(self) -> None:
-        response = await self._call('GET', names.LOG_NEWEST, {
-            'topic': names.LEASE_TOPIC,
-            'part': '0'
-        })
-        if not isinstance(response, Response) or response.status != 200:
-            # A topic may not exist before its first record.
-            if isinstance(response, Response) and response.status == 404:
-                self.post(ev.LeaseRead(None, 0, _era_of(response)))
-            else:
-                self.post(ev.LeaseFailed(failure_reason(response)))
+        read = await self._read_record(names.LEASE_TOPIC, names.LEASE_KEY)
+        if isinstance(read, str):
+            self.post(ev.LeaseFailed(read))
             return
         try:
-            page, _ = records.decode_newest(response.json())
-            leases = [
-                records.decode_lease(record)
-                for record in page.records
-                if record.key == names.LEASE_KEY
-            ]
+            lease = records.decode_lease(read.record) if read.record else None
         except (InvalidField, ValueError) as error:
             self.post(ev.LeaseFailed(str(error)))
             return
-        self.post(
-            ev.LeaseRead(leases[-1] if leases else None, page.next_offset,
-                         _era_of(response)))
+        self.post(ev.LeaseRead(lease, read.end, read.era))
 
     async def _write_lease(self, effect: fx.WriteLease) -> None:
         body = records.encode_keyed(names.LEASE_KEY,
                                     records.encode_lease(effect.record))
+        result = await self._append(names.LEASE_TOPIC, body, effect.end,
+                                    effect.era)
+        self.post(ev.LeaseWritten(effect.record, result, effect.era))
+
+    async def _read_builds(self) -> None:
+        read = await self._read_record(names.BUILDS_TOPIC, names.BUILDS_KEY)
+        if isinstance(read, str):
+            self.post(ev.BuildsFailed(read))
+            return
+        record = records.decode_builds(read.record) if read.record else None
+        self.post(ev.BuildsRead(record, read.end, read.era))
+
+    async def _write_builds(self, effect: fx.WriteBuilds) -> None:
+        body = records.encode_keyed(names.BUILDS_KEY,
+                                    records.encode_builds(effect.record))
+        result = await self._append(names.BUILDS_TOPIC, body, effect.end,
+                                    effect.era)
+        self.post(ev.BuildsWritten(effect.record, result, effect.era))
+
+    async def _read_record(self, topic: str, key: str) -> '_KeyRead | str':
+        """Read one key of a topic; return the reason if that failed."""
+        response = await self._call('GET', names.LOG_NEWEST, {
+            'topic': topic,
+            'part': '0'
+        })
+        if isinstance(response, Response) and response.status == 404:
+            # A topic may not exist before its first record.
+            return _KeyRead(None, 0, _era_of(response))
+        if not isinstance(response, Response) or response.status != 200:
+            return failure_reason(response)
+        try:
+            page, _ = records.decode_newest(response.json())
+        except (InvalidField, ValueError) as error:
+            return str(error)
+        found = [record for record in page.records if record.key == key]
+        return _KeyRead(found[-1] if found else None, page.next_offset,
+                        _era_of(response))
+
+    async def _append(self, topic: str, body: bytes, end: int,
+                      era: int) -> ev.AppendResult:
+        """Append a record if the topic still ends at `end` in an era."""
         response = await self._call('POST',
                                     names.LOG_APPEND, {
-                                        'topic': names.LEASE_TOPIC,
+                                        'topic': topic,
                                         'part': '0',
-                                        'at': str(effect.end)
+                                        'at': str(end)
                                     },
                                     body=body)
-        result = ev.AppendResult.UNKNOWN
-        if isinstance(response, Response) and _era_of(response) != effect.era:
+        if isinstance(response, Response) and _era_of(response) != era:
             # The log may end at the same offset by chance.
-            result = ev.AppendResult.CONFLICT
-        elif isinstance(response, Response) and response.status == 200:
-            result = ev.AppendResult.DONE
-        elif isinstance(response, Response) and response.status in (409, 412):
-            result = ev.AppendResult.CONFLICT
-        self.post(ev.LeaseWritten(effect.record, result, effect.era))
+            return ev.AppendResult.CONFLICT
+        if isinstance(response, Response) and response.status == 200:
+            return ev.AppendResult.DONE
+        if isinstance(response, Response) and response.status in (409, 412):
+            return ev.AppendResult.CONFLICT
+        return ev.AppendResult.UNKNOWN
 
     async def _call(self,
                     method: str,
--- a/tests/build_fleet.py
+++ b/tests/build_fleet.py
@@ -5,7 +5,7 @@
 from plantainridge.gateway.events import Part
 from plantainridge.ids import EndpointId, RequestId, VmId
 from tests.gateway_scene import LOCAL_DC, GatewayScene, head, request
-from tests.registry_fleet import RegistryFleet, entry
+from tests.registry_fleet import RegistryFleet, entry, removal
 
 
 def _prompt(stream: str) -> tuple[Part, ...]:
@@ -68,6 +68,28 @@
             self.builds[EndpointId(name)] = build
             self.store.append(entry(name, build=build, dc=dc))
 
+    def drain_engines(self, build: str, dc: str = LOCAL_DC) -> None:
+        """List the engines of a build as leaving."""
+        for name in (f'{build}-a', f'{build}-b'):
+            self.store.append(entry(name, draining=True, build=build, dc=dc))
+
+    def remove_engines(self, build: str) -> None:
+        """Remove the engines of a build from the registry."""
+        for name in (f'{build}-a', f'{build}-b'):
+            self.store.append(removal(name))
+
+    def restart_all(self, down_s: float = 0.5) -> None:
+        """Kill all VMs at once, and start them with nothing in memory.
+
+        Args:
+            down_s: Time for which no VM runs, in s.
+        """
+        for vm in self.vms:
+            self.kill(vm)
+        self.run(down_s)
+        for vm in list(self.vms):
+            self.restart(vm)
+
     def kill(self, vm: VmId) -> None:
         """Kill a VM's process, whose requests and memory are lost."""
         self.paused.add(vm)
@@ -86,11 +108,22 @@
         self._execute(vm)
         return self.builds[send.endpoint]
 
-    def resume(self, vm: VmId, name: str, first: str) -> str | fx.Refuse:
-        """Resume a stream; return the build at which it continues."""
+    def resume(self,
+               vm: VmId,
+               name: str,
+               first: str,
+               resumes: str | None = None) -> str | fx.Refuse:
+        """Resume a stream; return the build at which it continues.
+
+        Args:
+            vm: The VM that gets the new try.
+            name: Name of the new try.
+            first: Name of the try that brought the first event.
+            resumes: The attempt that the caller names instead of that one.
+        """
         scene = self.vms[vm]
         scene.now = self.now
-        resume_stream(scene, name, first)
+        resume_stream(scene, name, first, resumes)
         self._execute(vm)
         self.run(0.6)
         for _, effect in self.outputs:
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -134,6 +134,8 @@
         self._record(reducer.start(self.state, self.now))
         self.read(View.OPERATOR, configuration(), is_snapshot=True)
         self.read(View.REGISTRY, *entries, is_snapshot=True)
+        # The first start of a deployment: nothing has been recorded.
+        self.post(ev.BuildsRead(None, 0))
 
     def read(self,
              view: View,
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -13,6 +13,8 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import peer_messages, relays
+from plantainridge.gateway.build_history import BuildHistory
+from plantainridge.gateway.builds import BuildTable
 from plantainridge.gateway.events import RawRecord, View, ViewRelayed
 from plantainridge.gateway.hints import HintReceived
 from plantainridge.gateway.peer_messages import (Hint, OriginQuestion,
@@ -73,12 +75,14 @@
     """A simulated metadata store with one log for each view.
 
     Attributes:
+        build_log: Records of builds, oldest first.
         logs: Records of each view, oldest first.
         up: Whether it answers.
         era: Rises with each restore.
         starts: Start that each engine stated last.
     """
 
+    build_log: list[bytes] = attrs.field(factory=list)
     logs: dict[View, list[RawRecord]] = attrs.field(
         factory=lambda: {view: [RawRecord('unknown', b'{}')] for view in View})
     up: bool = True
@@ -136,6 +140,10 @@
         paused: VMs whose processes are stopped.
         rejected: VMs that the store does not answer.
         unreachable: VMs whose messages to and from peers are lost.
+        builds_up: Whether the store answers calls for the record of builds.
+        build_calls: These calls, with the time in s and the VM of each.
+        lose_append: Returns '' for an append to this record that succeeds;
+            'call' or 'answer' if that is lost.
         outputs: Effects for callers and endpoints, with the VM of each.
         reads: Number of reads of each VM.
         loads: Number of loads of each view, by all VMs.
@@ -147,6 +155,9 @@
         self.paused: set[VmId] = set()
         self.rejected: set[VmId] = set()
         self.unreachable: set[VmId] = set()
+        self.builds_up = True
+        self.build_calls: list[tuple[float, VmId, base.Effect]] = []
+        self.lose_append: Callable[[], str] = str
         self.outputs: list[tuple[VmId, base.Effect]] = []
         self.reads: dict[VmId, int] = {}
         self.loads: Counter[View] = Counter()
@@ -172,6 +183,8 @@
         scene.read(View.VMS, *self._entries)
         scene.state.views.cursors[View.REGISTRY].offset = None
         scene.state.views.cursors[View.OPERATOR] = ViewCursor()
+        scene.state.builds = BuildTable()
+        scene.state.build_history = BuildHistory()
         self.vms[name] = scene
         self._starts[name] = self._starts.get(name, 0) + 1
         scene.post(ev.EraSeen(self.store.era))
@@ -244,6 +257,13 @@
             elif isinstance(effect, fx.ReadView):
                 self.reads[name] = self.reads.get(name, 0) + 1
                 self._answer(name, effect.view, self._read(effect))
+            elif isinstance(effect, fx.ReadBuilds):
+                self.build_calls.append((self.now, name, effect))
+                self._answer_builds(name, self._read_builds(),
+                                    ev.BuildsFailed('silent'))
+            elif isinstance(effect, fx.WriteBuilds):
+                self.build_calls.append((self.now, name, effect))
+                self._write_builds(name, effect)
             else:
                 self.outputs.append((name, effect))
 
@@ -256,6 +276,38 @@
             self._post_later(CALL_TIMEOUT_S, vm,
                              ev.ViewFailed(view, False, 'silent'))
 
+    def _reaches_builds(self, vm: VmId) -> bool:
+        return (self.store.up and self.builds_up and vm not in self.rejected)
+
+    def _answer_builds(self, vm: VmId, event: Event, failed: Event) -> None:
+        if self._reaches_builds(vm):
+            self._post_later(ANSWER_DELAY_S, vm, ev.EraSeen(self.store.era))
+            self._post_later(ANSWER_DELAY_S, vm, event)
+        else:
+            self._post_later(CALL_TIMEOUT_S, vm, failed)
+
+    def _read_builds(self) -> ev.BuildsRead:
+        log = self.store.build_log
+        newest = RawRecord(names.BUILDS_KEY, log[-1]) if log else None
+        return ev.BuildsRead(
+            records.decode_builds(newest) if newest else None, len(log),
+            self.store.era)
+
+    def _write_builds(self, vm: VmId, effect: fx.WriteBuilds) -> None:
+        log = self.store.build_log
+        result = ev.AppendResult.CONFLICT
+        if effect.era == self.store.era and effect.end == len(log):
+            result = ev.AppendResult.DONE
+        lost = self.lose_append()
+        if not self._reaches_builds(vm):
+            lost = 'call'
+        if result is ev.AppendResult.DONE and lost != 'call':
+            log.append(records.encode_builds(effect.record))
+        unknown = ev.BuildsWritten(effect.record, ev.AppendResult.UNKNOWN,
+                                   effect.era)
+        written = attrs.evolve(unknown, result=result)
+        self._answer_builds(vm, unknown if lost else written, unknown)
+
     def _load(self, view: View, issued_at: float | None = None) -> ev.ViewRead:
         raw = tuple(self.store.newest(view).values())
         return self._view_read(view, True, raw, len(self.store.logs[view]),
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -425,7 +425,7 @@
             'known of several': (here, Origin(ENGINES, 'v2'), False, here),
             'another service':
                 (elsewhere, here, False, Unresolved.OTHER_SERVICE),
-            'peers may know': (None, here, True, Unresolved.ASK_PEERS),
+            'peers may know': (None, here, True, Unresolved.ASK),
             'nobody knows, one origin': (None, here, False, here),
             'nobody knows': (None, None, False, Unresolved.UNKNOWN),
         }
