Tell by the connection which run of an engine answers (ORDER)

Cause: a stream whose engine had started again under its id with another build, and answered before its new entry was read, was recorded with the build of the earlier run. A bound stream that was sent there was joined from two builds. An entry with another address changed the build of an answer from the old address.

Change: an answer that still arrives 1 s after the entry of a new run at the same address was applied is of that run. A stream that it began is bound anew; one that began at another build goes on elsewhere if its caller has no event of the send, and is ended otherwise. An entry with another address is no evidence.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -22,6 +22,9 @@
 
 # Failures of sends that certainly did not run.
 NOT_RUN: Final = frozenset({Failure.NOT_CONNECTED, Failure.RELAY_FAILED})
+# Time after the entry of a new run was applied in which events of the earlier
+# run may still be handled.
+OLD_EVENTS_S: Final = 1.0
 
 
 def on_answer(state: 'GatewayState', event: AnswerArrived,
@@ -140,6 +143,14 @@
     if call is None:
         return
     attempt = state.calls.attempts[event.attempt]
+    build = _build_of(state, attempt, now)
+    if call.build not in (None, build):
+        if _may_rebind(call, attempt):
+            yield from resumptions.correct_build(state, call, build, now)
+        else:
+            yield from _after_other_build(state, call, attempt, now)
+            return
+    attempt.build = build
     if not attempt.events_received:
         attempt.events_received = True
         if call.request.model:
@@ -148,9 +159,7 @@
             state.cache.record_prefill(attempt.endpoint, salt,
                                        call.request.parts)
         health.record_first_event(state, attempt, now)
-        yield from resumptions.record_first_event(state, call,
-                                                  _build_of(state, attempt),
-                                                  now)
+        yield from resumptions.record_first_event(state, call, build, now)
         if call.first_event_s is None:
             call.first_event_s = now - call.arrived_at
             yield Observe('first_piece_s', call.team.name if call.team else '',
@@ -163,14 +172,42 @@
     yield fx.ForwardStreamEvents(call.request.id, event.data)
 
 
-def _build_of(state: 'GatewayState', attempt: Attempt) -> str:
+def _build_of(state: 'GatewayState', attempt: Attempt, now: float) -> str:
     """Return the build that answers a send.
 
-    An entry that was read since the send is that of the run that answers: the
-    connections of an earlier run have ended.
+    An entry that was read since the send is that of the run that answers, if it
+    names the same address: the connections of an earlier run have ended. Events
+    of the earlier run may be handled shortly after its entry was replaced.
     """
     view = state.endpoints.get(attempt.endpoint)
-    return attempt.build if view is None else view.entry.build
+    if view is None or view.entry.address != attempt.address:
+        return attempt.build
+    if attempt.events_received and (now - view.known_at < OLD_EVENTS_S or
+                                    state.suspension.may_have_backlog(now)):
+        return attempt.build
+    return view.entry.build
+
+
+def _may_rebind(call: Call, attempt: Attempt) -> bool:
+    """Return whether all events that a caller has are of one send."""
+    return (attempt.events_received and call.build == attempt.build and
+            call.begun_by == attempt.id)
+
+
+def _after_other_build(state: 'GatewayState', call: Call, attempt: Attempt,
+                       now: float) -> Iterator[Effect]:
+    """Give up a send whose engine runs another build than its stream's.
+
+    The stream goes on elsewhere if the caller has no event of the send.
+    """
+    yield fx.CancelSend(attempt.id)
+    if attempt.events_received:
+        yield from endings.close_attempt(state, attempt.id)
+        yield from endings.abort_stream(state, call,
+                                        'the engine runs another build', now)
+        return
+    yield from on_failed(
+        state, SendFailed(attempt.id, Failure.MALFORMED, 'another build'), now)
 
 
 def on_stream_ended(state: 'GatewayState', event: StreamEnded,
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -237,6 +237,7 @@
                                             now,
                                             choice.version,
                                             view.entry.build,
+                                            view.entry.address,
                                             new_connection=new_connection,
                                             peer=peer.vm if peer else None)
     view.add_send(
--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -81,6 +81,8 @@
 
     Attributes:
         entry: Its latest entry.
+        known_at: Loop time at which the entry of its present run was first
+            applied, in s.
         in_flight: Sends of this VM in flight.
         pending_tokens: Prompt tokens of these sends that are not computed yet.
         memory_tokens: Memory that these sends take when they end, in tokens.
@@ -108,6 +110,7 @@
     """
 
     entry: EndpointEntry
+    known_at: float = -math.inf
     in_flight: dict[AttemptId, InFlightSend] = attrs.field(factory=dict)
     pending_tokens: int = 0
     memory_tokens: int = 0
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -78,6 +78,8 @@
         fallback: An endpoint's error to answer with if all sends fail.
         build: Build to whose endpoints it is bound, or None: that of the first
             stream event that its caller got.
+        begun_by: Send that brought the first stream event, if it was in this
+            answer, or None.
         origin_due_at: Loop time until which peers may answer at which build its
             stream began, in s; None if it does not wait for that.
         asked_at: Loop time at which peers were last asked for it, in s.
@@ -110,6 +112,7 @@
     fingerprint: str = ''
     fallback: 'FallbackAnswer | None' = None
     build: str | None = None
+    begun_by: AttemptId | None = None
     origin_due_at: float | None = None
     asked_at: float = -math.inf
     first_event_s: float | None = None
@@ -134,7 +137,9 @@
         sent_at: Loop time at which it was sent, in s.
         progress_at: Loop time of its latest stream event, or of the send, in s.
         version: Weight version that it is bound to, or None.
-        build: Build of the endpoint, by its entry at the send.
+        build: Build of the endpoint, by its entry at the send; corrected once
+            a later entry is known to be that of the run that answers.
+        address: Address to which it was sent.
         events_received: Whether any stream event arrived.
         is_silent: Whether it stays although its endpoint is silent.
         new_connection: Whether it required a new connection.
@@ -148,6 +153,7 @@
     progress_at: float
     version: int | None
     build: str = ''
+    address: str = ''
     events_received: bool = False
     is_silent: bool = False
     new_connection: bool = False
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -104,6 +104,22 @@
     """Bind a stream to the build of its first event; send peers its record."""
     if call.build is not None:
         return
+    call.begun_by = call.attempt
+    yield from _bind(state, call, build, now)
+
+
+def correct_build(state: 'GatewayState', call: Call, build: str,
+                  now: float) -> Iterator[Effect]:
+    """Bind a stream anew whose engine was taken for its earlier run."""
+    yield LogLine('build_corrected',
+                  (('request', call.request.attempt_id), ('build', build),
+                   ('previous', call.build or '')))
+    yield from _bind(state, call, build, now)
+
+
+def _bind(state: 'GatewayState', call: Call, build: str,
+          now: float) -> Iterator[Effect]:
+    """Bind a stream to a build; send peers its record."""
     call.build = build
     if not builds.is_resumable(call.route):
         return
@@ -114,6 +130,7 @@
             _only_origin(state, call.service, now) == origin):
         state.builds.unshared[key] = origin
         return
+    state.builds.unshared.pop(key, None)
     yield from _send_origins(_recipients(state, key, now), origin, [key])
 
 
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -429,6 +429,7 @@
         view = None
     if view is None:
         view = EndpointView(entry,
+                            known_at=now,
                             versions=dict(entry.versions),
                             versions_changed_at=now,
                             leaving=state.leaving.has_left(
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from plantainridge.gateway import builds
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
@@ -138,6 +140,87 @@
         self.assertEqual(scene.last(fx.Send).endpoint, 'new')
 
 
+class RestartedEndpointTest(unittest.TestCase):
+    """Tests of an engine that answers before the entry of its run is read.
+
+    Each guards against a stream that is taken for one of the earlier run's
+    build and goes on there.
+    """
+
+    RESTARTED = endpoint('old', build='v2', started_ms=2)
+
+    def _restart(self, scene: GatewayScene, after_s: float) -> None:
+        """Read the entry of a new run; further events of it arrive later."""
+        scene.read(View.REGISTRY, self.RESTARTED, OLD_FAR, NEW_FAR)
+        scene.advance(after_s)
+        send = scene.last(fx.Send)
+        scene.post(ev.StreamEventsReceived(send.attempt, b'two', '2', '2'))
+
+    def test_connection_that_outlasts_the_entry_is_of_the_new_run(self) -> None:
+        scene = GatewayScene(OLD)
+        send = begin_stream(scene)
+        self._restart(scene, 1.1)
+        break_off(scene, send)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'new-far')
+        scene.post(ev.CallerLeft(RequestId('r1')))
+        scene.read(View.REGISTRY, endpoint('old', draining=True, build='v2'))
+        resume_stream(scene)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'new-far')
+
+    def test_events_that_were_under_way_are_of_the_earlier_run(self) -> None:
+        for after_s in (0.0, 0.3):
+            scene = GatewayScene(OLD)
+            send = begin_stream(scene)
+            self._restart(scene, after_s)
+            break_off(scene, send)
+            self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
+
+    def test_ends_where_it_had_begun_at_another_engine(self) -> None:
+        scene = GatewayScene(OLD_FAR)
+        first = begin_stream(scene)
+        scene.read(View.REGISTRY, OLD)
+        break_off(scene, first)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'old')
+        scene.post(
+            ev.StreamEventsReceived(
+                scene.last(fx.Send).attempt, b'two', '2', '2'))
+        self._restart(scene, 1.1)
+        self.assertIsInstance(scene.done[-1], fx.AbortReply)
+
+    def test_goes_on_elsewhere_while_no_event_was_forwarded(self) -> None:
+        scene = GatewayScene(OLD_FAR)
+        begin_stream(scene)
+        scene.post(ev.CallerLeft(RequestId('r1')))
+        scene.read(View.REGISTRY, OLD)
+        scene.read(
+            View.REGISTRY,
+            endpoint('old-far',
+                     dc=REMOTE_DC,
+                     draining=True,
+                     build='v1',
+                     started_ms=1))
+        resume_stream(scene)
+        second = scene.last(fx.Send)
+        self.assertEqual(second.endpoint, 'old')
+        scene.post(ev.StreamStarted(second.attempt, head()))
+        scene.read(View.REGISTRY, self.RESTARTED,
+                   endpoint('old-third', dc=REMOTE_DC, build='v1'))
+        forwarded = len(scene.all(fx.ForwardStreamEvents))
+        scene.post(ev.StreamEventsReceived(second.attempt, b'two', '2', '2'))
+        self.assertEqual(len(scene.all(fx.ForwardStreamEvents)), forwarded)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'old-third')
+
+    def test_another_address_is_another_process(self) -> None:
+        scene = GatewayScene(OLD)
+        send = begin_stream(scene, event_id='')
+        scene.read(View.REGISTRY, attrs.evolve(self.RESTARTED,
+                                               address='moved:1'), NEW_FAR,
+                   OLD_FAR)
+        scene.post(ev.StreamEventsReceived(send.attempt, b'one', '1', '1'))
+        break_off(scene, send)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
+
+
 class NewTryTest(unittest.TestCase):
     """Tests of streams that callers take up again at the same VM."""
 
