--- a/src/plantainridge/gateway/caller_connection.py
+++ b/src/plantainridge/gateway/caller_connection.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from plantainridge.gateway import sockets
 from plantainridge.gateway.events import CallerLeft, Headers
 from plantainridge.gateway.wire import RawRequest
 from plantainridge.ids import RequestId
@@ -45,6 +46,7 @@
         head: Head of the current request once it has been read, or None.
         body: What was read of the current request's body.
         request: The request that is being answered, or None.
+        used: Whether a request was read completely.
         close_after_answer: Whether the current answer is the last one.
         is_streaming: Whether the current answer is a stream.
         answers_are_complete: Whether every answer that began was written to its
@@ -62,6 +64,7 @@
         self.head: h11.Request | None = None
         self.body = bytearray()
         self.request: RequestId | None = None
+        self.used = False
         self.close_after_answer = False
         self.is_streaming = False
         self.answers_are_complete = False
@@ -179,6 +182,7 @@
     def _submit_request(self) -> None:
         assert self.head is not None
         self._cancel_timeout()
+        self.used = True
         request = self.server.next_request_id()
         self.request = request
         raw = RawRequest(self.head.method, self.head.target,
@@ -269,9 +273,13 @@
             self.transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being read or served."""
+        """Close the connection unless a request is being read or served.
+
+        Bytes that the system has received may be a request.
+        """
         idle = self.request is None and self.head is None and not self.buffer
-        if idle and self.transport is not None:
+        if (idle and self.transport is not None and
+                not sockets.unread_bytes(self.transport)):
             self.transport.close()
 
     def refuse_incomplete(self, reason: str, retry_after_s: float) -> None:
--- a/src/plantainridge/gateway/http_server.py
+++ b/src/plantainridge/gateway/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Callable
 from typing import Final
 
@@ -14,6 +15,8 @@
 from plantainridge.loop.ports import Post
 
 BACKLOG: Final = 512
+# Pause after a connection could not be accepted, in s.
+ACCEPT_RETRY_DELAY_S: Final = 1.0
 # Unread bytes of all complete answers at which the callers with most of them
 # are disconnected.
 MAX_TOTAL_UNREAD_BYTES: Final = 32 * 1_024 * 1_024
@@ -32,6 +35,9 @@
         closing: Whether each connection closes after its next answer.
         connections: Open connections.
         by_request: The connection that waits for each request's answer.
+        refusal: How requests are refused since the process exits, or None.
+        accepting: Tasks of connections that were accepted and are not in
+            `connections` yet.
     """
 
     def __init__(self, wire: RequestWire, post: Post) -> None:
@@ -41,8 +47,10 @@
         self.closing = False
         self.connections: set[CallerConnection] = set()
         self.by_request: dict[RequestId, CallerConnection] = {}
+        self.refusal: fx.CloseCallers | None = None
+        self.accepting: set[asyncio.Task[object]] = set()
         self._sequence = itertools.count(1)
-        self._server: asyncio.Server | None = None
+        self._listeners: list[socket.socket] = []
 
     async def start(self, host: str, port: int) -> str:
         """Start to listen; return the address as `IP:port`.
@@ -50,11 +58,50 @@
         Raises:
             OSError: The address could not be bound.
         """
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self), host, port, backlog=BACKLOG)
-        bound = self._server.sockets[0].getsockname()
+        # A server of asyncio drops connections that are in the system's queue
+        # or were just accepted when it closes.
+        listener = socket.create_server((host, port),
+                                        family=_family(host),
+                                        backlog=BACKLOG)
+        listener.setblocking(False)
+        self._listeners.append(listener)
+        self._watch(listener)
+        bound = listener.getsockname()
         return f'{bound[0]}:{bound[1]}'
 
+    def _watch(self, listener: socket.socket) -> None:
+        """Accept connections whenever there are any."""
+        if listener in self._listeners:
+            asyncio.get_running_loop().add_reader(listener.fileno(),
+                                                  self._accept, listener)
+
+    def _accept(self, listener: socket.socket) -> None:
+        """Accept the connections in the system's queue."""
+        loop = asyncio.get_running_loop()
+        # Connections that come meanwhile are left to the next call.
+        for _ in range(BACKLOG):
+            try:
+                sock, _ = listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:
+                # The process has no more descriptors, or the system no memory.
+                loop.remove_reader(listener.fileno())
+                loop.call_later(ACCEPT_RETRY_DELAY_S, self._watch, listener)
+                return
+            sock.setblocking(False)
+            task = loop.create_task(
+                loop.connect_accepted_socket(lambda: CallerConnection(self),
+                                             sock))
+            self.accepting.add(task)
+            task.add_done_callback(self._on_accepted)
+
+    def _on_accepted(self, task: asyncio.Task[object]) -> None:
+        self.accepting.discard(task)
+        if not task.cancelled():
+            # A connection that its caller has reset meanwhile.
+            task.exception()
+
     def next_request_id(self) -> RequestId:
         """Return an id that no other request of this server has."""
         return RequestId(f'r{next(self._sequence)}')
@@ -62,6 +109,10 @@
     def handle(self, connection: 'CallerConnection', request: RequestId,
                raw: RawRequest) -> None:
         """Decode a complete request and post it, or refuse it."""
+        if self.refusal is not None:
+            connection.refuse(503, self.refusal.reason,
+                              self.refusal.retry_after_s)
+            return
         decoded = self.wire.read_request(request, raw)
         if isinstance(decoded, BadRequest):
             connection.refuse(decoded.status, decoded.reason, None)
@@ -80,14 +131,23 @@
             connection.disconnect()
 
     def stop_listening(self, _: fx.StopListening) -> None:
-        """Accept no further connections and close idle ones."""
-        if self._server is not None:
-            self._server.close()
+        """Accept no further connections and close idle ones.
+
+        Connections in the system's queue are accepted first: their callers may
+        have sent requests. Those that have not been used yet stay open.
+        """
+        listeners, self._listeners = self._listeners, []
+        for listener in listeners:
+            self._accept(listener)
+            asyncio.get_running_loop().remove_reader(listener.fileno())
+            listener.close()
         for connection in list(self.connections):
-            connection.close_if_idle()
+            if connection.used:
+                connection.close_if_idle()
 
     def close_callers(self, effect: fx.CloseCallers) -> None:
         """Refuse requests that are incomplete and close idle connections."""
+        self.refusal = effect
         for connection in list(self.connections):
             connection.refuse_incomplete(effect.reason, effect.retry_after_s)
 
@@ -98,7 +158,7 @@
             until: Loop time at which the wait ends in any case, in s.
         """
         loop = asyncio.get_running_loop()
-        while self.connections and loop.time() < until:
+        while (self.connections or self.accepting) and loop.time() < until:
             await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
 
     def reply(self, effect: fx.Reply) -> None:
@@ -159,3 +219,7 @@
             return
         status, text = response
         connection.reply(status, PAGE_HEADERS, text.encode())
+
+
+def _family(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ':' in host else socket.AF_INET
--- a/src/plantainridge/gateway/sockets.py
+++ b/src/plantainridge/gateway/sockets.py
@@ -22,11 +22,27 @@
     Returns:
         The number of bytes; 0 if the system does not state it.
     """
+    return _byte_count(transport, SIOCOUTQ)
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the bytes that the system has received and not passed on yet.
+
+    Args:
+        transport: Transport of a TCP connection.
+
+    Returns:
+        The number of bytes; 0 if the system does not state it.
+    """
+    return _byte_count(transport, termios.FIONREAD)
+
+
+def _byte_count(transport: asyncio.BaseTransport, request: int) -> int:
     sock: socket.socket | None = transport.get_extra_info('socket')
     if sock is None or sock.fileno() < 0:
         return 0
     try:
-        state = fcntl.ioctl(sock.fileno(), SIOCOUTQ, bytes(INT.size))
+        state = fcntl.ioctl(sock.fileno(), request, bytes(INT.size))
     except OSError:
         return 0
     count: int = INT.unpack(state)[0]
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -61,6 +61,12 @@
         ]
 
 
+def connect(address: str) -> socket.socket:
+    """Return a connection, which the system makes without the server."""
+    host, _, port = address.rpartition(':')
+    return socket.create_connection((host, int(port)), 1.0)
+
+
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     """Tests of requests from callers and of the answers written to them."""
 
@@ -253,6 +259,99 @@
         received = await asyncio.wait_for(caller.reader.read(), 2.0)
         self.assertTrue(received.endswith(b'0\r\n\r\n'))
 
+    async def test_requests_that_came_before_the_stop_are_read(self) -> None:
+        # Cut off without an answer: connections in the system's queue, accepted
+        # ones without a transport, and those whose request was not read yet.
+        read = {}
+        for passes in range(6):
+            caller = Caller()
+            address = await caller.server.start(HOST, 0)
+            sockets = [connect(address) for _ in range(5)]
+            for sock in sockets:
+                sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+            for _ in range(passes):
+                await asyncio.sleep(0)
+            caller.server.stop_listening(fx.StopListening())
+            await asyncio.sleep(0.05)
+            read[passes] = len(caller.requests())
+            for sock in sockets:
+                sock.close()
+            with self.assertRaises(ConnectionRefusedError):
+                connect(address)
+        self.assertEqual(read, dict.fromkeys(range(6), 5))
+
+    async def test_request_after_an_accept_is_read_while_stopping(self) -> None:
+        # Its caller connected before the stop and sends the request after it.
+        caller = Caller()
+        await caller.connect()
+        await asyncio.sleep(0.05)
+        caller.server.stop_listening(fx.StopListening())
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        self.assertEqual(len(caller.requests()), 1)
+
+    async def test_request_on_a_kept_connection_is_read_at_the_stop(
+            self) -> None:
+        caller = Caller()
+        address = await caller.server.start(HOST, 0)
+        sock = connect(address)
+        for count in (1, 2):
+            sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+            if count == 2:
+                caller.server.stop_listening(fx.StopListening())
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(caller.requests()), count)
+            caller.server.reply(
+                fx.Reply(caller.requests()[-1].id, 200, (), b'ok'))
+        sock.close()
+
+    async def test_idle_kept_connection_is_closed_at_the_stop(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        caller.server.reply(fx.Reply(caller.requests()[0].id, 200, (), b'ok'))
+        self.assertTrue(await caller.answer())
+        caller.server.stop_listening(fx.StopListening())
+        self.assertEqual(await caller.answer(), b'')
+
+    async def test_requests_that_come_at_the_exit_are_refused(self) -> None:
+        request_bytes = HEAD + b'Content-Length: 3\r\n\r\nabc'
+        for size in (len(request_bytes), len(HEAD), 5, 0):
+            for passes in (0, 5):
+                caller = Caller()
+                address = await caller.server.start(HOST, 0)
+                sock = connect(address)
+                for _ in range(passes):
+                    await asyncio.sleep(0)
+                caller.server.stop_listening(fx.StopListening())
+                await asyncio.sleep(0.05)
+                sock.sendall(request_bytes[:size])
+                caller.server.close_callers(fx.CloseCallers('stopping', 0.2))
+                await caller.server.wait_closed(
+                    asyncio.get_running_loop().time() + 1.0)
+                answer = sock.recv(65_536)
+                self.assertEqual((size, answer[:12]),
+                                 (size, b'HTTP/1.1 503' if size else b''))
+                self.assertEqual(caller.requests(), [])
+                sock.close()
+
+    async def test_request_that_is_complete_after_the_exit_is_refused(
+            self) -> None:
+        # The reducer handles no more events then: nobody would answer.
+        caller = Caller()
+        await caller.connect()
+        request_bytes = HEAD + b'Content-Length: 0\r\n\r\n'
+        await caller.send(request_bytes + request_bytes[:20])
+        stream = caller.requests()[0].id
+        # Its head does not say that the connection closes after it.
+        caller.server.start_reply(fx.StartReply(stream, 200, ()))
+        caller.server.closing = True
+        caller.server.close_callers(fx.CloseCallers('stopping', 0.2))
+        caller.server.end_reply(fx.EndReply(stream))
+        await caller.answer()
+        await caller.send(request_bytes[20:])
+        self.assertIn(b'HTTP/1.1 503', await caller.answer())
+        self.assertEqual(len(caller.requests()), 1)
+
     async def test_internal_headers_from_callers_are_dropped(self) -> None:
         caller = Caller()
         await caller.connect()
