Accept no unnamed answer on a connection that is reused (MISDELIVERED)

Cause: an answer without X-Attempt-Id counted as that of the request in flight. On a kept connection it may be the second copy of an earlier answer, which a caller then got as its own. Of two ids the last one counted. Control calls share these connections and took such a copy for their response: an order of a weight version counted as confirmed.

Change: on a connection that carried an earlier request, an answer must name its attempt; on a new one it may lack the id. All ids must be that of the attempt.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -138,6 +138,7 @@
             stated.
         max_rejections_per_s: Rejections for want of room in one second that it
             survives, while it is brittle; None if it does not state that it is.
+        names_attempt: Whether it names the attempt that it answers.
     """
 
     status: int
@@ -152,6 +153,7 @@
     invalid_pause: str = ''
     cold_remaining_s: float | None = None
     max_rejections_per_s: int | None = None
+    names_attempt: bool = True
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -139,6 +139,7 @@
         idle_since: Loop time at which the latest answer ended, in s.
         at_eof: Whether the server sends nothing more.
         usable_until: Loop time until which it is reused, in s.
+        was_used: Whether it carried a request that was answered.
         is_tunnelled: Whether it leads through a peer, which acknowledges what
             the server may not have received.
     """
@@ -157,6 +158,7 @@
         self.idle_since = 0.0
         self.at_eof = False
         self.usable_until = math.inf
+        self.was_used = False
         self.is_tunnelled = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -280,6 +282,7 @@
                        self.transport.get_write_buffer_size() == 0)
         if is_reusable:
             self.idle_since = self.loop.time()
+            self.was_used = True
             self.on_idle(self)
         else:
             self.transport.abort()
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -108,7 +108,7 @@
                  elapsed_s: float = 0.0) -> None:
         self.in_flight[effect.attempt] = connection
         raw = self.wire.write_request(effect, elapsed_s)
-        connection.send(raw, _AnswerReader(self, effect),
+        connection.send(raw, _AnswerReader(self, effect, connection.was_used),
                         max(0.0, effect.remaining_s - elapsed_s) + OVERTIME_S)
 
     def finish(self, attempt: AttemptId, event: Event) -> None:
@@ -121,14 +121,17 @@
     """Reader of one answer; posts it complete or as stream events.
 
     Attributes:
+        is_reused: Whether its connection carried an earlier request.
         is_framed: Whether the end of the body is known without the end of the
             connection.
         has_events: Whether the stream had an event.
     """
 
-    def __init__(self, sender: EndpointSender, effect: fx.Send) -> None:
+    def __init__(self, sender: EndpointSender, effect: fx.Send,
+                 is_reused: bool) -> None:
         self.sender = sender
         self.effect = effect
+        self.is_reused = is_reused
         self.head: ev.AnswerHead | None = None
         self.body = bytearray()
         self.splitter: EventSplitter | None = None
@@ -139,7 +142,9 @@
         effect = self.effect
         head = self.sender.wire.read_answer_head(effect, status, headers,
                                                  self.sender.loop.time())
-        if head is None:
+        if head is None or (self.is_reused and not head.names_attempt):
+            # On a connection that was used before, an answer that names no
+            # request may be a second one to an earlier request.
             return Failure.MALFORMED
         self.head = head
         is_expected = head.instance in ('', effect.endpoint)
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -78,8 +78,12 @@
     def read_answer_head(self, send: Send, status: int, headers: Headers,
                          now: float) -> AnswerHead | None:
         fields = {key: value.decode('latin-1') for key, value in headers}
-        if fields.get(names.ATTEMPT_ID,
-                      send.request.attempt_id) != (send.request.attempt_id):
+        attempts = {
+            value.decode('latin-1')
+            for key, value in headers
+            if key == names.ATTEMPT_ID
+        }
+        if attempts - {send.request.attempt_id}:
             return None
         pause_s, invalid_pause = _parse_pause(status, headers)
         cold_ms = _parse_int(fields.get(names.COLD_REMAINING))
@@ -90,6 +94,7 @@
                           if key not in names.INTERNAL_ANSWER_HEADERS),
             signed=names.SIGNATURE in fields,
             not_run=names.NOT_RUN in fields or status == 421,
+            names_attempt=bool(attempts),
             instance=fields.get(names.INSTANCE, ''),
             load=parse_load(fields.get(names.LOAD, ''), now),
             version=_parse_int(fields.get(names.WEIGHT_VERSION)),
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
+
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.caller_connection import LINGER_RESET
@@ -15,12 +17,13 @@
 from plantainridge.gateway.http_server import HttpServer
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
-from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId
+from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId, VmId
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
+from plantainridge.platform.engines import PlatformEngines
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.reports import log_fault
-from tests.gateway_scene import request
+from tests.gateway_scene import MODEL, request
 
 HOST = '127.0.0.1'
 HEAD = b'POST /submit/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: 7\r\n'
@@ -497,6 +500,126 @@
         self.assertIn('ConnectionRefusedError', events[0].detail)
 
 
+class ExtraAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of a second copy of an answer, on a connection that is reused.
+
+    Each guards against a caller that gets an answer that is not its own.
+    """
+
+    async def _send_two(self,
+                        extra: bytes,
+                        copy: bytes,
+                        delay_s: float = 0.0) -> list[Event]:
+        """Send two requests of two callers on one connection.
+
+        Args:
+            extra: What the endpoint sends right after its first answer.
+            copy: What it sends when the second request has arrived, before its
+                answer.
+            delay_s: Time after which it sends `extra`, in s.
+
+        Returns:
+            The events that were posted.
+        """
+
+        async def serve(reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+            number = 0
+            while await reader.read(65_536):
+                number += 1
+                connections.append(number)
+                if number == 1:
+                    writer.write(answer_to('one') + (b'' if delay_s else extra))
+                    await asyncio.sleep(delay_s)
+                    writer.write(extra if delay_s else b'')
+                else:
+                    writer.write(copy + answer_to('two'))
+
+        connections: list[int] = []
+        server = await asyncio.start_server(serve, HOST, 0)
+        address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        events: list[Event] = []
+        sender = EndpointSender(PlatformWire(), Pool(), Tasks(log_fault),
+                                events.append)
+        for name in ('one', 'two'):
+            sender.send(
+                fx.Send(AttemptId(name),
+                        attrs.evolve(request('/submit/x'), attempt_id=name),
+                        EndpointId('e'), address, False, False, 5.0,
+                        TeamId('team')))
+            await asyncio.sleep(0.1)
+        server.close()
+        return events
+
+    def _assert_own(self, events: list[Event], note: object) -> None:
+        for event in events:
+            if isinstance(event, ev.AnswerArrived):
+                self.assertEqual(event.body, event.attempt.encode(), note)
+        self.assertEqual(len(events), 2, note)
+
+    async def test_each_caller_gets_its_own_answer(self) -> None:
+        one = answer_to('one')
+        unnamed = one.replace(b'X-Attempt-Id: one\r\n', b'')
+        missing = b'HTTP/1.1 404 Not Found\r\nContent-Length: 3\r\n\r\none'
+        named_twice = one.replace(
+            b'X-Attempt-Id: one\r\n',
+            b'X-Attempt-Id: one\r\nX-Attempt-Id: two\r\n')
+        for copy in (one, unnamed, missing, named_twice):
+            for delay_s in (0.0, 0.03):
+                events = await self._send_two(copy, b'', delay_s)
+                self._assert_own(events, ('behind', copy, delay_s))
+            events = await self._send_two(b'', copy)
+            self._assert_own(events, ('in the moment of reuse', copy))
+
+    async def test_second_answer_is_no_answer_to_a_control_call(self) -> None:
+        # It would count as the confirmation of an order.
+
+        async def serve(reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+            while await reader.read(65_536):
+                writer.write(answer_to('one'))
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        events: list[Event] = []
+        pool, tasks = Pool(), Tasks(log_fault)
+        sender = EndpointSender(PlatformWire(), pool, tasks, events.append)
+        sender.send(
+            fx.Send(AttemptId('one'),
+                    attrs.evolve(request('/submit/x'), attempt_id='one'),
+                    EndpointId('e'), address, False, False, 5.0, None))
+        await asyncio.sleep(0.1)
+        engines = PlatformEngines(pool, tasks, VmId('vm'), events.append)
+        engines.order_version(
+            fx.OrderVersion(EndpointId('e'), address, MODEL, 2, 0, 1))
+        await asyncio.sleep(0.1)
+        server.close()
+        self.assertEqual(
+            events[1], ev.OrderAnswered(EndpointId('e'),
+                                        ev.OrderResult.UNKNOWN))
+
+    async def test_unnamed_answer_on_a_new_connection_is_its_own(self) -> None:
+        data = b'HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno'
+        server = await asyncio.start_server(endpoint_answering(data), HOST, 0)
+        events: list[Event] = []
+        sender = EndpointSender(PlatformWire(), Pool(), Tasks(log_fault),
+                                events.append)
+        address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        sender.send(
+            fx.Send(AttemptId('one'), request('/submit/x'), EndpointId('e'),
+                    address, False, False, 5.0, None))
+        await asyncio.sleep(0.1)
+        server.close()
+        self.assertIsInstance(events[0], ev.AnswerArrived)
+
+
+def answer_to(name: str) -> bytes:
+    """Return an endpoint's answer to an attempt."""
+    return (b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Seal: s\r\n'
+            b'Content-Length: %d\r\n\r\n%b' %
+            (name.encode(), len(name), name.encode()))
+
+
 class SplitterTest(unittest.TestCase):
     """Tests of splitting a stream into events, wherever its bytes are cut."""
 
