--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -142,6 +142,10 @@
     call = state.calls.of_attempt(event.attempt)
     if call is None:
         return
+    if not event.has_event:
+        # Neither progress nor a sign that the prompt was computed.
+        yield fx.ForwardStreamEvents(call.request.id, event.data)
+        return
     attempt = state.calls.attempts[event.attempt]
     build = _build_of(state, attempt, now)
     if call.build not in (None, build):
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -192,12 +192,14 @@
         data: Bytes of the events.
         first_id: Id of the first event; '' if it has none.
         last_id: Id of the last event; '' if it has none.
+        has_event: Whether there is any beside comments.
     """
 
     attempt: AttemptId
     data: bytes = attrs.field(repr=False)
     first_id: str
     last_id: str
+    has_event: bool = True
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -174,10 +174,11 @@
         events = self.splitter.feed(data)
         self.held_bytes = len(self.splitter.incomplete)
         if events is not None:
-            self.has_events = True
+            self.has_events = self.has_events or events.has_event
             self._post(
                 ev.StreamEventsReceived(self.effect.attempt, events.data,
-                                        events.first_id, events.last_id))
+                                        events.first_id, events.last_id,
+                                        events.has_event))
         return Failure.TOO_LONG if self.splitter.is_too_long else None
 
     def check_end(self) -> Failure | None:
--- a/src/plantainridge/gateway/streams.py
+++ b/src/plantainridge/gateway/streams.py
@@ -10,6 +10,8 @@
 # Length of the longest blank line that ends an event, in bytes.
 _MAX_END_BYTES: Final = 4
 _EVENT_END: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+# A line that is neither empty nor a comment.
+_FIELD: Final = re.compile(rb'(?:^|[\r\n])[^:\r\n]')
 _ID_FIELD: Final = re.compile(rb'(?m)^id: ?([^\r\n]*)')
 
 
@@ -21,11 +23,14 @@
         data: Their bytes, with the blank line that ends each.
         first_id: Id of the first event that has one, or ''.
         last_id: Id of the last event that has one, or ''.
+        has_event: Whether there is any beside comments, which endpoints may
+            send without end.
     """
 
     data: bytes = attrs.field(repr=False)
     first_id: str
     last_id: str
+    has_event: bool
 
 
 @attrs.define
@@ -65,7 +70,8 @@
             return None
         known_ids = [event_id for event_id in ids if event_id]
         return StreamEvents(b''.join(events), known_ids[0] if known_ids else '',
-                            known_ids[-1] if known_ids else '')
+                            known_ids[-1] if known_ids else '',
+                            any(_FIELD.search(each) for each in events))
 
 
 def _is_repeated(event_id: str, after_id: str) -> bool:
