Forward no promise that an endpoint did not make (EXACTLY-ONCE)

Cause: an endpoint's 503, 429 or 408 without X-Not-Executed was forwarded with its status and Retry-After. To callers these statuses promise that the request has not run and never will, so that a run-once request was sent again.

Change: such an answer counts as 502 without Retry-After. A pause that it asks for is still kept.

Result: tests.test_lost_answers.PromiseTest. test_endpoint_does_not_promise_by_its_status_alone failed before (Retry-After and the status were forwarded); all 6 pass now. The other five show what held before: no second send after any failure but not_connected and relay_failed, new connections, no takeover, never 503 after a send that may have run.

--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -12,7 +12,12 @@
 from plantainridge.platform import names
 
 MS_PER_S = 1_000.0
+STATUS_MISDIRECTED: Final = 421
+STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
+# Statuses that promise callers that a request has not run and never will.
+# Endpoints promise it by `X-Not-Executed` alone.
+PROMISES: Final = frozenset({408, 429, STATUS_UNAVAILABLE})
 # A number of seconds, whole or with a fraction.
 _DECIMAL: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 # Longest text of a whole number in a header: any 64-bit number fits.
@@ -86,6 +91,13 @@
         if attempts - {send.request.attempt_id}:
             return None
         pause_s, invalid_pause = _parse_pause(status, headers)
+        not_run = names.NOT_RUN in fields or status == STATUS_MISDIRECTED
+        if not not_run and status in PROMISES:
+            # Forwarded, it would tell the caller that nothing was run.
+            status = STATUS_BAD_GATEWAY
+            headers = tuple((key, value)
+                            for key, value in headers
+                            if key != names.RETRY_AFTER)
         cold_ms = _parse_int(fields.get(names.COLD_REMAINING))
         return AnswerHead(
             status=status,
@@ -93,7 +105,7 @@
                           for key, value in _end_to_end_headers(headers)
                           if key not in names.INTERNAL_ANSWER_HEADERS),
             signed=names.SIGNATURE in fields,
-            not_run=names.NOT_RUN in fields or status == 421,
+            not_run=not_run,
             names_attempt=bool(attempts),
             instance=fields.get(names.INSTANCE, ''),
             load=parse_load(fields.get(names.LOAD, ''), now),
