--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -306,6 +306,37 @@
         self.assertIsInstance(event, ev.StreamEnded)
 
 
+class FramedAnswerTest(_SenderCase):
+    """An answer with a length or chunks that ends early is not complete."""
+
+    async def test_end_of_data_and_reset(self) -> None:
+        framed = {
+            'part of its length': OK + b'Content-Length: 9\r\n\r\nok',
+            'nothing of its length': OK + b'Content-Length: 9\r\n\r\n',
+            'a part of a chunk': OK + CHUNKED + b'9\r\nok',
+            'no last chunk': OK + CHUNKED + b'2\r\nok\r\n',
+            'no end of the last chunk': OK + CHUNKED + b'2\r\nok\r\n0\r\n',
+            'part of its head': OK + b'Content-Le',
+        }
+        streams = {
+            'events and no last chunk':
+                STREAM + CHUNKED + b'7\r\nid: 1\n\n\r\n',
+            'a part of its length':
+                STREAM + b'Content-Length: 99\r\n\r\nid: 1\n\n',
+        }
+        for is_stream, cases in ((False, framed), (True, streams)):
+            for name, data in cases.items():
+                for reset in (False, True):
+                    address = await self.listen(ending(data, reset))
+                    event = await self.outcome(address,
+                                               new_connection=False,
+                                               stream=is_stream)
+                    assert isinstance(event, ev.SendFailed), (name, event)
+                    self.assertEqual(event.failure, Failure.BROKEN, name)
+                    self.assertEqual(self.pool.idle, {}, name)
+                    self.events.clear()
+
+
 class LongNumberTest(_SenderCase):
     """A number of more digits than Python reads counts as not stated."""
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -55,7 +55,7 @@
             target: The request's path.
             events: Number of events; 0 for the head alone, -1 for nothing.
         """
-        self.is_stream = not target.startswith('/view')
+        self.is_stream = target.startswith(('/report', '/tag'))
         service = ENGINES if self.is_stream else LEDGER
         super().__init__(endpoint('a', service))
         self.send: fx.Send = self.post_request(target)
