Let stand-ins of endpoints name the attempt that they answer

The stand-in of tests.test_dark_endpoints answered on kept connections without X-Attempt-Id, which endpoints echo by the platform's protocol; two of its tests failed since such an answer is rejected. It names the attempt now, and the tests check what they did. Control calls check their response beside the call, so that the double in tests.test_gateway_freed_parts, which failed, is called as before.

--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -62,29 +62,9 @@
     def free_parts(self, effect: fx.FreeParts) -> None:
         self.tasks.spawn(self._free_parts(effect))
 
-    async def _call(
-            self,
-            address: str,
-            method: str,
-            target: str,
-            timeout_s: float,
-            body: bytes = b'',
-            headers: ev.Headers = JSON_HEADERS) -> Response | NoResponse:
-        """Call an engine or a store; an answer to a request counts as none.
-
-        Connections are shared with requests, and a second copy of an answer may
-        arrive on one that is reused. Calls name no attempt.
-        """
-        response = await call(self.pool, address, method, target, timeout_s,
-                              body, headers)
-        if isinstance(response, Response) and (names.ATTEMPT_ID
-                                               in response.headers):
-            return NoResponse('the answer is to another request', True)
-        return response
-
     async def _list_store(self, effect: fx.ListStore) -> None:
-        response = await self._call(effect.address, 'GET', '/kv-list',
-                                    LIST_STORE_TIMEOUT_S)
+        response = _own(await call(self.pool, effect.address, 'GET', '/kv-list',
+                                   LIST_STORE_TIMEOUT_S))
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(_store_failure(effect.store, response))
             return
@@ -96,11 +76,12 @@
     async def _poll_store(self, effect: fx.PollStore) -> None:
         wait_header = (names.WAIT_MS,
                        str(round(effect.wait_s * 1_000)).encode())
-        response = await self._call(effect.address,
-                                    'GET',
-                                    f'/kv-events?since={effect.since}',
-                                    TIMEOUT_S + effect.wait_s,
-                                    headers=(wait_header,))
+        response = _own(await call(self.pool,
+                                   effect.address,
+                                   'GET',
+                                   f'/kv-events?since={effect.since}',
+                                   TIMEOUT_S + effect.wait_s,
+                                   headers=(wait_header,)))
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(_store_failure(effect.store, response))
             return
@@ -115,15 +96,16 @@
             'epoch': effect.epoch,
             'until_ms': effect.until_ms,
         }).encode()
-        response = await self._call(effect.address, 'POST', '/kv-free',
-                                    TIMEOUT_S, body)
+        response = _own(await call(self.pool, effect.address, 'POST',
+                                   '/kv-free', TIMEOUT_S, body))
         if isinstance(response, NoResponse) or response.status not in SUCCESS:
             self.post(ev.FreeFailed(effect.store, failure_reason(response)))
             return
         self.post(ev.PartsFreed(effect.store, effect.epoch, effect.parts))
 
     async def _request_report(self, effect: fx.RequestReport) -> None:
-        response = await self._call(effect.address, 'GET', '/report', TIMEOUT_S)
+        response = _own(await call(self.pool, effect.address, 'GET', '/report',
+                                   TIMEOUT_S))
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(ev.ReportFailed(effect.endpoint,
                                       failure_reason(response)))
@@ -164,8 +146,9 @@
             'expect': effect.orders,
         }).encode()
         expected_header = (names.EXPECTED_INSTANCE, effect.endpoint.encode())
-        response = await self._call(effect.address, 'POST', '/order', TIMEOUT_S,
-                                    body, (*JSON_HEADERS, expected_header))
+        response = _own(await
+                        call(self.pool, effect.address, 'POST', '/order',
+                             TIMEOUT_S, body, (*JSON_HEADERS, expected_header)))
         result = OrderResult.UNKNOWN
         if isinstance(response, Response):
             self._post_leaving(effect.endpoint, response)
@@ -173,6 +156,17 @@
         self.post(ev.OrderAnswered(effect.endpoint, result))
 
 
+def _own(response: Response | NoResponse) -> Response | NoResponse:
+    """Return a response, or none if it answers a request.
+
+    Connections are shared with requests, and a second copy of an answer may
+    arrive on one that is reused. Calls name no attempt.
+    """
+    if isinstance(response, Response) and names.ATTEMPT_ID in response.headers:
+        return NoResponse('the answer is to another request', True)
+    return response
+
+
 def _store_failure(store: ServiceId,
                    response: Response | NoResponse) -> ev.StoreRequestFailed:
     busy = isinstance(response, Response) and response.status == 429
--- a/tests/test_dark_endpoints.py
+++ b/tests/test_dark_endpoints.py
@@ -30,7 +30,10 @@
                                  request)
 
 HOST: Final = '127.0.0.1'
+# It names its attempt: on a kept connection, an answer that does not may be a
+# second one to an earlier request.
 ANSWER: Final = (b'HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n'
+                 b'X-Attempt-Id: caller-r1\r\n'
                  b'Content-Length: 2\r\n\r\nok')
 # Times for which a sound endpoint may be silent, in s.
 SILENCES_S: Final = (1.3, 1.6, 1.9)
