--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -4,7 +4,8 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import (cache, dispatch, endings, health, paths,
-                                   placement, resumptions, suspects, takeover)
+                                   placement, placement_requests, resumptions,
+                                   suspects, takeover)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
@@ -80,7 +81,7 @@
         yield from endings.end(state, call, 'answered', head.status, now)
         return
     else:
-        health.record_rejection(state, attempt, now)
+        yield from health.record_rejection(state, attempt, now)
         call.tried.discard(attempt.endpoint)
     yield from dispatch.dispatch(state, call, now)
 
@@ -163,6 +164,8 @@
             state.cache.record_prefill(attempt.endpoint, salt,
                                        call.request.parts)
         health.record_first_event(state, attempt, now)
+        if attempt.grant is not None:
+            yield from placement_requests.report_prefill(state, attempt.grant)
         yield from resumptions.record_first_event(state, call, build, now)
         if call.first_event_s is None:
             call.first_event_s = now - call.arrived_at
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -11,8 +11,9 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import (cache, containment, endings, health, paths,
-                                   placement, retries, stored_parts, suspects,
+from plantainridge.gateway import (cache, containment, endings, endpoint_limits,
+                                   health, paths, placement, placement_requests,
+                                   retries, stored_parts, suspects,
                                    tunnel_peers)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
@@ -24,7 +25,7 @@
 from plantainridge.gateway.requests import (CALL_LIFECYCLE, Attempt, Call,
                                             CallPhase, PlacementFailure,
                                             SendLimit)
-from plantainridge.ids import AttemptId, ServiceId
+from plantainridge.ids import AttemptId, DcId, ServiceId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
 
 if TYPE_CHECKING:
@@ -43,12 +44,19 @@
 # Range of the retry delay of callers refused after a wait for memory: runs end
 # after about 3 s, and callers refused together should not return together.
 CAPACITY_RETRY_AFTER_S: Final = (0.8, 1.6)
+# Range of the retry delay of callers refused because of endpoints' limits:
+# another VM may admit them at once, and this one soon.
+LIMITED_RETRY_AFTER_S: Final = (0.2, 0.5)
 # Reasons for which a request that has not run is refused at once: it can be
 # served only once an endpoint returns or is added.
 UNSERVABLE: Final = frozenset({
     PlacementFailure.ALL_PAUSED, PlacementFailure.ALL_LEAVING,
-    PlacementFailure.NO_BUILD
+    PlacementFailure.NO_BUILD, PlacementFailure.ALL_EVACUATED
 })
+# Those that no wait within a request's time is likely to end: streams that have
+# begun end as well.
+LASTING: Final = frozenset(
+    {PlacementFailure.NO_BUILD, PlacementFailure.ALL_EVACUATED})
 # Time that must be left to send a request again, relative to its route's
 # target.
 MIN_REMAINING_RATIO: Final = 0.1
@@ -62,6 +70,11 @@
 # Bounds of the delay after which a refused caller may retry.
 MIN_RETRY_AFTER_S: Final = 0.2
 MAX_RETRY_AFTER_S: Final = 2.0
+# Share of the expected rest of an evacuation by which retry delays differ.
+EVACUATION_SPREAD_RATIO: Final = 0.25
+
+# Service, build, and data centres that a request does not return to yet.
+_Group = tuple[ServiceId, str | None, frozenset[DcId]]
 
 
 def dispatch(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
@@ -71,7 +84,11 @@
             state, call, 'it, or a part of it, crashes endpoints',
             suspects.RETRY_AFTER_S, now)
         return
-    choice = choose(state, call, now)
+    choice: Placement | PlacementFailure = PlacementFailure.ALL_LIMITED
+    if not endpoint_limits.has_urgent_before(state, call, now):
+        if (yield from placement_requests.ask(state, call, now)):
+            return
+        choice = choose(state, call, now)
     if isinstance(choice, Placement) and may_send(state, call, now):
         yield from send(state, call, choice, now)
         return
@@ -84,8 +101,7 @@
             return
         choice = PlacementFailure.NO_RETRY
     may_wait = call.executions or call.reply_started
-    if choice is PlacementFailure.NO_BUILD or (choice in UNSERVABLE and
-                                               not may_wait):
+    if choice in LASTING or (choice in UNSERVABLE and not may_wait):
         yield from endings.fail_request(
             state, call, choice.value, _retry_after_s(state, call, choice, now),
             now)
@@ -102,7 +118,7 @@
 def _refuse_overdue(state: 'GatewayState', call: Call,
                     now: float) -> Iterator[Effect]:
     """Refuse a request whose time to wait is over."""
-    if call.wait_reason is None or now < _wait_until(state, call):
+    if call.wait_reason is None or now < _wait_until(state, call, now):
         return
     retry_after_s = _retry_after_s(state, call, call.wait_reason, now)
     yield from endings.fail_request(state, call, call.wait_reason.value,
@@ -130,14 +146,16 @@
     return choice
 
 
-def _wait_until(state: 'GatewayState', call: Call) -> float:
+def _wait_until(state: 'GatewayState', call: Call, now: float) -> float:
     """Return the loop time until which a request waits for an endpoint, in s.
 
     A request waits for an endpoint whose cool-down ends soon, as long as an
     answer can still arrive in time; otherwise its caller should retry. The same
     holds once the wait for an engine's memory has become so long that the
-    answer would start too late for the caller. A stream that has begun waits as
-    long as its caller, unless only an endpoint that is added could serve it.
+    answer would start too late for the caller. Where limits allow nothing soon,
+    it does not wait at all: another VM may admit it. A stream that has begun
+    waits as long as its caller, unless only an endpoint that is added could
+    serve it.
     """
     if call.wait_reason is PlacementFailure.NO_CAPACITY:
         return call.arrived_at + CAPACITY_WAIT_RATIO * call.route.target_s
@@ -148,6 +166,12 @@
         is_short = available_at < call.waiting_since + paths.MAX_OUTAGE_S
         wait_until = (min(available_at, latest_at) if is_short else
                       call.arrived_at + WAIT_RATIO * call.route.target_s)
+    elif call.wait_reason is PlacementFailure.ALL_LIMITED:
+        wait_until = call.waiting_since + WAIT_RATIO * call.route.target_s
+        if call.executions:
+            wait_until = latest_at
+        if endpoint_limits.opens_at(state, call, now) > wait_until:
+            wait_until = now
     elif available_at < latest_at:
         wait_until = latest_at
     else:
@@ -159,10 +183,9 @@
 
 def _has_untried(state: 'GatewayState', call: Call) -> bool:
     """Return whether an endpoint that stays may still serve a request."""
-    return any(
-        view.entry.service == call.service and not view.is_leaving and
-        view.entry.id not in call.tried and placement.has_build(call, view)
-        for view in state.endpoints.values())
+    return any(view.entry.id not in call.tried and
+               placement.may_serve(state, call, view)
+               for view in state.endpoints.values())
 
 
 def _abandoned_at(call: Call) -> float:
@@ -241,10 +264,13 @@
                                             view.entry.build,
                                             view.entry.address,
                                             new_connection=new_connection,
-                                            peer=peer.vm if peer else None)
+                                            peer=peer.vm if peer else None,
+                                            grant=choice.grant)
     view.add_send(
         attempt,
-        InFlightSend(choice.prefill_tokens, placement.memory_tokens(request)))
+        InFlightSend(choice.prefill_tokens, placement.memory_tokens(request),
+                     choice.grant))
+    yield from endpoint_limits.record_send(state, view, call, now)
     CALL_LIFECYCLE.fire(call, 'send')
     plan = _cache_plan(state, call, choice, now) if request.model else None
     yield _send_log_line(state, call, choice, now)
@@ -282,6 +308,7 @@
         ('version', choice.version or 0),
         ('build', view.entry.build),
         ('via', choice.peer.vm if choice.peer else ''),
+        ('coordinator', choice.grant.coordinator if choice.grant else ''),
         ('after_event', call.last_event_id),
         ('resumes', request.resumes),
         ('own', len(view.in_flight)),
@@ -331,11 +358,11 @@
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Dispatch the requests that wait."""
-    # Size of the last request per service and build that did not fit, in
-    # tokens.
-    unplaced_tokens: dict[tuple[ServiceId, str | None], int] = {}
+    # Size of the last request that did not fit, in tokens, among those that may
+    # go to the same endpoints.
+    unplaced_tokens: dict[_Group, int] = {}
     for call in state.calls.waiting(now):
-        if call.origin_due_at is not None:
+        if call.origin_due_at is not None or call.ask is not None:
             continue
         yield from containment.contain_request(
             state, _dispatch_waiting(state, call, unplaced_tokens, now),
@@ -343,11 +370,12 @@
 
 
 def _dispatch_waiting(state: 'GatewayState', call: Call,
-                      unplaced_tokens: dict[tuple[ServiceId, str | None], int],
+                      unplaced_tokens: dict[_Group, int],
                       now: float) -> Iterator[Effect]:
     """Dispatch a request that waits, unless a smaller one did not fit."""
     memory_tokens = placement.memory_tokens(call.request)
-    group = call.service, call.build
+    group = (call.service, call.build,
+             placement.held_back_dcs(state, call, now))
     if (memory_tokens >= unplaced_tokens.get(group, memory_tokens + 1) and
             suspects.admits(state, call, now)):
         # A request that is no larger did not fit just before.
@@ -371,10 +399,24 @@
                    now: float) -> float:
     """Return the time until an endpoint is likely to be available, in s.
 
-    Callers that are refused while all endpoints pause do not return together.
+    Callers that are refused while all endpoints pause, or all data centres are
+    evacuated, do not return together.
     """
     if reason is PlacementFailure.NO_CAPACITY:
         return state.rng.uniform(*CAPACITY_RETRY_AFTER_S)
+    if reason is PlacementFailure.ALL_LIMITED:
+        opens_in_s = endpoint_limits.opens_at(state, call, now) - now
+        return min(state.rng.uniform(*LIMITED_RETRY_AFTER_S),
+                   max(MIN_RETRY_AFTER_S, opens_in_s))
+    if reason is PlacementFailure.ALL_EVACUATED:
+        dcs = {
+            view.entry.dc
+            for view in state.endpoints.values()
+            if placement.could_serve(call, view)
+        }
+        remaining_s = state.evacuations.remaining_s(dcs, now)
+        return remaining_s * (1.0 +
+                              state.rng.uniform(0.0, EVACUATION_SPREAD_RATIO))
     available_in_s = _available_at(state, call) - now
     if reason is PlacementFailure.ALL_PAUSED:
         spread_s = min(MAX_PAUSE_SPREAD_S, PAUSE_SPREAD_RATIO * available_in_s)
@@ -389,6 +431,5 @@
         return state.paths.expected_at(call.service, call.waiting_since)
     return min((view.available_at
                 for view in state.endpoints.values()
-                if view.entry.service == call.service and
-                not view.is_leaving and placement.has_build(call, view)),
+                if placement.may_serve(state, call, view)),
                default=math.inf)
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -7,6 +7,7 @@
 import attrs
 
 from plantainridge.gateway.config import Route, Team
+from plantainridge.gateway.endpoints import Grant
 from plantainridge.gateway.events import Headers, Request
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
                                VmId)
@@ -39,7 +40,9 @@
     NO_ENDPOINT = 'no endpoint takes it'
     NO_CAPACITY = 'no engine has memory for it'
     ALL_PAUSED = 'every endpoint asked for a pause'
+    ALL_LIMITED = 'every endpoint is cold or brittle and takes no more'
     ALL_LEAVING = 'every endpoint is leaving'
+    ALL_EVACUATED = 'every data centre that has it is evacuated'
     NO_BUILD = 'no endpoint that stays has its build'
     NO_PATH = 'neither this VM nor a peer reaches its endpoints'
     NO_RETRY = 'no more sends are allowed'
@@ -87,6 +90,9 @@
             None.
         progress_at: Loop time of its latest stream event, or of its arrival,
             in s.
+        ask: Number of its placement request while it waits for the answer of a
+            coordinator, or None.
+        was_asked: Whether a coordinator was asked for its engine.
     """
 
     request: Request
@@ -118,6 +124,8 @@
     first_event_s: float | None = None
     progress_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived_at, takes_self=True))
+    ask: int | None = None
+    was_asked: bool = False
 
 
 @attrs.frozen
@@ -144,6 +152,7 @@
         is_silent: Whether it stays although its endpoint is silent.
         new_connection: Whether it required a new connection.
         peer: The peer through which it was sent, or None.
+        grant: The grant of its engine, or None.
     """
 
     id: AttemptId
@@ -158,6 +167,7 @@
     is_silent: bool = False
     new_connection: bool = False
     peer: VmId | None = None
+    grant: Grant | None = None
 
 
 @attrs.define
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -8,17 +8,18 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import eras, hints, relays, stores, versions
+from plantainridge.gateway import (eras, evacuations, hints, relays, stores,
+                                   versions)
 from plantainridge.gateway.builds import MAX_REGISTRY_AGE_S
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointView
-from plantainridge.gateway.events import (EndpointRemoved, InvalidRecord,
-                                          NamedVersion, TimerKind, View,
-                                          ViewFailed, ViewRead, ViewRelayed,
-                                          ViewUpdate, VmEntry)
+from plantainridge.gateway.events import (EndpointRemoved, EvacuationChanged,
+                                          InvalidRecord, NamedVersion,
+                                          TimerKind, View, ViewFailed, ViewRead,
+                                          ViewRelayed, ViewUpdate, VmEntry)
 from plantainridge.gateway.part_lifetimes import RESTORE_SETTLE_S
 from plantainridge.gateway.peer_messages import RelayedView
-from plantainridge.ids import EndpointId
+from plantainridge.ids import DcId, EndpointId
 from plantainridge.loop.effects import Effect, LogLine, SetTimer
 from plantainridge.loop.events import TimerFired, TimerKey
 
@@ -61,7 +62,7 @@
 MIN_OUTAGE_S: Final = 2.0
 # Range of the delay after which a view that a restored copy filled is loaded
 # once more; longer than entries take to expire.
-RELOAD_DELAY_S: Final = (4.5, 5.5)
+RELOAD_DELAY_S: Final = (evacuations.REWRITE_TIMEOUT_S, 5.5)
 # Removed endpoints that are remembered; the oldest are forgotten first.
 MAX_REMOVED: Final = 4_096
 # Time for which entries that expired during an outage may reappear after it.
@@ -76,6 +77,7 @@
         offset: Offset of the next read; None before the view was loaded, or
             was loaded anew in the store's present era.
         read_at: Loop time of the last successful read, in s.
+        first_read_at: Loop time of the first one, in s.
         complete_at: Loop time of a moment up to which this VM has everything
             that was written to the view, in s.
         unread_since: Loop time of the latest successful read before that is
@@ -97,6 +99,7 @@
 
     offset: int | None = None
     read_at: float = float('-inf')
+    first_read_at: float = float('inf')
     complete_at: float = float('-inf')
     unread_since: float = float('-inf')
     outdated: bool = False
@@ -152,6 +155,7 @@
             self.unread_since = self.read_at
         self.failed = self.failing_since is not None
         self.read_at, self.outdated = now, outdated
+        self.first_read_at = min(self.first_read_at, now)
 
 
 @attrs.define
@@ -281,6 +285,10 @@
         ]
         for update in event.updates:
             yield from _apply(state, update, now)
+        if event.is_snapshot and event.view is View.OPERATOR:
+            yield from evacuations.reconcile(state.evacuations,
+                                             _evacuated(event.updates), False,
+                                             event.issued_at, now)
     if was_restored and relays.is_reader(state, event.view.value, now):
         # Other VMs need not load the view from the store as well.
         yield from relays.broadcast_read(
@@ -331,6 +339,7 @@
         # must not be applied again: continue from the metadata store.
         cursor.behind = True
         yield SetTimer(_timer(event.view), now)
+        yield from _apply_early(state, event.updates, now)
         return
     cursor.record_read(now, _is_outdated_read(state, now))
     _record_complete(state, event)
@@ -342,6 +351,18 @@
     yield from _remove_missing(state, now)
 
 
+def _apply_early(state: 'GatewayState', updates: tuple[ViewUpdate, ...],
+                 now: float) -> Iterator[Effect]:
+    """Apply the evacuations among updates that follow ones not received.
+
+    A VM that lost a relay while it cannot read has no other news of them. Once
+    it reads what it lacks, the log's order decides.
+    """
+    for update in updates:
+        if isinstance(update, EvacuationChanged):
+            yield from _apply(state, update, now)
+
+
 def _record_complete(state: 'GatewayState', event: ViewRelayed) -> None:
     """Record when a peer issued a read, by this VM's clock.
 
@@ -383,6 +404,22 @@
             cursor.reload_at = min(cursor.reload_at, now + delay_s)
         else:
             yield from _apply(state, update, now)
+    if view is not View.OPERATOR:
+        return
+    table = state.evacuations
+    yield from evacuations.reconcile(table, _evacuated(updates), True, now, now)
+    if table.unlisted_at:
+        # A record that is not written again within this time was withdrawn.
+        cursor.reload_at = now + state.rng.uniform(*RELOAD_DELAY_S)
+
+
+def _evacuated(updates: tuple[ViewUpdate, ...]) -> set[DcId]:
+    """Return the data centres that the operators' records evacuate."""
+    return {
+        update.dc
+        for update in updates
+        if isinstance(update, EvacuationChanged) and update.requested
+    }
 
 
 def _is_outdated(state: 'GatewayState', update: ViewUpdate) -> bool:
@@ -401,6 +438,8 @@
             yield from stores.on_configuration(state, now)
     elif isinstance(update, NamedVersion):
         yield from _apply_version(state, update, now)
+    elif isinstance(update, EvacuationChanged):
+        yield from evacuations.apply(state.evacuations, update, now)
     elif isinstance(update, EndpointEntry):
         yield from _apply_entry(state, update, now)
     elif isinstance(update, EndpointRemoved):
@@ -408,6 +447,9 @@
         if view is not None and view.missing_since is None:
             view.missing_since = now
     elif isinstance(update, VmEntry):
+        known = state.peers.get(update.vm)
+        if known is None or known.dc != update.dc:
+            state.endpoint_limits.vms.record_changed(now)
         state.peers[update.vm] = update
         state.retries.vm_count = max(1, len(state.peers))
     elif isinstance(update, InvalidRecord):
@@ -447,6 +489,7 @@
 def _apply_entry(state: 'GatewayState', entry: EndpointEntry,
                  now: float) -> Iterator[Effect]:
     view = state.endpoints.get(entry.id)
+    restarted = False
     if view is not None and view.entry.started_ms > entry.started_ms:
         # An older run of the endpoint, from an older copy of the store.
         return
@@ -454,10 +497,11 @@
                              view.entry.build != entry.build):
         # The endpoint restarted under the same id: discard its state.
         state.cache.forget(entry.id)
-        view = None
+        view, restarted = None, True
     if view is None:
         view = EndpointView(entry,
                             known_at=now,
+                            restarted=restarted,
                             versions=dict(entry.versions),
                             versions_changed_at=now,
                             leaving=state.leaving.has_left(
@@ -481,6 +525,7 @@
         view.entry = attrs.evolve(entry, draining=True)
     view.missing_since = None
     view.versions.update(entry.versions)
+    state.endpoint_limits.record_entry(entry.id, entry.cold_remaining_s, now)
 
 
 def _mark_unlisted(state: 'GatewayState', updates: tuple[ViewUpdate, ...],
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -9,10 +9,13 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
+import attrs
+
 from plantainridge.gateway import (cache, config, dispatch, drain, endings,
-                                   lease, reducer, views)
+                                   endpoint_limits, lease, reducer, views)
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.events import AnswerHead, TimerKind
+from plantainridge.gateway.events import (AnswerHead, EvacuationChanged,
+                                          TimerKind, ViewRead)
 from plantainridge.ids import AttemptId
 from plantainridge.loop.effects import Effect
 from plantainridge.loop.events import TimerFired
@@ -56,6 +59,11 @@
         lambda view, now: now >= max(view.cooldown_until, view.unreached_until))
 
 
+def _ignore_limits() -> None:
+    """Send to cold endpoints as to all others."""
+    setattr(endpoint_limits, 'admitted', lambda state, views, now: views)
+
+
 def _keep_first_configuration() -> None:
     """Never apply a newer configuration."""
     apply = getattr(views, '_apply')
@@ -91,17 +99,34 @@
     reducer.TIMER_HANDLERS[TimerKind.SEND_SILENCE] = fail
 
 
+def _forget_evacuations() -> None:
+    """Forget evacuations at a restart: take none from a snapshot."""
+    read = views.on_read
+
+    def read_others(state: Any, event: ViewRead,
+                    now: float) -> Iterator[Effect]:
+        if event.is_snapshot:
+            others = tuple(each for each in event.updates
+                           if not isinstance(each, EvacuationChanged))
+            event = attrs.evolve(event, updates=others)
+        return read(state, event, now)
+
+    reducer.EVENT_HANDLERS[ViewRead] = read_others
+
+
 # Each with a seed at which the soak detects it.
 MUTANTS: Final[dict[str, tuple[Callable[[], None], int]]] = {
     'repeat_all': (_repeat_all, 3),
     'refuse_falsely': (_refuse_falsely, 3),
     'share_salts': (_share_salts, 4),
     'ignore_leaving': (_ignore_leaving, 4),
+    'ignore_limits': (_ignore_limits, 4),
     'keep_first_configuration': (_keep_first_configuration, 3),
     'exit_at_once': (_exit_at_once, 4),
     'order_without_lease': (_order_without_lease, 3),
     'cross_answers': (_cross_answers, 3),
     'end_silent_answers': (_end_silent_answers, 28025),
+    'forget_evacuations': (_forget_evacuations, 3),
 }
 
 
