--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -143,6 +143,7 @@
             stated.
         max_rejections_per_s: Rejections for want of room in one second that it
             survives, while it is brittle; None if it does not state that it is.
+        names_attempt: Whether it names the attempt that it answers.
     """
 
     status: int
@@ -157,6 +158,7 @@
     invalid_pause: str = ''
     cold_remaining_s: float | None = None
     max_rejections_per_s: int | None = None
+    names_attempt: bool = True
 
 
 @attrs.frozen
@@ -195,12 +197,14 @@
         data: Bytes of the events.
         first_id: Id of the first event; '' if it has none.
         last_id: Id of the last event; '' if it has none.
+        has_event: Whether there is any beside comments.
     """
 
     attempt: AttemptId
     data: bytes = attrs.field(repr=False)
     first_id: str
     last_id: str
+    has_event: bool = True
 
 
 @attrs.frozen
@@ -574,6 +578,42 @@
     term: int
 
 
+@attrs.frozen
+class BuildRecord:
+    """Builds that services had lately.
+
+    Attributes:
+        services: For each service and build, the time since the build was last
+            listed when the record was written, in s.
+        era: The metadata store's era in which it was written.
+    """
+
+    services: Mapping[ServiceId, Mapping[str, float]]
+    era: int = 0
+
+
+@attrs.frozen
+class BuildsRead(Event):
+    """The record of builds was read.
+
+    Attributes:
+        record: The newest record, or None.
+        end: Offset at which its log ends.
+        era: The metadata store's era.
+    """
+
+    record: BuildRecord | None
+    end: int
+    era: int = 0
+
+
+@attrs.frozen
+class BuildsFailed(Event):
+    """The record of builds could not be read."""
+
+    reason: str
+
+
 @attrs.frozen
 class LeaseRead(Event):
     """The lease was read.
@@ -610,6 +650,19 @@
     era: int = 0
 
 
+@attrs.frozen
+class BuildsWritten(Event):
+    """A conditional append of the record of builds ended.
+
+    Attributes:
+        era: The metadata store's era for which the append was meant.
+    """
+
+    record: BuildRecord
+    result: AppendResult
+    era: int = 0
+
+
 @attrs.frozen
 class LeaseFailed(Event):
     """The lease could not be read."""
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -172,6 +172,7 @@
             be due to a connection that the server had dropped while idle, in s.
         at_eof: Whether the server sends nothing more.
         usable_until: Loop time until which it is reused, in s.
+        was_used: Whether it carried a request that was answered.
         is_tunnelled: Whether it leads through a peer, which acknowledges what
             the server may not have received.
     """
@@ -192,6 +193,7 @@
         self.kept_until = -math.inf
         self.at_eof = False
         self.usable_until = math.inf
+        self.was_used = False
         self.is_tunnelled = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -323,6 +325,7 @@
                        self.transport.get_write_buffer_size() == 0)
         if is_reusable:
             self.idle_since = self.loop.time()
+            self.was_used = True
             self.on_idle(self)
         else:
             self.transport.abort()
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge.gateway import (answers, containment, coordination, dispatch,
-                                   drain, endings, endpoint_limits, eras,
-                                   events, hints, intake, lease, membership,
-                                   notices, paths, relays, reload, resumptions,
-                                   rollout, stored_parts, stores, suspects,
-                                   tunnel_admission, views, withdrawals)
+from plantainridge.gateway import (
+    answers, build_records, containment, coordination, dispatch, drain, endings,
+    endpoint_limits, eras, events, hints, intake, lease, membership, notices,
+    paths, relays, reload, resumptions, rollout, stored_parts, stores, suspects,
+    tunnel_admission, views, withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import AttemptId, RequestId
@@ -42,9 +41,9 @@
 
 
 # Modules with periodic work, in its order.
-TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, paths,
-                     endpoint_limits, coordination, dispatch, rollout, hints,
-                     relays, drain)
+TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions,
+                     build_records, paths, endpoint_limits, coordination,
+                     dispatch, rollout, hints, relays, drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
@@ -103,6 +102,9 @@
     events.LeaseRead: lease.on_read,
     events.LeaseFailed: lease.on_failed,
     events.LeaseWritten: lease.on_written,
+    events.BuildsRead: build_records.on_read,
+    events.BuildsFailed: build_records.on_failed,
+    events.BuildsWritten: build_records.on_written,
     events.StopRequested: drain.on_stop_requested,
     events.SettingsRead: reload.on_settings,
 }
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from plantainridge.gateway.build_history import BuildHistory
 from plantainridge.gateway.builds import BuildTable
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
@@ -49,6 +50,7 @@
         evacuations: Data centres that operators evacuate.
         versions: Weight versions that operators set as targets.
         builds: Builds at which streams began.
+        build_history: The record of builds in the metadata store.
         views: Read positions in the metadata store's views.
         calls: Requests and sends in flight.
         paths: Direct paths to the endpoints of each service.
@@ -82,6 +84,7 @@
     peer_ranks: PeerRanks = attrs.field(factory=PeerRanks)
     versions: VersionTable = attrs.field(factory=VersionTable)
     builds: BuildTable = attrs.field(factory=BuildTable)
+    build_history: BuildHistory = attrs.field(factory=BuildHistory)
     views: ViewTable = attrs.field(factory=ViewTable)
     calls: CallTable = attrs.field(factory=CallTable)
     paths: PathTable = attrs.field(factory=PathTable)
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
+
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.caller_connection import LINGER_RESET
@@ -16,12 +18,13 @@
 from plantainridge.gateway.http_server import HttpServer
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
-from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId
+from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId, VmId
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
+from plantainridge.platform.engines import PlatformEngines
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.reports import log_fault
-from tests.gateway_scene import LEDGER, GatewayScene, endpoint, request
+from tests.gateway_scene import (LEDGER, MODEL, GatewayScene, endpoint, request)
 
 HOST = '127.0.0.1'
 HEAD = b'POST /submit/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: 7\r\n'
@@ -62,6 +65,12 @@
         ]
 
 
+def connect(address: str) -> socket.socket:
+    """Return a connection, which the system makes without the server."""
+    host, _, port = address.rpartition(':')
+    return socket.create_connection((host, int(port)), 1.0)
+
+
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     """Tests of requests from callers and of the answers written to them."""
 
@@ -254,6 +263,99 @@
         received = await asyncio.wait_for(caller.reader.read(), 2.0)
         self.assertTrue(received.endswith(b'0\r\n\r\n'))
 
+    async def test_requests_that_came_before_the_stop_are_read(self) -> None:
+        # Cut off without an answer: connections in the system's queue, accepted
+        # ones without a transport, and those whose request was not read yet.
+        read = {}
+        for passes in range(6):
+            caller = Caller()
+            address = await caller.server.start(HOST, 0)
+            sockets = [connect(address) for _ in range(5)]
+            for sock in sockets:
+                sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+            for _ in range(passes):
+                await asyncio.sleep(0)
+            caller.server.stop_listening(fx.StopListening())
+            await asyncio.sleep(0.05)
+            read[passes] = len(caller.requests())
+            for sock in sockets:
+                sock.close()
+            with self.assertRaises(ConnectionRefusedError):
+                connect(address)
+        self.assertEqual(read, dict.fromkeys(range(6), 5))
+
+    async def test_request_after_an_accept_is_read_while_stopping(self) -> None:
+        # Its caller connected before the stop and sends the request after it.
+        caller = Caller()
+        await caller.connect()
+        await asyncio.sleep(0.05)
+        caller.server.stop_listening(fx.StopListening())
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        self.assertEqual(len(caller.requests()), 1)
+
+    async def test_request_on_a_kept_connection_is_read_at_the_stop(
+            self) -> None:
+        caller = Caller()
+        address = await caller.server.start(HOST, 0)
+        sock = connect(address)
+        for count in (1, 2):
+            sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+            if count == 2:
+                caller.server.stop_listening(fx.StopListening())
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(caller.requests()), count)
+            caller.server.reply(
+                fx.Reply(caller.requests()[-1].id, 200, (), b'ok'))
+        sock.close()
+
+    async def test_idle_kept_connection_is_closed_at_the_stop(self) -> None:
+        caller = Caller()
+        await caller.connect()
+        await caller.send(HEAD + b'Content-Length: 0\r\n\r\n')
+        caller.server.reply(fx.Reply(caller.requests()[0].id, 200, (), b'ok'))
+        self.assertTrue(await caller.answer())
+        caller.server.stop_listening(fx.StopListening())
+        self.assertEqual(await caller.answer(), b'')
+
+    async def test_requests_that_come_at_the_exit_are_refused(self) -> None:
+        request_bytes = HEAD + b'Content-Length: 3\r\n\r\nabc'
+        for size in (len(request_bytes), len(HEAD), 5, 0):
+            for passes in (0, 5):
+                caller = Caller()
+                address = await caller.server.start(HOST, 0)
+                sock = connect(address)
+                for _ in range(passes):
+                    await asyncio.sleep(0)
+                caller.server.stop_listening(fx.StopListening())
+                await asyncio.sleep(0.05)
+                sock.sendall(request_bytes[:size])
+                caller.server.close_callers(fx.CloseCallers('stopping', 0.2))
+                await caller.server.wait_closed(
+                    asyncio.get_running_loop().time() + 1.0)
+                answer = sock.recv(65_536)
+                self.assertEqual((size, answer[:12]),
+                                 (size, b'HTTP/1.1 503' if size else b''))
+                self.assertEqual(caller.requests(), [])
+                sock.close()
+
+    async def test_request_that_is_complete_after_the_exit_is_refused(
+            self) -> None:
+        # The reducer handles no more events then: nobody would answer.
+        caller = Caller()
+        await caller.connect()
+        request_bytes = HEAD + b'Content-Length: 0\r\n\r\n'
+        await caller.send(request_bytes + request_bytes[:20])
+        stream = caller.requests()[0].id
+        # Its head does not say that the connection closes after it.
+        caller.server.start_reply(fx.StartReply(stream, 200, ()))
+        caller.server.closing = True
+        caller.server.close_callers(fx.CloseCallers('stopping', 0.2))
+        caller.server.end_reply(fx.EndReply(stream))
+        await caller.answer()
+        await caller.send(request_bytes[20:])
+        self.assertIn(b'HTTP/1.1 503', await caller.answer())
+        self.assertEqual(len(caller.requests()), 1)
+
     async def test_internal_headers_from_callers_are_dropped(self) -> None:
         caller = Caller()
         await caller.connect()
@@ -399,6 +501,126 @@
         self.assertIn('ConnectionRefusedError', events[0].detail)
 
 
+class ExtraAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of a second copy of an answer, on a connection that is reused.
+
+    Each guards against a caller that gets an answer that is not its own.
+    """
+
+    async def _send_two(self,
+                        extra: bytes,
+                        copy: bytes,
+                        delay_s: float = 0.0) -> list[Event]:
+        """Send two requests of two callers on one connection.
+
+        Args:
+            extra: What the endpoint sends right after its first answer.
+            copy: What it sends when the second request has arrived, before its
+                answer.
+            delay_s: Time after which it sends `extra`, in s.
+
+        Returns:
+            The events that were posted.
+        """
+
+        async def serve(reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+            number = 0
+            while await reader.read(65_536):
+                number += 1
+                connections.append(number)
+                if number == 1:
+                    writer.write(answer_to('one') + (b'' if delay_s else extra))
+                    await asyncio.sleep(delay_s)
+                    writer.write(extra if delay_s else b'')
+                else:
+                    writer.write(copy + answer_to('two'))
+
+        connections: list[int] = []
+        server = await asyncio.start_server(serve, HOST, 0)
+        address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        events: list[Event] = []
+        sender = EndpointSender(PlatformWire(), Pool(), Tasks(log_fault),
+                                events.append)
+        for name in ('one', 'two'):
+            sender.send(
+                fx.Send(AttemptId(name),
+                        attrs.evolve(request('/submit/x'), attempt_id=name),
+                        EndpointId('e'), address, False, False, 5.0,
+                        TeamId('team')))
+            await asyncio.sleep(0.1)
+        server.close()
+        return events
+
+    def _assert_own(self, events: list[Event], note: object) -> None:
+        for event in events:
+            if isinstance(event, ev.AnswerArrived):
+                self.assertEqual(event.body, event.attempt.encode(), note)
+        self.assertEqual(len(events), 2, note)
+
+    async def test_each_caller_gets_its_own_answer(self) -> None:
+        one = answer_to('one')
+        unnamed = one.replace(b'X-Attempt-Id: one\r\n', b'')
+        missing = b'HTTP/1.1 404 Not Found\r\nContent-Length: 3\r\n\r\none'
+        named_twice = one.replace(
+            b'X-Attempt-Id: one\r\n',
+            b'X-Attempt-Id: one\r\nX-Attempt-Id: two\r\n')
+        for copy in (one, unnamed, missing, named_twice):
+            for delay_s in (0.0, 0.03):
+                events = await self._send_two(copy, b'', delay_s)
+                self._assert_own(events, ('behind', copy, delay_s))
+            events = await self._send_two(b'', copy)
+            self._assert_own(events, ('in the moment of reuse', copy))
+
+    async def test_second_answer_is_no_answer_to_a_control_call(self) -> None:
+        # It would count as the confirmation of an order.
+
+        async def serve(reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+            while await reader.read(65_536):
+                writer.write(answer_to('one'))
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        events: list[Event] = []
+        pool, tasks = Pool(), Tasks(log_fault)
+        sender = EndpointSender(PlatformWire(), pool, tasks, events.append)
+        sender.send(
+            fx.Send(AttemptId('one'),
+                    attrs.evolve(request('/submit/x'), attempt_id='one'),
+                    EndpointId('e'), address, False, False, 5.0, None))
+        await asyncio.sleep(0.1)
+        engines = PlatformEngines(pool, tasks, VmId('vm'), events.append)
+        engines.order_version(
+            fx.OrderVersion(EndpointId('e'), address, MODEL, 2, 0, 1))
+        await asyncio.sleep(0.1)
+        server.close()
+        self.assertEqual(
+            events[1], ev.OrderAnswered(EndpointId('e'),
+                                        ev.OrderResult.UNKNOWN))
+
+    async def test_unnamed_answer_on_a_new_connection_is_its_own(self) -> None:
+        data = b'HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno'
+        server = await asyncio.start_server(endpoint_answering(data), HOST, 0)
+        events: list[Event] = []
+        sender = EndpointSender(PlatformWire(), Pool(), Tasks(log_fault),
+                                events.append)
+        address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
+        sender.send(
+            fx.Send(AttemptId('one'), request('/submit/x'), EndpointId('e'),
+                    address, False, False, 5.0, None))
+        await asyncio.sleep(0.1)
+        server.close()
+        self.assertIsInstance(events[0], ev.AnswerArrived)
+
+
+def answer_to(name: str) -> bytes:
+    """Return an endpoint's answer to an attempt."""
+    return (b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Seal: s\r\n'
+            b'Content-Length: %d\r\n\r\n%b' %
+            (name.encode(), len(name), name.encode()))
+
+
 class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Connections that are kept as long as a server states.
 
