Drop the endpoint's signature from an answer whose status is replaced

Cause: a 503 without X-Not-Executed was forwarded as 502 with the endpoint's signature, which holds for its own status only. Result: PromiseTest with a signature in the answer; passes.

--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -93,11 +93,12 @@
         pause_s, invalid_pause = _parse_pause(status, headers)
         not_run = names.NOT_RUN in fields or status == STATUS_MISDIRECTED
         if not not_run and status in PROMISES:
-            # Forwarded, it would tell the caller that nothing was run.
+            # Forwarded, it would tell the caller that nothing was run. The
+            # endpoint's signature holds for its own status only.
             status = STATUS_BAD_GATEWAY
             headers = tuple((key, value)
                             for key, value in headers
-                            if key != names.RETRY_AFTER)
+                            if key not in (names.RETRY_AFTER, names.SIGNATURE))
         cold_ms = _parse_int(fields.get(names.COLD_REMAINING))
         return AnswerHead(
             status=status,
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -24,6 +24,7 @@
 HOST: Final = '127.0.0.1'
 # Statuses that promise callers that a request has not run and never will.
 PROMISES: Final = (408, 421, 429, 503)
+SEAL: Final = (b'x-response-seal', b's')
 RETRY_AFTER: Final = ((b'retry-after', b'1'),)
 PATHS: Final = ('/submit/x', '/view/x', '/report/x', '/tag/x')
 
@@ -98,7 +99,7 @@
                     ]
                     for send in sends:
                         answer = PlatformWire().read_answer_head(
-                            send, status, RETRY_AFTER, scene.now)
+                            send, status, (*RETRY_AFTER, SEAL), scene.now)
                         assert answer is not None
                         scene.post(ev.AnswerArrived(send.attempt, answer, b''))
                 scene.advance(20.0)
@@ -106,6 +107,8 @@
                 for effect in scene.done:
                     if isinstance(effect, fx.Reply):
                         self.assertNotIn(b'retry-after', dict(effect.headers))
+                        # The signature holds for the endpoint's status only.
+                        self.assertNotIn(SEAL[0], dict(effect.headers))
                     if isinstance(effect, fx.Refuse):
                         self.assertIsNone(effect.retry_after_s)
         self.assertEqual(found, dict.fromkeys(found, 502))
