Close a connection whose control call got an answer to a request

Cause: the copy of an answer was discarded, but its connection went back to the pool, and the next control call took the first one's response for its own: an order could count as confirmed. Change: the head of such an answer ends the call and closes the connection. Result: ExtraAnswerTest also checks that the connection is not kept; passes.

--- a/src/plantainridge/gateway/http_calls.py
+++ b/src/plantainridge/gateway/http_calls.py
@@ -64,17 +64,25 @@
 
 
 class _ResponseCollector(AnswerHandler):
-    """Collector of a response until it is complete or has failed."""
+    """Collector of a response until it is complete or has failed.
 
-    def __init__(self) -> None:
+    Attributes:
+        foreign_header: Header that only answers to other requests have, or b''.
+    """
+
+    def __init__(self, foreign_header: bytes = b'') -> None:
         self.done: asyncio.Future[Response | NoResponse] = (
             asyncio.get_running_loop().create_future())
+        self.foreign_header = foreign_header
         self.status = 0
         self.headers: Headers = ()
         self.body = bytearray()
 
     def on_head(self, status: int, headers: Headers) -> Failure | None:
         self.status, self.headers = status, headers
+        if self.foreign_header and self.foreign_header in dict(headers):
+            # The response itself may still come: the connection is closed.
+            return Failure.MALFORMED
         return (Failure.TOO_LONG
                 if stated_length(headers) > MAX_RESPONSE_BYTES else None)
 
@@ -103,7 +111,8 @@
                target: str,
                timeout_s: float,
                body: bytes = b'',
-               headers: Headers = JSON_HEADERS) -> Response | NoResponse:
+               headers: Headers = JSON_HEADERS,
+               foreign_header: bytes = b'') -> Response | NoResponse:
     """Send a request and wait for its complete response.
 
     It is sent once, but for a GET on a connection that its server had dropped:
@@ -117,12 +126,14 @@
         timeout_s: Longest wait for the response, in s; connecting has its own.
         body: Body of the request.
         headers: Headers beside the host and the content length.
+        foreign_header: Header that only answers to other requests have, or b'';
+            such an answer closes the connection.
     """
     connection = pool.take(
         address, max_idle_s=math.inf if method == 'GET' else MAX_IDLE_S)
     if connection is not None:
         response = await call_on(connection, address, method, target, timeout_s,
-                                 body, headers)
+                                 body, headers, foreign_header)
         if isinstance(response, Response) or not response.stale:
             return response
         pool.close_idle(address)
@@ -133,7 +144,7 @@
     except OSError as error:
         return NoResponse(f'no connection: {error!r}', False)
     return await call_on(connection, address, method, target, timeout_s, body,
-                         headers)
+                         headers, foreign_header)
 
 
 async def call_on(connection: Connection,
@@ -142,9 +153,10 @@
                   target: str,
                   timeout_s: float,
                   body: bytes = b'',
-                  headers: Headers = JSON_HEADERS) -> Response | NoResponse:
+                  headers: Headers = JSON_HEADERS,
+                  foreign_header: bytes = b'') -> Response | NoResponse:
     """Send a request, once, on a connection; see `call`."""
-    collector = _ResponseCollector()
+    collector = _ResponseCollector(foreign_header)
     raw = RawRequest(method.encode(), target.encode(),
                      ((b'host', address.encode()), *headers), body)
     if not connection.usable:
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -1,5 +1,6 @@
 """Control calls to model engines and KV cache stores over HTTP."""
 
+import functools
 import json
 from collections.abc import Callable
 from typing import Final
@@ -36,6 +37,10 @@
 # Requests in progress finish under the version that they started with.
 SWAP_MODE: Final = 'wait'
 
+# Connections are shared with requests, and a second copy of an answer may come
+# on one that is reused. Control calls name no attempt.
+_call = functools.partial(call, foreign_header=names.ATTEMPT_ID)
+
 
 class PlatformEngines(EnginePort):
     """Sender of control calls to engines and KV cache stores."""
@@ -63,8 +68,8 @@
         self.tasks.spawn(self._free_parts(effect))
 
     async def _list_store(self, effect: fx.ListStore) -> None:
-        response = _own(await call(self.pool, effect.address, 'GET', '/kv-list',
-                                   LIST_STORE_TIMEOUT_S))
+        response = await _call(self.pool, effect.address, 'GET', '/kv-list',
+                               LIST_STORE_TIMEOUT_S)
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(_store_failure(effect.store, response))
             return
@@ -76,12 +81,12 @@
     async def _poll_store(self, effect: fx.PollStore) -> None:
         wait_header = (names.WAIT_MS,
                        str(round(effect.wait_s * 1_000)).encode())
-        response = _own(await call(self.pool,
-                                   effect.address,
-                                   'GET',
-                                   f'/kv-events?since={effect.since}',
-                                   TIMEOUT_S + effect.wait_s,
-                                   headers=(wait_header,)))
+        response = await _call(self.pool,
+                               effect.address,
+                               'GET',
+                               f'/kv-events?since={effect.since}',
+                               TIMEOUT_S + effect.wait_s,
+                               headers=(wait_header,))
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(_store_failure(effect.store, response))
             return
@@ -96,16 +101,16 @@
             'epoch': effect.epoch,
             'until_ms': effect.until_ms,
         }).encode()
-        response = _own(await call(self.pool, effect.address, 'POST',
-                                   '/kv-free', TIMEOUT_S, body))
+        response = await _call(self.pool, effect.address, 'POST', '/kv-free',
+                               TIMEOUT_S, body)
         if isinstance(response, NoResponse) or response.status not in SUCCESS:
             self.post(ev.FreeFailed(effect.store, failure_reason(response)))
             return
         self.post(ev.PartsFreed(effect.store, effect.epoch, effect.parts))
 
     async def _request_report(self, effect: fx.RequestReport) -> None:
-        response = _own(await call(self.pool, effect.address, 'GET', '/report',
-                                   TIMEOUT_S))
+        response = await _call(self.pool, effect.address, 'GET', '/report',
+                               TIMEOUT_S)
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(ev.ReportFailed(effect.endpoint,
                                       failure_reason(response)))
@@ -146,9 +151,9 @@
             'expect': effect.orders,
         }).encode()
         expected_header = (names.EXPECTED_INSTANCE, effect.endpoint.encode())
-        response = _own(await
-                        call(self.pool, effect.address, 'POST', '/order',
-                             TIMEOUT_S, body, (*JSON_HEADERS, expected_header)))
+        response = await _call(self.pool, effect.address, 'POST', '/order',
+                               TIMEOUT_S, body,
+                               (*JSON_HEADERS, expected_header))
         result = OrderResult.UNKNOWN
         if isinstance(response, Response):
             self._post_leaving(effect.endpoint, response)
@@ -156,17 +161,6 @@
         self.post(ev.OrderAnswered(effect.endpoint, result))
 
 
-def _own(response: Response | NoResponse) -> Response | NoResponse:
-    """Return a response, or none if it answers a request.
-
-    Connections are shared with requests, and a second copy of an answer may
-    arrive on one that is reused. Calls name no attempt.
-    """
-    if isinstance(response, Response) and names.ATTEMPT_ID in response.headers:
-        return NoResponse('the answer is to another request', True)
-    return response
-
-
 def _store_failure(store: ServiceId,
                    response: Response | NoResponse) -> ev.StoreRequestFailed:
     busy = isinstance(response, Response) and response.status == 429
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -598,6 +598,8 @@
         self.assertEqual(
             events[1], ev.OrderAnswered(EndpointId('e'),
                                         ev.OrderResult.UNKNOWN))
+        # The next call would get the response that is still to come.
+        self.assertIsNone(pool.take(address))
 
     async def test_unnamed_answer_on_a_new_connection_is_its_own(self) -> None:
         data = b'HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno'
