Count granted runs that a coordinator does not know as load

Cause (found in review): the granted share of hints was subtracted even if the coordinator's ledger did not hold these runs, after a change of the coordinator or a lost hint, so that memory was granted twice. A coordinator that had just started granted before it had heard the others. An error in an answer ended no request, and lost the other messages of a VM to itself. Candidates were kept for all contexts of a service, though some return later after an evacuation. Change: memory stated as granted counts beyond what the ledger holds or freed within 0.6 s; requests are declined until VMs were heard; errors are contained.

--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -11,16 +11,17 @@
 
 import attrs
 
-from plantainridge.gateway import (cache, capacity_queue, dispatch, endings,
-                                   grants, hints, placement, placement_requests,
-                                   suspects)
+from plantainridge.gateway import (cache, capacity_queue, containment, dispatch,
+                                   endings, grants, hints, placement,
+                                   placement_requests, suspects)
 from plantainridge.gateway.capacity_queue import Offer, QueuedRequest
 from plantainridge.gateway.config import RequestKind, Route, Team
 from plantainridge.gateway.endpoints import EndpointView, Grant, InFlightSend
 from plantainridge.gateway.events import Request
 from plantainridge.gateway.grants import GrantedRun, GrantKey, Group
 from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoad
-from plantainridge.gateway.peer_messages import (OwnLoad, PlacementAnswer,
+from plantainridge.gateway.peer_messages import (OwnLoad, PeerMessage,
+                                                 PlacementAnswer,
                                                  PlacementRequest, RunReport)
 from plantainridge.gateway.placement import Placement
 from plantainridge.gateway.placement_requests import Ask
@@ -239,8 +240,8 @@
     if event.message.has_ended:
         yield from _end_run(state, key, now)
     else:
-        state.coordination.ledger.finish_prefill(key)
-        if state.coordination.queue.entries:
+        is_new = state.coordination.ledger.finish_prefill(key)
+        if is_new and state.coordination.queue.entries:
             yield from _serve_queue(state, now)
 
 
@@ -252,11 +253,24 @@
     messages, coordination.own_messages = coordination.own_messages, []
     for each in messages:
         if isinstance(each, PlacementRequest):
-            yield from on_request(state, PlacementRequested(each), now)
+            handled = on_request(state, PlacementRequested(each), now)
         elif isinstance(each, PlacementAnswer):
-            yield from on_answer(state, PlacementAnswered(each), now)
+            handled = on_answer(state, PlacementAnswered(each), now)
         elif isinstance(each, RunReport):
-            yield from on_run_report(state, RunReported(each), now)
+            handled = on_run_report(state, RunReported(each), now)
+        else:
+            continue
+        # These messages are not repeated: an error must not lose the others.
+        yield from containment.contain_request(state, handled, 'coordination',
+                                               request_of(state, each), now)
+
+
+def request_of(state: 'GatewayState', message: PeerMessage) -> RequestId | None:
+    """Return this VM's request that a coordinator's answer is about, or None."""
+    if not isinstance(message, PlacementAnswer):
+        return None
+    waiting = state.coordination.asks.get(message.number)
+    return waiting.call if waiting is not None else None
 
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
@@ -313,11 +327,13 @@
     """Return whether this VM knows enough to grant engines.
 
     After a suspension its knowledge of load is old, and so are the requests.
+    After a start it has not heard the load of all VMs yet.
     """
     service = state.config.services.get(message.service)
     return (message.service in state.coordination.services and
             service is not None and service.engine is not None and
-            not state.exiting and not state.suspension.may_have_backlog(now))
+            now >= state.hints.grace_until and not state.exiting and
+            not state.suspension.may_have_backlog(now))
 
 
 def _answer(state: 'GatewayState',
@@ -347,17 +363,18 @@
     """Grant free memory in order; refuse what cannot get any in time."""
     queue = state.coordination.queue
     placements: dict[GrantKey, Placement] = {}
-    candidates: dict[ServiceId, list[EndpointView]] = {}
+    candidates: dict[tuple[ServiceId, frozenset[DcId]], list[EndpointView]] = {}
     lookup = _load_lookup(state, now)
     unservable: list[QueuedRequest] = []
 
     def offer(request: QueuedRequest,
               reserved: set[EndpointId]) -> Offer | None:
         call = _call_of(request, now)
-        if call.service not in candidates:
-            candidates[call.service] = placement.usable_in_dc(state, call, now)
+        group = call.service, placement.held_back_dcs(state, call, now)
+        if group not in candidates:
+            candidates[group] = placement.usable_in_dc(state, call, now)
         allowed = [
-            view for view in candidates[call.service]
+            view for view in candidates[group]
             if view.entry.id not in request.message.excluded
         ]
         found = placement.place_for_peer(state, call, allowed, lookup, now)
@@ -482,10 +499,13 @@
         granted = ledger.load(name)
         total = PeerLoad(granted.pending_tokens, granted.memory_tokens,
                          granted.requests)
-        _add_ordinary(total, hinted.get(name, NO_LOAD))
-        for loads in remote:
-            if name in loads:
-                _add_ordinary(total, loads[name])
+        stated_tokens = 0
+        stated: list[PeerLoad | OwnLoad] = [hinted.get(name, NO_LOAD)]
+        stated.extend(loads[name] for loads in remote if name in loads)
+        for load in stated:
+            _add_ordinary(total, load)
+            stated_tokens += load.granted_memory_tokens
+        total.memory_tokens += ledger.unknown_memory(name, stated_tokens, now)
         for send in _own_grants(state.endpoints.get(name)):
             total.pending_tokens -= send.pending_tokens
             total.memory_tokens -= send.memory_tokens
--- a/src/plantainridge/gateway/grants.py
+++ b/src/plantainridge/gateway/grants.py
@@ -6,7 +6,8 @@
 their hints therefore corrects the ledger.
 """
 
-from collections import OrderedDict
+import collections
+from collections import OrderedDict, deque
 from collections.abc import Iterator, Mapping
 from typing import Final
 
@@ -25,6 +26,8 @@
 # Time for which the keys of ended runs are kept: duplicates of their messages
 # arrive within it.
 ENDED_KEPT_S: Final = 5.0
+# Time for which reports of load may still show a run that has ended.
+FREED_KEPT_S: Final = 0.6
 # Time after a run's deadline at which its grant expires.
 EXPIRY_MARGIN_S: Final = 0.5
 
@@ -69,6 +72,8 @@
             s, oldest first.
         corrected_at: Loop time of the latest report of each group that was
             applied, in s.
+        freed: Engine, memory in tokens, and loop time in s of runs that ended
+            lately, oldest first.
     """
 
     runs: dict[GrantKey, GrantedRun] = attrs.field(factory=dict)
@@ -76,6 +81,27 @@
     loads: dict[EndpointId, PeerLoad] = attrs.field(factory=dict)
     ended: OrderedDict[GrantKey, float] = attrs.field(factory=OrderedDict)
     corrected_at: dict[Group, float] = attrs.field(factory=dict)
+    freed: deque[tuple[EndpointId, int,
+                       float]] = attrs.field(factory=collections.deque)
+
+    def unknown_memory(self, endpoint: EndpointId, stated_tokens: int,
+                       now: float) -> int:
+        """Return granted memory on an engine that is not in this ledger.
+
+        A coordinator that was replaced, or runs that were dropped while their
+        VM was not heard, leave such runs behind.
+
+        Args:
+            endpoint: The engine.
+            stated_tokens: Memory that VMs state as granted there, in tokens.
+            now: Loop time in s.
+        """
+        while self.freed and now - self.freed[0][2] > FREED_KEPT_S:
+            self.freed.popleft()
+        freed = sum(
+            tokens for name, tokens, _ in self.freed if name == endpoint)
+        known = self.load(endpoint).memory_tokens
+        return max(0, stated_tokens - freed - known)
 
     def load(self, endpoint: EndpointId) -> PeerLoad:
         """Return the load of the granted runs on an engine."""
@@ -90,12 +116,14 @@
         load.memory_tokens += run.memory_tokens
         load.requests += 1
 
-    def finish_prefill(self, key: GrantKey) -> None:
-        """Record that a run's prompt has been computed."""
+    def finish_prefill(self, key: GrantKey) -> bool:
+        """Record that a run's prompt has been computed; return if it is new."""
         run = self.runs.get(key)
-        if run is not None:
-            self.loads[run.endpoint].pending_tokens -= run.pending_tokens
-            run.pending_tokens = 0
+        if run is None or not run.pending_tokens:
+            return False
+        self.loads[run.endpoint].pending_tokens -= run.pending_tokens
+        run.pending_tokens = 0
+        return True
 
     def end(self, key: GrantKey, now: float) -> GrantedRun | None:
         """Remove a run that has ended and return it, or None."""
@@ -111,6 +139,7 @@
         if not members:
             del self.groups[run.group]
             self.corrected_at.pop(run.group, None)
+        self.freed.append((run.endpoint, run.memory_tokens, now))
         load = self.loads[run.endpoint]
         load.memory_tokens -= run.memory_tokens
         load.requests -= 1
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -150,6 +150,8 @@
         return event.request.id
     if isinstance(event, events.CallerLeft):
         return event.request
+    if isinstance(event, coordination.PlacementAnswered):
+        return coordination.request_of(state, event.message)
     if isinstance(event, TimerFired):
         if event.key.kind in (TimerKind.DEADLINE, TimerKind.PLACEMENT):
             return RequestId(event.key.subject)
