Learn the speed of endpoints from their answers

Cause: placement used one prefill rate for all endpoints; a third that are 1.3 times as slow, or 2.5 times for 0.6 s, got as much work as the others. Change: observed times relative to predicted ones, by range of fill ratio, are exchanged in hints and load reports and used for costs, start delays, silence timeouts and shares.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -4,7 +4,8 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import (cache, dispatch, endings, health, paths,
-                                   placement, resumptions, suspects, takeover)
+                                   placement, resumptions, speed_updates,
+                                   suspects, takeover)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
@@ -50,6 +51,7 @@
         yield from _after_refused_resumption(state, call, head, now)
         return
     if head.status < 500:
+        speed_updates.record_plain_answer(state, call, attempt, now)
         yield from suspects.record_answer(state, call, now)
     yield fx.Reply(call.request.id, head.status, head.headers, event.body)
     yield from endings.end(state, call, 'answered', head.status, now)
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -240,7 +240,8 @@
                                             choice.version,
                                             view.entry.build,
                                             new_connection=new_connection,
-                                            peer=peer.vm if peer else None)
+                                            peer=peer.vm if peer else None,
+                                            prediction=choice.prediction)
     view.add_send(
         attempt,
         InFlightSend(choice.prefill_tokens, placement.memory_tokens(request)))
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -8,6 +8,7 @@
 import capnp
 
 from plantainridge.gateway.crash_attribution import Suspect
+from plantainridge.gateway.endpoint_speed import SpeedDigest, SpeedSum
 from plantainridge.gateway.events import RawRecord, StoredPart
 from plantainridge.gateway.versions import VersionAge
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
@@ -18,6 +19,10 @@
 MAX_DURATION_MS: Final = 65_535
 # Largest number of requests that a message's 16-bit field holds.
 MAX_REQUESTS: Final = 65_535
+# Units of weights and ratios in digests of speeds.
+HUNDREDTHS: Final = 100.0
+# Largest number that a 16-bit field holds.
+MAX_UINT16: Final = 65_535
 # Largest rate that a message's 32-bit field holds.
 MAX_TOKENS_PER_S: Final = 2**32 - 1
 # Names in entries of work that stand for no data centre or service.
@@ -112,6 +117,7 @@
             crash with it, in s.
         sent_at: The VM's loop time at which it sent this hint, in s; 0 if not
             stated.
+        speeds: Speeds of endpoints, from the VM's own observations.
     """
 
     vm: VmId
@@ -130,6 +136,7 @@
     cleared: tuple[Suspect, ...] = ()
     quarantined: Mapping[Suspect, float] = attrs.field(factory=dict)
     sent_at: float = 0.0
+    speeds: tuple[SpeedDigest, ...] = ()
 
 
 @attrs.frozen
@@ -141,6 +148,7 @@
         number: Sequence number within one incarnation of that VM.
         loads: Load by endpoint, of endpoints in any data centre.
         work: Work that arrives there for each service, in tokens per s.
+        speeds: Speeds of endpoints, from the observations of its VMs.
     """
 
     vm: VmId
@@ -149,6 +157,7 @@
     dc: DcId
     loads: Mapping[EndpointId, OwnLoad]
     work: Mapping[ServiceId, float] = attrs.field(factory=dict)
+    speeds: tuple[SpeedDigest, ...] = ()
 
 
 @attrs.frozen
@@ -162,6 +171,8 @@
         has_local: Whether the loads include those of the VM's data centre.
         work: Work that arrives in each data centre for each service, in tokens
             per s; always with the VM's own data centre.
+        speeds: Speeds of endpoints, from the observations of VMs in other data
+            centres.
     """
 
     vm: VmId
@@ -170,6 +181,7 @@
     loads: Mapping[EndpointId, OwnLoad]
     has_local: bool
     work: Mapping[DcId, Mapping[ServiceId, float]]
+    speeds: tuple[SpeedDigest, ...] = ()
 
 
 @attrs.frozen
@@ -340,6 +352,7 @@
     rows = row.init('leaving', len(hint.leaving))
     for each, (endpoint, started_ms) in zip(rows, hint.leaving.items()):
         each.endpoint, each.startedMs = endpoint, started_ms
+    _write_speeds(row, hint.speeds)
     _write_suspects(row, hint)
     rows = row.init('reached', len(hint.weights_loaded))
     for each, loaded in zip(rows, hint.weights_loaded):
@@ -393,6 +406,36 @@
     row.vm, row.life, row.number = report.vm, report.incarnation, report.number
     _write_loads(row, report.loads)
     _write_work(row, work)
+    _write_speeds(row, report.speeds)
+
+
+def _write_speeds(row: Any, speeds: tuple[SpeedDigest, ...]) -> None:
+    for each, digest in zip(row.init('speeds', len(speeds)), speeds):
+        each.endpoint, each.startedMs = digest.endpoint, digest.started_ms
+        rows = each.init('ranges', len(digest.ranges))
+        for entry, (number, sums) in zip(rows, digest.ranges.items()):
+            weight = max(sums.weight, 1.0 / HUNDREDTHS)
+            entry.range, entry.weight = number, _to_hundredths(weight)
+            entry.ratio = _to_hundredths(sums.ratios / weight)
+            entry.reported = _to_hundredths(sums.reports / weight)
+
+
+def _to_hundredths(value: float) -> int:
+    return min(MAX_UINT16, max(0, round(value * HUNDREDTHS)))
+
+
+def _read_speeds(row: Any) -> tuple[SpeedDigest, ...]:
+    return tuple(
+        SpeedDigest(EndpointId(each.endpoint), each.startedMs,
+                    {entry.range: _read_sum(entry)
+                     for entry in each.ranges})
+        for each in row.speeds)
+
+
+def _read_sum(row: Any) -> SpeedSum:
+    weight = row.weight / HUNDREDTHS
+    return SpeedSum(weight, weight * row.ratio / HUNDREDTHS,
+                    weight * row.reported / HUNDREDTHS)
 
 
 def _write_view(row: Any, relay: RelayedView) -> None:
@@ -474,12 +517,13 @@
         return InvalidMessage(f'load of {len(work)} data centres, not of 1')
     dc = next(iter(work))
     return DcLoad(VmId(row.vm), Incarnation(row.life), row.number, dc,
-                  _read_loads(row), work[dc])
+                  _read_loads(row), work[dc], _read_speeds(row))
 
 
 def _read_totals(row: Any) -> LoadTotals:
     return LoadTotals(VmId(row.vm), Incarnation(row.life), row.number,
-                      _read_loads(row), row.hasLocal, _read_work(row))
+                      _read_loads(row), row.hasLocal, _read_work(row),
+                      _read_speeds(row))
 
 
 def _read_hint(row: Any) -> Hint:
@@ -505,7 +549,7 @@
         tuple(Suspect(str(each)) for each in row.cleared), {
             Suspect(str(each.suspect)): each.idleMs / MS_PER_S
             for each in row.quarantined
-        }, row.sentAtS)
+        }, row.sentAtS, _read_speeds(row))
 
 
 def _read_view(row: Any) -> RelayedView:
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -6,9 +6,9 @@
 from plantainridge.gateway import (answers, containment, dispatch, drain,
                                    endings, eras, events, hints, intake, lease,
                                    membership, notices, paths, relays, reload,
-                                   resumptions, rollout, stored_parts, stores,
-                                   suspects, tunnel_admission, views,
-                                   withdrawals)
+                                   resumptions, rollout, speed_updates,
+                                   stored_parts, stores, suspects,
+                                   tunnel_admission, views, withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import AttemptId, RequestId
@@ -36,14 +36,15 @@
         yield from containment.contain(state, module.on_tick(state, now),
                                        module.__name__, now)
     waiting = bool(state.calls.waiting(now))
-    yield SetTimer(
-        _TICK_KEY,
-        now + (WAITING_TICK_INTERVAL_S if waiting else TICK_INTERVAL_S))
+    due_at = now + (WAITING_TICK_INTERVAL_S if waiting else TICK_INTERVAL_S)
+    state.speeds.lag.tick_due_at = due_at
+    yield SetTimer(_TICK_KEY, due_at)
 
 
 # Modules with periodic work, in its order.
-TICK_ORDER: Final = (stored_parts, suspects, withdrawals, resumptions, paths,
-                     dispatch, rollout, hints, relays, drain)
+TICK_ORDER: Final = (speed_updates, stored_parts, suspects, withdrawals,
+                     resumptions, paths, dispatch, rollout, hints, relays,
+                     drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -7,6 +7,7 @@
 import attrs
 
 from plantainridge.gateway.config import Route, Team
+from plantainridge.gateway.endpoint_speed import Prediction
 from plantainridge.gateway.events import Headers, Request
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
                                VmId)
@@ -139,6 +140,8 @@
         is_silent: Whether it stays although its endpoint is silent.
         new_connection: Whether it required a new connection.
         peer: The peer through which it was sent, or None.
+        prediction: Time that it was predicted to take; None if the speeds of
+            the service's endpoints are not learned.
     """
 
     id: AttemptId
@@ -152,6 +155,7 @@
     is_silent: bool = False
     new_connection: bool = False
     peer: VmId | None = None
+    prediction: Prediction | None = None
 
 
 @attrs.define
--- a/src/plantainridge/gateway/settings.py
+++ b/src/plantainridge/gateway/settings.py
@@ -84,6 +84,8 @@
         memory_mb: Memory of the process, in MB; 0 if no limit is stated.
         has_memory_pressure: Whether memory is contended in this deployment:
             that of engines between callers, and that of VMs by slow readers.
+        learns_speeds: Whether the speed of endpoints is learned also for
+            services whose endpoints report no slowdown.
     """
 
     vm: VmId
@@ -99,3 +101,4 @@
     tunnel_port: int = 0
     memory_mb: float = 0.0
     has_memory_pressure: bool = False
+    learns_speeds: bool = False
--- a/src/plantainridge/gateway/spill.py
+++ b/src/plantainridge/gateway/spill.py
@@ -32,14 +32,15 @@
 
 
 def compute_shares(own: DcId, work: Mapping[DcId, float],
-                   engines: Mapping[DcId, int]) -> dict[DcId, float]:
+                   engines: Mapping[DcId, float]) -> dict[DcId, float]:
     """Return the share of a data centre's work for each data centre.
 
     Args:
         own: The data centre whose work is shared out.
         work: Work that arrives in each data centre, in tokens per s. Those
             whose work is not known get none.
-        engines: Number of available engines in each data centre.
+        engines: Number of available engines in each data centre; if their
+            speeds are learned, in engines of usual speed.
 
     Returns:
         Shares that add up to 1; without `own` if it has no engines.
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -7,6 +7,7 @@
 from plantainridge.gateway.builds import BuildTable
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
+from plantainridge.gateway.endpoint_speed import SpeedTable
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.hints import HintTable
@@ -39,6 +40,7 @@
         config: The newest configuration that was read.
         endpoints: State of each registered endpoint.
         peers: Entries of all VMs of the deployment, including this one.
+        speeds: Learned speeds of endpoints.
         leaving: Endpoints that were leaving.
         versions: Weight versions that operators set as targets.
         builds: Builds at which streams began.
@@ -67,6 +69,7 @@
     rng: random.Random
     config: Configuration = NO_CONFIGURATION
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
+    speeds: SpeedTable = attrs.field(factory=SpeedTable)
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
     versions: VersionTable = attrs.field(factory=VersionTable)
--- a/src/plantainridge/platform/adapter.py
+++ b/src/plantainridge/platform/adapter.py
@@ -26,20 +26,28 @@
 class PlatformAdapter(ports.Adapter):
     """Factory of the platform's ports."""
 
-    def __init__(self, path: str, metrics_port: int | None = None) -> None:
+    def __init__(self,
+                 path: str,
+                 metrics_port: int | None = None,
+                 learns_speeds: bool = False) -> None:
         """Initialize the adapter.
 
         Args:
             path: Path of the settings file.
             metrics_port: Port for metrics; None for the last internal port.
+            learns_speeds: Whether the speed of endpoints is always learned.
         """
         self.wire = PlatformWire()
         self.path = path
         self.metrics_port = metrics_port
+        self.learns_speeds = learns_speeds
 
     def read_settings(self) -> GatewaySettings | InvalidSetting:
         settings = platform_settings.read(self.path)
-        if isinstance(settings, InvalidSetting) or self.metrics_port is None:
+        if isinstance(settings, InvalidSetting):
+            return settings
+        settings = attrs.evolve(settings, learns_speeds=self.learns_speeds)
+        if self.metrics_port is None:
             return settings
         return attrs.evolve(settings, metrics_port=self.metrics_port)
 
@@ -78,9 +86,15 @@
               show_envvar=True,
               type=click.IntRange(1, 65_535),
               help='Port for metrics; the last internal port by default.')
-def main(path: str, metrics_port: int | None) -> None:
+@click.option('--learn-speeds',
+              'learns_speeds',
+              envvar='PLANTAINRIDGE_LEARN_SPEEDS',
+              show_envvar=True,
+              is_flag=True,
+              help='Learn the speed of endpoints even if they report none.')
+def main(path: str, metrics_port: int | None, learns_speeds: bool) -> None:
     """Run the gateway process of one VM until SIGTERM."""
-    adapter = PlatformAdapter(path, metrics_port)
+    adapter = PlatformAdapter(path, metrics_port, learns_speeds)
     settings = adapter.read_settings()
     if isinstance(settings, InvalidSetting):
         click.echo(str(settings), err=True)
