--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -410,6 +410,9 @@
 
 
 def _write_speeds(row: Any, speeds: tuple[SpeedDigest, ...]) -> None:
+    if not speeds:
+        # An empty list would take 8 bytes, unlike one that is not set.
+        return
     for each, digest in zip(row.init('speeds', len(speeds)), speeds):
         each.endpoint, each.startedMs = digest.endpoint, digest.started_ms
         rows = each.init('ranges', len(digest.ranges))
