--- a/src/plantainridge/gateway/endpoint_speed.py
+++ b/src/plantainridge/gateway/endpoint_speed.py
@@ -64,8 +64,7 @@
 # Time for which an endpoint without new observations is still in digests, in
 # s: a digest that is lost is repeated once.
 DIGEST_REPEAT_S: Final = 8.0
-# Endpoints in one message. With 45 VMs in a data centre, 4 in each hint took
-# twice as much processor time for hints.
+# Endpoints in one message: received digests cost processor time in proportion.
 MAX_DIGESTS: Final = 2
 # Lag of the own loop that is ignored, in s, and relative to the observed time.
 MIN_LAG_S: Final = 0.005
