--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -19,8 +19,8 @@
 import attrs
 
 from plantainridge.gateway import (endpoint_speed, eras, load_reports, notices,
-                                   peer_messages, relays, speed_updates,
-                                   suspects, versions)
+                                   peer_messages, peer_ranks, relays,
+                                   speed_updates, suspects, versions)
 from plantainridge.gateway.endpoint_speed import SpeedDigest
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import TimerKind, View
@@ -211,7 +211,7 @@
     local = [each for each in others if each.dc == settings.dc]
     remote = [each for each in others if each.dc != settings.dc]
     # VMs that start together ask different ones, and then others.
-    turn = hints.asks + relays.rendezvous_hash(settings.vm, AGES_SUBJECT)
+    turn = hints.asks + peer_ranks.rendezvous_hash(settings.vm, AGES_SUBJECT)
     asked = [
         candidates[turn % len(candidates)]
         for candidates in (local, remote if needed or not local else [])
@@ -316,6 +316,7 @@
         load_reports.add_loads((loads, *_local_loads(state, now))),
         load_reports.add_work((_arriving_work(state,
                                               now), *_local_work(state, now))),
+        state.coordination.is_enabled,
         speed_updates.digests(state, 'dc', ('own', 'vm'), now))
     payload = peer_messages.encode(own)
     for dc, ranked in relays.load_reporters_by_rank(state).items():
@@ -330,6 +331,7 @@
         load_reports.add_loads(
             each.loads for each in known if has_local or each is not own),
         has_local, {each.dc: each.work for each in known},
+        {each.dc: each.vm for each in known if each.coordinates},
         speed_updates.digests(state, 'totals', ('dc',), now))
     payload = peer_messages.encode(totals)
     for vm, entry in state.peers.items():
@@ -483,8 +485,11 @@
     until = view.unreached_until if is_unreached else view.cooldown_until
     # Rounded up to steps of 0.2 s, so that elapsed time alone causes few hints.
     cooldown_s = math.ceil(max(0.0, until - now) * 5) / 5
+    granted = view.counted_grants()
     return OwnLoad(view.pending_tokens, view.memory_tokens, len(view.in_flight),
-                   cooldown_s, is_unreached)
+                   cooldown_s, is_unreached,
+                   sum(each.pending_tokens for each in granted),
+                   sum(each.memory_tokens for each in granted), len(granted))
 
 
 def on_dc_load(state: 'GatewayState', event: DcLoadReceived,
--- a/src/plantainridge/gateway/peer_loads.py
+++ b/src/plantainridge/gateway/peer_loads.py
@@ -24,17 +24,28 @@
         memory_tokens: KV cache memory of the requests at their full length,
             in tokens.
         requests: Requests in flight.
+        granted_pending_tokens: Share of `pending_tokens` in runs whose engine
+            the current coordinator granted.
+        granted_memory_tokens: The same share of `memory_tokens`.
+        granted_requests: The same share of `requests`.
     """
 
     pending_tokens: int = 0
     memory_tokens: int = 0
     requests: int = 0
+    granted_pending_tokens: int = 0
+    granted_memory_tokens: int = 0
+    granted_requests: int = 0
 
     def add(self, load: OwnLoad, sign: int = 1) -> None:
         """Add one peer's load, or remove it if `sign` is -1."""
         self.pending_tokens += sign * load.pending_tokens
         self.memory_tokens += sign * load.memory_tokens
         self.requests += sign * load.requests
+        if load.granted_requests:
+            self.granted_pending_tokens += sign * load.granted_pending_tokens
+            self.granted_memory_tokens += sign * load.granted_memory_tokens
+            self.granted_requests += sign * load.granted_requests
 
     def plus(self, other: 'PeerLoad') -> 'PeerLoad':
         """Return the sum of two loads."""
@@ -48,10 +59,16 @@
 
 @attrs.frozen
 class Report:
-    """One peer's loads, with the loop time of their receipt in s."""
+    """One peer's loads, with the loop time of their receipt in s.
+
+    Attributes:
+        cooldowns: Those of the loads with a cool-down, few at most times: they
+            are searched for each request that is placed.
+    """
 
     at: float
     loads: Mapping[EndpointId, OwnLoad]
+    cooldowns: tuple[tuple[EndpointId, OwnLoad], ...] = ()
 
 
 @attrs.define
@@ -70,7 +87,8 @@
                 now: float) -> None:
         """Replace a peer's report."""
         self._drop(vm)
-        self.reports[vm] = Report(now, loads)
+        cooldowns = tuple(each for each in loads.items() if each[1].cooldown_s)
+        self.reports[vm] = Report(now, loads, cooldowns)
         for name, load in loads.items():
             self.sums.setdefault(name, PeerLoad()).add(load)
 
@@ -104,8 +122,8 @@
         for report in reversed(self.reports.values()):
             if now - report.at > COOLDOWN_TIMEOUT_S:
                 break
-            for name, load in report.loads.items():
-                if (load.cooldown_s and load.is_unreached is is_unreached and
+            for name, load in report.cooldowns:
+                if (load.is_unreached is is_unreached and
                         now < report.at + load.cooldown_s):
                     found[name] = max(report.at, found.get(name, report.at))
         return found
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -20,12 +20,12 @@
 
 import attrs
 
-from plantainridge.gateway import (cache, endpoint_speed, endpoints, hints,
-                                   speed_updates, spill, stored_parts,
-                                   tunnel_peers)
+from plantainridge.gateway import (cache, endpoint_limits, endpoint_speed,
+                                   endpoints, hints, returning, speed_updates,
+                                   spill, stored_parts, tunnel_peers)
 from plantainridge.gateway.config import EngineSpec
 from plantainridge.gateway.endpoint_speed import Prediction
-from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.endpoints import EndpointView, Grant
 from plantainridge.gateway.events import Request, VmEntry
 from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoad
 from plantainridge.gateway.requests import Call, PlacementFailure
@@ -107,6 +107,11 @@
         fetch_plan: Stores from which parts of the prompt can be fetched.
         has_capacity: Whether the run fits into the engine's memory.
         peer: The peer through which the request is sent, or None.
+        grant: The coordinator's grant of the endpoint, or None.
+        first_event_s: Expected time from the send to the first event, in s; 0
+            for a plain service.
+        backlog_s: Share of it in which the engine computes earlier prompts, in
+            s.
         prediction: Time that the request is predicted to take; None if the
             speeds of the service's endpoints are not learned.
     """
@@ -119,6 +124,9 @@
     fetch_plan: stored_parts.FetchPlan = stored_parts.NO_FETCH
     has_capacity: bool = True
     peer: VmEntry | None = None
+    grant: Grant | None = None
+    first_event_s: float = 0.0
+    backlog_s: float = 0.0
     prediction: Prediction | None = None
 
 
@@ -153,6 +161,8 @@
         assumed_remote_load: Lower bound of what endpoints of data centres whose
             load is not known are assumed to have in flight.
         known_dcs: Data centres whose load is known.
+        assumed_cached_ratio: Share of the shared tokens that the preferred
+            engine is assumed to cache beyond those known.
         prompts: The prompt by weight version.
     """
 
@@ -166,6 +176,7 @@
     home: DcId
     assumed_remote_load: PeerLoad = NO_LOAD
     known_dcs: Collection[DcId] = ()
+    assumed_cached_ratio: float = ASSUMED_CACHED_RATIO
     prompts: dict[int | None, _VersionedPrompt] = attrs.field(factory=dict)
 
     def request_count(self, view: EndpointView, peers: PeerLoad) -> int:
@@ -238,7 +249,8 @@
         if peer is None:
             reason = _unavailability(state, call, now)
             return (PlacementFailure.NO_PATH
-                    if reason is PlacementFailure.NO_ENDPOINT else reason)
+                    if reason in (PlacementFailure.NO_ENDPOINT,
+                                  PlacementFailure.ALL_LIMITED) else reason)
     candidates = usable_endpoints(state, call, now)
     unreached = hints.unreached(state, now)
     reachable = [
@@ -255,12 +267,39 @@
 def usable_endpoints(state: 'GatewayState', call: Call,
                      now: float) -> list[EndpointView]:
     """Return the endpoints that may get a request now, whatever their load."""
+    return endpoint_limits.admitted(state, _available(state, call, now), now)
+
+
+def _available(state: 'GatewayState', call: Call,
+               now: float) -> list[EndpointView]:
+    """Return the endpoints that may get a request if limits allow it."""
     cooling_down = hints.cooling_down(state, now)
-    return [
+    usable = [
         view for view in endpoints.available(state.endpoints, call.service, now)
         if has_build(call, view) and view.entry.id not in call.tried and
+        not state.evacuations.is_evacuated(view.entry.dc) and
         cooling_down.get(view.entry.id, -math.inf) <= view.weights_loaded_at
     ]
+    held_back = held_back_dcs(state, call, now)
+    if not held_back:
+        return usable
+    # A context does not wait for its return where nothing else serves it.
+    return [view for view in usable if view.entry.dc not in held_back] or usable
+
+
+def held_back_dcs(state: 'GatewayState', call: Call,
+                  now: float) -> frozenset[DcId]:
+    """Return data centres to which a request does not return yet.
+
+    Their evacuation was withdrawn a short while ago.
+    """
+    if not state.evacuations.ended_at:
+        return frozenset()
+    service = state.config.services.get(call.service)
+    context = cache.context_id(call.request.parts) or call.request.attempt_id
+    return state.evacuations.held_back(context,
+                                       service.cold_start_s if service else 0.0,
+                                       now)
 
 
 def _is_unreached(view: EndpointView, reports: Mapping[EndpointId,
@@ -283,11 +322,7 @@
                   candidates: list[EndpointView], ignore_capacity: bool,
                   now: float) -> Placement | PlacementFailure:
     """Return the cheapest of some endpoints for a request."""
-    service = state.config.services.get(call.service)
-    inputs = _CostInputs(state, call, now, service.engine if service else None,
-                         hints.peer_load_lookup(state, now),
-                         memory_tokens(call.request), now - call.arrived_at,
-                         state.settings.dc)
+    inputs = _inputs(state, call, hints.peer_load_lookup(state, now), now)
     if call.request.model:
         if hints.shares_load_directly(state):
             placements = place_on_engines(inputs, candidates)
@@ -313,6 +348,18 @@
     return call.build is None or view.entry.build == call.build
 
 
+def could_serve(call: Call, view: EndpointView) -> bool:
+    """Return whether an endpoint may serve a request unless it is evacuated."""
+    return (view.entry.service == call.service and not view.is_leaving and
+            has_build(call, view))
+
+
+def may_serve(state: 'GatewayState', call: Call, view: EndpointView) -> bool:
+    """Return whether an endpoint may serve a request, now or after a wait."""
+    return (could_serve(call, view) and
+            not state.evacuations.is_evacuated(view.entry.dc))
+
+
 def _unavailability(state: 'GatewayState', call: Call,
                     now: float) -> PlacementFailure:
     """Return why a request has no available endpoint."""
@@ -325,8 +372,17 @@
         return PlacementFailure.NO_BUILD
     if known and not staying:
         return PlacementFailure.ALL_LEAVING
-    if staying and all(now < view.paused_until for view in staying):
+    remaining = [
+        view for view in staying
+        if not state.evacuations.is_evacuated(view.entry.dc)
+    ]
+    if staying and not remaining:
+        return PlacementFailure.ALL_EVACUATED
+    if remaining and all(now < view.paused_until for view in remaining):
         return PlacementFailure.ALL_PAUSED
+    if (not state.endpoint_limits.is_empty and _available(state, call, now) and
+            not usable_endpoints(state, call, now)):
+        return PlacementFailure.ALL_LIMITED
     return PlacementFailure.NO_ENDPOINT
 
 
@@ -342,9 +398,7 @@
     state, now = inputs.state, inputs.now
     parts = inputs.call.request.parts
     work = hints.work_by_dc(state, inputs.call.service, now)
-    engines = _engines_by_dc(state, inputs.call.service, candidates)
-    shares = spill.compute_shares(state.settings.dc, work, engines)
-    inputs.home = spill.assign(cache.context_id(parts), shares)
+    inputs.home = home_dc(state, inputs.call, candidates, work, now)
     inputs.known_dcs = work
     inputs.assumed_remote_load = _mean_local_load(inputs, candidates)
     at_home = [view for view in candidates if view.entry.dc == inputs.home]
@@ -357,7 +411,7 @@
 
 
 def _engines_by_dc(state: 'GatewayState', service: ServiceId,
-                   candidates: list[EndpointView]) -> Mapping[DcId, float]:
+                   candidates: Sequence[EndpointView]) -> Mapping[DcId, float]:
     """Return the engines of each data centre, by speed if that is learned."""
     if not speed_updates.is_learned(state, service):
         return Counter(view.entry.dc for view in candidates)
@@ -371,6 +425,87 @@
     }
 
 
+def _is_closed(state: 'GatewayState', call: Call, dc: DcId, now: float) -> bool:
+    """Return whether an evacuation keeps a request from a data centre."""
+    return (state.evacuations.is_evacuated(dc) or
+            dc in held_back_dcs(state, call, now))
+
+
+def home_dc(state: 'GatewayState', call: Call,
+            candidates: Sequence[EndpointView], work: Mapping[DcId, float],
+            now: float) -> DcId:
+    """Return the data centre to whose engines a prompt's context is assigned.
+
+    Args:
+        state: The VM's state.
+        call: The request.
+        candidates: The endpoints that may get it.
+        work: Work that arrives in each data centre, in tokens per s.
+        now: Loop time in s.
+    """
+    engines = _engines_by_dc(state, call.service, candidates)
+    own = state.settings.dc
+    shares = spill.compute_shares(own, work, engines)
+    if own in shares and _is_closed(state, call, own, now):
+        shares = spill.shares_by_engines(own, engines)
+    return spill.assign(cache.context_id(call.request.parts), shares)
+
+
+def usable_in_dc(state: 'GatewayState', call: Call,
+                 now: float) -> list[EndpointView]:
+    """Return this data centre's endpoints that may get a request now."""
+    dc, unreached = state.settings.dc, hints.unreached(state, now)
+    return [
+        view for view in usable_endpoints(state, call, now)
+        if view.entry.dc == dc and not _is_unreached(view, unreached)
+    ]
+
+
+def place_for_peer(state: 'GatewayState', call: Call,
+                   candidates: Sequence[EndpointView],
+                   peers: Callable[[EndpointId],
+                                   PeerLoad], now: float) -> list[Placement]:
+    """Place a prompt of another VM on engines of this data centre.
+
+    Args:
+        state: The coordinator's state.
+        call: The request, as described by the other VM.
+        candidates: The engines.
+        peers: Load of each engine beyond this VM's own.
+        now: Loop time in s.
+    """
+    inputs = _inputs(state, call, peers, now)
+    # The coordinator knows which engine got which context.
+    inputs.assumed_cached_ratio = 0.0
+    return place_on_engines(inputs, candidates)
+
+
+def place_granted(state: 'GatewayState', call: Call, endpoint: EndpointId,
+                  now: float) -> Placement | None:
+    """Place a prompt on the engine that a coordinator granted.
+
+    Returns:
+        The placement; None if this VM may not use the engine now.
+    """
+    candidates = [
+        view for view in usable_endpoints(state, call, now)
+        if view.entry.id == endpoint
+    ]
+    inputs = _inputs(state, call, hints.peer_load_lookup(state, now), now)
+    placements = place_on_engines(inputs, candidates)
+    return placements[0] if placements else None
+
+
+def _inputs(state: 'GatewayState', call: Call,
+            peers: Callable[[EndpointId], PeerLoad], now: float) -> _CostInputs:
+    """Return what the costs of a request's candidates share."""
+    service = state.config.services.get(call.service)
+    return _CostInputs(state, call, now,
+                       service.engine if service else None, peers,
+                       memory_tokens(call.request), now - call.arrived_at,
+                       state.settings.dc)
+
+
 def _mean_local_load(inputs: _CostInputs,
                      candidates: list[EndpointView]) -> PeerLoad:
     """Return the mean load of the engines in this VM's data centre.
@@ -485,7 +620,7 @@
     unknown_kilotokens = max(0, shared - preferred.reused_tokens) / 1_000
     preferred.cost -= (
         PREFERRED_ENGINE_BONUS +
-        RECOMPUTE_PENALTY * ASSUMED_CACHED_RATIO * unknown_kilotokens)
+        RECOMPUTE_PENALTY * inputs.assumed_cached_ratio * unknown_kilotokens)
 
 
 def _place_on_engine(inputs: _CostInputs, view: EndpointView,
@@ -506,8 +641,9 @@
         state, view, expected_latency_s(queued, prefill, requests, 0.0),
         fetch_plan.seconds, requests, inputs.now)
     slowdown = 1.0 if prediction is None else prediction.slowdown
-    latency_s = inputs.waited_s + expected_latency_s(
-        queued, prefill, requests, fetch_plan.seconds, slowdown)
+    first_event_s = expected_latency_s(queued, prefill, requests,
+                                       fetch_plan.seconds, slowdown)
+    latency_s = inputs.waited_s + first_event_s
     cost = LATENCY_PENALTY * (latency_s / call.route.target_s)**2
     used_memory = view.memory_tokens + peers.memory_tokens
     cost += _memory_cost(inputs, used_memory) + _fixed_cost(state, view)
@@ -518,7 +654,9 @@
                      cost,
                      fetch_plan,
                      _has_capacity(inputs, view, used_memory),
-                     prediction=prediction)
+                     prediction=prediction,
+                     first_event_s=first_event_s,
+                     backlog_s=expected_latency_s(queued, 0, 0, 0.0, slowdown))
 
 
 def expected_latency_s(queued_tokens: int,
@@ -556,11 +694,16 @@
                   used_memory: int) -> bool:
     """Return whether the run fits beside those that the engine already has.
 
-    An engine without known runs accepts a request of any size.
+    An engine without known runs accepts a request of any size. One that returns
+    accepts this VM's share only.
     """
     if inputs.engine is None or not used_memory:
         return True
     memory = inputs.engine.cache_tokens
+    if view.is_returning and not returning.may_send(
+            view.memory_tokens, inputs.memory_tokens,
+            MAX_LARGE_FILL_RATIO * memory, inputs.state.retries.vm_count):
+        return False
     if inputs.memory_tokens < LARGE_REQUEST_RATIO * memory:
         return True
     load = view.load
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from plantainridge.gateway import (answers, containment, dispatch, drain,
-                                   endings, eras, events, hints, intake, lease,
-                                   membership, notices, paths, relays, reload,
-                                   resumptions, rollout, speed_updates,
-                                   stored_parts, stores, suspects,
-                                   tunnel_admission, views, withdrawals)
+from plantainridge.gateway import (
+    answers, containment, coordination, dispatch, drain, endings,
+    endpoint_limits, eras, events, hints, intake, lease, membership, notices,
+    paths, relays, reload, resumptions, rollout, speed_updates, stored_parts,
+    stores, suspects, tunnel_admission, views, withdrawals)
 from plantainridge.gateway.events import TimerKind
 from plantainridge.gateway.state import GatewayState
 from plantainridge.ids import AttemptId, RequestId
@@ -43,8 +42,8 @@
 
 # Modules with periodic work, in its order.
 TICK_ORDER: Final = (speed_updates, stored_parts, suspects, withdrawals,
-                     resumptions, paths, dispatch, rollout, hints, relays,
-                     drain)
+                     resumptions, paths, endpoint_limits, coordination,
+                     dispatch, rollout, hints, relays, drain)
 
 TIMER_HANDLERS: Final[dict[TimerKind, Handler]] = {
     TimerKind.TICK: _on_tick,
@@ -53,6 +52,8 @@
     TimerKind.DEADLINE: endings.on_deadline,
     TimerKind.SEND_SILENCE: answers.on_send_silence,
     TimerKind.VM_ENTRY: membership.on_timer,
+    TimerKind.PLACEMENT: coordination.on_ask_due,
+    TimerKind.OWN_MESSAGES: coordination.on_own_messages,
 }
 
 
@@ -86,6 +87,9 @@
     hints.HintReceived: hints.on_hint,
     hints.DcLoadReceived: hints.on_dc_load,
     hints.LoadTotalsReceived: hints.on_totals,
+    coordination.PlacementRequested: coordination.on_request,
+    coordination.PlacementAnswered: coordination.on_answer,
+    coordination.RunReported: coordination.on_run_report,
     stores.StoreRelayed: stores.on_relayed,
     stores.StoreSnapshotRequested: stores.on_snapshot_requested,
     resumptions.OriginsReceived: resumptions.on_origins,
@@ -144,7 +148,7 @@
     if isinstance(event, events.CallerLeft):
         return event.request
     if isinstance(event, TimerFired):
-        if event.key.kind is TimerKind.DEADLINE:
+        if event.key.kind in (TimerKind.DEADLINE, TimerKind.PLACEMENT):
             return RequestId(event.key.subject)
         if event.key.kind is TimerKind.SEND_SILENCE:
             attempt = AttemptId(event.key.subject)
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -7,14 +7,18 @@
 from plantainridge.gateway.builds import BuildTable
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
+from plantainridge.gateway.endpoint_limits import EndpointLimits
 from plantainridge.gateway.endpoint_speed import SpeedTable
 from plantainridge.gateway.endpoints import EndpointView
+from plantainridge.gateway.evacuations import EvacuationTable
 from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.hints import HintTable
 from plantainridge.gateway.lease import Lease
 from plantainridge.gateway.notices import LeavingTable
+from plantainridge.gateway.placement_requests import CoordinationState
 from plantainridge.gateway.part_lifetimes import PartLifetimes
 from plantainridge.gateway.paths import PathTable
+from plantainridge.gateway.peer_ranks import PeerRanks
 from plantainridge.gateway.relays import RelayBuffer
 from plantainridge.gateway.requests import CallTable
 from plantainridge.gateway.retries import RetryBudget
@@ -39,9 +43,12 @@
         rng: The only source of randomness.
         config: The newest configuration that was read.
         endpoints: State of each registered endpoint.
+        endpoint_limits: Endpoints that get few requests: cold and brittle ones.
         peers: Entries of all VMs of the deployment, including this one.
+        peer_ranks: Orders of these VMs, by which they elect readers.
         speeds: Learned speeds of endpoints.
         leaving: Endpoints that were leaving.
+        evacuations: Data centres that operators evacuate.
         versions: Weight versions that operators set as targets.
         builds: Builds at which streams began.
         views: Read positions in the metadata store's views.
@@ -56,6 +63,7 @@
         stores: Contents of KV cache stores.
         part_lifetimes: Periods in which stored parts are fetched and freed.
         cache: Prompt parts that engines are expected to have cached.
+        coordination: Placement requests and grants.
         lease: Lease whose holder orders engines to change versions.
         rollout: Progress of the rollout of weight versions.
         suspension: The last time at which this VM did not run.
@@ -69,9 +77,12 @@
     rng: random.Random
     config: Configuration = NO_CONFIGURATION
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
+    endpoint_limits: EndpointLimits = attrs.field(factory=EndpointLimits)
     speeds: SpeedTable = attrs.field(factory=SpeedTable)
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
+    evacuations: EvacuationTable = attrs.field(factory=EvacuationTable)
+    peer_ranks: PeerRanks = attrs.field(factory=PeerRanks)
     versions: VersionTable = attrs.field(factory=VersionTable)
     builds: BuildTable = attrs.field(factory=BuildTable)
     views: ViewTable = attrs.field(factory=ViewTable)
@@ -86,6 +97,7 @@
     stores: StoreTable = attrs.field(factory=StoreTable)
     part_lifetimes: PartLifetimes = attrs.field(factory=PartLifetimes)
     cache: CacheState = attrs.field(factory=CacheState)
+    coordination: CoordinationState = attrs.field(factory=CoordinationState)
     lease: Lease = attrs.field(factory=Lease)
     rollout: RolloutState = attrs.field(factory=RolloutState)
     suspension: Suspension = attrs.field(factory=Suspension)
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -14,8 +14,8 @@
 import attrs
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import (part_lifetimes, peer_messages, relays,
-                                   stored_parts)
+from plantainridge.gateway import (part_lifetimes, peer_messages, peer_ranks,
+                                   relays, stored_parts)
 from plantainridge.gateway.config import StoreSpec
 from plantainridge.gateway.events import (StoreChanged, StoredPart, StoreListed,
                                           StoreRequestFailed, TimerKind)
@@ -35,9 +35,9 @@
 MIN_POLL_INTERVAL_S: Final = 0.25
 POLL_INTERVAL_PER_VM_S: Final = 0.05
 # Longest pause that grows so. Beyond it, the pause depends on whether the store
-# had events at once: a poll that is answered within `QUICK_ANSWER_S` counts as a
-# probe. While events are rare, a long pause makes more answers quick, since most
-# events fall into it; while they are frequent, each answer is quick.
+# had events at once: a poll that is answered within `QUICK_ANSWER_S` counts as
+# a probe. While events are rare, a long pause makes more answers quick, since
+# most events fall into it; while they are frequent, each answer is quick.
 MAX_SCALED_POLL_INTERVAL_S: Final = 1.0
 RARE_EVENTS_POLL_INTERVAL_S: Final = 0.5
 FREQUENT_EVENTS_POLL_INTERVAL_S: Final = 1.7
@@ -570,7 +570,8 @@
 
 def _stagger_s(state: 'GatewayState', view: StoreView) -> float:
     """Return this VM's delay, up to MAX_STAGGER_S, to avoid polls at once."""
-    step = relays.rendezvous_hash(state.settings.vm, view.name) % STAGGER_STEPS
+    step = peer_ranks.rendezvous_hash(state.settings.vm,
+                                      view.name) % STAGGER_STEPS
     return MAX_STAGGER_S * step / STAGGER_STEPS
 
 
@@ -612,6 +613,11 @@
         yield fx.ListStore(view.name, address)
         return
     view.polled_at = now
+    if not _is_reader(state, view, now):
+        yield LogLine('store_polled_instead',
+                      (('store', view.name),
+                       ('cause', 'gap' if view.behind else 'timeout'),
+                       ('age_s', round(now - view.reported_at, 3))))
     yield fx.PollStore(view.name, address, view.next, _poll_wait_s(state, view))
 
 
