--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -5,7 +5,7 @@
 
 from plantainridge.gateway import (cache, dispatch, endings, health, paths,
                                    placement, placement_requests, resumptions,
-                                   suspects, takeover)
+                                   speed_updates, suspects, takeover)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AnswerArrived, AnswerHead, Failure,
                                           SendFailed, StreamEnded,
@@ -54,6 +54,7 @@
         yield from _after_refused_resumption(state, call, head, now)
         return
     if head.status < 500:
+        speed_updates.record_plain_answer(state, call, attempt, now)
         yield from suspects.record_answer(state, call, now)
     yield fx.Reply(call.request.id, head.status, head.headers, event.body)
     yield from endings.end(state, call, 'answered', head.status, now)
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -265,7 +265,8 @@
                                             view.entry.address,
                                             new_connection=new_connection,
                                             peer=peer.vm if peer else None,
-                                            grant=choice.grant)
+                                            grant=choice.grant,
+                                            prediction=choice.prediction)
     view.add_send(
         attempt,
         InFlightSend(choice.prefill_tokens, placement.memory_tokens(request),
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import endpoint_limits
+from plantainridge.gateway import (endpoint_limits, endpoint_speed,
+                                   speed_updates)
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import AnswerHead, Failure
 from plantainridge.gateway.requests import Attempt, Call
@@ -54,6 +55,7 @@
     view.last_received_at = now
     if head.load is not None:
         view.load = head.load
+        speed_updates.record_report(state, view, head.load)
     endpoint_limits.record_head(state, view, head, now)
     if head.pause_s is None and attempt.sent_at >= view.paused_until:
         view.probing = False
@@ -74,6 +76,7 @@
     if view is not None:
         view.last_received_at = now
         view.finish_prefill(attempt.id)
+    speed_updates.record_first_event(state, attempt, now)
 
 
 def record_success(state: 'GatewayState', attempt: Attempt, now: float) -> None:
@@ -161,12 +164,18 @@
 
 def send_timeout_at(state: 'GatewayState', call: Call,
                     attempt: Attempt) -> float:
-    """Return the loop time at which a send counts as silent, in s."""
+    """Return the loop time at which a send counts as silent, in s.
+
+    An endpoint that was expected to be slow gets more time.
+    """
+    stretch = 1.0
+    if attempt.prediction is not None:
+        stretch = endpoint_speed.timeout_stretch(attempt.prediction.slowdown)
     view = state.endpoints.get(attempt.endpoint)
     active = view is not None and view.last_received_at > attempt.progress_at
     if attempt.events_received:
         pause = STALL_TIMEOUT_RATIO * call.route.gap_s * (2.0
                                                           if active else 1.0)
-        return attempt.progress_at + pause
+        return attempt.progress_at + stretch * pause
     ratio = ACTIVE_TIMEOUT_RATIO if active else SILENT_TIMEOUT_RATIO
-    return attempt.sent_at + ratio * call.route.target_s
+    return attempt.sent_at + stretch * ratio * call.route.target_s
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -20,14 +20,16 @@
 
 import attrs
 
-from plantainridge.gateway import (cache, endpoint_limits, endpoints, hints,
-                                   returning, spill, stored_parts, tunnel_peers)
+from plantainridge.gateway import (cache, endpoint_limits, endpoint_speed,
+                                   endpoints, hints, returning, speed_updates,
+                                   spill, stored_parts, tunnel_peers)
 from plantainridge.gateway.config import EngineSpec
+from plantainridge.gateway.endpoint_speed import Prediction
 from plantainridge.gateway.endpoints import EndpointView, Grant
 from plantainridge.gateway.events import Request, VmEntry
 from plantainridge.gateway.peer_loads import NO_LOAD, PeerLoad
 from plantainridge.gateway.requests import Call, PlacementFailure
-from plantainridge.ids import DcId, EndpointId
+from plantainridge.ids import DcId, EndpointId, ServiceId
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
@@ -110,6 +112,8 @@
             for a plain service.
         backlog_s: Share of it in which the engine computes earlier prompts, in
             s.
+        prediction: Time that the request is predicted to take; None if the
+            speeds of the service's endpoints are not learned.
     """
 
     view: EndpointView
@@ -123,6 +127,7 @@
     grant: Grant | None = None
     first_event_s: float = 0.0
     backlog_s: float = 0.0
+    prediction: Prediction | None = None
 
 
 @attrs.define
@@ -405,6 +410,21 @@
     return place_on_engines(inputs, at_home or candidates)
 
 
+def _engines_by_dc(state: 'GatewayState', service: ServiceId,
+                   candidates: Sequence[EndpointView]) -> Mapping[DcId, float]:
+    """Return the engines of each data centre, by speed if that is learned."""
+    if not speed_updates.is_learned(state, service):
+        return Counter(view.entry.dc for view in candidates)
+    return {
+        dc:
+            endpoint_speed.capacity(
+                state.speeds.estimate(view.entry.id)
+                for view in candidates
+                if view.entry.dc == dc)
+        for dc in {view.entry.dc for view in candidates}
+    }
+
+
 def _is_closed(state: 'GatewayState', call: Call, dc: DcId, now: float) -> bool:
     """Return whether an evacuation keeps a request from a data centre."""
     return (state.evacuations.is_evacuated(dc) or
@@ -423,7 +443,7 @@
         work: Work that arrives in each data centre, in tokens per s.
         now: Loop time in s.
     """
-    engines = Counter(view.entry.dc for view in candidates)
+    engines = _engines_by_dc(state, call.service, candidates)
     own = state.settings.dc
     shares = spill.compute_shares(own, work, engines)
     if own in shares and _is_closed(state, call, own, now):
@@ -510,12 +530,19 @@
 
 
 def _place_on_instance(inputs: _CostInputs, view: EndpointView) -> Placement:
-    peers = inputs.peers(view.entry.id)
-    fill_ratio = (inputs.request_count(view, peers) + 1) / max(
-        1, view.entry.slots)
-    cost = LATENCY_PENALTY * fill_ratio**2 + _fixed_cost(inputs.state, view)
-    cost += MAX_RANDOM_PENALTY * inputs.state.rng.random()
-    return Placement(view, None, 0, 0, cost)
+    state, call = inputs.state, inputs.call
+    requests = inputs.request_count(view, inputs.peers(view.entry.id))
+    fill_ratio = (requests + 1) / max(1, view.entry.slots)
+    typical_s = state.speeds.typical_s.get((call.service, call.route.name), 0.0)
+    prediction = speed_updates.predict(state, view, typical_s, 0.0, requests,
+                                       inputs.now)
+    if prediction is not None:
+        # Requests take the longer the slower an instance is, whether they wait
+        # for a slot or not.
+        fill_ratio *= prediction.slowdown
+    cost = LATENCY_PENALTY * fill_ratio**2 + _fixed_cost(state, view)
+    cost += MAX_RANDOM_PENALTY * state.rng.random()
+    return Placement(view, None, 0, 0, cost, prediction=prediction)
 
 
 def place_on_engines(inputs: _CostInputs,
@@ -568,6 +595,10 @@
     """
     queued = view.pending_tokens + inputs.peer_load(view).pending_tokens
     delay_s = queued / PREFILL_TOKENS_PER_S
+    prediction = speed_updates.predict(inputs.state, view, delay_s, 0.0,
+                                       len(view.in_flight), inputs.now)
+    if prediction is not None:
+        delay_s *= prediction.slowdown
     load = view.load
     if (load is not None and load.waiting and
             inputs.now - load.reported_at <= MAX_LOAD_AGE_S):
@@ -605,9 +636,13 @@
     prefill = max(1, request.prompt_tokens - reused)
     peers = inputs.peer_load(view)
     queued = view.pending_tokens + peers.pending_tokens
-    first_event_s = expected_latency_s(queued, prefill,
-                                       inputs.request_count(view, peers),
-                                       fetch_plan.seconds)
+    requests = inputs.request_count(view, peers)
+    prediction = speed_updates.predict(
+        state, view, expected_latency_s(queued, prefill, requests, 0.0),
+        fetch_plan.seconds, requests, inputs.now)
+    slowdown = 1.0 if prediction is None else prediction.slowdown
+    first_event_s = expected_latency_s(queued, prefill, requests,
+                                       fetch_plan.seconds, slowdown)
     latency_s = inputs.waited_s + first_event_s
     cost = LATENCY_PENALTY * (latency_s / call.route.target_s)**2
     used_memory = view.memory_tokens + peers.memory_tokens
@@ -619,12 +654,16 @@
                      cost,
                      fetch_plan,
                      _has_capacity(inputs, view, used_memory),
+                     prediction=prediction,
                      first_event_s=first_event_s,
-                     backlog_s=expected_latency_s(queued, 0, 0, 0.0))
+                     backlog_s=expected_latency_s(queued, 0, 0, 0.0, slowdown))
 
 
-def expected_latency_s(queued_tokens: int, prefill_tokens: int, requests: int,
-                       fetch_s: float) -> float:
+def expected_latency_s(queued_tokens: int,
+                       prefill_tokens: int,
+                       requests: int,
+                       fetch_s: float,
+                       slowdown: float = 1.0) -> float:
     """Return the expected time from a send to its first event, in s.
 
     Args:
@@ -633,8 +672,11 @@
         prefill_tokens: Prompt tokens of the request itself to compute.
         requests: Requests on the engine.
         fetch_s: Time to fetch stored parts of the prompt, in s.
+        slowdown: Time that the engine takes, relative to the constants.
     """
     prefill_s = (queued_tokens + prefill_tokens) / PREFILL_TOKENS_PER_S
+    if slowdown != 1.0:
+        return slowdown * (prefill_s + DELAY_PER_REQUEST_S * requests) + fetch_s
     return prefill_s + fetch_s + DELAY_PER_REQUEST_S * requests
 
 
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -7,6 +7,7 @@
 import attrs
 
 from plantainridge.gateway.config import Route, Team
+from plantainridge.gateway.endpoint_speed import Prediction
 from plantainridge.gateway.endpoints import Grant
 from plantainridge.gateway.events import Headers, Request
 from plantainridge.ids import (AttemptId, EndpointId, RequestId, ServiceId,
@@ -153,6 +154,8 @@
         new_connection: Whether it required a new connection.
         peer: The peer through which it was sent, or None.
         grant: The grant of its engine, or None.
+        prediction: Time that it was predicted to take; None if the speeds of
+            the service's endpoints are not learned.
     """
 
     id: AttemptId
@@ -168,6 +171,7 @@
     new_connection: bool = False
     peer: VmId | None = None
     grant: Grant | None = None
+    prediction: Prediction | None = None
 
 
 @attrs.define
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -9,6 +9,7 @@
 from plantainridge.gateway.cache import CacheState
 from plantainridge.gateway.config import NO_CONFIGURATION, Configuration
 from plantainridge.gateway.endpoint_limits import EndpointLimits
+from plantainridge.gateway.endpoint_speed import SpeedTable
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.evacuations import EvacuationTable
 from plantainridge.gateway.events import VmEntry
@@ -46,6 +47,7 @@
         endpoint_limits: Endpoints that get few requests: cold and brittle ones.
         peers: Entries of all VMs of the deployment, including this one.
         peer_ranks: Orders of these VMs, by which they elect readers.
+        speeds: Learned speeds of endpoints.
         leaving: Endpoints that were leaving.
         evacuations: Data centres that operators evacuate.
         versions: Weight versions that operators set as targets.
@@ -78,6 +80,7 @@
     config: Configuration = NO_CONFIGURATION
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
     endpoint_limits: EndpointLimits = attrs.field(factory=EndpointLimits)
+    speeds: SpeedTable = attrs.field(factory=SpeedTable)
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     peers: dict[VmId, VmEntry] = attrs.field(factory=dict)
     evacuations: EvacuationTable = attrs.field(factory=EvacuationTable)
--- a/tests/load_fleet.py
+++ b/tests/load_fleet.py
@@ -17,6 +17,7 @@
 from plantainridge.gateway.config import Configuration
 from plantainridge.gateway.coordination import (PlacementAnswered,
                                                 PlacementRequested, RunReported)
+from plantainridge.gateway.endpoints import EndpointLoad
 from plantainridge.gateway.events import Part, View
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
                                          LoadTotalsReceived)
@@ -43,6 +44,12 @@
 LATE_CREDIT: Final = 0.2
 
 
+def constant_speed(name: EndpointId, at: float, requests: int) -> float:
+    """Return the slowdown of an engine that is as fast as usual."""
+    del name, at, requests
+    return 1.0
+
+
 @attrs.frozen
 class Kind:
     """A kind of request.
@@ -112,6 +119,7 @@
         up: Whether it answers.
         free_at: Time at which its queue of prefills is empty, in s.
         running: Runs that generate tokens.
+        prefilling: Runs whose prompt is not computed yet.
         cached: Tokens of each cached part, least recently used first.
         prefilled_tokens: Tokens prefilled so far.
         memory_tokens: Memory for runs, in tokens.
@@ -122,6 +130,7 @@
     up: bool = True
     free_at: float = 0.0
     running: int = 0
+    prefilling: int = 0
     cached: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
     prefilled_tokens: int = 0
     memory_tokens: float = math.inf
@@ -186,6 +195,16 @@
         stopped: VMs that do not run, with the events that they have not
             handled; they handle them if they are resumed.
         ended: What became of requests.
+        slots: Slots of each engine; they are stated and not enforced.
+        slowdown: Time that an engine takes at a time in s, with a number of
+            requests on it, relative to the usual time.
+        report_delay_s: Age of the slowdown that engines report, in s; None if
+            they report none.
+        learns_speeds: Whether the VMs learn speeds without such reports.
+        latencies: Time from a request's arrival to its first event, in s, with
+            the time of the arrival in s.
+        seed: Seed of the arrivals, which then do not depend on the messages
+            between VMs; None for one that both share.
         sent_remote_bytes: Bytes of messages between data centres.
     """
 
@@ -206,6 +225,12 @@
     has_memory_pressure: bool = False
     stopped: dict[VmId, list[Event]] = attrs.field(factory=dict, init=False)
     ended: list[Outcome] = attrs.field(factory=list, init=False)
+    slots: int = 64
+    slowdown: Callable[[EndpointId, float, int], float] = constant_speed
+    report_delay_s: float | None = None
+    learns_speeds: bool = False
+    seed: int | None = None
+    latencies: list[tuple[float, float]] = attrs.field(factory=list, init=False)
     sent_remote_bytes: int = 0
     vms: dict[VmId, GatewayScene] = attrs.field(factory=dict, init=False)
     engines: dict[EndpointId, Engine] = attrs.field(factory=dict, init=False)
@@ -214,6 +239,7 @@
     now: float = attrs.field(default=100.0, init=False)
     _rng: random.Random = attrs.field(factory=lambda: random.Random(7),
                                       init=False)
+    _message_rng: random.Random = attrs.field(factory=random.Random, init=False)
     _sequence: Iterator[int] = attrs.field(factory=itertools.count, init=False)
     _queue: list[tuple[float, int, Callable[[],
                                             None]]] = attrs.field(factory=list,
@@ -223,11 +249,15 @@
                                int]] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._message_rng = self._rng
+        if self.seed is not None:
+            self._rng = random.Random(self.seed)
+            self._message_rng = random.Random(f'messages/{self.seed}')
         entries, vm_entries = [], []
         for dc in self.rates:
             self.credits[dc] = []
             for at in range(self.engines_per_dc):
-                entries.append(endpoint(f'{dc}-e{at}', dc=dc))
+                entries.append(endpoint(f'{dc}-e{at}', dc=dc, slots=self.slots))
                 self.engines[entries[-1].id] = Engine(
                     memory_tokens=self.memory_tokens)
                 self.dcs[entries[-1].id] = dc
@@ -240,6 +270,7 @@
             scene.state.settings = attrs.evolve(
                 scene.state.settings,
                 dc=DcId(each.dc),
+                learns_speeds=self.learns_speeds,
                 has_memory_pressure=self.has_memory_pressure)
             scene.state.rng.seed(each.vm)
             scene.read(View.VMS, *vm_entries)
@@ -385,6 +416,7 @@
         self.ended.append(Outcome(kind, tokens, served, took_s))
         credit = 0.0
         if served:
+            self.latencies.append((arrived_at, took_s))
             credit = 1.0 if took_s <= TARGET_S else LATE_CREDIT
         self.credits[self.dcs[vm]].append(credit)
 
@@ -401,7 +433,7 @@
             # Nothing is resumed here; a draw would change the replays.
             return
         if (self._is_cut(sender, effect.vm) or
-                self._rng.random() < self.loss_ratio):
+                self._message_rng.random() < self.loss_ratio):
             return
         if self.reports_lost and isinstance(message, (DcLoad, LoadTotals)):
             return
@@ -432,7 +464,11 @@
         job = Job(vm, send, send.request.output_tokens)
 
         def begin() -> None:
-            engine.free_at = max(self.now, engine.free_at) + engine.prefill_s(
+            start = max(self.now, engine.free_at)
+            engine.prefilling += 1
+            slowdown = self.slowdown(send.endpoint, start,
+                                     engine.running + engine.prefilling)
+            engine.free_at = start + slowdown * engine.prefill_s(
                 send.request.parts)
             self._at(engine.free_at, lambda: self._generate(engine, job))
 
@@ -450,12 +486,22 @@
             self.engines[job.send.endpoint].free(job)
 
     def _generate(self, engine: Engine, job: Job) -> None:
+        engine.prefilling -= 1
         if job.is_cancelled:
             return
         engine.running += 1
+        name, requests = job.send.endpoint, engine.running + engine.prefilling
         step_s = STEP_OF_A_RUN_S + STEP_PER_RUN_S * engine.running
+        step_s *= self.slowdown(name, self.now, requests)
         attempt = job.send.attempt
-        self._post_at(self.now, job.vm, ev.StreamStarted(attempt, head()))
+        load = None
+        if self.report_delay_s is not None:
+            reported = self.slowdown(name, self.now - self.report_delay_s,
+                                     requests)
+            load = EndpointLoad(engine.running, engine.prefilling, self.slots,
+                                self.now, reported)
+        self._post_at(self.now, job.vm,
+                      ev.StreamStarted(attempt, head(load=load)))
         self._post_at(self.now, job.vm,
                       ev.StreamEventsReceived(attempt, b'.', '1', '1'))
         end_at = self.now + job.output_tokens * step_s
