--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -266,7 +266,7 @@
 
 
 def request_of(state: 'GatewayState', message: PeerMessage) -> RequestId | None:
-    """Return this VM's request that a coordinator's answer is about, or None."""
+    """Return this VM's request that a coordinator's answer is about, if any."""
     if not isinstance(message, PlacementAnswer):
         return None
     waiting = state.coordination.asks.get(message.number)
