--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -1,6 +1,5 @@
 """Control calls to model engines and KV cache stores over HTTP."""
 
-import functools
 import json
 from collections.abc import Callable
 from typing import Final
@@ -37,9 +36,21 @@
 # Requests in progress finish under the version that they started with.
 SWAP_MODE: Final = 'wait'
 
-# Connections are shared with requests, and a second copy of an answer may come
-# on one that is reused. Control calls name no attempt.
-_call = functools.partial(call, foreign_header=names.ATTEMPT_ID)
+
+async def _call(pool: Pool,
+                address: str,
+                method: str,
+                target: str,
+                timeout_s: float,
+                body: bytes = b'',
+                headers: ev.Headers = JSON_HEADERS) -> Response | NoResponse:
+    """Send a control call; see `call`.
+
+    Connections are shared with requests, and a second copy of an answer may
+    come on one that is reused. Control calls name no attempt.
+    """
+    return await call(pool, address, method, target, timeout_s, body, headers,
+                      names.ATTEMPT_ID)
 
 
 class PlatformEngines(EnginePort):
--- a/tests/test_gateway_freed_parts.py
+++ b/tests/test_gateway_freed_parts.py
@@ -234,12 +234,16 @@
                 self.assertEqual(posted, [event])
 
 
+# Position of the body among the arguments of `http_calls.call`.
+BODY_ARGUMENT = 5
+
+
 def _call_body(free: fx.FreeParts) -> dict[str, Any]:
     """Return the body with which a store is called to free parts."""
     bodies: list[dict[str, Any]] = []
 
     async def call(*args: Any) -> NoResponse:
-        bodies.append(json.loads(args[-1]))
+        bodies.append(json.loads(args[BODY_ARGUMENT]))
         return NoResponse('down', True)
 
     tasks = mock.Mock(spawn=asyncio.run)
