Remove two settings that nothing reads, and reword comments

Cause: memory_mb and stable_s were read for parts that are not begun, and some comments of this work used words that the field does not use for messages.

--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -327,7 +327,7 @@
     """Return whether this VM knows enough to grant engines.
 
     After a suspension its knowledge of load is old, and so are the requests.
-    After a start it has not heard the load of all VMs yet.
+    After a start it has not received the load of all VMs.
     """
     service = state.config.services.get(message.service)
     return (message.service in state.coordination.services and
--- a/src/plantainridge/gateway/endpoint_limits.py
+++ b/src/plantainridge/gateway/endpoint_limits.py
@@ -2,7 +2,7 @@
 
 A cold endpoint tolerates a number of requests a second from all VMs together.
 A few VMs, the first ones by rendezvous hash, send to it, each from a token
-bucket of its own: no message between VMs is needed, and VMs that do not hear
+bucket of its own: no message between VMs is needed, and VMs that do not reach
 each other cannot exceed the limit. Made for several endpoints that return to 20
 to 400 VMs at the same instant and look idle to all of them.
 
@@ -142,7 +142,7 @@
 
 @attrs.define
 class ColdEndpoint:
-    """An endpoint that is cold, or was until a moment ago.
+    """An endpoint that is cold, or was within the last second.
 
     Attributes:
         bucket: What this VM may send to it.
@@ -315,7 +315,7 @@
                  silent: Collection[VmId]) -> bool:
     """Return whether a VM is one of the few that serve a limited endpoint.
 
-    The first VMs do whatever others know of them. Substitutes of silent ones
+    The first VMs do in any case. Substitutes of silent ones
     come from as many next VMs, so that at most twice the number serves.
 
     Args:
@@ -335,7 +335,7 @@
     """Return how many slots of a brittle endpoint are a VM's own.
 
     The shares of all VMs add up to the slots, so that VMs that keep to them
-    cause no rejection, whatever they know of one another.
+    cause no rejection, whatever they receive from each other.
 
     Args:
         slots: Requests that the endpoint runs at once.
@@ -619,7 +619,7 @@
 def _silent_vms(state: 'GatewayState', now: float) -> frozenset[VmId]:
     """Return the VMs of this data centre that are known to be silent.
 
-    A VM that hears at most half of them may itself be cut off, and one whose
+    A VM that receives hints of at most half may be cut off, and one whose
     list is old or has just changed may have another order than its peers: it
     counts none as silent.
     """
--- a/src/plantainridge/gateway/grants.py
+++ b/src/plantainridge/gateway/grants.py
@@ -89,7 +89,7 @@
         """Return granted memory on an engine that is not in this ledger.
 
         A coordinator that was replaced, or runs that were dropped while their
-        VM was not heard, leave such runs behind.
+        VM sent no hints, leave such runs behind.
 
         Args:
             endpoint: The engine.
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -71,7 +71,7 @@
 # it may show an older version than peers know.
 START_ASKS: Final = 3
 # Time from a VM's first read of the VMs within which it elects readers among
-# all of them, whether heard or not. By then each VM has sent a hint.
+# all of them, with or without a hint. By then each VM has sent one.
 START_GRACE_S: Final = 2.0
 # Shortest time between two reads of the VMs meanwhile, in s.
 MIN_VM_READ_INTERVAL_S: Final = 0.3
--- a/src/plantainridge/gateway/placement_requests.py
+++ b/src/plantainridge/gateway/placement_requests.py
@@ -209,7 +209,7 @@
 
 
 def withdraw(state: 'GatewayState', call: Call) -> Iterator[Effect]:
-    """Stop to await an answer, and tell the coordinator."""
+    """Stop to await an answer, and notify the coordinator."""
     assert call.ask is not None
     waiting = state.coordination.asks[call.ask]
     yield from close(state, call)
--- a/src/plantainridge/gateway/settings.py
+++ b/src/plantainridge/gateway/settings.py
@@ -48,8 +48,6 @@
         cold_slack: Requests beyond that multiple.
         evacuation_s: Longest time until nothing more is sent to a data centre
             that is to be evacuated, in s.
-        stable_s: Time after a disruption from which the limits hold again, in
-            s.
     """
 
     drain_s: float = 2.0
@@ -63,7 +61,6 @@
     cold_overrun: float = 1.0
     cold_slack: float = 0.0
     evacuation_s: float = 5.0
-    stable_s: float = 3.0
 
 
 @attrs.frozen
@@ -81,7 +78,6 @@
         link_mbps: Rate of the VM's own link, in Mbit/s.
         tunnel_port: Port on which peers request tunnels, the same on all VMs;
             0 for none.
-        memory_mb: Memory of the process, in MB; 0 if no limit is stated.
         has_memory_pressure: Whether memory is contended in this deployment:
             that of engines between callers, and that of VMs by slow readers.
         learns_speeds: Whether the speed of endpoints is learned also for
@@ -99,6 +95,5 @@
     bounds: Bounds = Bounds()
     link_mbps: float = DEFAULT_LINK_MBPS
     tunnel_port: int = 0
-    memory_mb: float = 0.0
     has_memory_pressure: bool = False
     learns_speeds: bool = False
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -93,7 +93,7 @@
         pause_s, invalid_pause = _parse_pause(status, headers)
         not_run = names.NOT_RUN in fields or status == STATUS_MISDIRECTED
         if not not_run and status in PROMISES:
-            # Forwarded, it would tell the caller that nothing was run. The
+            # Forwarded, it would promise the caller that nothing ran. The
             # endpoint's signature holds for its own status only.
             status = STATUS_BAD_GATEWAY
             headers = tuple((key, value)
--- a/src/plantainridge/platform/settings.py
+++ b/src/plantainridge/platform/settings.py
@@ -48,7 +48,6 @@
         link_mbps=get_or(get_or(data, 'limits', {}), 'link-mbps',
                          DEFAULT_LINK_MBPS),
         tunnel_port=_tunnel_port(*ports),
-        memory_mb=get_or(get_or(data, 'limits', {}), 'memory-mb', 0.0),
         has_memory_pressure=(names.CONTRACT_PRESSURE
                              in get_or(data, 'contracts', [])))
 
@@ -85,9 +84,6 @@
         'evacuation_s':
             get_or(data, 'evacuation-ms', default.evacuation_s * MS_PER_S) /
             MS_PER_S,
-        'stable_s':
-            get_or(data, 'stable-window-ms', default.stable_s * MS_PER_S) /
-            MS_PER_S,
     }
     return attrs.evolve(default, **values)
 
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -107,7 +107,7 @@
     """Reducers of many VMs, and instances with slots, on one clock.
 
     Attributes:
-        deaf: VMs that no message of a peer reaches.
+        isolated: VMs that no message of a peer reaches.
         learns_of: Entries that a VM has not read yet are read after this, in s.
         refusals: Time waited and Retry-After of each refusal, in s.
         senders: The VM and time of each send, by endpoint.
@@ -128,7 +128,7 @@
         ]
         self.instances = {each.id: Instance() for each in entries}
         self.registry = {each.id: each for each in entries}
-        self.deaf: set[VmId] = set()
+        self.isolated: set[VmId] = set()
         self.refusals: list[tuple[float, float]] = []
         self.served: Counter[str] = Counter()
         self.senders: dict[EndpointId, list[tuple[VmId,
@@ -210,7 +210,7 @@
         for effect in effects:
             if isinstance(effect, base.SendPeer):
                 message = peer_messages.decode(effect.payload)
-                if isinstance(message, Hint) and effect.vm not in self.deaf:
+                if isinstance(message, Hint) and effect.vm not in self.isolated:
                     self._post(0.001, effect.vm, HintReceived(message))
             elif isinstance(effect, fx.Send):
                 self.senders[effect.endpoint].append((vm, self.now))
@@ -290,7 +290,7 @@
     ranked = [VmId(f'vm{at}') for at in range(62)]
 
     def test_any_views_of_silence_admit_at_most_twice_as_many(self) -> None:
-        # Guards against VMs that include themselves as they hear no others.
+        # Guards against VMs that include themselves as they reach no others.
         rng = random.Random(1)
         for ratio in (0.0, 0.3, 0.7, 1.0):
             admitting = [
@@ -388,9 +388,9 @@
         self.assertEqual(fleet.instances[EndpointId('i0')].arrivals, [])
 
     def test_vms_that_cannot_reach_each_other(self) -> None:
-        # Guards against substitutes at VMs that hear nobody for 15 s.
+        # Guards against substitutes at VMs without a hint for 15 s.
         fleet = self.fleet()
-        fleet.deaf = set(fleet.vms)
+        fleet.isolated = set(fleet.vms)
         fleet.run(16.0)
         start = fleet.now
         fleet.announce_cold(*fleet.instances)
