Log how a VM learned of a configuration, and for how long it had not read

When operators see an old configuration in force, the logs do not tell whether the VM read it late, got a late relay, or got none. configuration_taken states its source and the time since the last read or relay before; configuration_unread_s is the same as a metric.

tests.test_gateway_logs checks the line.

--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -20,7 +20,7 @@
 from plantainridge.gateway.part_lifetimes import RESTORE_SETTLE_S
 from plantainridge.gateway.peer_messages import RelayedView
 from plantainridge.ids import DcId, EndpointId
-from plantainridge.loop.effects import Effect, LogLine, SetTimer
+from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
 from plantainridge.loop.events import TimerFired, TimerKey
 
 if TYPE_CHECKING:
@@ -356,7 +356,7 @@
     if applies:
         for update in event.updates:
             cursor.record_logged(update)
-            yield from _apply(state, update, now)
+            yield from _apply(state, update, now, 'relay')
         cursor.offset = event.end
     yield from _remove_missing(state, now)
 
@@ -439,13 +439,13 @@
             update.started_ms <= state.views.removed.get(update.id, -1))
 
 
-def _apply(state: 'GatewayState', update: ViewUpdate,
-           now: float) -> Iterator[Effect]:
+def _apply(state: 'GatewayState',
+           update: ViewUpdate,
+           now: float,
+           source: str = 'read') -> Iterator[Effect]:
     if isinstance(update, Configuration):
         if update.version > state.config.version:
-            state.config = update
-            yield LogLine('configuration_taken', (('version', update.version),))
-            yield from stores.on_configuration(state, now)
+            yield from _take_configuration(state, update, source, now)
     elif isinstance(update, NamedVersion):
         yield from _apply_version(state, update, now)
     elif isinstance(update, EvacuationChanged):
@@ -469,6 +469,20 @@
                       (('key', update.key), ('reason', update.reason)))
 
 
+def _take_configuration(state: 'GatewayState', configuration: Configuration,
+                        source: str, now: float) -> Iterator[Effect]:
+    """Put a newer configuration in force."""
+    unread_s = versions.loggable(
+        now - state.views.cursors[View.OPERATOR].unread_since)
+    state.config = configuration
+    yield LogLine('configuration_taken',
+                  (('version', configuration.version), ('source', source),
+                   ('unread_s', unread_s)))
+    if unread_s >= 0.0:
+        yield Observe('configuration_unread_s', '', source, unread_s)
+    yield from stores.on_configuration(state, now)
+
+
 def _is_outdated_read(state: 'GatewayState', now: float) -> bool:
     """Return whether a read may lack what was written before its time."""
     return (state.suspension.may_have_backlog(now) or
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -13,7 +13,8 @@
 from plantainridge.gateway.log_writer import (MAX_BUFFERED_BYTES,
                                               MAX_LINES_PER_S, LogWriter)
 from plantainridge.loop.effects import LogLine
-from tests.gateway_scene import ENGINES, LEDGER, GatewayScene, endpoint, head
+from tests.gateway_scene import (ENGINES, LEDGER, GatewayScene, configuration,
+                                 endpoint, head)
 
 
 class LogWriterTest(unittest.TestCase):
@@ -107,6 +108,20 @@
                       'endpoint_leaving', 'view_lost', 'view_back', 'stopping'):
             self.assertIn(event, logged)
 
+    def test_line_of_a_configuration_has_its_source_and_age(self) -> None:
+        scene = GatewayScene()
+        scene.read(View.OPERATOR)
+        scene.advance(0.4)
+        scene.post(ev.ViewRelayed(View.OPERATOR, 1, 2, (configuration(2),)))
+        line = [
+            each for each in scene.lines if each.event == 'configuration_taken'
+        ][-1]
+        self.assertEqual(dict(line.fields), {
+            'version': 2,
+            'source': 'relay',
+            'unread_s': 0.4
+        })
+
     def test_no_line_contains_a_key_or_a_body(self) -> None:
         scene = GatewayScene(endpoint('a', LEDGER))
         scene.post_request('/submit/x', key='key', body=b'secret')
