Log the inputs of the retry budget with each counted retry

The logs do not show why a VM allowed a retry: neither the requests and retries that it counts nor the number of VMs by which it splits the fixed number. retry_counted states them.

tests.test_gateway_logs checks the line.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -241,6 +241,7 @@
     service = state.config.services.get(call.service)
     if call.deliveries:
         state.retries.record_retry(call.service, now)
+        yield _retry_log_line(state, call, now)
     # A send that follows one that was lost must not wait on an idle connection
     # to an endpoint that is silent as well: it would use up an attempt. After
     # an answer that nothing was run, idle connections are preferred: endpoints
@@ -320,6 +321,15 @@
     ))
 
 
+def _retry_log_line(state: 'GatewayState', call: Call, now: float) -> LogLine:
+    """Return the log line of a counted retry, with the budget's inputs."""
+    requests, retried = state.retries.usage(call.service, now)
+    return LogLine('retry_counted',
+                   (('request', call.request.attempt_id),
+                    ('service', call.service), ('requests', requests),
+                    ('retries', retried), ('vms', state.retries.vm_count)))
+
+
 def _wait_log_line(state: 'GatewayState', call: Call, reason: PlacementFailure,
                    now: float) -> LogLine:
     """Return the log line of a wait, with the inputs of the decision."""
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -56,13 +56,17 @@
                now: float,
                ratio: float = 1.0) -> bool:
         """Return whether a share of the budget allows another retry now."""
-        requests = self._count(self.requests, service).total(now)
-        retries = self._count(self.retry_counts, service).total(now)
+        requests, retries = self.usage(service, now)
         slack = self.bounds.retry_slack / max(1, self.vm_count)
         allowed = BUDGET_USE_RATIO * (self.bounds.retry_ratio * requests +
                                       slack)
         return retries + 1 <= ratio * allowed
 
+    def usage(self, service: ServiceId, now: float) -> tuple[int, int]:
+        """Return the requests and the retries of a service in the window."""
+        return (self._count(self.requests, service).total(now),
+                self._count(self.retry_counts, service).total(now))
+
     def _count(self, counts: dict[ServiceId, WindowCount],
                service: ServiceId) -> WindowCount:
         count = counts.get(service)
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -122,6 +122,18 @@
             'unread_s': 0.4
         })
 
+    def test_line_of_a_retry_has_the_inputs_of_the_budget(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER), endpoint('b', LEDGER))
+        send = scene.post_request('/view/x')
+        scene.post(ev.AnswerArrived(send.attempt, head(500), b''))
+        line = next(
+            each for each in scene.lines if each.event == 'retry_counted')
+        fields = dict(line.fields)
+        self.assertEqual((fields['request'], fields['service']),
+                         ('caller-r1', LEDGER))
+        self.assertEqual((fields['requests'], fields['retries']), (1, 1))
+        self.assertEqual(fields['vms'], scene.state.retries.vm_count)
+
     def test_no_line_contains_a_key_or_a_body(self) -> None:
         scene = GatewayScene(endpoint('a', LEDGER))
         scene.post_request('/submit/x', key='key', body=b'secret')
