--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -139,6 +139,7 @@
         deliver: Decides how a message between VMs is delivered.
         paused: VMs whose processes are stopped.
         rejected: VMs that the store does not answer.
+        call_timeout_s: Time after which a call without an answer fails, in s.
         unreachable: VMs whose messages to and from peers are lost.
         builds_up: Whether the store answers calls for the record of builds.
         build_calls: These calls, with the time in s and the VM of each.
@@ -154,6 +155,7 @@
         self.deliver: Callable[[], Delivery] = Delivery
         self.paused: set[VmId] = set()
         self.rejected: set[VmId] = set()
+        self.call_timeout_s = CALL_TIMEOUT_S
         self.unreachable: set[VmId] = set()
         self.builds_up = True
         self.build_calls: list[tuple[float, VmId, base.Effect]] = []
@@ -273,7 +275,7 @@
             self._post_later(ANSWER_DELAY_S, vm, ev.EraSeen(self.store.era))
             self._post_later(ANSWER_DELAY_S, vm, event)
         else:
-            self._post_later(CALL_TIMEOUT_S, vm,
+            self._post_later(self.call_timeout_s, vm,
                              ev.ViewFailed(view, False, 'silent'))
 
     def _reaches_builds(self, vm: VmId) -> bool:
