--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -123,10 +123,13 @@
         tolerates_errors: Whether an event may fail.
     """
 
-    def __init__(self, *entries: EndpointEntry, vm: str = 'vm1') -> None:
+    def __init__(self,
+                 *entries: EndpointEntry,
+                 vm: str = 'vm1',
+                 now: float = 100.0) -> None:
         self.state = GatewayState(settings(vm), Incarnation('life'),
                                   random.Random(1))
-        self.now = 100.0
+        self.now = now
         self.done: list[base.Effect] = []
         self.lines: list[base.LogLine] = []
         self.timers: dict[TimerKey, float] = {}
