Let VMs that the metadata store does not answer ask peers for changes

Callers of some VMs were served by an old configuration for as long as the metadata store did not answer these VMs, though their peers knew the new one.

Cause: a relay holds only what its reader has read since its previous read. If the store falls silent to the reader, its call hangs, and peers elect another one seconds later; until then each VM that is answered reads for itself. The next reader's first relay begins where it has read to, which VMs that are not answered have not reached: they can follow no relay until the store answers them. A relay that is lost has the same effect on them.

Change: a VM whose read is overdue, or that cannot follow a relay, asks a live peer for the newest records since its offset. The answer moves the offset, so that later relays can be followed, and does not count as a read. The same holds for endpoints that leave.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -24,6 +24,7 @@
     DEADLINE = 'deadline'
     SEND_SILENCE = 'patience'
     VIEW = 'view'
+    VIEW_REQUEST = 'view_request'
     STORE = 'store'
     VM_ENTRY = 'announce'
     PLACEMENT = 'placement'
@@ -525,6 +526,9 @@
         receiver_time: Loop time that this VM had reached when the read was
             issued, in s; 0 if the peer does not know.
         receiver_incarnation: Incarnation of this VM to which that time belongs.
+        records: The records as they were read.
+        is_answer: Whether this VM asked for records that it missed; the peer
+            read them at some earlier time.
     """
 
     view: View
@@ -535,6 +539,24 @@
     is_snapshot: bool = False
     receiver_time: float = 0.0
     receiver_incarnation: Incarnation = Incarnation('')
+    records: tuple[RawRecord, ...] = ()
+    is_answer: bool = False
+
+
+@attrs.frozen
+class ViewRequested(Event):
+    """A peer asks for the records of a view that it missed.
+
+    Attributes:
+        vm: The peer.
+        start: Offset up to which it has read.
+        era: The metadata store's era to which that offset belongs.
+    """
+
+    view: View
+    vm: VmId
+    start: int
+    era: int
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -209,6 +209,8 @@
         receiver_time: Loop time that the receiver had reached when the read was
             issued, as known from its hint, in s; 0 if unknown.
         receiver_incarnation: Incarnation to which that time belongs.
+        is_answer: Whether it answers a `ViewRequest`, with what the VM read at
+            some earlier time.
     """
 
     vm: VmId
@@ -220,6 +222,22 @@
     is_snapshot: bool = False
     receiver_time: float = 0.0
     receiver_incarnation: Incarnation = NO_INCARNATION
+    is_answer: bool = False
+
+
+@attrs.frozen
+class ViewRequest:
+    """A request of a VM for the records of a view that it missed.
+
+    Attributes:
+        start: Offset up to which the VM has read.
+        era: The metadata store's era to which that offset belongs.
+    """
+
+    vm: VmId
+    view: str
+    start: int
+    era: int
 
 
 @attrs.frozen
@@ -393,9 +411,10 @@
     reason: str
 
 
-PeerMessage = (Hint | DcLoad | LoadTotals | RelayedView | RelayedStore |
-               StoreBatch | StoreSnapshotRequest | StreamOrigins |
-               OriginQuestion | PlacementRequest | PlacementAnswer | RunReport)
+PeerMessage = (Hint | DcLoad | LoadTotals | RelayedView | ViewRequest |
+               RelayedStore | StoreBatch | StoreSnapshotRequest |
+               StreamOrigins | OriginQuestion | PlacementRequest |
+               PlacementAnswer | RunReport)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -413,6 +432,10 @@
         _write_load_report(row, message, message.work, message.coordinators)
     elif isinstance(message, RelayedView):
         _write_view(root.init('relay'), message)
+    elif isinstance(message, ViewRequest):
+        row = root.init('wantView')
+        row.vm, row.view = message.vm, message.view
+        row.start, row.era = message.start, message.era
     elif isinstance(message, RelayedStore):
         _write_store(root.init('relay'), message)
     elif isinstance(message, StoreBatch):
@@ -585,6 +608,7 @@
     row.era, row.whole = relay.era, relay.is_snapshot
     row.receiverTimeS = relay.receiver_time
     row.receiverLife = relay.receiver_incarnation
+    row.isAnswer = relay.is_answer
     records = row.init('records', len(relay.records))
     for each, record in zip(records, relay.records):
         each.key = record.key
@@ -619,6 +643,9 @@
             return _read_store(row) if row.isStore else _read_view(row)
         if kind == 'relays':
             return StoreBatch(tuple(_read_store(row) for row in root.relays))
+        if kind == 'wantView':
+            row = root.wantView
+            return ViewRequest(VmId(row.vm), str(row.view), row.start, row.era)
         if kind == 'origins':
             row = root.origins
             return StreamOrigins(ServiceId(row.service), str(row.build),
@@ -730,7 +757,7 @@
         for each in row.records)
     return RelayedView(VmId(row.vm), str(row.subject), row.start, row.end,
                        records, row.era, row.whole, row.receiverTimeS,
-                       Incarnation(row.receiverLife))
+                       Incarnation(row.receiverLife), row.isAnswer)
 
 
 def _read_store(row: Any) -> RelayedStore:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -14,6 +14,7 @@
     wantPlacement @8 :PlacementRequest;
     placement @9 :PlacementAnswer;
     run @10 :RunReport;
+    wantView @11 :WantView;
   }
 }
 
@@ -178,6 +179,9 @@
   receiverTimeS @12 :Float64;
   # Incarnation of the receiver to which that time belongs.
   receiverLife @13 :Text;
+  # Whether it answers a request for what the receiver missed: the newest
+  # records of a view, read at some earlier time.
+  isAnswer @14 :Bool;
 }
 
 struct Record {
@@ -193,6 +197,15 @@
   tokens @2 :UInt32;
 }
 
+# A request for the records of a view that the sender missed.
+struct WantView {
+  vm @0 :Text;
+  view @1 :Text;
+  # Offset up to which the sender has read, and the metadata store's era.
+  start @2 :Int64;
+  era @3 :UInt64;
+}
+
 struct WantStore {
   vm @0 :Text;
   store @1 :Text;
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -12,7 +12,7 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import drain, peer_messages, reducer
 from plantainridge.gateway.events import (SettingsRead, StopRequested, View,
-                                          ViewRelayed)
+                                          ViewRelayed, ViewRequested)
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
                                          LoadTotalsReceived)
 from plantainridge.gateway.coordination import (PlacementAnswered,
@@ -23,7 +23,7 @@
 from plantainridge.gateway.peer_messages import (
     DcLoad, Hint, LoadTotals, OriginQuestion, PlacementAnswer, PlacementRequest,
     RelayedStore, RelayedView, RunReport, StoreBatch, StoreSnapshotRequest,
-    StreamOrigins)
+    StreamOrigins, ViewRequest)
 from plantainridge.gateway.resumptions import OriginsAsked, OriginsReceived
 from plantainridge.gateway.ports import Adapter
 from plantainridge.gateway.sender import EndpointSender
@@ -183,8 +183,12 @@
             self.post(
                 ViewRelayed(view, message.start, message.end, updates,
                             message.era, message.is_snapshot,
-                            message.receiver_time,
-                            message.receiver_incarnation))
+                            message.receiver_time, message.receiver_incarnation,
+                            message.records, message.is_answer))
+        elif isinstance(message, ViewRequest):
+            self.post(
+                ViewRequested(View(message.view), message.vm, message.start,
+                              message.era))
         elif isinstance(message, RelayedStore):
             self.post(StoreRelayed(message))
         elif isinstance(message, StoreBatch):
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -9,7 +9,7 @@
 or the subject is not eligible.
 """
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Generator, Iterator
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -216,12 +216,28 @@
 
 
 def send_to_any(state: 'GatewayState', message: PeerMessage,
-                now: float) -> Iterator[Effect]:
-    """Send a message to a random live peer in the data centre, if any."""
+                now: float) -> Generator[Effect, None, bool]:
+    """Send a message to a random live peer in the data centre, if any.
+
+    Returns:
+        Whether there is one that can read from the metadata store.
+    """
     readers = list(_live_readers(state, now))
     if readers:
         entry = state.rng.choice(readers)
         yield SendPeer(entry.vm, entry.address, peer_messages.encode(message))
+    return bool(readers)
+
+
+def send_to_any_remote(state: 'GatewayState',
+                       message: PeerMessage) -> Iterator[Effect]:
+    """Send a message to a random VM of another data centre, if any."""
+    remote = [
+        entry for entry in state.peers.values() if entry.dc != state.settings.dc
+    ]
+    if remote:
+        entry = state.rng.choice(remote)
+        yield SendPeer(entry.vm, entry.address, peer_messages.encode(message))
 
 
 def send_to(state: 'GatewayState', vm: VmId,
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -16,9 +16,11 @@
 from plantainridge.gateway.events import (EndpointRemoved, EvacuationChanged,
                                           InvalidRecord, NamedVersion,
                                           TimerKind, View, ViewFailed, ViewRead,
-                                          ViewRelayed, ViewUpdate, VmEntry)
+                                          ViewRelayed, ViewRequested,
+                                          ViewUpdate, VmEntry)
 from plantainridge.gateway.part_lifetimes import RESTORE_SETTLE_S
-from plantainridge.gateway.peer_messages import RelayedView
+from plantainridge.gateway.peer_messages import RelayedView, ViewRequest
+from plantainridge.gateway.recent_records import RecentRecords
 from plantainridge.ids import DcId, EndpointId
 from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
 from plantainridge.loop.events import TimerFired, TimerKey
@@ -63,6 +65,12 @@
 # Range of the delay after which a view that a restored copy filled is loaded
 # once more; longer than entries take to expire.
 RELOAD_DELAY_S: Final = (evacuations.REWRITE_TIMEOUT_S, 5.5)
+# Time after a read should have ended from which this VM asks peers for what it
+# may have missed, and time between two such requests, in s.
+REQUEST_DELAY_S: Final = 0.2
+REQUEST_INTERVAL_S: Final = 0.3
+# The same if only VMs of other data centres can be asked.
+REMOTE_REQUEST_INTERVAL_S: Final = 1.0
 # Removed endpoints that are remembered; the oldest are forgotten first.
 MAX_REMOVED: Final = 4_096
 # Time for which entries that expired during an outage may reappear after it.
@@ -95,6 +103,9 @@
         reload_at: Loop time at which the view is loaded once more, in s.
         is_first_read: Whether nothing was read since the first snapshot.
         issued_at: Loop time at which this VM issued its last read, in s.
+        is_request_due: Whether this VM is about to ask a peer for what it
+            missed.
+        recent: Records before `offset` that changed since the last snapshot.
     """
 
     offset: int | None = None
@@ -113,6 +124,8 @@
     reload_at: float = float('inf')
     is_first_read: bool = True
     issued_at: float = float('-inf')
+    is_request_due: bool = False
+    recent: RecentRecords = attrs.field(factory=RecentRecords)
 
     def drop_position(self, now: float) -> None:
         """Forget the position, which belongs to an older era of the store."""
@@ -126,6 +139,7 @@
         Endpoints that a restored snapshot lacks may write their entries again.
         """
         self.offset = offset
+        self.recent.restart(offset)
         self.loaded = True
         self.logged.clear()
         if self.restored_at > float('-inf'):
@@ -217,11 +231,17 @@
         yield SetTimer(event.key, min(timeout_at, cursor.reload_at))
         return
     cursor.issued_at = now
+    poll_s = LONG_POLL_TIMEOUT_S.get(view, 0.0)
+    request_delay_s = poll_s + REQUEST_DELAY_S
     if not relays.is_reader(state, view.value, now):
+        request_delay_s = REQUEST_DELAY_S
         yield LogLine('view_read_instead',
                       (('view', view.value),
                        ('cause', 'gap' if cursor.behind else 'timeout'),
                        ('age_s', versions.loggable(now - cursor.read_at))))
+    if not cursor.is_request_due:
+        cursor.is_request_due = True
+        yield SetTimer(_request_timer(view), now + request_delay_s)
     if now >= cursor.reload_at:
         cursor.offset, cursor.reload_at = None, float('inf')
     if cursor.offset is None:
@@ -235,9 +255,7 @@
                 # later ones: peers would miss what they changed.
                 cursor.logged.clear()
             cursor.offset = max(0, cursor.offset - overlap)
-        yield fx.ReadView(view, cursor.offset,
-                          LONG_POLL_TIMEOUT_S.get(view,
-                                                  0.0), state.views.era, now)
+        yield fx.ReadView(view, cursor.offset, poll_s, state.views.era, now)
 
 
 def _overlap(state: 'GatewayState', view: View) -> int:
@@ -261,6 +279,68 @@
     yield SetTimer(_timer(event.view), now + RETRY_DELAY_S)
 
 
+def on_request_timer(state: 'GatewayState', event: TimerFired,
+                     now: float) -> Iterator[Effect]:
+    """Ask a peer for what this VM missed, unless it follows the view again."""
+    view = View(event.key.subject)
+    cursor = state.views.cursors[view]
+    cursor.is_request_due = False
+    follows = cursor.read_at >= cursor.issued_at and not cursor.behind
+    if follows or cursor.offset is None:
+        return
+    request = ViewRequest(state.settings.vm, view.value, cursor.offset,
+                          state.views.era)
+    interval_s = REQUEST_INTERVAL_S
+    if not (yield from relays.send_to_any(state, request, now)):
+        yield from relays.send_to_any_remote(state, request)
+        interval_s = REMOTE_REQUEST_INTERVAL_S
+    cursor.is_request_due = True
+    yield SetTimer(event.key, now + interval_s)
+
+
+def on_requested(state: 'GatewayState', event: ViewRequested,
+                 now: float) -> Iterator[Effect]:
+    """Send a peer the records that it missed, if this VM has all of them."""
+    del now
+    cursor = state.views.cursors[event.view]
+    if (event.era != state.views.era or cursor.offset is None or
+            cursor.offset <= event.start):
+        return
+    missed = cursor.recent.since(event.start)
+    if missed is not None:
+        yield from relays.send_to(
+            state, event.vm,
+            RelayedView(state.settings.vm,
+                        event.view.value,
+                        event.start,
+                        cursor.offset,
+                        missed,
+                        state.views.era,
+                        is_answer=True))
+
+
+def _apply_missed(state: 'GatewayState', event: ViewRelayed,
+                  now: float) -> Iterator[Effect]:
+    """Apply the records that a peer sent on request.
+
+    They are the newest ones of their keys, so that those which this VM has read
+    meanwhile may be applied again. The view does not count as read: the peer
+    may have read it some time ago.
+    """
+    cursor = state.views.cursors[event.view]
+    if cursor.offset is None or not event.start <= cursor.offset < event.end:
+        return
+    for update in event.updates:
+        cursor.record_logged(update)
+        yield from _apply(state, update, now, 'peer')
+    cursor.recent.add(event.records, event.end)
+    cursor.offset, cursor.behind = event.end, False
+    yield from _remove_missing(state, now)
+    yield LogLine('view_caught_up',
+                  (('view', event.view.value), ('records', len(event.updates)),
+                   ('age_s', versions.loggable(now - cursor.read_at))))
+
+
 def on_read(state: 'GatewayState', event: ViewRead,
             now: float) -> Iterator[Effect]:
     """Apply the updates of a view, and relay them if this VM is the reader."""
@@ -293,6 +373,9 @@
             for update in event.updates
             if not event.is_ahead(update)
         ]
+        if not event.is_snapshot:
+            cursor.recent.add(itertools.compress(event.records, needed),
+                              event.next)
         for update in event.updates:
             yield from _apply(state, update, now)
         if event.is_snapshot and event.view is View.OPERATOR:
@@ -335,6 +418,9 @@
     if event.era < state.views.era:
         return
     yield from eras.enter(state, event.era, now)
+    if event.is_answer:
+        yield from _apply_missed(state, event, now)
+        return
     if event.is_snapshot:
         if cursor.offset is None:
             yield from _apply_relayed_snapshot(state, event, now)
@@ -357,6 +443,7 @@
         for update in event.updates:
             cursor.record_logged(update)
             yield from _apply(state, update, now, 'relay')
+        cursor.recent.add(event.records, event.end)
         cursor.offset = event.end
     yield from _remove_missing(state, now)
 
@@ -587,3 +674,7 @@
 
 def _timer(view: View) -> TimerKey:
     return TimerKey(TimerKind.VIEW, view.value)
+
+
+def _request_timer(view: View) -> TimerKey:
+    return TimerKey(TimerKind.VIEW_REQUEST, view.value)
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -15,10 +15,12 @@
 from plantainridge.gateway import peer_messages, relays
 from plantainridge.gateway.build_history import BuildHistory
 from plantainridge.gateway.builds import BuildTable
-from plantainridge.gateway.events import RawRecord, View, ViewRelayed
+from plantainridge.gateway.events import (RawRecord, View, ViewRelayed,
+                                          ViewRequested)
 from plantainridge.gateway.hints import HintReceived
 from plantainridge.gateway.peer_messages import (Hint, OriginQuestion,
-                                                 RelayedView, StreamOrigins)
+                                                 RelayedView, StreamOrigins,
+                                                 ViewRequest)
 from plantainridge.gateway.resumptions import OriginsAsked, OriginsReceived
 from plantainridge.gateway.views import ViewCursor
 from plantainridge.ids import EndpointId, VmId
@@ -351,7 +353,10 @@
             view, message.start, message.end,
             tuple(records.decode_update(view, raw) for raw in message.records),
             message.era, message.is_snapshot, message.receiver_time,
-            message.receiver_incarnation)
+            message.receiver_incarnation, message.records, message.is_answer)
+    if isinstance(message, ViewRequest):
+        return ViewRequested(View(message.view), message.vm, message.start,
+                             message.era)
     if isinstance(message, StreamOrigins):
         return OriginsReceived(message)
     if isinstance(message, OriginQuestion):
--- a/tests/test_rejected_vms.py
+++ b/tests/test_rejected_vms.py
@@ -9,13 +9,18 @@
 from collections.abc import Callable
 from typing import Final
 
-from plantainridge.gateway import relays
-from plantainridge.gateway.events import RawRecord, View
+from plantainridge.gateway import events as ev
+from plantainridge.gateway import peer_messages, relays
+from plantainridge.gateway.events import RawRecord, View, VmEntry
+from plantainridge.gateway.peer_messages import ViewRequest
+from plantainridge.gateway.recent_records import MAX_DELETED, RecentRecords
 from plantainridge.gateway.state import GatewayState
+from plantainridge.gateway.views import LONG_POLL_TIMEOUT_S
 from plantainridge.ids import EndpointId, VmId
+from plantainridge.loop.effects import SendPeer
 from plantainridge.platform import names
 from plantainridge.platform.store import TIMEOUT_S
-from plantainridge.gateway.views import LONG_POLL_TIMEOUT_S
+from tests.gateway_scene import REMOTE_DC, GatewayScene
 from tests.registry_fleet import RegistryFleet, entry
 
 SIZE: Final = 12
@@ -99,5 +104,48 @@
         self._assert_known(lambda state: state.config.version == 11, 'relay')
 
 
+class RejectedDataCentreTest(unittest.TestCase):
+    """The store answers no VM of a data centre."""
+
+    def test_a_vm_of_another_data_centre_is_asked(self) -> None:
+        scene = GatewayScene()
+        scene.read(View.VMS, VmEntry(VmId('remote'), REMOTE_DC, 'remote:1'))
+        scene.post(ev.ViewFailed(View.OPERATOR, False, 'silent'))
+        scene.advance(LONG_POLL_TIMEOUT_S[View.OPERATOR] + 1.0)
+        requests = [
+            message for message in (peer_messages.decode(each.payload)
+                                    for each in scene.all(SendPeer)
+                                    if each.vm == 'remote')
+            if isinstance(message, ViewRequest)
+        ]
+        self.assertIn((View.OPERATOR.value, 1),
+                      [(each.view, each.start) for each in requests])
+
+
+class RecentRecordsTest(unittest.TestCase):
+    """What a VM may send to a peer that missed records."""
+
+    def setUp(self) -> None:
+        self.recent = RecentRecords()
+        self.recent.restart(3)
+        self.recent.add((RawRecord('a', b'1'), RawRecord('b', b'1')), 5)
+        self.recent.add((RawRecord('a', None),), 6)
+
+    def test_newest_record_of_each_key_from_an_offset_on(self) -> None:
+        newest = (RawRecord('b', b'1'), RawRecord('a', None))
+        self.assertEqual(self.recent.since(3), newest)
+        self.assertEqual(self.recent.since(5), newest[1:])
+        self.assertEqual(self.recent.since(6), ())
+
+    def test_records_before_the_snapshot_may_be_missing(self) -> None:
+        self.assertIsNone(self.recent.since(2))
+
+    def test_forgotten_deletions_may_be_missing(self) -> None:
+        self.recent.add((RawRecord(str(at), None) for at in range(MAX_DELETED)),
+                        9)
+        self.assertIsNone(self.recent.since(5))
+        self.assertIsNotNone(self.recent.since(6))
+
+
 if __name__ == '__main__':
     unittest.main()
