--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -327,7 +327,7 @@
     return LogLine('retry_counted',
                    (('request', call.request.attempt_id),
                     ('service', call.service), ('requests', requests),
-                    ('retries', retried), ('vms', state.retries.vm_count)))
+                    ('retries', retried), ('vms', state.retries.vm_count or 0)))
 
 
 def _wait_log_line(state: 'GatewayState', call: Call, reason: PlacementFailure,
--- a/src/plantainridge/gateway/recent_records.py
+++ b/src/plantainridge/gateway/recent_records.py
@@ -1,4 +1,4 @@
-"""Records of a view that changed since a VM loaded it, for peers that lack some.
+"""Records of a view that changed since it was loaded, for peers that miss some.
 
 Made for a metadata store that answers some VMs and not others, among these the
 VM that reads for its data centre. Until peers elect another one nobody relays
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -1,5 +1,6 @@
 """Fixture: a gateway's reducer with configuration and endpoints, no I/O."""
 
+import math
 import random
 from typing import Any, TypeVar
 
@@ -121,12 +122,16 @@
         lines: All log lines so far.
         timers: Loop times of the timers that are set, in s.
         tolerates_errors: Whether an event may fail.
+
+    Unless the VM is new, its process has run for longer than the window of the
+    retry budget, and knows seven other VMs.
     """
 
     def __init__(self,
                  *entries: EndpointEntry,
                  vm: str = 'vm1',
-                 now: float = 100.0) -> None:
+                 now: float = 100.0,
+                 is_new: bool = False) -> None:
         self.state = GatewayState(settings(vm), Incarnation('life'),
                                   random.Random(1))
         self.now = now
@@ -135,6 +140,9 @@
         self.timers: dict[TimerKey, float] = {}
         self.tolerates_errors = False
         self._record(reducer.start(self.state, self.now))
+        if not is_new:
+            self.state.retries.started_at = -math.inf
+            self.state.retries.vm_count = 8
         self.read(View.OPERATOR, configuration(), is_snapshot=True)
         self.read(View.REGISTRY, *entries, is_snapshot=True)
         # The first start of a deployment: nothing has been recorded.
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -51,7 +51,8 @@
         scene = GatewayScene(
             *(endpoint(f'i{at}', LEDGER, slots=10_000) for at in range(3)),
             vm=vm,
-            now=self.now)
+            now=self.now,
+            is_new=True)
         scene.state.settings = attrs.evolve(scene.state.settings, bounds=BOUNDS)
         scene.state.retries.bounds = BOUNDS
         if self.knows_vms:
