Take a retry back where it was counted

A retry that found no connection was taken back at the moment of its failure. Counted in the slice of its send, it left the window earlier than what was taken back, and for up to a second the budget allowed as many retries more.

The test of a cancelled retry failed before (-1 retries in the window) and passes; test_gateway_forwarding and test_silent_endpoints pass.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -251,7 +251,7 @@
         call.executions -= 1
         call.deliveries -= 1
         if call.deliveries:
-            state.retries.cancel_retry(call.service, now)
+            state.retries.cancel_retry(call.service, attempt.sent_at)
         call.unreached.add(attempt.endpoint)
         if call.reply_started or failure is Failure.RELAY_FAILED:
             # A stream that has begun may wait for the end of the cool-down.
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -53,9 +53,16 @@
         """Count a send beyond the first one of a request."""
         self._count(self.retry_counts, service).add(now)
 
-    def cancel_retry(self, service: ServiceId, now: float) -> None:
-        """Take back a retry that found no connection."""
-        self._count(self.retry_counts, service).add(now, -1)
+    def cancel_retry(self, service: ServiceId, counted_at: float) -> None:
+        """Take back a retry that found no connection.
+
+        Args:
+            service: Its service.
+            counted_at: Loop time at which it was counted, in s. Taken back at
+                another time, it would hide another retry once the window no
+                longer covers it.
+        """
+        self._count(self.retry_counts, service).add(counted_at, -1)
 
     def allows(self,
                service: ServiceId,
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -133,5 +133,22 @@
         self.assertLessEqual(self.fleet.excess(), 0.0)
 
 
+class CancelledRetryTest(unittest.TestCase):
+    """Load: retries find no connection, while others do run."""
+
+    def test_a_cancelled_retry_hides_no_other_one_later(self) -> None:
+        scene = GatewayScene(endpoint('a', LEDGER), endpoint('b', LEDGER))
+        scene.advance(0.9)
+        send = scene.post_request('/view/x')
+        scene.post(ev.AnswerArrived(send.attempt, head(500), b''))
+        retry = scene.last(fx.Send)
+        scene.advance(0.35)
+        scene.post(ev.SendFailed(retry.attempt, ev.Failure.NOT_CONNECTED))
+        for _ in range(120):
+            scene.advance(0.1)
+            _, retries = scene.state.retries.usage(LEDGER, scene.now)
+            self.assertEqual(retries, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
