Read and log the rate that an endpoint in need states

Endpoints in need got more requests than the rate that they state in Server-Limit; no log line shows what they state. It is read, logged as rate_stated, and no longer forwarded to callers. No decision uses it yet.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -28,6 +28,15 @@
 OLD_EVENTS_S: Final = 1.0
 
 
+def _log_rate(attempt: Attempt, head: AnswerHead) -> Iterator[Effect]:
+    """Log a rate that the head of an answer states."""
+    if head.max_requests_per_s is not None or head.invalid_rate:
+        stated = head.invalid_rate or head.max_requests_per_s
+        yield LogLine('rate_stated', (('endpoint', attempt.endpoint),
+                                      ('requests_per_s', stated or 0.0),
+                                      ('readable', int(not head.invalid_rate))))
+
+
 def on_answer(state: 'GatewayState', event: AnswerArrived,
               now: float) -> Iterator[Effect]:
     """Forward a complete answer, or try another endpoint."""
@@ -36,6 +45,7 @@
         return
     attempt = yield from endings.close_attempt(state, event.attempt)
     health.record_answer(state, attempt, event.head, now)
+    yield from _log_rate(attempt, event.head)
     yield from paths.on_connected(state, attempt, now)
     head = event.head
     if head.not_run:
@@ -125,6 +135,7 @@
         return
     attempt = state.calls.attempts[event.attempt]
     health.record_head(state, attempt, event.head, now)
+    yield from _log_rate(attempt, event.head)
     yield from paths.on_connected(state, attempt, now)
     if not event.head.signed:
         yield fx.CancelSend(event.attempt)
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -145,6 +145,9 @@
         max_rejections_per_s: Rejections for want of room in one second that it
             survives, while it is brittle; None if it does not state that it is.
         names_attempt: Whether it names the attempt that it answers.
+        max_requests_per_s: Requests per s that it takes from all VMs together,
+            while it is in need; None if it does not state any.
+        invalid_rate: Such a rate as stated, if it cannot be read, or ''.
     """
 
     status: int
@@ -160,6 +163,8 @@
     cold_remaining_s: float | None = None
     max_rejections_per_s: int | None = None
     names_attempt: bool = True
+    max_requests_per_s: float | None = None
+    invalid_rate: str = ''
 
 
 @attrs.frozen
--- a/src/plantainridge/platform/names.py
+++ b/src/plantainridge/platform/names.py
@@ -49,6 +49,8 @@
 COLD_REMAINING: Final = b'x-cold-milliseconds'
 # Rejections for want of room in one second that an endpoint survives.
 BRITTLE: Final = b'server-brittle'
+# Requests a second that an endpoint in need takes from all VMs together.
+STATED_RATE: Final = b'server-limit'
 
 # Set by the gateway alone; those of callers are dropped.
 SYSTEM_HEADERS: Final = frozenset({
@@ -64,8 +66,10 @@
     b'proxy-authorization', b'te', b'trailer', b'transfer-encoding', b'upgrade'
 })
 # Headers of endpoints' answers that callers don't get.
-INTERNAL_ANSWER_HEADERS: Final = frozenset(
-    {LOAD, INSTANCE, NOT_RUN, COLD_REMAINING, BRITTLE, b'content-length'})
+INTERNAL_ANSWER_HEADERS: Final = frozenset({
+    LOAD, INSTANCE, NOT_RUN, COLD_REMAINING, BRITTLE, STATED_RATE,
+    b'content-length'
+})
 
 # --- The metadata store ---
 
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -100,6 +100,7 @@
                             for key, value in headers
                             if key not in (names.RETRY_AFTER, names.SIGNATURE))
         cold_ms = _parse_int(fields.get(names.COLD_REMAINING))
+        rate_per_s, invalid_rate = _parse_rate(headers)
         return AnswerHead(
             status=status,
             headers=tuple((key, value)
@@ -115,7 +116,9 @@
             pause_s=pause_s,
             invalid_pause=invalid_pause,
             cold_remaining_s=(None if cold_ms is None else cold_ms / MS_PER_S),
-            max_rejections_per_s=_parse_int(fields.get(names.BRITTLE)))
+            max_rejections_per_s=_parse_int(fields.get(names.BRITTLE)),
+            max_requests_per_s=rate_per_s,
+            invalid_rate=invalid_rate)
 
     def refusal_headers(self, retry_after_s: float | None) -> Headers:
         if retry_after_s is None:
@@ -190,6 +193,25 @@
     return None, (', '.join(texts) or 'empty') if texts else ''
 
 
+def _parse_rate(headers: Headers) -> tuple[float | None, str]:
+    """Return how many requests a second an endpoint takes from all VMs.
+
+    The lowest of several readable rates counts.
+
+    Returns:
+        The rate or None, and what was stated if none of it is readable.
+    """
+    texts = [
+        value.decode('latin-1').strip()
+        for key, value in headers
+        if key == names.STATED_RATE
+    ]
+    rates = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    if rates:
+        return min(rates), ''
+    return None, (', '.join(texts) or 'empty') if texts else ''
+
+
 def parse_load(text: str, now: float) -> EndpointLoad | None:
     """Return a load report, or None if the text is none.
 
