--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -17,9 +17,10 @@
                                                    rank_vms)
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.events import View, VmEntry
-from plantainridge.gateway.hints import HintReceived
+from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
+                                         LoadTotalsReceived)
 from plantainridge.gateway.paths import ServicePath
-from plantainridge.gateway.peer_messages import Hint
+from plantainridge.gateway.peer_messages import DcLoad, Hint, LoadTotals
 from plantainridge.gateway.settings import Bounds
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
 from plantainridge.loop import effects as base
@@ -81,13 +82,22 @@
 
 @attrs.define
 class Instance:
-    """A simulated endpoint; `arrivals` are times in s."""
+    """A simulated endpoint; `arrivals` are times in s.
+
+    Attributes:
+        rate: Requests per s that it states in its answers, or None.
+        rate_known_at: Time at which each VM first got such an answer, in s.
+        senders: The VM of each arrival.
+    """
 
     cold_until: float = 0.0
     running: int = 0
     waiting: int = 0
     queue_limit: int = 100
     brittle: int | None = None
+    rate: float | None = None
+    rate_known_at: dict[VmId, float] = attrs.field(factory=dict)
+    senders: list[VmId] = attrs.field(factory=list)
     arrivals: list[float] = attrs.field(factory=list)
     rejections: list[float] = attrs.field(factory=list)
     queued: deque[tuple[VmId, fx.Send]] = attrs.field(factory=deque)
@@ -209,9 +219,9 @@
         scene.lines.clear()
         for effect in effects:
             if isinstance(effect, base.SendPeer):
-                message = peer_messages.decode(effect.payload)
-                if isinstance(message, Hint) and effect.vm not in self.isolated:
-                    self._post(0.001, effect.vm, HintReceived(message))
+                event = _event_of(peer_messages.decode(effect.payload))
+                if event is not None and effect.vm not in self.isolated:
+                    self._post(0.001, effect.vm, event)
             elif isinstance(effect, fx.Send):
                 self.senders[effect.endpoint].append((vm, self.now))
                 self._at(self.now + self.rng.uniform(0.0, 0.05),
@@ -226,6 +236,7 @@
     def _receive(self, vm: VmId, send: fx.Send) -> None:
         there = self.instances[send.endpoint]
         there.arrivals.append(self.now)
+        there.senders.append(vm)
         if there.running < SLOTS:
             self._run(vm, send)
         elif len(there.queued) < there.queue_limit:
@@ -253,10 +264,23 @@
         answer = attrs.evolve(answer,
                               cold_remaining_s=remaining_s,
                               max_rejections_per_s=there.brittle,
+                              max_requests_per_s=there.rate,
                               load=load)
+        if there.rate is not None:
+            there.rate_known_at.setdefault(vm, self.now)
         self._post(0.001, vm, ev.AnswerArrived(send.attempt, answer, b''))
 
 
+def _event_of(message: object) -> Event | None:
+    if isinstance(message, Hint):
+        return HintReceived(message)
+    if isinstance(message, DcLoad):
+        return DcLoadReceived(message)
+    if isinstance(message, LoadTotals):
+        return LoadTotalsReceived(message)
+    return None
+
+
 class AdmissionRateTest(unittest.TestCase):
     """Calculation of the number of VMs and of their rates."""
 
