Keep to the rate that an endpoint in need states

Cause: nothing read Server-Limit. Each VM went on sending by load and cached prompts; all 45 sends of ten seconds were first ones on direct connections.

Change: the first k VMs by rendezvous hash send to such an endpoint, each from a bucket of one request; their rates add up to the stated one, and k keeps full buckets within what operators tolerate. The check is that of cold endpoints, which all sends pass. An answer without the header ends the rate if its request was sent after the latest statement; without statements it expires. Hints and reports of load state it to VMs that have not sent lately.

--- a/src/plantainridge/gateway/endpoint_limits.py
+++ b/src/plantainridge/gateway/endpoint_limits.py
@@ -10,6 +10,8 @@
 has a share of its slots. It uses more only while a recent load report shows
 free ones, and keeps to its share for some time after a rejection.
 
+An endpoint in need states a rate for all VMs together (see `stated_rates`).
+
 `docs/design/endpoint-limits.md` has the calculation of the rates.
 """
 
@@ -20,11 +22,13 @@
 
 import attrs
 
-from plantainridge.gateway import hints, peer_ranks
+from plantainridge.gateway import hints, peer_ranks, stated_rates
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import AnswerHead, View, VmEntry
 from plantainridge.gateway.peer_loads import PeerLoad
 from plantainridge.gateway.requests import Call, PlacementFailure
+from plantainridge.gateway.stated_rates import RateLimit, RateTable
+from plantainridge.gateway.token_buckets import (BUCKET_REQUESTS, TokenBucket)
 from plantainridge.ids import DcId, EndpointId, ServiceId, VmId
 from plantainridge.loop.effects import Effect, LogLine, Observe
 
@@ -39,8 +43,6 @@
 MIN_RATE_PER_S: Final = 1.0
 # Lists of VMs that may be in force at once, each with its own admitting VMs.
 MAX_LISTS: Final = 2
-# Requests that one bucket holds; it starts empty.
-BUCKET_REQUESTS: Final = 1.0
 # Time in which sends can arrive within one second at the endpoint, in s: their
 # times of travel differ.
 ARRIVAL_WINDOW_S: Final = 1.1
@@ -114,32 +116,6 @@
     return AdmissionRate(1, max(0.0, rate))
 
 
-@attrs.define
-class TokenBucket:
-    """A bucket that holds one request.
-
-    Attributes:
-        updated_at: Loop time at which it had this level, in s.
-        level: Requests that it held then.
-    """
-
-    updated_at: float
-    level: float = 0.0
-
-    def opens_at(self, rate_per_s: float) -> float:
-        """Return the loop time from which it holds a request, in s."""
-        if rate_per_s <= 0.0:
-            return math.inf
-        missing = max(0.0, BUCKET_REQUESTS - self.level)
-        return self.updated_at + missing / rate_per_s
-
-    def take(self, rate_per_s: float, now: float) -> None:
-        """Take one request; a bucket that holds less owes the rest."""
-        filled = self.level + rate_per_s * (now - self.updated_at)
-        self.level = min(BUCKET_REQUESTS, filled) - BUCKET_REQUESTS
-        self.updated_at = now
-
-
 @attrs.define
 class ColdEndpoint:
     """An endpoint that is cold, or was within the last second.
@@ -252,18 +228,20 @@
         cold: Cold endpoints.
         brittle: Brittle services.
         loads: This VM's sends and rejections at endpoints of brittle services.
+        rates: Rates that endpoints in need state.
         vms: The registered VMs.
     """
 
     cold: dict[EndpointId, ColdEndpoint] = attrs.field(factory=dict)
     brittle: dict[ServiceId, BrittleService] = attrs.field(factory=dict)
     loads: dict[EndpointId, BrittleLoad] = attrs.field(factory=dict)
+    rates: RateTable = attrs.field(factory=RateTable)
     vms: VmList = attrs.field(factory=VmList)
 
     @property
     def is_empty(self) -> bool:
         """Whether no endpoint is limited."""
-        return not self.cold and not self.brittle
+        return not (self.cold or self.brittle or self.rates.limits)
 
     def record_entry(self, endpoint: EndpointId, remaining_s: float,
                      now: float) -> None:
@@ -403,11 +381,23 @@
         cold.sends += 1
         yield Observe('cold_send_wait_s', '', view.entry.service,
                       now - call.arrived_at)
+    limit = limits.rates.limits.get(name)
+    if limit is not None:
+        limit.bucket.take(_own_rate(state, view, limit, now), now)
+        limit.sends += 1
 
 
 def record_head(state: 'GatewayState', view: EndpointView, head: AnswerHead,
-                now: float) -> None:
-    """Record what the head of an endpoint's answer states of its limits."""
+                sent_at: float, now: float) -> None:
+    """Record what the head of an endpoint's answer states of its limits.
+
+    Args:
+        state: The VM's state; changed in place.
+        view: The endpoint.
+        head: The head.
+        sent_at: Loop time at which the request was sent, in s.
+        now: Loop time in s.
+    """
     if head.instance not in ('', view.entry.id):
         return
     limits, service = state.endpoint_limits, view.entry.service
@@ -423,6 +413,10 @@
     else:
         limits.brittle[service] = BrittleService(head.max_rejections_per_s, now,
                                                  now)
+    if head.max_requests_per_s is not None or (head.signed and
+                                               not head.invalid_rate):
+        limits.rates.record_answer(view.entry.id, view.entry.started_ms,
+                                   head.max_requests_per_s, sent_at, now)
     load = limits.loads.get(view.entry.id)
     if load is not None and head.load is not None:
         load.unreported = 0
@@ -462,6 +456,30 @@
                  ('max_rejections_per_s', brittle.max_rejections_per_s)))
         if now - brittle.stated_at > BRITTLE_MEMORY_S:
             del limits.brittle[service]
+    for name, limit in list(limits.rates.limits.items()):
+        yield from _log_rate(state, name, limit, now)
+
+
+def _log_rate(state: 'GatewayState', name: EndpointId, limit: RateLimit,
+              now: float) -> Iterator[Effect]:
+    """Log a new or changed rate, and its end; forget one that has ended."""
+    view = state.endpoints.get(name)
+    is_over = now >= max(limit.returns_at(1.0),
+                         limit.learned_at + stated_rates.REPORT_S)
+    if (view is None or view.entry.started_ms != limit.started_ms or is_over):
+        del state.endpoint_limits.rates.limits[name]
+        yield LogLine('endpoint_rate_ended',
+                      (('endpoint', name), ('sends', limit.sends),
+                       ('stated', int(limit.requests_per_s is None))))
+        return
+    if limit.is_to_be_logged:
+        limit.logged_rate = limit.requests_per_s
+        yield LogLine(
+            'endpoint_rate_limited',
+            (('endpoint', name),
+             ('requests_per_s', limit.requests_per_s or 0.0),
+             ('source', limit.source.value),
+             ('own_per_s', round(_own_rate(state, view, limit, now), 3))))
 
 
 def _log_cold(state: 'GatewayState', name: EndpointId, cold: ColdEndpoint,
@@ -489,7 +507,8 @@
               peers: Callable[[EndpointId], PeerLoad], now: float) -> float:
     """Return the loop time from which the limits allow a send, in s."""
     return max(_cold_opens_at(state, view, now),
-               _brittle_opens_at(state, view, peers, now))
+               _brittle_opens_at(state, view, peers, now),
+               _rate_opens_at(state, view, now))
 
 
 def _rate_of(state: 'GatewayState', view: EndpointView) -> AdmissionRate | None:
@@ -520,6 +539,40 @@
     return joins_at
 
 
+def _rate_opens_at(state: 'GatewayState', view: EndpointView,
+                   now: float) -> float:
+    """Return the loop time from which a stated rate allows a send, in s."""
+    limit = state.endpoint_limits.rates.limits.get(view.entry.id)
+    if limit is None or limit.started_ms != view.entry.started_ms:
+        return -math.inf
+    if not _is_list_complete(state, now):
+        return limit.returns_at(1.0)
+    ranked = _ranked(state, view)
+    returns_at = limit.returns_at(ranked.index(state.settings.vm) / len(ranked))
+    own_rate = _own_rate(state, view, limit, now)
+    return min(returns_at, limit.bucket.opens_at(own_rate))
+
+
+def _own_rate(state: 'GatewayState', view: EndpointView, limit: RateLimit,
+              now: float) -> float:
+    """Return this VM's share of the rate that an endpoint states, per s."""
+    if limit.requests_per_s is None or not _is_list_complete(state, now):
+        return 0.0
+    ranked = _ranked(state, view)
+    local = _vm_count_of(state, view.entry.dc)
+    return stated_rates.vm_rate(limit.requests_per_s,
+                                ranked.index(state.settings.vm), local,
+                                len(ranked) - local)
+
+
+def _vm_count_of(state: 'GatewayState', dc: DcId) -> int:
+    """Return the number of VMs in a data centre."""
+    counts = state.endpoint_limits.vms.counts
+    if dc not in counts:
+        counts[dc] = sum(each.dc == dc for each in state.peers.values())
+    return counts[dc]
+
+
 def _brittle_opens_at(state: 'GatewayState', view: EndpointView,
                       peers: Callable[[EndpointId],
                                       PeerLoad], now: float) -> float:
@@ -575,11 +628,7 @@
     VMs of other data centres have no share; nor has one whose list of VMs is
     not complete.
     """
-    counts, dc = state.endpoint_limits.vms.counts, view.entry.dc
-    if dc not in counts:
-        local = sum(each.dc == dc for each in state.peers.values())
-        counts[dc] = local or len(state.peers)
-    vms = counts[dc]
+    vms = _vm_count_of(state, view.entry.dc) or len(state.peers)
     if not _is_list_complete(state, now):
         return vms, vms
     return _ranked(state, view).index(state.settings.vm), vms
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -56,7 +56,7 @@
     if head.load is not None:
         view.load = head.load
         speed_updates.record_report(state, view, head.load)
-    endpoint_limits.record_head(state, view, head, now)
+    endpoint_limits.record_head(state, view, head, attempt.sent_at, now)
     if head.pause_s is None and attempt.sent_at >= view.paused_until:
         view.probing = False
 
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -30,6 +30,7 @@
                                                  LoadTotals, OwnLoad,
                                                  WeightsLoaded)
 from plantainridge.gateway.rates import WindowCount
+from plantainridge.gateway.stated_rates import RateReport, Source
 from plantainridge.gateway.suspects import BrokenSend
 from plantainridge.ids import DcId, EndpointId, ServiceId, VmId
 from plantainridge.loop.effects import Effect, LogLine, SendPeer, SetTimer
@@ -75,6 +76,9 @@
 START_GRACE_S: Final = 2.0
 # Shortest time between two reads of the VMs meanwhile, in s.
 MIN_VM_READ_INTERVAL_S: Final = 0.3
+# Time between two hints to other data centres with rates that endpoints stated,
+# in s, if there are no reports of load.
+RATE_REPORT_INTERVAL_S: Final = 1.0
 # Subject of the hash by which a VM chooses whom to ask.
 AGES_SUBJECT: Final = 'ages'
 
@@ -261,7 +265,13 @@
              }, state.views.era, asked_at, answers_at,
              state.versions.ages(now) if answers_at else (),
              tuple(state.suspects.cleared), state.suspects.idle_times(now), now,
-             speeds))
+             speeds, _rates(state, (Source.OWN,), now)))
+
+
+def _rates(state: 'GatewayState', sources: tuple[Source, ...],
+           now: float) -> tuple[RateReport, ...]:
+    """Return rates that endpoints in need stated lately."""
+    return state.endpoint_limits.rates.reports(sources, now)
 
 
 def _broken_sends(state: 'GatewayState',
@@ -317,7 +327,8 @@
         load_reports.add_work((_arriving_work(state,
                                               now), *_local_work(state, now))),
         state.coordination.is_enabled,
-        speed_updates.digests(state, 'dc', ('own', 'vm'), now))
+        speed_updates.digests(state, 'dc', ('own', 'vm'), now),
+        _rates(state, (Source.OWN, Source.LOCAL), now))
     payload = peer_messages.encode(own)
     for dc, ranked in relays.load_reporters_by_rank(state).items():
         for vm in reports.recipients(DcId(dc), ranked, now):
@@ -332,7 +343,8 @@
             each.loads for each in known if has_local or each is not own),
         has_local, {each.dc: each.work for each in known},
         {each.dc: each.vm for each in known if each.coordinates},
-        speed_updates.digests(state, 'totals', ('dc',), now))
+        speed_updates.digests(state, 'totals', ('dc',), now),
+        _rates(state, (Source.REMOTE,), now))
     payload = peer_messages.encode(totals)
     for vm, entry in state.peers.items():
         if vm != settings.vm and entry.dc == settings.dc:
@@ -384,6 +396,9 @@
         return False
     if state.rollout.weight_updates:
         return True
+    if (elapsed_s >= RATE_REPORT_INTERVAL_S and shares_load_directly(state) and
+            _rates(state, (Source.OWN,), now)):
+        return True
     if not shares_load_directly(state):
         return False
     of_peers = state.hints.loads.fresh(now)
@@ -497,6 +512,7 @@
     """Apply another data centre's load; it goes out with the next totals."""
     state.hints.reports.receive_dc_load(event.load, now)
     state.speeds.receive(('dc', event.load.dc), event.load.speeds, now)
+    _apply_rates(state, event.load.rates, Source.REMOTE, now)
     yield from ()
 
 
@@ -506,6 +522,7 @@
     state.hints.reports.receive_totals(event.totals, state.hints.reported_loads,
                                        now)
     state.speeds.receive(endpoint_speed.OTHER_DCS, event.totals.speeds, now)
+    _apply_rates(state, event.totals.rates, Source.REMOTE, now)
     yield from ()
 
 
@@ -527,6 +544,10 @@
                        max(now, issued_at + MIN_VM_READ_INTERVAL_S))
     state.hints.loads.replace(hint.vm, hint.loads, now)
     _apply_speeds(state, hint, now)
+    peer = state.peers.get(hint.vm)
+    is_local = peer is not None and peer.dc == state.settings.dc
+    _apply_rates(state, hint.rates, Source.LOCAL if is_local else Source.REMOTE,
+                 now)
     yield from _apply_suspects(state, hint, now)
     for each in hint.weights_loaded:
         view = state.endpoints.get(each.endpoint)
@@ -537,7 +558,6 @@
     for endpoint, started_ms in hint.leaving.items():
         yield from notices.on_peer_leaving(state, endpoint, started_ms)
     yield from _apply_version_ages(state, hint, now)
-    peer = state.peers.get(hint.vm)
     if hint.asked_at and peer is not None:
         yield SendPeer(
             hint.vm, peer.address,
@@ -559,6 +579,15 @@
         state.speeds.receive(('vm', hint.vm), hint.speeds, now)
 
 
+def _apply_rates(state: 'GatewayState', reports: tuple[RateReport, ...],
+                 source: Source, now: float) -> None:
+    """Apply rates that endpoints stated to peers."""
+    if reports:
+        state.endpoint_limits.rates.receive(
+            (each for each in reports if each.endpoint in state.endpoints),
+            source, now)
+
+
 def _apply_version_ages(state: 'GatewayState', hint: Hint,
                         now: float) -> Iterator[Effect]:
     """Apply the ages of versions that a peer stated when asked."""
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 from plantainridge.gateway.crash_attribution import Suspect
 from plantainridge.gateway.endpoint_speed import SpeedDigest, SpeedSum
 from plantainridge.gateway.events import Part, RawRecord, StoredPart
+from plantainridge.gateway.stated_rates import RateReport
 from plantainridge.gateway.versions import VersionAge
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, TeamId, VmId)
@@ -125,6 +126,7 @@
         sent_at: The VM's loop time at which it sent this hint, in s; 0 if not
             stated.
         speeds: Speeds of endpoints, from the VM's own observations.
+        rates: Rates that endpoints stated to the VM.
     """
 
     vm: VmId
@@ -144,6 +146,7 @@
     quarantined: Mapping[Suspect, float] = attrs.field(factory=dict)
     sent_at: float = 0.0
     speeds: tuple[SpeedDigest, ...] = ()
+    rates: tuple[RateReport, ...] = ()
 
 
 @attrs.frozen
@@ -157,6 +160,7 @@
         work: Work that arrives there for each service, in tokens per s.
         coordinates: Whether the VM answers placement requests.
         speeds: Speeds of endpoints, from the observations of its VMs.
+        rates: Rates that endpoints stated to its VMs.
     """
 
     vm: VmId
@@ -167,6 +171,7 @@
     work: Mapping[ServiceId, float] = attrs.field(factory=dict)
     coordinates: bool = False
     speeds: tuple[SpeedDigest, ...] = ()
+    rates: tuple[RateReport, ...] = ()
 
 
 @attrs.frozen
@@ -184,6 +189,7 @@
             requests, as far as known.
         speeds: Speeds of endpoints, from the observations of VMs in other data
             centres.
+        rates: Rates that endpoints stated to VMs in other data centres.
     """
 
     vm: VmId
@@ -194,6 +200,7 @@
     work: Mapping[DcId, Mapping[ServiceId, float]]
     coordinators: Mapping[DcId, VmId] = attrs.field(factory=dict)
     speeds: tuple[SpeedDigest, ...] = ()
+    rates: tuple[RateReport, ...] = ()
 
 
 @attrs.frozen
@@ -480,6 +487,7 @@
     for each, (endpoint, started_ms) in zip(rows, hint.leaving.items()):
         each.endpoint, each.startedMs = endpoint, started_ms
     _write_speeds(row, hint.speeds)
+    _write_rates(row, hint.rates)
     _write_suspects(row, hint)
     rows = row.init('reached', len(hint.weights_loaded))
     for each, loaded in zip(rows, hint.weights_loaded):
@@ -538,6 +546,7 @@
     _write_loads(row, report.loads)
     _write_work(row, work)
     _write_speeds(row, report.speeds)
+    _write_rates(row, report.rates)
     rows = row.init('coordinators', len(coordinators))
     for each, (dc, vm) in zip(rows, coordinators.items()):
         each.dc, each.vm = dc, vm
@@ -557,6 +566,23 @@
             entry.reported = _to_hundredths(sums.reports / weight)
 
 
+def _write_rates(row: Any, rates: tuple[RateReport, ...]) -> None:
+    if not rates:
+        return
+    for each, report in zip(row.init('rates', len(rates)), rates):
+        each.endpoint, each.startedMs = report.endpoint, report.started_ms
+        each.hasEnded = report.requests_per_s is None
+        each.requestsPerS = report.requests_per_s or 0.0
+        each.ageMs = _to_ms(report.age_s)
+
+
+def _read_rates(row: Any) -> tuple[RateReport, ...]:
+    return tuple(
+        RateReport(EndpointId(each.endpoint), each.startedMs,
+                   None if each.hasEnded else each.requestsPerS, each.ageMs /
+                   MS_PER_S) for each in row.rates)
+
+
 def _to_hundredths(value: float) -> int:
     return min(MAX_UINT16, max(0, round(value * HUNDREDTHS)))
 
@@ -695,7 +721,8 @@
     dc = next(iter(work))
     return DcLoad(VmId(row.vm), Incarnation(row.life), row.number, dc,
                   _read_loads(row), work[dc],
-                  len(row.coordinators) > 0, _read_speeds(row))
+                  len(row.coordinators) > 0, _read_speeds(row),
+                  _read_rates(row))
 
 
 def _read_totals(row: Any) -> LoadTotals:
@@ -703,7 +730,7 @@
         VmId(row.vm), Incarnation(row.life), row.number, _read_loads(row),
         row.hasLocal, _read_work(row),
         {DcId(each.dc): VmId(each.vm) for each in row.coordinators},
-        _read_speeds(row))
+        _read_speeds(row), _read_rates(row))
 
 
 def _read_placement_request(row: Any) -> PlacementRequest:
@@ -748,7 +775,7 @@
         tuple(Suspect(str(each)) for each in row.cleared), {
             Suspect(str(each.suspect)): each.idleMs / MS_PER_S
             for each in row.quarantined
-        }, row.sentAtS, _read_speeds(row))
+        }, row.sentAtS, _read_speeds(row), _read_rates(row))
 
 
 def _read_view(row: Any) -> RelayedView:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -105,6 +105,19 @@
   reported @3 :UInt16;
 }
 
+# What an endpoint in need stated: how many requests it takes.
+struct Rate {
+  endpoint @0 :Text;
+  # Unix time of the start of the run that stated it, in ms.
+  startedMs @1 :Int64;
+  # From all VMs together.
+  requestsPerS @2 :Float32;
+  # Whether it no longer states a rate.
+  hasEnded @3 :Bool;
+  # Time since then, in ms.
+  ageMs @4 :UInt32;
+}
+
 # The VM that coordinates placements in a data centre.
 struct Coordinator {
   dc @0 :Text;
@@ -142,6 +155,8 @@
   # In totals: the coordinators that the sender knows. In a data centre's load:
   # the sender, if it answers placement requests.
   coordinators @7 :List(Coordinator);
+  # Rates, from the VMs whose load it is.
+  rates @8 :List(Rate);
 }
 
 # Work that arrives in one data centre for one service.
@@ -244,6 +259,8 @@
   # Loop time at which the sender sent this hint, in s; 0 if not stated.
   sentAtS @15 :Float64;
   speeds @16 :List(SpeedDigest);
+  # Rates that endpoints stated to the sender.
+  rates @17 :List(Rate);
 }
 
 # Target version of a model.
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -41,7 +41,7 @@
     NO_ENDPOINT = 'no endpoint takes it'
     NO_CAPACITY = 'no engine has memory for it'
     ALL_PAUSED = 'every endpoint asked for a pause'
-    ALL_LIMITED = 'every endpoint is cold or brittle and takes no more'
+    ALL_LIMITED = 'every endpoint limits what it takes for now'
     ALL_LEAVING = 'every endpoint is leaving'
     ALL_EVACUATED = 'every data centre that has it is evacuated'
     NO_BUILD = 'no endpoint that stays has its build'
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -12,9 +12,8 @@
 from plantainridge.gateway import config, peer_messages
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway.endpoint_limits import (MAX_LISTS, TokenBucket,
-                                                   admission_rate, is_admitting,
-                                                   rank_vms)
+from plantainridge.gateway.endpoint_limits import (MAX_LISTS, admission_rate,
+                                                   is_admitting, rank_vms)
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
@@ -22,6 +21,7 @@
 from plantainridge.gateway.paths import ServicePath
 from plantainridge.gateway.peer_messages import DcLoad, Hint, LoadTotals
 from plantainridge.gateway.settings import Bounds
+from plantainridge.gateway.token_buckets import TokenBucket
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
 from plantainridge.loop import effects as base
 from plantainridge.loop.events import Event
@@ -119,6 +119,7 @@
     Attributes:
         isolated: VMs that no message of a peer reaches.
         learns_of: Entries that a VM has not read yet are read after this, in s.
+        has_reports: Whether reports of load are delivered, besides hints.
         refusals: Time waited and Retry-After of each refusal, in s.
         senders: The VM and time of each send, by endpoint.
     """
@@ -139,6 +140,7 @@
         self.instances = {each.id: Instance() for each in entries}
         self.registry = {each.id: each for each in entries}
         self.isolated: set[VmId] = set()
+        self.has_reports = False
         self.refusals: list[tuple[float, float]] = []
         self.served: Counter[str] = Counter()
         self.senders: dict[EndpointId, list[tuple[VmId,
@@ -219,9 +221,7 @@
         scene.lines.clear()
         for effect in effects:
             if isinstance(effect, base.SendPeer):
-                event = _event_of(peer_messages.decode(effect.payload))
-                if event is not None and effect.vm not in self.isolated:
-                    self._post(0.001, effect.vm, event)
+                self._deliver(effect)
             elif isinstance(effect, fx.Send):
                 self.senders[effect.endpoint].append((vm, self.now))
                 self._at(self.now + self.rng.uniform(0.0, 0.05),
@@ -233,6 +233,13 @@
             elif isinstance(effect, fx.Reply):
                 self.served[self.arrived[effect.request][1]] += 1
 
+    def _deliver(self, effect: base.SendPeer) -> None:
+        event = _event_of(peer_messages.decode(effect.payload))
+        if (event is None or effect.vm in self.isolated or
+                not (self.has_reports or isinstance(event, HintReceived))):
+            return
+        self._post(0.001, effect.vm, event)
+
     def _receive(self, vm: VmId, send: fx.Send) -> None:
         there = self.instances[send.endpoint]
         there.arrivals.append(self.now)
--- a/tests/test_stated_rates.py
+++ b/tests/test_stated_rates.py
@@ -84,13 +84,15 @@
 
     def _fleet(self, vms: int, *names: str) -> LimitFleet:
         dcs = (LOCAL_DC, REMOTE_DC, THIRD_DC)
-        return LimitFleet(
+        fleet = LimitFleet(
             {
                 dc: (vms + at) // len(dcs) for at, dc in enumerate(dcs)
             },
             *(instance(name, dc=dcs[at % len(dcs)])
               for at, name in enumerate(names)),
             service_s=0.1)
+        fleet.has_reports = True
+        return fleet
 
     def _state(self, fleet: LimitFleet, rate: float | None, *names:
                str) -> float:
@@ -115,12 +117,13 @@
                     self._assert_kept(fleet, rate, since, 'a')
 
     def test_all_endpoints_of_a_service_get_what_they_state(self) -> None:
-        for vms, rate in ((7, 2.0), (62, 2.0), (134, 6.0)):
+        for vms, rate, requests_per_s in ((7, 2.0, 60.0), (62, 2.0, 150.0),
+                                          (134, 6.0, 300.0)):
             with self.subTest(vms=vms, rate=rate):
                 fleet = self._fleet(vms, 'a', 'b', 'c')
-                fleet.run(2.0, 100.0, (VIEW,))
+                fleet.run(2.0, requests_per_s, (VIEW,))
                 since = self._state(fleet, rate, 'a', 'b', 'c')
-                fleet.run(12.0, 100.0, (VIEW,))
+                fleet.run(12.0, requests_per_s, (VIEW,))
                 self._assert_kept(fleet, rate, since, 'a', 'b', 'c')
                 for there in fleet.instances.values():
                     late = [at for at in there.arrivals if at > since + 4.0]
