Let VMs of a first start use their share of the retry budget, ask afar by one VM

In a total outage each VM asked another data centre for missed records, so that the bytes between data centres grew with the VMs (tests.test_gateway_spill): the VM that reports the load does so now, and the others ask that one.

The fixture of one process enters the VM into the store's list before it starts, since a VM that does not know how many there are has no share.

--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -115,7 +115,8 @@
 def start(state: GatewayState, now: float) -> list[Effect]:
     """Return the effects with which a new process starts."""
     settings = state.settings
-    state.retries.started_at = now
+    if not settings.is_first_start:
+        state.retries.started_at = now
     return [
         LogLine('started', (('life', state.incarnation), ('dc', settings.dc))),
         *views.load_all(now),
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -229,9 +229,17 @@
     return bool(readers)
 
 
-def send_to_any_remote(state: 'GatewayState',
-                       message: PeerMessage) -> Iterator[Effect]:
-    """Send a message to a random VM of another data centre, if any."""
+def send_to_other_dcs(state: 'GatewayState', message: PeerMessage,
+                      now: float) -> Iterator[Effect]:
+    """Send a message to a random VM of another data centre, if any.
+
+    One VM of this data centre does so, and the others send it to that one: the
+    traffic between data centres must not grow with their VMs.
+    """
+    reporter = load_reporter(state, now)
+    if reporter != state.settings.vm:
+        yield from send_to(state, reporter, message)
+        return
     remote = [
         entry for entry in state.peers.values() if entry.dc != state.settings.dc
     ]
--- a/src/plantainridge/gateway/retries.py
+++ b/src/plantainridge/gateway/retries.py
@@ -34,7 +34,8 @@
 
     Attributes:
         vm_count: VMs that share the fixed number; None if not known.
-        started_at: Loop time at which this VM's process started, in s.
+        started_at: Loop time at which this VM's process started, in s; -inf if
+            no other process of the VM was before it.
         requests: Requests in the window.
         retry_counts: Sends beyond the first of each request in the window.
     """
--- a/src/plantainridge/gateway/settings.py
+++ b/src/plantainridge/gateway/settings.py
@@ -82,6 +82,8 @@
             that of engines between callers, and that of VMs by slow readers.
         learns_speeds: Whether the speed of endpoints is learned also for
             services whose endpoints report no slowdown.
+        is_first_start: Whether the whole deployment starts for the first time,
+            so that there was no process of this VM before.
     """
 
     vm: VmId
@@ -97,3 +99,4 @@
     tunnel_port: int = 0
     has_memory_pressure: bool = False
     learns_speeds: bool = False
+    is_first_start: bool = False
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -69,7 +69,7 @@
 # may have missed, and time between two such requests, in s.
 REQUEST_DELAY_S: Final = 0.2
 REQUEST_INTERVAL_S: Final = 0.3
-# The same if only VMs of other data centres can be asked.
+# The same if no VM of this data centre reads the metadata store.
 REMOTE_REQUEST_INTERVAL_S: Final = 1.0
 # Removed endpoints that are remembered; the oldest are forgotten first.
 MAX_REMOVED: Final = 4_096
@@ -292,7 +292,7 @@
                           state.views.era)
     interval_s = REQUEST_INTERVAL_S
     if not (yield from relays.send_to_any(state, request, now)):
-        yield from relays.send_to_any_remote(state, request)
+        yield from relays.send_to_other_dcs(state, request, now)
         interval_s = REMOTE_REQUEST_INTERVAL_S
     cursor.is_request_due = True
     yield SetTimer(event.key, now + interval_s)
--- a/src/plantainridge/platform/settings.py
+++ b/src/plantainridge/platform/settings.py
@@ -49,7 +49,8 @@
                          DEFAULT_LINK_MBPS),
         tunnel_port=_tunnel_port(*ports),
         has_memory_pressure=(names.CONTRACT_PRESSURE
-                             in get_or(data, 'contracts', [])))
+                             in get_or(data, 'contracts', [])),
+        is_first_start=get_or(data, 'bootstrap', False))
 
 
 def _tunnel_port(first: int, last: int) -> int:
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -4,6 +4,8 @@
 import random
 from typing import Any, TypeVar
 
+import attrs
+
 from plantainridge.gateway import config, reducer
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.config import RequestKind
@@ -131,9 +133,11 @@
                  *entries: EndpointEntry,
                  vm: str = 'vm1',
                  now: float = 100.0,
-                 is_new: bool = False) -> None:
-        self.state = GatewayState(settings(vm), Incarnation('life'),
-                                  random.Random(1))
+                 is_new: bool = False,
+                 is_first_start: bool = False) -> None:
+        self.state = GatewayState(
+            attrs.evolve(settings(vm), is_first_start=is_first_start),
+            Incarnation('life'), random.Random(1))
         self.now = now
         self.done: list[base.Effect] = []
         self.lines: list[base.LogLine] = []
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -104,6 +104,11 @@
     async def _start_gateway(self, vm: str, host: str) -> Gateway:
         """Start a VM; return it once it is ready."""
         ports = self.ports
+        # A VM that does not know how many there are has little retry budget.
+        self.store.put(names.VMS_TOPIC, vm, {
+            'dc': 'z',
+            'address': f'{host}:{ports[2]}'
+        })
         settings = GatewaySettings(VmId(vm),
                                    DcId('z'),
                                    host,
@@ -113,7 +118,8 @@
                                    ports[3],
                                    self.store.server.address,
                                    Bounds(lease_s=0.2),
-                                   tunnel_port=ports[4])
+                                   tunnel_port=ports[4],
+                                   is_first_start=True)
         gateway = Gateway(settings, PlatformAdapter(os.devnull),
                           LogWriter(vm, self.log))
         await gateway.serve()
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -133,6 +133,21 @@
         self.assertLessEqual(self.fleet.excess(), 0.0)
 
 
+class FirstStartTest(unittest.TestCase):
+    """VMs of a deployment that starts for the first time."""
+
+    def test_a_vm_that_has_no_former_process_has_its_share(self) -> None:
+        for is_first_start in (False, True):
+            scene = GatewayScene(endpoint('a', LEDGER),
+                                 endpoint('b', LEDGER),
+                                 is_new=True,
+                                 is_first_start=is_first_start)
+            scene.read(View.VMS, VmEntry(VmId('vm1'), LOCAL_DC, 'vm1:1'))
+            send = scene.post_request('/view/x')
+            scene.post(ev.AnswerArrived(send.attempt, head(500), b''))
+            self.assertEqual(len(scene.all(fx.Send)), 1 + is_first_start)
+
+
 class CancelledRetryTest(unittest.TestCase):
     """Load: retries find no connection, while others do run."""
 
