Leave out registry entries that no connection or message can hold

Operators of a similar system report VMs that stopped following the registry after another writer left an odd entry. Here a very large cold-remaining-ms raised OverflowError in the task that reads the registry: it ended, and nothing read the view again. Numbers beyond the fields of messages between VMs and ports out of range were accepted as well; a connection to such a port fails with an error that is no OSError.

--- a/src/plantainridge/gateway/poll_times.py
+++ b/src/plantainridge/gateway/poll_times.py
@@ -1,4 +1,4 @@
-"""When the event loop polled its sockets, to know how long a request was unread.
+"""When the event loop polled its sockets: how long requests may be unread.
 
 Made for VMs with little processor time that get a burst: while the loop handles
 some requests, others wait unread in the system, and for each step of a new
--- a/src/plantainridge/platform/fields.py
+++ b/src/plantainridge/platform/fields.py
@@ -35,7 +35,10 @@
     if isinstance(value, bool) and expected_type is not bool:
         raise InvalidField(field, expected_type.__name__)
     if expected_type is float and isinstance(value, int):
-        value = float(value)
+        try:
+            value = float(value)
+        except OverflowError:
+            raise InvalidField(field, 'a smaller number') from None
     if not isinstance(value, expected_type):
         raise InvalidField(field, expected_type.__name__)
     return value
@@ -52,6 +55,18 @@
     return get(data, field, type(default))
 
 
+def get_in_range(data: Any, field: str, default: int, limit: int) -> int:
+    """Return a whole number from 0 to a limit, or a default if it is absent.
+
+    Raises:
+        InvalidField: The field is no whole number, or out of range.
+    """
+    value = get_or(data, field, default)
+    if not 0 <= value <= limit:
+        raise InvalidField(field, f'from 0 to {limit}')
+    return value
+
+
 def get_list(data: Any, field: str) -> list[Any]:
     """Return a list field of a JSON object; return [] if it is absent or null.
 
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 from collections.abc import Iterator
 from typing import Any
 
@@ -18,11 +19,17 @@
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, VmId)
 from plantainridge.platform import configuration, names
-from plantainridge.platform.fields import InvalidField, get, get_list, get_or
+from plantainridge.platform.fields import (InvalidField, get, get_in_range,
+                                           get_list, get_or)
 
 MS_PER_S = 1_000.0
 RECORD_LENGTH_BYTES = 4
 OFFSET_BYTES = 8
+MAX_PORT = 65_535
+# Largest numbers of an entry: messages between VMs have fields of these sizes.
+MAX_INT32 = 2**31 - 1
+MAX_INT64 = 2**63 - 1
+MAX_UINT32 = 2**32 - 1
 
 
 @attrs.frozen
@@ -102,7 +109,8 @@
             return _decode_endpoint(record.key,
                                     json_values.decode(record.value))
         return _decode_vm_entry(record)
-    except (ValueError, InvalidField, AttributeError, TypeError) as error:
+    except (ValueError, InvalidField, AttributeError, TypeError,
+            ArithmeticError) as error:
         return InvalidRecord(record.key, str(error))
 
 
@@ -126,23 +134,31 @@
     state = get(data, 'state', str)
     if state not in (names.STATE_READY, names.STATE_DRAINING):
         raise InvalidField('state', 'ready or draining')
+    get(data, 'slots', int)
+    cold_ms = get_or(data, 'cold-remaining-ms', 0.0)
+    if not math.isfinite(cold_ms):
+        raise InvalidField('cold-remaining-ms', 'finite')
+    return EndpointEntry(id=EndpointId(key),
+                         service=ServiceId(get(data, 'service', str)),
+                         address=_decode_address(data),
+                         dc=DcId(get(data, 'zone', str)),
+                         slots=get_in_range(data, 'slots', 0, MAX_INT32),
+                         draining=state == names.STATE_DRAINING,
+                         started_ms=get_in_range(data, 'born', 0, MAX_INT64),
+                         orders=get_in_range(data, 'sequence', 0, MAX_INT64),
+                         versions=decode_models(data),
+                         build=get_or(data, 'version', ''),
+                         cold_remaining_s=max(0.0, cold_ms) / MS_PER_S)
+
+
+def _decode_address(data: Any) -> str:
+    """Return the address of an entry if connections to it are possible."""
     address = get(data, 'address', str)
     host, _, port = address.rpartition(':')
-    if not host or not port.isdecimal():
+    is_port = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not host or not is_port or not 0 < int(port) <= MAX_PORT:
         raise InvalidField('address', 'IP:PORT')
-    return EndpointEntry(
-        id=EndpointId(key),
-        service=ServiceId(get(data, 'service', str)),
-        address=address,
-        dc=DcId(get(data, 'zone', str)),
-        slots=get(data, 'slots', int),
-        draining=state == names.STATE_DRAINING,
-        started_ms=get_or(data, 'born', 0),
-        orders=get_or(data, 'sequence', 0),
-        versions=decode_models(data),
-        build=get_or(data, 'version', ''),
-        cold_remaining_s=max(0.0, get_or(data, 'cold-remaining-ms', 0.0)) /
-        MS_PER_S)
+    return address
 
 
 def decode_models(data: Any) -> dict[ModelId, int]:
@@ -152,7 +168,8 @@
         InvalidField: A field is missing or has the wrong type.
     """
     return {
-        ModelId(get(entry, 'name', str)): get(entry, 'version', int)
+        ModelId(get(entry, 'name', str)):
+            get_in_range(entry, 'version', -1, MAX_UINT32)
         for entry in get_list(data, 'models')
     }
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -69,6 +69,15 @@
         self.assertEqual([each.new_connection for each in scene.all(fx.Send)],
                          [True, True])
 
+    def test_a_send_after_a_refusal_uses_a_new_connection(self) -> None:
+        # A faulty server may write the refusal once more on the kept one.
+        scene = scene_with_two('/submit/x')
+        refusal = head(503, not_run=True)
+        scene.post(ev.AnswerArrived(scene.last(fx.Send).attempt, refusal, b''))
+        scene.advance(0.3)
+        self.assertEqual([each.new_connection for each in scene.all(fx.Send)],
+                         [True, True])
+
     def test_is_not_taken_over(self) -> None:
         scene = scene_with_two('/submit/x')
         scene.advance(9.0)
