Let endpoints of the soak state rates, and check that they are kept

In each run an endpoint of each service states one request a second while faults are injected; no window of 4 s may bring it more than operators tolerate from gateways without faults.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -30,6 +30,11 @@
 COLD_PER_S: Final = 4.0
 COLD_OVERRUN: Final = 1.0
 COLD_SLACK: Final = 1.0
+# What an endpoint may get while it states a rate: in any window, so many
+# times the rate, and further requests.
+RATE_WINDOW_S: Final = 4.0
+RATE_OVERRUN: Final = 1.5
+RATE_SLACK: Final = 5.0
 # Prefix of the subject of faults of a gateway's paths to all endpoints.
 PATHS_PREFIX: Final = 'endpoints-'
 # Ratio of the share served by other gateways that partitioned ones must serve,
@@ -338,6 +343,34 @@
         yield unsent.gateway, unsent.at, False
 
 
+def stated_rates_are_kept(history: History) -> Iterator[str]:
+    """Check that no endpoint gets much more than the rate that it states.
+
+    A gateway that had a fault meanwhile is excused.
+    """
+    gateways = {each.attempt: each.gateway for each in history.outcomes}
+    for each in history.stated_rates:
+        known_at = each.start + STABLE_S
+        times = sorted(
+            run.at for run in history.runs if run.endpoint == each.endpoint and
+            known_at <= run.at <= each.end and _is_undisturbed(
+                history, gateways.get(run.attempt), each.start, run.at))
+        limit = int(RATE_OVERRUN * RATE_WINDOW_S * each.rate + RATE_SLACK)
+        for first, last in zip(times, times[limit:]):
+            if last - first < RATE_WINDOW_S:
+                yield (f'{each.endpoint} got more than {limit} requests in '
+                       f'{last - first:.2f} s while it stated {each.rate} a '
+                       'second')
+                break
+
+
+def _is_undisturbed(history: History, gateway: str | None, start: float,
+                    end: float) -> bool:
+    """Return whether a gateway had no fault between two Unix times."""
+    return gateway is not None and history.is_fault_free(
+        {gateway, paths_to_endpoints(gateway)}, start, end)
+
+
 def service_recovers(history: History) -> Iterator[str]:
     """Check that requests are served again soon after the last fault."""
     since = history.faults_ended_at + RECOVERY_S
@@ -367,7 +400,7 @@
                              configuration_is_in_force,
                              leaving_endpoints_get_no_work,
                              cold_endpoints_get_few_requests,
-                             evacuated_dcs_get_no_work,
+                             stated_rates_are_kept, evacuated_dcs_get_no_work,
                              planned_stops_cut_nothing,
                              read_requests_are_answered,
                              partitioned_gateways_serve, service_recovers)
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -45,9 +45,11 @@
     Attributes:
         previous: Attempt id and target of the previous request.
         rng: Source of randomness.
+        stated_rate: Rate that its answers state, or ''.
     """
 
     previous = ('', '')
+    stated_rate = ''
     rng = random.Random(1)
 
     async def _serve(self, request: Request) -> Response:
@@ -72,6 +74,8 @@
                   response_headers: dict[str, str]) -> Response:
         self.report_run(attempt, request)
         target = request.url.path
+        if self.stated_rate:
+            response_headers[names.STATED_RATE.decode()] = self.stated_rate
         if not self.version:
             await asyncio.sleep(SERVICE_TIME_S)
             await self.wait_while_silent()
@@ -98,13 +102,21 @@
         return expected_event(target, number)
 
 
-async def _read_commands(endpoint: StandinEndpoint) -> None:
-    """Fall silent for the time, in s, in each line on standard input."""
+async def _read_commands(endpoint: ReportingEndpoint) -> None:
+    """Execute the commands on standard input.
+
+    A line with a number makes the endpoint fall silent for this time, in s;
+    `rate` and a text make it state this rate from then on, or none.
+    """
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     while line := await reader.readline():
-        endpoint.fall_silent(float(line))
+        command, _, rate = line.decode().strip().partition(' ')
+        if command == 'rate':
+            endpoint.stated_rate = rate
+        else:
+            endpoint.fall_silent(float(command))
 
 
 async def _main(name: str, service: str, version: int, events: int) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,8 +7,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import attrs
+
 from tests.soak.checks import EVACUATION_S, STABLE_S, paths_to_endpoints
-from tests.soak.history import Evacuation, FaultSpan
+from tests.soak.history import Evacuation, FaultSpan, StatedRate
 from tests.soak.proxy import PARTITIONS, Fault, FaultProxy
 from tests.soak.site import ENGINES, LEDGER, GatewayVm, SoakSite
 
@@ -32,6 +34,8 @@
 EVACUATION_RANGE_S: Final = (EVACUATION_S + 5.0, EVACUATION_S + 6.0)
 # Timeout of all routes, never below that of callers.
 TIMEOUT_RANGE_MS: Final = (3_000, 4_000)
+# Rate that endpoints in need state, far below their share of the load.
+STATED_RATE_PER_S: Final = 1.0
 # Time from the drain of an endpoint to its exit.
 EXIT_DELAY_S: Final = 5.0
 PROXY_FAULTS: Final = [
@@ -72,11 +76,15 @@
 
         The weight version changes at the start of the first two, whatever is
         drawn: without a change, no order is given that a check could judge. A
-        data centre is evacuated during the planned work.
+        data centre is evacuated during the planned work, and an endpoint of
+        each service states a rate during the faults, which is longer.
         """
+        rates = [self._state_rate(ENGINES), self._state_rate(LEDGER)]
         self.site.name_version()
         await self._inject_for((1 - PLANNED_WORK_RATIO) * seconds,
                                self.all_faults)
+        for span in rates:
+            self._end_rate(span)
         await asyncio.sleep(STABLE_S)
         self.site.name_version()
         await asyncio.gather(
@@ -294,6 +302,20 @@
         if process.returncode is None:
             await self._record_span(endpoint.name, 'pause', pause())
 
+    def _state_rate(self, service: str) -> StatedRate:
+        """Let an endpoint state a rate; return the span, without its end."""
+        name = self.rng.choice(self._staying_endpoints(service))
+        self.site.endpoints[name].state_rate(str(STATED_RATE_PER_S))
+        return StatedRate(name, STATED_RATE_PER_S, time.time(), float('inf'))
+
+    def _end_rate(self, span: StatedRate) -> None:
+        """Record a span, and let its endpoint state none if it still runs."""
+        endpoint = self.site.endpoints.get(span.endpoint)
+        if endpoint is not None and endpoint.process.returncode is None:
+            endpoint.state_rate('')
+        self.site.history.stated_rates.append(
+            attrs.evolve(span, end=time.time()))
+
     async def _replace_endpoint(self) -> None:
         """Start a new endpoint; drain an old one and let it exit."""
         service = self.rng.choice((ENGINES, LEDGER))
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -93,6 +93,16 @@
     end: float
 
 
+@attrs.frozen
+class StatedRate:
+    """Span in which an endpoint stated a rate, in requests per s."""
+
+    endpoint: str
+    rate: float
+    start: float
+    end: float
+
+
 @attrs.define
 class History:
     """History of one run.
@@ -111,6 +121,7 @@
         cold_at: Unix time from which a new endpoint is cold, by name, in s.
         drained_at: Unix time from which an endpoint leaves, by name, in s.
         evacuations: Evacuations that were withdrawn again.
+        stated_rates: Rates that endpoints stated.
         endpoint_dcs: Data centre of each endpoint that was ever started.
         faults_ended_at: Unix time at which the last fault ended, in s.
         engine_versions: Weight version of each live engine at the end.
@@ -130,6 +141,7 @@
     cold_at: dict[str, float] = attrs.field(factory=dict)
     drained_at: dict[str, float] = attrs.field(factory=dict)
     evacuations: list[Evacuation] = attrs.field(factory=list)
+    stated_rates: list[StatedRate] = attrs.field(factory=list)
     endpoint_dcs: dict[str, str] = attrs.field(factory=dict)
     faults_ended_at: float = 0.0
     engine_versions: dict[str, int] = attrs.field(factory=dict)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -46,6 +46,11 @@
     state: str = names.STATE_READY
     version: int = 0
 
+    def state_rate(self, rate: str) -> None:
+        """State a rate in all answers from now on; '' for none."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(f'rate {rate}\n'.encode())
+
     def fall_silent(self, seconds: float) -> None:
         """Let it do nothing for some time, in s, and then continue."""
         assert self.process.stdin is not None
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -8,7 +8,7 @@
 from tests.soak import checks
 from tests.soak.endpoint import expected_body, expected_event
 from tests.soak.history import (Evacuation, FaultSpan, History, Order, Outcome,
-                                Run, Unsent)
+                                Run, StatedRate, Unsent)
 
 AT = 1_000.0
 TARGET = '/submit/x'
@@ -97,6 +97,10 @@
         history([outcome()], [run()],
                 evacuations=[Evacuation('dc-1', AT - 5.0, AT + 5.0)],
                 endpoint_dcs={'i-1': 'dc-1'}),
+    checks.stated_rates_are_kept:
+        history([outcome(sent_at=AT + 10.0)],
+                [run(at=AT + 10.0 + 0.1 * at) for at in range(12)],
+                stated_rates=[StatedRate('i-1', 1.0, AT, AT + 20.0)]),
     checks.planned_stops_cut_nothing:
         history([outcome(status=0, whole=False)], [run()],
                 fault_spans=[FaultSpan('vm0', 'term', AT - 0.2, AT + 1.0)]),
