Leave less unread time out of account

With 0.25 s left out, an answer of a busy VM came up to 0.31 s after its route's time.

tests.test_unread_requests passes.

--- a/src/plantainridge/gateway/poll_times.py
+++ b/src/plantainridge/gateway/poll_times.py
@@ -16,7 +16,7 @@
 MIN_SLEEP_S: Final = 0.001
 # Unread time, in s, that is left out of account, since only its upper bound is
 # known. A late answer is late by it at most.
-TOLERANCE_S: Final = 0.25
+TOLERANCE_S: Final = 0.1
 
 
 @attrs.define
