--- a/src/plantainridge/gateway/endpoint_limits.py
+++ b/src/plantainridge/gateway/endpoint_limits.py
@@ -375,7 +375,7 @@
         load = limits.loads.setdefault(name, BrittleLoad())
         load.unreported += 1
         load.sent_at = now
-    cold, rate = limits.cold.get(name), _rate_of(state, view)
+    cold, rate = limits.cold.get(name), _cold_rate_of(state, view)
     if cold is not None and rate is not None and now < cold.until:
         cold.bucket.take(rate.rate_per_s, now)
         cold.sends += 1
@@ -491,7 +491,7 @@
         yield LogLine('endpoint_warm',
                       (('endpoint', name), ('sends', cold.sends)))
         return
-    rate = _rate_of(state, view)
+    rate = _cold_rate_of(state, view)
     if cold.is_logged or rate is None:
         return
     cold.is_logged = True
@@ -511,7 +511,8 @@
                _rate_opens_at(state, view, now))
 
 
-def _rate_of(state: 'GatewayState', view: EndpointView) -> AdmissionRate | None:
+def _cold_rate_of(state: 'GatewayState',
+                  view: EndpointView) -> AdmissionRate | None:
     """Return how an endpoint is served while it is cold; None if as usual."""
     service = state.config.services.get(view.entry.service)
     if service is None or service.cold_requests_per_s <= 0.0:
@@ -525,7 +526,7 @@
                    now: float) -> float:
     """Return the loop time from which coldness allows a send, in s."""
     cold = state.endpoint_limits.cold.get(view.entry.id)
-    rate = _rate_of(state, view) if cold is not None else None
+    rate = _cold_rate_of(state, view) if cold is not None else None
     if cold is None or rate is None:
         return -math.inf
     joins_at = cold.until + JOIN_S
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -396,11 +396,11 @@
         return False
     if state.rollout.weight_updates:
         return True
-    if (elapsed_s >= RATE_REPORT_INTERVAL_S and shares_load_directly(state) and
-            _rates(state, (Source.OWN,), now)):
-        return True
     if not shares_load_directly(state):
         return False
+    if (elapsed_s >= RATE_REPORT_INTERVAL_S and _rates(state,
+                                                       (Source.OWN,), now)):
+        return True
     of_peers = state.hints.loads.fresh(now)
     return any(
         _is_loaded(state, name, load, of_peers.get(name, NO_LOAD))
--- a/src/plantainridge/gateway/intake.py
+++ b/src/plantainridge/gateway/intake.py
@@ -10,7 +10,7 @@
 from plantainridge.gateway.events import Request, RequestArrived, View
 from plantainridge.gateway.requests import Call
 from plantainridge.ids import RequestId, ServiceId
-from plantainridge.loop.effects import (Effect, LogLine, Observe, SetTimer)
+from plantainridge.loop.effects import Effect, LogLine, Observe, SetTimer
 
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
