Keep relays of configurations from filling a low-bandwidth link

VMs of one data centre learned of configurations late, and callers of the VM that reads for them waited beyond their route's time.

Cause: the reader relays each configuration to every peer. That the link is full is concluded from its rate, not measured.

Change: for the operators' records VMs are weighted by the cube of their bandwidth. A reader whose link a relay would fill for more than 0.3 s relays the offsets alone; peers see the gap and read from the metadata store.

--- a/src/plantainridge/gateway/peer_ranks.py
+++ b/src/plantainridge/gateway/peer_ranks.py
@@ -13,12 +13,16 @@
 
 import attrs
 
-from plantainridge.gateway.events import VmEntry
+from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.settings import GatewaySettings
 from plantainridge.ids import VmId
 
 # Subject of the rank by which a data centre's load reporter is elected.
 LOAD_SUBJECT: Final = 'load'
+# Subjects whose relays are so large that they fill a low-bandwidth link, and
+# the power of the bandwidth in proportion to which a VM is chosen for them.
+LARGE_SUBJECTS: Final = frozenset({View.OPERATOR.value})
+LARGE_SUBJECT_POWER: Final = 3
 # Cached ranks; a fleet has fewer pairs of VM and subject.
 MAX_CACHED_RANKS: Final = 16_384
 # Subjects for which orders are kept. Suspects are subjects too.
@@ -35,14 +39,21 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
+def weight(subject: str, link_mbps: float) -> float:
+    """Return the weight of a VM with some bandwidth for a subject."""
+    if subject in LARGE_SUBJECTS:
+        return link_mbps**LARGE_SUBJECT_POWER
+    return link_mbps
+
+
 @functools.lru_cache(MAX_CACHED_RANKS)
-def weighted_rank(vm: VmId, subject: str, weight: float) -> float:
+def weighted_rank(vm: VmId, subject: str, link_mbps: float) -> float:
     """Return a VM's rank for a subject; the VM with the lowest is chosen.
 
     Over many subjects, a VM is chosen in proportion to its weight.
     """
-    return -math.log(
-        (rendezvous_hash(vm, subject) + 1) / 2**64) / max(1.0, weight)
+    return -math.log((rendezvous_hash(vm, subject) + 1) / 2**64) / max(
+        1.0, weight(subject, link_mbps))
 
 
 @attrs.define
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -4,7 +4,8 @@
 rate-limited. For each subject (a view or a KV cache store), the live VMs of a
 data centre therefore elect one reader by weighted rendezvous hashing. A VM's
 weight is the bandwidth of its link, since relaying takes most of the capacity
-of a low-bandwidth link. The reader relays what it read; a VM that receives
+of a low-bandwidth link; for the operators' records, whose relays are large, it
+is the cube of the bandwidth. The reader relays what it read; a VM that receives
 nothing for some time reads by itself. A VM that cannot reach the metadata store
 or the subject is not eligible.
 """
@@ -34,6 +35,11 @@
 # that it grows to: the traffic that one VM sends and receives grows slowly.
 MIN_HINT_INTERVAL_PER_VM_S: Final = 0.04
 MAX_MIN_HINT_INTERVAL_S: Final = 1.0
+# Time for which a relay may fill this VM's link, in s: peers that get none for
+# longer read themselves, and callers wait meanwhile.
+MAX_RELAY_S: Final = 0.3
+BITS_PER_BYTE: Final = 8
+BITS_PER_MEGABIT: Final = 1_000_000
 # Time for which updates of KV cache stores are collected into one batch, in s.
 BATCH_DELAY_S: Final = 0.2
 # Rows that fit into a datagram, and those that a relay takes besides its parts.
@@ -163,7 +169,8 @@
                    issued_at: float) -> Iterator[Effect]:
     """Send a view's relay to all peers in the data centre.
 
-    Relays of the operators' records state to each peer a time that its own
+    What would fill this VM's link is left to the peers to read. Relays of the
+    operators' records state to each peer a time that its own
     clock had reached when the read was issued, as its last hint shows.
 
     Args:
@@ -174,6 +181,9 @@
     if message.view != View.OPERATOR.value:
         yield from broadcast(state, message)
         return
+    if _relay_s(state, message) > MAX_RELAY_S:
+        # Peers see the gap, and read from the metadata store.
+        message = attrs.evolve(message, start=message.end, records=())
     for entry in local_peers(state):
         received = state.hints.received.get(entry.vm)
         relay = message
@@ -185,6 +195,13 @@
         yield SendPeer(entry.vm, entry.address, peer_messages.encode(relay))
 
 
+def _relay_s(state: 'GatewayState', message: RelayedView) -> float:
+    """Return the time for which a relay to all peers fills this VM's link."""
+    size = sum(len(record.value or b'') for record in message.records)
+    bits = BITS_PER_BYTE * size * len(local_peers(state))
+    return bits / (BITS_PER_MEGABIT * max(1.0, state.settings.link_mbps))
+
+
 def enqueue(state: 'GatewayState', message: RelayedStore, now: float) -> None:
     """Queue a KV cache store's update, to be sent with later ones."""
     buffer = state.relays
