Send rates that endpoints state in messages of their own

A list of rates in hints and reports of load costs one or two bytes in each, also where no endpoint states a rate: the bytes between data centres in tests.test_gateway_spill rose from 53,899 to 54,803 at 9 VMs and from 69,972 to 71,372 at 27, beyond its bound of 1.3 times. They go beside these messages now, and the bytes are those from before.

tests.test_gateway_spill and tests.test_stated_rates pass.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -13,7 +13,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -23,14 +23,14 @@
                                    speed_updates, suspects, versions)
 from plantainridge.gateway.endpoint_speed import SpeedDigest
 from plantainridge.gateway.endpoints import EndpointView
-from plantainridge.gateway.events import TimerKind, View
+from plantainridge.gateway.events import TimerKind, View, VmEntry
 from plantainridge.gateway.load_reports import LoadReportTable
 from plantainridge.gateway.peer_loads import (NO_LOAD, PeerLoad, PeerLoadTable)
 from plantainridge.gateway.peer_messages import (BrokenSendReport, DcLoad, Hint,
                                                  LoadTotals, OwnLoad,
-                                                 WeightsLoaded)
+                                                 RateReports, WeightsLoaded)
 from plantainridge.gateway.rates import WindowCount
-from plantainridge.gateway.stated_rates import RateReport, Source
+from plantainridge.gateway.stated_rates import Source
 from plantainridge.gateway.suspects import BrokenSend
 from plantainridge.ids import DcId, EndpointId, ServiceId, VmId
 from plantainridge.loop.effects import Effect, LogLine, SendPeer, SetTimer
@@ -104,6 +104,13 @@
     totals: LoadTotals
 
 
+@attrs.frozen
+class RatesReceived(Event):
+    """Rates that endpoints stated to peers were received."""
+
+    message: RateReports
+
+
 @attrs.define
 class ReceivedHint:
     """A peer's latest hint, with the loop time of its receipt in s."""
@@ -196,10 +203,14 @@
         state.suspects.record_sent(now)
     hints.weights_loaded.clear()
     state.leaving.is_unsent = False
-    for vm, entry in state.peers.items():
-        is_local = entry.dc == state.settings.dc
-        if vm != state.settings.vm and (is_local or to_remote):
-            yield SendPeer(vm, entry.address, payload)
+    recipients = [
+        entry for vm, entry in state.peers.items()
+        if vm != state.settings.vm and
+        (to_remote or entry.dc == state.settings.dc)
+    ]
+    for entry in recipients:
+        yield SendPeer(entry.vm, entry.address, payload)
+    yield from _send_rates(_rates(state, now, Source.OWN), recipients)
 
 
 def _ask_ages(state: 'GatewayState', loads: dict[EndpointId, OwnLoad],
@@ -265,13 +276,23 @@
              }, state.views.era, asked_at, answers_at,
              state.versions.ages(now) if answers_at else (),
              tuple(state.suspects.cleared), state.suspects.idle_times(now), now,
-             speeds, _rates(state, (Source.OWN,), now)))
+             speeds))
+
 
+def _rates(state: 'GatewayState', now: float, *sources:
+           Source) -> RateReports | None:
+    """Return rates that endpoints in need stated lately; None without any."""
+    rates = state.endpoint_limits.rates.reports(sources, now)
+    is_relayed = Source.REMOTE in sources
+    return RateReports(state.settings.vm, is_relayed, rates) if rates else None
 
-def _rates(state: 'GatewayState', sources: tuple[Source, ...],
-           now: float) -> tuple[RateReport, ...]:
-    """Return rates that endpoints in need stated lately."""
-    return state.endpoint_limits.rates.reports(sources, now)
+
+def _send_rates(message: RateReports | None,
+                entries: Iterable[VmEntry]) -> Iterator[Effect]:
+    if message is not None:
+        payload = peer_messages.encode(message)
+        for entry in entries:
+            yield SendPeer(entry.vm, entry.address, payload)
 
 
 def _broken_sends(state: 'GatewayState',
@@ -327,12 +348,16 @@
         load_reports.add_work((_arriving_work(state,
                                               now), *_local_work(state, now))),
         state.coordination.is_enabled,
-        speed_updates.digests(state, 'dc', ('own', 'vm'), now),
-        _rates(state, (Source.OWN, Source.LOCAL), now))
+        speed_updates.digests(state, 'dc', ('own', 'vm'), now))
     payload = peer_messages.encode(own)
-    for dc, ranked in relays.load_reporters_by_rank(state).items():
-        for vm in reports.recipients(DcId(dc), ranked, now):
-            yield SendPeer(vm, state.peers[vm].address, payload)
+    remote = [
+        state.peers[vm]
+        for dc, ranked in relays.load_reporters_by_rank(state).items()
+        for vm in reports.recipients(DcId(dc), ranked, now)
+    ]
+    for entry in remote:
+        yield SendPeer(entry.vm, entry.address, payload)
+    yield from _send_rates(_rates(state, now, Source.OWN, Source.LOCAL), remote)
     known = [own, *reports.fresh_dc_loads(now)]
     # Hints that are spaced closer than reports are newer.
     has_local = (relays.min_hint_interval_s(state)
@@ -343,12 +368,12 @@
             each.loads for each in known if has_local or each is not own),
         has_local, {each.dc: each.work for each in known},
         {each.dc: each.vm for each in known if each.coordinates},
-        speed_updates.digests(state, 'totals', ('dc',), now),
-        _rates(state, (Source.REMOTE,), now))
+        speed_updates.digests(state, 'totals', ('dc',), now))
     payload = peer_messages.encode(totals)
-    for vm, entry in state.peers.items():
-        if vm != settings.vm and entry.dc == settings.dc:
-            yield SendPeer(vm, entry.address, payload)
+    local = relays.local_peers(state)
+    for entry in local:
+        yield SendPeer(entry.vm, entry.address, payload)
+    yield from _send_rates(_rates(state, now, Source.REMOTE), local)
     reports.receive_totals(totals, loads, now)
 
 
@@ -398,8 +423,8 @@
         return True
     if not shares_load_directly(state):
         return False
-    if (elapsed_s >= RATE_REPORT_INTERVAL_S and _rates(state,
-                                                       (Source.OWN,), now)):
+    if (elapsed_s >= RATE_REPORT_INTERVAL_S and
+            _rates(state, now, Source.OWN) is not None):
         return True
     of_peers = state.hints.loads.fresh(now)
     return any(
@@ -512,7 +537,6 @@
     """Apply another data centre's load; it goes out with the next totals."""
     state.hints.reports.receive_dc_load(event.load, now)
     state.speeds.receive(('dc', event.load.dc), event.load.speeds, now)
-    _apply_rates(state, event.load.rates, Source.REMOTE, now)
     yield from ()
 
 
@@ -522,7 +546,6 @@
     state.hints.reports.receive_totals(event.totals, state.hints.reported_loads,
                                        now)
     state.speeds.receive(endpoint_speed.OTHER_DCS, event.totals.speeds, now)
-    _apply_rates(state, event.totals.rates, Source.REMOTE, now)
     yield from ()
 
 
@@ -544,10 +567,6 @@
                        max(now, issued_at + MIN_VM_READ_INTERVAL_S))
     state.hints.loads.replace(hint.vm, hint.loads, now)
     _apply_speeds(state, hint, now)
-    peer = state.peers.get(hint.vm)
-    is_local = peer is not None and peer.dc == state.settings.dc
-    _apply_rates(state, hint.rates, Source.LOCAL if is_local else Source.REMOTE,
-                 now)
     yield from _apply_suspects(state, hint, now)
     for each in hint.weights_loaded:
         view = state.endpoints.get(each.endpoint)
@@ -558,6 +577,7 @@
     for endpoint, started_ms in hint.leaving.items():
         yield from notices.on_peer_leaving(state, endpoint, started_ms)
     yield from _apply_version_ages(state, hint, now)
+    peer = state.peers.get(hint.vm)
     if hint.asked_at and peer is not None:
         yield SendPeer(
             hint.vm, peer.address,
@@ -579,13 +599,17 @@
         state.speeds.receive(('vm', hint.vm), hint.speeds, now)
 
 
-def _apply_rates(state: 'GatewayState', reports: tuple[RateReport, ...],
-                 source: Source, now: float) -> None:
+def on_rates(state: 'GatewayState', event: RatesReceived,
+             now: float) -> Iterator[Effect]:
     """Apply rates that endpoints stated to peers."""
-    if reports:
-        state.endpoint_limits.rates.receive(
-            (each for each in reports if each.endpoint in state.endpoints),
-            source, now)
+    message = event.message
+    peer = state.peers.get(message.vm)
+    is_local = (peer is not None and peer.dc == state.settings.dc and
+                not message.is_relayed)
+    state.endpoint_limits.rates.receive(
+        (each for each in message.rates if each.endpoint in state.endpoints),
+        Source.LOCAL if is_local else Source.REMOTE, now)
+    yield from ()
 
 
 def _apply_version_ages(state: 'GatewayState', hint: Hint,
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -126,7 +126,6 @@
         sent_at: The VM's loop time at which it sent this hint, in s; 0 if not
             stated.
         speeds: Speeds of endpoints, from the VM's own observations.
-        rates: Rates that endpoints stated to the VM.
     """
 
     vm: VmId
@@ -146,7 +145,6 @@
     quarantined: Mapping[Suspect, float] = attrs.field(factory=dict)
     sent_at: float = 0.0
     speeds: tuple[SpeedDigest, ...] = ()
-    rates: tuple[RateReport, ...] = ()
 
 
 @attrs.frozen
@@ -160,7 +158,6 @@
         work: Work that arrives there for each service, in tokens per s.
         coordinates: Whether the VM answers placement requests.
         speeds: Speeds of endpoints, from the observations of its VMs.
-        rates: Rates that endpoints stated to its VMs.
     """
 
     vm: VmId
@@ -171,7 +168,6 @@
     work: Mapping[ServiceId, float] = attrs.field(factory=dict)
     coordinates: bool = False
     speeds: tuple[SpeedDigest, ...] = ()
-    rates: tuple[RateReport, ...] = ()
 
 
 @attrs.frozen
@@ -189,7 +185,6 @@
             requests, as far as known.
         speeds: Speeds of endpoints, from the observations of VMs in other data
             centres.
-        rates: Rates that endpoints stated to VMs in other data centres.
     """
 
     vm: VmId
@@ -200,7 +195,6 @@
     work: Mapping[DcId, Mapping[ServiceId, float]]
     coordinators: Mapping[DcId, VmId] = attrs.field(factory=dict)
     speeds: tuple[SpeedDigest, ...] = ()
-    rates: tuple[RateReport, ...] = ()
 
 
 @attrs.frozen
@@ -411,6 +405,20 @@
     has_ended: bool
 
 
+@attrs.frozen
+class RateReports:
+    """Rates that endpoints in need stated.
+
+    Attributes:
+        vm: The VM that sends them.
+        is_relayed: Whether it has them from VMs of other data centres.
+    """
+
+    vm: VmId
+    is_relayed: bool
+    rates: tuple[RateReport, ...]
+
+
 @attrs.frozen
 class InvalidMessage:
     """Reason why a payload is not a valid message."""
@@ -421,7 +429,7 @@
 PeerMessage = (Hint | DcLoad | LoadTotals | RelayedView | ViewRequest |
                RelayedStore | StoreBatch | StoreSnapshotRequest |
                StreamOrigins | OriginQuestion | PlacementRequest |
-               PlacementAnswer | RunReport)
+               PlacementAnswer | RunReport | RateReports)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -460,6 +468,8 @@
         _write_placement_request(root.init('wantPlacement'), message)
     elif isinstance(message, PlacementAnswer):
         _write_placement_answer(root.init('placement'), message)
+    elif isinstance(message, RateReports):
+        _write_rates(root.init('rates'), message)
     elif isinstance(message, RunReport):
         row = root.init('run')
         row.vm, row.life = message.vm, message.incarnation
@@ -487,7 +497,6 @@
     for each, (endpoint, started_ms) in zip(rows, hint.leaving.items()):
         each.endpoint, each.startedMs = endpoint, started_ms
     _write_speeds(row, hint.speeds)
-    _write_rates(row, hint.rates)
     _write_suspects(row, hint)
     rows = row.init('reached', len(hint.weights_loaded))
     for each, loaded in zip(rows, hint.weights_loaded):
@@ -546,7 +555,6 @@
     _write_loads(row, report.loads)
     _write_work(row, work)
     _write_speeds(row, report.speeds)
-    _write_rates(row, report.rates)
     rows = row.init('coordinators', len(coordinators))
     for each, (dc, vm) in zip(rows, coordinators.items()):
         each.dc, each.vm = dc, vm
@@ -566,21 +574,22 @@
             entry.reported = _to_hundredths(sums.reports / weight)
 
 
-def _write_rates(row: Any, rates: tuple[RateReport, ...]) -> None:
-    if not rates:
-        return
-    for each, report in zip(row.init('rates', len(rates)), rates):
+def _write_rates(row: Any, message: RateReports) -> None:
+    row.vm, row.isRelayed = message.vm, message.is_relayed
+    rows = row.init('rates', len(message.rates))
+    for each, report in zip(rows, message.rates):
         each.endpoint, each.startedMs = report.endpoint, report.started_ms
         each.hasEnded = report.requests_per_s is None
         each.requestsPerS = report.requests_per_s or 0.0
         each.ageMs = _to_ms(report.age_s)
 
 
-def _read_rates(row: Any) -> tuple[RateReport, ...]:
-    return tuple(
+def _read_rates(row: Any) -> RateReports:
+    rates = tuple(
         RateReport(EndpointId(each.endpoint), each.startedMs,
                    None if each.hasEnded else each.requestsPerS, each.ageMs /
                    MS_PER_S) for each in row.rates)
+    return RateReports(VmId(row.vm), row.isRelayed, rates)
 
 
 def _to_hundredths(value: float) -> int:
@@ -669,6 +678,8 @@
             return _read_store(row) if row.isStore else _read_view(row)
         if kind == 'relays':
             return StoreBatch(tuple(_read_store(row) for row in root.relays))
+        if kind == 'rates':
+            return _read_rates(root.rates)
         if kind == 'wantView':
             row = root.wantView
             return ViewRequest(VmId(row.vm), str(row.view), row.start, row.era)
@@ -721,8 +732,7 @@
     dc = next(iter(work))
     return DcLoad(VmId(row.vm), Incarnation(row.life), row.number, dc,
                   _read_loads(row), work[dc],
-                  len(row.coordinators) > 0, _read_speeds(row),
-                  _read_rates(row))
+                  len(row.coordinators) > 0, _read_speeds(row))
 
 
 def _read_totals(row: Any) -> LoadTotals:
@@ -730,7 +740,7 @@
         VmId(row.vm), Incarnation(row.life), row.number, _read_loads(row),
         row.hasLocal, _read_work(row),
         {DcId(each.dc): VmId(each.vm) for each in row.coordinators},
-        _read_speeds(row), _read_rates(row))
+        _read_speeds(row))
 
 
 def _read_placement_request(row: Any) -> PlacementRequest:
@@ -775,7 +785,7 @@
         tuple(Suspect(str(each)) for each in row.cleared), {
             Suspect(str(each.suspect)): each.idleMs / MS_PER_S
             for each in row.quarantined
-        }, row.sentAtS, _read_speeds(row), _read_rates(row))
+        }, row.sentAtS, _read_speeds(row))
 
 
 def _read_view(row: Any) -> RelayedView:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -15,6 +15,7 @@
     placement @9 :PlacementAnswer;
     run @10 :RunReport;
     wantView @11 :WantView;
+    rates @12 :RateReports;
   }
 }
 
@@ -105,6 +106,15 @@
   reported @3 :UInt16;
 }
 
+# Rates that endpoints in need stated. In a message of its own, as fields of
+# messages that are sent anyway would cost bytes while there are none.
+struct RateReports {
+  vm @0 :Text;
+  # Whether the sender has them from VMs of other data centres.
+  isRelayed @1 :Bool;
+  rates @2 :List(Rate);
+}
+
 # What an endpoint in need stated: how many requests it takes.
 struct Rate {
   endpoint @0 :Text;
@@ -155,8 +165,6 @@
   # In totals: the coordinators that the sender knows. In a data centre's load:
   # the sender, if it answers placement requests.
   coordinators @7 :List(Coordinator);
-  # Rates, from the VMs whose load it is.
-  rates @8 :List(Rate);
 }
 
 # Work that arrives in one data centre for one service.
@@ -259,8 +267,6 @@
   # Loop time at which the sender sent this hint, in s; 0 if not stated.
   sentAtS @15 :Float64;
   speeds @16 :List(SpeedDigest);
-  # Rates that endpoints stated to the sender.
-  rates @17 :List(Rate);
 }
 
 # Target version of a model.
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -14,7 +14,7 @@
 from plantainridge.gateway.events import (SettingsRead, StopRequested, View,
                                           ViewRelayed, ViewRequested)
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
-                                         LoadTotalsReceived)
+                                         LoadTotalsReceived, RatesReceived)
 from plantainridge.gateway.coordination import (PlacementAnswered,
                                                 PlacementRequested, RunReported)
 from plantainridge.gateway.http_client import Pool
@@ -22,8 +22,8 @@
 from plantainridge.gateway.log_writer import LogWriter
 from plantainridge.gateway.peer_messages import (
     DcLoad, Hint, LoadTotals, OriginQuestion, PlacementAnswer, PlacementRequest,
-    RelayedStore, RelayedView, RunReport, StoreBatch, StoreSnapshotRequest,
-    StreamOrigins, ViewRequest)
+    RateReports, RelayedStore, RelayedView, RunReport, StoreBatch,
+    StoreSnapshotRequest, StreamOrigins, ViewRequest)
 from plantainridge.gateway.resumptions import OriginsAsked, OriginsReceived
 from plantainridge.gateway.poll_times import PollTimes, TimedSelector
 from plantainridge.gateway.ports import Adapter
@@ -188,6 +188,8 @@
             self.post(DcLoadReceived(message))
         elif isinstance(message, LoadTotals):
             self.post(LoadTotalsReceived(message))
+        elif isinstance(message, RateReports):
+            self.post(RatesReceived(message))
         elif isinstance(message, RelayedView):
             view = View(message.view)
             updates = tuple(
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -88,6 +88,7 @@
     hints.HintReceived: hints.on_hint,
     hints.DcLoadReceived: hints.on_dc_load,
     hints.LoadTotalsReceived: hints.on_totals,
+    hints.RatesReceived: hints.on_rates,
     coordination.PlacementRequested: coordination.on_request,
     coordination.PlacementAnswered: coordination.on_answer,
     coordination.RunReported: coordination.on_run_report,
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -17,9 +17,10 @@
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.hints import (DcLoadReceived, HintReceived,
-                                         LoadTotalsReceived)
+                                         LoadTotalsReceived, RatesReceived)
 from plantainridge.gateway.paths import ServicePath
-from plantainridge.gateway.peer_messages import DcLoad, Hint, LoadTotals
+from plantainridge.gateway.peer_messages import (DcLoad, Hint, LoadTotals,
+                                                 RateReports)
 from plantainridge.gateway.settings import Bounds
 from plantainridge.gateway.token_buckets import TokenBucket
 from plantainridge.ids import DcId, EndpointId, Incarnation, VmId
@@ -236,7 +237,8 @@
     def _deliver(self, effect: base.SendPeer) -> None:
         event = _event_of(peer_messages.decode(effect.payload))
         if (event is None or effect.vm in self.isolated or
-                not (self.has_reports or isinstance(event, HintReceived))):
+                not (self.has_reports or
+                     isinstance(event, (HintReceived, RatesReceived)))):
             return
         self._post(0.001, effect.vm, event)
 
@@ -285,6 +287,8 @@
         return DcLoadReceived(message)
     if isinstance(message, LoadTotals):
         return LoadTotalsReceived(message)
+    if isinstance(message, RateReports):
+        return RatesReceived(message)
     return None
 
 
