--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -169,9 +169,9 @@
                    issued_at: float) -> Iterator[Effect]:
     """Send a view's relay to all peers in the data centre.
 
-    What would fill this VM's link is left to the peers to read. Relays of the
-    operators' records state to each peer a time that its own
-    clock had reached when the read was issued, as its last hint shows.
+    Changes that would fill this VM's link are left to the peers to read. Relays
+    of the operators' records state to each peer a time that its own clock had
+    reached when the read was issued, as its last hint shows.
 
     Args:
         state: The VM's state.
@@ -181,8 +181,9 @@
     if message.view != View.OPERATOR.value:
         yield from broadcast(state, message)
         return
-    if _relay_s(state, message) > MAX_RELAY_S:
-        # Peers see the gap, and read from the metadata store.
+    if not message.is_snapshot and _relay_s(state, message) > MAX_RELAY_S:
+        # Peers see the gap, and read from the metadata store. A snapshot
+        # without its records would be an empty view.
         message = attrs.evolve(message, start=message.end, records=())
     for entry in local_peers(state):
         received = state.hints.received.get(entry.vm)
--- a/tests/test_large_relays.py
+++ b/tests/test_large_relays.py
@@ -12,7 +12,7 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway import peer_messages, peer_ranks
+from plantainridge.gateway import peer_messages, peer_ranks, relays
 from plantainridge.gateway.events import RawRecord, View, VmEntry
 from plantainridge.gateway.peer_messages import RelayedView
 from plantainridge.gateway.peer_ranks import PeerRanks
@@ -73,6 +73,27 @@
         for each in sent:
             self.assertEqual((each.start, each.end, each.records), (2, 2, ()))
 
+    def test_the_contents_of_a_restored_store_are_relayed_whole(self) -> None:
+        record = configuration(40)
+        scene = GatewayScene()
+        scene.state.settings = attrs.evolve(scene.state.settings,
+                                            link_mbps=LOW_MBPS)
+        scene.read(
+            View.VMS,
+            *(VmEntry(VmId(f'p{at}'), LOCAL_DC, f'p{at}:1', 1.0)
+              for at in range(PEERS)))
+        scene.done.clear()
+        message = RelayedView(VmId('vm1'),
+                              View.OPERATOR.value,
+                              2,
+                              2, (record,),
+                              is_snapshot=True)
+        for effect in relays.broadcast_read(scene.state, message, scene.now):
+            assert isinstance(effect, SendPeer)
+            sent = peer_messages.decode(effect.payload)
+            assert isinstance(sent, RelayedView)
+            self.assertEqual(sent.records, (record,))
+
     def test_a_peer_that_is_told_so_reads_at_once(self) -> None:
         scene = GatewayScene()
         scene.done.clear()
