Try one VM after another whether a stated rate still holds

Endpoints that state a rate so low that no answer comes for 10 s got more requests than they take from all VMs together, once in each 10 to 20 s: with 62 VMs 3.0 requests more in 4 s than allowed at a rate of 0, and 2.4 at 0.1.

Cause: without a statement for 10 s each VM sent again as usual, all within another 10 s, until an answer of its own stated the rate anew. The more VMs, the more of them at a time.

Evidence: a test with 62 VMs and rates of 0 and 0.1 failed before and passes. Found in the read-through; the other tests had no rate below one request in 10 s.

Change: the VMs try one request each, by rank, one VM a second, and wait for the answer. It is reported to the others before the next one tries; if nobody hears it, all VMs together send one request a second, whatever their number. The end of a rate of 0 is noticed by the first try, which has a test as well.

--- a/src/plantainridge/gateway/endpoint_limits.py
+++ b/src/plantainridge/gateway/endpoint_limits.py
@@ -383,8 +383,8 @@
                       now - call.arrived_at)
     limit = limits.rates.limits.get(name)
     if limit is not None:
-        limit.bucket.take(_own_rate(state, view, limit, now), now)
-        limit.sends += 1
+        rank, vms = _rank(state, view, now)
+        limit.record_send(_own_rate(state, view, limit, now), rank, vms, now)
 
 
 def record_head(state: 'GatewayState', view: EndpointView, head: AnswerHead,
@@ -464,9 +464,8 @@
               now: float) -> Iterator[Effect]:
     """Log a new or changed rate, and its end; forget one that has ended."""
     view = state.endpoints.get(name)
-    is_over = now >= max(limit.returns_at(1.0),
-                         limit.learned_at + stated_rates.REPORT_S)
-    if (view is None or view.entry.started_ms != limit.started_ms or is_over):
+    if (view is None or view.entry.started_ms != limit.started_ms or
+            limit.is_over(now)):
         del state.endpoint_limits.rates.limits[name]
         yield LogLine('endpoint_rate_ended',
                       (('endpoint', name), ('sends', limit.sends),
@@ -546,12 +545,20 @@
     limit = state.endpoint_limits.rates.limits.get(view.entry.id)
     if limit is None or limit.started_ms != view.entry.started_ms:
         return -math.inf
+    rank, vms = _rank(state, view, now)
+    return limit.opens_at(_own_rate(state, view, limit, now), rank, vms)
+
+
+def _rank(state: 'GatewayState', view: EndpointView,
+          now: float) -> tuple[int, int]:
+    """Return this VM's rank for an endpoint among all VMs, and their number.
+
+    A VM whose list of VMs is not complete comes last.
+    """
     if not _is_list_complete(state, now):
-        return limit.returns_at(1.0)
+        return len(state.peers), len(state.peers)
     ranked = _ranked(state, view)
-    returns_at = limit.returns_at(ranked.index(state.settings.vm) / len(ranked))
-    own_rate = _own_rate(state, view, limit, now)
-    return min(returns_at, limit.bucket.opens_at(own_rate))
+    return ranked.index(state.settings.vm), len(ranked)
 
 
 def _own_rate(state: 'GatewayState', view: EndpointView, limit: RateLimit,
@@ -559,11 +566,9 @@
     """Return this VM's share of the rate that an endpoint states, per s."""
     if limit.requests_per_s is None or not _is_list_complete(state, now):
         return 0.0
-    ranked = _ranked(state, view)
+    rank, vms = _rank(state, view, now)
     local = _vm_count_of(state, view.entry.dc)
-    return stated_rates.vm_rate(limit.requests_per_s,
-                                ranked.index(state.settings.vm), local,
-                                len(ranked) - local)
+    return stated_rates.vm_rate(limit.requests_per_s, rank, local, vms - local)
 
 
 def _vm_count_of(state: 'GatewayState', dc: DcId) -> int:
--- a/src/plantainridge/gateway/stated_rates.py
+++ b/src/plantainridge/gateway/stated_rates.py
@@ -32,9 +32,11 @@
 # Share of a rate, and of the VMs that use it, for the endpoint's own data
 # centre. Callers of the others are served there if nothing else serves them.
 LOCAL_RATIO: Final = 0.75
-# Time after the latest statement from which VMs no longer keep to it, one after
-# the other within the same time, in s.
-EXPIRY_S: Final = 10.0
+# Time after the latest statement from which VMs try whether it holds, each
+# with one request, and time from one VM to the next, in s: the answer of one is
+# reported to the others meanwhile.
+PROBE_DELAY_S: Final = 10.0
+PROBE_INTERVAL_S: Final = 1.0
 # Time within which VMs return after the end of a rate, one after the other, in
 # s.
 RETURN_S: Final = 1.0
@@ -81,6 +83,7 @@
         learned_at: Loop time at which this VM learned of it, in s.
         source: Who has the statement.
         bucket: What this VM may send.
+        probed_at: Loop time of this VM's latest try, in s.
         sends: Sends of this VM since the first statement.
         logged_rate: Rate in the latest log line, or None.
     """
@@ -91,19 +94,43 @@
     learned_at: float
     source: Source
     bucket: TokenBucket
+    probed_at: float = -math.inf
     sends: int = 0
     logged_rate: float | None = None
 
-    def returns_at(self, rank_ratio: float) -> float:
-        """Return the loop time from which a VM no longer keeps to it, in s.
+    def opens_at(self, own_rate: float, rank: int, vms: int) -> float:
+        """Return the loop time from which a VM may send, in s.
 
         Args:
-            rank_ratio: Rank of the VM for the endpoint among all VMs, divided
-                by their number.
+            own_rate: The VM's share of the rate, in requests per s.
+            rank: Its rank for the endpoint among all VMs, from 0.
+            vms: Their number.
         """
         if self.requests_per_s is None:
-            return self.stated_at + RETURN_S * rank_ratio
-        return self.stated_at + EXPIRY_S * (1.0 + rank_ratio)
+            return self.stated_at + RETURN_S * rank / max(1, vms)
+        return min(self.bucket.opens_at(own_rate), self._probes_at(rank, vms))
+
+    def record_send(self, own_rate: float, rank: int, vms: int,
+                    now: float) -> None:
+        """Count a send of a VM; the other arguments are those of `opens_at`."""
+        if now >= self._probes_at(rank, vms):
+            self.probed_at = now
+        self.bucket.take(own_rate, now)
+        self.sends += 1
+
+    def _probes_at(self, rank: int, vms: int) -> float:
+        """Return the loop time from which a VM may try one request, in s.
+
+        All VMs together try one in each interval, whatever they hear.
+        """
+        if self.probed_at >= self.stated_at:
+            return self.probed_at + PROBE_DELAY_S + PROBE_INTERVAL_S * vms
+        return self.stated_at + PROBE_DELAY_S + PROBE_INTERVAL_S * rank
+
+    def is_over(self, now: float) -> bool:
+        """Return whether the rate has ended, and all VMs have returned."""
+        return (self.requests_per_s is None and now >= max(
+            self.stated_at + RETURN_S, self.learned_at + REPORT_S))
 
     @property
     def is_to_be_logged(self) -> bool:
--- a/tests/test_stated_rates.py
+++ b/tests/test_stated_rates.py
@@ -143,6 +143,27 @@
         self.assertGreater(sum(at > ended_at + 4.0 for at in there.arrivals),
                            2.0 * 15.0)
 
+    def test_vms_do_not_return_together_while_no_answer_states_the_rate(
+            self) -> None:
+        # A rate so low that no answer comes for longer than rates are believed.
+        for rate in (0.0, 0.1):
+            fleet = self._fleet(62, 'a', 'b', 'c')
+            fleet.run(3.0, 100.0, (VIEW,))
+            since = self._state(fleet, rate, 'a')
+            fleet.run(35.0, 100.0, (VIEW,))
+            self._assert_kept(fleet, rate, since, 'a')
+
+    def test_the_end_of_a_rate_that_allowed_nothing_is_noticed(self) -> None:
+        fleet = self._fleet(20, 'a', 'b')
+        fleet.run(2.0, 60.0, (VIEW,))
+        self._state(fleet, 0.0, 'a')
+        fleet.run(5.0, 60.0, (VIEW,))
+        ended_at = self._state(fleet, None, 'a')
+        fleet.run(20.0, 60.0, (VIEW,))
+        there = fleet.instances[EndpointId('a')]
+        self.assertGreater(sum(at > ended_at + 16.0 for at in there.arrivals),
+                           4.0 * 15.0)
+
     def test_vms_that_hear_no_other(self) -> None:
         fleet = self._fleet(20, 'a', 'b')
         fleet.isolated = set(fleet.vms)
