Log rates that cannot be read in a line of their own

An operator who looks for an endpoint's rate found a number or a text in one field of rate_stated, told apart by another field. rate_unreadable states the text, like pause_unreadable.

tests.test_stated_rates.WireTest checks both lines.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -28,15 +28,6 @@
 OLD_EVENTS_S: Final = 1.0
 
 
-def _log_rate(attempt: Attempt, head: AnswerHead) -> Iterator[Effect]:
-    """Log a rate that the head of an answer states."""
-    if head.max_requests_per_s is not None or head.invalid_rate:
-        stated = head.invalid_rate or head.max_requests_per_s
-        yield LogLine('rate_stated', (('endpoint', attempt.endpoint),
-                                      ('requests_per_s', stated or 0.0),
-                                      ('readable', int(not head.invalid_rate))))
-
-
 def on_answer(state: 'GatewayState', event: AnswerArrived,
               now: float) -> Iterator[Effect]:
     """Forward a complete answer, or try another endpoint."""
@@ -70,6 +61,17 @@
     yield from endings.end(state, call, 'answered', head.status, now)
 
 
+def _log_rate(attempt: Attempt, head: AnswerHead) -> Iterator[Effect]:
+    """Log a rate that the head of an answer states."""
+    if head.invalid_rate:
+        yield LogLine('rate_unreadable', (('endpoint', attempt.endpoint),
+                                          ('stated', head.invalid_rate)))
+    elif head.max_requests_per_s is not None:
+        yield LogLine('rate_stated',
+                      (('endpoint', attempt.endpoint),
+                       ('requests_per_s', head.max_requests_per_s)))
+
+
 def _after_not_run(state: 'GatewayState', call: Call, attempt: Attempt,
                    head: AnswerHead, now: float) -> Iterator[Effect]:
     """Try another endpoint after one rejected a request without running it.
--- a/tests/test_stated_rates.py
+++ b/tests/test_stated_rates.py
@@ -70,13 +70,18 @@
     def test_callers_do_not_get_it(self) -> None:
         self.assertNotIn(b'server-limit', dict(self._read(b'2').headers))
 
-    def test_it_is_logged(self) -> None:
+    def _logged(self, event: str, answer: ev.AnswerHead) -> dict[str, object]:
         scene = GatewayScene(instance('i0'))
         send = scene.post_request('/view/x')
-        scene.post(
-            ev.AnswerArrived(send.attempt, head(max_requests_per_s=1.9), b''))
-        line = next(each for each in scene.lines if each.event == 'rate_stated')
-        self.assertEqual(dict(line.fields)['requests_per_s'], 1.9)
+        scene.post(ev.AnswerArrived(send.attempt, answer, b''))
+        return dict(
+            next(each for each in scene.lines if each.event == event).fields)
+
+    def test_it_is_logged(self) -> None:
+        fields = self._logged('rate_stated', head(max_requests_per_s=1.9))
+        self.assertEqual(fields['requests_per_s'], 1.9)
+        fields = self._logged('rate_unreadable', head(invalid_rate='two'))
+        self.assertEqual(fields['stated'], 'two')
 
 
 class RateFleetTest(unittest.TestCase):
