State which numbers of a registry entry are required

An instance's slots and a model's version were read twice, or with a default outside of their own range, to say that they have none. A reader could not tell which fields may be absent.

get_in_range takes no default for a field that must be there. What is accepted and what is refused stays as it was: tests.test_odd_entries and tests.test_platform pass.

--- a/src/plantainridge/platform/fields.py
+++ b/src/plantainridge/platform/fields.py
@@ -55,13 +55,23 @@
     return get(data, field, type(default))
 
 
-def get_in_range(data: Any, field: str, default: int, limit: int) -> int:
-    """Return a whole number from 0 to a limit, or a default if it is absent.
+def get_in_range(data: Any,
+                 field: str,
+                 limit: int,
+                 default: int | None = None) -> int:
+    """Return a whole number from 0 to a limit.
+
+    Args:
+        data: The JSON object.
+        field: The field's name.
+        limit: The largest number that is valid.
+        default: Returned if the field is absent; None if it may not be.
 
     Raises:
         InvalidField: The field is no whole number, or out of range.
     """
-    value = get_or(data, field, default)
+    value = (get(data, field, int) if default is None else get_or(
+        data, field, default))
     if not 0 <= value <= limit:
         raise InvalidField(field, f'from 0 to {limit}')
     return value
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -26,7 +26,7 @@
 RECORD_LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 MAX_PORT = 65_535
-# Largest numbers of an entry: messages between VMs have fields of these sizes.
+# Largest numbers that fields of messages between VMs hold.
 MAX_INT32 = 2**31 - 1
 MAX_INT64 = 2**63 - 1
 MAX_UINT32 = 2**32 - 1
@@ -134,7 +134,6 @@
     state = get(data, 'state', str)
     if state not in (names.STATE_READY, names.STATE_DRAINING):
         raise InvalidField('state', 'ready or draining')
-    get(data, 'slots', int)
     cold_ms = get_or(data, 'cold-remaining-ms', 0.0)
     if not math.isfinite(cold_ms):
         raise InvalidField('cold-remaining-ms', 'finite')
@@ -142,10 +141,10 @@
                          service=ServiceId(get(data, 'service', str)),
                          address=_decode_address(data),
                          dc=DcId(get(data, 'zone', str)),
-                         slots=get_in_range(data, 'slots', 0, MAX_INT32),
+                         slots=get_in_range(data, 'slots', MAX_INT32),
                          draining=state == names.STATE_DRAINING,
-                         started_ms=get_in_range(data, 'born', 0, MAX_INT64),
-                         orders=get_in_range(data, 'sequence', 0, MAX_INT64),
+                         started_ms=get_in_range(data, 'born', MAX_INT64, 0),
+                         orders=get_in_range(data, 'sequence', MAX_INT64, 0),
                          versions=decode_models(data),
                          build=get_or(data, 'version', ''),
                          cold_remaining_s=max(0.0, cold_ms) / MS_PER_S)
@@ -169,7 +168,7 @@
     """
     return {
         ModelId(get(entry, 'name', str)):
-            get_in_range(entry, 'version', -1, MAX_UINT32)
+            get_in_range(entry, 'version', MAX_UINT32)
         for entry in get_list(data, 'models')
     }
 
