Name tests after the failure that they would show

test_no_restart, test_one_of_several_endpoints and others said what they set up, not what fails. Renamed; no check changes.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -51,18 +51,18 @@
     def _decode(self, value: bytes) -> object:
         return records.decode_update(View.REGISTRY, RawRecord('odd', value))
 
-    def test_sound_entry(self) -> None:
+    def test_a_sound_entry_is_read(self) -> None:
         self.assertIsInstance(self._decode(json.dumps(ENTRY).encode()),
                               EndpointEntry)
 
-    def test_odd_fields(self) -> None:
+    def test_odd_fields_are_reported_as_unreadable(self) -> None:
         for field, values in ODD_FIELDS.items():
             for value in values:
                 raw = json.dumps({**ENTRY, field: value}).encode()
                 self.assertIsInstance(self._decode(raw), InvalidRecord,
                                       (field, str(value)[:40]))
 
-    def test_deep_nesting(self) -> None:
+    def test_deep_nesting_does_not_end_the_process(self) -> None:
         deep = '[' * 100_000 + ']' * 100_000
         for text in (deep, json.dumps(ENTRY)[:-1] + f', "more": {deep}}}'):
             self.assertIsInstance(self._decode(text.encode()), InvalidRecord)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -116,7 +116,7 @@
             self.fleet.restart(ratio)
             self.fleet.run(seconds)
 
-    def test_no_restart(self) -> None:
+    def test_retries_stay_within_the_budget(self) -> None:
         self.fleet.run(12.0)
         self.assertLessEqual(self.fleet.excess(), 0.0)
         self.assertGreater(len(self.fleet.retries),
--- a/tests/test_stated_rates.py
+++ b/tests/test_stated_rates.py
@@ -53,7 +53,7 @@
         assert answer is not None
         return answer
 
-    def test_decimal_numbers(self) -> None:
+    def test_decimal_numbers_are_read(self) -> None:
         for text, rate in ((b'2', 2.0), (b'1.9', 1.9), (b'.5', 0.5), (b'0',
                                                                       0.0)):
             self.assertEqual(self._read(text).max_requests_per_s, rate)
@@ -77,7 +77,7 @@
         return dict(
             next(each for each in scene.lines if each.event == event).fields)
 
-    def test_it_is_logged(self) -> None:
+    def test_stated_rates_are_logged(self) -> None:
         fields = self._logged('rate_stated', head(max_requests_per_s=1.9))
         self.assertEqual(fields['requests_per_s'], 1.9)
         fields = self._logged('rate_unreadable', head(invalid_rate='two'))
@@ -111,7 +111,7 @@
             there = fleet.instances[EndpointId(name)]
             self.assertLessEqual(excess(there, rate, since), 0.0, name)
 
-    def test_one_of_several_endpoints(self) -> None:
+    def test_one_endpoint_gets_no_more_than_it_states(self) -> None:
         for vms, requests_per_s in ((7, 60.0), (62, 200.0)):
             for rate in (2.0, 1.3):
                 with self.subTest(vms=vms, rate=rate):
@@ -134,7 +134,7 @@
                     late = [at for at in there.arrivals if at > since + 4.0]
                     self.assertGreater(len(late), 0.7 * rate * 8.0)
 
-    def test_a_rate_that_changes_and_ends(self) -> None:
+    def test_a_lower_rate_is_kept_and_its_end_noticed(self) -> None:
         fleet = self._fleet(20, 'a', 'b')
         fleet.run(2.0, 60.0, (VIEW,))
         self._state(fleet, 8.0, 'a')
@@ -169,7 +169,7 @@
         self.assertGreater(sum(at > ended_at + 16.0 for at in there.arrivals),
                            4.0 * 15.0)
 
-    def test_vms_that_hear_no_other(self) -> None:
+    def test_vms_that_hear_no_other_exceed_no_rate(self) -> None:
         fleet = self._fleet(20, 'a', 'b')
         fleet.isolated = set(fleet.vms)
         fleet.run(2.0, 60.0, (VIEW,))
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -107,7 +107,7 @@
             if isinstance(each, RequestArrived)
         ]
 
-    def test_requests_on_a_kept_and_a_new_connection(self) -> None:
+    def test_unread_time_counts_on_a_kept_and_a_new_connection(self) -> None:
         with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
             unread = runner.run(self._unread_s())
         self.assertEqual(len(unread), 2)
