--- a/review/engines.py
+++ b/review/engines.py
@@ -131,7 +131,7 @@
         await writer.drain()
 
 
-def configuration(attempts: int = 2) -> dict:
+def configuration(attempts: int = 2, timeout_ms: int = 15_000) -> dict:
     engine = {
         'slots': 64,
         'cache-capacity-tokens': 84_438,
@@ -150,7 +150,7 @@
             'kind': 'streaming',
             'service': 'llm',
             'attempts': attempts,
-            'timeout-ms': 15_000,
+            'timeout-ms': timeout_ms,
             'target-latency-ms': 1_000,
             'target-gap-ms': 300,
             'resumable': True,
--- /dev/null
+++ b/review/streams.py
@@ -0,0 +1,116 @@
+"""Clients whose streams go on after they broke."""
+
+import abc
+import asyncio
+import time
+from collections.abc import Sequence
+
+from engines import headers_of
+from standins import RNG, Gateway, Record, read_head, reset
+
+DEADLINE_S = 30.0
+STABLE_S = 3.0
+
+
+class Judge(abc.ABC):
+    """What the tries of clients show of a rule.
+
+    Attributes:
+        started_at: Time of the start of each gateway.
+    """
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.started_at: dict[str, float] = {}
+
+    def is_in_touch(self, gateway: Gateway) -> bool:
+        return (time.monotonic() - self.started_at[gateway.name] >
+                STABLE_S + 0.2)
+
+    @abc.abstractmethod
+    def on_try(self, stream: 'Stream', in_touch: bool, is_resumed: bool,
+               went_on: bool) -> None:
+        """Record the end of a try."""
+
+
+class Stream:
+    """One stream of a client, over all of its tries.
+
+    Attributes:
+        number: What makes its prompt differ from all others.
+        first: Attempt that brought the first event, or ''.
+        last_id: Id of the last event, or 0.
+        versions: Software versions whose events it holds.
+    """
+
+    def __init__(self, judge: Judge, gateways: list[Gateway],
+                 pauses_s: Sequence[float]) -> None:
+        self.judge, self.gateways = judge, gateways
+        self.pauses_s = pauses_s
+        self.number = f'{RNG.getrandbits(32):08x}'
+        self.first, self.last_id, self.versions = '', 0, set()
+        self.expires_at = time.monotonic() + DEADLINE_S
+
+    async def run(self) -> None:
+        for pause_s in (0.0, *self.pauses_s):
+            await asyncio.sleep(pause_s)
+            if await self._try():
+                return
+
+    async def _try(self) -> bool:
+        """Return whether the client tries no more."""
+        gateway = RNG.choice(self.gateways)
+        attempt, record = f'{RNG.getrandbits(64):016x}', self.judge.record
+        in_touch = self.judge.is_in_touch(gateway)
+        headers = headers_of(attempt, f'opening:400,own{self.number}:500', 900)
+        remaining_s = self.expires_at - time.monotonic()
+        headers['X-Deadline-Milliseconds'] = str(round(remaining_s * 1_000))
+        if self.first:
+            headers['Resumes'] = self.first
+            headers['Last-Event-Id'] = str(self.last_id)
+        record.write(f'client: {attempt} sent to {gateway.name}, resumes '
+                     f'{self.first or "nothing"} after {self.last_id}, in '
+                     f'touch: {in_touch}')
+        before = self.last_id
+        outcome = await self._exchange(gateway, attempt, headers)
+        self.judge.on_try(self, in_touch, 'Resumes' in headers,
+                          self.last_id > before)
+        record.write(f'client: {attempt} {outcome}, last event {self.last_id}, '
+                     f'versions {sorted(self.versions)}')
+        return outcome == 'complete' or not self.first
+
+    async def _exchange(self, gateway: Gateway, attempt: str,
+                        headers: dict) -> str:
+        try:
+            reader, writer = await asyncio.open_connection(
+                gateway.host, 8749)
+        except OSError as error:
+            return f'no connection: {error!r}'
+        try:
+            lines = ['POST /report/x HTTP/1.1']
+            lines += [f'{key}: {value}' for key, value in headers.items()]
+            body = f'{{"prompt":"{self.number}"}}'.encode()
+            lines.append(f'content-length: {len(body)}')
+            writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+            first, fields = await read_head(reader)
+            if not first.startswith('HTTP/1.1 200'):
+                return (f'answer {first.split(" ")[1]}, retry after '
+                        f'{fields.get("retry-after")}')
+            data = b''
+            while size := int(await reader.readline(), 16):
+                data += await reader.readexactly(size)
+                await reader.readexactly(2)
+                *events, data = data.split(b'\n\n')
+                for event in events:
+                    self._take(attempt, event.decode())
+            return 'complete'
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            return 'broken off'
+        finally:
+            reset(writer)
+
+    def _take(self, attempt: str, event: str) -> None:
+        id_line, data_line = event.split('\n')[-2:]
+        self.last_id = int(id_line.removeprefix('id: '))
+        self.versions.add(data_line.removeprefix('data: ').split(' ')[0])
+        self.first = self.first or attempt
