--- a/review/4/case.py
+++ b/review/4/case.py
@@ -21,7 +21,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 EVENTS, EVENT_S = 150, 0.2
-RATE, NEW_S = 4.0, 6.0
+RATE, NEW_S = 10.0, 6.0
 # Time until a crashed worker is back, and from then to the next crash.
 DOWN_S, BETWEEN_S = 1.0, 3.0
 # Pauses before a client's further tries, in s.
--- a/review/streams.py
+++ b/review/streams.py
@@ -52,10 +52,20 @@
         self.expires_at = time.monotonic() + DEADLINE_S
 
     async def run(self) -> None:
-        for pause_s in (0.0, *self.pauses_s):
-            await asyncio.sleep(pause_s)
+        """Try until the stream is complete, or no pause is left.
+
+        The pauses begin anew once a try has brought events.
+        """
+        pauses_s = list(self.pauses_s)
+        while True:
+            before = self.last_id
             if await self._try():
                 return
+            if self.last_id > before:
+                pauses_s = list(self.pauses_s)
+            if not pauses_s:
+                return
+            await asyncio.sleep(pauses_s.pop(0))
 
     async def _try(self) -> bool:
         """Return whether the client tries no more."""
