--- a/review/4/case.py
+++ b/review/4/case.py
@@ -21,12 +21,14 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 EVENTS, EVENT_S = 150, 0.2
-RATE, NEW_S = 10.0, 6.0
+RATE, NEW_S = 4.0, 8.0
 # Time until a crashed worker is back, and from then to the next crash.
 DOWN_S, BETWEEN_S = 1.0, 3.0
 # Pauses before a client's further tries, in s.
 PAUSES_S = (0.5, 0.5, 0.5, 1.0, 2.0)
 MAX_STREAMS = 2
+# Versions that follow the first; all workers get one after the other.
+VERSIONS = ('v2', 'v3')
 
 
 class OrderJudge(Judge):
@@ -67,6 +69,12 @@
         Gateway(folder, f'gateway-{at}', f'{SUBNET}.1.{at}', f'z{at}',
                 platform.server.address) for at in (1, 2)
     ]
+    async def new_streams() -> None:
+        while True:
+            await asyncio.sleep(RNG.expovariate(RATE))
+            streams.append(Stream(judge, gateways, PAUSES_S))
+            tasks.append(asyncio.ensure_future(streams[-1].run()))
+
     try:
         for gateway in gateways:
             await gateway.start()
@@ -76,16 +84,17 @@
                 while not await gateway.is_ready():
                     await asyncio.sleep(0.1)
         await asyncio.sleep(STABLE_S + 3.0)
-        for _ in range(round(RATE * NEW_S)):
-            await asyncio.sleep(RNG.expovariate(RATE))
-            streams.append(Stream(judge, gateways, PAUSES_S))
-            tasks.append(asyncio.ensure_future(streams[-1].run()))
-        for engine in engines:
-            if TROUBLE:
-                engine.version = 'v2'
-                await engine.crash(DOWN_S)
-            await asyncio.sleep(BETWEEN_S)
-        await asyncio.sleep(4.0)
+        tasks.append(asyncio.ensure_future(new_streams()))
+        await asyncio.sleep(NEW_S)
+        for version in VERSIONS:
+            for engine in engines:
+                if TROUBLE:
+                    engine.version = version
+                    await engine.crash(DOWN_S)
+                await asyncio.sleep(BETWEEN_S)
+            await asyncio.sleep(4.0)
+            if record.broken:
+                break
         record.write(f'{len(streams)} streams, {len(judge.mixed)} with events '
                      'of two versions')
     finally:
--- a/review/streams.py
+++ b/review/streams.py
@@ -65,7 +65,7 @@
                 pauses_s = list(self.pauses_s)
             if not pauses_s:
                 return
-            await asyncio.sleep(pauses_s.pop(0))
+            await asyncio.sleep(pauses_s.pop(0) * RNG.uniform(0.8, 1.2))
 
     async def _try(self) -> bool:
         """Return whether the client tries no more."""
