--- a/review/standins.py
+++ b/review/standins.py
@@ -209,8 +209,7 @@
         topic = request.query.get('topic', '')
         stored = self.topics.setdefault(topic, [])
         if request.path == '/log-newest':
-            newest = {key: (at, value)
-                      for at, (key, value) in enumerate(stored)}
+            newest = {key: (at, value) for at, (key, value) in enumerate(stored)}
             return json_answer({
                 'items': [{
                     'key': key,
@@ -390,8 +389,10 @@
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
-        return await exchange(reader, writer, method, target,
-                              {'Host': address, **headers}, body)
+        return await exchange(reader, writer, method, target, {
+            'Host': address,
+            **headers
+        }, body)
     finally:
         reset(writer)
 
@@ -422,7 +423,8 @@
 
 
 def run_case(case: Callable[[Record, pathlib.Path], Awaitable[None]],
-             folder: pathlib.Path, limit_s: float = 115.0) -> int:
+             folder: pathlib.Path,
+             limit_s: float = 115.0) -> int:
     """Run a case; return its exit code."""
     record = Record(pathlib.Path(os.environ.get('RECORD_FOLDER', folder)))
 
--- a/review/streams.py
+++ b/review/streams.py
@@ -24,8 +24,8 @@
         self.started_at: dict[str, float] = {}
 
     def is_in_touch(self, gateway: Gateway) -> bool:
-        return (time.monotonic() - self.started_at[gateway.name] >
-                STABLE_S + 0.2)
+        return (time.monotonic() - self.started_at[gateway.name]
+                > STABLE_S + 0.2)
 
     @abc.abstractmethod
     def on_try(self, stream: 'Stream', in_touch: bool, is_resumed: bool,
@@ -83,8 +83,8 @@
                      f'touch: {in_touch}')
         before = self.last_id
         outcome = await self._exchange(gateway, attempt, headers)
-        self.judge.on_try(self, in_touch, 'Resumes' in headers,
-                          self.last_id > before)
+        self.judge.on_try(self, in_touch, 'Resumes' in headers, self.last_id
+                          > before)
         record.write(f'client: {attempt} {outcome}, last event {self.last_id}, '
                      f'versions {sorted(self.versions)}')
         return outcome == 'complete' or not self.first
@@ -92,8 +92,7 @@
     async def _exchange(self, gateway: Gateway, attempt: str,
                         headers: dict) -> str:
         try:
-            reader, writer = await asyncio.open_connection(
-                gateway.host, 8749)
+            reader, writer = await asyncio.open_connection(gateway.host, 8749)
         except OSError as error:
             return f'no connection: {error!r}'
         try:
