--- a/review/streams.py
+++ b/review/streams.py
@@ -40,6 +40,7 @@
         number: What makes its prompt differ from all others.
         first: Attempt that brought the first event, or ''.
         last_id: Id of the last event, or 0.
+        told_s: `Retry-After` of the latest refusal, in s.
         versions: Software versions whose events it holds.
     """
 
@@ -49,6 +50,7 @@
         self.pauses_s = pauses_s
         self.number = f'{RNG.getrandbits(32):08x}'
         self.first, self.last_id, self.versions = '', 0, set()
+        self.told_s = 0.0
         self.expires_at = time.monotonic() + DEADLINE_S
 
     async def run(self) -> None:
@@ -65,7 +67,10 @@
                 pauses_s = list(self.pauses_s)
             if not pauses_s:
                 return
-            await asyncio.sleep(pauses_s.pop(0) * RNG.uniform(0.8, 1.2))
+            pause_s = pauses_s.pop(0) * RNG.uniform(0.8, 1.2)
+            left_s = self.expires_at - time.monotonic()
+            # Clients wait as told, up to a third of the time that they have.
+            await asyncio.sleep(max(pause_s, min(self.told_s, left_s / 3)))
 
     async def _try(self) -> bool:
         """Return whether the client tries no more."""
@@ -81,7 +86,7 @@
         record.write(f'client: {attempt} sent to {gateway.name}, resumes '
                      f'{self.first or "nothing"} after {self.last_id}, in '
                      f'touch: {in_touch}')
-        before = self.last_id
+        before, self.told_s = self.last_id, 0.0
         outcome = await self._exchange(gateway, attempt, headers)
         self.judge.on_try(self, in_touch, 'Resumes' in headers, self.last_id
                           > before)
@@ -102,6 +107,7 @@
             lines.append(f'content-length: {len(body)}')
             writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
             first, fields = await read_head(reader)
+            self.told_s = float(fields.get('retry-after', 0))
             if not first.startswith('HTTP/1.1 200'):
                 return (f'answer {first.split(" ")[1]}, retry after '
                         f'{fields.get("retry-after")}')
