State the runs of endpoints and the registry's age in log lines

Whether a stream with events of two software versions was sent by an entry of an earlier run, or resolved by a registry that lacked a version, could not be told from the logs.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -263,6 +263,7 @@
         orders: Orders accepted since the engine's start.
         busy: Whether an order is in progress.
         clock_ms: The engines' clock, in ms; 0 if not stated.
+        started_ms: Unix time of the engine's start, in ms; 0 if not stated.
     """
 
     endpoint: EndpointId
@@ -270,6 +271,7 @@
     orders: int
     busy: bool
     clock_ms: float = 0.0
+    started_ms: int = 0
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -13,12 +13,13 @@
 import attrs
 
 from plantainridge.gateway import (build_records, builds, containment, dispatch,
-                                   endings, hints, peer_messages, relays)
+                                   endings, hints, peer_messages, relays,
+                                   versions)
 from plantainridge.gateway.builds import Origin, Unresolved
 from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.peer_messages import OriginQuestion, StreamOrigins
 from plantainridge.gateway.requests import Call
-from plantainridge.ids import ServiceId
+from plantainridge.ids import EndpointId, ServiceId
 from plantainridge.loop.effects import Effect, LogLine, SendPeer
 from plantainridge.loop.events import Event
 
@@ -86,6 +87,8 @@
                    ('known', int(known is not None)),
                    ('build', found.build if isinstance(found, Origin) else ''),
                    ('reason', '' if isinstance(found, Origin) else found.value),
+                   ('registry_age_s',
+                    versions.loggable(state.views.age_s(View.REGISTRY, now))),
                    ('waited_s', round(now - call.arrived_at, 4))))
     if not isinstance(found, Origin):
         yield from endings.fail_request(state, call, found.value, RETRY_AFTER_S,
@@ -123,6 +126,15 @@
     call.build = build
     if not builds.is_resumable(call.route):
         return
+    attempt = state.calls.attempts.get(call.attempt) if call.attempt else None
+    endpoint = attempt.endpoint if attempt is not None else ''
+    view = state.endpoints.get(EndpointId(endpoint))
+    yield LogLine('stream_bound',
+                  (('request', call.request.attempt_id), ('endpoint', endpoint),
+                   ('build', build),
+                   ('started_ms', view.entry.started_ms if view else 0),
+                   ('registry_age_s',
+                    versions.loggable(state.views.age_s(View.REGISTRY, now)))))
     key = builds.attempt_key(call.request.attempt_id)
     origin = Origin(call.service, build)
     state.builds.record(key, origin, now)
--- a/src/plantainridge/gateway/rollout.py
+++ b/src/plantainridge/gateway/rollout.py
@@ -165,6 +165,11 @@
     update = state.rollout.weight_updates.get(event.endpoint)
     if view is None:
         return
+    if event.started_ms and event.started_ms != view.entry.started_ms:
+        yield LogLine('report_of_other_run',
+                      (('endpoint', event.endpoint),
+                       ('started_ms', event.started_ms),
+                       ('listed_ms', view.entry.started_ms)))
     view.versions.update(event.versions)
     if update is None:
         return
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -621,7 +621,8 @@
         state.builds.record_listed([entry], now)
         yield LogLine('endpoint_known',
                       (('endpoint', entry.id), ('service', entry.service),
-                       ('dc', entry.dc), ('build', entry.build)))
+                       ('dc', entry.dc), ('build', entry.build),
+                       ('started_ms', entry.started_ms)))
     if entry.draining:
         if not view.is_leaving:
             yield LogLine('endpoint_leaving',
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -15,8 +15,8 @@
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform import kv_records, names
-from plantainridge.platform.fields import InvalidField, get, get_or
-from plantainridge.platform.records import decode_models
+from plantainridge.platform.fields import InvalidField, get, get_in_range, get_or
+from plantainridge.platform.records import MAX_INT64, decode_models
 
 # An engine answers within one step of its batch; one that takes longer counts
 # as unreachable.
@@ -133,7 +133,8 @@
                 ev.EndpointReported(effect.endpoint, decode_models(data),
                                     get(data, 'sequence', int),
                                     get(data, 'busy', bool),
-                                    get_or(data, 'clock_ms', 0.0)))
+                                    get_or(data, 'clock_ms', 0.0),
+                                    get_in_range(data, 'born', MAX_INT64, 0)))
         except InvalidField as error:
             self.post(ev.ReportFailed(effect.endpoint, str(error)))
 
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -12,9 +12,11 @@
 from plantainridge.gateway.events import Failure, View
 from plantainridge.gateway.log_writer import (MAX_BUFFERED_BYTES,
                                               MAX_LINES_PER_S, LogWriter)
+from plantainridge.ids import RequestId
 from plantainridge.loop.effects import LogLine
-from tests.gateway_scene import (ENGINES, LEDGER, GatewayScene, configuration,
-                                 endpoint, head)
+from tests.build_fleet import begin_stream, resume_stream
+from tests.gateway_scene import (ENGINES, LEDGER, MODEL, GatewayScene,
+                                 configuration, endpoint, head)
 
 
 class LogWriterTest(unittest.TestCase):
@@ -87,6 +89,25 @@
         self.assertEqual((sent['build'], sent['after_event'], sent['resumes']),
                          ('v1', '3', 'first'))
 
+    def test_lines_tell_the_runs_of_an_endpoint_apart(self) -> None:
+        scene = GatewayScene(endpoint('a', build='v1', started_ms=5))
+        send = begin_stream(scene)
+        scene.post(ev.CallerLeft(RequestId('r1')))
+        resume_stream(scene)
+        scene.post(
+            ev.EndpointReported(send.endpoint, {MODEL: 1},
+                                0,
+                                False,
+                                started_ms=7))
+        fields = {line.event: dict(line.fields) for line in scene.lines}
+        bound, report = fields['stream_bound'], fields['report_of_other_run']
+        self.assertEqual(fields['endpoint_known']['started_ms'], 5)
+        self.assertEqual((bound['endpoint'], bound['build'],
+                          bound['started_ms'], bound['registry_age_s']),
+                         ('a', 'v1', 5, 0.0))
+        self.assertEqual((report['started_ms'], report['listed_ms']), (7, 5))
+        self.assertEqual(fields['stream_resumed']['registry_age_s'], 0.0)
+
     def test_line_of_a_wait_has_the_inputs_of_the_decision(self) -> None:
         scene = GatewayScene()
         scene.post_request('/submit/x')
