--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -22,7 +22,10 @@
     from plantainridge.gateway.state import GatewayState
 
 # Failures of sends that certainly did not run.
-NOT_RUN: Final = frozenset({Failure.NOT_CONNECTED, Failure.RELAY_FAILED})
+NOT_RUN: Final = frozenset({
+    Failure.NOT_CONNECTED, Failure.RELAY_FAILED, Failure.UNCONFIRMED,
+    Failure.OTHER_RUN
+})
 # Time after the entry of a new run was applied in which events of the earlier
 # run may still be handled.
 OLD_EVENTS_S: Final = 1.0
@@ -136,6 +139,7 @@
     if call is None:
         return
     attempt = state.calls.attempts[event.attempt]
+    attempt.is_run_known = event.is_run_known
     health.record_head(state, attempt, event.head, now)
     yield from _log_rate(attempt, event.head)
     yield from paths.on_connected(state, attempt, now)
@@ -196,10 +200,13 @@
 def _build_of(state: 'GatewayState', attempt: Attempt, now: float) -> str:
     """Return the build that answers a send.
 
-    An entry that was read since the send is that of the run that answers, if it
-    names the same address: the connections of an earlier run have ended. Events
-    of the earlier run may be handled shortly after its entry was replaced.
+    If the endpoint does not state its run, an entry that was read since the send
+    is that of the run that answers, where it names the same address: the
+    connections of an earlier run have ended. Events of the earlier run may be
+    handled shortly after its entry was replaced.
     """
+    if attempt.is_run_known:
+        return attempt.build
     view = state.endpoints.get(attempt.endpoint)
     if view is None or view.entry.address != attempt.address:
         return attempt.build
@@ -265,7 +272,11 @@
         call.deliveries -= 1
         if call.deliveries:
             state.retries.cancel_retry(call.service, attempt.sent_at)
-        call.unreached.add(attempt.endpoint)
+        if failure is Failure.OTHER_RUN:
+            # It may be sent there once the entry of that run was read.
+            call.tried.discard(attempt.endpoint)
+        else:
+            call.unreached.add(attempt.endpoint)
         if call.reply_started or failure is Failure.RELAY_FAILED:
             # A stream that has begun may wait for the end of the cool-down.
             call.tried.discard(attempt.endpoint)
@@ -296,6 +307,7 @@
                   (('request', call.request.attempt_id),
                    ('endpoint', attempt.endpoint),
                    ('failure', event.failure.value), ('detail', event.detail),
+                   ('started_ms', event.started_ms),
                    ('after_s', round(now - attempt.sent_at, 4))))
 
 
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -11,13 +11,13 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import (cache, containment, endings, endpoint_limits,
-                                   health, paths, placement, placement_requests,
-                                   retries, stored_parts, suspects,
-                                   tunnel_peers)
+from plantainridge.gateway import (builds, cache, containment, endings,
+                                   endpoint_limits, health, paths, placement,
+                                   placement_requests, retries, stored_parts,
+                                   suspects, tunnel_peers)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.config import RequestKind, Service
-from plantainridge.gateway.endpoints import InFlightSend
+from plantainridge.gateway.endpoints import EndpointView, InFlightSend
 from plantainridge.gateway.events import View
 from plantainridge.gateway.notices import (MAX_PAUSE_SPREAD_S,
                                            PAUSE_SPREAD_RATIO)
@@ -290,9 +290,21 @@
                   last_event_id=call.last_event_id,
                   allows_stale=allows_stale,
                   cache=plan,
+                  started_ms=_expected_start(call, view, service),
                   via=tunnel_peers.tunnel_address(state, peer) if peer else '')
 
 
+def _expected_start(call: Call, view: EndpointView,
+                    service: Service | None) -> int:
+    """Return the start of the run that must answer, in ms; 0 if any may.
+
+    Engines of one build write what fits together, and their entries state it
+    for one run.
+    """
+    is_bound = builds.is_resumable(call.route) and _is_engine(service)
+    return view.entry.started_ms if is_bound else 0
+
+
 def _send_log_line(state: 'GatewayState', call: Call, choice: Placement,
                    now: float) -> LogLine:
     """Return the log line of a send, with the inputs of the decision."""
@@ -440,7 +452,7 @@
     """Return the loop time at which an endpoint becomes available, in s."""
     if call.wait_reason is PlacementFailure.NO_PATH:
         return state.paths.expected_at(call.service, call.waiting_since)
-    return min((view.available_at
+    return min((placement.available_at(call, view)
                 for view in state.endpoints.values()
                 if placement.may_serve(state, call, view)),
                default=math.inf)
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -106,6 +106,8 @@
             or ''.
         via: Address of the peer that opens a tunnel to the endpoint, or '' for
             a direct connection.
+        started_ms: Unix time of the start of the endpoint's run that must
+            answer, in ms; 0 if any may.
     """
 
     attempt: AttemptId
@@ -122,6 +124,7 @@
     allows_stale: bool = False
     cache: CachePlan | None = None
     via: str = ''
+    started_ms: int = 0
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -126,6 +126,8 @@
             that is not known, in s.
         weights_loaded_at: Loop time at which it was last reported to have
             loaded new weights, in s.
+        other_run_until: Loop time until which it gets no streams that may be
+            resumed since another run answers than that of its entry, in s.
         leaving: Whether an answer stated that it is leaving.
         paused_until: Loop time until which it wants no requests, in s.
         probing: Whether it gets one request at a time, after a pause.
@@ -150,6 +152,7 @@
     versions_changed_at: float = 0.0
     versions_asked_at: float = -math.inf
     weights_loaded_at: float = 0.0
+    other_run_until: float = -math.inf
     leaving: bool = False
     paused_until: float = -math.inf
     probing: bool = False
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -112,6 +112,12 @@
     # The peer opened no tunnel: the request did not run, and the endpoint was
     # not tried.
     RELAY_FAILED = 'relay_failed'
+    # The connection ended before its endpoint had stated which run it is:
+    # nothing was sent.
+    UNCONFIRMED = 'unconfirmed'
+    # Another run of the endpoint answers than the one that was chosen: nothing
+    # was sent.
+    OTHER_RUN = 'other_run'
     # The connection was closed or reset, or the answer ended within a stream
     # event: the request may have run.
     BROKEN = 'broken'
@@ -194,10 +200,16 @@
 
 @attrs.frozen
 class StreamStarted(Event):
-    """An endpoint accepted a streaming request."""
+    """An endpoint accepted a streaming request.
+
+    Attributes:
+        is_run_known: Whether it is surely the run to which the request was
+            sent.
+    """
 
     attempt: AttemptId
     head: AnswerHead
+    is_run_known: bool = False
 
 
 @attrs.frozen
@@ -233,11 +245,14 @@
         detail: What ended it: the name or text of a system's error (a reset by
             the endpoint differs from a timeout of this system), `EOF` or
             `deadline`; '' if the failure states it.
+        started_ms: Unix time of the start of the run that answers instead, in
+            ms, of an `OTHER_RUN`.
     """
 
     attempt: AttemptId
     failure: Failure
     detail: str = ''
+    started_ms: int = 0
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -32,9 +32,13 @@
 ACTIVE_TIMEOUT_RATIO: Final = 6.0
 # Pause after which a stream is stalled, relative to the route's longest gap.
 STALL_TIMEOUT_RATIO: Final = 3.0
+# Time for which streams that may be resumed are not sent to an endpoint that
+# restarted, unless its new entry is read before.
+OTHER_RUN_RECHECK_S: Final = 1.0
 # Failures that a lost path causes.
-PATH_FAILURES: Final = frozenset(
-    {Failure.NOT_CONNECTED, Failure.SILENT, Failure.BROKEN})
+PATH_FAILURES: Final = frozenset({
+    Failure.NOT_CONNECTED, Failure.SILENT, Failure.BROKEN, Failure.UNCONFIRMED
+})
 STATUS_MISDIRECTED: Final = 421
 
 
@@ -133,6 +137,9 @@
     an endpoint fails all its sends counts once.
     """
     view = state.endpoints.get(attempt.endpoint)
+    if view is not None and failure is Failure.OTHER_RUN:
+        view.other_run_until = now + OTHER_RUN_RECHECK_S
+        return
     if view is None or failure in (Failure.TIMED_OUT, Failure.STALE):
         # Such a failure concerns one connection; new ones show whether the
         # endpoint is reached.
--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -175,6 +175,8 @@
         was_used: Whether it carried a request that was answered.
         is_tunnelled: Whether it leads through a peer, which acknowledges what
             the server may not have received.
+        started_ms: Unix time of the start of the server's run, in ms; 0 if the
+            server does not state it, None while it was not asked.
     """
 
     def __init__(self, on_idle: Callable[['Connection'], None],
@@ -195,6 +197,7 @@
         self.usable_until = math.inf
         self.was_used = False
         self.is_tunnelled = False
+        self.started_ms: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -445,6 +448,14 @@
                 new_connection, host, int(port))
         return connection
 
+    def claim(self, connection: Connection) -> bool:
+        """Remove an idle connection; return whether it may be used."""
+        for connections in self.idle.values():
+            if connection in connections:
+                connections.remove(connection)
+                return connection.usable
+        return False
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address, also through peers."""
         for key in [each for each in self.idle if each[1] == address]:
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -20,9 +20,10 @@
 
 import attrs
 
-from plantainridge.gateway import (cache, endpoint_limits, endpoint_speed,
-                                   endpoints, hints, returning, speed_updates,
-                                   spill, stored_parts, tunnel_peers)
+from plantainridge.gateway import (builds, cache, endpoint_limits,
+                                   endpoint_speed, endpoints, hints, returning,
+                                   speed_updates, spill, stored_parts,
+                                   tunnel_peers)
 from plantainridge.gateway.config import EngineSpec
 from plantainridge.gateway.endpoint_speed import Prediction
 from plantainridge.gateway.endpoints import EndpointView, Grant
@@ -277,6 +278,7 @@
     usable = [
         view for view in endpoints.available(state.endpoints, call.service, now)
         if has_build(call, view) and view.entry.id not in call.tried and
+        now >= available_at(call, view) and
         not state.evacuations.is_evacuated(view.entry.dc) and
         cooling_down.get(view.entry.id, -math.inf) <= view.weights_loaded_at
     ]
@@ -348,6 +350,17 @@
     return call.build is None or view.entry.build == call.build
 
 
+def available_at(call: Call, view: EndpointView) -> float:
+    """Return the loop time from which an endpoint may get a request, in s.
+
+    The build of a run whose entry was not read is not known, so that no stream
+    could be resumed that began there.
+    """
+    if builds.is_resumable(call.route):
+        return max(view.available_at, view.other_run_until)
+    return view.available_at
+
+
 def could_serve(call: Call, view: EndpointView) -> bool:
     """Return whether an endpoint may serve a request unless it is evacuated."""
     return (view.entry.service == call.service and not view.is_leaving and
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -149,6 +149,8 @@
         build: Build of the endpoint, by its entry at the send; corrected once
             a later entry is known to be that of the run that answers.
         address: Address to which it was sent.
+        is_run_known: Whether the run that answers is surely that of the entry
+            at the send.
         events_received: Whether any stream event arrived.
         is_silent: Whether it stays although its endpoint is silent.
         new_connection: Whether it required a new connection.
@@ -166,6 +168,7 @@
     version: int | None
     build: str = ''
     address: str = ''
+    is_run_known: bool = False
     events_received: bool = False
     is_silent: bool = False
     new_connection: bool = False
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -26,6 +26,8 @@
 OVERTIME_S: Final = 1.0
 # Longest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES: Final = 16 * 1_024 * 1_024
+# Longest report of an endpoint's run, in bytes.
+MAX_RUN_REPORT_BYTES: Final = 256 * 1_024
 # Longest error answer, in bytes: it is held while its request is sent again.
 MAX_ERROR_ANSWER_BYTES: Final = 1_024 * 1_024
 
@@ -54,9 +56,13 @@
         connection = None if effect.new_connection else self.pool.take(
             effect.address, effect.via, max_idle_s)
         if connection is not None:
-            self._send_on(connection, effect)
+            self._confirm_and_send(connection, effect)
             return
-        task = self.tasks.spawn(self._connect_and_send(effect))
+        self.connect(effect)
+
+    def connect(self, effect: fx.Send, elapsed_s: float = 0.0) -> None:
+        """Send a request on a new connection, `elapsed_s` after its `send`."""
+        task = self.tasks.spawn(self._connect_and_send(effect, elapsed_s))
         self.in_flight[effect.attempt] = task
 
     def cancel(self, effect: fx.CancelSend) -> None:
@@ -84,8 +90,9 @@
         connection.abort()
         self.post(ev.PathProbed(effect.endpoint, True))
 
-    async def _connect_and_send(self, effect: fx.Send) -> None:
-        started_at = self.loop.time()
+    async def _connect_and_send(self, effect: fx.Send,
+                                elapsed_s: float) -> None:
+        started_at = self.loop.time() - elapsed_s
         try:
             connection = await self.pool.connect(effect.address, via=effect.via)
         except OSError as error:
@@ -102,16 +109,41 @@
                         effect.attempt, Failure.NOT_CONNECTED,
                         'connection closed before the request was sent'))
             return
-        self._send_on(connection, effect, self.loop.time() - started_at)
+        self._confirm_and_send(connection, effect,
+                               self.loop.time() - started_at)
+
+    def _confirm_and_send(self,
+                          connection: Connection,
+                          effect: fx.Send,
+                          elapsed_s: float = 0.0) -> None:
+        """Send a request once its connection surely leads to the chosen run.
+
+        A connection ends with the run that accepted it, so each is asked once.
+        """
+        if not effect.started_ms or connection.started_ms == 0:
+            self.send_on(connection, effect, elapsed_s)
+        elif connection.started_ms is None:
+            self.in_flight[effect.attempt] = connection
+            connection.send(self.wire.write_run_request(effect),
+                            _RunReader(self, effect, connection, elapsed_s),
+                            max(0.0, effect.remaining_s - elapsed_s))
+        elif connection.started_ms == effect.started_ms:
+            self.send_on(connection, effect, elapsed_s)
+        else:
+            connection.abort()
+            self.connect(effect, elapsed_s)
 
-    def _send_on(self,
-                 connection: Connection,
-                 effect: fx.Send,
-                 elapsed_s: float = 0.0) -> None:
+    def send_on(self,
+                connection: Connection,
+                effect: fx.Send,
+                elapsed_s: float = 0.0) -> None:
+        """Send a request on a connection, `elapsed_s` after its `send`."""
         self.in_flight[effect.attempt] = connection
         raw = self.wire.write_request(effect, elapsed_s)
-        connection.send(raw, _AnswerReader(self, effect, connection.was_used),
-                        max(0.0, effect.remaining_s - elapsed_s) + OVERTIME_S)
+        is_run_known = connection.started_ms == effect.started_ms != 0
+        connection.send(
+            raw, _AnswerReader(self, effect, connection.was_used, is_run_known),
+            max(0.0, effect.remaining_s - elapsed_s) + OVERTIME_S)
 
     def finish(self, attempt: AttemptId, event: Event) -> None:
         """Post the last event of a send, unless it was cancelled."""
@@ -119,21 +151,91 @@
             self.post(event)
 
 
+class _RunReader(AnswerHandler):
+    """Reader of which run answers on a connection; then sends a request on it.
+
+    Attributes:
+        started_at: Loop time of the request's `send`, in s.
+    """
+
+    def __init__(self, sender: EndpointSender, effect: fx.Send,
+                 connection: Connection, elapsed_s: float) -> None:
+        self.sender = sender
+        self.effect = effect
+        self.connection = connection
+        self.started_at = sender.loop.time() - elapsed_s
+        self.status = 0
+        self.headers: Headers = ()
+        self.body = bytearray()
+
+    def on_head(self, status: int, headers: Headers) -> Failure | None:
+        self.status, self.headers = status, headers
+        return (Failure.TOO_LONG
+                if stated_length(headers) > MAX_RUN_REPORT_BYTES else None)
+
+    def on_data(self, data: bytes) -> Failure | None:
+        self.body += data
+        self.held_bytes = len(self.body)
+        return (Failure.TOO_LONG
+                if len(self.body) > MAX_RUN_REPORT_BYTES else None)
+
+    def on_end(self) -> None:
+        effect, connection, sender = self.effect, self.connection, self.sender
+        report = sender.wire.read_run(self.status, self.headers,
+                                      bytes(self.body))
+        is_usable = sender.pool.claim(connection)
+        if not report.is_valid:
+            connection.abort()
+            self._fail('no report')
+            return
+        connection.started_ms = report.started_ms
+        if report.started_ms not in (0, effect.started_ms):
+            connection.abort()
+            sender.finish(
+                effect.attempt,
+                ev.SendFailed(effect.attempt,
+                              Failure.OTHER_RUN,
+                              started_ms=report.started_ms))
+        elif is_usable and effect.attempt in sender.in_flight:
+            sender.send_on(connection, effect, self._elapsed_s())
+        else:
+            connection.abort()
+            self._fail('closed after its report')
+
+    def on_failure(self, failure: Failure, detail: str) -> None:
+        if failure is not Failure.STALE:
+            self._fail(f'{failure.value} {detail}'.strip())
+            return
+        self.sender.pool.close_idle(self.effect.address)
+        if self.effect.attempt in self.sender.in_flight:
+            self.sender.connect(self.effect, self._elapsed_s())
+
+    def _fail(self, detail: str) -> None:
+        attempt = self.effect.attempt
+        self.sender.finish(attempt,
+                           ev.SendFailed(attempt, Failure.UNCONFIRMED, detail))
+
+    def _elapsed_s(self) -> float:
+        return self.sender.loop.time() - self.started_at
+
+
 class _AnswerReader(AnswerHandler):
     """Reader of one answer; posts it complete or as stream events.
 
     Attributes:
         is_reused: Whether its connection carried an earlier request.
+        is_run_known: Whether its connection surely leads to the chosen run.
         is_framed: Whether the end of the body is known without the end of the
             connection.
         has_events: Whether the stream had an event.
     """
 
-    def __init__(self, sender: EndpointSender, effect: fx.Send,
-                 is_reused: bool) -> None:
+    def __init__(self, sender: EndpointSender, effect: fx.Send, is_reused: bool,
+                 is_run_known: bool) -> None:
         self.sender = sender
         self.effect = effect
         self.is_reused = is_reused
+        self.is_run_known = is_run_known
         self.head: ev.AnswerHead | None = None
         self.body = bytearray()
         self.splitter: EventSplitter | None = None
@@ -160,7 +262,8 @@
         if (effect.stream and status == STATUS_OK and
                 content_type.startswith(STREAM_CONTENT_TYPE)):
             self.splitter = EventSplitter(effect.last_event_id)
-            self._post(ev.StreamStarted(effect.attempt, head))
+            self._post(ev.StreamStarted(effect.attempt, head,
+                                        self.is_run_known))
             return None
         if effect.request.method == 'HEAD':
             return None
--- a/src/plantainridge/gateway/wire.py
+++ b/src/plantainridge/gateway/wire.py
@@ -32,6 +32,19 @@
     reason: str
 
 
+@attrs.frozen
+class RunReport:
+    """An endpoint's answer to which of its runs it is.
+
+    Attributes:
+        is_valid: Whether it answers that question.
+        started_ms: Unix time of the run's start, in ms; 0 if not stated.
+    """
+
+    is_valid: bool
+    started_ms: int = 0
+
+
 class RequestWire(abc.ABC):
     """Encoder and decoder of requests and answers."""
 
@@ -49,6 +62,14 @@
                          now: float) -> AnswerHead | None:
         """Decode an answer's head; None if it answers another request."""
 
+    @abc.abstractmethod
+    def write_run_request(self, send: Send) -> RawRequest:
+        """Encode the question which run of a send's endpoint answers."""
+
+    @abc.abstractmethod
+    def read_run(self, status: int, headers: Headers, body: bytes) -> RunReport:
+        """Decode the answer to that question."""
+
     @abc.abstractmethod
     def refusal_headers(self, retry_after_s: float | None) -> Headers:
         """Return the headers of an answer with this system's own status.
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -15,8 +15,8 @@
 from plantainridge.loop.events import Event
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform import kv_records, names
-from plantainridge.platform.fields import InvalidField, get, get_in_range, get_or
-from plantainridge.platform.records import MAX_INT64, decode_models
+from plantainridge.platform.fields import InvalidField, get, get_or
+from plantainridge.platform.records import decode_models, decode_start
 
 # An engine answers within one step of its batch; one that takes longer counts
 # as unreachable.
@@ -25,6 +25,9 @@
 # The listing of a full store takes several hundred kB.
 LIST_STORE_TIMEOUT_S: Final = 2.0
 
+# Path of an engine's report.
+REPORT_TARGET: Final = '/report'
+
 _ORDER_RESULTS: Final = {
     202: OrderResult.ACCEPTED,
     200: OrderResult.HOLDS_ALREADY,
@@ -120,7 +123,7 @@
         self.post(ev.PartsFreed(effect.store, effect.epoch, effect.parts))
 
     async def _request_report(self, effect: fx.RequestReport) -> None:
-        response = await _call(self.pool, effect.address, 'GET', '/report',
+        response = await _call(self.pool, effect.address, 'GET', REPORT_TARGET,
                                TIMEOUT_S)
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(ev.ReportFailed(effect.endpoint,
@@ -134,7 +137,7 @@
                                     get(data, 'sequence', int),
                                     get(data, 'busy', bool),
                                     get_or(data, 'clock_ms', 0.0),
-                                    get_in_range(data, 'born', MAX_INT64, 0)))
+                                    decode_start(data)))
         except InvalidField as error:
             self.post(ev.ReportFailed(effect.endpoint, str(error)))
 
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -143,7 +143,7 @@
                          dc=DcId(get(data, 'zone', str)),
                          slots=get_in_range(data, 'slots', MAX_INT32),
                          draining=state == names.STATE_DRAINING,
-                         started_ms=get_in_range(data, 'born', MAX_INT64, 0),
+                         started_ms=decode_start(data),
                          orders=get_in_range(data, 'sequence', MAX_INT64, 0),
                          versions=decode_models(data),
                          build=get_or(data, 'version', ''),
@@ -173,6 +173,15 @@
     }
 
 
+def decode_start(data: Any) -> int:
+    """Return the Unix time of an engine's start, in ms; 0 if not stated.
+
+    Raises:
+        InvalidField: It is no whole number, or out of range.
+    """
+    return get_in_range(data, 'born', MAX_INT64, 0)
+
+
 def _decode_vm_entry(record: RawRecord) -> ViewUpdate:
     if record.value is None:
         return InvalidRecord(record.key, 'the key was deleted')
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -4,15 +4,22 @@
 import re
 from typing import Final
 
+from plantainridge import json_values
 from plantainridge.gateway.effects import CachePlan, Send
 from plantainridge.gateway.endpoints import EndpointLoad
 from plantainridge.gateway.events import AnswerHead, Headers, Part, Request
-from plantainridge.gateway.wire import BadRequest, RawRequest, RequestWire
+from plantainridge.gateway.wire import (BadRequest, RawRequest, RequestWire,
+                                        RunReport)
 from plantainridge.ids import ModelId, RequestId
 from plantainridge.platform import names
+from plantainridge.platform.engines import REPORT_TARGET
+from plantainridge.platform.fields import InvalidField
+from plantainridge.platform.records import decode_start
 
 MS_PER_S = 1_000.0
+STATUS_OK: Final = 200
 STATUS_MISDIRECTED: Final = 421
+STATUS_ERROR: Final = 500
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
 # Statuses that promise callers that a request has not run and never will.
@@ -120,6 +127,23 @@
             max_requests_per_s=rate_per_s,
             invalid_rate=invalid_rate)
 
+    def write_run_request(self, send: Send) -> RawRequest:
+        return RawRequest(b'GET', REPORT_TARGET.encode(),
+                          ((b'host', send.address.encode()),), b'')
+
+    def read_run(self, status: int, headers: Headers, body: bytes) -> RunReport:
+        fields = dict(headers)
+        # An answer that names an attempt is a second one to a request.
+        if names.ATTEMPT_ID in fields or status >= STATUS_ERROR:
+            return RunReport(is_valid=False)
+        started_ms = 0
+        if status == STATUS_OK:
+            try:
+                started_ms = decode_start(json_values.decode(body))
+            except (InvalidField, ValueError):
+                return RunReport(is_valid=False)
+        return RunReport(True, started_ms)
+
     def refusal_headers(self, retry_after_s: float | None) -> Headers:
         if retry_after_s is None:
             return ()
--- a/src/plantainridge/standins/platform_site.py
+++ b/src/plantainridge/standins/platform_site.py
@@ -11,6 +11,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any, Final
 
@@ -26,6 +27,7 @@
 HOST: Final = '127.0.0.1'
 POLL_INTERVAL_S: Final = 0.02
 EVENT_INTERVAL_S: Final = 0.01
+MS_PER_S: Final = 1_000.0
 METHODS: Final = ['GET', 'POST', 'PUT', 'DELETE']
 
 SO_ATTACH_FILTER: Final = 26
@@ -146,6 +148,7 @@
         version: Weight version that it runs; 0 without models.
         build: Version of its software, which its events bear; '' if it states
             none.
+        started_ms: Unix time of the start of its run, in ms.
         attempt_ids: Attempt ids of the requests that it ran, in order.
         run_headers: Headers of these requests.
         refuses: Whether it refuses requests without running them.
@@ -167,6 +170,7 @@
         self.service = service
         self.version = version
         self.build = build
+        self.started_ms = round(time.time() * MS_PER_S)
         self.attempt_ids: list[str] = []
         self.run_headers: list[dict[str, str]] = []
         self.refuses = False
@@ -193,6 +197,7 @@
             'slots': 6,
             'state': state,
             'version': self.build,
+            'born': self.started_ms,
             'models': models if self.version else []
         }
 
@@ -221,6 +226,7 @@
         await self.wait_while_silent()
         return JSONResponse({
             'models': self.entry()['models'],
+            'born': self.started_ms,
             'busy': False,
             'sequence': len(self.orders)
         })
--- /dev/null
+++ b/tests/test_endpoint_runs.py
@@ -0,0 +1,280 @@
+"""Tests that a stream is sent to the run of an endpoint that was chosen."""
+
+import asyncio
+import contextlib
+import unittest
+from typing import Any
+
+from plantainridge.gateway import effects as fx
+from plantainridge.gateway import events as ev
+from plantainridge.gateway.events import Failure, View
+from plantainridge.gateway.http_client import Pool
+from plantainridge.gateway.sender import (MAX_RUN_REPORT_BYTES, EndpointSender)
+from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId
+from plantainridge.loop.tasks import Tasks
+from plantainridge.platform.requests import PlatformWire
+from plantainridge.reports import log_fault
+from tests.build_fleet import begin_stream, resume_stream
+from tests.gateway_scene import (REMOTE_DC, GatewayScene, endpoint, head,
+                                 request)
+from tests.stream_server import StreamServer
+
+STARTED_MS = 5
+REPORT = b'{"born": 5, "models": []}'
+EVENT = b'id: 1\ndata: a\n\n'
+
+
+def answer(body: bytes,
+           fields: bytes = b'',
+           status: bytes = b'200 OK') -> bytes:
+    """Return an HTTP answer."""
+    return (b'HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n%b' %
+            (status, fields, len(body), body))
+
+
+async def _read(reader: asyncio.StreamReader) -> bytes:
+    """Return a request; b'' once the connection has ended."""
+    with contextlib.suppress(ConnectionResetError):
+        return await reader.read(65_536)
+    return b''
+
+
+class Worker:
+    """An endpoint that states its run and answers with a stream of one event.
+
+    Attributes:
+        report: Its answer to the question which run it is; b'' ends the
+            connection.
+        targets: Targets of the requests that it received, by connection.
+    """
+
+    def __init__(self) -> None:
+        self.report = answer(REPORT)
+        self.targets: list[list[str]] = []
+        self.server = StreamServer(self._serve)
+
+    async def _serve(self, reader: asyncio.StreamReader,
+                     writer: asyncio.StreamWriter) -> None:
+        targets: list[str] = []
+        self.targets.append(targets)
+        while data := await _read(reader):
+            targets.append(data.split(b' ')[1].decode())
+            if targets[-1] != '/report':
+                writer.write(
+                    answer(
+                        EVENT, b'Content-Type: text/event-stream\r\n'
+                        b'X-Attempt-Id: caller-r1\r\nX-Response-Seal: s\r\n'))
+            elif self.report:
+                writer.write(self.report)
+            else:
+                return
+
+
+class ConfirmedRunTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of sends that only one run of an endpoint may get."""
+
+    async def asyncSetUp(self) -> None:
+        self.worker = Worker()
+        self.address = await self.worker.server.start()
+        self.addAsyncCleanup(self.worker.server.stop)
+        self.events: list[Any] = []
+        self.pool = Pool()
+        self.addCleanup(self.pool.close_idle, self.address)
+        self.sender = EndpointSender(PlatformWire(), self.pool,
+                                     Tasks(log_fault), self.events.append)
+
+    async def _send(self, started_ms: int = STARTED_MS) -> list[Any]:
+        """Send a stream; return the events until its last one."""
+        self.events.clear()
+        attempt = AttemptId('r1.1')
+        self.sender.send(
+            fx.Send(attempt,
+                    request('/report/x'),
+                    EndpointId('e'),
+                    self.address,
+                    stream=True,
+                    new_connection=False,
+                    remaining_s=5.0,
+                    team=TeamId('team'),
+                    allows_stale=True,
+                    started_ms=started_ms))
+        async with asyncio.timeout(10.0):
+            while attempt in self.sender.in_flight:
+                await asyncio.sleep(0.005)
+        return list(self.events)
+
+    def _assert_not_sent(self, events: list[Any], failure: Failure) -> None:
+        self.assertEqual([each.failure for each in events], [failure])
+        sent = {target for each in self.worker.targets for target in each}
+        self.assertLessEqual(sent, {'/report'})
+
+    async def test_asks_each_connection_once(self) -> None:
+        for _ in range(3):
+            events = await self._send()
+            self.assertTrue(events[0].is_run_known)
+            self.assertIsInstance(events[-1], ev.StreamEnded)
+        self.assertEqual(self.worker.targets,
+                         [['/report', '/report/x', '/report/x', '/report/x']])
+
+    async def test_sends_nothing_to_another_run(self) -> None:
+        events = await self._send(started_ms=4)
+        self._assert_not_sent(events, Failure.OTHER_RUN)
+        self.assertEqual(events[0].started_ms, STARTED_MS)
+
+    async def test_asks_a_connection_that_other_requests_opened(self) -> None:
+        await self._send(started_ms=0)
+        await self._send()
+        self.assertEqual(self.worker.targets,
+                         [['/report/x', '/report', '/report/x']])
+
+    async def test_connection_of_an_earlier_run_is_not_used(self) -> None:
+        await self._send()
+        self.worker.report = answer(b'{"born": 6}')
+        events = await self._send(started_ms=6)
+        self.assertTrue(events[0].is_run_known)
+        self.assertEqual(len(self.worker.targets), 2)
+
+    async def test_sends_where_no_run_is_stated(self) -> None:
+        for report in (answer(b'{}'), answer(b'', status=b'404 Not Found')):
+            self.worker.report = report
+            self.pool.close_idle(self.address)
+            events = await self._send()
+            self.assertFalse(events[0].is_run_known)
+            self.assertIsInstance(events[-1], ev.StreamEnded)
+
+    async def test_sends_nothing_without_an_answer(self) -> None:
+        late = b'X-Attempt-Id: other\r\n'
+        reports = {
+            'end of the connection':
+                b'',
+            'an error':
+                answer(b'', status=b'503 Busy'),
+            'a late answer to a request':
+                answer(REPORT, late),
+            'no JSON':
+                answer(b'{"born"'),
+            'another type':
+                answer(b'{"born": "5"}'),
+            'no HTTP':
+                b'\0' * 100_000,
+            'a report that is too long':
+                answer(b' ' * MAX_RUN_REPORT_BYTES + REPORT),
+            'a closed connection':
+                answer(REPORT, b'Connection: close\r\n'),
+        }
+        for name, report in reports.items():
+            with self.subTest(name):
+                self.worker.report = report
+                self.worker.targets.clear()
+                self._assert_not_sent(await self._send(), Failure.UNCONFIRMED)
+                self.assertIsNone(self.pool.take(self.address))
+
+    async def test_connection_that_the_server_dropped_is_replaced(self) -> None:
+        await self._send(started_ms=0)
+        idle = self.pool.idle['', self.address][0]
+        idle.idle_since -= 2.0
+        idle.max_idle_s = 5.0
+        self.worker.report = b''
+
+        async def recover() -> None:
+            while len(self.worker.targets[0]) < 2:
+                await asyncio.sleep(0.001)
+            self.worker.report = answer(REPORT)
+
+        recovery = asyncio.ensure_future(recover())
+        events = await self._send()
+        await recovery
+        self.assertIsInstance(events[-1], ev.StreamEnded)
+        self.assertEqual(self.worker.targets[1], ['/report', '/report/x'])
+
+    async def test_cancelled_before_its_run_is_known(self) -> None:
+        self.worker.report = b'HTTP/1.1 200 OK\r\n'
+        sending = asyncio.ensure_future(self._send())
+        while not (self.worker.targets and self.worker.targets[0]):
+            await asyncio.sleep(0.001)
+        self.sender.cancel(fx.CancelSend(AttemptId('r1.1')))
+        self.assertEqual(await sending, [])
+
+
+class OtherRunTest(unittest.TestCase):
+    """Tests of an endpoint whose present run has no entry that was read.
+
+    Each guards against a stream that goes on at another software version.
+    """
+
+    OLD = endpoint('old', build='v1', started_ms=1)
+    OLD_FAR = endpoint('old-far', dc=REMOTE_DC, build='v1', started_ms=1)
+    RESTARTED = endpoint('old', build='v2', started_ms=2)
+
+    def _find_restarted(self, scene: GatewayScene) -> fx.Send:
+        """Let the last send find another run; return it."""
+        send = scene.last(fx.Send)
+        scene.post(ev.SendFailed(send.attempt, Failure.OTHER_RUN, started_ms=2))
+        return send
+
+    def test_sends_name_the_run_that_must_answer(self) -> None:
+        scene = GatewayScene(self.OLD)
+        sent = [
+            scene.post_request(target, name).started_ms
+            for name, target in (('r1', '/report/x'), ('r2', '/tag/x'))
+        ]
+        self.assertEqual(sent, [1, 0])
+
+    def test_stream_goes_on_at_another_endpoint_of_its_build(self) -> None:
+        scene = GatewayScene(self.OLD_FAR)
+        first = begin_stream(scene)
+        scene.read(View.REGISTRY, self.OLD)
+        scene.post(ev.SendFailed(first.attempt, Failure.BROKEN))
+        scene.read(View.REGISTRY, endpoint('third', dc=REMOTE_DC, build='v1'))
+        self.assertEqual(self._find_restarted(scene).endpoint, 'old')
+        self.assertEqual(scene.last(fx.Send).endpoint, 'third')
+
+    def test_send_that_found_another_run_is_no_retry(self) -> None:
+        scene = GatewayScene(self.OLD, self.OLD_FAR)
+        scene.post_request('/report/x')
+        self._find_restarted(scene)
+        call, = scene.state.calls.calls.values()
+        self.assertEqual((call.executions, call.deliveries), (1, 1))
+
+    def test_new_streams_begin_elsewhere_until_its_entry_is_read(self) -> None:
+        scene = GatewayScene(self.OLD, self.OLD_FAR)
+        scene.post_request('/report/x')
+        self._find_restarted(scene)
+        self.assertEqual(
+            scene.post_request('/report/x', 'r2').endpoint, 'old-far')
+        self.assertEqual(scene.post_request('/tag/x', 'r3').endpoint, 'old')
+        scene.read(View.REGISTRY, self.RESTARTED)
+        send = scene.post_request('/report/x', 'r4')
+        self.assertEqual((send.endpoint, send.started_ms), ('old', 2))
+
+    def test_is_asked_again_where_no_entry_follows(self) -> None:
+        scene = GatewayScene(self.OLD)
+        scene.post_request('/report/x')
+        self._find_restarted(scene)
+        scene.advance(1.5)
+        self.assertEqual(len(scene.all(fx.Send)), 2)
+
+    def test_stream_is_refused_once_no_endpoint_has_its_build(self) -> None:
+        scene = GatewayScene(self.OLD)
+        begin_stream(scene)
+        scene.post(ev.CallerLeft(RequestId('r1')))
+        resume_stream(scene)
+        self._find_restarted(scene)
+        self.assertFalse(scene.all(fx.Refuse))
+        scene.read(View.REGISTRY, self.RESTARTED)
+        scene.tick()
+        self.assertEqual(scene.last(fx.Refuse).status, 503)
+
+    def test_confirmed_run_outlasts_its_entry(self) -> None:
+        scene = GatewayScene(self.OLD)
+        send = scene.post_request('/report/x')
+        scene.post(ev.StreamStarted(send.attempt, head(), is_run_known=True))
+        scene.read(View.REGISTRY, self.RESTARTED, self.OLD_FAR)
+        scene.advance(1.5)
+        scene.post(ev.StreamEventsReceived(send.attempt, b'one', '1', '1'))
+        scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
+        self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -246,6 +246,21 @@
             assert isinstance(response, Response), response
             self.assertIn(f'data: t3 {began.build}\n'.encode(), response.body)
 
+    async def test_stream_does_not_go_on_at_a_restarted_engine(self) -> None:
+        await self._start_builds('v1', 'v1')
+        stays, restarted = self.engines
+        stays.cut_after_events = restarted.cut_after_events = 2
+        restarted.build = 'v2'
+        restarted.started_ms += 1
+        for number in range(4):
+            await self._send(f'/report/{number}', f'one{number}')
+            await self._send(f'/report/{number}',
+                             f'again{number}',
+                             resumes=(f'one{number}', '2'))
+        self.assertEqual(
+            set(stays.attempt_ids) & set(restarted.attempt_ids), set())
+        self.assertIn('one0', stays.attempt_ids)
+
     async def test_new_version_is_ordered_from_every_engine(self) -> None:
         self.store.put(names.OPERATOR_TOPIC, 'version/m', {
             'model': 'm',
