--- a/src/plantainridge/gateway/builds.py
+++ b/src/plantainridge/gateway/builds.py
@@ -43,10 +43,20 @@
     """Why it is not known where a stream may continue."""
 
     ASK = 'peers or the metadata store may know where it began'
+    READ = 'the registry must be read to know where it may continue'
+    UNREAD = 'the registry could not be read'
     UNKNOWN = 'it is not known where the stream began'
     OTHER_SERVICE = 'the stream began at another service'
 
 
+class RegistryRead(enum.Enum):
+    """Whether the registry was read after a new try arrived."""
+
+    DONE = 'it was read'
+    AWAITED = 'a read of it is awaited'
+    OLD = 'it was last read before that'
+
+
 @attrs.define
 class KnownOrigin:
     """Origin of one stream, with the loop time of its record in s."""
@@ -126,6 +136,10 @@
             if not seen:
                 del self.seen[service]
 
+    def has_one_build(self, service: ServiceId) -> bool:
+        """Return whether a single build of a service was seen."""
+        return len(self.seen.get(service, {})) == 1
+
     def only_origin(self, service: ServiceId,
                     registry_age_s: float) -> Origin | None:
         """Return the only origin that was seen for a service's streams, if any.
@@ -134,10 +148,10 @@
             service: The service.
             registry_age_s: Time since the registry was last read, in s.
         """
-        seen = self.seen.get(service, {})
-        if len(seen) != 1 or registry_age_s > MAX_REGISTRY_AGE_S:
+        if (not self.has_one_build(service) or
+                registry_age_s > MAX_REGISTRY_AGE_S):
             return None
-        return Origin(service, next(iter(seen)))
+        return Origin(service, next(iter(self.seen[service])))
 
     def has_watched(self, now: float) -> bool:
         """Return whether no build was missed for as long as origins count."""
@@ -160,24 +174,31 @@
 
 
 def resolve(known: Origin | None, only: Origin | None,
-            services: Collection[ServiceId],
-            may_ask: bool) -> Origin | Unresolved:
+            services: Collection[ServiceId], may_ask: bool,
+            registry: RegistryRead) -> Origin | Unresolved:
     """Return where a caller's new try of a stream may continue.
 
     Made for VMs that are killed while streams run: mostly a peer has the record
     of what the VM that is gone had begun. Without a record, or if the caller
     names no attempt, the stream continues only if one build alone is known to
     have served lately. It is refused otherwise, since another build would
-    corrupt it.
+    corrupt it. VMs forward no event of an engine before they have read its
+    entry: a registry that was read after the new try arrived lists the build
+    at which the stream began.
 
     Args:
         known: Where the stream began, or None.
         only: The only origin that was seen for the service's streams, or None.
         services: Services that the route leads to.
         may_ask: Whether peers, or the record of builds, may still show it.
+        registry: Whether the registry was read after the new try arrived.
     """
     if known is not None:
         return known if known.service in services else Unresolved.OTHER_SERVICE
     if may_ask:
         return Unresolved.ASK
-    return only if only is not None else Unresolved.UNKNOWN
+    if registry is RegistryRead.AWAITED:
+        return Unresolved.READ
+    if only is None:
+        return Unresolved.UNKNOWN
+    return only if registry is RegistryRead.DONE else Unresolved.UNREAD
--- a/src/plantainridge/gateway/eras.py
+++ b/src/plantainridge/gateway/eras.py
@@ -43,6 +43,7 @@
     state.lease.enter_era(now)
     if not any(cursor.loaded for cursor in views.cursors.values()):
         return
+    views.restored_at = now
     yield LogLine('store_restored', (('era', era), ('previous', previous)))
     for view, cursor in views.cursors.items():
         cursor.drop_position(now)
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -86,6 +86,8 @@
             answer, or None.
         origin_due_at: Loop time until which peers may answer at which build its
             stream began, in s; None if it does not wait for that.
+        resumed_at: Loop time at which it was found to resume a stream, in s;
+            -inf if it does not. It had arrived by then.
         asked_at: Loop time at which peers were last asked for it, in s.
         first_event_s: Time from arrival to the first stream event, in s, or
             None.
@@ -121,6 +123,7 @@
     build: str | None = None
     begun_by: AttemptId | None = None
     origin_due_at: float | None = None
+    resumed_at: float = -math.inf
     asked_at: float = -math.inf
     first_event_s: float | None = None
     progress_at: float = attrs.field(
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -4,7 +4,9 @@
 Before that it sends the record to peers, which survive it: in a small
 deployment to all of them, else to a few of its data centre. While the service
 has had one build only, it sends none. A VM that has no record of a stream asks
-its peers, and the request waits for their answer.
+its peers, and the request waits for their answer. Before a stream that nobody
+knows continues at the only build, the registry is read once more: this VM may
+have missed a build whose streams came to its peers.
 """
 
 from collections.abc import Collection, Iterator
@@ -14,8 +16,8 @@
 
 from plantainridge.gateway import (build_records, builds, containment, dispatch,
                                    endings, hints, peer_messages, relays,
-                                   versions)
-from plantainridge.gateway.builds import Origin, Unresolved
+                                   versions, views)
+from plantainridge.gateway.builds import Origin, RegistryRead, Unresolved
 from plantainridge.gateway.events import View, VmEntry
 from plantainridge.gateway.peer_messages import OriginQuestion, StreamOrigins
 from plantainridge.gateway.requests import Call
@@ -29,6 +31,8 @@
 # Longest wait for a peer that knows where a stream began, or for the record of
 # builds.
 ANSWER_WAIT_S: Final = 0.4
+# Longest wait for a read of the registry.
+REGISTRY_WAIT_S: Final = 1.5
 # Time after which peers are asked again: messages may be lost.
 ASK_INTERVAL_S: Final = 0.1
 # Minimum time between two questions: callers return in bursts, and streams that
@@ -63,6 +67,7 @@
     if not call.request.last_event_id or not builds.is_resumable(call.route):
         yield from dispatch.dispatch(state, call, now)
         return
+    call.resumed_at = now
     call.origin_due_at = now + ANSWER_WAIT_S
     yield from _resolve(state, call, now)
     if (call.origin_due_at is not None and call.request.resumes and
@@ -78,8 +83,13 @@
                               now) if resumes else None
     found = builds.resolve(known, _only_origin(state, call.service, now),
                            [share.service for share in call.route.shares],
-                           now < due_at and _may_learn(state, resumes, now))
-    if found is Unresolved.ASK:
+                           now < due_at and _may_learn(state, resumes, now),
+                           _registry_read(state, call, now))
+    if found in (Unresolved.ASK, Unresolved.READ):
+        if _is_read_due(state, call, now):
+            yield from views.refresh(state, View.REGISTRY,
+                                     state.views.complete_from(call.resumed_at),
+                                     call.resumed_at + REGISTRY_WAIT_S, now)
         return
     call.origin_due_at = None
     yield LogLine('stream_resumed',
@@ -203,6 +213,31 @@
             not build_records.is_known(state, now))
 
 
+def _registry_read(state: 'GatewayState', call: Call,
+                   now: float) -> RegistryRead:
+    """Return whether the registry was read after a new try arrived."""
+    needed_at = state.views.complete_from(call.resumed_at)
+    if state.views.cursors[View.REGISTRY].complete_at >= needed_at:
+        return RegistryRead.DONE
+    until = call.resumed_at + REGISTRY_WAIT_S
+    may_continue = (build_records.is_known(state, now) and
+                    state.builds.has_one_build(call.service))
+    if not may_continue or max(now, needed_at) >= until:
+        return RegistryRead.OLD
+    return RegistryRead.AWAITED
+
+
+def _is_read_due(state: 'GatewayState', call: Call, now: float) -> bool:
+    """Return whether the registry is to be read for a new try.
+
+    Peers mostly know the stream, and answer within one interval.
+    """
+    if _registry_read(state, call, now) is not RegistryRead.AWAITED:
+        return False
+    asks_peers = bool(call.request.resumes) and bool(_peers_to_ask(state))
+    return not asks_peers or now - call.resumed_at >= ASK_INTERVAL_S
+
+
 def _only_origin(state: 'GatewayState', service: ServiceId,
                  now: float) -> Origin | None:
     if not build_records.is_known(state, now):
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -55,6 +55,8 @@
 # another VM had to replace the reader. Also the time after an outage within
 # which a read succeeds.
 MAX_READ_GAP_S: Final = RELAY_TIMEOUT_S[View.OPERATOR] + READ_LATENCY_S
+# Minimum time between two reads that requests wait for.
+REFRESH_INTERVAL_S: Final = 0.1
 # Pause after a read that failed.
 RETRY_DELAY_S: Final = 0.25
 # Time of failing reads after which peers take over as readers.
@@ -103,6 +105,9 @@
         reload_at: Loop time at which the view is loaded once more, in s.
         is_first_read: Whether nothing was read since the first snapshot.
         issued_at: Loop time at which this VM issued its last read, in s.
+        is_reading: Whether a read of this VM is under way.
+        wanted_since: Loop time from which on a read is wanted at once, in s.
+        wanted_until: Loop time until which it is, in s.
         is_request_due: Whether this VM is about to ask a peer for what it
             missed.
         recent: Records before `offset` that changed since the last snapshot.
@@ -124,6 +129,9 @@
     reload_at: float = float('inf')
     is_first_read: bool = True
     issued_at: float = float('-inf')
+    is_reading: bool = False
+    wanted_since: float = float('-inf')
+    wanted_until: float = float('-inf')
     is_request_due: bool = False
     recent: RecentRecords = attrs.field(factory=RecentRecords)
 
@@ -171,6 +179,11 @@
         self.read_at, self.outdated = now, outdated
         self.first_read_at = min(self.first_read_at, now)
 
+    def is_wanted(self, now: float) -> bool:
+        """Return whether a read is wanted at once."""
+        return (now < self.wanted_until and
+                self.complete_at < self.wanted_since)
+
 
 @attrs.define
 class ViewTable:
@@ -180,12 +193,14 @@
         era: Highest era of the metadata store that this VM knows; positions
             belong to it.
         era_entered_at: Loop time at which this VM learned of it, in s.
+        restored_at: The same if this VM knew an earlier era; else -inf.
         removed: Removed endpoints, with the Unix time of the start of the run
             that was removed, in ms.
     """
 
     era: int = 0
     era_entered_at: float = float('-inf')
+    restored_at: float = float('-inf')
     removed: OrderedDict[EndpointId, int] = attrs.field(factory=OrderedDict)
     cursors: dict[View, ViewCursor] = attrs.field(
         factory=lambda: {view: ViewCursor() for view in View})
@@ -212,6 +227,15 @@
         """Return the time since a view was last read, in s."""
         return now - self.cursors[view].read_at
 
+    def complete_from(self, written_by: float) -> float:
+        """Return the loop time from which on reads are complete, in s.
+
+        A read that is issued then has all entries that were written until
+        `written_by`. Those that the store lost are written again shortly after
+        its return.
+        """
+        return max(written_by, self.restored_at + REAPPEAR_GRACE_S)
+
 
 def load_all(now: float) -> Iterator[Effect]:
     """Load every view."""
@@ -226,18 +250,18 @@
     cursor = state.views.cursors[view]
     timeout_at = max(cursor.read_at, cursor.restored_at) + RELAY_TIMEOUT_S[view]
     expects_relay = (now < timeout_at and now < cursor.reload_at and
-                     not cursor.behind)
+                     not cursor.behind and not cursor.is_wanted(now))
     if expects_relay and not relays.is_reader(state, view.value, now):
         yield SetTimer(event.key, min(timeout_at, cursor.reload_at))
         return
-    cursor.issued_at = now
+    cursor.issued_at, cursor.is_reading = now, True
     poll_s = LONG_POLL_TIMEOUT_S.get(view, 0.0)
     request_delay_s = poll_s + REQUEST_DELAY_S
     if not relays.is_reader(state, view.value, now):
         request_delay_s = REQUEST_DELAY_S
         yield LogLine('view_read_instead',
                       (('view', view.value),
-                       ('cause', 'gap' if cursor.behind else 'timeout'),
+                       ('cause', _cause_of_read(cursor, now)),
                        ('age_s', versions.loggable(now - cursor.read_at))))
     if not cursor.is_request_due:
         cursor.is_request_due = True
@@ -258,6 +282,39 @@
         yield fx.ReadView(view, cursor.offset, poll_s, state.views.era, now)
 
 
+def _cause_of_read(cursor: ViewCursor, now: float) -> str:
+    """Return why this VM reads a view in place of the reader."""
+    if cursor.behind:
+        return 'gap'
+    return 'resumption' if cursor.is_wanted(now) else 'timeout'
+
+
+def refresh(state: 'GatewayState', view: View, since: float, until: float,
+            now: float) -> Iterator[Effect]:
+    """Read a view at once, also if a peer is its reader.
+
+    Reads follow one another, so that requests that come in a burst share them.
+
+    Args:
+        state: The VM's state.
+        view: The view.
+        since: Earliest loop time at which the read is issued, in s.
+        until: Loop time until which it is wanted, in s.
+        now: Loop time in s.
+    """
+    cursor = state.views.cursors[view]
+    cursor.wanted_since = max(cursor.wanted_since, since)
+    cursor.wanted_until = max(cursor.wanted_until, until)
+    if not cursor.is_reading:
+        yield SetTimer(_timer(view), _refresh_at(cursor, now))
+
+
+def _refresh_at(cursor: ViewCursor, now: float) -> float:
+    interval_s = (REFRESH_INTERVAL_S
+                  if cursor.failing_since is None else RETRY_DELAY_S)
+    return max(now, cursor.wanted_since, cursor.issued_at + interval_s)
+
+
 def _overlap(state: 'GatewayState', view: View) -> int:
     """Return the number of entries to read again before the first snapshot."""
     if view not in REPEATABLE_VIEWS or hints.shares_load_directly(state):
@@ -270,6 +327,7 @@
               now: float) -> Iterator[Effect]:
     """Retain the known state and schedule another read."""
     cursor = state.views.cursors[event.view]
+    cursor.is_reading = False
     if event.trimmed:
         cursor.offset = None
     if cursor.failing_since is None:
@@ -345,6 +403,7 @@
     cursor = state.views.cursors[event.view]
     was_restored = cursor.restored_at > float('-inf')
     previous_read_at = cursor.read_at
+    cursor.is_reading = False
     if event.era < state.views.era or (was_restored and not event.is_snapshot):
         # Offsets of an older era do not name the same records.
         yield SetTimer(_timer(event.view), now)
@@ -406,7 +465,10 @@
     if event.is_snapshot and event.view is View.VMS:
         # VMs that start at the same time have written their entries by then.
         delay_s = SECOND_VM_READ_DELAY_S
-    yield SetTimer(_timer(event.view), now + delay_s)
+    next_at = now + delay_s
+    if cursor.is_wanted(now):
+        next_at = min(next_at, _refresh_at(cursor, now))
+    yield SetTimer(_timer(event.view), next_at)
 
 
 def on_relayed(state: 'GatewayState', event: ViewRelayed,
--- a/tests/build_fleet.py
+++ b/tests/build_fleet.py
@@ -1,5 +1,7 @@
 """Fixture: gateways whose engines run several builds, and streams."""
 
+from typing import Final
+
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Part
@@ -7,6 +9,9 @@
 from tests.gateway_scene import LOCAL_DC, GatewayScene, head, request
 from tests.registry_fleet import RegistryFleet, entry, removal
 
+# Time within which a new try is sent or refused.
+MAX_RESUMPTION_S: Final = 3.0
+
 
 def _prompt(stream: str) -> tuple[Part, ...]:
     """Return a prompt whose preferred engine depends on the stream."""
@@ -32,7 +37,8 @@
 def resume_stream(scene: GatewayScene,
                   name: str = 'r2',
                   first: str = 'r1',
-                  resumes: str | None = None) -> None:
+                  resumes: str | None = None,
+                  unread_s: float = 0.0) -> None:
     """Post a caller's new try of a stream.
 
     Args:
@@ -40,6 +46,7 @@
         name: Name of the new try.
         first: Name of the try that brought the first event.
         resumes: The attempt that the caller names instead of that one.
+        unread_s: Time for which it was not read, in s.
     """
     scene.post(
         ev.RequestArrived(
@@ -48,7 +55,8 @@
                     body=first.encode(),
                     parts=_prompt(first),
                     last_event_id='1',
-                    resumes=f'caller-{first}' if resumes is None else resumes)))
+                    resumes=f'caller-{first}' if resumes is None else resumes),
+            unread_s))
 
 
 class BuildFleet(RegistryFleet):
@@ -125,12 +133,15 @@
         scene.now = self.now
         resume_stream(scene, name, first, resumes)
         self._execute(vm)
+        end = self.now + MAX_RESUMPTION_S
         self.run(0.6)
-        for _, effect in self.outputs:
-            if isinstance(effect, fx.Send) and effect.request.id == name:
-                scene.post(ev.StreamStarted(effect.attempt, head()))
-                scene.post(ev.StreamEnded(effect.attempt))
-                return self.builds[effect.endpoint]
-            if isinstance(effect, fx.Refuse) and effect.request == name:
-                return effect
+        while self.now < end:
+            for _, effect in self.outputs:
+                if isinstance(effect, fx.Send) and effect.request.id == name:
+                    scene.post(ev.StreamStarted(effect.attempt, head()))
+                    scene.post(ev.StreamEnded(effect.attempt))
+                    return self.builds[effect.endpoint]
+                if isinstance(effect, fx.Refuse) and effect.request == name:
+                    return effect
+            self.run(0.1)
         raise AssertionError(f'{name} was neither sent nor refused')
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -141,6 +141,7 @@
         deliver: Decides how a message between VMs is delivered.
         paused: VMs whose processes are stopped.
         rejected: VMs that the store does not answer.
+        answer_delay_s: Time that the store takes for a read, in s.
         call_timeout_s: Time after which a call without an answer fails, in s.
         unreachable: VMs whose messages to and from peers are lost.
         builds_up: Whether the store answers calls for the record of builds.
@@ -149,6 +150,7 @@
             'call' or 'answer' if that is lost.
         outputs: Effects for callers and endpoints, with the VM of each.
         reads: Number of reads of each VM.
+        registry_reads: Number of those of the registry.
         loads: Number of loads of each view, by all VMs.
     """
 
@@ -157,6 +159,7 @@
         self.deliver: Callable[[], Delivery] = Delivery
         self.paused: set[VmId] = set()
         self.rejected: set[VmId] = set()
+        self.answer_delay_s = ANSWER_DELAY_S
         self.call_timeout_s = CALL_TIMEOUT_S
         self.unreachable: set[VmId] = set()
         self.builds_up = True
@@ -164,6 +167,7 @@
         self.lose_append: Callable[[], str] = str
         self.outputs: list[tuple[VmId, base.Effect]] = []
         self.reads: dict[VmId, int] = {}
+        self.registry_reads: Counter[VmId] = Counter()
         self.loads: Counter[View] = Counter()
         self.now = 100.0
         self.vms: dict[VmId, GatewayScene] = {}
@@ -260,6 +264,7 @@
                              self._load(effect.view, effect.issued_at))
             elif isinstance(effect, fx.ReadView):
                 self.reads[name] = self.reads.get(name, 0) + 1
+                self.registry_reads[name] += effect.view is View.REGISTRY
                 self._answer(name, effect.view, self._read(effect))
             elif isinstance(effect, fx.ReadBuilds):
                 self.build_calls.append((self.now, name, effect))
@@ -274,8 +279,9 @@
     def _answer(self, vm: VmId, view: View, event: Event) -> None:
         if self.store.up and vm not in self.rejected:
             # The port posts the era of an answer before its contents.
-            self._post_later(ANSWER_DELAY_S, vm, ev.EraSeen(self.store.era))
-            self._post_later(ANSWER_DELAY_S, vm, event)
+            self._post_later(self.answer_delay_s, vm,
+                             ev.EraSeen(self.store.era))
+            self._post_later(self.answer_delay_s, vm, event)
         else:
             self._post_later(self.call_timeout_s, vm,
                              ev.ViewFailed(view, False, 'silent'))
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -11,7 +11,8 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway import peer_messages, resumptions
-from plantainridge.gateway.builds import BuildTable, Origin, Unresolved
+from plantainridge.gateway.builds import (BuildTable, Origin, RegistryRead,
+                                          Unresolved)
 from plantainridge.gateway.config import RequestKind, Share
 from plantainridge.gateway.events import Failure, View
 from plantainridge.gateway.hints import HintReceived
@@ -503,18 +504,26 @@
 
     def test_where_a_stream_goes_on(self) -> None:
         here, elsewhere = Origin(ENGINES, 'v1'), Origin(OTHER, 'v1')
-        cases: dict[str, tuple[Origin | None, Origin | None, bool, Any]] = {
-            'known': (here, None, True, here),
-            'known of several': (here, Origin(ENGINES, 'v2'), False, here),
-            'another service':
-                (elsewhere, here, False, Unresolved.OTHER_SERVICE),
-            'peers may know': (None, here, True, Unresolved.ASK),
-            'nobody knows, one origin': (None, here, False, here),
-            'nobody knows': (None, None, False, Unresolved.UNKNOWN),
-        }
-        for name, (known, only, may_ask, expected) in cases.items():
+        read, awaited, old = RegistryRead
+        cases: dict[str, tuple[
+            Origin | None, Origin | None, bool, RegistryRead, Any]] = {
+                'known': (here, None, True, old, here),
+                'known of several': (here, Origin(ENGINES,
+                                                  'v2'), False, old, here),
+                'another service':
+                    (elsewhere, here, False, read, Unresolved.OTHER_SERVICE),
+                'peers may know': (None, here, True, read, Unresolved.ASK),
+                'nobody knows, one origin': (None, here, False, read, here),
+                'nobody knows, one origin, the registry is read':
+                    (None, here, False, awaited, Unresolved.READ),
+                'nobody knows, one origin, the registry was not read':
+                    (None, here, False, old, Unresolved.UNREAD),
+                'nobody knows': (None, None, False, read, Unresolved.UNKNOWN),
+            }
+        for name, (known, only, may_ask, registry, expected) in cases.items():
             with self.subTest(name):
-                found = builds.resolve(known, only, [ENGINES], may_ask)
+                found = builds.resolve(known, only, [ENGINES], may_ask,
+                                       registry)
                 self.assertEqual(found, expected)
 
     def test_origins_are_bounded_by_age_and_number(self) -> None:
