--- a/src/plantainridge/gateway/builds.py
+++ b/src/plantainridge/gateway/builds.py
@@ -136,6 +136,10 @@
             if not seen:
                 del self.seen[service]
 
+    def has_seen(self, origin: Origin) -> bool:
+        """Return whether the build of an origin was seen."""
+        return origin.build in self.seen.get(origin.service, {})
+
     def has_one_build(self, service: ServiceId) -> bool:
         """Return whether a single build of a service was seen."""
         return len(self.seen.get(service, {})) == 1
@@ -184,7 +188,8 @@
     have served lately. It is refused otherwise, since another build would
     corrupt it. VMs forward no event of an engine before they have read its
     entry: a registry that was read after the new try arrived lists the build
-    at which the stream began.
+    at which the stream began. The same read shows the engines of a build that
+    a peer has seen first.
 
     Args:
         known: Where the stream began, or None.
@@ -194,7 +199,9 @@
         registry: Whether the registry was read after the new try arrived.
     """
     if known is not None:
-        return known if known.service in services else Unresolved.OTHER_SERVICE
+        if known.service not in services:
+            return Unresolved.OTHER_SERVICE
+        return (Unresolved.READ if registry is RegistryRead.AWAITED else known)
     if may_ask:
         return Unresolved.ASK
     if registry is RegistryRead.AWAITED:
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -84,9 +84,9 @@
     found = builds.resolve(known, _only_origin(state, call.service, now),
                            [share.service for share in call.route.shares],
                            now < due_at and _may_learn(state, resumes, now),
-                           _registry_read(state, call, now))
+                           _registry_read(state, call, known, now))
     if found in (Unresolved.ASK, Unresolved.READ):
-        if _is_read_due(state, call, now):
+        if _is_read_due(state, call, known, now):
             yield from views.refresh(state, View.REGISTRY,
                                      state.views.complete_from(call.resumed_at),
                                      call.resumed_at + REGISTRY_WAIT_S, now)
@@ -213,28 +213,36 @@
             not build_records.is_known(state, now))
 
 
-def _registry_read(state: 'GatewayState', call: Call,
+def _registry_read(state: 'GatewayState', call: Call, known: Origin | None,
                    now: float) -> RegistryRead:
-    """Return whether the registry was read after a new try arrived."""
+    """Return whether the registry was read after a new try arrived.
+
+    A read is awaited only where it may show how the stream continues.
+    """
     needed_at = state.views.complete_from(call.resumed_at)
     if state.views.cursors[View.REGISTRY].complete_at >= needed_at:
         return RegistryRead.DONE
     until = call.resumed_at + REGISTRY_WAIT_S
-    may_continue = (build_records.is_known(state, now) and
-                    state.builds.has_one_build(call.service))
-    if not may_continue or max(now, needed_at) >= until:
+    if known is not None:
+        is_useful = not state.builds.has_seen(known)
+    else:
+        is_useful = (build_records.is_known(state, now) and
+                     state.builds.has_one_build(call.service))
+    if not is_useful or max(now, needed_at) >= until:
         return RegistryRead.OLD
     return RegistryRead.AWAITED
 
 
-def _is_read_due(state: 'GatewayState', call: Call, now: float) -> bool:
+def _is_read_due(state: 'GatewayState', call: Call, known: Origin | None,
+                 now: float) -> bool:
     """Return whether the registry is to be read for a new try.
 
     Peers mostly know the stream, and answer within one interval.
     """
-    if _registry_read(state, call, now) is not RegistryRead.AWAITED:
+    if _registry_read(state, call, known, now) is not RegistryRead.AWAITED:
         return False
-    asks_peers = bool(call.request.resumes) and bool(_peers_to_ask(state))
+    asks_peers = (known is None and bool(call.request.resumes) and
+                  bool(_peers_to_ask(state)))
     return not asks_peers or now - call.resumed_at >= ASK_INTERVAL_S
 
 
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -143,6 +143,14 @@
         }
         self.assertEqual(sent, set())
 
+    def test_streams_go_on_once_the_vm_is_back(self) -> None:
+        for size in SIZES:
+            for cause, disrupt in DISRUPTIONS.items():
+                with self.subTest(size=size, cause=cause):
+                    fleet, begun = self._join(size, disrupt, 1.5)
+                    heal(fleet)
+                    self.assertEqual(self._resume_all(fleet, begun), len(begun))
+
     def test_streams_go_on_while_one_build_serves(self) -> None:
         for size in SIZES:
             for cause, disrupt in DISRUPTIONS.items():
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -510,6 +510,8 @@
                 'known': (here, None, True, old, here),
                 'known of several': (here, Origin(ENGINES,
                                                   'v2'), False, old, here),
+                'known, the registry is read':
+                    (here, None, False, awaited, Unresolved.READ),
                 'another service':
                     (elsewhere, here, False, read, Unresolved.OTHER_SERVICE),
                 'peers may know': (None, here, True, read, Unresolved.ASK),
