Record builds of entries that state an earlier start (ORDER)

A stream that had begun at a worker of a new version could go on at the old one, at a VM that had read the new worker's entry.

Cause: an entry whose run started earlier than the known run of the same worker is taken for one of an older copy of the store, and was left out altogether. A machine whose clock was set back states such a start too. VMs that started since know no earlier run, and begin streams there.

Whichever run is newer, the build is now recorded as listed, when the entry is applied and for as long as it is in the log. No stream is sent by such an entry, as before.

Evidence: tests.test_out_of_step, test_build_of_a_run_whose_start_is_stated_earlier: before, a stream that nobody knew was sent in place of refused, with 2, 7 and 16 VMs. Found by reading; not seen in a run of processes.

--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -163,6 +163,8 @@
         table.listed_at = now
         table.record_listed([view.entry for view in state.endpoints.values()],
                             now)
+        table.record_listed(state.views.cursors[View.REGISTRY].logged.values(),
+                            now)
         table.forget_unlisted(now)
     if table.unshared:
         yield from _send_unshared(state, now)
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -661,6 +661,8 @@
 
 def _apply_entry(state: 'GatewayState', entry: EndpointEntry,
                  now: float) -> Iterator[Effect]:
+    # Also of an entry that is not applied: other VMs may use it.
+    state.builds.record_listed([entry], now)
     view = state.endpoints.get(entry.id)
     restarted = False
     if view is not None and view.entry.started_ms > entry.started_ms:
@@ -680,7 +682,6 @@
                             leaving=state.leaving.has_left(
                                 entry.id, entry.started_ms))
         state.endpoints[entry.id] = view
-        state.builds.record_listed([entry], now)
         yield LogLine('endpoint_known',
                       (('endpoint', entry.id), ('service', entry.service),
                        ('dc', entry.dc), ('build', entry.build),
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -7,9 +7,9 @@
 from plantainridge.gateway import builds, resumptions
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import View
-from plantainridge.ids import RequestId, VmId
+from plantainridge.ids import EndpointId, RequestId, VmId
 from tests.build_fleet import BuildFleet, resume_stream
-from tests.registry_fleet import STEP_S
+from tests.registry_fleet import STEP_S, entry
 
 BEGINNER, STALE = VmId('vm0'), VmId('vm1')
 SIZES = (2, 7, 16)
@@ -143,6 +143,24 @@
         }
         self.assertEqual(sent, set())
 
+    def test_build_of_a_run_whose_start_is_stated_earlier(self) -> None:
+        # The clock of its machine was set back before it started again.
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = BuildFleet(size)
+                fleet.builds.update({
+                    EndpointId('a'): 'v2',
+                    EndpointId('b'): 'v1'
+                })
+                fleet.store.append(entry('a', born=2, build='v1'),
+                                   entry('b', born=2, build='v1'))
+                fleet.run(2.0)
+                fleet.store.append(entry('a', born=1, build='v2'))
+                for waited_s in (2.0, builds.ORIGIN_RETENTION_S + 5.0):
+                    fleet.run(waited_s)
+                    found = fleet.resume(STALE, f'r{waited_s}', 'unknown')
+                    self.assertIsInstance(found, fx.Refuse)
+
     def test_streams_go_on_once_the_vm_is_back(self) -> None:
         for size in SIZES:
             for cause, disrupt in DISRUPTIONS.items():
