Read the record of builds after peers told a VM what it missed (ORDER)

A stream that had begun at a worker of a new version, which left again, could go on at the old version at a VM that the store had not answered meanwhile.

Cause: such a VM asks peers for what it missed, and reads on from where their answer ends. The answer holds the newest record of each worker, so that entries which were removed since are not in it. The VM counted as one that had followed the registry, and took the build that it knew for the only one.

Found by reading; not seen in a run of processes.

--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -389,6 +389,8 @@
     for update in event.updates:
         cursor.record_logged(update)
         yield from _apply(state, update, now, 'peer')
+    if event.view is View.REGISTRY:
+        _reread_builds(state, cursor.read_at, now)
     cursor.recent.add(event.records, event.end)
     cursor.offset, cursor.behind = event.end, False
     yield from _remove_missing(state, now)
@@ -397,6 +399,18 @@
                    ('age_s', versions.loggable(now - cursor.read_at))))
 
 
+def _reread_builds(state: 'GatewayState', previous_read_at: float,
+                   now: float) -> None:
+    """Read the record of builds again after a gap.
+
+    Builds that came and went since the last read are neither in a snapshot nor
+    among the newest records of their keys.
+    """
+    if now - previous_read_at > MAX_REGISTRY_AGE_S:
+        state.builds.watched_since = now
+        state.build_history.known = False
+
+
 def on_read(state: 'GatewayState', event: ViewRead,
             now: float) -> Iterator[Effect]:
     """Apply the updates of a view, and relay them if this VM is the reader."""
@@ -456,10 +470,9 @@
         hints.on_vms_listed(state, now)
     if event.is_snapshot and event.view is View.REGISTRY:
         yield from _mark_unlisted(state, event.updates, now)
-        if not was_restored and now - previous_read_at > MAX_REGISTRY_AGE_S:
-            # Builds may have come and gone meanwhile: read their record again.
+        if not was_restored:
             # After a restore the VMs know more than the record, and write it.
-            state.build_history.known = False
+            _reread_builds(state, previous_read_at, now)
     yield from _remove_missing(state, now)
     delay_s = READ_INTERVAL_S.get(event.view, 0.0)
     if event.is_snapshot and event.view is View.VMS:
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -161,6 +161,27 @@
                     found = fleet.resume(STALE, f'r{waited_s}', 'unknown')
                     self.assertIsInstance(found, fx.Refuse)
 
+    def test_build_that_came_and_went_while_only_peers_answered(self) -> None:
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = BuildFleet(size, 'v1')
+                fleet.run(5.0)
+                fleet.unreachable.add(STALE)
+                fleet.rejected.add(STALE)
+                fleet.add_engines('v2')
+                fleet.run(2.0)
+                begun = self._begin(fleet)
+                fleet.remove_engines('v2')
+                fleet.run(2.0)
+                # The peers' answers hold the newest record of each engine.
+                fleet.unreachable.discard(STALE)
+                fleet.run(2.0)
+                self.assertEqual(fleet.endpoints(STALE),
+                                 fleet.store.endpoints())
+                fleet.rejected.discard(STALE)
+                fleet.run(2.0)
+                self.assertEqual(self._resume_all(fleet, begun, ''), 0)
+
     def test_streams_go_on_once_the_vm_is_back(self) -> None:
         for size in SIZES:
             for cause, disrupt in DISRUPTIONS.items():
