Count only reads that reach the end of the log as complete (ORDER)

A stream that had begun at a worker of a new version could go on at the old one at a VM that came back after some seconds, in a deployment with so many workers that the log had grown by more than one answer holds (1 MB).

Cause: each answer counted as a read of all that was written before it was issued, also one that had reached its size limit. The next read followed after the usual pause of 0.8 s.

Answers of the store state where the log ends. One that stops before counts neither for new tries nor in relays, and the VM reads on at once.

Found by reading; not seen in a run of processes.

--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -524,6 +524,7 @@
             pages of a snapshot are not read at one instant.
         era: The metadata store's era in which they were read.
         issued_at: Loop time at which the read was issued, in s.
+        is_complete: Whether the log ended at `next` when it was read.
     """
 
     view: View
@@ -534,6 +535,7 @@
     ahead: frozenset[str] = frozenset()
     era: int = 0
     issued_at: float = -math.inf
+    is_complete: bool = True
 
     def is_ahead(self, update: ViewUpdate) -> bool:
         """Return whether an endpoint's entry does not lie before `next`."""
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -423,7 +423,8 @@
         yield SetTimer(_timer(event.view), now)
         return
     cursor.record_read(now, _is_outdated_read(state, now))
-    cursor.complete_at = max(cursor.complete_at, event.issued_at)
+    issued_at = event.issued_at if event.is_complete else float('-inf')
+    cursor.complete_at = max(cursor.complete_at, issued_at)
     if cursor.failing_since is not None:
         yield LogLine('view_back',
                       (('view', event.view.value),
@@ -458,14 +459,13 @@
         yield from relays.broadcast_read(
             state,
             RelayedView(state.settings.vm, event.view.value, event.next,
-                        event.next, event.records, event.era, True),
-            event.issued_at)
+                        event.next, event.records, event.era, True), issued_at)
     elif start is not None and relays.is_reader(state, event.view.value, now):
         records = tuple(itertools.compress(event.records, needed))
         yield from relays.broadcast_read(
             state,
             RelayedView(state.settings.vm, event.view.value, start, event.next,
-                        records, event.era), event.issued_at)
+                        records, event.era), issued_at)
     if is_first and event.view is View.VMS:
         hints.on_vms_listed(state, now)
     if event.is_snapshot and event.view is View.REGISTRY:
@@ -479,7 +479,9 @@
         # VMs that start at the same time have written their entries by then.
         delay_s = SECOND_VM_READ_DELAY_S
     next_at = now + delay_s
-    if cursor.is_wanted(now):
+    if event.updates and not event.is_complete:
+        next_at = now
+    elif cursor.is_wanted(now):
         next_at = min(next_at, _refresh_at(cursor, now))
     yield SetTimer(_timer(event.view), next_at)
 
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -39,11 +39,13 @@
     Attributes:
         next_offset: Offset from which to read on.
         offsets: Offset of each record; empty for records read from the log.
+        is_complete: Whether the log ended at `next_offset`.
     """
 
     records: tuple[RawRecord, ...]
     next_offset: int
     offsets: tuple[int, ...] = ()
+    is_complete: bool = True
 
 
 def decode_log(data: bytes, start: int) -> Page:
@@ -55,7 +57,9 @@
     if len(data) < 2 * OFFSET_BYTES:
         raise InvalidField('end', 'there')
     records = tuple(_decode_records(data, 2 * OFFSET_BYTES))
-    return Page(records, start + len(records))
+    next_offset = start + len(records)
+    end = int.from_bytes(data[:OFFSET_BYTES], 'big')
+    return Page(records, next_offset, is_complete=next_offset >= end)
 
 
 def _decode_records(data: bytes, position: int) -> Iterator[RawRecord]:
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -146,23 +146,28 @@
         except InvalidField as error:
             self.post(ev.ViewFailed(effect.view, False, str(error)))
             return
-        self._post_read(effect.view, False, page.records, page.next_offset,
-                        effect.era, effect.issued_at)
-
-    def _post_read(
-        self,
-        view: View,
-        is_snapshot: bool,
-        raw_records: tuple[ev.RawRecord, ...],
-        next_offset: int,
-        era: int,
-        issued_at: float,
-        ahead: frozenset[str] = frozenset()) -> None:
+        self._post_read(effect.view,
+                        False,
+                        page.records,
+                        page.next_offset,
+                        effect.era,
+                        effect.issued_at,
+                        is_complete=page.is_complete)
+
+    def _post_read(self,
+                   view: View,
+                   is_snapshot: bool,
+                   raw_records: tuple[ev.RawRecord, ...],
+                   next_offset: int,
+                   era: int,
+                   issued_at: float,
+                   ahead: frozenset[str] = frozenset(),
+                   is_complete: bool = True) -> None:
         updates = tuple(
             records.decode_update(view, record) for record in raw_records)
         self.post(
             ev.ViewRead(view, is_snapshot, updates, next_offset, raw_records,
-                        ahead, era, issued_at))
+                        ahead, era, issued_at, is_complete))
 
     def _post_failure(self, view: View,
                       response: Response | NoResponse) -> None:
--- a/tests/registry_fleet.py
+++ b/tests/registry_fleet.py
@@ -80,6 +80,7 @@
         build_log: Records of builds, oldest first.
         logs: Records of each view, oldest first.
         up: Whether it answers.
+        max_records: Records that an answer to a read of a log holds at most.
         era: Rises with each restore.
         starts: Start that each engine stated last.
     """
@@ -88,6 +89,7 @@
     logs: dict[View, list[RawRecord]] = attrs.field(
         factory=lambda: {view: [RawRecord('unknown', b'{}')] for view in View})
     up: bool = True
+    max_records: int = 1_000_000
     era: int = 0
     starts: dict[str, int] = attrs.field(factory=dict)
 
@@ -327,8 +329,11 @@
         log = self.store.logs[effect.view]
         if effect.era != self.store.era or effect.offset > len(log):
             return ev.ViewFailed(effect.view, True, 'restored')
-        return self._view_read(effect.view, False, tuple(log[effect.offset:]),
-                               len(log), effect.issued_at)
+        end = min(len(log), effect.offset + self.store.max_records)
+        event = self._view_read(effect.view, False,
+                                tuple(log[effect.offset:end]), end,
+                                effect.issued_at)
+        return attrs.evolve(event, is_complete=end == len(log))
 
     def _view_read(self, view: View, is_snapshot: bool, raw: tuple[RawRecord,
                                                                    ...],
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -182,6 +182,23 @@
                 fleet.run(2.0)
                 self.assertEqual(self._resume_all(fleet, begun, ''), 0)
 
+    def test_registry_that_takes_several_reads(self) -> None:
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = BuildFleet(size, 'v1')
+                cut_off(fleet)
+                fleet.store.append(*(entry('v1-a', sequence=at, build='v1')
+                                     for at in range(1, 13)))
+                fleet.add_engines('v2')
+                fleet.run(2.0)
+                begun = self._begin(fleet)
+                for vm in list(fleet.vms):
+                    if vm != STALE:
+                        fleet.kill(vm)
+                fleet.store.max_records = 4
+                heal(fleet)
+                self.assertEqual(self._resume_all(fleet, begun, ''), 0)
+
     def test_streams_go_on_once_the_vm_is_back(self) -> None:
         for size in SIZES:
             for cause, disrupt in DISRUPTIONS.items():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -88,6 +88,8 @@
         data = (12).to_bytes(8, 'big') + (3).to_bytes(8, 'big')
         page = records.decode_log(data + first + deleted, 10)
         self.assertEqual(page.next_offset, 12)
+        self.assertTrue(page.is_complete)
+        self.assertFalse(records.decode_log(data + first, 10).is_complete)
         self.assertEqual(page.records,
                          (RawRecord('a', b'1'), RawRecord('b', None)))
         with self.assertRaises(InvalidField):
