Refuse requests that cannot end before the exit while they have not run (LOST)

What callers saw: in a planned stop, a request that waited for an endpoint (for memory, a coordinator, the end of a cool-down), or that an endpoint had rejected, was sent as late as just before the exit, and got 502 or a broken stream 0.7 s before the kill, also if it may run only once. Requests of the first 2.9 s were taken even if all of their kind took longer than was left.

Cause: whether a request can end in time was decided once, at its arrival, and by its deadline alone; in the first 2.9 s not at all.

The decision is now made at each point at which a request that has not run could be sent, and on each tick for those that wait. While "not run" is true it is refused with 503 and `Retry-After`. Requests that arrive after 2.9 s are judged by their deadline alone, as before.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -61,7 +61,7 @@
         speed_updates.record_plain_answer(state, call, attempt, now)
         yield from suspects.record_answer(state, call, now)
     yield fx.Reply(call.request.id, head.status, head.headers, event.body)
-    yield from endings.end(state, call, 'answered', head.status, now)
+    yield from endings.end(state, call, endings.ANSWERED, head.status, now)
 
 
 def _log_rate(attempt: Attempt, head: AnswerHead) -> Iterator[Effect]:
@@ -94,7 +94,7 @@
         return
     elif head.status == 400:
         yield fx.Reply(call.request.id, head.status, head.headers, b'')
-        yield from endings.end(state, call, 'answered', head.status, now)
+        yield from endings.end(state, call, endings.ANSWERED, head.status, now)
         return
     else:
         yield from health.record_rejection(state, attempt, now)
@@ -118,7 +118,7 @@
         return
     yield fx.Reply(call.request.id, fallback.status, fallback.headers,
                    fallback.body)
-    yield from endings.end(state, call, 'answered', fallback.status, now)
+    yield from endings.end(state, call, endings.ANSWERED, fallback.status, now)
 
 
 def _after_refused_resumption(state: 'GatewayState', call: Call,
@@ -249,7 +249,7 @@
     if attempt.events_received:
         yield from suspects.record_answer(state, call, now)
     yield fx.EndReply(call.request.id)
-    yield from endings.end(state, call, 'answered', 200, now)
+    yield from endings.end(state, call, endings.ANSWERED, 200, now)
 
 
 def on_failed(state: 'GatewayState', event: SendFailed,
--- a/src/plantainridge/gateway/coordination.py
+++ b/src/plantainridge/gateway/coordination.py
@@ -12,7 +12,7 @@
 import attrs
 
 from plantainridge.gateway import (cache, capacity_queue, containment, dispatch,
-                                   endings, grants, hints, placement,
+                                   drain, endings, grants, hints, placement,
                                    placement_requests, suspects)
 from plantainridge.gateway.capacity_queue import Offer, QueuedRequest
 from plantainridge.gateway.config import RequestKind, Route, Team
@@ -120,6 +120,7 @@
     _record_cached(state, call, answer)
     choice = placement.place_granted(state, call, answer.endpoint, now)
     if (choice is None or state.paths.is_lost(call.service) or
+            drain.is_too_late(state, call, now) or
             not suspects.admits(state, call, now)):
         yield from placement_requests.record_fallback(call,
                                                       'engine unavailable',
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import (builds, cache, containment, endings,
+from plantainridge.gateway import (builds, cache, containment, drain, endings,
                                    endpoint_limits, health, paths, placement,
                                    placement_requests, retries, stored_parts,
                                    suspects, tunnel_peers)
@@ -79,6 +79,9 @@
 
 def dispatch(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
     """Send a request, queue it, or refuse it."""
+    if drain.is_too_late(state, call, now):
+        yield from drain.end_call(state, call, now)
+        return
     if not suspects.admits(state, call, now):
         yield from endings.fail_request(
             state, call, 'it, or a part of it, crashes endpoints',
--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -3,9 +3,12 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import containment, dispatch, endings
+from plantainridge.gateway import containment, endings, service_times
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway.events import StopRequested
+from plantainridge.gateway.config import Route
+from plantainridge.gateway.events import Request, StopRequested
+from plantainridge.gateway.requests import Call
+from plantainridge.gateway.stop_schedule import StopSchedule
 from plantainridge.loop.effects import Effect, Exit, LogLine
 
 if TYPE_CHECKING:
@@ -26,6 +29,8 @@
 # Time before the kill at which the process exits even if not all answers are
 # written, in s.
 KILL_MARGIN_S: Final = 0.2
+# Time after which a refused caller may try another VM, in s.
+RETRY_AFTER_S: Final = 0.2
 REASON: Final = 'the VM is stopping'
 
 
@@ -40,30 +45,35 @@
     yield LogLine('stopping', (('requests', len(state.calls.calls)),))
 
 
-def refuses(state: 'GatewayState', ends_by: float, now: float) -> bool:
-    """Return whether a request that arrives now may outlast the process.
+def refuses(state: 'GatewayState', request: Request, route: Route,
+            ends_by: float, arrived_at: float, now: float) -> bool:
+    """Return whether a request that has not run may outlast the process.
 
     Args:
         state: The VM's state.
-        ends_by: Loop time at which the request is ended at the latest, in s.
+        request: The request.
+        route: Its route.
+        ends_by: Loop time at which it is ended at the latest, in s.
+        arrived_at: Loop time at which it arrived, in s.
         now: Loop time in s.
     """
     if state.stopping_since is None:
         return False
     if state.exiting:
         return True
-    return (now - state.stopping_since >= TAKE_ALL_S and
-            ends_by > _exit_at(state, EXIT_MARGIN_S))
+    took_s = state.service_times.longest_s(
+        service_times.class_of(route, request), route.repeatable)
+    return schedule(state).may_outlast(ends_by, took_s, arrived_at, now)
 
 
-def closing_until(state: 'GatewayState') -> float:
-    """Return the loop time until which the last answers are written, in s."""
-    return _exit_at(state, KILL_MARGIN_S)
-
-
-def _exit_at(state: 'GatewayState', margin_s: float) -> float:
+def schedule(state: 'GatewayState') -> StopSchedule:
+    """Return the times of the planned stop, which was requested."""
     assert state.stopping_since is not None
-    return state.stopping_since + state.settings.bounds.grace_s - margin_s
+    killed_at = state.stopping_since + state.settings.bounds.grace_s
+    return StopSchedule(take_all_until=state.stopping_since + TAKE_ALL_S,
+                        unlisten_at=state.stopping_since + UNREADY_S,
+                        exit_at=killed_at - EXIT_MARGIN_S,
+                        closing_until=killed_at - KILL_MARGIN_S)
 
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
@@ -74,20 +84,43 @@
     """
     if state.stopping_since is None or state.exiting:
         return
-    elapsed_s = now - state.stopping_since
-    if state.listening and elapsed_s >= UNREADY_S:
+    times = schedule(state)
+    yield from _refuse_waiting(state, now)
+    if state.listening and now >= times.unlisten_at:
         state.listening = False
         yield fx.StopListening()
-    is_drained = (elapsed_s >= UNREADY_S + LATE_ARRIVAL_S and
+    is_drained = (now >= times.unlisten_at + LATE_ARRIVAL_S and
                   not state.calls.calls and not state.tunnels.endpoints)
-    if not is_drained and now < _exit_at(state, EXIT_MARGIN_S):
+    if not is_drained and now < times.exit_at:
         return
     state.exiting = True
     yield LogLine('stopped', (('requests', len(state.calls.calls)),))
     for call in list(state.calls.calls.values()):
-        ended = endings.fail_request(state, call, REASON,
-                                     dispatch.MIN_RETRY_AFTER_S, now)
-        yield from containment.contain_request(state, ended, 'stop',
-                                               call.request.id, now)
-    yield fx.CloseCallers(REASON, dispatch.MIN_RETRY_AFTER_S)
+        yield from containment.contain_request(state,
+                                               end_call(state, call, now),
+                                               'stop', call.request.id, now)
+    yield fx.CloseCallers(REASON, RETRY_AFTER_S)
     yield Exit()
+
+
+def is_too_late(state: 'GatewayState', call: Call, now: float) -> bool:
+    """Return whether a request has not run and may outlast the process."""
+    if call.executions or call.reply_started:
+        return False
+    return refuses(state, call.request, call.route,
+                   call.expires_at + endings.ANSWER_GRACE_S, call.arrived_at,
+                   now)
+
+
+def end_call(state: 'GatewayState', call: Call, now: float) -> Iterator[Effect]:
+    """End a request at the stop: refuse it unless it may have run."""
+    yield from endings.fail_request(state, call, REASON, RETRY_AFTER_S, now)
+
+
+def _refuse_waiting(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Refuse the requests that wait and would be sent too late."""
+    for call in state.calls.waiting(now):
+        if is_too_late(state, call, now):
+            yield from containment.contain_request(state,
+                                                   end_call(state, call, now),
+                                                   'stop', call.request.id, now)
--- a/src/plantainridge/gateway/endings.py
+++ b/src/plantainridge/gateway/endings.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Final
 
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway import placement_requests
+from plantainridge.gateway import placement_requests, service_times
 from plantainridge.gateway.config import RequestKind
 from plantainridge.gateway.events import CallerLeft, TimerKind
 from plantainridge.gateway.requests import CALL_LIFECYCLE, Attempt, Call
@@ -21,6 +21,10 @@
 STATUS_BAD_GATEWAY: Final = 502
 # The request has certainly not run.
 STATUS_UNAVAILABLE: Final = 503
+# An answer sent at the endpoint's deadline may arrive this much later, in s.
+ANSWER_GRACE_S: Final = 0.06
+# Outcome of a request whose caller got an endpoint's answer.
+ANSWERED: Final = 'answered'
 
 
 def on_caller_left(state: 'GatewayState', event: CallerLeft,
@@ -96,6 +100,7 @@
     """Remove a request that had its final answer, and record it."""
     CALL_LIFECYCLE.fire(call, 'end')
     del state.calls.calls[call.request.id]
+    _record_time(state, call, outcome, now)
     yield CancelTimer(deadline_key(call))
     if call.ask is not None:
         yield from placement_requests.withdraw(state, call)
@@ -110,6 +115,16 @@
                    ('took_s', round(now - call.arrived_at, 4))))
 
 
+def _record_time(state: 'GatewayState', call: Call, outcome: str,
+                 now: float) -> None:
+    """Record how long a request took, unless it failed or began in part."""
+    is_whole = outcome == ANSWERED or now >= call.expires_at
+    if call.executions and is_whole and not call.request.last_event_id:
+        state.service_times.record(
+            service_times.class_of(call.route, call.request),
+            now - call.arrived_at)
+
+
 def close_attempt(state: 'GatewayState',
                   attempt_id: AttemptId) -> Generator[Effect, None, Attempt]:
     """Remove a send and return it."""
--- a/src/plantainridge/gateway/intake.py
+++ b/src/plantainridge/gateway/intake.py
@@ -15,8 +15,6 @@
 if TYPE_CHECKING:
     from plantainridge.gateway.state import GatewayState
 
-# An answer sent at the endpoint's deadline may arrive this much later, in s.
-ANSWER_GRACE_S: Final = 0.06
 # Urgencies are ranks from 0, which engines serve first, to this one.
 MAX_URGENCY: Final = 9
 # One step of a team's priority counts as much as this many steps of a route's.
@@ -56,7 +54,8 @@
     if request.model:
         hints.record_arrival(state, call.service,
                              placement.memory_tokens(request), now)
-    yield SetTimer(endings.deadline_key(call), call.expires_at + ANSWER_GRACE_S)
+    yield SetTimer(endings.deadline_key(call),
+                   call.expires_at + endings.ANSWER_GRACE_S)
     yield from resumptions.admit(state, call, now)
 
 
@@ -71,14 +70,14 @@
     route = state.config.route(request.host, request.target)
     if route is None:
         return _deny(state, request.id, 404, 'there is no such route', now)
-    ends_by = now + _timeout_s(route, request) + ANSWER_GRACE_S
+    ends_by = now + _timeout_s(route, request) + endings.ANSWER_GRACE_S
     if event.unread_s >= _timeout_s(route, request):
         return fx.Refuse(request.id, endings.STATUS_UNAVAILABLE,
                          'its time was over when it was read',
                          dispatch.MIN_RETRY_AFTER_S)
-    if drain.refuses(state, ends_by, now):
+    if drain.refuses(state, request, route, ends_by, now, now):
         return fx.Refuse(request.id, endings.STATUS_UNAVAILABLE, drain.REASON,
-                         dispatch.MIN_RETRY_AFTER_S)
+                         drain.RETRY_AFTER_S)
     if route.public or not state.config.has_teams:
         return None
     if request.key is None or request.key not in state.config.teams_by_key:
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -175,7 +175,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.serve()
         await self.exited.wait()
-        await self.callers.wait_closed(drain.closing_until(self.state))
+        await self.callers.wait_closed(drain.schedule(self.state).closing_until)
         self.log_writer.flush()
 
     def _on_peer_message(self, event: Event) -> None:
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -24,6 +24,7 @@
 from plantainridge.gateway.requests import CallTable
 from plantainridge.gateway.retries import RetryBudget
 from plantainridge.gateway.rollout import RolloutState
+from plantainridge.gateway.service_times import ServiceTimes
 from plantainridge.gateway.settings import GatewaySettings
 from plantainridge.gateway.stores import StoreTable
 from plantainridge.gateway.suspects import SuspectTable
@@ -69,7 +70,9 @@
         lease: Lease whose holder orders engines to change versions.
         rollout: Progress of the rollout of weight versions.
         suspension: The last time at which this VM did not run.
-        stopping_since: Loop time of the stop request, in s, or None.
+        service_times: Times that recent requests took.
+        stopping_since: Loop time at which the stop request was handled, in s,
+            or None.
         listening: Whether new connections are accepted.
         exiting: Whether the reducer has emitted `Exit`.
     """
@@ -104,6 +107,7 @@
     lease: Lease = attrs.field(factory=Lease)
     rollout: RolloutState = attrs.field(factory=RolloutState)
     suspension: Suspension = attrs.field(factory=Suspension)
+    service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
     stopping_since: float | None = None
     listening: bool = True
     exiting: bool = False
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -197,6 +197,16 @@
         self.assertNotEqual(self.scene.last(fx.Send).endpoint, 'e2')
         self.assertTrue(messages(self.scene, RunReport)[0].has_ended)
 
+    def test_grant_that_a_stopping_vm_handles_too_late_is_returned(
+            self) -> None:
+        self.scene.post(ev.StopRequested())
+        post_large(self.scene)
+        self.scene.now += 7.0
+        self.scene.post(answer())
+        self.assertFalse(self.scene.all(fx.Send))
+        self.assertEqual(self.scene.last(fx.Refuse).status, 503)
+        self.assertTrue(messages(self.scene, RunReport)[0].has_ended)
+
     def test_grant_in_a_data_centre_evacuated_meanwhile_is_returned(
             self) -> None:
         post_large(self.scene)
