--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -29,6 +29,9 @@
 # Time before the kill at which the process exits even if not all answers are
 # written, in s.
 KILL_MARGIN_S: Final = 0.2
+# Time within which a signal is handled that came while the VM did not run, from
+# the end of that time, in s.
+SIGNAL_BACKLOG_S: Final = 0.5
 # Time after which a refused caller may try another VM, in s.
 RETRY_AFTER_S: Final = 0.2
 REASON: Final = 'the VM is stopping'
@@ -41,8 +44,12 @@
     if state.stopping_since is not None:
         return
     state.stopping_since = now
+    if now - state.suspension.end <= SIGNAL_BACKLOG_S:
+        # The signal may have come while the VM did not run.
+        state.stop_delay_s = now - state.suspension.start
     yield fx.CloseAfterAnswers()
-    yield LogLine('stopping', (('requests', len(state.calls.calls)),))
+    yield LogLine('stopping', (('requests', len(state.calls.calls)),
+                               ('delay_s', round(state.stop_delay_s, 3))))
 
 
 def refuses(state: 'GatewayState', request: Request, route: Route,
@@ -69,8 +76,9 @@
 def schedule(state: 'GatewayState') -> StopSchedule:
     """Return the times of the planned stop, which was requested."""
     assert state.stopping_since is not None
-    killed_at = state.stopping_since + state.settings.bounds.grace_s
-    return StopSchedule(take_all_until=state.stopping_since + TAKE_ALL_S,
+    requested_at = state.stopping_since - state.stop_delay_s
+    killed_at = requested_at + state.settings.bounds.grace_s
+    return StopSchedule(take_all_until=requested_at + TAKE_ALL_S,
                         unlisten_at=state.stopping_since + UNREADY_S,
                         exit_at=killed_at - EXIT_MARGIN_S,
                         closing_until=killed_at - KILL_MARGIN_S)
--- a/src/plantainridge/gateway/state.py
+++ b/src/plantainridge/gateway/state.py
@@ -73,6 +73,8 @@
         service_times: Times that recent requests took.
         stopping_since: Loop time at which the stop request was handled, in s,
             or None.
+        stop_delay_s: Longest time for which the stop request was not handled,
+            in s.
         listening: Whether new connections are accepted.
         exiting: Whether the reducer has emitted `Exit`.
     """
@@ -109,6 +111,7 @@
     suspension: Suspension = attrs.field(factory=Suspension)
     service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
     stopping_since: float | None = None
+    stop_delay_s: float = 0.0
     listening: bool = True
     exiting: bool = False
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,7 +8,8 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.settings import Bounds
-from plantainridge.ids import EndpointId
+from plantainridge.ids import EndpointId, RequestId
+from plantainridge.loop import effects as base
 from tests.gateway_scene import LEDGER, GatewayScene, endpoint, head
 
 MEASURED_REQUESTS = 40
@@ -160,5 +161,49 @@
                                    caller_timeout_s=20.0), expected)
 
 
+class LateStopRequestTest(unittest.TestCase):
+    """A stop request that a paused VM handles late."""
+
+    def test_requests_end_before_the_kill(self) -> None:
+        scene = stopping_scene()
+        scene.advance(1.0)
+        scene.post_request('/submit/x', caller_timeout_s=60.0)
+        # Killed 8 s after the request to stop, which came at the start of it.
+        killed_at = scene.now + 8.0
+        scene.now += 3.0
+        scene.post(ev.StopRequested())
+        scene.advance(killed_at - scene.now)
+        self.assertEqual(scene.last(fx.Refuse).request, RequestId('r1'))
+        self.assertEqual(len(scene.all(base.Exit)), 1)
+
+    def test_late_requests_are_refused(self) -> None:
+        scene = stopping_scene()
+        scene.advance(1.0)
+        scene.now += 3.0
+        scene.post(ev.StopRequested())
+        refusal = scene.post_request('/submit/x')
+        self.assertIsInstance(refusal, fx.Refuse)
+
+    def test_request_after_a_pause_counts_from_its_own_time(self) -> None:
+        scene = stopping_scene()
+        scene.advance(1.0)
+        scene.post_request('/submit/x')
+        scene.now += 5.0
+        scene.advance(0.8)
+        scene.post(ev.StopRequested())
+        scene.advance(4.0)
+        self.assertEqual(scene.all(fx.Refuse), [])
+
+    def test_listens_until_the_load_balancer_knows(self) -> None:
+        scene = stopping_scene()
+        scene.advance(1.0)
+        scene.now += 3.0
+        scene.post(ev.StopRequested())
+        scene.advance(2.5)
+        self.assertEqual(scene.all(fx.StopListening), [])
+        scene.advance(0.7)
+        self.assertEqual(len(scene.all(fx.StopListening)), 1)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,12 +3,15 @@
 import asyncio
 import logging
 import os
+import signal
+import time
 import unittest
 from typing import Any
 from unittest import mock
 
 from starlette.responses import Response as AppResponse
 
+from plantainridge.gateway import drain
 from plantainridge.gateway.events import StopRequested
 from plantainridge.gateway.http_calls import NoResponse, Response, call_on
 from plantainridge.gateway.http_client import Pool
@@ -24,6 +27,11 @@
 
 # Time that callers allow a new connection to be established, in s.
 CONNECT_TIMEOUT_S = 1.0
+# A request that may run once, with more time than a stopping VM has left.
+LATE_REQUEST = (b'POST /submit/x HTTP/1.1\r\nHost: h\r\n'
+                b'X-Attempt-Id: late\r\nAuthorization: Bearer key\r\n'
+                b'X-Deadline-Milliseconds: 20000\r\n'
+                b'Content-Length: 0\r\n\r\n')
 
 
 def route(prefix: str, kind: str, service: str, **overrides: Any) -> Any:
@@ -338,28 +346,73 @@
         self.assertEqual(await self._get_body('/submit/x', 'three'),
                          b'done by a1')
 
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.address.rpartition(':')
+        return await asyncio.open_connection(host, int(port))
+
     async def _connect(
             self,
             body: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection and send a request whose body has 4 bytes."""
-        host, _, port = self.address.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await self._open()
         writer.write(b'POST /submit/x HTTP/1.1\r\nHost: h\r\n'
                      b'X-Attempt-Id: one\r\nAuthorization: Bearer key\r\n'
                      b'Content-Length: 4\r\n\r\n' + body)
         await asyncio.sleep(0.3)
         return reader, writer
 
-    def _stop(self) -> asyncio.Task[None]:
-        """Request a stop, as if 3.3 s ago; return the task of the process."""
+    def _stop(self, elapsed_s: float = 3.3) -> asyncio.Task[None]:
+        """Request a stop, as if some time ago; return the process's task."""
         serve = mock.patch.object(self.gateway, 'serve')
         serve.start()
         self.addCleanup(serve.stop)
         process = asyncio.create_task(self.gateway.run())
         self.gateway.post(StopRequested())
-        self.gateway.state.stopping_since = self.gateway.loop.time() - 3.3
+        self.gateway.state.stopping_since = (self.gateway.loop.time() -
+                                             elapsed_s)
         return process
 
+    async def test_late_request_of_a_stop_is_refused_and_not_run(self) -> None:
+
+        async def run(*_: Any) -> AppResponse:
+            await asyncio.sleep(1.0)
+            return AppResponse(b'done', headers={'X-Response-Seal': 's'})
+
+        late_reader, late_writer = await self._open()
+        with mock.patch.object(self.app, 'run', side_effect=run):
+            reader, writer = await self._connect(b'body')
+            process = self._stop(elapsed_s=5.0)
+            await asyncio.sleep(0.2)
+            late_writer.write(LATE_REQUEST)
+            late = await asyncio.wait_for(late_reader.read(65_536), 0.5)
+            answer = await asyncio.wait_for(reader.read(65_536), 3.0)
+        self.assertTrue(late.startswith(b'HTTP/1.1 503 '), late)
+        self.assertIn(b'retry-after', late.lower())
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '), answer)
+        self.assertEqual(self.app.attempt_ids, ['one'])
+        await asyncio.wait_for(process, 2.0)
+        late_writer.close()
+        writer.close()
+
+    async def test_stop_signal_of_a_paused_process_counts_from_the_pause(
+            self) -> None:
+        with mock.patch.object(self.gateway, 'serve'):
+            process = asyncio.create_task(self.gateway.run())
+            await asyncio.sleep(0.2)
+            paused_at = self.gateway.loop.time()
+            os.kill(os.getpid(), signal.SIGTERM)
+            # Nothing of the process runs meanwhile.
+            time.sleep(1.0)
+            await asyncio.sleep(0.2)
+            state = self.gateway.state
+            assert state.stopping_since is not None
+            self.assertGreaterEqual(state.stopping_since, paused_at + 1.0)
+            killed_at = paused_at + state.settings.bounds.grace_s
+            self.assertLessEqual(
+                drain.schedule(state).exit_at, killed_at - drain.EXIT_MARGIN_S)
+            self.gateway.exited.set()
+            await asyncio.wait_for(process, 1.0)
+
     async def test_stopped_process_writes_its_last_answers(self) -> None:
         body = b'x' * (15 << 20)
         answer = AppResponse(body, headers={'X-Response-Seal': 's'})
