--- a/src/plantainridge/gateway/drain.py
+++ b/src/plantainridge/gateway/drain.py
@@ -29,6 +29,9 @@
 # Time before the kill at which the process exits even if not all answers are
 # written, in s.
 KILL_MARGIN_S: Final = 0.2
+# Grace below which these margins shrink with it, in s: endpoints get at least
+# five sixths of any grace.
+FULL_MARGINS_GRACE_S: Final = 5.0
 # Time within which a signal is handled that came while the VM did not run, from
 # the end of that time, in s.
 SIGNAL_BACKLOG_S: Final = 0.5
@@ -77,11 +80,13 @@
     """Return the times of the planned stop, which was requested."""
     assert state.stopping_since is not None
     requested_at = state.stopping_since - state.stop_delay_s
-    killed_at = requested_at + state.settings.bounds.grace_s
+    grace_s = state.settings.bounds.grace_s
+    killed_at = requested_at + grace_s
+    margin_ratio = min(1.0, grace_s / FULL_MARGINS_GRACE_S)
     return StopSchedule(take_all_until=requested_at + TAKE_ALL_S,
                         unlisten_at=state.stopping_since + UNREADY_S,
-                        exit_at=killed_at - EXIT_MARGIN_S,
-                        closing_until=killed_at - KILL_MARGIN_S)
+                        exit_at=killed_at - margin_ratio * EXIT_MARGIN_S,
+                        closing_until=killed_at - margin_ratio * KILL_MARGIN_S)
 
 
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -205,5 +205,21 @@
         self.assertEqual(len(scene.all(fx.StopListening)), 1)
 
 
+class ShortGraceTest(unittest.TestCase):
+    """A grace that is shorter than the load balancer's time to notice."""
+
+    def test_requests_end_in_the_last_sixth(self) -> None:
+        for grace_s in (1.0, 2.0, 3.0, 4.0, 8.0):
+            with self.subTest(grace_s):
+                scene = stopping_scene(grace_s)
+                scene.post_request('/submit/x', caller_timeout_s=60.0)
+                scene.post(ev.StopRequested())
+                scene.advance(5.0 / 6.0 * grace_s)
+                self.assertEqual(scene.all(fx.Refuse), [])
+                scene.advance(grace_s / 6.0)
+                self.assertEqual(scene.last(fx.Refuse).status, 502)
+                self.assertEqual(len(scene.all(base.Exit)), 1)
+
+
 if __name__ == '__main__':
     unittest.main()
