--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -61,6 +61,7 @@
 # Details of failures without an error of the system.
 END_OF_DATA: Final = 'EOF'
 DEADLINE: Final = 'deadline'
+SWITCHED_PROTOCOL: Final = 'the answer switches to another protocol'
 
 
 def stated_length(headers: Headers) -> int:
@@ -282,7 +283,11 @@
             self.http.receive_data(data)
             while self.handler is not None:
                 event = self.http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
+                if event is h11.NEED_DATA:
+                    return
+                if event is h11.PAUSED:
+                    # What follows is not HTTP, and `h11` keeps all of it.
+                    self.fail(Failure.MALFORMED, SWITCHED_PROTOCOL)
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -190,10 +190,10 @@
                             start: bytes,
                             block: bytes,
                             max_bytes: int = 32 << 20,
-                            stream: bool = False) -> None:
+                            **overrides: Any) -> None:
         server = Endpoint(start, block)
         address = await self.listen(server.serve)
-        event = await self.outcome(address, stream=stream)
+        event = await self.outcome(address, **overrides)
         assert isinstance(event, ev.SendFailed), event
         self.assertIn(event.failure, (Failure.TOO_LONG, Failure.MALFORMED))
         await server.wait_closed()
@@ -235,6 +235,10 @@
     async def test_event_without_end(self) -> None:
         await self._assert_fails(STREAM + CHUNKED, CHUNK, 12 << 20, stream=True)
 
+    async def test_switch_of_protocols_without_end(self) -> None:
+        connect = attrs.evolve(request('/submit/x'), method='CONNECT')
+        await self._assert_fails(OK + b'\r\n', BLOCK, 8 << 20, request=connect)
+
     async def test_slow_answer_ends_after_its_deadline(self) -> None:
         # Nobody waits for the answer to a run-once request whose caller left.
         server = Endpoint(OK + b'\r\n', b'x', pause_s=0.02)
