--- a/src/plantainridge/gateway/http_calls.py
+++ b/src/plantainridge/gateway/http_calls.py
@@ -16,6 +16,11 @@
 # Longest response to a call, in bytes: several times the longest page of the
 # metadata store or listing of a store.
 MAX_RESPONSE_BYTES: Final = 8 * 1_024 * 1_024
+# Longest report of an endpoint, or answer to an order, in bytes.
+MAX_REPORT_BYTES: Final = 256 * 1_024
+# Most values in the JSON of a response: several times those of the longest page
+# or listing.
+MAX_JSON_VALUES: Final = 250_000
 JSON_HEADERS: Headers = ((b'content-type', b'application/json'),)
 
 
@@ -32,9 +37,9 @@
     headers: Mapping[bytes, bytes] = attrs.field(factory=dict, repr=False)
 
     def json(self) -> Any:
-        """Decode the body; return None if it is not JSON."""
+        """Decode the body; return None if it is not JSON within the limit."""
         try:
-            return json_values.decode(self.body)
+            return json_values.decode_limited(self.body, MAX_JSON_VALUES)
         except ValueError:
             return None
 
@@ -68,12 +73,14 @@
 
     Attributes:
         foreign_header: Header that only answers to other requests have, or b''.
+        max_bytes: Longest body, in bytes.
     """
 
-    def __init__(self, foreign_header: bytes = b'') -> None:
+    def __init__(self, foreign_header: bytes, max_bytes: int) -> None:
         self.done: asyncio.Future[Response | NoResponse] = (
             asyncio.get_running_loop().create_future())
         self.foreign_header = foreign_header
+        self.max_bytes = max_bytes
         self.status = 0
         self.headers: Headers = ()
         self.body = bytearray()
@@ -84,13 +91,12 @@
             # The response itself may still come: the connection is closed.
             return Failure.MALFORMED
         return (Failure.TOO_LONG
-                if stated_length(headers) > MAX_RESPONSE_BYTES else None)
+                if stated_length(headers) > self.max_bytes else None)
 
     def on_data(self, data: bytes) -> Failure | None:
         self.body += data
         self.held_bytes = len(self.body)
-        return (Failure.TOO_LONG
-                if len(self.body) > MAX_RESPONSE_BYTES else None)
+        return (Failure.TOO_LONG if len(self.body) > self.max_bytes else None)
 
     def on_end(self) -> None:
         self._finish(Response(self.status, bytes(self.body),
@@ -112,7 +118,8 @@
                timeout_s: float,
                body: bytes = b'',
                headers: Headers = JSON_HEADERS,
-               foreign_header: bytes = b'') -> Response | NoResponse:
+               foreign_header: bytes = b'',
+               max_bytes: int = MAX_RESPONSE_BYTES) -> Response | NoResponse:
     """Send a request and wait for its complete response.
 
     It is sent once, but for a GET on a connection that its server had dropped:
@@ -128,12 +135,13 @@
         headers: Headers beside the host and the content length.
         foreign_header: Header that only answers to other requests have, or b'';
             such an answer closes the connection.
+        max_bytes: Longest body of the response, in bytes.
     """
     connection = pool.take(
         address, max_idle_s=math.inf if method == 'GET' else MAX_IDLE_S)
     if connection is not None:
         response = await call_on(connection, address, method, target, timeout_s,
-                                 body, headers, foreign_header)
+                                 body, headers, foreign_header, max_bytes)
         if isinstance(response, Response) or not response.stale:
             return response
         pool.close_idle(address)
@@ -144,7 +152,7 @@
     except OSError as error:
         return NoResponse(f'no connection: {error!r}', False)
     return await call_on(connection, address, method, target, timeout_s, body,
-                         headers, foreign_header)
+                         headers, foreign_header, max_bytes)
 
 
 async def call_on(connection: Connection,
@@ -154,9 +162,10 @@
                   timeout_s: float,
                   body: bytes = b'',
                   headers: Headers = JSON_HEADERS,
-                  foreign_header: bytes = b'') -> Response | NoResponse:
+                  foreign_header: bytes = b'',
+                  max_bytes: int = MAX_RESPONSE_BYTES) -> Response | NoResponse:
     """Send a request, once, on a connection; see `call`."""
-    collector = _ResponseCollector(foreign_header)
+    collector = _ResponseCollector(foreign_header, max_bytes)
     raw = RawRequest(method.encode(), target.encode(),
                      ((b'host', address.encode()), *headers), body)
     if not connection.usable:
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -7,6 +7,7 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Failure, Headers
+from plantainridge.gateway.http_calls import MAX_REPORT_BYTES
 from plantainridge.gateway.http_client import (MAX_IDLE_S, AnswerHandler,
                                                Connection, Pool, stated_length)
 from plantainridge.gateway.streams import EventSplitter
@@ -26,8 +27,6 @@
 OVERTIME_S: Final = 1.0
 # Longest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES: Final = 16 * 1_024 * 1_024
-# Longest report of an endpoint's run, in bytes.
-MAX_RUN_REPORT_BYTES: Final = 256 * 1_024
 # Longest error answer, in bytes: it is held while its request is sent again.
 MAX_ERROR_ANSWER_BYTES: Final = 1_024 * 1_024
 
@@ -171,13 +170,12 @@
     def on_head(self, status: int, headers: Headers) -> Failure | None:
         self.status, self.headers = status, headers
         return (Failure.TOO_LONG
-                if stated_length(headers) > MAX_RUN_REPORT_BYTES else None)
+                if stated_length(headers) > MAX_REPORT_BYTES else None)
 
     def on_data(self, data: bytes) -> Failure | None:
         self.body += data
         self.held_bytes = len(self.body)
-        return (Failure.TOO_LONG
-                if len(self.body) > MAX_RUN_REPORT_BYTES else None)
+        return (Failure.TOO_LONG if len(self.body) > MAX_REPORT_BYTES else None)
 
     def on_end(self) -> None:
         effect, connection, sender = self.effect, self.connection, self.sender
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -7,7 +7,8 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import OrderResult
-from plantainridge.gateway.http_calls import (JSON_HEADERS, NoResponse,
+from plantainridge.gateway.http_calls import (JSON_HEADERS, MAX_REPORT_BYTES,
+                                              MAX_RESPONSE_BYTES, NoResponse,
                                               Response, call, failure_reason)
 from plantainridge.gateway.http_client import Pool
 from plantainridge.gateway.ports import EnginePort
@@ -46,14 +47,15 @@
                 target: str,
                 timeout_s: float,
                 body: bytes = b'',
-                headers: ev.Headers = JSON_HEADERS) -> Response | NoResponse:
+                headers: ev.Headers = JSON_HEADERS,
+                max_bytes: int = MAX_REPORT_BYTES) -> Response | NoResponse:
     """Send a control call; see `call`.
 
     Connections are shared with requests, and a second copy of an answer may
     come on one that is reused. Control calls name no attempt.
     """
     return await call(pool, address, method, target, timeout_s, body, headers,
-                      names.ATTEMPT_ID)
+                      names.ATTEMPT_ID, max_bytes)
 
 
 class PlatformEngines(EnginePort):
@@ -82,8 +84,12 @@
         self.tasks.spawn(self._free_parts(effect))
 
     async def _list_store(self, effect: fx.ListStore) -> None:
-        response = await _call(self.pool, effect.address, 'GET', '/kv-list',
-                               LIST_STORE_TIMEOUT_S)
+        response = await _call(self.pool,
+                               effect.address,
+                               'GET',
+                               '/kv-list',
+                               LIST_STORE_TIMEOUT_S,
+                               max_bytes=MAX_RESPONSE_BYTES)
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(_store_failure(effect.store, response))
             return
@@ -100,7 +106,8 @@
                                'GET',
                                f'/kv-events?since={effect.since}',
                                TIMEOUT_S + effect.wait_s,
-                               headers=(wait_header,))
+                               headers=(wait_header,),
+                               max_bytes=MAX_RESPONSE_BYTES)
         if isinstance(response, NoResponse) or response.status != 200:
             self.post(_store_failure(effect.store, response))
             return
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -446,6 +446,23 @@
         self.assertEqual(len(events.data), 6_000 * 16 + 2)
 
 
+class DenseJsonTest(unittest.TestCase):
+    """JSON is not decoded where it takes many times the memory of its text."""
+
+    def test_too_many_values_are_unreadable(self) -> None:
+        for value in (b'[]', b'{}', b'0', b'""'):
+            with self.subTest(value):
+                data = b'[' + value + (b',' + value) * 300_000 + b']'
+                is_unreadable = http_calls.Response(200, data).json() is None
+                self.assertTrue(is_unreadable)
+
+    def test_a_long_listing_is_read(self) -> None:
+        row = b'["salt","5c1e07a2",800,"daka510000"]'
+        data = b'[' + row + (b',' + row) * 40_000 + b']'
+        rows = http_calls.Response(200, data).json()
+        self.assertEqual(len(rows), 40_001)
+
+
 class FailedAnswerTest(unittest.TestCase):
     """Callers of an answer without end are answered, or served elsewhere."""
 
--- a/tests/test_endless_processes.py
+++ b/tests/test_endless_processes.py
@@ -446,3 +446,26 @@
             self._spawn(self._call_repeatedly('sound'))
         await asyncio.sleep(LOAD_S)
         self._assert_within_limits()
+
+    async def test_reports(self) -> None:
+        reports = {'endless': None, 'dense': NESTED_JSON}
+        endpoints = [
+            await self._add_faulty(name, Form(OK + b'\r\n', BLOCK), report)
+            for name, report in reports.items()
+            for _ in range(ENDPOINTS_PER_FORM)
+        ]
+        await self._start(frozenset(reports))
+        self.gateway.store.put(names.OPERATOR_TOPIC,
+                               f'{names.VERSION_KEY_PREFIX}m', {
+                                   'model': 'm',
+                                   'version': 2
+                               })
+        for _ in range(SOUND_CALLERS):
+            self._spawn(self._call_repeatedly('sound'))
+        for name in reports:
+            self._spawn(self._call_repeatedly(name))
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while any(each.reports < 2 for each in endpoints):
+                await asyncio.sleep(POLL_S)
+        await asyncio.sleep(LOAD_S)
+        self._assert_within_limits()
--- a/tests/test_endpoint_runs.py
+++ b/tests/test_endpoint_runs.py
@@ -8,8 +8,9 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Failure, View
+from plantainridge.gateway.http_calls import MAX_REPORT_BYTES
 from plantainridge.gateway.http_client import Pool
-from plantainridge.gateway.sender import (MAX_RUN_REPORT_BYTES, EndpointSender)
+from plantainridge.gateway.sender import EndpointSender
 from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform.requests import PlatformWire
@@ -158,7 +159,7 @@
             'no HTTP':
                 b'\0' * 100_000,
             'a report that is too long':
-                answer(b' ' * MAX_RUN_REPORT_BYTES + REPORT),
+                answer(b' ' * MAX_REPORT_BYTES + REPORT),
             'a closed connection':
                 answer(REPORT, b'Connection: close\r\n'),
         }
