--- a/src/plantainridge/gateway/caller_connection.py
+++ b/src/plantainridge/gateway/caller_connection.py
@@ -103,7 +103,7 @@
         if exc is None and self.answers_are_complete:
             # All that was written has been passed to the system.
             self._set_linger(LINGER_OFF)
-        self.server.connections.discard(self)
+        self.server.remove_connection(self)
         self._cancel_timeout()
         if self.request is not None:
             request, self.request = self.request, None
@@ -324,12 +324,11 @@
             return
         if data and not self.transport.is_closing():
             self.transport.write(data)
-            if self.unread_bytes <= MAX_UNREAD_BYTES:
-                return
-            if self.is_streaming:
+            unread_bytes = self.unread_bytes
+            if self.is_streaming and unread_bytes > MAX_UNREAD_BYTES:
                 self.disconnect()
             else:
-                self.server.limit_unread_bytes()
+                self.server.record_unread_bytes(self, unread_bytes)
 
     def _set_linger(self, value: bytes) -> None:
         assert self.transport is not None
--- a/src/plantainridge/gateway/http_server.py
+++ b/src/plantainridge/gateway/http_server.py
@@ -19,8 +19,8 @@
 BACKLOG: Final = 512
 # Pause after a connection could not be accepted, in s.
 ACCEPT_RETRY_DELAY_S: Final = 1.0
-# Unread bytes of all complete answers at which the callers with most of them
-# are disconnected.
+# Unread bytes of all answers at which the callers with most of them are
+# disconnected.
 MAX_TOTAL_UNREAD_BYTES: Final = 32 * 1_024 * 1_024
 # Interval at which a stop checks whether all connections are closed, in s.
 CLOSE_POLL_INTERVAL_S: Final = 0.02
@@ -37,6 +37,9 @@
             configuration.
         closing: Whether each connection closes after its next answer.
         connections: Open connections.
+        unread_bytes: Unread bytes of each connection's answers as of its latest
+            write; connections without any are left out.
+        total_unread_bytes: Sum of `unread_bytes`.
         by_request: The connection that waits for each request's answer.
         refusal: How requests are refused since the process exits, or None.
         accepting: Tasks of connections that were accepted and are not in
@@ -53,6 +56,8 @@
         self.limits = CallerLimits()
         self.closing = False
         self.connections: set[CallerConnection] = set()
+        self.unread_bytes: dict[CallerConnection, int] = {}
+        self.total_unread_bytes = 0
         self.by_request: dict[RequestId, CallerConnection] = {}
         self.refusal: fx.CloseCallers | None = None
         self.accepting: set[asyncio.Task[object]] = set()
@@ -130,15 +135,34 @@
         unread_s = connection.unread.seconds(connection.loop.time())
         self.post(RequestArrived(decoded, unread_s))
 
-    def limit_unread_bytes(self) -> None:
-        """Disconnect the callers with most unread bytes, beyond the limit."""
-        sizes = {each: each.unread_bytes for each in self.connections}
-        total = sum(sizes.values())
-        for connection in sorted(sizes, key=lambda each: -sizes[each]):
-            if total <= MAX_TOTAL_UNREAD_BYTES:
-                return
-            total -= sizes[connection]
-            connection.disconnect()
+    def record_unread_bytes(self, connection: CallerConnection,
+                            count: int) -> None:
+        """Record a connection's unread bytes, and keep the limit of all.
+
+        Beyond it, callers with most unread bytes are disconnected.
+        """
+        self._set_unread_bytes(connection, count)
+        if self.total_unread_bytes <= MAX_TOTAL_UNREAD_BYTES:
+            return
+        # Callers may have read since the latest write to them.
+        for each in list(self.unread_bytes):
+            self._set_unread_bytes(each, each.unread_bytes)
+        while self.total_unread_bytes > MAX_TOTAL_UNREAD_BYTES:
+            longest = max(self.unread_bytes,
+                          key=lambda each: self.unread_bytes[each])
+            longest.disconnect()
+            self._set_unread_bytes(longest, 0)
+
+    def remove_connection(self, connection: CallerConnection) -> None:
+        """Remove a connection that has ended."""
+        self.connections.discard(connection)
+        self._set_unread_bytes(connection, 0)
+
+    def _set_unread_bytes(self, connection: CallerConnection,
+                          count: int) -> None:
+        self.total_unread_bytes += count - self.unread_bytes.pop(connection, 0)
+        if count:
+            self.unread_bytes[connection] = count
 
     def stop_listening(self, _: fx.StopListening) -> None:
         """Accept no further connections and close idle ones.
--- a/tests/test_endless_processes.py
+++ b/tests/test_endless_processes.py
@@ -435,6 +435,27 @@
                 any(sent[at:at + ENDPOINTS_PER_FORM])
                 for at in range(0, len(sent), ENDPOINTS_PER_FORM)), sent)
 
+    async def test_callers_that_do_not_read(self) -> None:
+        endpoints = [
+            await self._add_faulty('events',
+                                   FORMS['events'],
+                                   max_bytes=SLOW_BYTES)
+            for _ in range(ENDPOINTS_PER_FORM)
+        ]
+        await self._start()
+        for _ in range(SLOW_CALLERS):
+            self._spawn(self._stall('events'))
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while sum(each.answers for each in endpoints) < SLOW_CALLERS:
+                await asyncio.sleep(POLL_S)
+        for _ in range(SOUND_CALLERS):
+            self._spawn(self._call_repeatedly('sound'))
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while any(each.streaming for each in endpoints):
+                await asyncio.sleep(POLL_S)
+        await asyncio.sleep(LOAD_S)
+        self._assert_within_limits()
+
     async def test_answers_that_switch_protocols(self) -> None:
         form = Form(OK + b'\r\n', BLOCK)
         for _ in range(ENDPOINTS_PER_FORM):
