Count incomplete heads towards the limit on held answers

The limit on the memory of all incomplete answers counted their bodies only. An answer that stops within its head or trailer holds up to 64 KiB more for each connection, so that workers which do so hold up to 125 MiB at the 2,000 connections that the descriptors of a VM allow.

What h11 holds of an answer is now part of its size.

Before: test_incomplete_heads_together_are_bounded, 600 answers of 60 kB were all held, and the test ended after 60 s without a failed send.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -284,6 +284,10 @@
             while self.handler is not None:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
+                    # A head or a trailer that is incomplete is held as well.
+                    incomplete = self.http.trailing_data[0]
+                    self.held_answers.set_size(
+                        self, self.handler.held_bytes + len(incomplete))
                     return
                 if event is h11.PAUSED:
                     # What follows is not HTTP, and `h11` keeps all of it.
@@ -311,11 +315,7 @@
             self.max_idle_s = stated_idle_s(headers)
             failure = self.handler.on_head(event.status_code, headers)
         elif isinstance(event, h11.Data):
-            handler = self.handler
-            failure = handler.on_data(bytes(event.data))
-            # The data may have made its receiver cancel the request.
-            if failure is None and self.handler is handler:
-                self.held_answers.set_size(self, handler.held_bytes)
+            failure = self.handler.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             failure = self.handler.check_end()
             if failure is None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -14,7 +14,7 @@
 from plantainridge.gateway import http_calls
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure
-from plantainridge.gateway.http_client import Connection, Pool
+from plantainridge.gateway.http_client import MAX_HELD_BYTES, Connection, Pool
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.wire import RawRequest
@@ -37,6 +37,8 @@
 # Time after which a test counts as hanging, in s: it judges no speed.
 HANG_TIMEOUT_S: Final = 60.0
 POLL_S: Final = 0.01
+# Sends whose answers stop in their heads: together more than is held.
+STALLED_SENDS: Final = 600
 # Longer than any test, so that no answer fails by its deadline instead of its
 # limit, in s.
 REMAINING_S: Final = 600.0
@@ -267,6 +269,18 @@
         ], [(ev.SendFailed, Failure.TOO_LONG)] * 4)
         self.assertEqual(len(self.sender.in_flight), 2)
 
+    async def test_incomplete_heads_together_are_bounded(self) -> None:
+        server = Endpoint(OK + b'X-A: ' + b'x' * 60_000)
+        address = await self.listen(server.serve)
+        for number in range(STALLED_SENDS):
+            self.send(address, number)
+        held = self.pool.held_answers
+        await self.wait_for(lambda: len(self.events) >= 1)
+        self.assertEqual(getattr(self.events[0], 'failure', None),
+                         Failure.TOO_LONG)
+        self.assertGreater(held.total, MAX_HELD_BYTES - (1 << 20))
+        self.assertLessEqual(held.total, MAX_HELD_BYTES)
+
     async def test_endless_answer_to_a_control_call(self) -> None:
         server = Endpoint(STATUS_LINE + b'\r\n', BLOCK)
         address = await self.listen(server.serve)
