Quote a malformed answer in part

Operators lost log lines of other requests while a worker sent malformed heads.

Cause: the detail of such a failure quoted all of the line that could not be read, escaped: up to 800,000 characters for a read of 200 kB, which filled the log writer's buffer.

Details are now cut at 200 characters.

Before: LongTextTest.test_malformed_head_is_quoted_in_part, a detail of 240,035 characters for 60 kB.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -58,6 +58,8 @@
     {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 # Longest number of seconds in a `Keep-Alive` header that is read.
 MAX_TIMEOUT_DIGITS: Final = 6
+# Longest detail of a failure, in characters.
+MAX_DETAIL_CHARS: Final = 200
 # Details of failures without an error of the system.
 END_OF_DATA: Final = 'EOF'
 DEADLINE: Final = 'deadline'
@@ -295,7 +297,8 @@
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
-            failure, detail = Failure.MALFORMED, str(error)
+            # The message may quote all that was received.
+            failure, detail = Failure.MALFORMED, str(error)[:MAX_DETAIL_CHARS]
             if error.error_status_hint == STATUS_HEAD_TOO_LONG:
                 failure = Failure.TOO_LONG
             elif not data:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -477,6 +477,17 @@
         self.assertEqual(len(rows), 40_001)
 
 
+class LongTextTest(_SenderCase):
+    """Texts of an answer that are kept, or written to logs, are short."""
+
+    async def test_malformed_head_is_quoted_in_part(self) -> None:
+        address = await self.listen(ending(b'\x80' * 60_000 + b'\r\n\r\n'))
+        event = await self.outcome(address)
+        assert isinstance(event, ev.SendFailed)
+        self.assertEqual(event.failure, Failure.MALFORMED)
+        self.assertLess(len(event.detail), 1_000)
+
+
 class FailedAnswerTest(unittest.TestCase):
     """Callers of an answer without end are answered, or served elsewhere."""
 
