Fail a stream whose event id is too long

A faulty worker could make a VM hold up to 1 MiB for each stream.

Cause: the id of the latest event is kept for each stream until the next one, and could be as long as an event.

An id of over 8 KiB now fails its stream as too long.

Before: LongTextTest.test_long_id_of_an_event_is_not_kept, a stream with an id of 60 kB that was forwarded.

--- a/src/plantainridge/gateway/streams.py
+++ b/src/plantainridge/gateway/streams.py
@@ -7,6 +7,8 @@
 
 # Longest event, in bytes, with the blank line that ends it.
 MAX_EVENT_BYTES: Final = 1_024 * 1_024
+# Longest id of an event, in bytes: the latest one is kept for each stream.
+MAX_ID_BYTES: Final = 8 * 1_024
 # What ends an event.
 _BLANK_LINES: Final = (b'\r\n\r\n', b'\n\n', b'\r\r')
 # Length of the longest of them, in bytes.
@@ -44,7 +46,8 @@
     Attributes:
         after_id: Events up to this numeric id are dropped; '' drops none.
         incomplete: Bytes of an event that is not complete yet.
-        is_too_long: Whether an event exceeds `MAX_EVENT_BYTES`.
+        is_too_long: Whether an event exceeds `MAX_EVENT_BYTES`, or its id
+            `MAX_ID_BYTES`; such an id is not returned.
     """
 
     after_id: str = ''
@@ -63,6 +66,9 @@
         del self.incomplete[:end]
         self.is_too_long = len(self.incomplete) > MAX_EVENT_BYTES
         ids = _find_ids(events)
+        if any(len(each) > MAX_ID_BYTES for each in ids):
+            self.is_too_long = True
+            return None
         if self.after_id and any(
                 _is_repeated(each, self.after_id) for each in set(ids)):
             events = self._without_repeated(events)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -487,6 +487,17 @@
         self.assertEqual(event.failure, Failure.MALFORMED)
         self.assertLess(len(event.detail), 1_000)
 
+    async def test_long_id_of_an_event_is_not_kept(self) -> None:
+        stream = STREAM + b'\r\nid: ' + b'9' * 60_000 + b'\n\n'
+        address = await self.listen(ending(stream))
+        event = await self.outcome(address, stream=True)
+        assert isinstance(event, ev.SendFailed), event
+        self.assertEqual(event.failure, Failure.TOO_LONG)
+        self.assertFalse([
+            each for each in self.events
+            if isinstance(each, ev.StreamEventsReceived)
+        ])
+
 
 class FailedAnswerTest(unittest.TestCase):
     """Callers of an answer without end are answered, or served elsewhere."""
