Close the connection of a message that its peer did not read in time

A long message to a peer that accepts connections and does not read was given up after 10 s, but its connection stayed open with what was not sent, up to 4 MiB, for as long as the peer stood still. Found while looking for further places that keep bytes without a bound.

Before: SilentPeerTest.test_connection_is_closed, whose time limit of a message is 0.3 s, found connections still open at its own limit of 10 s.

--- a/src/plantainridge/loop/peers_net.py
+++ b/src/plantainridge/loop/peers_net.py
@@ -79,6 +79,7 @@
         self.tasks.spawn(self._send_stream(host, int(port), effect.payload))
 
     async def _send_stream(self, host: str, port: int, payload: bytes) -> None:
+        writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(STREAM_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, port)
@@ -88,6 +89,10 @@
                 await writer.wait_closed()
         except OSError:
             return
+        finally:
+            if writer is not None:
+                # Otherwise what a stalled peer did not read stays in memory.
+                writer.transport.abort()
 
     async def _receive(self, reader: asyncio.StreamReader,
                        writer: asyncio.StreamWriter) -> None:
