--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -58,9 +58,12 @@
     {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 # Longest number of seconds in a `Keep-Alive` header that is read.
 MAX_TIMEOUT_DIGITS: Final = 6
+# Longest detail of a failure, in characters.
+MAX_DETAIL_CHARS: Final = 200
 # Details of failures without an error of the system.
 END_OF_DATA: Final = 'EOF'
 DEADLINE: Final = 'deadline'
+SWITCHED_PROTOCOL: Final = 'the answer switches to another protocol'
 
 
 def stated_length(headers: Headers) -> int:
@@ -282,11 +285,20 @@
             self.http.receive_data(data)
             while self.handler is not None:
                 event = self.http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
+                if event is h11.NEED_DATA:
+                    # A head or a trailer that is incomplete is held as well.
+                    incomplete = self.http.trailing_data[0]
+                    self.held_answers.set_size(
+                        self, self.handler.held_bytes + len(incomplete))
+                    return
+                if event is h11.PAUSED:
+                    # What follows is not HTTP, and `h11` keeps all of it.
+                    self.fail(Failure.MALFORMED, SWITCHED_PROTOCOL)
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
-            failure, detail = Failure.MALFORMED, str(error)
+            # The message may quote all that was received.
+            failure, detail = Failure.MALFORMED, str(error)[:MAX_DETAIL_CHARS]
             if error.error_status_hint == STATUS_HEAD_TOO_LONG:
                 failure = Failure.TOO_LONG
             elif not data:
@@ -306,11 +318,7 @@
             self.max_idle_s = stated_idle_s(headers)
             failure = self.handler.on_head(event.status_code, headers)
         elif isinstance(event, h11.Data):
-            handler = self.handler
-            failure = handler.on_data(bytes(event.data))
-            # The data may have made its receiver cancel the request.
-            if failure is None and self.handler is handler:
-                self.held_answers.set_size(self, handler.held_bytes)
+            failure = self.handler.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             failure = self.handler.check_end()
             if failure is None:
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -7,8 +7,9 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway import http_calls
 from plantainridge.gateway.events import Failure, Headers
+from plantainridge.gateway.http_calls import (MAX_REPORT_BYTES, NoResponse,
+                                              call_on)
 from plantainridge.gateway.http_client import (MAX_IDLE_S, AnswerHandler,
                                                Connection, Pool, stated_length)
 from plantainridge.gateway.streams import EventSplitter
@@ -28,8 +29,6 @@
 OVERTIME_S: Final = 1.0
 # Longest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES: Final = 16 * 1_024 * 1_024
-# Longest report of an endpoint's run, in bytes.
-MAX_RUN_REPORT_BYTES: Final = 256 * 1_024
 # Time in which an endpoint must state that the run that ended a stream goes on,
 # in s.
 END_TIMEOUT_S: Final = 0.6
@@ -189,11 +188,14 @@
     async def _ask_run(self, connection: Connection,
                        effect: fx.Send) -> RunReport:
         raw = self.wire.write_run_request(effect)
-        response = await http_calls.call_on(connection, effect.address,
-                                            raw.method.decode(),
-                                            raw.target.decode(), END_TIMEOUT_S,
-                                            raw.body, ())
-        if isinstance(response, http_calls.NoResponse):
+        response = await call_on(connection,
+                                 effect.address,
+                                 raw.method.decode(),
+                                 raw.target.decode(),
+                                 END_TIMEOUT_S,
+                                 headers=(),
+                                 max_bytes=MAX_REPORT_BYTES)
+        if isinstance(response, NoResponse):
             return RunReport(is_valid=False)
         return self.wire.read_run(response.status,
                                   tuple(response.headers.items()),
@@ -225,13 +227,12 @@
     def on_head(self, status: int, headers: Headers) -> Failure | None:
         self.status, self.headers = status, headers
         return (Failure.TOO_LONG
-                if stated_length(headers) > MAX_RUN_REPORT_BYTES else None)
+                if stated_length(headers) > MAX_REPORT_BYTES else None)
 
     def on_data(self, data: bytes) -> Failure | None:
         self.body += data
         self.held_bytes = len(self.body)
-        return (Failure.TOO_LONG
-                if len(self.body) > MAX_RUN_REPORT_BYTES else None)
+        return (Failure.TOO_LONG if len(self.body) > MAX_REPORT_BYTES else None)
 
     def on_end(self) -> None:
         effect, connection, sender = self.effect, self.connection, self.sender
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -14,7 +14,7 @@
 from plantainridge.gateway import http_calls
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure
-from plantainridge.gateway.http_client import Connection, Pool
+from plantainridge.gateway.http_client import MAX_HELD_BYTES, Connection, Pool
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.wire import RawRequest
@@ -37,6 +37,8 @@
 # Time after which a test counts as hanging, in s: it judges no speed.
 HANG_TIMEOUT_S: Final = 60.0
 POLL_S: Final = 0.01
+# Sends whose answers stop in their heads: together more than is held.
+STALLED_SENDS: Final = 600
 # Longer than any test, so that no answer fails by its deadline instead of its
 # limit, in s.
 REMAINING_S: Final = 600.0
@@ -190,10 +192,10 @@
                             start: bytes,
                             block: bytes,
                             max_bytes: int = 32 << 20,
-                            stream: bool = False) -> None:
+                            **overrides: Any) -> None:
         server = Endpoint(start, block)
         address = await self.listen(server.serve)
-        event = await self.outcome(address, stream=stream)
+        event = await self.outcome(address, **overrides)
         assert isinstance(event, ev.SendFailed), event
         self.assertIn(event.failure, (Failure.TOO_LONG, Failure.MALFORMED))
         await server.wait_closed()
@@ -235,6 +237,10 @@
     async def test_event_without_end(self) -> None:
         await self._assert_fails(STREAM + CHUNKED, CHUNK, 12 << 20, stream=True)
 
+    async def test_switch_of_protocols_without_end(self) -> None:
+        connect = attrs.evolve(request('/submit/x'), method='CONNECT')
+        await self._assert_fails(OK + b'\r\n', BLOCK, 8 << 20, request=connect)
+
     async def test_slow_answer_ends_after_its_deadline(self) -> None:
         # Nobody waits for the answer to a run-once request whose caller left.
         server = Endpoint(OK + b'\r\n', b'x', pause_s=0.02)
@@ -263,6 +269,18 @@
         ], [(ev.SendFailed, Failure.TOO_LONG)] * 4)
         self.assertEqual(len(self.sender.in_flight), 2)
 
+    async def test_incomplete_heads_together_are_bounded(self) -> None:
+        server = Endpoint(OK + b'X-A: ' + b'x' * 60_000)
+        address = await self.listen(server.serve)
+        for number in range(STALLED_SENDS):
+            self.send(address, number)
+        held = self.pool.held_answers
+        await self.wait_for(lambda: len(self.events) >= 1)
+        self.assertEqual(getattr(self.events[0], 'failure', None),
+                         Failure.TOO_LONG)
+        self.assertGreater(held.total, MAX_HELD_BYTES - (1 << 20))
+        self.assertLessEqual(held.total, MAX_HELD_BYTES)
+
     async def test_endless_answer_to_a_control_call(self) -> None:
         server = Endpoint(STATUS_LINE + b'\r\n', BLOCK)
         address = await self.listen(server.serve)
@@ -442,6 +460,45 @@
         self.assertEqual(len(events.data), 6_000 * 16 + 2)
 
 
+class DenseJsonTest(unittest.TestCase):
+    """JSON is not decoded where it takes many times the memory of its text."""
+
+    def test_too_many_values_are_unreadable(self) -> None:
+        for value in (b'[]', b'{}', b'0', b'""'):
+            with self.subTest(value):
+                data = b'[' + value + (b',' + value) * 300_000 + b']'
+                is_unreadable = http_calls.Response(200, data).json() is None
+                self.assertTrue(is_unreadable)
+
+    def test_a_long_listing_is_read(self) -> None:
+        row = b'["salt","5c1e07a2",800,"daka510000"]'
+        data = b'[' + row + (b',' + row) * 40_000 + b']'
+        rows = http_calls.Response(200, data).json()
+        self.assertEqual(len(rows), 40_001)
+
+
+class LongTextTest(_SenderCase):
+    """Texts of an answer that are kept, or written to logs, are short."""
+
+    async def test_malformed_head_is_quoted_in_part(self) -> None:
+        address = await self.listen(ending(b'\x80' * 60_000 + b'\r\n\r\n'))
+        event = await self.outcome(address)
+        assert isinstance(event, ev.SendFailed)
+        self.assertEqual(event.failure, Failure.MALFORMED)
+        self.assertLess(len(event.detail), 1_000)
+
+    async def test_long_id_of_an_event_is_not_kept(self) -> None:
+        stream = STREAM + b'\r\nid: ' + b'9' * 60_000 + b'\n\n'
+        address = await self.listen(ending(stream))
+        event = await self.outcome(address, stream=True)
+        assert isinstance(event, ev.SendFailed), event
+        self.assertEqual(event.failure, Failure.TOO_LONG)
+        self.assertFalse([
+            each for each in self.events
+            if isinstance(each, ev.StreamEventsReceived)
+        ])
+
+
 class FailedAnswerTest(unittest.TestCase):
     """Callers of an answer without end are answered, or served elsewhere."""
 
