--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,7 +6,8 @@
 
 from tests.soak.callers import CALLER_TIMEOUT_S
 from tests.soak.endpoint import expected_body, expected_event
-from tests.soak.history import FaultSpan, History, Outcome
+from tests.soak.history import (CallerStream, FaultSpan, History, Outcome,
+                                StreamTry)
 
 # Statuses which mean that a request has not run and never will.
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
@@ -42,6 +43,15 @@
 MIN_PARTITIONED_RATIO: Final = 2 / 3
 FAILED_SLACK: Final = 10
 FAILED_SLACK_RATIO: Final = 1 / 50
+# Events of a complete stream that its caller may resume.
+DRAFT_EVENT_COUNT: Final = 30
+# Streams with events of several builds that the rule tolerates in a run.
+MAX_MIXED_STREAMS: Final = 2
+# Resumed streams without which their share is not judged, the share of the
+# first tries' that must go on, and the engines of their build that must serve.
+MIN_RESUMED: Final = 12
+MIN_RESUMED_RATIO: Final = 0.5
+MIN_SERVING: Final = 2
 
 
 def paths_to_endpoints(gateway: str) -> str:
@@ -371,6 +381,91 @@
         {gateway, paths_to_endpoints(gateway)}, start, end)
 
 
+def mixed_streams(history: History) -> Iterator[str]:
+    """Return a finding for each stream with events of several builds."""
+    for stream in history.streams:
+        first_ids: dict[str, int] = {}
+        for event in stream.events:
+            first_ids.setdefault(event.build, event.id)
+        if len(first_ids) > 1:
+            found = ', '.join(f'{build} from event {number}'
+                              for build, number in first_ids.items())
+            yield f'{_first_attempt(stream)} holds {found}'
+
+
+def streams_keep_their_build(history: History) -> Iterator[str]:
+    """Check that the events of a stream are of one build, over all its tries.
+
+    Faults excuse nothing.
+    """
+    mixed = list(mixed_streams(history))
+    if len(mixed) > MAX_MIXED_STREAMS:
+        yield from mixed
+
+
+def streams_follow_on(history: History) -> Iterator[str]:
+    """Check that the events of a stream follow one another until its end.
+
+    No event may be missing, repeated or out of order over all tries, and an
+    answer ends properly only after the last event. Faults excuse nothing.
+    """
+    for stream in history.streams:
+        attempt = _first_attempt(stream)
+        ids = [event.id for event in stream.events]
+        if ids != list(range(1, len(ids) + 1)):
+            yield f'{attempt} got the events {ids}'
+        last_id = 0
+        for each in stream.tries:
+            last_id = each.events[-1].id if each.events else last_id
+            if (each.complete and each.status == 200 and
+                    last_id != DRAFT_EVENT_COUNT):
+                yield (f'{attempt} ended in try {each.attempt} after event '
+                       f'{last_id} of {DRAFT_EVENT_COUNT}')
+
+
+def _first_attempt(stream: CallerStream) -> str:
+    return stream.tries[0].attempt
+
+
+def resumed_streams_go_on(history: History) -> Iterator[str]:
+    """Check that streams go on nearly as often as new ones begin.
+
+    Counts tries at gateways without faults, and resumed ones only while enough
+    engines of their build serve.
+    """
+    begun: list[bool] = []
+    resumed: list[bool] = []
+    for stream in history.streams:
+        build = ''
+        for each in stream.tries:
+            if history.is_fault_free(_configuration_path(each.gateway),
+                                     each.sent_at - STABLE_S, each.ended_at):
+                if not each.after:
+                    begun.append(bool(each.events))
+                elif _serving_count(history, build, each) >= MIN_SERVING:
+                    resumed.append(bool(each.events) or each.complete)
+            build = build or (each.events[0].build if each.events else '')
+    if len(resumed) < MIN_RESUMED or not begun:
+        return
+    ratio, begun_ratio = sum(resumed) / len(resumed), sum(begun) / len(begun)
+    if ratio < MIN_RESUMED_RATIO * begun_ratio:
+        yield (f'{sum(resumed)} of {len(resumed)} resumed streams went on, '
+               f'{sum(begun)} of {len(begun)} new ones began')
+
+
+def _serving_count(history: History, build: str, tried: StreamTry) -> int:
+    """Return how many engines of a build served throughout an attempt."""
+    evacuated_dcs = {
+        each.dc
+        for each in history.evacuations
+        if each.start <= tried.ended_at and tried.sent_at <= each.end
+    }
+    return sum(span.build == build and span.start +
+               CLOCK_SLACK_S <= tried.sent_at and tried.ended_at <= span.end and
+               history.endpoint_dcs.get(span.endpoint) not in evacuated_dcs
+               for span in history.serving_spans)
+
+
 def service_recovers(history: History) -> Iterator[str]:
     """Check that requests are served again soon after the last fault."""
     since = history.faults_ended_at + RECOVERY_S
@@ -403,7 +498,9 @@
                              stated_rates_are_kept, evacuated_dcs_get_no_work,
                              planned_stops_cut_nothing,
                              read_requests_are_answered,
-                             partitioned_gateways_serve, service_recovers)
+                             partitioned_gateways_serve,
+                             streams_keep_their_build, streams_follow_on,
+                             resumed_streams_go_on, service_recovers)
 
 
 def violations(history: History) -> list[str]:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -103,6 +103,67 @@
     end: float
 
 
+@attrs.frozen
+class StreamEvent:
+    """An event of a stream, and the build of the engine that wrote it."""
+
+    id: int
+    build: str
+
+
+@attrs.define
+class StreamTry:
+    """One attempt at a stream that its caller may resume.
+
+    Attributes:
+        resumes: Attempt that brought the stream's first event; '' if none did.
+        after: Id of the last event that the caller had; 0 without one.
+        sent_at: Unix time at which it was sent, in s.
+        ended_at: Unix time at which it ended, in s.
+        status: Status of the answer; 0 without one.
+        complete: Whether the answer came to its proper end.
+        events: Complete events that it brought, in order.
+    """
+
+    attempt: str
+    gateway: str
+    resumes: str
+    after: int
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    complete: bool = False
+    events: list[StreamEvent] = attrs.field(factory=list)
+
+
+@attrs.define
+class CallerStream:
+    """A stream over all tries of its caller, in order."""
+
+    target: str
+    tries: list[StreamTry] = attrs.field(factory=list)
+
+    @property
+    def events(self) -> list[StreamEvent]:
+        """Return the events of all tries."""
+        return [event for each in self.tries for event in each.events]
+
+
+@attrs.frozen
+class ServingSpan:
+    """Span in which a run of an engine serves and its entry is written.
+
+    Attributes:
+        start: Unix time at which its entry was written, in s.
+        end: Unix time of its drain or crash, in s; infinite before.
+    """
+
+    endpoint: str
+    build: str
+    start: float
+    end: float
+
+
 @attrs.define
 class History:
     """History of one run.
@@ -122,6 +183,8 @@
         drained_at: Unix time from which an endpoint leaves, by name, in s.
         evacuations: Evacuations that were withdrawn again.
         stated_rates: Rates that endpoints stated.
+        streams: Streams that their callers may resume.
+        serving_spans: Spans in which engines of these streams served.
         endpoint_dcs: Data centre of each endpoint that was ever started.
         faults_ended_at: Unix time at which the last fault ended, in s.
         engine_versions: Weight version of each live engine at the end.
@@ -142,6 +205,8 @@
     drained_at: dict[str, float] = attrs.field(factory=dict)
     evacuations: list[Evacuation] = attrs.field(factory=list)
     stated_rates: list[StatedRate] = attrs.field(factory=list)
+    streams: list[CallerStream] = attrs.field(factory=list)
+    serving_spans: list[ServingSpan] = attrs.field(factory=list)
     endpoint_dcs: dict[str, str] = attrs.field(factory=dict)
     faults_ended_at: float = 0.0
     engine_versions: dict[str, int] = attrs.field(factory=dict)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,8 +7,9 @@
 
 from tests.soak import checks
 from tests.soak.endpoint import expected_body, expected_event
-from tests.soak.history import (Evacuation, FaultSpan, History, Order, Outcome,
-                                Run, StatedRate, Unsent)
+from tests.soak.history import (CallerStream, Evacuation, FaultSpan, History,
+                                Order, Outcome, Run, ServingSpan, StatedRate,
+                                StreamEvent, StreamTry, Unsent)
 
 AT = 1_000.0
 TARGET = '/submit/x'
@@ -60,6 +61,34 @@
     return attrs.evolve(default, **overrides)
 
 
+def stream_try(ids: range, build: str = 'b1', **overrides: Any) -> StreamTry:
+    """Return a try that brought events, and ended with the last one."""
+    fields: dict[str, Any] = {
+        'attempt': f'd{ids.start}',
+        'gateway': 'vm0',
+        'resumes': 'd1' if ids.start > 1 else '',
+        'after': ids.start - 1,
+        'sent_at': AT,
+        'ended_at': AT + 0.5,
+        'status': 200,
+        'complete': ids.stop > checks.DRAFT_EVENT_COUNT,
+        'events': [StreamEvent(number, build) for number in ids]
+    }
+    return StreamTry(**{**fields, **overrides})
+
+
+def resumed_stream(*later: StreamTry) -> CallerStream:
+    """Return a stream whose first try brought 10 events."""
+    return CallerStream('/draft/x', [stream_try(range(1, 11)), *later])
+
+
+EVENT_END = checks.DRAFT_EVENT_COUNT + 1
+REFUSED_TRY = stream_try(range(11, 11), status=503)
+SERVING = [
+    ServingSpan('w-1', 'b1', AT - 5.0, float('inf')),
+    ServingSpan('w-2', 'b1', AT - 5.0, AT + 9.0)
+]
+
 STREAM = b''.join(
     expected_event('/report/x', number + 1)
     for number in range(checks.STREAM_EVENT_COUNT))
@@ -119,6 +148,18 @@
                 fault_spans=[
                     FaultSpan('endpoints-vm0', 'lost', AT - 3.5, AT + 4.0)
                 ]),
+    checks.streams_keep_their_build:
+        history([], [],
+                streams=[
+                    resumed_stream(stream_try(range(11, EVENT_END), build='b2'))
+                ] * 3),
+    checks.streams_follow_on:
+        history([], [],
+                streams=[resumed_stream(stream_try(range(12, EVENT_END)))]),
+    checks.resumed_streams_go_on:
+        history([], [],
+                streams=[resumed_stream(REFUSED_TRY)] * 12,
+                serving_spans=SERVING),
     checks.service_recovers:
         history([outcome(status=503)] * 9 + [outcome()], []),
 }
@@ -166,6 +207,102 @@
                 late = attrs.evolve(played, **excused)
                 self.assertFalse(list(checks.evacuated_dcs_get_no_work(late)))
 
+    def test_two_streams_may_hold_events_of_two_builds(self) -> None:
+        within_answer = stream_try(range(11, 20))
+        within_answer.events[5] = StreamEvent(16, 'b2')
+        over_tries = stream_try(range(11, EVENT_END), build='b2')
+        for mixed, violates in (([within_answer, over_tries], False),
+                                ([within_answer, over_tries,
+                                  over_tries], True)):
+            streams = [
+                resumed_stream(stream_try(range(11, EVENT_END))),
+                *(resumed_stream(each) for each in mixed)
+            ]
+            played = history([], [], streams=streams)
+            with self.subTest(len(mixed)):
+                self.assertEqual(
+                    bool(list(checks.streams_keep_their_build(played))),
+                    violates)
+
+    def test_events_of_streams_follow_one_another(self) -> None:
+        last = stream_try(range(11, EVENT_END))
+        for later, violates in (
+            ([last], False),
+            ([REFUSED_TRY, last], False),
+            ([stream_try(range(11, 20)),
+              stream_try(range(20, EVENT_END))], False),
+            ([stream_try(range(11, 20))], False),
+                # The end is not repeated if only that was lost.
+            ([last, stream_try(range(31, 31))], False),
+            ([stream_try(range(10, EVENT_END))], True),
+            ([stream_try(range(12, 20))], True),
+            ([stream_try(range(1, 11))], True),
+            ([stream_try(range(11, 20), complete=True)], True),
+            ([stream_try(range(11, 11), complete=True)], True)):
+            played = history([], [], streams=[resumed_stream(*later)])
+            with self.subTest([each.after for each in later]):
+                self.assertEqual(bool(list(checks.streams_follow_on(played))),
+                                 violates)
+
+    def test_resumed_streams_may_be_refused_within_the_bounds(self) -> None:
+        goes_on = stream_try(range(11, 20))
+        only_end = stream_try(range(11, 11), complete=True)
+        late = [SERVING[0], attrs.evolve(SERVING[1], start=AT)]
+        left = [SERVING[0], attrs.evolve(SERVING[1], end=AT + 0.4)]
+        other = [SERVING[0], attrs.evolve(SERVING[1], build='b2')]
+        pause = FaultSpan('vm0', 'pause', AT - 3.2, AT - 2.9)
+        paths = FaultSpan('endpoints-vm0', 'lost', AT - 1.0, AT + 1.0)
+        for served, refused, spans, fault, violates in (([goes_on] * 6, 6,
+                                                         SERVING, None, False),
+                                                        ([goes_on] * 5, 7,
+                                                         SERVING, None, True),
+                                                        ([only_end] * 6, 6,
+                                                         SERVING, None, False),
+                                                        ([], 11, SERVING, None,
+                                                         False), ([], 12, late,
+                                                                  None, False),
+                                                        ([], 12, left, None,
+                                                         False), ([], 12, other,
+                                                                  None, False),
+                                                        ([], 12, SERVING, pause,
+                                                         False), ([], 12,
+                                                                  SERVING,
+                                                                  paths, True)):
+            tries = [*served, *[REFUSED_TRY] * refused]
+            played = history([], [],
+                             streams=[resumed_stream(each) for each in tries],
+                             serving_spans=spans,
+                             fault_spans=[fault] if fault else [])
+            with self.subTest(refused=refused, spans=spans, fault=fault):
+                self.assertEqual(
+                    bool(list(checks.resumed_streams_go_on(played))), violates)
+
+    def test_evacuated_engines_do_not_serve_resumed_streams(self) -> None:
+        played = attrs.evolve(VIOLATIONS[checks.resumed_streams_go_on],
+                              endpoint_dcs={
+                                  'w-1': 'dc-1',
+                                  'w-2': 'dc-2'
+                              })
+        for start, violates in ((AT - 1.0, False), (AT + 1.0, True)):
+            evacuations = [Evacuation('dc-1', start, AT + 5.0)]
+            played = attrs.evolve(played, evacuations=evacuations)
+            with self.subTest(start=start):
+                self.assertEqual(
+                    bool(list(checks.resumed_streams_go_on(played))), violates)
+
+    def test_share_of_new_streams_bounds_that_of_resumed_ones(self) -> None:
+        unbegun = CallerStream('/draft/x',
+                               [stream_try(range(1, 1), status=503)])
+        streams = [resumed_stream(stream_try(range(11, 20)))] * 3
+        streams += [resumed_stream(REFUSED_TRY)] * 9
+        for failed, violates in ((12, False), (11, True)):
+            played = history([], [],
+                             streams=streams + [unbegun] * failed,
+                             serving_spans=SERVING)
+            with self.subTest(failed):
+                self.assertEqual(
+                    bool(list(checks.resumed_streams_go_on(played))), violates)
+
     def test_partitioned_gateways_may_fail_within_the_bounds(self) -> None:
         cut = FaultSpan('endpoints-vm0', 'lost', AT - 3.5, AT + 4.0)
         early = attrs.evolve(cut, start=AT - 2.5)
