--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -12,7 +12,8 @@
 import attrs
 
 from plantainridge.gateway import (cache, config, dispatch, drain, endings,
-                                   endpoint_limits, lease, reducer, views)
+                                   endpoint_limits, lease, reducer, resumptions,
+                                   sender, views)
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import (AnswerHead, EvacuationChanged,
                                           TimerKind, ViewRead)
@@ -114,6 +115,25 @@
     reducer.EVENT_HANDLERS[ViewRead] = read_others
 
 
+def _ignore_runs() -> None:
+    """Send to an endpoint's address whichever run of it answers there."""
+    send_on = sender.EndpointSender.send_on
+
+    def send_unconfirmed(self: Any,
+                         connection: Any,
+                         effect: Any,
+                         elapsed_s: float = 0.0) -> None:
+        effect = attrs.evolve(effect, started_ms=0)
+        send_on(self, connection, effect, elapsed_s)
+
+    setattr(sender.EndpointSender, '_confirm_and_send', send_unconfirmed)
+
+
+def _resume_at_any_build() -> None:
+    """Resume streams of callers wherever new ones may begin."""
+    setattr(resumptions, 'admit', dispatch.dispatch)
+
+
 # Each with a seed at which the soak detects it.
 MUTANTS: Final[dict[str, tuple[Callable[[], None], int]]] = {
     'repeat_all': (_repeat_all, 3),
@@ -127,6 +147,8 @@
     'cross_answers': (_cross_answers, 3),
     'end_silent_answers': (_end_silent_answers, 28025),
     'forget_evacuations': (_forget_evacuations, 3),
+    'ignore_runs': (_ignore_runs, 1),
+    'resume_at_any_build': (_resume_at_any_build, 1),
 }
 
 
