--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -11,6 +11,7 @@
 from plantainridge.ids import VmId
 from plantainridge.loop import effects as base
 from plantainridge.loop import peers_net
+from plantainridge.loop.events import Event, PeerMessageReceived
 from plantainridge.loop.peers_net import NetPeers
 from plantainridge.loop.ports import MAX_MESSAGE_BYTES
 from plantainridge.loop.tasks import Tasks
@@ -18,6 +19,7 @@
 from tests.stream_server import HOST
 
 MESSAGES: Final = 4
+BLOCK: Final = bytes(65_536)
 # Time limit of a message, in s.
 TIMEOUT_S: Final = 0.3
 HANG_TIMEOUT_S: Final = 10.0
@@ -55,3 +57,25 @@
         async with asyncio.timeout(HANG_TIMEOUT_S):
             while not condition():
                 await asyncio.sleep(POLL_S)
+
+
+class EndlessMessageTest(unittest.IsolatedAsyncioTestCase):
+    """A peer's message without end is bounded, and its connection closes."""
+
+    async def test_message_ends_at_its_limit(self) -> None:
+        posted: list[Event] = []
+        peers = NetPeers(HOST, 0, Tasks(log_fault))
+        await peers.start(posted.append)
+        self.addAsyncCleanup(peers.stop)
+        _, writer = await asyncio.open_connection(HOST, peers.port)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            with self.assertRaises(ConnectionError):
+                while True:
+                    writer.write(BLOCK)
+                    await writer.drain()
+        self.assertEqual(len(posted), 1)
+        message = posted[0]
+        assert isinstance(message, PeerMessageReceived)
+        self.assertLessEqual(len(message.payload),
+                             MAX_MESSAGE_BYTES + len(BLOCK))
