Test streams taken up in a data centre that reads the registry later (ORDER)

With more than 12 VMs, those of other data centres are neither sent records nor asked. Their readers follow one another by up to 0.8 s, so that in any release, without a pause or a cut, a stream of a new version could go on at the old one when its caller came to another data centre.

Evidence: with the read of the registry before unknown streams go on taken out of _registry_read, all eight streams of the test go on at the other version; with it they are refused.

--- a/tests/build_fleet.py
+++ b/tests/build_fleet.py
@@ -2,10 +2,12 @@
 
 from typing import Final
 
+import attrs
+
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway.events import Part
-from plantainridge.ids import EndpointId, RequestId, VmId
+from plantainridge.gateway.events import Part, View
+from plantainridge.ids import DcId, EndpointId, RequestId, VmId
 from tests.gateway_scene import LOCAL_DC, GatewayScene, head, request
 from tests.registry_fleet import RegistryFleet, entry, removal
 
@@ -70,6 +72,19 @@
             self.add_engines(build, dc='far')
         self.run(1.5)
 
+    def spread(self, *dcs: DcId) -> None:
+        """Move the VMs to several data centres, in turn."""
+        self._entries = [
+            attrs.evolve(each, dc=dcs[at % len(dcs)])
+            for at, each in enumerate(self._entries)
+        ]
+        for each in self._entries:
+            scene = self.vms[each.vm]
+            scene.state.settings = attrs.evolve(scene.state.settings,
+                                                dc=DcId(each.dc))
+            scene.read(View.VMS, *self._entries)
+        self.run(5.0)
+
     def add_engines(self, build: str, dc: str = LOCAL_DC) -> None:
         """Register two engines of a build."""
         for name in (f'{build}-a', f'{build}-b'):
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -7,8 +7,9 @@
 from plantainridge.gateway import builds, resumptions
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import View
-from plantainridge.ids import EndpointId, RequestId, VmId
+from plantainridge.ids import DcId, EndpointId, RequestId, VmId
 from tests.build_fleet import BuildFleet, resume_stream
+from tests.gateway_scene import LOCAL_DC, REMOTE_DC
 from tests.registry_fleet import STEP_S, entry
 
 BEGINNER, STALE = VmId('vm0'), VmId('vm1')
@@ -199,6 +200,35 @@
                 heal(fleet)
                 self.assertEqual(self._resume_all(fleet, begun, ''), 0)
 
+    def test_data_centre_that_reads_the_registry_later(self) -> None:
+        # Peers of other data centres are not asked.
+        fleet = BuildFleet(18, 'v1')
+        fleet.spread(LOCAL_DC, REMOTE_DC, DcId('third'))
+        fleet.add_engines('v2')
+        joined = EndpointId('v2-a')
+        early: list[VmId] = []
+        while not early:
+            fleet.run(STEP_S)
+            early = [vm for vm in fleet.vms if joined in fleet.endpoints(vm)]
+        dc = fleet.vms[early[0]].state.settings.dc
+        late = next(vm for vm, scene in fleet.vms.items()
+                    if joined not in fleet.endpoints(vm) and
+                    scene.state.settings.dc != dc)
+        names = [f's{at}' for at in range(8)]
+        self.assertEqual({fleet.begin(early[0], name) for name in names},
+                         {'v2'})
+        scene = fleet.vms[late]
+        scene.now = fleet.now
+        for name in names:
+            resume_stream(scene, f'{name}-again', name)
+        fleet.run(2.0)
+        sent = [
+            effect.request.id
+            for vm, effect in fleet.outputs
+            if vm == late and isinstance(effect, fx.Send)
+        ]
+        self.assertEqual(sent, [])
+
     def test_streams_go_on_once_the_vm_is_back(self) -> None:
         for size in SIZES:
             for cause, disrupt in DISRUPTIONS.items():
