--- a/tests/build_fleet.py
+++ b/tests/build_fleet.py
@@ -81,7 +81,7 @@
         for each in self._entries:
             scene = self.vms[each.vm]
             scene.state.settings = attrs.evolve(scene.state.settings,
-                                                dc=each.dc)
+                                                dc=DcId(each.dc))
             scene.read(View.VMS, *self._entries)
         self.run(5.0)
 
