Soak: concurrent runs use subnets of their own

A run took the subnet 127.N of its process id modulo 200. A run now reserves its subnet. SubnetTest needs two for one process id; before, both were 127.(pid % 200 + 10).

--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 import time
 from typing import Any, Final
@@ -31,6 +32,9 @@
 LEDGER: Final = 'ledger'
 DCS: Final = ('dc-1', 'dc-2')
 WRITER_COUNT: Final = 5
+# Subnets 127.N of concurrent runs, and the port that reserves one.
+SUBNETS: Final = range(10, 210)
+RESERVING_PORT: Final = 6_999
 GRACE_S: Final = 6.0
 READINESS_INTERVAL_S: Final = 0.25
 # Readiness checks that a gateway must fail in a row to leave the rotation.
@@ -119,6 +123,7 @@
         self.fleet = Fleet(random.Random(f'{seed} fleet'), folder, self.store,
                            self.history, DCS)
         self.pool = Pool()
+        self.subnet, self._reservation = reserve_subnet()
         self._numbers = itertools.count(1)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -166,6 +171,7 @@
         for proxy in self.proxies():
             await proxy.stop()
         await self.store.server.kill()
+        self._reservation.close()
 
     def proxies(self) -> list[FaultProxy]:
         """Return every proxy."""
@@ -356,8 +362,7 @@
     # --- gateways ---
 
     async def _add_gateway(self, number: int) -> None:
-        subnet = f'127.{os.getpid() % 200 + 10}'
-        name, host = f'vm{number}', f'{subnet}.0.{number + 1}'
+        name, host = f'vm{number}', f'{self.subnet}.0.{number + 1}'
         dc = DCS[number % len(DCS)]
         store_proxy = FaultProxy(self.store.server.address, self.rng)
         await store_proxy.start()
@@ -366,8 +371,9 @@
         settings = self.folder / f'{name}.toml'
         settings.write_text(_settings(name, host, dc, store_proxy.address))
         self.gateways.append(
-            GatewayVm(name, host, f'{subnet}.1.{number + 1}', dc, caller_proxy,
-                      store_proxy, settings, self.folder / f'{name}.log'))
+            GatewayVm(name, host, f'{self.subnet}.1.{number + 1}', dc,
+                      caller_proxy, store_proxy, settings,
+                      self.folder / f'{name}.log'))
 
     async def start_gateway(self, vm: GatewayVm) -> None:
         """Start a gateway's process."""
@@ -444,6 +450,19 @@
         self._tasks.append(asyncio.create_task(work))
 
 
+def reserve_subnet() -> tuple[str, socket.socket]:
+    """Return a subnet that no other run uses, and what reserves it."""
+    start = os.getpid() % len(SUBNETS)
+    for number in [*SUBNETS[start:], *SUBNETS[:start]]:
+        reservation = socket.socket()
+        try:
+            reservation.bind((f'127.{number}.0.1', RESERVING_PORT))
+            return f'127.{number}', reservation
+        except OSError:
+            reservation.close()
+    raise OSError('every subnet is in use')
+
+
 def _settings(name: str, host: str, dc: str, store: str) -> str:
     return f"""
 node-name = "{name}"
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -6,6 +6,7 @@
 import unittest
 
 from tests.soak.proxy import PARTITIONS, Fault, FaultProxy
+from tests.soak.site import reserve_subnet
 
 HOST = '127.0.0.1'
 # Longer than a round trip over loopback by far.
@@ -80,3 +81,13 @@
                     await each.stop()
                 streams[1].transport.abort()
         target.close()
+
+
+class SubnetTest(unittest.TestCase):
+    """Subnets of runs that play at the same time."""
+
+    def test_runs_with_colliding_process_ids_use_other_subnets(self) -> None:
+        reserved = [reserve_subnet() for _ in range(2)]
+        for _, reservation in reserved:
+            self.addCleanup(reservation.close)
+        self.assertNotEqual(reserved[0][0], reserved[1][0])
