Test that a confirmed run outlasts its entry, and unconfirmed sends

test_confirmed_run_outlasts_its_entry passed without the code that it guards: the clock advanced by 1.5 s, after which the silent send was taken over by the endpoint that the test expects. It now advances by 1.2 s and asserts that nothing else was sent. No test covered that a send which ended before its run was known counts as not run.

--- a/tests/test_endpoint_runs.py
+++ b/tests/test_endpoint_runs.py
@@ -405,11 +405,21 @@
         send = scene.post_request('/report/x')
         scene.post(ev.StreamStarted(send.attempt, head(), is_run_known=True))
         scene.read(View.REGISTRY, self.RESTARTED, self.OLD_FAR)
-        scene.advance(1.5)
+        scene.advance(1.2)
         scene.post(ev.StreamEventsReceived(send.attempt, b'one', '1', '1'))
+        self.assertEqual(scene.all(fx.Send), [send])
+        scene.read(View.REGISTRY, endpoint('new', build='v2', started_ms=1))
         scene.post(ev.SendFailed(send.attempt, Failure.BROKEN))
         self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
 
+    def test_unconfirmed_send_has_not_run(self) -> None:
+        scene = GatewayScene(self.OLD, self.OLD_FAR)
+        send = scene.post_request('/report/x')
+        scene.post(ev.SendFailed(send.attempt, Failure.UNCONFIRMED))
+        self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
+        call, = scene.state.calls.calls.values()
+        self.assertEqual((call.executions, call.deliveries), (1, 1))
+
 
 if __name__ == '__main__':
     unittest.main()
