Do not count sends that found another run towards a request's limit

Callers of resumable streams were refused with 503, though a sound worker was left, after six workers of a service had restarted under their ids.

Cause: a send that found another run than that of the entry counted towards the six sends of a request, although nothing was sent.

Such sends are not counted.

Before: test_many_restarted_endpoints_do_not_use_up_the_sends, with eight restarted workers, saw no send to the sound one.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -275,6 +275,7 @@
         if failure is Failure.OTHER_RUN:
             # It may be sent there once the entry of that run was read.
             call.tried.discard(attempt.endpoint)
+            call.misdirected += 1
         else:
             call.unreached.add(attempt.endpoint)
         if call.reply_started or failure is Failure.RELAY_FAILED:
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -224,9 +224,10 @@
         budget_ratio: Share of the retry budget that the send may use.
     """
     # Sends that reached no endpoint do not count for a stream that has begun,
-    # nor those at peers that opened no tunnel for any request.
+    # nor those that found another run, or a peer that opened no tunnel, for any
+    # request.
     sends = (call.deliveries if call.reply_started else call.sends -
-             len(call.failed_peers))
+             call.misdirected - len(call.failed_peers))
     if sends >= retries.MAX_SENDS or call.executions >= call.route.attempts:
         return SendLimit.ATTEMPTS
     if call.expires_at - now < MIN_REMAINING_RATIO * call.route.target_s:
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -73,6 +73,7 @@
         tried: Endpoints that it was sent to.
         given_up: Those of them that were given up although they may be sound.
         unreached: Those of them that were not reached.
+        misdirected: Sends that found another run of their endpoint.
         failed_peers: Peers through which a send failed.
         reply_started: Whether the answer's head was sent to the caller.
         last_event_id: Id of the last stream event that the caller has, or ''.
@@ -113,6 +114,7 @@
     tried: set[EndpointId] = attrs.field(factory=set)
     given_up: set[EndpointId] = attrs.field(factory=set)
     unreached: set[EndpointId] = attrs.field(factory=set)
+    misdirected: int = 0
     failed_peers: set[VmId] = attrs.field(factory=set)
     reply_started: bool = False
     last_event_id: str = ''
--- a/tests/test_endpoint_runs.py
+++ b/tests/test_endpoint_runs.py
@@ -420,6 +420,18 @@
         call, = scene.state.calls.calls.values()
         self.assertEqual((call.executions, call.deliveries), (1, 1))
 
+    def test_many_restarted_endpoints_do_not_use_up_the_sends(self) -> None:
+        restarted = [
+            endpoint(f'e{at}', build='v1', started_ms=1) for at in range(8)
+        ]
+        scene = GatewayScene(*restarted, self.OLD_FAR)
+        scene.post_request('/report/x')
+        for _ in restarted:
+            self.assertNotEqual(scene.last(fx.Send).endpoint, 'old-far')
+            self._find_restarted(scene)
+        self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
+        self.assertFalse(scene.all(fx.Refuse))
+
 
 if __name__ == '__main__':
     unittest.main()
