Use a run whose entry was read while it was being asked

Callers of resumable streams waited for up to a second, or were refused, at a worker whose new entry the VM had read already.

Cause: a send that found another run held the endpoint back for a second, also if the entry of just that run had been read before the answer came.

The start that was found is now compared with the present entry.

Before: test_run_whose_entry_was_read_meanwhile_is_not_held_back saw no second send.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -302,7 +302,10 @@
 def _record_failure(state: 'GatewayState', call: Call, attempt: Attempt,
                     event: SendFailed, now: float) -> Iterator[Effect]:
     """Record and log a failed send."""
-    health.record_failure(state, attempt, event.failure, now)
+    if event.failure is Failure.OTHER_RUN:
+        health.record_other_run(state, attempt, event.started_ms, now)
+    else:
+        health.record_failure(state, attempt, event.failure, now)
     yield from paths.on_send_failed(state, call, attempt, event.failure, now)
     yield LogLine('send_failed',
                   (('request', call.request.attempt_id),
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -137,9 +137,6 @@
     an endpoint fails all its sends counts once.
     """
     view = state.endpoints.get(attempt.endpoint)
-    if view is not None and failure is Failure.OTHER_RUN:
-        view.other_run_until = now + OTHER_RUN_RECHECK_S
-        return
     if view is None or failure in (Failure.TIMED_OUT, Failure.STALE):
         # Such a failure concerns one connection; new ones show whether the
         # endpoint is reached.
@@ -153,6 +150,14 @@
         _start_cooldown(view, now)
 
 
+def record_other_run(state: 'GatewayState', attempt: Attempt, started_ms: int,
+                     now: float) -> None:
+    """Record the start of the run that answers, whose entry was not read."""
+    view = state.endpoints.get(attempt.endpoint)
+    if view is not None and started_ms != view.entry.started_ms:
+        view.other_run_until = now + OTHER_RUN_RECHECK_S
+
+
 def _is_failure_of_path(state: 'GatewayState', attempt: Attempt,
                         failure: Failure, view: EndpointView) -> bool:
     """Return whether a failure is due to the path, not to the endpoint."""
--- a/tests/test_endpoint_runs.py
+++ b/tests/test_endpoint_runs.py
@@ -432,6 +432,13 @@
         self.assertEqual(scene.last(fx.Send).endpoint, 'old-far')
         self.assertFalse(scene.all(fx.Refuse))
 
+    def test_run_whose_entry_was_read_meanwhile_is_not_held_back(self) -> None:
+        scene = GatewayScene(self.OLD)
+        scene.post_request('/report/x')
+        scene.read(View.REGISTRY, self.RESTARTED)
+        self._find_restarted(scene)
+        self.assertEqual(scene.last(fx.Send).started_ms, 2)
+
 
 if __name__ == '__main__':
     unittest.main()
