Accept the entry of a run that answered, whatever start it states

A worker whose clock was set back over a restart got no resumable stream for as long as its VM ran: callers were refused with 503 where no other was left.

Cause: an entry with an earlier start than the known run is taken for one of an older copy of the store and is not applied. The worker's reports state that start, which then never is that of the entry.

What a run states on a connection is newer than any copy of the store: an entry with the start that an endpoint stated is applied.

Before: test_run_that_states_an_earlier_start_is_used saw one send, to the run that had ended.

--- a/src/plantainridge/gateway/endpoints.py
+++ b/src/plantainridge/gateway/endpoints.py
@@ -126,6 +126,8 @@
             that is not known, in s.
         weights_loaded_at: Loop time at which it was last reported to have
             loaded new weights, in s.
+        other_run_ms: Unix time of the start of the run that answered in place
+            of that of its entry, in ms; 0 if none did.
         other_run_until: Loop time until which it gets no streams that may be
             resumed since another run answers than that of its entry, in s.
         leaving: Whether an answer stated that it is leaving.
@@ -152,6 +154,7 @@
     versions_changed_at: float = 0.0
     versions_asked_at: float = -math.inf
     weights_loaded_at: float = 0.0
+    other_run_ms: int = 0
     other_run_until: float = -math.inf
     leaving: bool = False
     paused_until: float = -math.inf
--- a/src/plantainridge/gateway/health.py
+++ b/src/plantainridge/gateway/health.py
@@ -155,6 +155,7 @@
     """Record the start of the run that answers, whose entry was not read."""
     view = state.endpoints.get(attempt.endpoint)
     if view is not None and started_ms != view.entry.started_ms:
+        view.other_run_ms = started_ms
         view.other_run_until = now + OTHER_RUN_RECHECK_S
 
 
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -680,8 +680,10 @@
     state.builds.record_listed([entry], now)
     view = state.endpoints.get(entry.id)
     restarted = False
-    if view is not None and view.entry.started_ms > entry.started_ms:
-        # An older run of the endpoint, from an older copy of the store.
+    if (view is not None and view.entry.started_ms > entry.started_ms and
+            view.other_run_ms != entry.started_ms):
+        # An older run of the endpoint, from an older copy of the store. The run
+        # that answers may state an earlier start, by a clock that was set back.
         return
     if view is not None and (view.entry.started_ms != entry.started_ms or
                              view.entry.build != entry.build):
--- a/tests/test_endpoint_runs.py
+++ b/tests/test_endpoint_runs.py
@@ -439,6 +439,16 @@
         self._find_restarted(scene)
         self.assertEqual(scene.last(fx.Send).started_ms, 2)
 
+    def test_run_that_states_an_earlier_start_is_used(self) -> None:
+        scene = GatewayScene(endpoint('old', build='v1', started_ms=9))
+        scene.post_request('/report/x')
+        self._find_restarted(scene)
+        scene.read(View.REGISTRY, endpoint('old', build='v2', started_ms=1))
+        self.assertEqual(len(scene.all(fx.Send)), 1)
+        scene.read(View.REGISTRY, self.RESTARTED)
+        scene.tick()
+        self.assertEqual(scene.last(fx.Send).started_ms, 2)
+
 
 if __name__ == '__main__':
     unittest.main()
