Take no rejection of a report for one that states no start

A stream could continue at a worker of another software version whose report was rejected: any answer below 500 counted as a report without a start, after which the connection was used unconfirmed for its life.

Only 404 is such an answer now: an endpoint that makes no reports. Others fail as unconfirmed, and nothing is sent.

Before: test_sends_nothing_without_an_answer saw the stream sent after a 429.

--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -19,7 +19,8 @@
 MS_PER_S = 1_000.0
 STATUS_OK: Final = 200
 STATUS_MISDIRECTED: Final = 421
-STATUS_ERROR: Final = 500
+# An endpoint that makes no reports.
+STATUS_NOT_FOUND: Final = 404
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
 # Statuses that promise callers that a request has not run and never will.
@@ -134,7 +135,8 @@
     def read_run(self, status: int, headers: Headers, body: bytes) -> RunReport:
         fields = dict(headers)
         # An answer that names an attempt is a second one to a request.
-        if names.ATTEMPT_ID in fields or status >= STATUS_ERROR:
+        if (names.ATTEMPT_ID in fields or
+                status not in (STATUS_OK, STATUS_NOT_FOUND)):
             return RunReport(is_valid=False)
         started_ms = 0
         if status == STATUS_OK:
--- a/tests/test_endpoint_runs.py
+++ b/tests/test_endpoint_runs.py
@@ -213,6 +213,8 @@
                 answer(b'{"born": "5"}'),
             'no HTTP':
                 b'\0' * 100_000,
+            'a rejection':
+                answer(b'', status=b'429 Busy'),
             'a report that is too long':
                 answer(b' ' * MAX_REPORT_BYTES + REPORT),
             'a closed connection':
