Bound the error answers that are held while their requests are sent again

A worker's error answer, up to 1 MiB, is held while its request is sent to a second worker, to be forwarded if that fails. Only the retry budget bounded how many are held: a fifth of a service's requests of 10 s.

Error answers are now held up to 16 MiB in all. One beyond that is forwarded at once, as if no other worker were left.

Before: FailedAnswerTest.test_error_answers_that_are_held_are_bounded, 42 MB held by 40 requests.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -29,6 +29,9 @@
 # Time after the entry of a new run was applied in which events of the earlier
 # run may still be handled.
 OLD_EVENTS_S: Final = 1.0
+# Longest total of the error answers that are held while their requests are sent
+# again, in bytes; one beyond it is forwarded at once.
+MAX_FALLBACK_BYTES: Final = 16 * 1_024 * 1_024
 
 
 def on_answer(state: 'GatewayState', event: AnswerArrived,
@@ -50,7 +53,9 @@
         unsigned = SendFailed(event.attempt, Failure.MALFORMED, 'unsigned')
         yield from _after_failure(state, call, attempt, unsigned, now)
         return
-    if head.status >= 500 and call.route.repeatable and not call.reply_started:
+    if (head.status >= 500 and call.route.repeatable and
+            not call.reply_started and
+            len(event.body) <= _free_fallback_bytes(state)):
         call.fallback = FallbackAnswer(head.status, head.headers, event.body)
         yield from _retry_or_forward_failure(state, call, now)
         return
@@ -64,6 +69,14 @@
     yield from endings.end(state, call, endings.ANSWERED, head.status, now)
 
 
+def _free_fallback_bytes(state: 'GatewayState') -> int:
+    """Return how many more bytes of error answers may be held, in bytes."""
+    return MAX_FALLBACK_BYTES - sum(
+        len(call.fallback.body)
+        for call in state.calls.calls.values()
+        if call.fallback is not None)
+
+
 def _log_rate(attempt: Attempt, head: AnswerHead) -> Iterator[Effect]:
     """Log a rate that the head of an answer states."""
     if head.invalid_rate:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -15,7 +15,7 @@
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure
 from plantainridge.gateway.http_client import MAX_HELD_BYTES, Connection, Pool
-from plantainridge.gateway.sender import EndpointSender
+from plantainridge.gateway.sender import MAX_ERROR_ANSWER_BYTES, EndpointSender
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.wire import RawRequest
 from plantainridge.ids import AttemptId, EndpointId, RequestId
@@ -23,7 +23,7 @@
 from plantainridge.loop.tasks import Tasks
 from plantainridge.platform.requests import PlatformWire
 from plantainridge.reports import log_fault
-from tests.gateway_scene import GatewayScene, endpoint, head, request
+from tests.gateway_scene import LEDGER, GatewayScene, endpoint, head, request
 from tests.stream_server import Serve, StreamServer
 
 STATUS_LINE: Final = b'HTTP/1.1 200 OK\r\n'
@@ -517,3 +517,24 @@
         broken_off = self._scene_after_failure('/tag/x')
         self.assertEqual(len(broken_off.all(fx.AbortReply)), 1)
         self.assertIn('send_failed', [line.event for line in broken_off.lines])
+
+    def test_error_answers_that_are_held_are_bounded(self) -> None:
+        body = bytes(MAX_ERROR_ANSWER_BYTES)
+        scene = GatewayScene(*(endpoint(f'e{at}', LEDGER) for at in range(60)))
+        scene.state.retries.bounds = attrs.evolve(scene.state.retries.bounds,
+                                                  retry_slack=1_000.0)
+        for number in range(40):
+            scene.post_request('/view/x', f'r{number}')
+            sent = scene.last(fx.Send)
+            self.assertEqual(sent.request.id, f'r{number}')
+            scene.post(ev.AnswerArrived(sent.attempt, head(500), body))
+        replies = scene.all(fx.Reply)
+        held = [
+            call.fallback.body
+            for call in scene.state.calls.calls.values()
+            if call.fallback is not None
+        ]
+        self.assertLessEqual(sum(len(each) for each in held), 16 << 20)
+        # All others have got the error itself.
+        self.assertEqual(len(replies) + len(held), 40)
+        self.assertEqual({each.status for each in replies}, {500})
