Decide in a module of its own which run a connection leads to

The sender compared starts in three places, each with its own meaning of 0 and None, between its reads and writes. gateway/runs.py now has the decisions, from values alone, with a test as data. The wire's RunReport is StatedRun: peers' messages have a RunReport already, on another kind of run. What was placement.available_at is usable_at, apart from the endpoint's own property.

Three tests cover what the review's mutants survived: the report takes time of its request, ends with it, and a confirmed connection is pooled once. No behaviour changes.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -30,7 +30,7 @@
 # run may still be handled.
 OLD_EVENTS_S: Final = 1.0
 # Longest total of the error answers that are held while their requests are sent
-# again, in bytes; one beyond it is forwarded at once.
+# again, in bytes; one beyond it is forwarded immediately.
 MAX_FALLBACK_BYTES: Final = 16 * 1_024 * 1_024
 
 
@@ -213,8 +213,8 @@
 def _build_of(state: 'GatewayState', attempt: Attempt, now: float) -> str:
     """Return the build that answers a send.
 
-    If the endpoint does not state its run, an entry that was read since the send
-    is that of the run that answers, where it names the same address: the
+    If the endpoint does not state its run, an entry that was read since the
+    send is that of the run that answers, where it names the same address: the
     connections of an earlier run have ended. Events of the earlier run may be
     handled shortly after its entry was replaced.
     """
--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -447,7 +447,7 @@
     """Return the loop time at which an endpoint becomes available, in s."""
     if call.wait_reason is PlacementFailure.NO_PATH:
         return state.paths.expected_at(call.service, call.waiting_since)
-    return min((placement.available_at(call, view)
+    return min((placement.usable_at(call, view)
                 for view in state.endpoints.values()
                 if placement.may_serve(state, call, view)),
                default=math.inf)
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -107,8 +107,11 @@
         via: Address of the peer that opens a tunnel to the endpoint, or '' for
             a direct connection.
         started_ms: Unix time of the start of the endpoint's run, by its entry,
-            in ms; 0 if it is not stated, or does not matter.
-        confirms_run: Whether that run alone may answer.
+            in ms; 0 if the endpoint does not state it or is no engine. A stream
+            that ends with its connection is complete only if a run of that
+            endpoint still answers.
+        confirms_run: Whether nothing is sent unless that run is at the other
+            end of the connection.
     """
 
     attempt: AttemptId
--- a/src/plantainridge/gateway/placement.py
+++ b/src/plantainridge/gateway/placement.py
@@ -278,7 +278,7 @@
     usable = [
         view for view in endpoints.available(state.endpoints, call.service, now)
         if has_build(call, view) and view.entry.id not in call.tried and
-        now >= available_at(call, view) and
+        now >= usable_at(call, view) and
         not state.evacuations.is_evacuated(view.entry.dc) and
         cooling_down.get(view.entry.id, -math.inf) <= view.weights_loaded_at
     ]
@@ -350,7 +350,7 @@
     return call.build is None or view.entry.build == call.build
 
 
-def available_at(call: Call, view: EndpointView) -> float:
+def usable_at(call: Call, view: EndpointView) -> float:
     """Return the loop time from which an endpoint may get a request, in s.
 
     The build of a run whose entry was not read is not known, so that no stream
--- a/src/plantainridge/gateway/sender.py
+++ b/src/plantainridge/gateway/sender.py
@@ -9,14 +9,16 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
+from plantainridge.gateway import runs
 from plantainridge.gateway.events import Failure, Headers
 from plantainridge.gateway.http_calls import (MAX_REPORT_BYTES, NoResponse,
                                               call_on)
 from plantainridge.gateway.http_client import (MAX_IDLE_S, AnswerHandler,
                                                Connection, Pool, stated_length)
+from plantainridge.gateway.runs import RunMatch, StatedRun
 from plantainridge.gateway.streams import EventSplitter
 from plantainridge.gateway.tunnel_client import RelayError
-from plantainridge.gateway.wire import RequestWire, RunReport
+from plantainridge.gateway.wire import RequestWire
 from plantainridge.ids import AttemptId
 from plantainridge.loop.events import Event
 from plantainridge.loop.ports import Post
@@ -34,8 +36,8 @@
 # Connections that may close after the endpoint stated its run; the next one is
 # used without asking.
 MAX_CLOSED_REPORTS: Final = 2
-# Time in which an endpoint must state that the run that ended a stream goes on,
-# in s: a sound one may be silent for a second.
+# Time in which an endpoint must state its run after a stream that ended with
+# its connection, in s: a sound one may be silent for a second.
 END_TIMEOUT_S: Final = 1.5
 # Longest error answer, in bytes: it is held while its request is sent again.
 MAX_ERROR_ANSWER_BYTES: Final = 1_024 * 1_024
@@ -142,17 +144,16 @@
 
         A connection ends with the run that accepted it, so each is asked once.
         """
+        match = runs.compare(connection.started_ms, effect.started_ms)
         if (not effect.started_ms or not effect.confirms_run or
-                connection.started_ms == 0):
+                match in (RunMatch.SAME, RunMatch.NOT_STATED)):
             self.send_on(connection, effect, elapsed_s)
-        elif connection.started_ms is None:
+        elif match is RunMatch.UNKNOWN:
             self.in_flight[effect.attempt] = connection
             connection.send(
                 self.wire.write_run_request(effect),
                 _RunReader(self, effect, connection, elapsed_s, closed_reports),
                 max(0.0, effect.remaining_s - elapsed_s))
-        elif connection.started_ms == effect.started_ms:
-            self.send_on(connection, effect, elapsed_s)
         else:
             connection.abort()
             self.connect(effect, elapsed_s)
@@ -164,56 +165,51 @@
         """Send a request on a connection, `elapsed_s` after its `send`."""
         self.in_flight[effect.attempt] = connection
         raw = self.wire.write_request(effect, elapsed_s)
-        is_run_known = connection.started_ms == effect.started_ms != 0
+        match = runs.compare(connection.started_ms, effect.started_ms)
         connection.send(
-            raw, _AnswerReader(self, effect, connection.was_used, is_run_known),
+            raw,
+            _AnswerReader(self, effect, connection.was_used, match
+                          is RunMatch.SAME),
             max(0.0, effect.remaining_s - elapsed_s) + OVERTIME_S)
 
     def confirm_end(self, effect: fx.Send, is_run_known: bool) -> None:
-        """Post the end of a stream if the run that sent it has not ended.
-
-        A process that is killed closes its connections like one that has sent
-        everything.
+        """Post the end of a stream if the run that sent it may continue.
 
         Args:
             effect: The stream's send.
             is_run_known: Whether its connection surely led to the chosen run.
-                Otherwise any run that answers may have sent it.
         """
         if effect.attempt in self.in_flight:
             task = self.tasks.spawn(self._confirm_end(effect, is_run_known))
             self.in_flight[effect.attempt] = task
 
     async def _confirm_end(self, effect: fx.Send, is_run_known: bool) -> None:
-        is_running = False
+        answer: StatedRun | None = None
         with contextlib.suppress(OSError):
             async with asyncio.timeout(END_TIMEOUT_S):
-                is_running = await self._is_running(effect, is_run_known)
+                answer = await self._ask_again(effect)
+        may_continue = runs.may_continue(answer, effect.started_ms,
+                                         is_run_known)
         self.finish(
             effect.attempt,
-            ev.StreamEnded(effect.attempt) if is_running else ev.SendFailed(
+            ev.StreamEnded(effect.attempt) if may_continue else ev.SendFailed(
                 effect.attempt, Failure.BROKEN, 'the end of its run'))
 
-    async def _is_running(self, effect: fx.Send, is_run_known: bool) -> bool:
-        """Return whether the run that sent a stream may still go on.
+    async def _ask_again(self, effect: fx.Send) -> StatedRun | None:
+        """Return which run an endpoint states after a send, or None.
 
         Raises:
             OSError: The endpoint was not reached.
         """
-        answer: RunReport | None = None
         idle = self.pool.take(effect.address, effect.via)
-        if idle is not None:
-            answer = await self._ask_run(idle, effect)
-        if answer is None:
-            connection = await self.pool.connect(effect.address, via=effect.via)
-            answer = await self._ask_run(connection, effect)
-        if answer is None:
-            return False
-        return not is_run_known or (answer.is_valid and
-                                    answer.started_ms == effect.started_ms)
+        answer = await self._ask_run(idle, effect) if idle is not None else None
+        if answer is not None:
+            return answer
+        connection = await self.pool.connect(effect.address, via=effect.via)
+        return await self._ask_run(connection, effect)
 
     async def _ask_run(self, connection: Connection,
-                       effect: fx.Send) -> RunReport | None:
+                       effect: fx.Send) -> StatedRun | None:
         """Return an endpoint's answer to which run it is, or None."""
         raw = self.wire.write_run_request(effect)
         response = await call_on(connection,
@@ -276,7 +272,8 @@
             self._fail('no report')
             return
         connection.started_ms = report.started_ms
-        if report.started_ms not in (0, effect.started_ms):
+        match = runs.compare(report.started_ms, effect.started_ms)
+        if match is RunMatch.OTHER:
             connection.abort()
             sender.finish(
                 effect.attempt,
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -106,7 +106,7 @@
         is_first_read: Whether nothing was read since the first snapshot.
         issued_at: Loop time at which this VM issued its last read, in s.
         is_reading: Whether a read of this VM is under way.
-        wanted_since: Loop time from which on a read is wanted at once, in s.
+        wanted_since: Loop time from which on a read is wanted, in s.
         wanted_until: Loop time until which it is, in s.
         is_request_due: Whether this VM is about to ask a peer for what it
             missed.
@@ -180,7 +180,7 @@
         self.first_read_at = min(self.first_read_at, now)
 
     def is_wanted(self, now: float) -> bool:
-        """Return whether a read is wanted at once."""
+        """Return whether a request waits for a read."""
         return (now < self.wanted_until and
                 self.complete_at < self.wanted_since)
 
@@ -291,7 +291,7 @@
 
 def refresh(state: 'GatewayState', view: View, since: float, until: float,
             now: float) -> Iterator[Effect]:
-    """Read a view at once, also if a peer is its reader.
+    """Read a view without delay, also if a peer is its reader.
 
     Reads follow one another, so that requests that come in a burst share them.
 
--- a/src/plantainridge/gateway/wire.py
+++ b/src/plantainridge/gateway/wire.py
@@ -6,6 +6,7 @@
 
 from plantainridge.gateway.effects import Send
 from plantainridge.gateway.events import AnswerHead, Headers, Request
+from plantainridge.gateway.runs import StatedRun
 from plantainridge.ids import RequestId
 
 
@@ -32,19 +33,6 @@
     reason: str
 
 
-@attrs.frozen
-class RunReport:
-    """An endpoint's answer to which of its runs it is.
-
-    Attributes:
-        is_valid: Whether it answers that question.
-        started_ms: Unix time of the run's start, in ms; 0 if not stated.
-    """
-
-    is_valid: bool
-    started_ms: int = 0
-
-
 class RequestWire(abc.ABC):
     """Encoder and decoder of requests and answers."""
 
@@ -67,7 +55,7 @@
         """Encode the question which run of a send's endpoint answers."""
 
     @abc.abstractmethod
-    def read_run(self, status: int, headers: Headers, body: bytes) -> RunReport:
+    def read_run(self, status: int, headers: Headers, body: bytes) -> StatedRun:
         """Decode the answer to that question."""
 
     @abc.abstractmethod
--- a/src/plantainridge/platform/requests.py
+++ b/src/plantainridge/platform/requests.py
@@ -8,8 +8,8 @@
 from plantainridge.gateway.effects import CachePlan, Send
 from plantainridge.gateway.endpoints import EndpointLoad
 from plantainridge.gateway.events import AnswerHead, Headers, Part, Request
-from plantainridge.gateway.wire import (BadRequest, RawRequest, RequestWire,
-                                        RunReport)
+from plantainridge.gateway.runs import StatedRun
+from plantainridge.gateway.wire import BadRequest, RawRequest, RequestWire
 from plantainridge.ids import ModelId, RequestId
 from plantainridge.platform import names
 from plantainridge.platform.engines import REPORT_TARGET
@@ -132,19 +132,19 @@
         return RawRequest(b'GET', REPORT_TARGET.encode(),
                           ((b'host', send.address.encode()),), b'')
 
-    def read_run(self, status: int, headers: Headers, body: bytes) -> RunReport:
+    def read_run(self, status: int, headers: Headers, body: bytes) -> StatedRun:
         fields = dict(headers)
         # An answer that names an attempt is a second one to a request.
         if (names.ATTEMPT_ID in fields or
                 status not in (STATUS_OK, STATUS_NOT_FOUND)):
-            return RunReport(is_valid=False)
+            return StatedRun(is_valid=False)
         started_ms = 0
         if status == STATUS_OK:
             try:
                 started_ms = decode_start(json_values.decode(body))
             except (InvalidField, ValueError):
-                return RunReport(is_valid=False)
-        return RunReport(True, started_ms)
+                return StatedRun(is_valid=False)
+        return StatedRun(True, started_ms)
 
     def refusal_headers(self, retry_after_s: float | None) -> Headers:
         if retry_after_s is None:
--- a/tests/test_endpoint_runs.py
+++ b/tests/test_endpoint_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import sys
 import unittest
 from collections.abc import Callable
@@ -9,9 +10,11 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
+from plantainridge.gateway import runs
 from plantainridge.gateway.events import Failure, View
 from plantainridge.gateway.http_calls import MAX_REPORT_BYTES
 from plantainridge.gateway.http_client import Connection, Pool
+from plantainridge.gateway.runs import RunMatch, StatedRun
 from plantainridge.gateway.sender import EndpointSender
 from plantainridge.ids import AttemptId, EndpointId, RequestId, TeamId
 from plantainridge.loop.tasks import Tasks
@@ -24,6 +27,7 @@
 
 STARTED_MS = 5
 REPORT = b'{"born": 5, "models": []}'
+DEADLINE = re.compile(rb'x-deadline-milliseconds: (\d+)', re.IGNORECASE)
 EVENT = b'id: 1\ndata: a\n\n'
 STREAM_HEADERS = (b'Content-Type: text/event-stream\r\n'
                   b'X-Attempt-Id: caller-r1\r\nX-Response-Seal: s\r\n')
@@ -81,6 +85,7 @@
         silent_s: Time until it reports, in s.
         unframed: Whether its stream ends with its connection.
         on_end: Called before it ends such a stream.
+        deadlines_ms: Time that each request leaves it, in ms.
         targets: Targets of the requests that it received, by connection.
     """
 
@@ -88,6 +93,7 @@
         self.report = answer(REPORT)
         self.closed_reports = 0
         self.silent_s = 0.0
+        self.deadlines_ms: list[int] = []
         self.unframed = False
         self.on_end: Callable[[], None] = lambda: None
         self.targets: list[list[str]] = []
@@ -99,6 +105,9 @@
         self.targets.append(targets)
         while data := await _read(reader):
             targets.append(data.split(b' ')[1].decode())
+            deadline = DEADLINE.search(data)
+            if deadline is not None:
+                self.deadlines_ms.append(int(deadline.group(1)))
             if targets[-1] != '/report' and self.unframed:
                 writer.write(b'HTTP/1.1 200 OK\r\n' + STREAM_HEADERS + b'\r\n' +
                              EVENT)
@@ -142,7 +151,8 @@
 
     async def _send(self,
                     started_ms: int = STARTED_MS,
-                    confirms_run: bool = True) -> list[Any]:
+                    confirms_run: bool = True,
+                    remaining_s: float = 5.0) -> list[Any]:
         """Send a stream; return the events until its last one."""
         self.events.clear()
         attempt = AttemptId('r1.1')
@@ -153,7 +163,7 @@
                     self.address,
                     stream=True,
                     new_connection=False,
-                    remaining_s=5.0,
+                    remaining_s=remaining_s,
                     team=TeamId('team'),
                     allows_stale=True,
                     started_ms=started_ms,
@@ -233,6 +243,20 @@
                 self._assert_not_sent(await self._send(), Failure.UNCONFIRMED)
                 self.assertIsNone(self.pool.take(self.address))
 
+    async def test_report_takes_time_of_the_request(self) -> None:
+        self.worker.silent_s = 0.3
+        await self._send()
+        self.assertLessEqual(self.worker.deadlines_ms[0], 4_700)
+
+    async def test_report_that_never_comes_ends_with_the_request(self) -> None:
+        self.worker.report = b'HTTP/1.1 200 OK\r\n'
+        events = await self._send(remaining_s=0.2)
+        self._assert_not_sent(events, Failure.UNCONFIRMED)
+
+    async def test_confirmed_connection_is_pooled_once(self) -> None:
+        await self._send()
+        self.assertEqual(len(self.pool.idle['', self.address]), 1)
+
     async def test_connection_that_closes_after_its_report(self) -> None:
         self.worker.report = answer(REPORT, b'Connection: close\r\n')
         self.worker.closed_reports = 1
@@ -276,6 +300,41 @@
         self.assertEqual(await sending, [])
 
 
+class RunMatchTest(unittest.TestCase):
+    """Tests of the decisions on runs."""
+
+    def test_run_of_a_connection(self) -> None:
+        cases = {
+            (None, 5): RunMatch.UNKNOWN,
+            (0, 5): RunMatch.NOT_STATED,
+            (5, 5): RunMatch.SAME,
+            (4, 5): RunMatch.OTHER,
+            (6, 5): RunMatch.OTHER,
+        }
+        self.assertEqual({each: runs.compare(*each) for each in cases}, cases)
+
+    def test_end_of_a_run(self) -> None:
+        same, other = StatedRun(True, 5), StatedRun(True, 6)
+        not_stated, invalid = StatedRun(True, 0), StatedRun(False)
+        may_continue = {
+            (same, True): True,
+            (other, True): False,
+            (not_stated, True): False,
+            (invalid, True): False,
+            (None, True): False,
+            (same, False): True,
+            (other, False): True,
+            (not_stated, False): True,
+            (invalid, False): True,
+            (None, False): False,
+        }
+        self.assertEqual(
+            {
+                (answer, is_known): runs.may_continue(answer, 5, is_known)
+                for answer, is_known in may_continue
+            }, may_continue)
+
+
 class UnframedStreamEndTest(_SenderCase):
     """Tests of streams that end with their connection.
 
@@ -297,7 +356,7 @@
         if kind is ev.SendFailed:
             self.assertIs(events[-1].failure, Failure.BROKEN)
 
-    async def test_is_complete_while_its_run_goes_on(self) -> None:
+    async def test_is_complete_while_its_run_continues(self) -> None:
         for confirms_run in (True, False):
             await self._assert_ends(ev.StreamEnded, confirms_run=confirms_run)
 
@@ -366,7 +425,8 @@
 class OtherRunTest(unittest.TestCase):
     """Tests of an endpoint whose present run has no entry that was read.
 
-    Each guards against a stream that goes on at another software version.
+    They guard against streams that continue at another software version, and
+    against requests that are refused although an endpoint can serve them.
     """
 
     OLD = endpoint('old', build='v1', started_ms=1)
@@ -389,7 +449,7 @@
             [(each.started_ms, each.confirms_run) for each in sends],
             [(1, True), (1, False)])
 
-    def test_stream_goes_on_at_another_endpoint_of_its_build(self) -> None:
+    def test_stream_continues_at_another_endpoint_of_its_build(self) -> None:
         scene = GatewayScene(self.OLD_FAR)
         first = begin_stream(scene)
         scene.read(View.REGISTRY, self.OLD)
