Bound the reads that new tries wait for over all VMs

Found in the read-through: each VM read the registry up to 10 times a second for new tries of streams that nobody knew. The store bounds the reads of all VMs together, 2,000 a second on sites of 7 VMs. At the design size of 410 VMs, after a cut that breaks streams everywhere, VMs could have taken twice that, and callers would have waited for configurations and entries that the store rejected.

Cause: a limit that all VMs share was kept by each VM for itself.

VMs now leave as much time between such reads as keeps all of them together at a quarter of reads-per-s, by the number of VMs that they know.

Before: test_all_vms_together_leave_reads_of_the_store_to_others, 8,200 reads of 410 VMs in 4 s where 2,410 are allowed (20 by each).

--- a/src/plantainridge/gateway/settings.py
+++ b/src/plantainridge/gateway/settings.py
@@ -1,5 +1,6 @@
 """Settings of one gateway process."""
 
+import math
 from typing import Final
 
 import attrs
@@ -76,6 +77,8 @@
         store_address: IP number and port of the metadata store.
         bounds: Limits that operators set; they can change at run time.
         link_mbps: Rate of the VM's own link, in Mbit/s.
+        store_reads_per_s: Reads a second that the metadata store takes from
+            all VMs together.
         tunnel_port: Port on which peers request tunnels, the same on all VMs;
             0 for none.
         has_memory_pressure: Whether memory is contended in this deployment:
@@ -96,6 +99,7 @@
     store_address: str
     bounds: Bounds = Bounds()
     link_mbps: float = DEFAULT_LINK_MBPS
+    store_reads_per_s: float = math.inf
     tunnel_port: int = 0
     has_memory_pressure: bool = False
     learns_speeds: bool = False
--- a/src/plantainridge/gateway/views.py
+++ b/src/plantainridge/gateway/views.py
@@ -57,6 +57,8 @@
 MAX_READ_GAP_S: Final = RELAY_TIMEOUT_S[View.OPERATOR] + READ_LATENCY_S
 # Minimum time between two reads that requests wait for.
 REFRESH_INTERVAL_S: Final = 0.1
+# Share of the metadata store's reads that all VMs together use for them.
+REFRESH_READS_RATIO: Final = 0.25
 # Pause after a read that failed.
 RETRY_DELAY_S: Final = 0.25
 # Time of failing reads after which peers take over as readers.
@@ -193,7 +195,8 @@
         era: Highest era of the metadata store that this VM knows; positions
             belong to it.
         era_entered_at: Loop time at which this VM learned of it, in s.
-        restored_at: The same if this VM knew an earlier era; else -inf.
+        restored_at: Loop time at which this VM learned that the store returned
+            from an older copy, in s; -inf if it did not since its start.
         removed: Removed endpoints, with the Unix time of the start of the run
             that was removed, in ms.
     """
@@ -306,12 +309,19 @@
     cursor.wanted_since = max(cursor.wanted_since, since)
     cursor.wanted_until = max(cursor.wanted_until, until)
     if not cursor.is_reading:
-        yield SetTimer(_timer(view), _refresh_at(cursor, now))
+        yield SetTimer(_timer(view), _refresh_at(state, cursor, now))
 
 
-def _refresh_at(cursor: ViewCursor, now: float) -> float:
+def _refresh_at(state: 'GatewayState', cursor: ViewCursor, now: float) -> float:
+    """Return the loop time of the next read that requests wait for, in s.
+
+    The store bounds the reads of all VMs together, and after a cut or a kill
+    all of them may get requests that wait for one.
+    """
     interval_s = (REFRESH_INTERVAL_S
                   if cursor.failing_since is None else RETRY_DELAY_S)
+    reads_per_s = REFRESH_READS_RATIO * state.settings.store_reads_per_s
+    interval_s = max(interval_s, len(state.peers) / reads_per_s)
     return max(now, cursor.wanted_since, cursor.issued_at + interval_s)
 
 
@@ -482,7 +492,7 @@
     if event.updates and not event.is_complete:
         next_at = now
     elif cursor.is_wanted(now):
-        next_at = min(next_at, _refresh_at(cursor, now))
+        next_at = min(next_at, _refresh_at(state, cursor, now))
     yield SetTimer(_timer(event.view), next_at)
 
 
--- a/src/plantainridge/platform/settings.py
+++ b/src/plantainridge/platform/settings.py
@@ -1,5 +1,6 @@
 """Reader of the settings file that the platform writes for a process."""
 
+import math
 import tomllib
 from collections.abc import Mapping
 from typing import Any
@@ -31,6 +32,7 @@
 
 
 def _decode(data: Mapping[str, Any]) -> GatewaySettings:
+    platform = get(data, 'platform', dict)
     listen_addresses = get(data, 'listen-addresses', dict)
     ports = get(data, 'internal-port-range', list)
     if len(ports) != 2 or not all(isinstance(each, int) for each in ports):
@@ -43,16 +45,25 @@
         readiness_address=_get_address(listen_addresses, 'readiness'),
         peer_port=ports[0],
         metrics_port=ports[1],
-        store_address=_get_address(get(data, 'platform', dict), 'address'),
+        store_address=_get_address(platform, 'address'),
         bounds=_decode_bounds(get_or(data, 'bounds', {})),
         link_mbps=get_or(get_or(data, 'limits', {}), 'link-mbps',
                          DEFAULT_LINK_MBPS),
+        store_reads_per_s=_reads_per_s(platform),
         tunnel_port=_tunnel_port(*ports),
         has_memory_pressure=(names.CONTRACT_PRESSURE
                              in get_or(data, 'contracts', [])),
         is_first_start=get_or(data, 'bootstrap', False))
 
 
+def _reads_per_s(platform: Mapping[str, Any]) -> float:
+    """Return the store's limit on reads, or inf if none is stated."""
+    reads_per_s = get_or(platform, 'reads-per-s', math.inf)
+    if not reads_per_s > 0.0:
+        raise InvalidField('reads-per-s', 'above 0')
+    return reads_per_s
+
+
 def _tunnel_port(first: int, last: int) -> int:
     """Return the port between that of peers and that of metrics, or 0."""
     return first + 1 if first + 1 < last else 0
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -4,12 +4,14 @@
 import unittest
 from collections.abc import Callable
 
+import attrs
+
 from plantainridge.gateway import builds, resumptions
 from plantainridge.gateway import effects as fx
-from plantainridge.gateway.events import View
+from plantainridge.gateway.events import View, VmEntry
 from plantainridge.ids import DcId, EndpointId, RequestId, VmId
 from tests.build_fleet import BuildFleet, resume_stream
-from tests.gateway_scene import LOCAL_DC, REMOTE_DC
+from tests.gateway_scene import (LOCAL_DC, REMOTE_DC, GatewayScene, endpoint)
 from tests.registry_fleet import STEP_S, entry
 
 BEGINNER, STALE = VmId('vm0'), VmId('vm1')
@@ -313,6 +315,27 @@
         fleet.answer_delay_s = 0.3
         self.assertEqual(fleet.resume(STALE, 'again', names[0], ''), 'v1')
 
+    def test_all_vms_together_leave_reads_of_the_store_to_others(self) -> None:
+        vms, seconds = 410, 4.0
+        scene = GatewayScene(endpoint('old', build='v1', started_ms=1))
+        scene.state.settings = attrs.evolve(scene.state.settings,
+                                            store_reads_per_s=2_000.0)
+        for at in range(vms):
+            scene.state.peers[VmId(f'vm{at}')] = VmEntry(
+                VmId(f'vm{at}'), LOCAL_DC, '10.0.0.1:1')
+        end, answered = scene.now + seconds, 0
+        while scene.now < end:
+            resume_stream(scene, f'r{scene.now}', resumes='')
+            scene.advance(0.1)
+            reads = [
+                each for each in scene.all(fx.ReadView)
+                if each.view is View.REGISTRY
+            ]
+            if len(reads) > answered:
+                answered = len(reads)
+                scene.read(View.REGISTRY)
+        self.assertLessEqual(answered * vms, 0.25 * 2_000.0 * seconds + vms)
+
     def _reads(self, fleet: BuildFleet, seconds: float) -> int:
         """Return the VM's reads of the registry while time passes."""
         before = fleet.registry_reads[STALE]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -213,6 +213,7 @@
 readiness = "10.0.0.1:81"
 [platform]
 address = "10.0.0.9:82"
+reads-per-s = 2000.0
 [bounds]
 drain-ms = 3000
 '''
@@ -234,6 +235,7 @@
         self.assertEqual(decoded.tunnel_port, 7581)
         self.assertEqual(decoded.bounds.drain_s, 3.0)
         self.assertEqual(decoded.bounds.grace_s, 8.0)
+        self.assertEqual(decoded.store_reads_per_s, 2_000.0)
 
     def test_range_of_two_ports_has_none_for_tunnels(self) -> None:
         decoded = self._read_settings(SETTINGS.replace('7595', '7581'))
@@ -247,6 +249,7 @@
             'ip-address': ('"10.0.0.1"\n', '7\n'),
             'internal-port-range': ('[7580, 7595]', '[7580]'),
             'readiness': ('10.0.0.1:81', 'nowhere'),
+            'reads-per-s': ('2000.0', '0'),
         }
         for field, (valid, wrong) in cases.items():
             with self.subTest(field):
