Print the evidence of failed soak runs, and print them last

A failed run now prints its faults and the log lines that name the attempts of its first findings, and the output of failed runs follows that of the others.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,6 +4,7 @@
 import logging
 import pathlib
 import random
+import re
 import sys
 import tempfile
 from typing import Final
@@ -24,6 +25,9 @@
 # Time after the last fault for which callers still send requests.
 FINAL_CALM_S: Final = RECOVERY_S + 3.0
 READERS: Final = 32
+# Ids of attempts in findings.
+ATTEMPT_PATTERN: Final = re.compile(r'\b[cr]\d+-\d+\b')
+MAX_TRACED_FINDINGS: Final = 3
 
 
 async def play_run(seed: int, seconds: float, gateways: int, callers: int,
@@ -75,20 +79,34 @@
 async def _play_runs(seeds: list[int], seconds: float, gateways: int,
                      callers: int, jobs: int, keep: pathlib.Path) -> int:
     free_jobs = asyncio.Semaphore(jobs)
+    failed: list[int] = []
+    failed_output: list[str] = []
 
-    async def play_seed(seed: int) -> bool:
+    async def play_seed(seed: int) -> None:
         async with free_jobs:
             folder = keep / f'seed-{seed}'
             folder.mkdir(parents=True, exist_ok=True)
+            command = [
+                sys.executable, '-m', 'tests.soak', '--one', '--seed',
+                str(seed), '--seconds',
+                str(seconds), '--gateways',
+                str(gateways), '--callers',
+                str(callers), '--keep',
+                str(folder)
+            ]
             process = await asyncio.create_subprocess_exec(
-                sys.executable, '-m', 'tests.soak', '--one',
-                '--seed', str(seed), '--seconds', str(seconds), '--gateways',
-                str(gateways), '--callers', str(callers), '--keep', str(folder))
-            return await process.wait() == 0
-
-    results = await asyncio.gather(*(play_seed(seed) for seed in seeds))
-    failed = [seed for seed, passed in zip(seeds, results) if not passed]
-    click.echo(f'{len(seeds)} runs, failed seeds: {failed or "none"}')
+                *command, stdout=asyncio.subprocess.PIPE)
+            output = (await process.communicate())[0].decode()
+            if process.returncode == 0:
+                click.echo(output, nl=False)
+            else:
+                failed.append(seed)
+                failed_output.append(output)
+
+    await asyncio.gather(*(play_seed(seed) for seed in seeds))
+    click.echo(f'{len(seeds)} runs, failed seeds: {sorted(failed) or "none"}')
+    # Failed runs come last, where a shortened CI log still holds them.
+    click.echo(''.join(failed_output), nl=False)
     return len(failed)
 
 
@@ -107,6 +125,21 @@
         click.echo(f'  {line}')
 
 
+def _print_evidence(history: History, found: list[str],
+                    folder: pathlib.Path) -> None:
+    """Print the faults of a run and what logs hold on the first findings."""
+    for span in history.fault_spans:
+        click.echo(f'  {span.start:.3f} to {span.end:.3f}: {span.fault_name} '
+                   f'of {span.subject}')
+    attempts = ATTEMPT_PATTERN.findall(' '.join(found[:MAX_TRACED_FINDINGS]))
+    for log in sorted(folder.glob('*.log')):
+        lines = log.read_text(errors='replace').splitlines()
+        for attempt in attempts:
+            named = re.compile(rf'\b{attempt}\b')
+            for line in filter(named.search, lines):
+                click.echo(f'  {log.name}: {line}')
+
+
 @click.command()
 @click.option('--seed', default=1, show_default=True, help='First seed.')
 @click.option('--runs',
@@ -152,6 +185,7 @@
     for line in found[:20]:
         click.echo(f'  {line}')
     if found:
+        _print_evidence(history, found, folder)
         click.echo(f'  logs in {folder}')
     sys.exit(1 if found else 0)
 
