Soak: keep engines that restart out of the next release

A release that ended forgot which engines restarts were changing. Another release or restart could then take an engine whose restart was still in progress: it was removed and its entry written again afterwards, or its process was killed before it had stated its address, which ends the run with a JSONDecodeError.

Cause: releases cleared the set that they share with restarts. They now remove the names that they added.

Before: test_engine_that_restarts_is_not_changed_after_a_release, five engines removed by two releases beside a restart, where four may be.

--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -40,11 +40,11 @@
         self.fleet = site.fleet
         self.changing: set[str] = set()
         self.is_releasing = False
-        planned: list[WeightedFault] = [(1, self._release_by_drains)]
+        planned: list[WeightedFault] = [(1, self.release_by_drains)]
         self.planned_work = planned
-        self.all_faults = [(6, self._restart_engines),
+        self.all_faults = [(6, self.restart_engines),
                            (2, self._reset_connections),
-                           (1, self._release_beside_faults),
+                           (1, self.release_beside_faults),
                            (1, self._pause_gateway)]
 
     async def inject_for(self, seconds: float, in_calm: bool) -> None:
@@ -66,7 +66,7 @@
         ]
         return self.rng.choice(candidates) if candidates else None
 
-    async def _restart_engines(self) -> None:
+    async def restart_engines(self) -> None:
         """Restart some engines one after the other, mostly upgraded."""
         for _ in range(self.rng.randint(1, WRITER_COUNT)):
             engine = self._pick_engine()
@@ -94,11 +94,11 @@
     async def _reset_connections(self) -> None:
         self.fleet.reset_connections()
 
-    async def _release_by_drains(self) -> None:
+    async def release_by_drains(self) -> None:
         """Replace all engines by ones of a new build; the old ones drain."""
         await self._release(in_calm=True)
 
-    async def _release_beside_faults(self) -> None:
+    async def release_beside_faults(self) -> None:
         """Replace all engines; some crash while gateways are paused."""
         await self._release(in_calm=False)
 
@@ -108,6 +108,7 @@
         self.is_releasing = True
         self.fleet.build += 1
         leaving: list[asyncio.Task[None]] = []
+        changing: set[str] = set()
         for _ in range(len(self.fleet.engines)):
             old = self._pick_engine()
             if old is None:
@@ -115,14 +116,15 @@
             self.changing.add(old.name)
             if not in_calm and self.rng.random() < PAUSE_RATIO:
                 leaving.append(asyncio.ensure_future(self._pause_gateway()))
-            self.changing.add((await self.fleet.add()).name)
+            changing |= {old.name, (await self.fleet.add()).name}
+            self.changing |= changing
             await asyncio.sleep(self.rng.uniform(*STEP_RANGE_S))
             crashes = not in_calm and self.rng.random() < CRASH_RATIO
             leaving.append(asyncio.ensure_future(self._remove(old, crashes)))
             if not in_calm and self.rng.random() < RESET_RATIO:
                 self.fleet.reset_connections()
         await asyncio.gather(*leaving)
-        self.changing.clear()
+        self.changing -= changing
         self.is_releasing = False
 
     async def _remove(self, engine: Engine, crashes: bool) -> None:
