--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -95,7 +95,9 @@
                 str(folder)
             ]
             process = await asyncio.create_subprocess_exec(
-                *command, stdout=asyncio.subprocess.PIPE)
+                *command,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.STDOUT)
             output = (await process.communicate())[0].decode()
             if process.returncode == 0:
                 click.echo(output, nl=False)
