Wait for other VMs' fetches before saving to a store after a start

Cause: the wait for saves began when a VM noticed that a store's epoch changed. A VM that has just started knows no epoch: absence of knowledge was taken for a store that had not restarted, and it saved at once. A VM of another data centre follows the store by its own polls, and may have parts fetched by its older listing for 2.6 s and the time of the fetch.

Saves now wait until a VM, this one or a peer, has known the store's run for as long as any fetch by an older listing can last. A VM that starts counts from its first listing, or from what the peer states whose contents it copies: each relay states for how long the store was known to be in its epoch when it answered. That is a duration between two answers of one run, so that delays, clocks and suspended VMs only make it shorter. A VM beside a peer that has run for long saves as soon as it has the peer's contents.

--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -256,6 +256,8 @@
         parts: Parts with their numbers of tokens, in order; 0 tokens mark a
             removed part.
         clock_ms: The engines' clock, in ms; 0 if not stated.
+        epoch_age_s: Time for which the store was known to be in its epoch when
+            it answered, in s; a lower bound.
     """
 
     vm: VmId
@@ -267,6 +269,7 @@
     unreachable: bool
     parts: tuple[tuple[StoredPart, int], ...]
     clock_ms: float
+    epoch_age_s: float = 0.0
 
 
 @attrs.frozen
@@ -656,6 +659,7 @@
     row.start, row.end, row.epoch = relay.start, relay.end, relay.epoch
     row.whole, row.lost = relay.is_snapshot, relay.unreachable
     row.clockMs = relay.clock_ms
+    row.epochAgeMs = _to_ms(relay.epoch_age_s)
     parts = row.init('parts', len(relay.parts))
     for each, (part, tokens) in zip(parts, relay.parts):
         each.salt, each.id, each.tokens = part.salt, part.id, tokens
@@ -802,4 +806,4 @@
                   for each in row.parts)
     return RelayedStore(VmId(row.vm), ServiceId(row.subject), row.epoch,
                         row.start, row.end, row.whole, row.lost, parts,
-                        row.clockMs)
+                        row.clockMs, row.epochAgeMs / MS_PER_S)
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -205,6 +205,8 @@
   # Whether it answers a request for what the receiver missed: the newest
   # records of a view, read at some earlier time.
   isAnswer @14 :Bool;
+  # Time for which a store was known to be in its epoch when it answered.
+  epochAgeMs @15 :UInt32;
 }
 
 struct Record {
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -135,7 +135,8 @@
         epoch: Changes when the store restarts; None before the first listing of
             a run.
         past_epochs: Epochs of earlier runs of the store.
-        restarted_at: Loop time at which the last restart was noticed, in s.
+        epoch_since: Loop time at which the store was first known to be in its
+            present run, by this VM or a peer, in s; inf if it is not known.
         next: Number of the next event.
         confirmed_at: Loop time of the store's last answer to any VM, in s;
             -inf after a failure.
@@ -163,7 +164,7 @@
     partial: dict[StoredPart, int] = attrs.field(factory=dict)
     epoch: int | None = None
     past_epochs: set[int] = attrs.field(factory=set)
-    restarted_at: float = -math.inf
+    epoch_since: float = math.inf
     next: int = 0
     confirmed_at: float = -math.inf
     reported_at: float = -math.inf
@@ -186,10 +187,16 @@
         """Return whether parts may be saved to the store.
 
         After a restart, VMs that have not noticed it may still have parts
-        fetched that the store has lost. These must not be written meanwhile.
+        fetched that the store has lost. These must not be written meanwhile. A
+        VM that has just started cannot tell whether the store restarted too.
         """
         return (self.is_fresh(now) and
-                now - self.restarted_at > RESTART_SAVE_DELAY_S)
+                now - self.epoch_since > RESTART_SAVE_DELAY_S)
+
+    @property
+    def epoch_age_s(self) -> float:
+        """Known time from the run's first answer to its last one, in s."""
+        return max(0.0, self.confirmed_at - self.epoch_since)
 
     @property
     def used_tokens(self) -> int:
@@ -220,18 +227,24 @@
             if now < at + UNREACHABLE_TIMEOUT_S
         ]
 
-    def enter_epoch(self, epoch: int, now: float) -> None:
-        """Record the epoch of the store's present run."""
+    def enter_epoch(self, epoch: int, since: float) -> None:
+        """Record the epoch of the store's present run.
+
+        Args:
+            epoch: The epoch.
+            since: Loop time at which the store was known to be in it, in s.
+        """
         if epoch != self.epoch:
-            self.leave_epoch(now)
+            self.leave_epoch()
             self.epoch = epoch
             self.past_epochs.discard(epoch)
+        self.epoch_since = min(self.epoch_since, since)
 
-    def leave_epoch(self, now: float) -> None:
+    def leave_epoch(self) -> None:
         """Record that the store has restarted."""
         if self.epoch is not None:
             self.past_epochs.add(self.epoch)
-            self.epoch, self.restarted_at = None, now
+        self.epoch, self.epoch_since = None, math.inf
 
     def apply(self, parts: Changes, end: int) -> None:
         """Apply events, and keep them for peers that miss them."""
@@ -368,12 +381,13 @@
     view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
     yield LogLine('store_listed',
                   (('store', event.store), ('parts', len(view.complete)),
-                   ('tokens', view.used_tokens)))
+                   ('tokens', view.used_tokens), *_epoch_fields(view, now)))
     # A peer that knows another epoch of the store requests the listing.
     yield from relays.broadcast(
         state,
-        RelayedStore(state.settings.vm, view.name, event.epoch, event.next,
-                     event.next, False, False, (), state.stores.clock_ms(now)))
+        RelayedStore(state.settings.vm, view.name, event.epoch,
+                     event.next, event.next, False, False, (),
+                     state.stores.clock_ms(now), view.epoch_age_s))
     yield SetTimer(_timer(view), now)
 
 
@@ -392,11 +406,12 @@
         return
     if event.epoch != view.epoch or event.has_gap:
         if event.epoch != view.epoch:
-            view.leave_epoch(now)
+            view.leave_epoch()
         view.replace_parts({})
         view.confirmed_at = -math.inf
         yield LogLine('store_unsure',
-                      (('store', event.store), ('lost', event.has_gap)))
+                      (('store', event.store), ('lost', event.has_gap),
+                       ('epoch', event.epoch)))
         yield fx.ListStore(view.name, view.spec.address)
         return
     if event.next < view.next:
@@ -410,17 +425,25 @@
         relays.enqueue(
             state,
             RelayedStore(state.settings.vm, view.name, event.epoch, start,
-                         event.next, False, False, event.parts, event.clock_ms),
-            now)
+                         event.next, False, False, event.parts, event.clock_ms,
+                         view.epoch_age_s), now)
     yield SetTimer(_timer(view), now + _poll_interval_s(state, view))
 
 
+def _epoch_fields(view: StoreView,
+                  now: float) -> tuple[tuple[str, int | float], ...]:
+    """Return log fields: the store's run, and since when it is known."""
+    known_s = round(now - view.epoch_since, 3)
+    return (('epoch', view.epoch or 0), ('epoch_known_s', known_s))
+
+
 def _snapshot(state: 'GatewayState', view: StoreView) -> RelayedStore:
     """Return all that this VM knows of a store's contents."""
     return RelayedStore(state.settings.vm, view.name, view.epoch or 0,
                         view.next, view.next, True, view.epoch is None,
                         tuple(view.complete.items()),
-                        state.stores.clock_ms(view.confirmed_at))
+                        state.stores.clock_ms(view.confirmed_at),
+                        view.epoch_age_s)
 
 
 def on_relayed(state: 'GatewayState', event: StoreRelayed,
@@ -435,6 +458,9 @@
     if not relay.is_snapshot:
         state.stores.record_clock(relay.clock_ms, now, math.inf)
     answered_at = state.stores.answered_at(relay.clock_ms, now)
+    epoch_since = now - relay.epoch_age_s
+    if relay.epoch == view.epoch:
+        view.enter_epoch(relay.epoch, epoch_since)
     if relay.unreachable:
         view.record_failure(relay.vm, now)
         # The next VM in the order of readers polls the store.
@@ -444,10 +470,14 @@
         yield from _schedule_check(state, view, now)
     elif relay.is_snapshot:
         view.replace_parts(dict(relay.parts))
-        view.enter_epoch(relay.epoch, now)
+        view.enter_epoch(relay.epoch, epoch_since)
         view.next = relay.end
         view.record_answer(relay.vm, answered_at)
         view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
+        yield LogLine(
+            'store_copied',
+            (('store', view.name), ('source', relay.vm),
+             ('parts', len(view.complete)), *_epoch_fields(view, now)))
         yield from _schedule_check(state, view, now)
     elif relay.epoch == view.epoch and relay.start <= view.next:
         # Changes that were applied before are applied again in their order.
@@ -539,7 +569,8 @@
             state, request.vm,
             RelayedStore(state.settings.vm, view.name, view.epoch, missed.start,
                          missed.end, False, False, missed.parts,
-                         state.stores.clock_ms(view.confirmed_at)))
+                         state.stores.clock_ms(view.confirmed_at),
+                         view.epoch_age_s))
 
 
 def on_request_failed(state: 'GatewayState', event: StoreRequestFailed,
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -354,6 +354,8 @@
         for name, store in scene.state.stores.views.items():
             scene.post(ev.StoreListed(name, 1, 0, {}, {}))
             self.assertIsInstance(store, StoreView)
+            # The stores have run for long.
+            store.epoch_since = 0.0
         return scene
 
     def _store_parts(self, scene: GatewayScene, *parts: str) -> None:
@@ -514,7 +516,7 @@
             peer_messages.RelayedStore(
                 VmId('vm'),
                 list(GatewayScene().state.stores.views)[0], 4, 5, 6, True,
-                False, ((part, 9),), 1.5),
+                False, ((part, 9),), 1.5, 2.5),
         ]
         messages.append(
             peer_messages.StoreBatch(
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -9,7 +9,7 @@
 from plantainridge.gateway.events import Part, StoredPart, View
 from plantainridge.gateway.peer_messages import (RelayedStore,
                                                  StoreSnapshotRequest)
-from plantainridge.ids import VmId
+from plantainridge.ids import ServiceId, VmId
 from plantainridge.loop.effects import Effect, SendPeer
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_scene import LOCAL_DC, GatewayScene, endpoint
@@ -20,6 +20,9 @@
 HIGH_LINK_MBPS = 100.0
 HIGH_LINK_VMS = 2
 PEER = VmId('vm2')
+# Time from a store's restart to the end of the last fetch of what it lost, by a
+# VM that has not noticed the restart.
+LAST_FETCH_S = stores.MAX_STATE_AGE_S + stored_parts.FETCH_TIMEOUT_S
 
 
 def _fleet() -> GatewayFleet:
@@ -34,6 +37,18 @@
     return fleet
 
 
+def _restart_vm(fleet: GatewayFleet) -> GatewayScene:
+    """Replace a VM by one that has just started, and return that."""
+    name = VmId('vm7')
+    scene = GatewayFleet(VMS, lambda at: LOW_LINK_MBPS).vms[name]
+    scene.now = fleet.now
+    scene.timers = {
+        key: fleet.now + (at - 100.0) for key, at in scene.timers.items()
+    }
+    fleet.vms[name] = scene
+    return scene
+
+
 class OutageTest(unittest.TestCase):
     """Stores that no VM can reach for some seconds, as in a zone outage."""
 
@@ -166,19 +181,81 @@
     def test_parts_are_saved_anew_once_no_vm_fetches_the_lost_ones(
             self) -> None:
         self._post_restart()
-        restarted_at = self.scene.now
-        while not self._saves_to_store():
-            self.scene.now += 0.1
-            self.scene.post(ev.StoreChanged(self.store, 2, 9, False, (), 0.0))
-        self.assertGreaterEqual(
-            self.scene.now - restarted_at,
-            stores.MAX_STATE_AGE_S + stored_parts.FETCH_TIMEOUT_S)
+        self.assertGreaterEqual(_first_save_s(self.scene, self.store, 2),
+                                LAST_FETCH_S)
+
+
+def _first_save_s(scene: GatewayScene, store: ServiceId, epoch: int) -> float:
+    """Return the time until the VM saves a part to a store that answers."""
+    started_at = scene.now
+    while not _saves(scene, store):
+        scene.now += 0.1
+        scene.post(ev.StoreChanged(store, epoch, 9, False, (), 0.0))
+    return scene.now - started_at
+
+
+def _saves(scene: GatewayScene, store: ServiceId) -> bool:
+    """Return whether the VM saves a new part to a store."""
+    parts = (Part(f'{scene.now:.1f}', 500), Part('own', 500))
+    targets = stored_parts.plan_save(scene.state, '1.s', parts, scene.now)
+    return scene.state.stores.views[store].spec.address in targets
 
-    def _saves_to_store(self) -> bool:
-        parts = (Part(f'{self.scene.now:.1f}', 500), Part('own', 500))
-        targets = stored_parts.plan_save(self.scene.state, '1.s', parts,
-                                         self.scene.now)
-        return self.view.spec.address in targets
+
+class StartBesideRestartTest(unittest.TestCase):
+    """VMs that start, and know no earlier run of a store.
+
+    One that saves at once has a part written while a VM that has not noticed
+    the store's restart has the same part fetched.
+    """
+
+    def setUp(self) -> None:
+        self.scene = GatewayScene(endpoint('a'))
+        self.store = next(iter(self.scene.state.stores.views))
+        self.scene.read(View.VMS, ev.VmEntry(PEER, LOCAL_DC, 'vm2:1'))
+
+    def _post_listing(self, epoch: int) -> None:
+        self.scene.post(ev.StoreListed(self.store, epoch, 9, {}, {}))
+
+    def _post_relay(self, epoch: int, is_snapshot: bool, age_s: float) -> None:
+        self.scene.post(
+            stores.StoreRelayed(
+                RelayedStore(PEER, self.store, epoch, 9, 9, is_snapshot, False,
+                             (), 0.0, age_s)))
+
+    def test_does_not_save_to_a_store_that_may_just_have_restarted(
+            self) -> None:
+        self._post_listing(2)
+        self.assertGreaterEqual(_first_save_s(self.scene, self.store, 2),
+                                LAST_FETCH_S)
+
+    def test_saves_at_once_where_a_peer_knows_the_run(self) -> None:
+        for is_snapshot in (True, False):
+            with self.subTest(is_snapshot=is_snapshot):
+                self.setUp()
+                if not is_snapshot:
+                    self._post_listing(2)
+                self._post_relay(2, is_snapshot, 60.0)
+                self.assertTrue(_saves(self.scene, self.store))
+
+    def test_peer_that_started_lately_knows_the_run_for_as_long(self) -> None:
+        self._post_relay(2, True, 1.0)
+        self._post_relay(2, False, 0.0)
+        self.assertAlmostEqual(_first_save_s(self.scene, self.store, 2),
+                               stores.RESTART_SAVE_DELAY_S - 1.0,
+                               delta=0.2)
+
+    def test_age_of_an_earlier_run_does_not_count(self) -> None:
+        self._post_listing(2)
+        self._post_relay(1, False, 60.0)
+        self.assertFalse(_saves(self.scene, self.store))
+
+    def test_restarted_vm_saves_as_soon_as_a_peer_has_sent_a_snapshot(
+            self) -> None:
+        fleet = _fleet()
+        scene = _restart_vm(fleet)
+        fleet.run(stores.FIRST_LISTING_DELAY_S[1] + 0.5)
+        for view in scene.state.stores.views.values():
+            self.assertTrue(view.accepts_saves(scene.now))
 
 
 class StartTest(unittest.TestCase):
@@ -194,14 +271,7 @@
 
     def test_restarted_vm_gets_a_snapshot_from_a_peer(self) -> None:
         fleet = _fleet()
-        restarted = GatewayFleet(VMS, lambda at: LOW_LINK_MBPS)
-        name = VmId('vm7')
-        scene = restarted.vms[name]
-        scene.now = fleet.now
-        scene.timers = {
-            key: fleet.now + (at - 100.0) for key, at in scene.timers.items()
-        }
-        fleet.vms[name] = scene
+        scene = _restart_vm(fleet)
         fleet.run(6.0)
         self.assertEqual(fleet.calls['list'], 0)
         for view in scene.state.stores.views.values():
