Count a KV cache store's listing from its request

A listing that waited in a suspended VM, or took long to arrive, counted as an answer of the moment of its receipt. Peers got the same time with the relay.

A listing now counts from the loop time of its request: the store has answered no earlier.

Before: EarlierRunTest.test_listing_that_waited_in_a_suspended_vm_is_not_fresh, a listing requested 10 s ago is fresh.

--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -190,10 +190,14 @@
     """Request a KV cache store's complete listing.
 
     Answered by `StoreListed` or `StoreRequestFailed`.
+
+    Attributes:
+        issued_at: Loop time of the request, in s.
     """
 
     store: ServiceId
     address: str
+    issued_at: float
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -335,6 +335,8 @@
         complete: Complete parts with their tokens.
         partial: Parts whose write is in progress or was interrupted, with the
             tokens that they reserve.
+        issued_at: Loop time of the request for the listing, in s; inf if it is
+            not known.
     """
 
     store: ServiceId
@@ -342,6 +344,7 @@
     next: int
     complete: Mapping[StoredPart, int]
     partial: Mapping[StoredPart, int]
+    issued_at: float = math.inf
 
 
 @attrs.frozen
--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -377,7 +377,9 @@
     view.partial = dict(event.partial)
     view.enter_epoch(event.epoch, now)
     view.next = event.next
-    view.record_answer(state.settings.vm, now)
+    # The listing may have waited in a suspended VM, or taken long to arrive.
+    answered_at = min(now, event.issued_at)
+    view.record_answer(state.settings.vm, answered_at)
     view.list_at = now + state.rng.uniform(*LISTING_INTERVAL_S)
     yield LogLine('store_listed',
                   (('store', event.store), ('parts', len(view.complete)),
@@ -385,9 +387,9 @@
     # A peer that knows another epoch of the store requests the listing.
     yield from relays.broadcast(
         state,
-        RelayedStore(state.settings.vm, view.name, event.epoch,
-                     event.next, event.next, False, False, (),
-                     state.stores.clock_ms(now), view.epoch_age_s))
+        RelayedStore(state.settings.vm, view.name, event.epoch, event.next,
+                     event.next, False, False, (),
+                     state.stores.clock_ms(answered_at), view.epoch_age_s))
     yield SetTimer(_timer(view), now)
 
 
@@ -412,7 +414,7 @@
         yield LogLine('store_unsure',
                       (('store', event.store), ('lost', event.has_gap),
                        ('epoch', event.epoch)))
-        yield fx.ListStore(view.name, view.spec.address)
+        yield fx.ListStore(view.name, view.spec.address, now)
         return
     if event.next < view.next:
         # A later poll's answer or a relayed message arrived first.
@@ -641,7 +643,7 @@
         yield SetTimer(event.key, now + SNAPSHOT_REQUEST_INTERVAL_S)
         return
     if view.epoch is None or now >= view.list_at:
-        yield fx.ListStore(view.name, address)
+        yield fx.ListStore(view.name, address, now)
         return
     view.polled_at = now
     if not _is_reader(state, view, now):
--- a/src/plantainridge/platform/engines.py
+++ b/src/plantainridge/platform/engines.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
+import attrs
+
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import OrderResult
@@ -94,7 +96,8 @@
             self.post(_store_failure(effect.store, response))
             return
         try:
-            self.post(kv_records.decode_listing(effect.store, response.json()))
+            listing = kv_records.decode_listing(effect.store, response.json())
+            self.post(attrs.evolve(listing, issued_at=effect.issued_at))
         except InvalidField as error:
             self.post(ev.StoreRequestFailed(effect.store, str(error)))
 
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -159,6 +159,13 @@
         self._post_relay(1, False, clock_ms + 9_900.0)
         self.assertTrue(self.view.is_fresh(self.scene.now))
 
+    def test_listing_that_waited_in_a_suspended_vm_is_not_fresh(self) -> None:
+        issued_at = self.scene.now
+        self.scene.now += 10.0
+        self.scene.post(
+            ev.StoreListed(self.store, 1, 9, {self.part: 500}, {}, issued_at))
+        self.assertFalse(self.view.is_fresh(self.scene.now))
+
     def test_snapshot_is_as_old_as_the_answer_that_it_rests_on(self) -> None:
         clock_ms = self.scene.now * 1_000
         self.scene.post(ev.StoreChanged(self.store, 1, 9, False, (), clock_ms))
