Share the calls to records that one VM at a time writes

The record of builds had the election of its writer, its retries and its conditional writes in one module with what it records. A second record needs the same. gateway/record_log.py now has them; no behaviour changes.

--- a/src/plantainridge/gateway/build_history.py
+++ b/src/plantainridge/gateway/build_history.py
@@ -22,6 +22,7 @@
 
 from plantainridge.gateway.builds import ORIGIN_RETENTION_S
 from plantainridge.gateway.events import BuildRecord
+from plantainridge.gateway.record_log import RecordLog
 from plantainridge.ids import ServiceId
 
 # Era of a record that could not be decoded; no era of a store is negative.
@@ -32,38 +33,21 @@
 
 
 @attrs.define
-class BuildHistory:
+class BuildHistory(RecordLog):
     """What this VM knows of the record.
 
     Attributes:
         known: Whether this VM knows all builds of the last time, from a record
             that was valid and from the registry since then.
         record: The newest record that was read or written, or None.
-        end: End of its log at that time; None if it is not known.
-        end_era: The metadata store's era to which `end` belongs.
         first_read_at: Loop time of the first successful read, in s.
-        read_at: Loop time of the latest successful read, in s.
-        call_started_at: Loop time at which the pending call began, in s, or
-            None.
         pending: The record that the pending call writes, or None.
-        failures: Consecutive calls that did not help.
-        next_call_at: Loop time of the next call after one that did not help,
-            in s.
-        differs_since: Loop time since which the record differs from what this
-            VM has seen, in s; inf if it does not.
     """
 
     known: bool = False
     record: BuildRecord | None = None
-    end: int | None = None
-    end_era: int = 0
     first_read_at: float = math.inf
-    read_at: float = -math.inf
-    call_started_at: float | None = None
     pending: BuildRecord | None = None
-    failures: int = 0
-    next_call_at: float = -math.inf
-    differs_since: float = math.inf
 
 
 def is_valid(record: BuildRecord | None, era: int) -> bool:
--- a/src/plantainridge/gateway/build_records.py
+++ b/src/plantainridge/gateway/build_records.py
@@ -1,19 +1,18 @@
 """Reads and writes of the record of builds in the metadata store.
 
 Each VM reads the record once it has read the registry, and again if it may have
-missed builds. One VM of each data centre may write it: the reader that is
-elected by rank. Those of different data centres wait for one another and read
-before they write. Writes are conditional on the end of the log, so that no
-build is lost between two writers.
+missed builds. One VM of each data centre may write it (see `record_log`): the
+reader that is elected by rank.
 """
 
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Final
 
-from plantainridge.gateway import build_history, builds, peer_ranks, relays
+from plantainridge.gateway import build_history, builds, relays
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway.events import (AppendResult, BuildsFailed,
                                           BuildsRead, BuildsWritten, View)
+from plantainridge.gateway.record_log import RecordCall
 from plantainridge.ids import ServiceId
 from plantainridge.loop.effects import Effect, LogLine
 
@@ -25,15 +24,6 @@
 # Time after the first read before this VM writes: until it has heard from its
 # peers, it takes itself for the only VM.
 SETTLE_S: Final = 3.0
-# Delay of a data centre's writer after that of the one before it; more than a
-# read, a write and their timeouts usually take.
-WRITER_DELAY_S: Final = 1.5
-# Time after which a call to the metadata store counts as lost.
-CALL_TIMEOUT_S: Final = 2.5
-# Delay after the first call that did not help; doubles up to the maximum. Each
-# call is charged for.
-RETRY_DELAY_S: Final = 1.0
-MAX_RETRY_DELAY_S: Final = 16.0
 
 
 def is_known(state: 'GatewayState', now: float) -> bool:
@@ -44,11 +34,8 @@
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
     """Read the record until the builds are known, and write what it lacks."""
     history = state.build_history
-    if (history.call_started_at is not None and
-            now - history.call_started_at < CALL_TIMEOUT_S):
-        return
     services = _resumable_services(state)
-    if (not services or now < history.next_call_at or
+    if (not services or not history.may_call(now) or
             state.views.age_s(View.REGISTRY, now) > builds.MAX_REGISTRY_AGE_S):
         # Without the registry no write would state what is listed.
         return
@@ -60,22 +47,16 @@
     known_since = min(history.first_read_at, state.builds.watched_since)
     if now - known_since < SETTLE_S:
         return
-    if not build_history.differs(history.record, state.builds.seen, services,
-                                 state.views.era):
-        history.differs_since = float('inf')
-        return
-    history.differs_since = min(history.differs_since, now)
-    if not relays.is_reader(state, SUBJECT, now):
-        return
-    delay_s = WRITER_DELAY_S * _data_centre_rank(state)
-    if now - history.differs_since < delay_s:
+    differs = build_history.differs(history.record, state.builds.seen, services,
+                                    state.views.era)
+    history.observe(differs, now)
+    if not differs or not relays.is_reader(state, SUBJECT, now):
         return
-    is_end_known = (history.end is not None and
-                    history.end_era == state.views.era)
-    if not is_end_known or (delay_s and
-                            history.read_at < history.differs_since):
+    call = history.writer_call(relays.data_centre_rank(state, SUBJECT),
+                               state.views.era, now)
+    if call is RecordCall.READ:
         yield from _read(state, now)
-    else:
+    elif call is RecordCall.WRITE:
         yield from _write(state, services, now)
 
 
@@ -85,7 +66,7 @@
     history = state.build_history
     history.call_started_at = None
     if event.era != state.views.era:
-        _delay_next_call(state, now)
+        history.delay_next_call(now)
         return
     # Ages are rounded, so that a later record may equal an earlier one.
     is_new = event.record != history.record or not history.known
@@ -103,7 +84,7 @@
         return
     # A VM that knows the builds writes the record anew; others read it then.
     if not is_known(state, now):
-        _delay_next_call(state, now)
+        history.delay_next_call(now)
         yield LogLine('builds_unread',
                       (('reason', 'the record is of an older era'),))
 
@@ -111,8 +92,9 @@
 def on_failed(state: 'GatewayState', event: BuildsFailed,
               now: float) -> Iterator[Effect]:
     """Schedule another read."""
-    state.build_history.call_started_at = None
-    _delay_next_call(state, now)
+    history = state.build_history
+    history.call_started_at = None
+    history.delay_next_call(now)
     yield LogLine('builds_unread', (('reason', event.reason),))
 
 
@@ -134,7 +116,7 @@
     # written: the log is read again before the next write.
     history.end = None
     if event.result is AppendResult.UNKNOWN:
-        _delay_next_call(state, now)
+        history.delay_next_call(now)
     yield LogLine('builds_unwritten', (('reason', event.result.value),))
 
 
@@ -155,13 +137,6 @@
     yield fx.WriteBuilds(history.pending, history.end, state.views.era)
 
 
-def _delay_next_call(state: 'GatewayState', now: float) -> None:
-    history = state.build_history
-    delay_s = RETRY_DELAY_S * 2.0**min(history.failures, 8)
-    history.failures += 1
-    history.next_call_at = now + min(delay_s, MAX_RETRY_DELAY_S)
-
-
 def _resumable_services(state: 'GatewayState') -> set[ServiceId]:
     """Return the services whose streams may be resumed."""
     return {
@@ -172,14 +147,6 @@
     }
 
 
-def _data_centre_rank(state: 'GatewayState') -> int:
-    """Return the rank of this VM's data centre among those with VMs."""
-    own = peer_ranks.rendezvous_hash(state.settings.dc, SUBJECT)
-    return sum(
-        peer_ranks.rendezvous_hash(dc, SUBJECT) < own
-        for dc in {entry.dc for entry in state.peers.values()})
-
-
 def _loggable(state: 'GatewayState') -> str:
     return ' '.join(f'{service}={",".join(sorted(seen))}'
                     for service, seen in sorted(state.builds.seen.items()))
--- a/src/plantainridge/gateway/relays.py
+++ b/src/plantainridge/gateway/relays.py
@@ -150,6 +150,14 @@
     return state.peer_ranks.position(state.peers, state.settings, subject)
 
 
+def data_centre_rank(state: 'GatewayState', subject: str) -> int:
+    """Return the rank of this VM's data centre for a subject, from 0."""
+    own = peer_ranks.rendezvous_hash(state.settings.dc, subject)
+    return sum(
+        peer_ranks.rendezvous_hash(dc, subject) < own
+        for dc in {entry.dc for entry in state.peers.values()})
+
+
 def local_peers(state: 'GatewayState') -> tuple[VmEntry, ...]:
     """Return the entries of the other VMs of this data centre."""
     state.peer_ranks.refresh(state.peers, state.settings)
--- a/tests/test_build_history.py
+++ b/tests/test_build_history.py
@@ -10,7 +10,8 @@
 
 import attrs
 
-from plantainridge.gateway import build_history, build_records, builds
+from plantainridge.gateway import (build_history, build_records, builds,
+                                   record_log)
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import AppendResult, BuildRecord, View
@@ -216,7 +217,7 @@
         self.assertEqual(fleet.resume(VM1, 'late', 'unknown'), 'v2')
         fleet.builds_up = True
         # Builds of the record count as listed when it is read.
-        fleet.run(build_records.MAX_RETRY_DELAY_S + builds.ORIGIN_RETENTION_S +
+        fleet.run(record_log.MAX_RETRY_DELAY_S + builds.ORIGIN_RETENTION_S +
                   5.0)
         self.assertEqual(recorded_builds(fleet), ['v2'])
 
@@ -326,7 +327,7 @@
                     if isinstance(each, (fx.ReadBuilds, fx.WriteBuilds))
                 ]
             delay_s = scene.now - start - build_records.SETTLE_S
-            rank = round(delay_s / build_records.WRITER_DELAY_S)
+            rank = round(delay_s / record_log.WRITER_DELAY_S)
             firsts[rank] = type(calls[0])
         self.assertEqual(firsts, {
             0: fx.WriteBuilds,
