Keep crashes and the quarantine in the metadata store

Cause: broken sends, the crashes that they make up and the quarantine lived in the VMs' memory and in hints to live peers. What all VMs know died with them.

One record in the metadata store now holds the recent crashes with their suspects and the quarantine. One elected VM writes it; a VM that starts reads it before it sends requests, for at most 1 s. With the crashes the count survives kills that come before the quarantine, too.

Before (the record not read and written): AllVmsKilledTest, 21 requests reach engines late where 3 are allowed if all VMs are killed after each crash; 7 crashes in place of 4 after three kills of all VMs with a quarantined part.

--- a/src/plantainridge/gateway/dispatch.py
+++ b/src/plantainridge/gateway/dispatch.py
@@ -87,6 +87,9 @@
             state, call, 'it, or a part of it, crashes endpoints',
             suspects.RETRY_AFTER_S, now)
         return
+    if suspects.is_record_awaited(state, now):
+        yield from _wait(state, call, PlacementFailure.SUSPECTS_UNREAD, now)
+        return
     choice: Placement | PlacementFailure = PlacementFailure.ALL_LIMITED
     if not endpoint_limits.has_urgent_before(state, call, now):
         if (yield from placement_requests.ask(state, call, now)):
@@ -109,13 +112,19 @@
             state, call, choice.value, _retry_after_s(state, call, choice, now),
             now)
         return
+    yield from _wait(state, call, choice, now)
+    yield from _refuse_overdue(state, call, now)
+
+
+def _wait(state: 'GatewayState', call: Call, reason: PlacementFailure,
+          now: float) -> Iterator[Effect]:
+    """Let a request wait; it is dispatched again at the next tick."""
     if call.phase is not CallPhase.WAITING:
         CALL_LIFECYCLE.fire(call, 'wait')
         call.waiting_since = now
-    if call.wait_reason is not choice:
-        call.wait_reason = choice
-        yield _wait_log_line(state, call, choice, now)
-    yield from _refuse_overdue(state, call, now)
+    if call.wait_reason is not reason:
+        call.wait_reason = reason
+        yield _wait_log_line(state, call, reason, now)
 
 
 def _refuse_overdue(state: 'GatewayState', call: Call,
@@ -162,6 +171,8 @@
     """
     if call.wait_reason is PlacementFailure.NO_CAPACITY:
         return call.arrived_at + CAPACITY_WAIT_RATIO * call.route.target_s
+    if call.wait_reason is PlacementFailure.SUSPECTS_UNREAD:
+        return call.expires_at
     available_at = _available_at(state, call)
     latest_at = call.arrived_at + RECOVERY_WAIT_RATIO * (call.expires_at -
                                                          call.arrived_at)
--- a/src/plantainridge/gateway/effects.py
+++ b/src/plantainridge/gateway/effects.py
@@ -3,7 +3,8 @@
 import attrs
 
 from plantainridge.gateway.events import (BuildRecord, Headers, LeaseRecord,
-                                          Request, StoredPart, View)
+                                          Request, StoredPart, SuspectRecord,
+                                          View)
 from plantainridge.ids import (AttemptId, DcId, EndpointId, ModelId, RequestId,
                                ServiceId, TeamId, TunnelId)
 from plantainridge.loop.effects import Effect
@@ -343,6 +344,29 @@
     era: int = 0
 
 
+@attrs.frozen
+class ReadSuspects(Effect):
+    """Read the record of suspects.
+
+    Answered by `SuspectsRead` or `SuspectsFailed`.
+    """
+
+
+@attrs.frozen
+class WriteSuspects(Effect):
+    """Append the record of suspects if its log still ends at `end`.
+
+    Answered by `SuspectsWritten`.
+
+    Attributes:
+        era: The metadata store's era to which `end` belongs.
+    """
+
+    record: SuspectRecord
+    end: int
+    era: int = 0
+
+
 # --- To the process ---------------------------------------------------------
 
 
--- a/src/plantainridge/gateway/events.py
+++ b/src/plantainridge/gateway/events.py
@@ -7,6 +7,7 @@
 import attrs
 
 from plantainridge.gateway.config import Configuration
+from plantainridge.gateway.crash_attribution import Suspect
 from plantainridge.gateway.endpoints import EndpointEntry, EndpointLoad
 from plantainridge.gateway.settings import (DEFAULT_LINK_MBPS, GatewaySettings,
                                             InvalidSetting)
@@ -668,6 +669,72 @@
     reason: str
 
 
+@attrs.frozen
+class RecordedCrash:
+    """A crash of an endpoint, as recorded in the metadata store.
+
+    Attributes:
+        age_s: Time from the crash to the write of the record, in s.
+        parts_of: Parts of the prompt of each request in flight, in order.
+        sent_before_s: Suspects that were not cleared, each with the time from
+            its latest broken send to the crash, in s.
+    """
+
+    endpoint: EndpointId
+    age_s: float
+    parts_of: Mapping[Suspect, tuple[Suspect, ...]]
+    sent_before_s: Mapping[Suspect, float]
+
+
+@attrs.frozen
+class RecordedQuarantine:
+    """A quarantined suspect, as recorded in the metadata store.
+
+    Attributes:
+        idle_s: Time from the last crash with it to the write, in s.
+        failed_probes: Probes that crashed an endpoint.
+    """
+
+    idle_s: float
+    failed_probes: int = 0
+
+
+@attrs.frozen
+class SuspectRecord:
+    """Crashes and quarantined suspects, as recorded in the metadata store.
+
+    Attributes:
+        crashes: Recent crashes, oldest first.
+        era: The metadata store's era in which it was written.
+    """
+
+    crashes: tuple[RecordedCrash, ...]
+    quarantine: Mapping[Suspect, RecordedQuarantine]
+    era: int = 0
+
+
+@attrs.frozen
+class SuspectsRead(Event):
+    """The record of suspects was read.
+
+    Attributes:
+        record: The newest record, or None.
+        end: Offset at which its log ends.
+        era: The metadata store's era.
+    """
+
+    record: SuspectRecord | None
+    end: int
+    era: int = 0
+
+
+@attrs.frozen
+class SuspectsFailed(Event):
+    """The record of suspects could not be read."""
+
+    reason: str
+
+
 @attrs.frozen
 class LeaseRead(Event):
     """The lease was read.
@@ -717,6 +784,19 @@
     era: int = 0
 
 
+@attrs.frozen
+class SuspectsWritten(Event):
+    """A conditional append of the record of suspects ended.
+
+    Attributes:
+        era: The metadata store's era for which the append was meant.
+    """
+
+    record: SuspectRecord
+    result: AppendResult
+    era: int = 0
+
+
 @attrs.frozen
 class LeaseFailed(Event):
     """The lease could not be read."""
--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -276,7 +276,7 @@
              }, state.views.era, asked_at, answers_at,
              state.versions.ages(now) if answers_at else (),
              tuple(state.suspects.cleared), state.suspects.idle_times(now), now,
-             speeds))
+             speeds, state.suspects.recorded()))
 
 
 def _rates(state: 'GatewayState', now: float, *sources:
@@ -640,3 +640,5 @@
         yield from suspects.on_peer_cleared(state, suspect, now)
     for suspect, idle_s in hint.quarantined.items():
         yield from suspects.on_peer_quarantine(state, suspect, idle_s, now)
+    for suspect in hint.recorded:
+        suspects.on_peer_recorded(state, suspect, now)
--- a/src/plantainridge/gateway/peer_messages.py
+++ b/src/plantainridge/gateway/peer_messages.py
@@ -126,6 +126,8 @@
         sent_at: The VM's loop time at which it sent this hint, in s; 0 if not
             stated.
         speeds: Speeds of endpoints, from the VM's own observations.
+        recorded: Quarantined suspects that the VM only knows from the record
+            in the metadata store.
     """
 
     vm: VmId
@@ -145,6 +147,7 @@
     quarantined: Mapping[Suspect, float] = attrs.field(factory=dict)
     sent_at: float = 0.0
     speeds: tuple[SpeedDigest, ...] = ()
+    recorded: tuple[Suspect, ...] = ()
 
 
 @attrs.frozen
@@ -514,7 +517,7 @@
         each.parts = list(broken.parts)
         each.sentAgoMs = _to_ms(broken.sent_ago_s)
         each.brokenAgoMs = _to_ms(broken.broken_ago_s)
-    row.cleared = list(hint.cleared)
+    row.cleared, row.recorded = list(hint.cleared), list(hint.recorded)
     rows = row.init('quarantined', len(hint.quarantined))
     for each, (suspect, idle_s) in zip(rows, hint.quarantined.items()):
         each.suspect, each.idleMs = suspect, _to_ms(idle_s)
@@ -789,7 +792,8 @@
         tuple(Suspect(str(each)) for each in row.cleared), {
             Suspect(str(each.suspect)): each.idleMs / MS_PER_S
             for each in row.quarantined
-        }, row.sentAtS, _read_speeds(row))
+        }, row.sentAtS, _read_speeds(row),
+        tuple(Suspect(str(each)) for each in row.recorded))
 
 
 def _read_view(row: Any) -> RelayedView:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -269,6 +269,8 @@
   # Loop time at which the sender sent this hint, in s; 0 if not stated.
   sentAtS @15 :Float64;
   speeds @16 :List(SpeedDigest);
+  # Suspects that the sender only knows from the record in the metadata store.
+  recorded @17 :List(Text);
 }
 
 # Target version of a model.
--- a/src/plantainridge/gateway/ports.py
+++ b/src/plantainridge/gateway/ports.py
@@ -42,6 +42,14 @@
     def write_builds(self, effect: fx.WriteBuilds) -> None:
         """Append to the record of builds; post `BuildsWritten`."""
 
+    @abc.abstractmethod
+    def read_suspects(self, effect: fx.ReadSuspects) -> None:
+        """Read the record of suspects; post `SuspectsRead` or a failure."""
+
+    @abc.abstractmethod
+    def write_suspects(self, effect: fx.WriteSuspects) -> None:
+        """Append to the record of suspects; post `SuspectsWritten`."""
+
 
 class EnginePort(abc.ABC):
     """Control calls to engines and KV cache stores."""
--- a/src/plantainridge/gateway/process.py
+++ b/src/plantainridge/gateway/process.py
@@ -133,6 +133,8 @@
             fx.WriteLease: store.write_lease,
             fx.ReadBuilds: store.read_builds,
             fx.WriteBuilds: store.write_builds,
+            fx.ReadSuspects: store.read_suspects,
+            fx.WriteSuspects: store.write_suspects,
             fx.RequestReport: engines.request_report,
             fx.OrderVersion: engines.order_version,
             fx.ListStore: engines.list_store,
--- a/src/plantainridge/gateway/reducer.py
+++ b/src/plantainridge/gateway/reducer.py
@@ -108,6 +108,9 @@
     events.BuildsRead: build_records.on_read,
     events.BuildsFailed: build_records.on_failed,
     events.BuildsWritten: build_records.on_written,
+    events.SuspectsRead: suspects.on_record_read,
+    events.SuspectsFailed: suspects.on_record_failed,
+    events.SuspectsWritten: suspects.on_record_written,
     events.StopRequested: drain.on_stop_requested,
     events.SettingsRead: reload.on_settings,
 }
@@ -122,6 +125,7 @@
         LogLine('started', (('life', state.incarnation), ('dc', settings.dc))),
         *views.load_all(now),
         *membership.write_vm_entry(state),
+        *suspects.update_record(state, now),
         SetTimer(_TICK_KEY, now + TICK_INTERVAL_S),
     ]
 
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -47,6 +47,7 @@
     NO_BUILD = 'no endpoint that stays has its build'
     NO_PATH = 'neither this VM nor a peer reaches its endpoints'
     NO_RETRY = 'no more sends are allowed'
+    SUSPECTS_UNREAD = 'the requests that crash endpoints are not known yet'
 
 
 class SendLimit(enum.Enum):
--- a/src/plantainridge/gateway/suspects.py
+++ b/src/plantainridge/gateway/suspects.py
@@ -1,7 +1,8 @@
 """Suspects of endpoints' crashes, and the quarantine of those that cause them.
 
 VMs share broken sends, answers that clear suspects, and the quarantine, since
-requests that crash endpoints come at any VM.
+requests that crash endpoints come at any VM. The metadata store keeps the
+crashes and the quarantine for VMs that start (see `suspect_history`).
 """
 
 import hashlib
@@ -11,12 +12,18 @@
 
 import attrs
 
-from plantainridge.gateway import crash_attribution, relays
+from plantainridge.gateway import crash_attribution, relays, suspect_history
+from plantainridge.gateway import effects as fx
 from plantainridge.gateway.crash_attribution import (Crash, Suspect,
                                                      part_suspect,
                                                      request_suspect)
-from plantainridge.gateway.events import Request
+from plantainridge.gateway.events import (AppendResult, RecordedQuarantine,
+                                          Request, SuspectRecord,
+                                          SuspectsFailed, SuspectsRead,
+                                          SuspectsWritten)
+from plantainridge.gateway.record_log import RecordCall
 from plantainridge.gateway.requests import Attempt, Call
+from plantainridge.gateway.suspect_history import SuspectHistory
 from plantainridge.ids import EndpointId, RequestId, TeamId
 from plantainridge.loop.effects import Effect, LogLine
 
@@ -47,6 +54,9 @@
 MAX_HINTED: Final = 64
 # Time for which a cleared suspect is not quarantined by a peer's report, in s.
 CLEARED_S: Final = 5.0
+# Time for which a suspect that is no longer quarantined is not taken from an
+# older record by VMs that start meanwhile.
+LIFTED_S: Final = 60.0
 # Delay after which clearings are sent to all VMs, in s.
 CLEARING_DELAY_S: Final = 0.3
 # Time after which the quarantine is repeated to all VMs, in s.
@@ -55,6 +65,8 @@
 INTERVAL_PER_VM_S: Final = 0.05
 # Delay after which the caller of a quarantined request may retry, in s.
 RETRY_AFTER_S: Final = 5.0
+# Subject of the ranks by which writers of the record are elected.
+RECORD_SUBJECT: Final = 'suspects'
 
 
 @attrs.frozen
@@ -85,12 +97,15 @@
         probe: The request that probes whether it still crashes endpoints, or
             None.
         probed_at: Loop time of the probe, in s.
+        is_recorded: Whether this VM only knows it from the record: the last
+            crash may have been earlier, and an answer may have cleared it.
     """
 
     crashed_at: float
     failed_probes: int = 0
     probe: RequestId | None = None
     probed_at: float = -math.inf
+    is_recorded: bool = False
 
     def admits(self, request: RequestId, rank: int, now: float) -> bool:
         """Return whether a request may be sent, as the only probe.
@@ -112,6 +127,13 @@
         """Record a crash with the suspect."""
         self.failed_probes += now - self.crashed_at >= PROBE_AFTER_S
         self.crashed_at, self.probe = now, None
+        self.is_recorded = False
+
+    def record_report(self, crashed_at: float) -> None:
+        """Record that a peer reports a crash with the suspect."""
+        if self.is_recorded:
+            self.crashed_at, self.is_recorded = crashed_at, False
+        self.crashed_at = max(self.crashed_at, crashed_at)
 
 
 @attrs.define
@@ -122,6 +144,7 @@
         crashes: Recent crashes, oldest first.
         quarantine: Quarantined suspects.
         cleared_at: Loop times at which suspects were cleared lately, in s.
+        lifted_at: Loop times at which quarantines ended lately, in s.
         answers: Number of answers to requests with a prompt.
         search_until: Loop time until which culprits are looked for, in s.
         searched_at: Loop time at which they were last looked for, in s.
@@ -130,11 +153,13 @@
         cleared_since: Loop time of the first of them, in s.
         is_unsent: Whether the quarantine is still to be sent to peers.
         sent_at: Loop time at which the quarantine was sent to all peers, in s.
+        history: The record in the metadata store.
     """
 
     crashes: list[Crash] = attrs.field(factory=list)
     quarantine: dict[Suspect, QuarantineEntry] = attrs.field(factory=dict)
     cleared_at: dict[Suspect, float] = attrs.field(factory=dict)
+    lifted_at: dict[Suspect, float] = attrs.field(factory=dict)
     answers: int = 0
     search_until: float = -math.inf
     searched_at: float = -math.inf
@@ -143,6 +168,7 @@
     cleared_since: float = math.inf
     is_unsent: bool = False
     sent_at: float = -math.inf
+    history: SuspectHistory = attrs.field(factory=SuspectHistory)
 
     def add(self, broken: BrokenSend, now: float) -> Crash:
         """Add a broken send to the crash of its endpoint, and return that."""
@@ -167,7 +193,7 @@
 
     def clear(self, suspect: Suspect, now: float) -> bool:
         """Clear a suspect of all crashes; return whether it was one."""
-        was_suspect = self.quarantine.pop(suspect, None) is not None
+        was_suspect = self.lift(suspect, now)
         for crash in self.crashes:
             if crash.sent_at.pop(suspect, None) is not None:
                 was_suspect = True
@@ -176,6 +202,23 @@
             self.search_until = now + SEARCH_S
         return was_suspect
 
+    def lift(self, suspect: Suspect, now: float) -> bool:
+        """End a suspect's quarantine; return whether there was one."""
+        if self.quarantine.pop(suspect, None) is None:
+            return False
+        self.lifted_at[suspect] = now
+        return True
+
+    def expire(self, now: float) -> None:
+        """Forget crashes and clearings of long ago."""
+        if self.crashes and now - self.crashes[0].at >= RETENTION_S:
+            del self.crashes[0]
+        for times, retention_s in ((self.cleared_at, CLEARED_S),
+                                   (self.lifted_at, LIFTED_S)):
+            for suspect, at in list(times.items()):
+                if now - at >= retention_s:
+                    del times[suspect]
+
     def queue_clearing(self, suspect: Suspect, now: float) -> None:
         """Queue the clearing of a suspect to be sent to peers."""
         self.cleared[suspect] = None
@@ -206,6 +249,26 @@
         return {
             suspect: max(0.0, now - entry.crashed_at)
             for suspect, entry in recent[-MAX_HINTED:]
+            if not entry.is_recorded
+        }
+
+    def recorded(self) -> tuple[Suspect, ...]:
+        """Return the suspects that this VM only knows from the record."""
+        found = [
+            suspect for suspect, entry in self.quarantine.items()
+            if entry.is_recorded
+        ]
+        return tuple(found[-MAX_HINTED:])
+
+    def recordable_quarantine(self,
+                              now: float) -> dict[Suspect, RecordedQuarantine]:
+        """Return the quarantine as the record states it."""
+        return {
+            suspect:
+                RecordedQuarantine(max(0.0, now - entry.crashed_at),
+                                   entry.failed_probes)
+            for suspect, entry in self.quarantine.items()
+            if len(suspect) <= suspect_history.MAX_NAME_CHARS
         }
 
 
@@ -269,28 +332,151 @@
         return
     entry = table.quarantine.get(suspect)
     if entry is not None:
-        entry.crashed_at = max(entry.crashed_at, now - idle_s)
+        entry.record_report(now - idle_s)
         return
     _quarantine(table, suspect, now - idle_s)
     yield LogLine('suspect_quarantined',
                   (('suspect', suspect), ('source', 'peer')))
 
 
+def on_peer_recorded(state: 'GatewayState', suspect: Suspect,
+                     now: float) -> None:
+    """Clear a suspect again that a peer took from an older record."""
+    table = state.suspects
+    if suspect in table.lifted_at:
+        table.queue_clearing(suspect, now)
+
+
 def on_tick(state: 'GatewayState', now: float) -> Iterator[Effect]:
-    """Quarantine culprits, and forget what is old."""
+    """Quarantine culprits, forget what is old, and update the record."""
     table = state.suspects
     if (now < table.search_until and
             now - table.searched_at >= SEARCH_INTERVAL_S):
         yield from _quarantine_culprits(state, now)
-    if table.crashes and now - table.crashes[0].at >= RETENTION_S:
-        del table.crashes[0]
-    for suspect, at in list(table.cleared_at.items()):
-        if now - at >= CLEARED_S:
-            del table.cleared_at[suspect]
+    table.expire(now)
     for suspect, entry in list(table.quarantine.items()):
         if now - entry.crashed_at >= FORGET_AFTER_S:
-            del table.quarantine[suspect]
+            table.lift(suspect, now)
             yield _lifted_line(suspect, 'no crash')
+    yield from update_record(state, now)
+
+
+def is_record_awaited(state: 'GatewayState', now: float) -> bool:
+    """Return whether requests wait for the first read of the record."""
+    return state.ready and state.suspects.history.is_awaited(now)
+
+
+def update_record(state: 'GatewayState', now: float) -> Iterator[Effect]:
+    """Read the record once, and write it if it is this VM's turn."""
+    table, history = state.suspects, state.suspects.history
+    if state.ready and history.ready_at == math.inf:
+        # The metadata store answers, perhaps again.
+        history.ready_at, history.next_call_at = now, now
+    if not history.may_call(now):
+        return
+    if not history.known:
+        history.call_started_at = now
+        yield fx.ReadSuspects()
+        return
+    era = state.views.era
+    quarantine = table.recordable_quarantine(now)
+    differs = history.differs(table.crashes, quarantine, era)
+    history.observe(differs, now)
+    # Before it knows the VMs, this one takes itself for the only VM.
+    if (not differs or not history.may_write(now) or not state.peers or
+            not relays.is_reader(state, RECORD_SUBJECT, now)):
+        return
+    call = history.writer_call(relays.data_centre_rank(state, RECORD_SUBJECT),
+                               era, now)
+    if call is not None:
+        history.call_started_at, history.pending = now, None
+    if call is RecordCall.READ:
+        yield fx.ReadSuspects()
+    elif call is RecordCall.WRITE:
+        assert history.end is not None
+        history.pending = suspect_history.next_record(table.crashes, quarantine,
+                                                      era, now)
+        yield fx.WriteSuspects(history.pending, history.end, era)
+
+
+def on_record_read(state: 'GatewayState', event: SuspectsRead,
+                   now: float) -> Iterator[Effect]:
+    """Quarantine what the record names; after a start, add its crashes."""
+    table, history = state.suspects, state.suspects.history
+    history.call_started_at = None
+    if event.era != state.views.era:
+        history.delay_next_call(now)
+        return
+    if event.record != history.record:
+        # Another VM has written it: this one waits again for its turn.
+        history.observe(False, now)
+    is_first, history.known = not history.known, True
+    history.record, history.is_own = event.record, False
+    history.end, history.end_era = event.end, event.era
+    history.read_at, history.failures = now, 0
+    if event.record is None:
+        return
+    yield from _apply_recorded_quarantine(table, event.record, now)
+    if is_first:
+        table.crashes.extend(
+            suspect_history.missed_crashes(event.record, tuple(table.crashes),
+                                           table.answers, RETENTION_S, now))
+        table.crashes.sort(key=lambda crash: crash.at)
+        table.search_until = now + SEARCH_S
+        yield LogLine('suspects_read', (('crashes', len(table.crashes)),
+                                        ('quarantined', len(table.quarantine))))
+
+
+def on_record_failed(state: 'GatewayState', event: SuspectsFailed,
+                     now: float) -> Iterator[Effect]:
+    """Schedule another read."""
+    history = state.suspects.history
+    history.call_started_at = None
+    history.delay_next_call(now)
+    yield LogLine('suspects_unread', (('reason', event.reason),))
+
+
+def on_record_written(state: 'GatewayState', event: SuspectsWritten,
+                      now: float) -> Iterator[Effect]:
+    """Record what was written; read the log if that is not certain."""
+    history = state.suspects.history
+    # Compared by identity: a write that was repeated has an equal record.
+    if event.record is not history.pending:
+        return
+    history.call_started_at = history.pending = None
+    if event.result is AppendResult.DONE and event.era == state.views.era:
+        assert history.end is not None
+        history.record, history.end = event.record, history.end + 1
+        history.is_own, history.written_at = True, now
+        history.failures = 0
+        yield LogLine('suspects_recorded',
+                      (('crashes', len(event.record.crashes)),
+                       ('quarantined', len(event.record.quarantine))))
+        return
+    # A write without an answer may still take effect, and another VM may have
+    # written: the log is read again before the next write.
+    history.end = None
+    if event.result is AppendResult.UNKNOWN:
+        history.delay_next_call(now)
+    yield LogLine('suspects_unwritten', (('reason', event.result.value),))
+
+
+def _apply_recorded_quarantine(table: SuspectTable, record: SuspectRecord,
+                               now: float) -> Iterator[Effect]:
+    for suspect, recorded in record.quarantine.items():
+        entry = table.quarantine.get(suspect)
+        if entry is not None:
+            entry.failed_probes = max(entry.failed_probes,
+                                      recorded.failed_probes)
+        elif (suspect not in table.lifted_at and
+              suspect not in table.cleared_at and
+              recorded.idle_s < FORGET_AFTER_S):
+            _quarantine(table, suspect, now - max(0.0, recorded.idle_s))
+            entry = table.quarantine[suspect]
+            entry.failed_probes = recorded.failed_probes
+            entry.is_recorded = True
+            yield LogLine('suspect_quarantined',
+                          (('suspect', suspect), ('source', 'record')))
 
 
 def _clear(state: 'GatewayState', suspect: Suspect,
@@ -318,6 +504,7 @@
 def _quarantine(table: SuspectTable, suspect: Suspect,
                 crashed_at: float) -> None:
     table.quarantine[suspect] = QuarantineEntry(crashed_at)
+    table.lifted_at.pop(suspect, None)
     while len(table.quarantine) > MAX_QUARANTINED:
         oldest = min(table.quarantine.items(),
                      key=lambda item: item[1].crashed_at)
--- a/src/plantainridge/platform/records.py
+++ b/src/plantainridge/platform/records.py
@@ -10,11 +10,14 @@
 
 from plantainridge import json_values
 from plantainridge.gateway.build_history import UNREADABLE_ERA
+from plantainridge.gateway.crash_attribution import Suspect
 from plantainridge.gateway.endpoints import EndpointEntry
 from plantainridge.gateway.events import (BuildRecord, EndpointRemoved,
                                           EvacuationChanged, InvalidRecord,
                                           LeaseRecord, NamedVersion, RawRecord,
-                                          View, ViewUpdate, VmEntry)
+                                          RecordedCrash, RecordedQuarantine,
+                                          SuspectRecord, View, ViewUpdate,
+                                          VmEntry)
 from plantainridge.gateway.settings import DEFAULT_LINK_MBPS
 from plantainridge.ids import (DcId, EndpointId, Incarnation, ModelId,
                                ServiceId, VmId)
@@ -246,3 +249,61 @@
 def encode_builds(record: BuildRecord) -> bytes:
     """Encode the record of builds, as it is appended."""
     return json.dumps({'era': record.era, 'services': record.services}).encode()
+
+
+def decode_suspects(record: RawRecord) -> SuspectRecord:
+    """Decode the record of suspects; return an empty one if it is not valid."""
+    try:
+        data = json_values.decode(record.value or b'')
+        rows = get(data, 'quarantine', dict)
+        quarantine = {
+            Suspect(suspect):
+                RecordedQuarantine(
+                    get(row, 'idle_s', float),
+                    get_in_range(row, 'failed_probes', MAX_INT32, 0))
+            for suspect, row in rows.items()
+        }
+        crashes = tuple(_decode_crash(row) for row in get_list(data, 'crashes'))
+        return SuspectRecord(crashes, quarantine, get(data, 'era', int))
+    except (ValueError, InvalidField, TypeError):
+        return SuspectRecord((), {}, UNREADABLE_ERA)
+
+
+def _decode_crash(row: Any) -> RecordedCrash:
+    requests = get(row, 'requests', dict)
+    sent_before_s = get(row, 'sent_before_s', dict)
+    return RecordedCrash(
+        EndpointId(get(row, 'endpoint', str)), get(row, 'age_s', float), {
+            Suspect(request):
+                tuple(
+                    Suspect(str(part)) for part in get_list(requests, request))
+            for request in requests
+        }, {
+            Suspect(suspect): get(sent_before_s, suspect, float)
+            for suspect in sent_before_s
+        })
+
+
+def encode_suspects(record: SuspectRecord) -> bytes:
+    """Encode the record of suspects, as it is appended."""
+    crashes = [{
+        'endpoint': each.endpoint,
+        'age_s': round(each.age_s, 3),
+        'requests': each.parts_of,
+        'sent_before_s': {
+            suspect: round(before_s, 3)
+            for suspect, before_s in each.sent_before_s.items()
+        },
+    }
+               for each in record.crashes]
+    quarantine = {
+        suspect: {
+            'idle_s': round(each.idle_s, 3),
+            'failed_probes': each.failed_probes
+        } for suspect, each in record.quarantine.items()
+    }
+    return json.dumps({
+        'era': record.era,
+        'crashes': crashes,
+        'quarantine': quarantine
+    }).encode()
--- a/src/plantainridge/platform/store.py
+++ b/src/plantainridge/platform/store.py
@@ -87,6 +87,13 @@
     def write_builds(self, effect: fx.WriteBuilds) -> None:
         self.tasks.spawn(self._write_builds(effect))
 
+    def read_suspects(self, effect: fx.ReadSuspects) -> None:
+        del effect
+        self.tasks.spawn(self._read_suspects())
+
+    def write_suspects(self, effect: fx.WriteSuspects) -> None:
+        self.tasks.spawn(self._write_suspects(effect))
+
     async def _load_view(self, effect: fx.LoadView) -> None:
         view = effect.view
         offsets: dict[ev.RawRecord, int] = {}
@@ -219,6 +226,21 @@
                                     effect.era)
         self.post(ev.BuildsWritten(effect.record, result, effect.era))
 
+    async def _read_suspects(self) -> None:
+        read = await self._read_record(names.SUSPECTS_TOPIC, names.SUSPECTS_KEY)
+        if isinstance(read, str):
+            self.post(ev.SuspectsFailed(read))
+            return
+        record = records.decode_suspects(read.record) if read.record else None
+        self.post(ev.SuspectsRead(record, read.end, read.era))
+
+    async def _write_suspects(self, effect: fx.WriteSuspects) -> None:
+        body = records.encode_keyed(names.SUSPECTS_KEY,
+                                    records.encode_suspects(effect.record))
+        result = await self._append(names.SUSPECTS_TOPIC, body, effect.end,
+                                    effect.era)
+        self.post(ev.SuspectsWritten(effect.record, result, effect.era))
+
     async def _read_record(self, topic: str, key: str) -> '_KeyRead | str':
         """Read one key of a topic; return the reason if that failed."""
         response = await self._call('GET', names.LOG_NEWEST, {
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -1,6 +1,6 @@
 """Fixture: a loaded deployment whose engines crash, also on prompt parts."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Collection
 from typing import Final
 
@@ -9,13 +9,18 @@
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
 from plantainridge.gateway.events import Failure, Part, View
+from plantainridge.gateway.suspects import SuspectTable
 from plantainridge.ids import AttemptId, DcId, EndpointId, Incarnation, VmId
 from plantainridge.loop.events import Event
+from plantainridge.platform import names, records
 from tests.gateway_scene import GatewayScene, endpoint, request
 from tests.load_fleet import Engine, Job, LoadFleet
 
 # Time until a crashed engine serves again, in s.
 DOWN_S: Final = 3.0
+# Times until the metadata store answers, and until a call counts as lost.
+STORE_DELAY_S: Final = 0.005
+STORE_TIMEOUT_S: Final = 1.0
 # First part of all prompts.
 OPENING: Final = Part('opening', 400)
 
@@ -42,6 +47,9 @@
         crashed_at: Times of the crashes on each such part, in s.
         reached_at: Times at which requests with each reached engines, in s.
         outcomes: Ends of the sound requests.
+        store_up: Whether the metadata store answers.
+        record_log: Records of suspects in the metadata store.
+        record_calls: Calls to that log, by type.
     """
 
     deadly: Collection[str] = ()
@@ -50,6 +58,9 @@
     reached_at: dict[str, list[float]] = attrs.field(
         factory=lambda: defaultdict(list), init=False)
     outcomes: list[Outcome] = attrs.field(factory=list, init=False)
+    store_up: bool = attrs.field(default=True, init=False)
+    record_log: list[bytes] = attrs.field(factory=list, init=False)
+    record_calls: Counter[str] = attrs.field(factory=Counter, init=False)
     _runs: dict[AttemptId, tuple[VmId, EndpointId]] = attrs.field(factory=dict,
                                                                   init=False)
 
@@ -120,8 +131,15 @@
             View.VMS,
             *(ev.VmEntry(VmId(each), self.dcs[each], f'{each}:1')
               for each in self.vms))
+        # It has not read the record yet.
+        scene.state.suspects = SuspectTable()
         self.vms[name] = scene
 
+    def restart_all(self) -> None:
+        """Start the processes of all VMs again."""
+        for name in list(self.vms):
+            self.restart(name)
+
     def served_ratio(self, start: float, end: float) -> float:
         """Return the share of sound requests served, by arrival time in s."""
         served = [
@@ -129,6 +147,40 @@
         ]
         return sum(served) / len(served)
 
+    def _execute(self, name: VmId, scene: GatewayScene) -> None:
+        for effect in scene.done:
+            if isinstance(effect, fx.ReadSuspects):
+                self.record_calls['read'] += 1
+                self._answer_store(name, self._read_record(),
+                                   ev.SuspectsFailed('silent'))
+            elif isinstance(effect, fx.WriteSuspects):
+                self.record_calls['write'] += 1
+                written = ev.SuspectsWritten(effect.record,
+                                             self._write_record(effect))
+                lost = attrs.evolve(written, result=ev.AppendResult.UNKNOWN)
+                self._answer_store(name, written, lost)
+        super()._execute(name, scene)
+
+    def _answer_store(self, vm: VmId, answer: Event, failure: Event) -> None:
+        if self.store_up:
+            self._post_at(self.now + STORE_DELAY_S, vm, answer)
+        else:
+            self._post_at(self.now + STORE_TIMEOUT_S, vm, failure)
+
+    def _read_record(self) -> ev.SuspectsRead:
+        newest = self.record_log[-1] if self.record_log else None
+        raw = ev.RawRecord(names.SUSPECTS_KEY, newest)
+        return ev.SuspectsRead(
+            records.decode_suspects(raw) if newest else None,
+            len(self.record_log))
+
+    def _write_record(self, effect: fx.WriteSuspects) -> ev.AppendResult:
+        if effect.end != len(self.record_log):
+            return ev.AppendResult.CONFLICT
+        if self.store_up:
+            self.record_log.append(records.encode_suspects(effect.record))
+        return ev.AppendResult.DONE
+
     def _finish(self, request_id: str, served: bool) -> None:
         known = self._arrivals.get(request_id)
         if known is not None:
--- a/tests/gateway_scene.py
+++ b/tests/gateway_scene.py
@@ -151,6 +151,7 @@
         self.read(View.REGISTRY, *entries, is_snapshot=True)
         # The first start of a deployment: nothing has been recorded.
         self.post(ev.BuildsRead(None, 0))
+        self.post(ev.SuspectsRead(None, 0))
 
     def read(self,
              view: View,
