Fail answers that stop within their head in all HTTP clients

Report of other operators: a worker stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

At the gateway this does not happen: h11 reports the end of the connection as an error, on a new connection, on a kept one and through a tunnel between VMs (TunnelTest.test_head_that_is_cut_is_not_passed_on, each byte of a head; it passes without this change). Nor does it at the product's calls to plain services and engines, which use the same client.

It does happen in calls by aiosonic, whose reader returns what has come at the end of the connection: the library takes that for the last line of a head, and a head without a length for a response without a body. An order to an engine then counted as done, by its status alone, though the engine may have done nothing. The other users of that client decode a JSON body, which then was missing (the log, transfers, feeds, members, the status of VMs), or use no answer (promotions).

BoundedConnection, which all of them use, now raises and closes the connection if a line has no end. Orders read the whole answer, so that one that stops in its body counts as unknown too.

--- a/src/plantainridge/orders_http.py
+++ b/src/plantainridge/orders_http.py
@@ -13,7 +13,7 @@
 from plantainridge.loop.tasks import Tasks
 from plantainridge.orders import LoadedModel, OrderOutcome
 from plantainridge.ports import OrderPort
-from plantainridge.response_limits import read_json
+from plantainridge.response_limits import read_body, read_json
 
 # The engine has seen a higher fencing token.
 STATUS_FENCED: Final = 412
@@ -45,6 +45,7 @@
                         'version': target.version,
                         'adapter': target.adapter,
                     })
+                await read_body(response)
             outcome = _outcome(response.status_code)
         except (ConnectionRefusedError, http_errors.ConnectTimeout):
             outcome = OrderOutcome.FAILED
--- a/src/plantainridge/response_limits.py
+++ b/src/plantainridge/response_limits.py
@@ -23,6 +23,9 @@
 class BoundedConnection(Connection):  # type: ignore[misc]
     """A connection on which heads and single reads are bounded.
 
+    The library takes the end of a connection within a head for the end of the
+    head; here it is an error.
+
     It is not reused after a response without length or chunks, the bytes of
     which the library would take for those of the next response.
 
@@ -45,6 +48,10 @@
 
     async def readline(self) -> bytes:
         line: bytes = await super().readline()
+        if not line.endswith(b'\n'):
+            self.keep = False
+            self.close()
+            raise asyncio.IncompleteReadError(line, None)
         self.line_bytes += len(line)
         if self.line_bytes > MAX_HEAD_BYTES:
             raise ResponseTooLong(f'a head exceeds {MAX_HEAD_BYTES} bytes')
--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -14,7 +14,7 @@
 
 from plantainridge import effects as fx
 from plantainridge import events as ev
-from plantainridge import http_ports, members_http
+from plantainridge import http_ports, members_http, orders
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.http_client import AnswerHandler
 from plantainridge.http_ports import (HttpEnginePort, HttpLogPort,
@@ -24,6 +24,7 @@
 from plantainridge.loop.events import Event
 from plantainridge.loop.monitor import LoopMonitor
 from plantainridge.loop.tasks import Tasks
+from plantainridge.orders_http import HttpOrderPort
 from plantainridge.reports import log_fault
 from tests.reserved_ports import reserve_port
 from tests.stream_server import StreamServer
@@ -375,6 +376,70 @@
         self.assertEqual((len(heads), connections), (2, 2))
 
 
+class CutAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A server stops within its answer and closes the connection.
+
+    Callers took what had come of a head for an answer without a body.
+    """
+
+    ANSWER = (b'HTTP/1.1 200 OK\r\nServer: engine\r\nX-Request-Id: r1\r\n'
+              b'Content-Type: application/json\r\n')
+    BODIES = {
+        'length': b'Content-Length: 2\r\n\r\n{}',
+        'chunks': b'Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n',
+    }
+
+    async def asyncSetUp(self) -> None:
+        self.answer = b''
+        self.request_count = 0
+        self.server = StreamServer(self._serve)
+        self.address = await self.server.start()
+        self.tasks = Tasks(log_fault)
+
+    async def asyncTearDown(self) -> None:
+        await self.tasks.cancel()
+        await self.server.stop()
+
+    async def _serve(self, reader: asyncio.StreamReader,
+                     writer: asyncio.StreamWriter) -> None:
+        if await reader.read(65_536):
+            self.request_count += 1
+            writer.write(self.answer)
+        writer.close()
+
+    async def _order(self) -> Event:
+        posted: asyncio.Queue[Event] = asyncio.Queue()
+        order = orders.OrderEngine(
+            'o', EndpointId('e'), self.address, 1,
+            orders.LoadedModel(ModelId('m'), WeightVersion('2'), ''))
+        async with new_client() as client:
+            HttpOrderPort(client, self.tasks).order(order, posted.put_nowait)
+            return await asyncio.wait_for(posted.get(), TIMEOUT_S)
+
+    async def test_order_is_done_by_a_complete_answer_only(self) -> None:
+        for name, body in self.BODIES.items():
+            complete = self.ANSWER + body
+            for cut in range(len(complete) + 1):
+                self.answer, self.request_count = complete[:cut], 0
+                expected = (orders.OrderOutcome.DONE if cut == len(complete)
+                            else orders.OrderOutcome.UNKNOWN)
+                with self.subTest(f'{name}: {cut} bytes'):
+                    ended = await self._order()
+                    assert isinstance(ended, orders.OrderEnded)
+                    self.assertEqual(ended.outcome, expected)
+                    self.assertEqual(self.request_count, 1)
+
+    async def test_no_response_has_the_head_that_came(self) -> None:
+        head = self.ANSWER + b'\r\n'
+        for cut in range(len(head)):
+            self.answer = head[:cut]
+            with self.subTest(f'{cut} bytes'):
+                async with new_client() as client:
+                    with self.assertRaises(
+                        (http_errors.AiosonicError, EOFError)):
+                        await client.get(f'http://{self.address}/')
+
+
 class CancelledRequestTest(unittest.IsolatedAsyncioTestCase):
     """A caller leaves while its request waits for the response's head."""
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -309,6 +309,20 @@
                         peer.kill()
                     await peer.wait()
 
+    async def test_head_that_is_cut_is_not_passed_on(self) -> None:
+        head = STREAM + b'Transfer-Encoding: chunked\r\n\r\n'
+        for cut in range(len(head)):
+            self.answer = head[:cut]
+            self.served.clear()
+            self._start(stream=True, via=self.via)
+            await wait_for(lambda: self.served)
+            self.writers[-1].close()
+            with self.subTest(f'{cut} bytes'):
+                self.assertTrue(await
+                                wait_for(lambda: not self.sender.in_flight))
+                self.assertEqual(self.events.pop().failure, Failure.BROKEN)
+                self.assertEqual(self.events, [])
+
     async def test_half_open_tunnel_is_reset_in_time(self) -> None:
         await self._send()
         connection = self.pool.take(self.address, self.via)
