Ignore late relays of a KV cache store's earlier run that a VM does not know

A relay from before the store's restart that arrived after the VM's own listing looked like a new run.

Relays state when the store answered, on the engines' clock. One that is older than what this VM knows of another run is now ignored.

--- a/src/plantainridge/gateway/stores.py
+++ b/src/plantainridge/gateway/stores.py
@@ -460,6 +460,10 @@
     if not relay.is_snapshot:
         state.stores.record_clock(relay.clock_ms, now, math.inf)
     answered_at = state.stores.answered_at(relay.clock_ms, now)
+    if (not relay.unreachable and view.epoch not in (None, relay.epoch) and
+            answered_at < view.confirmed_at):
+        # The store has restarted since.
+        return
     epoch_since = now - relay.epoch_age_s
     if relay.epoch == view.epoch:
         view.enter_epoch(relay.epoch, epoch_since)
--- a/tests/test_gateway_stores.py
+++ b/tests/test_gateway_stores.py
@@ -256,6 +256,20 @@
         self._post_relay(1, False, 60.0)
         self.assertFalse(_saves(self.scene, self.store))
 
+    def test_late_relay_of_an_unknown_run_does_not_end_the_present_one(
+            self) -> None:
+        # The VM would take later messages of the present run for old ones.
+        scene, clock_ms = self.scene, self.scene.now * 1_000
+        scene.post(ev.StoreListed(self.store, 2, 9, {}, {}))
+        scene.post(ev.StoreChanged(self.store, 2, 9, False, (), clock_ms))
+        scene.now += 0.1
+        for is_snapshot in (False, True):
+            late = RelayedStore(PEER, self.store, 1, 9, 9, is_snapshot, False,
+                                (), clock_ms - 50.0)
+            self.assertEqual(scene.post(stores.StoreRelayed(late)), [])
+        view = scene.state.stores.views[self.store]
+        self.assertEqual((view.epoch, view.past_epochs), (2, set()))
+
     def test_restarted_vm_saves_as_soon_as_a_peer_has_sent_a_snapshot(
             self) -> None:
         fleet = _fleet()
