--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -189,6 +189,10 @@
         faults_ended_at: Unix time at which the last fault ended, in s.
         engine_versions: Weight version of each live engine at the end.
         newest_version: The newest weight version that was named.
+        crashing_runs: Unix times at which requests with a part that crashes
+            engines reached one, in s.
+        partial_fetches: Ids of parts that were fetched from a KV cache store
+            while they were being written there.
     """
 
     runs: list[Run] = attrs.field(factory=list)
@@ -211,6 +215,8 @@
     faults_ended_at: float = 0.0
     engine_versions: dict[str, int] = attrs.field(factory=dict)
     newest_version: int = 1
+    crashing_runs: list[float] = attrs.field(factory=list)
+    partial_fetches: list[str] = attrs.field(factory=list)
 
     def is_fault_free(self, subjects: set[str], start: float,
                       end: float) -> bool:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -160,6 +160,10 @@
         history([], [],
                 streams=[resumed_stream(REFUSED_TRY)] * 12,
                 serving_spans=SERVING),
+    checks.crashing_requests_are_kept_away:
+        history([], [], crashing_runs=[AT] * 5 + [AT + 3.5] * 4),
+    checks.fetched_parts_are_complete:
+        history([], [], partial_fetches=['c0']),
     checks.service_recovers:
         history([outcome(status=503)] * 9 + [outcome()], []),
 }
@@ -303,6 +307,12 @@
                 self.assertEqual(
                     bool(list(checks.resumed_streams_go_on(played))), violates)
 
+    def test_few_crashing_requests_may_reach_engines_late(self) -> None:
+        for late in ([AT + 2.9] * 9, [AT + 3.5] * 3):
+            played = history([], [], crashing_runs=[AT] * 5 + late)
+            self.assertFalse(
+                list(checks.crashing_requests_are_kept_away(played)))
+
     def test_partitioned_gateways_may_fail_within_the_bounds(self) -> None:
         cut = FaultSpan('endpoints-vm0', 'lost', AT - 3.5, AT + 4.0)
         early = attrs.evolve(cut, start=AT - 2.5)
