Soak: let proxies listen again once where faults end together

No check had failed.

Cause: the partition and the changes beside it end at the same time, and each lets the proxies listen again. Both saw that the proxy did not, and the second bind failed. The later one now waits for the first.

Before: OverlappingFaultsTest.test_proxy_listens_again_once, the same error.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -71,6 +71,8 @@
         self.delay_s = 0.2
         self.address = ''
         self._changed = asyncio.Event()
+        # Faults that overlap end at the same moment: one of them listens again.
+        self._listening = asyncio.Lock()
         self._server: asyncio.Server | None = None
         self._clients: set[asyncio.StreamWriter] = set()
         self._upstreams: set[asyncio.StreamWriter] = set()
@@ -102,8 +104,8 @@
             self.reset_all()
         if fault in (Fault.RESET_AND_REFUSE, Fault.REFUSE):
             self._server.close()
-        elif not self._server.is_serving():
-            await self.start()
+        else:
+            await self._listen_again()
         sockets = [
             *self._server.sockets,
             *(each.get_extra_info('socket') for each in self._clients)
@@ -113,6 +115,11 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    async def _listen_again(self) -> None:
+        async with self._listening:
+            if self._server is not None and not self._server.is_serving():
+                await self.start()
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in [*self._clients, *self._upstreams]:
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -48,6 +48,19 @@
         return 'silent'
 
 
+class OverlappingFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """Faults of one proxy that end at the same moment."""
+
+    async def test_proxy_listens_again_once(self) -> None:
+        # The second one failed since the port was in use.
+        proxy = FaultProxy(f'{HOST}:1', random.Random(1))
+        await proxy.start()
+        self.addAsyncCleanup(proxy.stop)
+        await proxy.set_fault(Fault.REFUSE)
+        await asyncio.gather(*(proxy.set_fault(Fault.NONE) for _ in range(3)))
+        self.assertEqual(await _connect(proxy), 'open')
+
+
 class PartitionTest(unittest.IsolatedAsyncioTestCase):
     """A proxy whose client is partitioned from its target, and another."""
 
