--- a/review/site2.py
+++ b/review/site2.py
@@ -226,8 +226,10 @@
         self.born = int(time.time() * 1_000)
         self.sequence, self.running, self.busy = 0, 0, False
         self.state = 'ready'
-        self.server = await asyncio.start_server(self._serve, self.host,
-                                                 self.port)
+        self.server = await asyncio.start_server(
+            self._serve, self.host, self.port, start_serving=False)
+        self.site.on_listen(self.server.sockets[0])
+        await self.server.start_serving()
         self.heart = asyncio.create_task(self._beat(self.id))
         self.site.log('worker_started', worker=self.id, service=self.service)
 
@@ -541,6 +543,8 @@
             self.run_line = tomllib.load(file)['roles']['gateway']['run']
         self.numbers = 0
         self.hosts = 0
+        # Called with each worker's socket before it listens.
+        self.on_listen = lambda sock: None
 
     def now(self):
         return time.monotonic() - self.began
@@ -581,10 +585,16 @@
         self.numbers += 1
         return f'{random.randrange(16**10):010x}{self.numbers:06x}'
 
-    async def send(self, vm, path, method='POST', headers=None, body=b'{}',
+    async def send(self, vm, path, method='POST', headers=None, body=None,
                    timeout_ms=3000, on_event=None, attempt=None):
-        """Send a request; log it and its answer; return status and answer."""
+        """Send a request; log it and its answer; return status and answer.
+
+        Without a body of its own, each attempt's is different.
+        """
         attempt = attempt or self.attempt()
+        if body is None:
+            body = b'' if method == 'GET' else b'{"text":"%s"}' % (
+                attempt.encode())
         fields = {'X-Attempt-Id': attempt, 'X-Deadline-Milliseconds':
                   str(timeout_ms), **(headers or {})}
         mark = fields.get('X-Mark', '')
