--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A zone is lost while workers of two software versions serve."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -13,13 +14,33 @@
 # 13 machines in three zones; the first zone is lost.
 ZONES = {'za': 5, 'zb': 4, 'zc': 4}
 LOST = 'za'
-RATES = {'za': 6.0, 'zb': 2.0, 'zc': 2.0}
+# With REMOVED=1: the 7 machines of lta-tpe, after six more were removed.
+SMALL_ZONES, REMOVED = {'za': 3, 'zb': 2, 'zc': 2}, 6
+RATES = {'za': 8.0, 'zb': 2.0, 'zc': 2.0}
 WARM_S, AFTER_S = 8.0, 8.0
 
 
+async def remove_machines(site):
+    """Add machines and remove them for good."""
+    gone = [site.add_vm(f'frontend-zc-{3 + number}', 'zc')
+            for number in range(REMOVED)]
+    for vm in gone:
+        vm.start()
+    await site.ready(gone)
+    await asyncio.sleep(1.0)
+    for vm in gone:
+        vm.kill()
+        site.vms.remove(vm)
+    await asyncio.sleep(10.0)
+
+
 async def case(site, trouble):
-    await site2.standard(site, engines=6, ledgers=0, zones=ZONES.values(),
-                         names=tuple(ZONES))
+    is_small = os.environ.get('REMOVED') == '1'
+    zones = SMALL_ZONES if is_small else ZONES
+    await site2.standard(site, engines=6, ledgers=0, zones=zones.values(),
+                         names=tuple(zones))
+    if is_small:
+        await remove_machines(site)
     for number, worker in enumerate(site.workers):
         worker.event_count, worker.gap_s = 30, 0.1
         # Three workers of each version of the software.
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 # The machines of lta-tpe; those of the first zone are lost.
 ZONES = {'za': 3, 'zb': 2, 'zc': 2}
 LOST = 'za'
-RATES = {'za': 6.0, 'zb': 2.0, 'zc': 2.0}
+RATES = {'za': 10.0, 'zb': 2.0, 'zc': 2.0}
 # The deployment has run for more than a minute, with workers of one version.
 STEADY_S, WARM_S, AFTER_S = 62.0, 7.0, 8.0
 # Time from the loss to the start of the first worker of the new version, in s.
