--- a/review/6/case.py
+++ b/review/6/case.py
@@ -38,14 +38,11 @@
     is_small = os.environ.get('REMOVED') == '1'
     zones = SMALL_ZONES if is_small else ZONES
     await site2.standard(site, engines=6, ledgers=0, zones=zones.values(),
-                         names=tuple(zones))
+                         names=tuple(zones), builds=('v1', 'v2'))
     if is_small:
         await remove_machines(site)
-    for number, worker in enumerate(site.workers):
+    for worker in site.workers:
         worker.event_count, worker.gap_s = 30, 0.1
-        # Three workers of each version of the software.
-        worker.build = f'v{1 + number % 2}'
-        worker.write_entry()
     await asyncio.sleep(4.0)
     streams = streams2.Streams(site, LOST, RATES)
     until = site.now() + WARM_S + AFTER_S
--- a/review/site2.py
+++ b/review/site2.py
@@ -673,14 +673,15 @@
 
 
 async def standard(site, engines=5, ledgers=3, zones=(3, 2, 2),
-                   names=('za', 'zb', 'zc')):
-    """Start a deployment like lta-tpe."""
+                   names=('za', 'zb', 'zc'), builds=('v1',)):
+    """Start a deployment like lta-tpe, with engines of some builds in turn."""
     await site.start()
     site.store.put('keyed.op', 'config', configuration())
     site.store.put('keyed.op', 'version/m0', {'model': 'm0', 'version': 1})
     for number in range(engines):
-        site.workers.append(Worker(site, 'llm', names[number % len(names)],
-                                   'm0'))
+        worker = Worker(site, 'llm', names[number % len(names)], 'm0')
+        worker.build = builds[number % len(builds)]
+        site.workers.append(worker)
     for number in range(ledgers):
         site.workers.append(Worker(site, 'ledger', names[number % len(names)]))
     for worker in site.workers:
