--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 LOST = 'za'
 # With REMOVED=1: the 7 machines of lta-tpe, after six more were removed.
 SMALL_ZONES, REMOVED = {'za': 3, 'zb': 2, 'zc': 2}, 6
-RATES = {'za': 8.0, 'zb': 2.0, 'zc': 2.0}
+RATES = {'za': 10.0, 'zb': 2.0, 'zc': 2.0}
 WARM_S, AFTER_S = 8.0, 8.0
 
 
