Keep the records of where streams began in several data centres

Cause: beyond 12 listed VMs the record of a stream was sent to three VMs of the own data centre, and only those were asked. All copies were lost with it.

Change: a record goes to three VMs of three data centres, by rendezvous hash among those that are live. Load reports name listed VMs that are not. A VM that looks for a record asks by the same ranks, more with each question, and states where the answer goes: a VM that was just added got none.

--- a/src/plantainridge/gateway/hints.py
+++ b/src/plantainridge/gateway/hints.py
@@ -12,6 +12,7 @@
 it is not taken for younger than it is, however long the answer was on its way.
 """
 
+import itertools
 import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Final
@@ -348,7 +349,11 @@
         load_reports.add_work((_arriving_work(state,
                                               now), *_local_work(state, now))),
         state.coordination.is_enabled,
-        speed_updates.digests(state, 'dc', ('own', 'vm'), now))
+        speed_updates.digests(state, 'dc', ('own', 'vm'), now),
+        frozenset(
+            peer_ranks.short_hash(entry.vm)
+            for entry in relays.local_peers(state)
+            if not relays.is_live(state, entry.vm, now)))
     payload = peer_messages.encode(own)
     remote = [
         state.peers[vm]
@@ -368,7 +373,8 @@
             each.loads for each in known if has_local or each is not own),
         has_local, {each.dc: each.work for each in known},
         {each.dc: each.vm for each in known if each.coordinates},
-        speed_updates.digests(state, 'totals', ('dc',), now))
+        speed_updates.digests(state, 'totals', ('dc',), now),
+        frozenset(itertools.chain.from_iterable(each.absent for each in known)))
     payload = peer_messages.encode(totals)
     local = relays.local_peers(state)
     for entry in local:
--- a/src/plantainridge/gateway/load_reports.py
+++ b/src/plantainridge/gateway/load_reports.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from plantainridge.gateway import peer_ranks
+from plantainridge.gateway.events import VmEntry
 from plantainridge.gateway.peer_loads import PeerLoad
 from plantainridge.gateway.peer_messages import DcLoad, LoadTotals, OwnLoad
 from plantainridge.ids import DcId, EndpointId, ServiceId, VmId
@@ -59,6 +61,8 @@
         work: Work that arrives in each data centre for each service, in tokens
             per s.
         coordinators: VMs that answer placement requests, by data centre.
+        absent: 32-bit hashes of VMs that are listed and not live, according to
+            the totals.
     """
 
     number: int = 0
@@ -70,11 +74,23 @@
     has_local: bool = False
     work: Mapping[DcId, Mapping[ServiceId, float]] = attrs.field(factory=dict)
     coordinators: Mapping[DcId, VmId] = attrs.field(factory=dict)
+    absent: frozenset[int] = frozenset()
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the totals have not expired."""
         return now - self.totals_at <= MAX_REPORT_AGE_S
 
+    def may_be_live(self, entry: VmEntry, now: float) -> bool:
+        """Return whether a VM of another data centre is not known to be lost.
+
+        Without totals nothing is known of other data centres. With totals, one
+        that is missing from them does not reach this one.
+        """
+        if not self.is_fresh(now):
+            return True
+        return (DcId(entry.dc) in self.work and
+                peer_ranks.short_hash(entry.vm) not in self.absent)
+
     def receive_dc_load(self, load: DcLoad, now: float) -> None:
         """Apply another data centre's load unless a newer one overtook it."""
         previous = self.dc_loads.get(load.dc)
@@ -98,7 +114,7 @@
         """Replace the totals, less this VM's own load as last reported."""
         self.totals_at = now
         self.has_local, self.work = totals.has_local, totals.work
-        self.coordinators = totals.coordinators
+        self.coordinators, self.absent = totals.coordinators, totals.absent
         if not totals.has_local:
             own_loads = {}
         self.cooldowns = {
--- a/src/plantainridge/gateway/peer_ranks.py
+++ b/src/plantainridge/gateway/peer_ranks.py
@@ -40,6 +40,12 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
+@functools.lru_cache(MAX_CACHED_RANKS)
+def short_hash(vm: VmId) -> int:
+    """Return a 32-bit hash of a VM's name, which stands for it in messages."""
+    return rendezvous_hash(vm, '') >> 32
+
+
 def weight(subject: str, link_mbps: float) -> float:
     """Return the weight of a VM with some bandwidth for a subject."""
     if subject in LARGE_SUBJECTS:
--- a/src/plantainridge/gateway/peers.capnp
+++ b/src/plantainridge/gateway/peers.capnp
@@ -147,6 +147,8 @@
 struct OriginQuestion {
   vm @0 :Text;
   attempts @1 :List(UInt64);
+  # Where the sender receives answers: its entry may not have been read yet.
+  address @2 :Text;
 }
 
 # Load that the VMs of one or several data centres have in flight.
@@ -165,6 +167,8 @@
   # In totals: the coordinators that the sender knows. In a data centre's load:
   # the sender, if it answers placement requests.
   coordinators @7 :List(Coordinator);
+  # Hashes of the VMs of these data centres that are listed and not live.
+  absentVms @8 :List(UInt32);
 }
 
 # Work that arrives in one data centre for one service.
--- a/src/plantainridge/gateway/requests.py
+++ b/src/plantainridge/gateway/requests.py
@@ -91,6 +91,7 @@
         resumed_at: Loop time at which it was found to resume a stream, in s;
             -inf if it does not. It had arrived by then.
         asked_at: Loop time at which peers were last asked for it, in s.
+        origin_asks: Number of times that they were asked.
         first_event_s: Time from arrival to the first stream event, in s, or
             None.
         progress_at: Loop time of its latest stream event, or of its arrival,
@@ -128,6 +129,7 @@
     origin_due_at: float | None = None
     resumed_at: float = -math.inf
     asked_at: float = -math.inf
+    origin_asks: int = 0
     first_event_s: float | None = None
     progress_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived_at, takes_self=True))
--- a/tests/build_fleet.py
+++ b/tests/build_fleet.py
@@ -6,7 +6,7 @@
 
 from plantainridge.gateway import effects as fx
 from plantainridge.gateway import events as ev
-from plantainridge.gateway.events import Part, View
+from plantainridge.gateway.events import Part, View, VmEntry
 from plantainridge.ids import DcId, EndpointId, RequestId, VmId
 from tests.gateway_scene import LOCAL_DC, GatewayScene, head, request
 from tests.registry_fleet import RegistryFleet, entry, removal
@@ -85,6 +85,25 @@
             scene.read(View.VMS, *self._entries)
         self.run(5.0)
 
+    def list_removed(self, dc: DcId, count: int) -> None:
+        """List further VMs of a data centre, which do not run."""
+        removed = [
+            VmEntry(VmId(f'removed{at}'), dc, f'removed{at}:1')
+            for at in range(count)
+        ]
+        self._entries += removed
+        for scene in self.vms.values():
+            scene.read(View.VMS, *removed)
+        self.run(5.0)
+
+    def vms_of(self, dc: DcId) -> list[VmId]:
+        """Return the VMs of a data centre that were not removed."""
+        return [
+            each.vm
+            for each in self._entries
+            if each.dc == dc and each.vm in self.vms
+        ]
+
     def add_engines(self, build: str, dc: str = LOCAL_DC) -> None:
         """Register two engines of a build."""
         for name in (f'{build}-a', f'{build}-b'):
