Send the records of streams also while one build serves

Cause: while a service had had one build for a minute, records of where streams began were sent to no other VM, and only once a second build was read. A VM that was lost before took them along, and its peers cannot tell these streams from ones that began at the second build.

Change: records are sent in batches with the next tick while one build serves, without streams that have ended by then, and before the first event else, as before. What is inferred for a stream without a record is unchanged, so that no versions are joined that were not before.

--- a/src/plantainridge/gateway/answers.py
+++ b/src/plantainridge/gateway/answers.py
@@ -261,6 +261,7 @@
     health.record_success(state, attempt, now)
     if attempt.events_received:
         yield from suspects.record_answer(state, call, now)
+    resumptions.forget_ended(state, call)
     yield fx.EndReply(call.request.id)
     yield from endings.end(state, call, endings.ANSWERED, 200, now)
 
--- a/tests/test_lost_data_centres.py
+++ b/tests/test_lost_data_centres.py
@@ -1,5 +1,6 @@
 """Tests of streams that go on after a data centre, or most VMs, were lost."""
 
+import math
 import random
 import unittest
 from collections import Counter
@@ -116,6 +117,52 @@
         self.assertEqual(self._lose(fleet, lost, [added]), STREAMS)
 
 
+class NewBuildTest(unittest.TestCase):
+    """Tests of streams whose VMs are lost as a further build starts."""
+
+    def _lose(self, size: int, lost: int, started_s: float) -> int:
+        """Return how many streams of lost VMs go on at their build.
+
+        Args:
+            size: Number of VMs, of three data centres in turn.
+            lost: Number of VMs that are lost, data centre by data centre.
+            started_s: Time from the loss to the start of the further build's
+                engines, in s.
+        """
+        fleet = BuildFleet(size, 'v1')
+        fleet.spread(*DCS[:3])
+        for scene in fleet.vms.values():
+            scene.state.builds.watched_since = -math.inf
+        killed = [vm for dc in DCS[:3] for vm in fleet.vms_of(dc)][:lost]
+        for at in range(STREAMS):
+            fleet.begin(killed[at % lost], f's{at}')
+        fleet.run(0.2)
+        if started_s <= 0.0:
+            fleet.add_engines('v2')
+            fleet.run(-started_s)
+        for vm in killed:
+            fleet.kill(vm)
+        if started_s > 0.0:
+            fleet.run(started_s)
+            fleet.add_engines('v2')
+        fleet.run(1.5)
+        left = [vm for vm in fleet.vms if vm not in killed]
+        found = [
+            fleet.resume(left[at % len(left)], f's{at}-on', f's{at}')
+            for at in range(STREAMS)
+        ]
+        self.assertNotIn('v2', found)
+        return found.count('v1')
+
+    # Streams of lost VMs were all refused once a further build was listed: no
+    # records were sent while one build served.
+    def test_build_starts_around_the_loss(self) -> None:
+        for size, lost in ((7, 3), (7, 4), (15, 5)):
+            for started_s in (-0.5, 0.0, 1.0):
+                with self.subTest(size=size, lost=lost, started_s=started_s):
+                    self.assertEqual(self._lose(size, lost, started_s), STREAMS)
+
+
 class HolderChoiceTest(unittest.TestCase):
     """Tests of the choice of VMs that hold a record."""
 
