Take an unframed answer for whole only once its request was received

Callers would see: a part of an answer as a whole 200, with its seal, where a worker answers a long upload early, ends its data in order and then resets the connection while the upload is still being written.

Cause: an answer without a length or chunks was complete at the end of the data. Its end is that of its connection, which goes on while the request is written. A peer's tunnel acknowledged the upload and passed the end on too.

Change: with bytes of the request that are not acknowledged, the connection stays open after the end of the data: acknowledged, the answer is complete; a reset makes it broken; the deadline ends it. A tunnel holds the end back until the endpoint has received what came, and resets both sides with it.

Endpoints that end their data early and read on have their answers, as before.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -18,7 +18,7 @@
 
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure, Headers
-from plantainridge.gateway.sockets import unacknowledged_bytes
+from plantainridge.gateway.sockets import (pending_error, unacknowledged_bytes)
 from plantainridge.gateway.tunnel_client import open_tunnel
 from plantainridge.gateway.wire import RawRequest
 
@@ -50,6 +50,9 @@
 # Longest total of the incomplete answers that are held, in bytes: the memory of
 # a process leaves room for one that is being copied as well.
 MAX_HELD_BYTES: Final = 32 * 1_024 * 1_024
+# Interval at which a connection whose server sends nothing more is checked for
+# the receipt of the request, in s.
+RECEIPT_CHECK_INTERVAL_S: Final = 0.02
 # Informational heads (1xx) that may precede an answer's head.
 MAX_INFORMATIONAL_HEADS: Final = 8
 # Errors with which this system gives up a connection whose other side does not
@@ -174,6 +177,8 @@
         kept_until: Loop time until which a failure of the current request may
             be due to a connection that the server had dropped while idle, in s.
         at_eof: Whether the server sends nothing more.
+        is_ending: Whether the answer has ended with the server's data, and the
+            receipt of the request is awaited.
         usable_until: Loop time until which it is reused, in s.
         was_used: Whether it carried a request that was answered.
         is_tunnelled: Whether it leads through a peer, which acknowledges what
@@ -197,6 +202,7 @@
         self.max_idle_s = MAX_IDLE_S
         self.kept_until = -math.inf
         self.at_eof = False
+        self.is_ending = False
         self.usable_until = math.inf
         self.was_used = False
         self.is_tunnelled = False
@@ -272,7 +278,7 @@
         if self.handler is not None and self.http is not None:
             self.at_eof = True
             self._receive(b'')
-        return False
+        return self.is_ending
 
     def connection_lost(self, exc: Exception | None) -> None:
         is_local = isinstance(exc, OSError) and exc.errno in LOCAL_ERRORS
@@ -283,7 +289,7 @@
         assert self.http is not None
         try:
             self.http.receive_data(data)
-            while self.handler is not None:
+            while self.handler is not None and not self.is_ending:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
                     # A head or a trailer that is incomplete is held as well.
@@ -321,13 +327,38 @@
             failure = self.handler.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             failure = self.handler.check_end()
-            if failure is None:
+            if failure is None and self.at_eof:
+                self._complete_at_eof()
+            elif failure is None:
                 self._complete()
         elif isinstance(event, h11.ConnectionClosed):
             failure = Failure.BROKEN
         if failure is not None:
             self.fail(failure, detail)
 
+    def _complete_at_eof(self) -> None:
+        """Complete an answer without framing once the request was received.
+
+        A server that answers early may reset the connection after the end of
+        its data, while the request is still being written. The answer is not
+        complete then. A peer acknowledges what the server may not have
+        received, so that nothing is awaited through a tunnel.
+        """
+        self.is_ending = False
+        if self.handler is None or self.transport is None:
+            return
+        unreceived = (self.transport.get_write_buffer_size() +
+                      unacknowledged_bytes(self.transport))
+        if not unreceived:
+            self._complete()
+            return
+        error = pending_error(self.transport)
+        if error or self.is_tunnelled:
+            self.fail(Failure.BROKEN, errno.errorcode.get(error, END_OF_DATA))
+            return
+        self.is_ending = True
+        self.loop.call_later(RECEIPT_CHECK_INTERVAL_S, self._complete_at_eof)
+
     def _complete(self) -> None:
         assert self.http is not None and self.transport is not None
         handler = self._release_handler()
--- a/src/plantainridge/gateway/sockets.py
+++ b/src/plantainridge/gateway/sockets.py
@@ -37,6 +37,24 @@
     return _byte_count(transport, termios.FIONREAD)
 
 
+def pending_error(transport: asyncio.BaseTransport) -> int:
+    """Remove and return the error of a socket that is not read, 0 for none.
+
+    The system reports a reset that follows the end of the peer's data neither
+    to a reader nor, without further data, to a writer.
+
+    Args:
+        transport: Transport of a TCP connection.
+
+    Returns:
+        The number of the system's error.
+    """
+    sock: socket.socket | None = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return 0
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
 def _byte_count(transport: asyncio.BaseTransport, request: int) -> int:
     sock: socket.socket | None = transport.get_extra_info('socket')
     if sock is None or sock.fileno() < 0:
--- a/src/plantainridge/gateway/tunnels.py
+++ b/src/plantainridge/gateway/tunnels.py
@@ -20,7 +20,8 @@
                                                      TCP_USER_TIMEOUT_MS)
 from plantainridge.gateway.events import TunnelEnded, TunnelRequested
 from plantainridge.gateway.http_client import CONNECT_TIMEOUT_S
-from plantainridge.gateway.sockets import unacknowledged_bytes
+from plantainridge.gateway.sockets import (pending_error, unacknowledged_bytes,
+                                           unread_bytes)
 from plantainridge.gateway.tunnel_client import (STATUS_NOT_REACHED,
                                                  TUNNEL_TIMEOUT_S)
 from plantainridge.ids import TunnelId
@@ -42,6 +43,11 @@
 # Time after the end of one direction at which a tunnel is reset, in s: the
 # other one has then nothing to carry but the end of an answer.
 HALF_OPEN_TIMEOUT_S: Final = 10.0
+# Interval at which the end of an endpoint's data is held back until the endpoint
+# has received what came for it, in s.
+RECEIPT_CHECK_INTERVAL_S: Final = 0.02
+# Time without data of the peer after which none is taken to be on its way, in s.
+QUIET_S: Final = 0.1
 # Idle time after which probes check whether a tunnel's peer still exists, in s:
 # a VM that was lost without a reset would hold its tunnels for ever.
 KEEPALIVE_IDLE_S: Final = 2
@@ -140,7 +146,34 @@
 
     def eof_received(self) -> bool:
         self.peer.limit_half_open()
-        return super().eof_received()
+        self._pass_end()
+        return True
+
+    def _pass_end(self) -> None:
+        """Pass the end of the data on once what came for the endpoint is there.
+
+        The peer takes an answer without framing for complete at its end, unless
+        its request was still being received.
+        """
+        if self.is_lost or self.is_aborted or self.peer.is_lost:
+            return
+        assert self.transport is not None
+        if pending_error(self.transport):
+            self.abort()
+            self.peer.abort()
+        elif self._has_received_all():
+            super().eof_received()
+        else:
+            self.peer.loop.call_later(RECEIPT_CHECK_INTERVAL_S, self._pass_end)
+
+    def _has_received_all(self) -> bool:
+        """Return whether the endpoint has received what the peer sent."""
+        transport, peer = self.transport, self.peer
+        assert transport is not None and peer.transport is not None
+        if transport.get_write_buffer_size() or unacknowledged_bytes(transport):
+            return False
+        is_quiet = peer.loop.time() - peer.received_at >= QUIET_S
+        return is_quiet and not unread_bytes(peer.transport)
 
     def abort(self) -> None:
         """Close at once; reset only what the endpoint did not receive.
@@ -165,6 +198,7 @@
         http: Parser of the request and framer of the answer.
         task: Task that connects to the endpoint, or None.
         timer: Timer of the current timeout, or None.
+        received_at: Loop time at which data came last, in s.
         reason: Why the tunnel ends; '' while it is open.
         is_reached: False if the endpoint could not be connected to.
     """
@@ -178,6 +212,7 @@
                                    max_incomplete_event_size=MAX_HEAD_BYTES)
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.received_at = self.loop.time()
         self.reason = ''
         self.is_reached = True
 
@@ -198,6 +233,7 @@
         self._set_timeout(OPEN_TIMEOUT_S, self._on_open_timeout)
 
     def data_received(self, data: bytes) -> None:
+        self.received_at = self.loop.time()
         if self.other is not None:
             super().data_received(data)
             return
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Tests of endpoints' answers that have no end, or no clear one."""
 
 import asyncio
+import math
 import socket
 import time
 import unittest
@@ -91,7 +92,7 @@
         writer.close()
 
 
-def ending(data: bytes, reset: bool = False) -> Serve:
+def ending(data: bytes, is_reset: bool = False) -> Serve:
     """Return an endpoint that sends an answer and ends the connection."""
 
     async def serve(reader: asyncio.StreamReader,
@@ -99,14 +100,20 @@
         await reader.read(65_536)
         writer.write(data)
         await asyncio.sleep(0.05)
-        if reset:
-            sock = writer.get_extra_info('socket')
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        if is_reset:
+            reset(writer)
         writer.close()
 
     return serve
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
+
+
 class _PatientPool(Pool):
     """A pool that connects however long the loop is held up meanwhile."""
 
@@ -322,9 +329,9 @@
 
     async def _answer(self,
                       data: bytes,
-                      reset: bool = False,
+                      is_reset: bool = False,
                       **overrides: Any) -> Event:
-        address = await self.listen(ending(data, reset))
+        address = await self.listen(ending(data, is_reset))
         event = await self.outcome(address, new_connection=False, **overrides)
         self.assertEqual(self.pool.idle, {})
         return event
@@ -335,7 +342,7 @@
         self.assertEqual(event.body, b'ok')
 
     async def test_answer_that_is_reset_is_not_complete(self) -> None:
-        event = await self._answer(OK + b'\r\nok', reset=True)
+        event = await self._answer(OK + b'\r\nok', is_reset=True)
         self.assertEqual(
             event, ev.SendFailed(AttemptId('r1.0'), Failure.BROKEN,
                                  'ECONNRESET'))
@@ -346,7 +353,7 @@
 
     async def test_stream_that_is_reset_at_an_event_is_broken(self) -> None:
         event = await self._answer(STREAM + b'\r\nid: 1\n\n',
-                                   reset=True,
+                                   is_reset=True,
                                    stream=True)
         self.assertEqual(
             event, ev.SendFailed(AttemptId('r1.0'), Failure.BROKEN,
@@ -383,6 +390,74 @@
         self.assertIsInstance(event, ev.StreamEnded)
 
 
+def early(data: bytes,
+          reads_after_s: float = math.inf,
+          resets_after_s: float = math.inf) -> Serve:
+    """Return an endpoint that answers at the first byte of a request.
+
+    It ends its sending direction then.
+
+    Args:
+        data: The answer.
+        reads_after_s: Time after which it reads the rest and closes, in s.
+        resets_after_s: Time after which it resets the connection, in s.
+    """
+
+    async def serve(reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter) -> None:
+        await reader.read(1)
+        writer.write(data)
+        await writer.drain()
+        writer.write_eof()
+        await asyncio.sleep(min(reads_after_s, resets_after_s))
+        if reads_after_s < resets_after_s:
+            while await reader.read(65_536):
+                pass
+        else:
+            reset(writer)
+
+    return serve
+
+
+class EarlyAnswerTest(_SenderCase):
+    """An answer without framing ends while its request is being written."""
+
+    UPLOAD = request('/submit/x', body=bytes(3_000_000))
+
+    # The part of an answer was taken for all of it: its end had come in order,
+    # and the reset only later.
+    async def test_answer_is_broken_by_a_later_reset(self) -> None:
+        for data, is_stream in ((OK + b'\r\npart', False),
+                                (STREAM + b'\r\nid: 1\n\n', True)):
+            for resets_after_s in (0.0, 0.01, 0.3, 1.0):
+                address = await self.listen(
+                    early(data, resets_after_s=resets_after_s))
+                event = await self.outcome(address,
+                                           request=self.UPLOAD,
+                                           stream=is_stream)
+                with self.subTest(stream=is_stream, after_s=resets_after_s):
+                    assert isinstance(event, ev.SendFailed), event
+                    self.assertEqual(event.failure, Failure.BROKEN)
+
+    async def test_answer_is_complete_once_the_request_was_received(
+            self) -> None:
+        for reads_after_s in (0.0, 0.3):
+            address = await self.listen(
+                early(OK + b'\r\nwhole', reads_after_s=reads_after_s))
+            event = await self.outcome(address, request=self.UPLOAD)
+            assert isinstance(event, ev.AnswerArrived), event
+            self.assertEqual(event.body, b'whole')
+
+    async def test_answer_to_an_endpoint_that_stays_silent_is_silent(
+            self) -> None:
+        address = await self.listen(early(OK + b'\r\npart'))
+        event = await self.outcome(address,
+                                   request=self.UPLOAD,
+                                   remaining_s=0.1)
+        self.assertEqual(
+            event, ev.SendFailed(AttemptId('r1.0'), Failure.SILENT, 'deadline'))
+
+
 class FramedAnswerTest(_SenderCase):
     """An answer with a length or chunks that ends early is not complete."""
 
@@ -403,8 +478,8 @@
         }
         for is_stream, cases in ((False, framed), (True, streams)):
             for name, data in cases.items():
-                for reset in (False, True):
-                    address = await self.listen(ending(data, reset))
+                for is_reset in (False, True):
+                    address = await self.listen(ending(data, is_reset))
                     event = await self.outcome(address,
                                                new_connection=False,
                                                stream=is_stream)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -25,6 +25,8 @@
 from plantainridge.reports import log_fault
 from plantainridge.standins.platform_site import DROP_ALL, SO_ATTACH_FILTER
 from tests.gateway_scene import request
+from tests.stream_server import StreamServer
+from tests.test_endless_answers import early
 
 PEER, ORIGIN = '127.0.0.1', '127.0.0.2'
 # Nothing listens there.
@@ -309,6 +311,32 @@
                         peer.kill()
                     await peer.wait()
 
+    # The peer of the tunnel acknowledges more than the endpoint has received.
+    async def test_early_answer_is_broken_by_a_later_reset(self) -> None:
+        upload = request('/submit/x', body=bytes(3_000_000))
+        for name, data, is_stream in (('no length', UNFRAMED, False),
+                                      ('stream', STREAM + b'\r\nid: 1\n\n',
+                                       True)):
+            for after_s in (0.0, 0.01, 0.3):
+                server = StreamServer(early(data, resets_after_s=after_s))
+                address = await server.start()
+                event = await self._send(address=address,
+                                         request=upload,
+                                         stream=is_stream)
+                with self.subTest(name, after_s=after_s):
+                    self.assertEqual(event.failure, Failure.BROKEN)
+                await server.stop()
+
+    async def test_early_answer_is_complete_once_the_request_was_received(
+            self) -> None:
+        upload = request('/submit/x', body=bytes(3_000_000))
+        for after_s in (0.0, 0.3):
+            server = StreamServer(early(UNFRAMED, reads_after_s=after_s))
+            event = await self._send(address=await server.start(),
+                                     request=upload)
+            self.assertEqual(event.body, b'part')
+            await server.stop()
+
     async def test_head_that_is_cut_is_not_passed_on(self) -> None:
         head = STREAM + b'Transfer-Encoding: chunked\r\n\r\n'
         for cut in range(len(head)):
