Count an order that is answered with no valid status as unknown

Reported of other systems: a worker answers with the status 000. The platform's door rejects such answers. The calls by aiosonic read 000, 099, 20 and 1000 as statuses; all take only 200 for success, but an order to an engine counted as not carried out, which nothing shows.

Evidence: test_order_is_unknown_after_a_status_that_is_none fails before for these four statuses, and passes now.

--- a/src/plantainridge/orders_http.py
+++ b/src/plantainridge/orders_http.py
@@ -19,6 +19,7 @@
 STATUS_FENCED: Final = 412
 ORDER_TIMEOUT_S: Final = 10.0
 REPORT_TIMEOUT_S: Final = 2.0
+VALID_STATUSES: Final = range(200, 600)
 
 
 class HttpOrderPort(OrderPort):
@@ -81,4 +82,6 @@
         return OrderOutcome.DONE
     if status == STATUS_FENCED:
         return OrderOutcome.FENCED
-    return OrderOutcome.FAILED
+    # A status that HTTP does not define does not show what became of the order.
+    return (OrderOutcome.FAILED
+            if status in VALID_STATUSES else OrderOutcome.UNKNOWN)
--- a/tests/test_service_port.py
+++ b/tests/test_service_port.py
@@ -377,7 +377,7 @@
 
 
 class CutAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """A server stops within its answer and closes the connection.
+    """A server's answer is cut within it, or is none.
 
     Callers took what had come of a head for an answer without a body.
     """
@@ -429,6 +429,16 @@
                     self.assertEqual(ended.outcome, expected)
                     self.assertEqual(self.request_count, 1)
 
+    # Such an order counted as not carried out, which nothing showed.
+    async def test_order_is_unknown_after_a_status_that_is_none(self) -> None:
+        body = b'Content-Length: 2\r\n\r\n{}'
+        for status in (b'000', b'099', b'20', b'1000', b'abc'):
+            self.answer = b'HTTP/1.1 ' + status + b' OK\r\n' + body
+            with self.subTest(status):
+                ended = await self._order()
+                assert isinstance(ended, orders.OrderEnded)
+                self.assertEqual(ended.outcome, orders.OrderOutcome.UNKNOWN)
+
     async def test_no_response_has_the_head_that_came(self) -> None:
         head = self.ANSWER + b'\r\n'
         for cut in range(len(head)):
