Soak: a refused try of a stream does not go on

The check of resumed streams counted a try as going on if its answer was complete, and a refusal is complete as well: it could not fail. The test of the check had refusals that were not complete.

The check now asks for events, or the end of a 200.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -447,7 +447,7 @@
                 if not each.after:
                     begun.append(bool(each.events))
                 elif _serving_count(history, build, each) >= MIN_SERVING:
-                    resumed.append(bool(each.events) or each.complete)
+                    resumed.append(_goes_on(each))
             build = build or (each.events[0].build if each.events else '')
     if len(resumed) < MIN_RESUMED or not begun:
         return
@@ -457,6 +457,11 @@
                f'{sum(begun)} of {len(begun)} new ones began')
 
 
+def _goes_on(tried: StreamTry) -> bool:
+    """Return whether a try brought events, or the end of its stream."""
+    return bool(tried.events) or tried.complete and tried.status == 200
+
+
 def _serving_count(history: History, build: str, tried: StreamTry) -> int:
     """Return how many engines of a build served throughout an attempt."""
     evacuated_dcs = {
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -83,7 +83,7 @@
 
 
 EVENT_END = checks.DRAFT_EVENT_COUNT + 1
-REFUSED_TRY = stream_try(range(11, 11), status=503)
+REFUSED_TRY = stream_try(range(11, 11), status=503, complete=True)
 SERVING = [
     ServingSpan('w-1', 'b1', AT - 5.0, float('inf')),
     ServingSpan('w-2', 'b1', AT - 5.0, AT + 9.0)
