Soak: lose all gateways of a data centre beside builds that start

The soak killed gateways one by one, and all of them; with four it never came to deployments that share records with a few VMs only. A check holds that at least half of the streams that were cut so go on.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,12 +12,15 @@
 import click
 
 from tests.soak.callers import Caller
-from tests.soak.checks import RECOVERY_S, mixed_streams, violations
+from tests.soak.checks import (RECOVERY_S, lost_streams, mixed_streams,
+                               violations)
 from tests.soak.faults import FaultInjector
 from tests.soak.history import History
+from tests.soak.losses import LossInjector
 from tests.soak.readers import Reader
 from tests.soak.releases import ReleaseInjector
-from tests.soak.site import SoakSite
+from tests.soak.site import (GATEWAYS, LARGE_RUN_GATEWAYS, LARGE_RUN_INTERVAL,
+                             SoakSite)
 
 GATEWAY_COMMAND: Final = [
     sys.executable, '-m', 'tests.soak.launch', '--metrics-port', '7004'
@@ -60,6 +63,8 @@
         tasks += readers
         releases = ReleaseInjector(site, random.Random(f'{seed} releases'))
         await FaultInjector(site, rng).run(seconds, releases.inject_for)
+        await LossInjector(site, random.Random(f'{seed} losses')).run()
+        await asyncio.sleep(FINAL_CALM_S)
         # Streams of two builds do not go on once all gateways were killed.
         for task in readers:
             task.cancel()
@@ -91,11 +96,13 @@
         async with free_jobs:
             folder = keep / f'seed-{seed}'
             folder.mkdir(parents=True, exist_ok=True)
+            count = (gateways if seed %
+                     LARGE_RUN_INTERVAL else LARGE_RUN_GATEWAYS)
             command = [
                 sys.executable, '-m', 'tests.soak', '--one', '--seed',
                 str(seed), '--seconds',
                 str(seconds), '--gateways',
-                str(gateways), '--callers',
+                str(count), '--callers',
                 str(callers), '--keep',
                 str(folder)
             ]
@@ -123,6 +130,9 @@
     resumed = [each for each in tries if each.after]
     went_on = sum(bool(each.events) for each in resumed)
     mixed = list(mixed_streams(history))
+    lost = lost_streams(history)
+    click.echo(f'  {len(lost)} streams of lost data centres, {sum(lost)} went '
+               f'on')
     click.echo(f'  {len(history.streams)} resumable streams, '
                f'{sum(each.complete and each.status == 200 for each in tries)} '
                f'complete, '
@@ -157,7 +167,11 @@
               default=12.0,
               show_default=True,
               help='Time with faults in each run, in s.')
-@click.option('--gateways', default=4, show_default=True)
+@click.option('--gateways',
+              default=GATEWAYS,
+              show_default=True,
+              help=f'Number of gateways; each {LARGE_RUN_INTERVAL}th seed of '
+              f'several has {LARGE_RUN_GATEWAYS}.')
 @click.option('--callers', default=16, show_default=True)
 @click.option('--jobs',
               default=2,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -52,6 +52,8 @@
 MIN_RESUMED: Final = 12
 MIN_RESUMED_RATIO: Final = 0.5
 MIN_SERVING: Final = 2
+# Fault of a gateway that is killed at one moment with all of its data centre.
+DC_LOSS: Final = 'dc-loss'
 # Crashes by a part after which requests with it count, and how many may still
 # reach engines `STABLE_S` later.
 COUNTED_CRASHES: Final = 5
@@ -457,6 +459,43 @@
                f'{sum(begun)} of {len(begun)} new ones began')
 
 
+def lost_streams(history: History) -> list[bool]:
+    """Return whether each stream that a loss of a data centre cut goes on.
+
+    Counts its first later try at a gateway without faults, while enough engines
+    of its build serve.
+    """
+    losses = [
+        span for span in history.fault_spans if span.fault_name == DC_LOSS
+    ]
+    found = []
+    for stream in history.streams:
+        cut = next((number for number, each in enumerate(stream.tries)
+                    if each.events and not each.complete and any(
+                        span.subject == each.gateway and
+                        each.sent_at <= span.start <= each.ended_at
+                        for span in losses)), None)
+        if cut is None:
+            continue
+        build = stream.events[0].build
+        later = next(
+            (each for each in stream.tries[cut + 1:]
+             if history.is_fault_free(_configuration_path(
+                 each.gateway), each.sent_at - STABLE_S, each.ended_at) and
+             _serving_count(history, build, each) >= MIN_SERVING), None)
+        if later is not None:
+            found.append(_goes_on(later))
+    return found
+
+
+def streams_of_lost_dcs_go_on(history: History) -> Iterator[str]:
+    """Check that streams go on whose gateway was lost with its data centre."""
+    found = lost_streams(history)
+    if (len(found) >= MIN_RESUMED and
+            sum(found) < MIN_RESUMED_RATIO * len(found)):
+        yield f'{sum(found)} of {len(found)} streams of lost gateways went on'
+
+
 def _goes_on(tried: StreamTry) -> bool:
     """Return whether a try brought events, or the end of its stream."""
     return bool(tried.events) or tried.complete and tried.status == 200
@@ -527,8 +566,8 @@
     evacuated_dcs_get_no_work, planned_stops_cut_nothing,
     read_requests_are_answered, partitioned_gateways_serve,
     streams_keep_their_build, streams_follow_on, resumed_streams_go_on,
-    crashing_requests_are_kept_away, fetched_parts_are_complete,
-    service_recovers)
+    streams_of_lost_dcs_go_on, crashing_requests_are_kept_away,
+    fetched_parts_are_complete, service_recovers)
 
 
 def violations(history: History) -> list[str]:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -12,16 +12,18 @@
 import attrs
 
 from plantainridge.gateway import (cache, config, dispatch, drain, endings,
-                                   endpoint_limits, lease, reducer, resumptions,
-                                   sender, stores, suspects, views)
+                                   endpoint_limits, lease, origin_holders,
+                                   reducer, resumptions, sender, stores,
+                                   suspects, views)
 from plantainridge.gateway.endpoints import EndpointView
 from plantainridge.gateway.events import (AnswerHead, EvacuationChanged,
-                                          TimerKind, ViewRead)
-from plantainridge.ids import AttemptId
+                                          TimerKind, ViewRead, VmEntry)
+from plantainridge.ids import AttemptId, DcId
 from plantainridge.loop.effects import Effect
 from plantainridge.loop.events import TimerFired
 from plantainridge.platform import requests
 from tests.soak.launch import run_gateway
+from tests.soak.site import GATEWAYS, LARGE_RUN_GATEWAYS
 
 
 def _repeat_all() -> None:
@@ -132,6 +134,16 @@
     setattr(resumptions, 'admit', dispatch.dispatch)
 
 
+def _hold_origins_in_one_dc() -> None:
+    """Send records of where streams began to VMs of the own DC only."""
+    choose = origin_holders.choose
+
+    def choose_local(key: int, own_dc: DcId, vms: Any) -> list[VmEntry]:
+        return choose(key, own_dc, {own_dc: vms.get(own_dc, ())})
+
+    setattr(origin_holders, 'choose', choose_local)
+
+
 def _forget_crashes() -> None:
     """Neither read nor write the record of crashes."""
     setattr(suspects, 'update_record', lambda state, now: iter(()))
@@ -159,9 +171,12 @@
     'forget_evacuations': (_forget_evacuations, 3),
     'ignore_runs': (_ignore_runs, 3),
     'resume_at_any_build': (_resume_at_any_build, 1),
+    'hold_origins_in_one_dc': (_hold_origins_in_one_dc, 5),
     'forget_crashes': (_forget_crashes, 1),
     'save_at_once': (_save_at_once, 1),
 }
+# Played with more gateways than share all with all.
+LARGE_MUTANTS: Final = frozenset({'hold_origins_in_one_dc'})
 
 
 def _start(name: str) -> None:
@@ -175,10 +190,12 @@
     """Play the soak with every mutant; exit with 1 if one is not detected."""
     undetected = []
     for name, (_, seed) in MUTANTS.items():
+        gateways = LARGE_RUN_GATEWAYS if name in LARGE_MUTANTS else GATEWAYS
         command = [
             sys.executable, '-m', 'tests.soak', '--one', '--mutant', name,
             '--seed',
-            str(seed), '--seconds', '14'
+            str(seed), '--seconds', '14', '--gateways',
+            str(gateways)
         ]
         detected = subprocess.run(command, check=False).returncode == 1
         print(f'{name}: {"noticed" if detected else "MISSED"}', flush=True)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -33,6 +33,10 @@
 LEDGER: Final = 'ledger'
 DCS: Final = ('dc-1', 'dc-2')
 WRITER_COUNT: Final = 5
+# Gateways of a run, and of each so many-th seed: more than share all with all.
+GATEWAYS: Final = 4
+LARGE_RUN_INTERVAL: Final = 5
+LARGE_RUN_GATEWAYS: Final = 14
 # Subnets 127.N of concurrent runs, and the port that reserves one.
 SUBNETS: Final = range(10, 210)
 RESERVING_PORT: Final = 6_999
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -82,6 +82,13 @@
     return CallerStream('/draft/x', [stream_try(range(1, 11)), *later])
 
 
+def lost_stream(*later: StreamTry) -> CallerStream:
+    """Return a stream whose first try was cut by the loss of its gateway."""
+    lost = stream_try(range(1, 11), gateway='vm1')
+    return CallerStream('/draft/x', [lost, *later])
+
+
+LOSS = FaultSpan('vm1', checks.DC_LOSS, AT + 0.2, AT + 4.0)
 EVENT_END = checks.DRAFT_EVENT_COUNT + 1
 REFUSED_TRY = stream_try(range(11, 11), status=503, complete=True)
 SERVING = [
@@ -160,6 +167,11 @@
         history([], [],
                 streams=[resumed_stream(REFUSED_TRY)] * 12,
                 serving_spans=SERVING),
+    checks.streams_of_lost_dcs_go_on:
+        history([], [],
+                streams=[lost_stream(REFUSED_TRY)] * 12,
+                serving_spans=SERVING,
+                fault_spans=[LOSS]),
     checks.crashing_requests_are_kept_away:
         history([], [], crashing_runs=[AT] * 5 + [AT + 3.5] * 4),
     checks.fetched_parts_are_complete:
@@ -281,6 +293,27 @@
                 self.assertEqual(
                     bool(list(checks.resumed_streams_go_on(played))), violates)
 
+    def test_streams_of_lost_dcs_may_be_refused_within_the_bounds(self) -> None:
+        goes_on = stream_try(range(11, 20))
+        at_lost = stream_try(range(11, 11), gateway='vm1', status=0)
+        for served, refused, spans, fault, violates in (
+            (6, 6, SERVING, LOSS, False), (5, 7, SERVING, LOSS, True),
+            (0, 11, SERVING, LOSS, False), (0, 12, SERVING[:1], LOSS, False),
+            (0, 12, SERVING, attrs.evolve(LOSS, fault_name='kill'),
+             False), (0, 12, SERVING, attrs.evolve(LOSS,
+                                                   start=AT + 0.6), False)):
+            # A try at a gateway that is gone is not judged.
+            tries = [goes_on] * served + [REFUSED_TRY] * refused
+            played = history(
+                [], [],
+                streams=[lost_stream(at_lost, each) for each in tries],
+                serving_spans=spans,
+                fault_spans=[fault])
+            with self.subTest(refused=refused, spans=spans, fault=fault):
+                self.assertEqual(
+                    bool(list(checks.streams_of_lost_dcs_go_on(played))),
+                    violates)
+
     def test_evacuated_engines_do_not_serve_resumed_streams(self) -> None:
         played = attrs.evolve(VIOLATIONS[checks.resumed_streams_go_on],
                               endpoint_dcs={
