--- a/src/plantainridge/gateway/tunnels.py
+++ b/src/plantainridge/gateway/tunnels.py
@@ -43,10 +43,10 @@
 # Time after the end of one direction at which a tunnel is reset, in s: the
 # other one has then nothing to carry but the end of an answer.
 HALF_OPEN_TIMEOUT_S: Final = 10.0
-# Interval at which the end of an endpoint's data is held back until the endpoint
-# has received what came for it, in s.
+# Interval at which the end of an endpoint's data is checked for whether the
+# endpoint has received what came for it, in s.
 RECEIPT_CHECK_INTERVAL_S: Final = 0.02
-# Time without data of the peer after which none is taken to be on its way, in s.
+# Time without data of the peer after which none counts as on its way, in s.
 QUIET_S: Final = 0.1
 # Idle time after which probes check whether a tunnel's peer still exists, in s:
 # a VM that was lost without a reset would hold its tunnels for ever.
