Tidy an import and a comment

Parentheses around an import that fits its line, and a comment that did not say when a stream needs no record.

--- a/src/plantainridge/gateway/http_client.py
+++ b/src/plantainridge/gateway/http_client.py
@@ -18,7 +18,7 @@
 
 from plantainridge.gateway.caller_connection import LINGER_RESET
 from plantainridge.gateway.events import Failure, Headers
-from plantainridge.gateway.sockets import (pending_error, unacknowledged_bytes)
+from plantainridge.gateway.sockets import pending_error, unacknowledged_bytes
 from plantainridge.gateway.tunnel_client import open_tunnel
 from plantainridge.gateway.wire import RawRequest
 
--- a/src/plantainridge/gateway/resumptions.py
+++ b/src/plantainridge/gateway/resumptions.py
@@ -268,8 +268,8 @@
 def _is_steady(state: 'GatewayState', service: ServiceId, now: float) -> bool:
     """Return whether a service surely has had one build for some time.
 
-    The only reason to resume a stream by its record is then that another build
-    appears after its VM is lost, so that records may be late.
+    Records may then be sent late: a stream goes on without one unless another
+    build appears after its VM is lost.
     """
     return (state.builds.has_watched(now) and
             _only_origin(state, service, now) is not None)
